Start the project: design, inner protocol, settings, checks

Cause: the repository was empty. Change: design page, message types, codec and TLS link over pynng, INI settings checked whole, log, metrics and timeline recorder, configuration model, lint and model check targets. Conclusion: the packages can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up what it needs in $(VENV).
+VENV ?= .venv
+PYTHON ?= python3
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+PYTEST_WORKERS ?= 4
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: setup lint format test demo bench slopes check-model known-red
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+setup: $(STAMP)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format rhubarbreach
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check rhubarbreach
+	$(VENV)/bin/ruff check rhubarbreach
+	$(VENV)/bin/flake8 rhubarbreach
+	$(PY) -m rhubarbreach.commands.importcheck rhubarbreach
+
+test: $(STAMP)
+	$(PY) -m pytest -n $(PYTEST_WORKERS) rhubarbreach
+
+demo: $(STAMP)
+	$(PY) -m rhubarbreach demo
+
+bench: $(STAMP)
+	$(PY) -m rhubarbreach bench
+
+slopes: $(STAMP)
+	$(PY) -m rhubarbreach slopes
+
+check-model: $(STAMP)
+	command -v spin > /dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
+	$(PY) -m rhubarbreach.bench.modelcheck model
+
+known-red: $(STAMP)
+	$(PY) -m rhubarbreach.bench.knownred KNOWN-RED.txt
--- /dev/null
+++ b/rhubarbreach/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Execution of batch items."""
--- /dev/null
+++ b/rhubarbreach/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, demo, bench and slope measurements."""
--- /dev/null
+++ b/rhubarbreach/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/rhubarbreach/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log groups."""
--- /dev/null
+++ b/rhubarbreach/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Composition of one host process."""
--- /dev/null
+++ b/rhubarbreach/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to endpoints and the bytes of their responses."""
--- /dev/null
+++ b/rhubarbreach/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated endpoints for tests, demo and bench."""
--- /dev/null
+++ b/rhubarbreach/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers."""
--- /dev/null
+++ b/rhubarbreach/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of client accounts and concurrency of endpoints."""
--- /dev/null
+++ b/rhubarbreach/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live hosts and announced endpoints."""
--- /dev/null
+++ b/rhubarbreach/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Remote procedure calls for operators."""
--- /dev/null
+++ b/rhubarbreach/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to endpoints under leases."""
--- /dev/null
+++ b/rhubarbreach/protocol/codec.py
@@ -0,0 +1,129 @@
+"""Encoding of messages as MessagePack envelopes."""
+
+import dataclasses
+import functools
+
+import msgspec
+
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import messages
+
+__all__ = ['Envelope', 'MAX_MESSAGE_BYTES', 'decode', 'encode']
+
+MAX_MESSAGE_BYTES = 1024 * 1024
+
+
+class WireEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    """Envelope as sent: the body stays raw until its type is known."""
+
+    sender_id: str
+    call_id: int
+    is_reply: bool
+    stamp: int
+    kind: str
+    body: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with its sender.
+
+    Parameters
+    ----------
+    sender_id : str
+        Host that sent the message.
+    call_id : int
+        Number that pairs a call with its reply; 0 for a plain message.
+    is_reply : bool
+        Whether this is the reply to call `call_id` of the receiver.
+    stamp : int
+        Hybrid clock of the sender.
+    message : object or None
+        One of the classes of `rhubarbreach.protocol.messages`.
+    """
+
+    sender_id: str
+    call_id: int
+    is_reply: bool
+    stamp: int
+    message: object
+
+
+ENCODER = msgspec.msgpack.Encoder()
+ENVELOPE_DECODER = msgspec.msgpack.Decoder(WireEnvelope)
+
+
+@functools.cache
+def get_decoder(kind):
+    """Return the decoder of one message type."""
+    return msgspec.msgpack.Decoder(messages.REGISTRY[kind])
+
+
+def encode(envelope):
+    """Encode an envelope.
+
+    Parameters
+    ----------
+    envelope : Envelope
+        Message with its sender.
+
+    Returns
+    -------
+    bytes
+        MessagePack.
+
+    Raises
+    ------
+    MessageError
+        If the result is larger than `MAX_MESSAGE_BYTES`.
+    """
+    message = envelope.message
+    kind = '' if message is None else type(message).__name__
+    wire = WireEnvelope(
+        envelope.sender_id,
+        envelope.call_id,
+        envelope.is_reply,
+        envelope.stamp,
+        kind,
+        msgspec.Raw(ENCODER.encode(message)),
+    )
+    data = ENCODER.encode(wire)
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise exceptions.MessageError(
+            f'{kind} of {len(data)} bytes exceeds {MAX_MESSAGE_BYTES}'
+        )
+    return data
+
+
+def decode(data):
+    """Decode an envelope.
+
+    Parameters
+    ----------
+    data : bytes
+        MessagePack of an envelope.
+
+    Returns
+    -------
+    Envelope
+        Message with its sender.
+
+    Raises
+    ------
+    MessageError
+        If the data is too large, malformed or of an unknown type.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise exceptions.MessageError(f'message of {len(data)} bytes')
+    try:
+        wire = ENVELOPE_DECODER.decode(data)
+        message = None
+        if wire.kind:
+            message = get_decoder(wire.kind).decode(wire.body)
+    except KeyError as error:
+        raise exceptions.MessageError(f'unknown type {error}') from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise exceptions.MessageError(str(error)) from error
+    return Envelope(
+        wire.sender_id, wire.call_id, wire.is_reply, wire.stamp, message
+    )
--- /dev/null
+++ b/rhubarbreach/protocol/link.py
@@ -0,0 +1,386 @@
+"""Link of one host to its peers over TCP."""
+
+import collections
+import concurrent.futures
+import itertools
+import threading
+
+import logbook
+import pynng
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import codec
+from rhubarbreach.protocol import tls
+
+__all__ = ['Link', 'Peer']
+
+LOG = logbook.Logger('link')
+
+# A peer that does not read loses messages beyond this queue, so that it
+# cannot exhaust the memory of its sender.
+QUEUE_MESSAGES = 4096
+SEND_TIMEOUT_MS = 500
+RECEIVE_TIMEOUT_MS = 200
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+HANDLER_THREADS = 16
+
+
+class Peer:
+    """Sender task of one peer.
+
+    Parameters
+    ----------
+    peer_id : str
+        Host id of the peer.
+    address : str
+        `IP:port` of the peer's link.
+    tls_files : TlsFiles or None
+        Certificates, None for plain TCP.
+    """
+
+    def __init__(self, peer_id, address, tls_files):
+        self.peer_id = peer_id
+        self.address = address
+        self.dropped = 0
+        self.sent_bytes = 0
+        self.queue = collections.deque()
+        self.ready = threading.Condition()
+        self.closed = False
+        self.socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            send_buffer_size=1,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        scheme = 'tcp'
+        if tls_files is not None:
+            scheme = 'tls+tcp'
+            self.socket.tls_config = tls.make_client(tls_files, peer_id)
+        self.socket.dial(f'{scheme}://{address}', block=False)
+        self.thread = threading.Thread(
+            target=self.run, name=f'link-{peer_id}', daemon=True
+        )
+        self.thread.start()
+
+    def put(self, data):
+        """Queue a message; return False when the queue is full."""
+        with self.ready:
+            if self.closed or len(self.queue) >= QUEUE_MESSAGES:
+                self.dropped += 1
+                return False
+            self.queue.append(data)
+            self.ready.notify()
+        return True
+
+    def run(self):
+        """Send queued messages until the peer is closed."""
+        while True:
+            with self.ready:
+                while not self.queue and not self.closed:
+                    self.ready.wait()
+                if self.closed:
+                    return
+                data = self.queue.popleft()
+            try:
+                self.socket.send(data)
+                self.sent_bytes += len(data)
+            except pynng.Timeout:
+                self.drop_backlog()
+            except pynng.NNGException:
+                return
+
+    def drop_backlog(self):
+        """Drop what is queued for a peer that cannot be reached.
+
+        Messages between hosts are only useful while they are fresh; every
+        sender repeats what still matters.
+        """
+        with self.ready:
+            self.dropped += 1 + len(self.queue)
+            self.queue.clear()
+
+    def close(self):
+        """Stop the sender task."""
+        with self.ready:
+            self.closed = True
+            self.ready.notify()
+        self.socket.close()
+
+
+class Link:
+    """Typed messages and calls to peers.
+
+    Parameters
+    ----------
+    host_id : str
+        Id of this host; the common name of its certificate.
+    listen : str
+        `IP:port` to listen on.
+    peers : dict of str to str
+        Addresses of peers by host id.
+    tls_files : TlsFiles or None
+        Certificates, None for plain TCP on loopback.
+    hybrid_clock : HybridClock, optional
+        Clock that is advanced by received messages.
+    """
+
+    def __init__(self, host_id, listen, peers, tls_files, hybrid_clock=None):
+        self.host_id = host_id
+        self.listen = listen
+        self.tls_files = tls_files
+        self.hybrid_clock = hybrid_clock or clock.HybridClock()
+        self.handlers = {}
+        self.calls = {}
+        self.call_ids = itertools.count(1)
+        self.lock = threading.Lock()
+        self.fault = None
+        self.closed = False
+        self.rejected = 0
+        self.received_bytes = 0
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            HANDLER_THREADS, thread_name_prefix='link-handler'
+        )
+        self.socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
+        self.socket.recv_max_size = codec.MAX_MESSAGE_BYTES
+        scheme = 'tcp'
+        if tls_files is not None:
+            scheme = 'tls+tcp'
+            self.socket.tls_config = tls.make_server(tls_files)
+        self.socket.listen(f'{scheme}://{listen}')
+        self.peers = {}
+        for peer_id, address in peers.items():
+            self.set_peer(peer_id, address)
+        self.thread = threading.Thread(
+            target=self.run, name='link-receiver', daemon=True
+        )
+        self.thread.start()
+
+    def set_peer(self, peer_id, address):
+        """Add a peer or change its address."""
+        if peer_id == self.host_id:
+            return
+        with self.lock:
+            known = self.peers.get(peer_id)
+            if known is not None and known.address == address:
+                return
+            self.peers[peer_id] = Peer(peer_id, address, self.tls_files)
+        if known is not None:
+            known.close()
+
+    def remove_peer(self, peer_id):
+        """Forget a peer."""
+        with self.lock:
+            known = self.peers.pop(peer_id, None)
+        if known is not None:
+            known.close()
+
+    def register(self, message_type, handler, inline=False):
+        """Set the handler of a message type.
+
+        Parameters
+        ----------
+        message_type : type
+            Class of `rhubarbreach.protocol.messages`.
+        handler : callable
+            Called with the sender's host id and the message. What it
+            returns, if not None, is the reply to a call.
+        inline : bool
+            Run the handler on the receiver task, which keeps the order of
+            messages; it must then not block.
+        """
+        self.handlers[message_type] = (handler, inline)
+
+    def set_fault(self, fault):
+        """Set a function that drops, delays or repeats messages in tests.
+
+        Parameters
+        ----------
+        fault : callable or None
+            Called with sender id, receiver id and message; returns the
+            delays in seconds of the copies to send.
+        """
+        self.fault = fault
+
+    def send(self, peer_id, message):
+        """Queue a message for a peer.
+
+        Returns
+        -------
+        bool
+            False when the peer is unknown or its queue is full. True does
+            not mean that the message will arrive.
+        """
+        return self.post(peer_id, 0, False, message)
+
+    def call(self, peer_id, message, deadline):
+        """Send a message and wait for its reply without blocking.
+
+        Parameters
+        ----------
+        peer_id : str
+            Receiver; this host itself is allowed.
+        message : object
+            Message that the receiver's handler answers.
+        deadline : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Reply message, or a `Refusal` with code UNAVAILABLE: with ran
+            NO when nothing was sent, UNKNOWN when no reply came in time.
+        """
+        future = concurrent.futures.Future()
+        call_id = next(self.call_ids)
+        with self.lock:
+            self.calls[call_id] = (future, deadline)
+        if not self.post(peer_id, call_id, False, message):
+            self.finish_call(call_id, make_refusal(peer_id, codes.Ran.NO))
+        return future
+
+    def post(self, peer_id, call_id, is_reply, message):
+        """Queue an envelope for a peer or for this host itself."""
+        envelope = codec.Envelope(
+            self.host_id, call_id, is_reply, self.hybrid_clock.now(), message
+        )
+        if peer_id == self.host_id:
+            self.dispatch(envelope)
+            return True
+        with self.lock:
+            peer = self.peers.get(peer_id)
+        if peer is None:
+            return False
+        data = codec.encode(envelope)
+        if self.fault is None:
+            return peer.put(data)
+        for delay in self.fault(self.host_id, peer_id, message):
+            if delay <= 0:
+                peer.put(data)
+            else:
+                timer = threading.Timer(delay, peer.put, (data,))
+                timer.daemon = True
+                timer.start()
+        return True
+
+    def run(self):
+        """Receive messages until the link is closed."""
+        expiry = clock.monotonic()
+        while not self.closed:
+            now = clock.monotonic()
+            if now >= expiry:
+                self.expire_calls(now)
+                expiry = now + RECEIVE_TIMEOUT_MS / 1000
+            try:
+                received = self.socket.recv_msg()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                LOG.warning('event=receive_failed error={!r}', str(error))
+                continue
+            self.accept(received)
+
+    def accept(self, received):
+        """Decode a received message and pass it on, or drop it."""
+        data = received.bytes
+        self.received_bytes += len(data)
+        try:
+            envelope = codec.decode(data)
+        except exceptions.MessageError as error:
+            self.reject('malformed', str(error))
+            return
+        if self.tls_files is not None:
+            name = tls.get_peer_name(received.pipe)
+            if name != envelope.sender_id:
+                self.reject('wrong_certificate', f'{name}')
+                return
+        self.hybrid_clock.observe(envelope.stamp)
+        self.dispatch(envelope)
+
+    def reject(self, reason, detail):
+        """Count and log a dropped message."""
+        self.rejected += 1
+        LOG.warning(
+            'event=message_rejected reason={} detail={!r}', reason, detail
+        )
+
+    def dispatch(self, envelope):
+        """Complete a call or run the handler of a message."""
+        if envelope.is_reply:
+            self.finish_call(envelope.call_id, envelope.message)
+            return
+        handler, inline = self.handlers.get(
+            type(envelope.message), (None, False)
+        )
+        if handler is None:
+            return
+        if inline and envelope.sender_id != self.host_id:
+            self.handle(handler, envelope)
+            return
+        try:
+            self.executor.submit(self.handle, handler, envelope)
+        except RuntimeError:
+            # The executor was shut down by close().
+            return
+
+    def handle(self, handler, envelope):
+        """Run a handler and send its reply."""
+        try:
+            reply = handler(envelope.sender_id, envelope.message)
+        except Exception:
+            LOG.exception('event=handler_failed sender={}', envelope.sender_id)
+            return
+        if isinstance(reply, concurrent.futures.Future):
+            reply.add_done_callback(
+                lambda done: self.reply(envelope, done.result())
+            )
+            return
+        self.reply(envelope, reply)
+
+    def reply(self, envelope, message):
+        """Send the reply to a call."""
+        if message is None or not envelope.call_id:
+            return
+        self.post(envelope.sender_id, envelope.call_id, True, message)
+
+    def finish_call(self, call_id, result):
+        """Complete the future of a call once."""
+        with self.lock:
+            future, _ = self.calls.pop(call_id, (None, None))
+        if future is not None:
+            future.set_result(result)
+
+    def expire_calls(self, now):
+        """Complete the calls whose deadline has passed."""
+        with self.lock:
+            expired = [
+                call_id
+                for call_id, (_, deadline) in self.calls.items()
+                if deadline <= now
+            ]
+        for call_id in expired:
+            self.finish_call(call_id, make_refusal('', codes.Ran.UNKNOWN))
+
+    def close(self):
+        """Stop all tasks of the link and complete open calls."""
+        self.closed = True
+        with self.lock:
+            peers = list(self.peers.values())
+            self.peers.clear()
+        for peer in peers:
+            peer.close()
+        self.socket.close()
+        self.expire_calls(float('inf'))
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+
+def make_refusal(peer_id, ran):
+    """Return the refusal of a call that got no reply."""
+    reason = 'no reply in time'
+    if ran == codes.Ran.NO:
+        reason = f'host {peer_id} is not connected'
+    return codes.Refusal(codes.ResultCode.UNAVAILABLE, reason, ran)
--- /dev/null
+++ b/rhubarbreach/protocol/messages.py
@@ -0,0 +1,388 @@
+"""Messages between hosts, as frozen data classes.
+
+Each message belongs to one package, which registers its handler. Times in
+messages are durations in seconds, because monotonic clocks of two hosts
+cannot be compared; the receiver turns them into deadlines at once.
+"""
+
+import dataclasses
+
+from rhubarbreach import codes
+
+__all__ = [
+    'AppendEntries',
+    'AppendReply',
+    'CancelAttempts',
+    'ClusterCommand',
+    'ClusterReply',
+    'ConfigReply',
+    'ConfigWatch',
+    'EndpointBatch',
+    'EndpointRow',
+    'GrantReply',
+    'GrantRequest',
+    'HostRow',
+    'InstallReply',
+    'InstallSnapshot',
+    'LogEntry',
+    'Probe',
+    'ProbeReply',
+    'ProbeRequest',
+    'ServiceCounter',
+    'ServiceCounters',
+    'ShareLease',
+    'ShareLeaseReply',
+    'SlotReply',
+    'SlotRequest',
+    'SlotUse',
+    'StrikeReport',
+    'TransferLeadership',
+    'VoteReply',
+    'VoteRequest',
+    'frozen_message',
+]
+
+REGISTRY = {}
+
+
+def frozen_message(cls):
+    """Make a class a frozen data class and register it for the codec."""
+    cls = dataclasses.dataclass(frozen=True, slots=True)(cls)
+    REGISTRY[cls.__name__] = cls
+    return cls
+
+
+# Replicated log: package consensus.
+
+
+@frozen_message
+class LogEntry:
+    """One entry of a replicated log; `kind` is command, config or noop."""
+
+    index: int
+    term: int
+    kind: str
+    data: bytes
+
+
+@frozen_message
+class VoteRequest:
+    """Ask for a vote, or with `pre_vote` whether a vote would be given."""
+
+    group_id: str
+    term: int
+    candidate_id: str
+    store_id: str
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    transfer: bool = False
+
+
+@frozen_message
+class VoteReply:
+    """Answer to a `VoteRequest`."""
+
+    group_id: str
+    term: int
+    granted: bool
+    pre_vote: bool
+    store_id: str
+
+
+@frozen_message
+class AppendEntries:
+    """Replicate entries; without entries it is the leader's heartbeat."""
+
+    group_id: str
+    term: int
+    leader_id: str
+    previous_index: int
+    previous_term: int
+    entries: tuple[LogEntry, ...]
+    commit_index: int
+    round_id: int
+
+
+@frozen_message
+class AppendReply:
+    """Answer to `AppendEntries`; `match_index` is synced on the sender."""
+
+    group_id: str
+    term: int
+    success: bool
+    match_index: int
+    round_id: int
+    store_id: str
+
+
+@frozen_message
+class InstallSnapshot:
+    """One chunk of a snapshot for a replica that is too far behind."""
+
+    group_id: str
+    term: int
+    leader_id: str
+    last_index: int
+    last_term: int
+    members: bytes
+    offset: int
+    data: bytes
+    done: bool
+
+
+@frozen_message
+class InstallReply:
+    """Answer to `InstallSnapshot`; `offset` is the next byte wanted."""
+
+    group_id: str
+    term: int
+    offset: int
+    done: bool
+    store_id: str
+
+
+@frozen_message
+class TransferLeadership:
+    """Tell a replica to start an election at once."""
+
+    group_id: str
+    term: int
+
+
+@frozen_message
+class ClusterCommand:
+    """Forward a command for a group to a store host.
+
+    `read` asks for a read at the leader: `command` is then a query.
+    """
+
+    group_id: str
+    command: bytes
+    timeout: float
+    read: bool = False
+
+
+@frozen_message
+class ClusterReply:
+    """Answer to `ClusterCommand`: a result or a refusal."""
+
+    result: bytes | None
+    refusal: codes.Refusal | None = None
+    leader_id: str | None = None
+
+
+# Configuration distribution: package distribution.
+
+
+@frozen_message
+class ConfigWatch:
+    """Long poll for changes after `revision`, which is in effect here."""
+
+    host_id: str
+    incarnation: int
+    revision: int
+    timeout: float
+
+
+@frozen_message
+class ConfigReply:
+    """Changes after the polled revision and the validity in seconds.
+
+    `snapshot` is set in place of `changes` when the changes are no longer
+    kept. `validity` counts from the moment the poll was sent; 0 means that
+    the upstream cannot vouch for its own view.
+    """
+
+    revision: int
+    changes: tuple[bytes, ...]
+    snapshot: bytes | None
+    validity: float
+
+
+# Membership: package membership.
+
+
+@frozen_message
+class HostRow:
+    """State of one host as spread by probes."""
+
+    host_id: str
+    address: str
+    zone: str
+    region: str
+    roles: tuple[str, ...]
+    incarnation: int
+    status: str
+    http_address: str = ''
+
+
+@frozen_message
+class Probe:
+    """Ask whether a host is alive; carries recent changes of rows."""
+
+    sequence: int
+    rows: tuple[HostRow, ...]
+
+
+@frozen_message
+class ProbeReply:
+    """Answer to `Probe`."""
+
+    sequence: int
+    rows: tuple[HostRow, ...]
+
+
+@frozen_message
+class ProbeRequest:
+    """Ask another host to probe `target_id` on behalf of the sender."""
+
+    sequence: int
+    target_id: str
+    rows: tuple[HostRow, ...]
+
+
+@frozen_message
+class EndpointRow:
+    """State of one endpoint as announced; `age` in seconds."""
+
+    endpoint_id: str
+    address: str
+    zone: str
+    kind: str
+    models: tuple[str, ...]
+    incarnation: int
+    sequence: int
+    draining: bool
+    fencing: bool
+    running: int
+    waiting: int
+    slots: int
+    kv_used: float
+    age: float
+
+
+@frozen_message
+class EndpointBatch:
+    """Announcements received by one host since its last batch.
+
+    `relay` asks the receiver to pass the rows on inside its zone.
+    """
+
+    rows: tuple[EndpointRow, ...]
+    relay: bool
+
+
+# Rates: package limits.
+
+
+@frozen_message
+class ShareLease:
+    """Lease the sender's rate shares to the receiver for `duration` s.
+
+    `duration` 0 releases them at once.
+    """
+
+    share_epoch: int
+    share_count: int
+    duration: float
+
+
+@frozen_message
+class ShareLeaseReply:
+    """Whether the owner accepted the lease."""
+
+    accepted: bool
+    share_epoch: int
+
+
+@frozen_message
+class GrantRequest:
+    """Ask the owner for tokens of one client account.
+
+    `served` is the measured cost served for the account since the last
+    request, for fair sharing across the fleet.
+    """
+
+    account_id: str
+    wanted: float
+    served: float
+
+
+@frozen_message
+class GrantReply:
+    """Tokens granted for `duration` s; `retry_after` s when none are left."""
+
+    granted: float
+    duration: float
+    retry_after: float
+
+
+# Endpoint concurrency: package limits.
+
+
+@frozen_message
+class SlotUse:
+    """Slots of one endpoint that a host uses and wants."""
+
+    endpoint_id: str
+    online_running: int
+    online_waiting: int
+    batch_running: int
+    batch_waiting: int
+    first_token: float
+    inter_token: float
+
+
+@frozen_message
+class SlotRequest:
+    """Demand of one host, to the home host of the endpoints."""
+
+    uses: tuple[SlotUse, ...]
+
+
+@frozen_message
+class SlotReply:
+    """Slots leased to the host, in the order of the request's uses."""
+
+    online: tuple[int, ...]
+    batch: tuple[int, ...]
+    duration: float
+
+
+# Scheduling, suspects and cancellation.
+
+
+@frozen_message
+class ServiceCounter:
+    """Total cost served by one host for one client account."""
+
+    account_id: str
+    served: float
+
+
+@frozen_message
+class ServiceCounters:
+    """Counters that changed since the last message of the sender."""
+
+    counters: tuple[ServiceCounter, ...]
+
+
+@frozen_message
+class StrikeReport:
+    """A request digest that was running when an endpoint died.
+
+    `alone` tells that no other request ran there.
+    """
+
+    digest: bytes
+    endpoint_id: str
+    endpoint_incarnation: int
+    alone: bool
+
+
+@frozen_message
+class CancelAttempts:
+    """Cancel what runs for a job on the receiving host."""
+
+    job_id: str
--- /dev/null
+++ b/rhubarbreach/protocol/tagged.py
@@ -0,0 +1,51 @@
+"""Encoding of values whose class is one of a family of data classes."""
+
+import msgspec
+
+from rhubarbreach import exceptions
+
+__all__ = ['Family']
+
+ENCODER = msgspec.msgpack.Encoder()
+PAIR_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+
+
+class Family:
+    """Codec of a closed set of data classes, as name and body.
+
+    Parameters
+    ----------
+    *classes : type
+        Data classes with distinct names.
+    """
+
+    def __init__(self, *classes):
+        self.decoders = {}
+        for cls in classes:
+            self.add(cls)
+
+    def add(self, cls):
+        """Add a class to the family and return it."""
+        self.decoders[cls.__name__] = msgspec.msgpack.Decoder(cls)
+        return cls
+
+    def encode(self, value):
+        """Return the MessagePack of a value of the family."""
+        body = msgspec.Raw(ENCODER.encode(value))
+        return ENCODER.encode((type(value).__name__, body))
+
+    def decode(self, data):
+        """Return the value of its MessagePack.
+
+        Raises
+        ------
+        MessageError
+            If the data is malformed or its class is not in the family.
+        """
+        try:
+            name, body = PAIR_DECODER.decode(data)
+            return self.decoders[name].decode(body)
+        except KeyError as error:
+            raise exceptions.MessageError(f'unknown type {error}') from error
+        except msgspec.DecodeError as error:
+            raise exceptions.MessageError(str(error)) from error
--- /dev/null
+++ b/rhubarbreach/protocol/tests/test_codec.py
@@ -0,0 +1,35 @@
+"""Tests of the message codec."""
+
+import pytest
+
+from rhubarbreach import codes
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import codec
+from rhubarbreach.protocol import messages
+
+
+def make_envelope(message):
+    return codec.Envelope('host-1', 7, False, 99, message)
+
+
+def test_message_with_nested_data_classes_survives_the_codec():
+    """Guards against fields lost or retyped on the wire."""
+    refusal = codes.Refusal(codes.ResultCode.NOT_LEADER, 'ask host-2')
+    reply = messages.ClusterReply(None, refusal, 'host-2')
+    envelope = make_envelope(reply)
+    assert codec.decode(codec.encode(envelope)) == envelope
+
+
+@pytest.mark.parametrize('data', [b'', b'\xc1', b'\x91\x01', b'x' * 50])
+def test_malformed_data_raises_message_error(data):
+    """Guards against a peer that stops a host with broken bytes."""
+    with pytest.raises(exceptions.MessageError):
+        codec.decode(data)
+
+
+def test_oversized_message_is_refused():
+    """Guards against a message that exhausts the receiver's memory."""
+    size = codec.MAX_MESSAGE_BYTES
+    command = messages.ClusterCommand('jobs-0', b'x' * size, 1.0)
+    with pytest.raises(exceptions.MessageError):
+        codec.encode(make_envelope(command))
--- /dev/null
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -0,0 +1,75 @@
+"""Tests of the link between hosts."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.protocol import link
+from rhubarbreach.protocol import messages
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+@pytest.fixture
+def pair():
+    first, second = find_address(), find_address()
+    with contextlib.ExitStack() as stack:
+        links = (
+            link.Link('host-1', first, {'host-2': second}, None),
+            link.Link('host-2', second, {'host-1': first}, None),
+        )
+        for one in links:
+            stack.callback(one.close)
+        yield links
+
+
+def answer_probe(sender_id, probe):
+    return messages.ProbeReply(probe.sequence + 1, ())
+
+
+def call_until_reply(one, peer_id, message):
+    end = clock.monotonic() + 5
+    while clock.monotonic() < end:
+        future = one.call(peer_id, message, clock.monotonic() + 1)
+        result = future.result()
+        if not isinstance(result, codes.Refusal):
+            return result
+    raise AssertionError('no reply')
+
+
+def test_call_gets_the_reply_of_the_handler(pair):
+    """Guards against replies that miss their call."""
+    pair[1].register(messages.Probe, answer_probe)
+    reply = call_until_reply(pair[0], 'host-2', messages.Probe(4, ()))
+    assert reply == messages.ProbeReply(5, ())
+
+
+def test_call_to_an_unknown_peer_is_refused_as_not_run(pair):
+    """Guards against a refusal that leaves the outcome open needlessly."""
+    future = pair[0].call('nobody', messages.Probe(1, ()), 0)
+    assert future.result().ran == codes.Ran.NO
+
+
+def test_lost_peer_does_not_block_the_sender(pair):
+    """Guards against one dead host that stops the others' senders."""
+    pair[1].close()
+    start = time.monotonic()
+    for sequence in range(1000):
+        pair[0].send('host-2', messages.Probe(sequence, ()))
+    assert time.monotonic() - start < 5
+
+
+def test_dropped_message_leaves_the_outcome_unknown(pair):
+    """Guards against a lost message that is reported as not run."""
+    pair[0].set_fault(lambda sender, receiver, message: [])
+    deadline = clock.monotonic() + 0.3
+    result = pair[0].call('host-2', messages.Probe(1, ()), deadline).result()
+    assert result.ran == codes.Ran.UNKNOWN
--- /dev/null
+++ b/rhubarbreach/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint for a request."""
--- /dev/null
+++ b/rhubarbreach/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order in which waiting work is served."""
--- /dev/null
+++ b/rhubarbreach/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings of one host, read from an INI file and checked whole."""
+
+from rhubarbreach.settings import load
+from rhubarbreach.settings import model
+from rhubarbreach.settings import options
+
+__all__ = ['load', 'model', 'options']
--- /dev/null
+++ b/rhubarbreach/state/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic state machines of the replicated log groups."""
--- /dev/null
+++ b/rhubarbreach/state/model.py
@@ -0,0 +1,262 @@
+"""Frozen data classes of the configuration and of its changes."""
+
+import dataclasses
+
+from rhubarbreach.protocol import tagged
+
+__all__ = [
+    'Account',
+    'CHANGES',
+    'ChangeRequest',
+    'Config',
+    'Key',
+    'Model',
+    'PutAccount',
+    'PutKey',
+    'PutModel',
+    'PutRoute',
+    'RemoveAccount',
+    'RemoveModel',
+    'RemoveRoute',
+    'RevokeKey',
+    'Route',
+    'SetShareSet',
+    'TakeOrderLease',
+]
+
+DEFAULT_STALE_KEY_BOUND = 2.0
+MAX_STALE_KEY_BOUND = 3600.0
+ROUTE_KINDS = ('engine', 'service')
+RECORD_MODES = ('keyed', 'all')
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class Account:
+    """A client account.
+
+    Parameters
+    ----------
+    account_id : str
+        Name of the account.
+    rate : float
+        Requests per second over all hosts.
+    burst : float
+        Requests that may be sent at once after a quiet time.
+    weight : float
+        Share of the fleet relative to other accounts.
+    stale_key_bound : float
+        Seconds for which a partitioned host may go on accepting the
+        account's keys.
+    """
+
+    account_id: str
+    rate: float
+    burst: float
+    weight: float = 1.0
+    stale_key_bound: float = DEFAULT_STALE_KEY_BOUND
+
+
+@frozen
+class Key:
+    """A key of a client account; only its SHA-256 digest is stored."""
+
+    key_id: str
+    account_id: str
+    digest: bytes
+    revoked: bool = False
+
+
+@frozen
+class Model:
+    """A model that endpoints serve.
+
+    Parameters
+    ----------
+    model_id : str
+        Name that callers use.
+    version : str
+        Version that endpoints should hold.
+    weight_bytes : int
+        Size of the weights.
+    min_replicas, max_replicas : int
+        Bounds for scaling; 0 and 0 leave the endpoints as they are.
+    """
+
+    model_id: str
+    version: str = ''
+    weight_bytes: int = 0
+    min_replicas: int = 0
+    max_replicas: int = 0
+
+
+@frozen
+class Route:
+    """A path that callers may use.
+
+    Parameters
+    ----------
+    route_id : str
+        Name of the route.
+    path : str
+        HTTP path; for services the prefix.
+    kind : str
+        `engine` or `service`.
+    target : str
+        For services the model name that its endpoints announce; empty for
+        engines, whose model stands in the body.
+    open : bool
+        Whether no key is needed.
+    idempotent : bool
+        Whether a call may be repeated.
+    record : str
+        `keyed` records requests with an Idempotency-Key, `all` records
+        every request. Calls that are not idempotent are always recorded.
+    accounts : tuple of str
+        Accounts that may use the route; empty for all.
+    timeout : float
+        Seconds within which a request has to be answered.
+    """
+
+    route_id: str
+    path: str
+    kind: str = 'engine'
+    target: str = ''
+    open: bool = False
+    idempotent: bool = True
+    record: str = 'keyed'
+    accounts: tuple[str, ...] = ()
+    timeout: float = 60.0
+
+
+@frozen
+class OrderLease:
+    """Who may give orders to an endpoint, and the fencing number."""
+
+    endpoint_id: str
+    holder_id: str
+    epoch: int
+
+
+@frozen
+class Config:
+    """The whole configuration at one revision.
+
+    Each tuple is sorted by the id of its members.
+    """
+
+    revision: int = 0
+    accounts: tuple[Account, ...] = ()
+    keys: tuple[Key, ...] = ()
+    models: tuple[Model, ...] = ()
+    routes: tuple[Route, ...] = ()
+    share_epoch: int = 0
+    share_hosts: tuple[str, ...] = ()
+    order_leases: tuple[OrderLease, ...] = ()
+
+
+@frozen
+class PutAccount:
+    """Add an account or replace it."""
+
+    account: Account
+
+
+@frozen
+class RemoveAccount:
+    """Remove an account and its keys."""
+
+    account_id: str
+
+
+@frozen
+class PutKey:
+    """Add a key to an account."""
+
+    key: Key
+
+
+@frozen
+class RevokeKey:
+    """Revoke a key for good."""
+
+    key_id: str
+
+
+@frozen
+class PutModel:
+    """Add a model or replace it."""
+
+    model: Model
+
+
+@frozen
+class RemoveModel:
+    """Remove a model."""
+
+    model_id: str
+
+
+@frozen
+class PutRoute:
+    """Add a route or replace it."""
+
+    route: Route
+
+
+@frozen
+class RemoveRoute:
+    """Remove a route."""
+
+    route_id: str
+
+
+@frozen
+class SetShareSet:
+    """Replace the hosts that hold rate shares, if the epoch matches."""
+
+    expected_epoch: int
+    hosts: tuple[str, ...]
+
+
+@frozen
+class TakeOrderLease:
+    """Take the order lease of an endpoint, if the epoch matches."""
+
+    endpoint_id: str
+    holder_id: str
+    expected_epoch: int
+
+
+CHANGES = tagged.Family(
+    PutAccount,
+    RemoveAccount,
+    PutKey,
+    RevokeKey,
+    PutModel,
+    RemoveModel,
+    PutRoute,
+    RemoveRoute,
+    SetShareSet,
+    TakeOrderLease,
+)
+
+
+@frozen
+class ChangeRequest:
+    """A change as proposed to the configuration group.
+
+    Parameters
+    ----------
+    operation_id : str
+        Chosen by the sender; the same id gets the first response again.
+    expected_revision : int or None
+        Revision that must be current, None for any.
+    change : bytes
+        One of `CHANGES`, encoded.
+    """
+
+    operation_id: str
+    expected_revision: int | None
+    change: bytes
--- /dev/null
+++ b/rhubarbreach/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files that survive a crash: segments, replaced files, folder lock."""
