--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -23,6 +23,7 @@
     'limits',
     'scheduling',
     'routing',
+    'placement',
     'dispatch',
     'entry',
     'batch',
--- /dev/null
+++ b/rhubarbreach/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler: fair queue, slots and routing composed."""
