--- /dev/null
+++ b/rhubarbreach/batch/holdings.py
@@ -0,0 +1,144 @@
+"""Items and claims that this host holds."""
+
+import threading
+
+from rhubarbreach.batch import window
+
+__all__ = ['Holdings']
+
+
+class HeldClaim:
+    """A claim of this host with its items that have not ended."""
+
+    __slots__ = ('group', 'job_id', 'deadline', 'items')
+
+    def __init__(self, group, job_id, deadline, items):
+        self.group = group
+        self.job_id = job_id
+        self.deadline = deadline
+        self.items = items
+
+
+class Target:
+    """Items of one target that were handed to the executor."""
+
+    __slots__ = ('outstanding', 'throughput')
+
+    def __init__(self):
+        self.outstanding = 0
+        self.throughput = window.Throughput()
+
+
+class Holdings:
+    """Claims by epoch and outstanding items by target; thread-safe.
+
+    Notes
+    -----
+    An epoch belongs to one group only, so that group and epoch together name
+    a claim.
+    """
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.claims = {}
+        self.targets = {}
+
+    def add(self, group, claimed, held, deadline):
+        """Add a claim with its items.
+
+        Parameters
+        ----------
+        group : int
+            Number of the job group.
+        claimed : Claimed
+            Claim as given by the group.
+        held : list of Held
+            Items of the claim that will run.
+        deadline : float
+            Monotonic deadline of the claim.
+        """
+        items = {one.item: one for one in held}
+        claim = HeldClaim(group, claimed.job_id, deadline, items)
+        with self.lock:
+            self.claims[group, claimed.epoch] = claim
+            target = self.targets.setdefault(claimed.target, Target())
+            target.outstanding += len(held)
+
+    def end(self, held):
+        """Remove an item; return False when its claim is gone."""
+        key = (held.group, held.epoch)
+        with self.lock:
+            target = self.targets[held.target]
+            target.outstanding -= 1
+            target.throughput.add(1)
+            claim = self.claims.get(key)
+            if claim is None or claim.items.pop(held.item, None) is None:
+                return False
+            if not claim.items:
+                del self.claims[key]
+        return True
+
+    def remove(self, group, epochs):
+        """Remove claims and return their items that have not ended."""
+        found = []
+        with self.lock:
+            for epoch in epochs:
+                claim = self.claims.pop((group, epoch), None)
+                if claim is not None:
+                    found.extend(claim.items.values())
+        return found
+
+    def remove_job(self, job_id):
+        """Remove the claims of a job."""
+        with self.lock:
+            for key, claim in list(self.claims.items()):
+                if claim.job_id == job_id:
+                    del self.claims[key]
+
+    def list_epochs(self, group):
+        """Return the epochs of the claims of a group."""
+        with self.lock:
+            return tuple(epoch for at, epoch in self.claims if at == group)
+
+    def extend(self, group, epochs, deadline):
+        """Set the deadline of claims that were renewed."""
+        with self.lock:
+            for epoch in epochs:
+                claim = self.claims.get((group, epoch))
+                if claim is not None:
+                    claim.deadline = deadline
+
+    def remove_expired(self, now):
+        """Remove claims past their deadline and return their items."""
+        with self.lock:
+            expired = [
+                key
+                for key, claim in self.claims.items()
+                if claim.deadline <= now
+            ]
+        found = []
+        for group, epoch in expired:
+            found.extend(self.remove(group, (epoch,)))
+        return found
+
+    def list_items(self):
+        """Return all items that have not ended."""
+        with self.lock:
+            return [
+                held
+                for claim in self.claims.values()
+                for held in claim.items.values()
+            ]
+
+    def count_items(self):
+        """Return the number of items handed to the executor."""
+        with self.lock:
+            return sum(target.outstanding for target in self.targets.values())
+
+    def measure_targets(self, now):
+        """Return target name, outstanding items and rate of each target."""
+        with self.lock:
+            return [
+                (name, target.outstanding, target.throughput.update(now))
+                for name, target in self.targets.items()
+            ]
--- /dev/null
+++ b/rhubarbreach/batch/store.py
@@ -0,0 +1,237 @@
+"""Typed client of the job groups."""
+
+import hashlib
+import itertools
+
+from rhubarbreach import codes
+from rhubarbreach.state import jobcommands
+
+__all__ = [
+    'CHUNK_BYTES',
+    'Store',
+    'cut_chunks',
+    'get_group_number',
+    'make_group_id',
+]
+
+# Bytes of item bodies in one command; a command stays below 256 KiB with the
+# custom ids and the framing of its items.
+CHUNK_BYTES = 192 * 1024
+CHUNK_ITEMS = 1024
+# Framing of an item beside its body and custom id.
+ITEM_OVERHEAD = 16
+
+
+def make_group_id(number):
+    """Return the id of a job group."""
+    return f'jobs-{number}'
+
+
+def get_group_number(job_id, job_groups):
+    """Return the number of the group that holds a job.
+
+    Parameters
+    ----------
+    job_id : str
+        Id of the job.
+    job_groups : int
+        Number of job groups of the deployment.
+
+    Returns
+    -------
+    int
+        From 0 to `job_groups` - 1.
+    """
+    digest = hashlib.blake2b(job_id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest) % job_groups
+
+
+def cut_chunks(custom_ids, bodies):
+    """Cut items into chunks that fit into a command.
+
+    Parameters
+    ----------
+    custom_ids : sequence of str
+        Ids that the client chose.
+    bodies : sequence of bytes
+        Bodies in the same order.
+
+    Yields
+    ------
+    tuple of int
+        First index and end index of a chunk.
+    """
+    first = 0
+    size = 0
+    for index, (custom_id, body) in enumerate(
+        zip(custom_ids, bodies, strict=True)
+    ):
+        added = len(custom_id) * 4 + len(body) + ITEM_OVERHEAD
+        full = size + added > CHUNK_BYTES or index - first >= CHUNK_ITEMS
+        if full and index > first:
+            yield first, index
+            first = index
+            size = 0
+        size += added
+    if first < len(bodies):
+        yield first, len(bodies)
+
+
+class Store:
+    """Commands and queries to the job groups.
+
+    Parameters
+    ----------
+    client : object
+        `propose(group_id, command, deadline)` and `query(group_id, query,
+        deadline)`, both blocking, return bytes or a `Refusal`.
+    job_groups : int
+        Number of job groups.
+    """
+
+    def __init__(self, client, job_groups):
+        self.client = client
+        self.job_groups = job_groups
+
+    def get_group(self, job_id):
+        """Return the group number of a job."""
+        return get_group_number(job_id, self.job_groups)
+
+    def propose(self, group, command, deadline):
+        """Commit a command in a group.
+
+        Parameters
+        ----------
+        group : int
+            Number of the group.
+        command : object
+            One of `jobcommands.COMMANDS`.
+        deadline : float
+            Monotonic deadline.
+
+        Returns
+        -------
+        object or Refusal
+            One of `jobcommands.REPLIES`; its own `refusal`, if set, is
+            returned in its place.
+        """
+        data = jobcommands.COMMANDS.encode(command)
+        answer = self.client.propose(make_group_id(group), data, deadline)
+        return decode_reply(answer)
+
+    def query(self, group, query, deadline):
+        """Ask a group; parameters and result as for `propose`."""
+        data = jobcommands.QUERIES.encode(query)
+        answer = self.client.query(make_group_id(group), data, deadline)
+        return decode_reply(answer)
+
+    def submit(self, begin, custom_ids, bodies, deadline):
+        """Store a whole job; it is accepted when this returns a status.
+
+        Parameters
+        ----------
+        begin : BeginJob
+            Description of the job.
+        custom_ids, bodies : sequence
+            Items.
+        deadline : float
+            Monotonic deadline.
+
+        Returns
+        -------
+        JobStatus or Refusal
+            The status, also of the same job sent before.
+        """
+        group = self.get_group(begin.job_id)
+        reply = self.propose(group, begin, deadline)
+        if isinstance(reply, codes.Refusal):
+            return reply
+        added = reply.status.added
+        if reply.status.state != jobcommands.JobState.UPLOADING:
+            return reply.status
+        for first, end in cut_chunks(custom_ids, bodies):
+            if end <= added:
+                continue
+            chunk = jobcommands.AddItems(
+                begin.job_id,
+                begin.digest,
+                first,
+                tuple(custom_ids[first:end]),
+                tuple(bodies[first:end]),
+            )
+            reply = self.propose(group, chunk, deadline)
+            if isinstance(reply, codes.Refusal):
+                return reply
+        seal = jobcommands.SealJob(begin.job_id, begin.digest)
+        reply = self.propose(group, seal, deadline)
+        if isinstance(reply, codes.Refusal):
+            return reply
+        if reply.status.state == jobcommands.JobState.UPLOADING:
+            return codes.Refusal(
+                codes.ResultCode.UNAVAILABLE,
+                'the upload was interrupted and has to be sent again',
+            )
+        return reply.status
+
+    def get_job(self, job_id, account_id, deadline):
+        """Return the `JobStatus` of a job or a refusal."""
+        query = jobcommands.GetJob(job_id, account_id)
+        reply = self.query(self.get_group(job_id), query, deadline)
+        return reply if isinstance(reply, codes.Refusal) else reply.status
+
+    def list_jobs(self, account_id, after, limit, deadline):
+        """Return jobs of an account over all groups, sorted by id."""
+        found = []
+        query = jobcommands.ListJobs(account_id, after, limit)
+        for group in range(self.job_groups):
+            reply = self.query(group, query, deadline)
+            if isinstance(reply, codes.Refusal):
+                return reply
+            found.extend(reply.jobs)
+        found.sort(key=lambda status: status.job_id)
+        return tuple(found[:limit])
+
+    def cancel(self, job_id, account_id, deadline):
+        """Cancel a job; return the `CancelReply` or a refusal."""
+        command = jobcommands.CancelJob(job_id, account_id)
+        return self.propose(self.get_group(job_id), command, deadline)
+
+    def read_pages(self, job_id, account_id, failed, page, get_deadline):
+        """Read all final items of a job, page by page.
+
+        Parameters
+        ----------
+        job_id, account_id : str
+            Job and its owner.
+        failed : bool
+            Whether only items without a result are wanted.
+        page : tuple of int
+            Most items and most bytes of a page.
+        get_deadline : callable
+            Returns the deadline of the next page.
+
+        Yields
+        ------
+        ResultsReply or Refusal
+            A refusal ends the pages.
+        """
+        group = self.get_group(job_id)
+        following = 0
+        for _ in itertools.count():
+            query = jobcommands.GetResults(
+                job_id, account_id, following, page[0], page[1], failed
+            )
+            reply = self.query(group, query, get_deadline())
+            yield reply
+            if isinstance(reply, codes.Refusal) or reply.following < 0:
+                return
+            following = reply.following
+
+
+def decode_reply(answer):
+    """Return the decoded reply, or the refusal that it carries."""
+    if isinstance(answer, codes.Refusal):
+        return answer
+    reply = jobcommands.REPLIES.decode(answer)
+    refusal = getattr(reply, 'refusal', None)
+    return reply if refusal is None else refusal
--- /dev/null
+++ b/rhubarbreach/batch/tests/fakes.py
@@ -0,0 +1,83 @@
+"""Stand-ins for the replicated groups and for the executor."""
+
+import concurrent.futures
+import threading
+
+from rhubarbreach import codes
+from rhubarbreach.dispatch import call
+from rhubarbreach.state import jobs
+
+UNAVAILABLE = codes.Refusal(
+    codes.ResultCode.UNAVAILABLE, 'no majority', codes.Ran.UNKNOWN
+)
+
+
+class LocalClient:
+    """Machines in this process behind the interface of the client.
+
+    `lose_reply(command)` decides whether a committed command's reply is
+    lost; `down` refuses everything.
+    """
+
+    def __init__(self, group_ids, make_machine=jobs.JobsMachine):
+        self.machines = {name: make_machine() for name in group_ids}
+        self.lock = threading.Lock()
+        self.index = 0
+        self.down = False
+        self.lose_reply = None
+
+    def propose(self, group_id, command, deadline):
+        """Apply a command at once."""
+        if self.down:
+            return UNAVAILABLE
+        with self.lock:
+            self.index += 1
+            reply = self.machines[group_id].apply(self.index, command)
+        if self.lose_reply is not None and self.lose_reply(command):
+            return UNAVAILABLE
+        return reply
+
+    def query(self, group_id, query, deadline):
+        """Answer a query."""
+        if self.down:
+            return UNAVAILABLE
+        return self.machines[group_id].query(query)
+
+
+class FakeExecutor:
+    """Runs calls on a pool; `answer(call)` returns their ends."""
+
+    def __init__(self, answer=None, workers=8):
+        self.answer = answer or answer_ok
+        self.ran = []
+        self.cancelled = set()
+        self.futures = {}
+        self.pool = concurrent.futures.ThreadPoolExecutor(workers)
+
+    def submit(self, one, sink=None):
+        """Run a call."""
+        future = self.pool.submit(self.run, one)
+        self.futures[one.request_id] = future
+        return future
+
+    def run(self, one):
+        """Run a call unless it was cancelled before."""
+        if one.request_id in self.cancelled:
+            return codes.Refusal(codes.ResultCode.CANCELLED, 'cancelled')
+        self.ran.append(one)
+        return self.answer(one)
+
+    def cancel(self, request_id):
+        """Cancel a call that does not run yet."""
+        self.cancelled.add(request_id)
+
+    def cancel_job(self, job_id):
+        """Cancel the calls of a job that do not run yet."""
+        for request_id in list(self.futures):
+            if request_id.startswith(f'{job_id}-'):
+                self.cancelled.add(request_id)
+
+
+def answer_ok(one):
+    """Return a result that names the call."""
+    return call.CallResult(200, 'application/json', one.body, 'endpoint-1', 1)
--- /dev/null
+++ b/rhubarbreach/batch/window.py
@@ -0,0 +1,108 @@
+"""How many items a host claims ahead of the endpoints."""
+
+import dataclasses
+
+__all__ = ['Throughput', 'Window', 'choose_wanted', 'choose_backoff']
+
+# Seconds of work kept claimed ahead. It covers one commit of a claim with
+# ample reserve; a lost host delays no more items than these and those that
+# were running.
+AHEAD_SECONDS = 2.0
+MIN_AHEAD = 16
+MAX_AHEAD = 2048
+# Items that may be outstanding when the scheduler does not tell how many of
+# them wait.
+DEFAULT_OUTSTANDING = 256
+# Free part of the window from which on items are claimed.
+CLAIM_FRACTION = 0.25
+# Seconds between claims of a group that has nothing to claim.
+MIN_BACKOFF = 0.02
+MAX_BACKOFF = 0.5
+BACKOFF_FACTOR = 2.0
+# Seconds over which the throughput is averaged.
+AVERAGING_TIME = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """What is known when items are to be claimed.
+
+    Parameters
+    ----------
+    outstanding : int
+        Items handed to the executor and not yet ended.
+    waiting : int or None
+        Those of them that have no endpoint yet; None when not known.
+    requested : int
+        Items asked for in claims that have not been answered.
+    rate : float
+        Items per second that ended lately.
+    """
+
+    outstanding: int
+    waiting: int | None
+    requested: int
+    rate: float
+
+
+def choose_wanted(window):
+    """Return how many items to claim now.
+
+    Parameters
+    ----------
+    window : Window
+        Present state.
+
+    Returns
+    -------
+    int
+        Items; 0 unless a worthwhile part of the window is free, so that
+        claims do not become one commit for each item.
+    """
+    if window.waiting is None:
+        ahead = DEFAULT_OUTSTANDING
+        used = window.outstanding
+    else:
+        ahead = int(window.rate * AHEAD_SECONDS)
+        ahead = min(MAX_AHEAD, max(MIN_AHEAD, ahead))
+        used = window.waiting
+    free = ahead - used - window.requested
+    return free if free >= ahead * CLAIM_FRACTION else 0
+
+
+def choose_backoff(previous):
+    """Return the seconds until the next claim after one without items."""
+    return min(MAX_BACKOFF, max(MIN_BACKOFF, previous * BACKOFF_FACTOR))
+
+
+class Throughput:
+    """Average number of items that end per second."""
+
+    def __init__(self):
+        self.rate = 0.0
+        self.count = 0
+        self.since = None
+
+    def add(self, count):
+        """Note items that ended."""
+        self.count += count
+
+    def update(self, now):
+        """Return the rate in items per second.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        if self.since is None:
+            self.since = now
+            return self.rate
+        elapsed = now - self.since
+        if elapsed < AVERAGING_TIME / 8:
+            return self.rate
+        share = min(1.0, elapsed / AVERAGING_TIME)
+        self.rate += share * (self.count / elapsed - self.rate)
+        self.count = 0
+        self.since = now
+        return self.rate
--- /dev/null
+++ b/rhubarbreach/state/jobcommands.py
@@ -0,0 +1,406 @@
+"""Commands, queries and replies of the job groups."""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from rhubarbreach import codes
+from rhubarbreach.protocol import tagged
+from rhubarbreach.state import logicaltime
+
+__all__ = [
+    'AddItems',
+    'BeginJob',
+    'COMMANDS',
+    'CancelJob',
+    'CancelReply',
+    'ClaimItems',
+    'ClaimReply',
+    'Claimed',
+    'GetJob',
+    'GetResults',
+    'ItemEnd',
+    'ItemResult',
+    'ItemState',
+    'JobReply',
+    'JobState',
+    'JobStatus',
+    'LeasedItems',
+    'ListJobs',
+    'ListReply',
+    'QUERIES',
+    'REPLIES',
+    'ReleaseItems',
+    'RenewClaims',
+    'RenewReply',
+    'ReportReply',
+    'ReportResults',
+    'ResultRow',
+    'ResultsReply',
+    'SealJob',
+    'StartItems',
+    'StartReply',
+    'StoredResult',
+]
+
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+class JobState(enum.StrEnum):
+    """Phases of a job."""
+
+    UPLOADING = 'uploading'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    CANCELLED = 'cancelled'
+
+
+class ItemState(enum.IntEnum):
+    """Phases of an item; all from `DONE` on are final."""
+
+    PENDING = 0
+    CLAIMED = 1
+    STARTED = 2
+    DONE = 3
+    FAILED = 4
+    CANCELLED = 5
+    UNKNOWN = 6
+
+
+class ItemEnd(enum.IntEnum):
+    """How the holder of a claim says that an item ended.
+
+    `RETRY` ends one attempt; the item ends as failed when its attempts are
+    used up. The other ends are final.
+    """
+
+    DONE = 0
+    FAILED = 1
+    RETRY = 2
+    UNKNOWN = 3
+
+
+class StoredResult(msgspec.Struct, frozen=True, array_like=True):
+    """Result of an item as the job group stores it."""
+
+    code: int
+    reason: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+class ItemResult(msgspec.Struct, frozen=True, array_like=True):
+    """Result of one item under a claim; `result` is a `StoredResult`."""
+
+    epoch: int
+    item: int
+    end: ItemEnd
+    result: bytes
+
+
+class LeasedItems(msgspec.Struct, frozen=True, array_like=True):
+    """Items of one claim."""
+
+    epoch: int
+    items: tuple[int, ...]
+
+
+@frozen
+class BeginJob:
+    """Open a job for items.
+
+    Parameters
+    ----------
+    job_id, account_id, client_id : str
+        Id of the job, its owner and the id that the client chose.
+    digest : bytes
+        Digest of the upload.
+    method, path : str
+        How each item is sent.
+    target : str
+        Model of all items, empty when they differ.
+    item_count : int
+        Items that will be added.
+    idempotent : bool
+        Whether an item may be repeated.
+    weight : float
+        Weight of the account.
+    max_attempts : int
+        Attempts after which an item has failed.
+    retention : int
+        Milliseconds to keep the job after its end.
+    created_at : float
+        Wall clock seconds, shown to the client only.
+    """
+
+    job_id: str
+    account_id: str
+    client_id: str
+    digest: bytes
+    method: str
+    path: str
+    target: str
+    item_count: int
+    idempotent: bool
+    weight: float
+    max_attempts: int
+    retention: int
+    created_at: float
+
+
+@frozen
+class AddItems:
+    """Add a chunk of items; the first has the index `first`."""
+
+    job_id: str
+    digest: bytes
+    first: int
+    custom_ids: tuple[str, ...]
+    bodies: tuple[bytes, ...]
+
+
+@frozen
+class SealJob:
+    """Accept a job whose items are all there."""
+
+    job_id: str
+    digest: bytes
+
+
+@frozen
+class ClaimItems:
+    """Claim pending items for a host.
+
+    Parameters
+    ----------
+    host_id : str
+        Claiming host with its incarnation.
+    sequence : int
+        Grows with each claim of the host; a repetition gets the first
+        response.
+    limit, max_bytes : int
+        Bounds of items and of bytes of their bodies.
+    duration : int
+        Milliseconds until the claim expires.
+    excluded : tuple of str
+        Targets for which the host wants no more items.
+    """
+
+    host_id: str
+    sequence: int
+    limit: int
+    max_bytes: int
+    duration: int
+    excluded: tuple[str, ...] = ()
+
+
+@frozen
+class RenewClaims:
+    """Extend claims of a host by `duration` milliseconds from now."""
+
+    host_id: str
+    epochs: tuple[int, ...]
+    duration: int
+
+
+@frozen
+class StartItems:
+    """Mark items as started, before they are dispatched."""
+
+    claims: tuple[LeasedItems, ...]
+
+
+@frozen
+class ReportResults:
+    """Results of items under claims."""
+
+    results: tuple[ItemResult, ...]
+
+
+@frozen
+class ReleaseItems:
+    """Hand items back that did not run or may run again.
+
+    `delay` in milliseconds keeps their jobs from being claimed meanwhile.
+    """
+
+    claims: tuple[LeasedItems, ...]
+    delay: int = 0
+
+
+@frozen
+class CancelJob:
+    """Cancel a job of an account."""
+
+    job_id: str
+    account_id: str
+
+
+COMMANDS = tagged.Family(
+    logicaltime.Tick,
+    BeginJob,
+    AddItems,
+    SealJob,
+    ClaimItems,
+    RenewClaims,
+    StartItems,
+    ReportResults,
+    ReleaseItems,
+    CancelJob,
+)
+
+
+@frozen
+class GetJob:
+    """Ask for the status of a job of an account."""
+
+    job_id: str
+    account_id: str
+
+
+@frozen
+class ListJobs:
+    """Ask for jobs of an account, in the order of their ids."""
+
+    account_id: str
+    after: str
+    limit: int
+
+
+@frozen
+class GetResults:
+    """Ask for final items from an index on, bounded by count and bytes.
+
+    `failed` asks only for items without a result.
+    """
+
+    job_id: str
+    account_id: str
+    first: int
+    limit: int
+    max_bytes: int
+    failed: bool
+
+
+QUERIES = tagged.Family(GetJob, ListJobs, GetResults)
+
+
+@frozen
+class JobStatus:
+    """Status of a job; counts are numbers of items."""
+
+    job_id: str
+    account_id: str
+    client_id: str
+    state: JobState
+    method: str
+    path: str
+    total: int
+    added: int
+    done: int
+    failed: int
+    unknown: int
+    cancelled: int
+    created_at: float
+
+
+@frozen
+class JobReply:
+    """Status of a job or why there is none."""
+
+    status: JobStatus | None
+    refusal: codes.Refusal | None = None
+
+
+@frozen
+class Claimed:
+    """Items of one job under one claim."""
+
+    epoch: int
+    job_id: str
+    account_id: str
+    method: str
+    path: str
+    target: str
+    idempotent: bool
+    weight: float
+    items: tuple[int, ...]
+    bodies: tuple[bytes, ...]
+
+
+@frozen
+class ClaimReply:
+    """Claims given; `waiting` tells whether pending items remain."""
+
+    claims: tuple[Claimed, ...]
+    waiting: bool
+
+
+@frozen
+class RenewReply:
+    """Claims that the host no longer holds."""
+
+    lost: tuple[int, ...]
+
+
+@frozen
+class StartReply:
+    """Items that may be dispatched now."""
+
+    claims: tuple[LeasedItems, ...]
+
+
+@frozen
+class ReportReply:
+    """Whether each result was taken, in the order of the report."""
+
+    taken: tuple[bool, ...]
+
+
+@frozen
+class CancelReply:
+    """Status after a cancel and the hosts that held claims."""
+
+    status: JobStatus | None
+    holders: tuple[str, ...] = ()
+    refusal: codes.Refusal | None = None
+
+
+@frozen
+class ListReply:
+    """Jobs of an account."""
+
+    jobs: tuple[JobStatus, ...]
+
+
+class ResultRow(msgspec.Struct, frozen=True, array_like=True):
+    """A final item; `result` is a `StoredResult`."""
+
+    item: int
+    custom_id: str
+    state: ItemState
+    attempts: int
+    result: bytes
+
+
+@frozen
+class ResultsReply:
+    """Final items; `following` is the next index, -1 at the end."""
+
+    rows: tuple[ResultRow, ...]
+    following: int
+    refusal: codes.Refusal | None = None
+
+
+REPLIES = tagged.Family(
+    JobReply,
+    ClaimReply,
+    RenewReply,
+    StartReply,
+    ReportReply,
+    CancelReply,
+    ListReply,
+    ResultsReply,
+)
--- /dev/null
+++ b/rhubarbreach/state/jobqueries.py
@@ -0,0 +1,86 @@
+"""Queries of a job group, answered without a command."""
+
+from rhubarbreach import codes
+from rhubarbreach.state import jobcommands
+
+__all__ = ['answer_query', 'make_not_found']
+
+State = jobcommands.ItemState
+
+
+def make_not_found(job_id):
+    """Return the refusal for a job that the account does not have."""
+    reason = f'job {job_id} does not exist'
+    return codes.Refusal(codes.ResultCode.NOT_FOUND, reason)
+
+
+def answer_query(machine, query):
+    """Return the reply to a query.
+
+    Parameters
+    ----------
+    machine : JobsMachine
+        Where the jobs are.
+    query : object
+        One of `jobcommands.QUERIES`.
+
+    Returns
+    -------
+    object
+        One of `jobcommands.REPLIES`.
+    """
+    match query:
+        case jobcommands.GetJob():
+            job = machine.find(query.job_id, query.account_id)
+            if job is None:
+                return jobcommands.JobReply(None, make_not_found(query.job_id))
+            return jobcommands.JobReply(job.make_status())
+        case jobcommands.ListJobs():
+            return list_jobs(machine, query)
+        case jobcommands.GetResults():
+            return get_results(machine, query)
+    raise TypeError(f'not a query: {query!r}')
+
+
+def list_jobs(machine, query):
+    """Return jobs of an account after an id."""
+    owned = machine.accounts.get(query.account_id, {})
+    names = sorted(job_id for job_id in owned if job_id > query.after)
+    return jobcommands.ListReply(
+        tuple(
+            machine.jobs[job_id].make_status()
+            for job_id in names[: query.limit]
+        )
+    )
+
+
+def get_results(machine, query):
+    """Return a page of final items."""
+    job = machine.find(query.job_id, query.account_id)
+    if job is None:
+        refusal = make_not_found(query.job_id)
+        return jobcommands.ResultsReply((), -1, refusal)
+    lowest = State.FAILED if query.failed else State.DONE
+    rows = []
+    size = 0
+    index = query.first
+    while index < job.added and len(rows) < query.limit:
+        if job.states[index] >= lowest:
+            size += job.results.get_size(index)
+            if rows and size > query.max_bytes:
+                break
+            rows.append(make_row(job, index))
+        index += 1
+    following = index if index < job.added else -1
+    return jobcommands.ResultsReply(tuple(rows), following)
+
+
+def make_row(job, index):
+    """Return the row of a final item."""
+    return jobcommands.ResultRow(
+        index,
+        job.custom_ids.get(index).decode(),
+        State(job.states[index]),
+        job.attempts[index],
+        job.results.get(index) or b'',
+    )
