--- a/rhubarbreach/batch/__init__.py
+++ b/rhubarbreach/batch/__init__.py
@@ -1,1 +1,21 @@
 """Execution of batch items."""
+
+from rhubarbreach.batch import api
+from rhubarbreach.batch import items
+from rhubarbreach.batch import records
+from rhubarbreach.batch import runner
+from rhubarbreach.batch import store
+from rhubarbreach.batch import ticker
+from rhubarbreach.batch import upload
+from rhubarbreach.batch import window
+
+__all__ = [
+    'api',
+    'items',
+    'records',
+    'runner',
+    'store',
+    'ticker',
+    'upload',
+    'window',
+]
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -129,6 +129,7 @@
             try:
                 function(*arguments)
             except Exception:
+                self.metrics.count('batch_exchange_errors_total')
                 LOG.exception('event=batch_exchange_failed')
 
         try:
@@ -298,22 +299,34 @@
             lane.reporting = False
 
     def report_batch(self, lane):
-        """Report one batch; return False when the group did not answer."""
+        """Report one batch; return False when the group did not take it.
+
+        A report may be repeated: an end that was taken before is no longer
+        under its claim and is dropped.
+        """
         batch = lane.outbox.take(clock.monotonic())
-        for command in outbox.make_commands(batch):
-            deadline = clock.monotonic() + EXCHANGE_TIMEOUT
-            reply = self.store.propose(lane.group, command, deadline)
-            if isinstance(reply, codes.Refusal):
-                # Reports may be repeated: an end that was taken before is
-                # no longer under its claim and is dropped.
+        complete = False
+        try:
+            complete = all(
+                self.report_command(lane, command)
+                for command in outbox.make_commands(batch)
+            )
+        finally:
+            if not complete:
                 now = clock.monotonic()
                 lane.outbox.put_back(batch, now)
                 lane.report_at = now + RETRY_DELAY
-                return False
-            if isinstance(reply, jobcommands.ReportReply):
-                self.metrics.count(
-                    'batch_results_taken_total', sum(reply.taken)
-                )
+        return complete
+
+    def report_command(self, lane, command):
+        """Send one report; return whether it was committed."""
+        deadline = clock.monotonic() + EXCHANGE_TIMEOUT
+        reply = self.store.propose(lane.group, command, deadline)
+        if isinstance(reply, codes.Refusal):
+            return False
+        if isinstance(reply, jobcommands.ReportReply):
+            taken = sum(reply.taken)
+            self.metrics.count('batch_results_taken_total', taken)
         return True
 
     # Renewal and cancellation.
--- a/rhubarbreach/batch/store.py
+++ b/rhubarbreach/batch/store.py
@@ -18,6 +18,8 @@
 # custom ids and the framing of its items.
 CHUNK_BYTES = 192 * 1024
 CHUNK_ITEMS = 1024
+# Seconds after which a client may send a refused job again.
+RETRY_AFTER = 1.0
 # Framing of an item beside its body and custom id.
 ITEM_OVERHEAD = 16
 
@@ -145,10 +147,26 @@
         group = self.get_group(begin.job_id)
         reply = self.propose(group, begin, deadline)
         if isinstance(reply, codes.Refusal):
-            return reply
-        added = reply.status.added
+            return make_not_run(reply)
         if reply.status.state != jobcommands.JobState.UPLOADING:
             return reply.status
+        refusal = self.add_items(
+            begin, custom_ids, bodies, reply.status.added, deadline
+        )
+        if refusal is not None:
+            return make_not_run(refusal)
+        seal = jobcommands.SealJob(begin.job_id, begin.digest)
+        reply = self.propose(group, seal, deadline)
+        if isinstance(reply, codes.Refusal):
+            return make_unknown(reply)
+        if reply.status.state == jobcommands.JobState.UPLOADING:
+            reason = 'the upload was interrupted'
+            return codes.Refusal(codes.ResultCode.UNAVAILABLE, reason)
+        return reply.status
+
+    def add_items(self, begin, custom_ids, bodies, added, deadline):
+        """Add the items from index `added` on; return a refusal or None."""
+        group = self.get_group(begin.job_id)
         for first, end in cut_chunks(custom_ids, bodies):
             if end <= added:
                 continue
@@ -162,16 +180,7 @@
             reply = self.propose(group, chunk, deadline)
             if isinstance(reply, codes.Refusal):
                 return reply
-        seal = jobcommands.SealJob(begin.job_id, begin.digest)
-        reply = self.propose(group, seal, deadline)
-        if isinstance(reply, codes.Refusal):
-            return reply
-        if reply.status.state == jobcommands.JobState.UPLOADING:
-            return codes.Refusal(
-                codes.ResultCode.UNAVAILABLE,
-                'the upload was interrupted and has to be sent again',
-            )
-        return reply.status
+        return None
 
     def get_job(self, job_id, account_id, deadline):
         """Return the `JobStatus` of a job or a refusal."""
@@ -228,6 +237,29 @@
             following = reply.following
 
 
+def make_not_run(refusal):
+    """Return the refusal of an upload that failed before its last record.
+
+    Without that record no item is ever claimed. It says nothing about a job
+    that was sent before with the same id.
+    """
+    if refusal.code in (
+        codes.ResultCode.JOB_CONFLICT,
+        codes.ResultCode.DISK_FULL,
+    ):
+        return refusal
+    reason = f'this upload was not accepted: {refusal.reason}'
+    return codes.Refusal(refusal.code, reason, codes.Ran.NO, RETRY_AFTER)
+
+
+def make_unknown(refusal):
+    """Return the refusal of an upload whose last record may be committed."""
+    if refusal.ran == codes.Ran.NO:
+        return make_not_run(refusal)
+    reason = 'it is not known whether the job was accepted; send it again'
+    return codes.Refusal(refusal.code, reason, codes.Ran.UNKNOWN, RETRY_AFTER)
+
+
 def decode_reply(answer):
     """Return the decoded reply, or the refusal that it carries."""
     if isinstance(answer, codes.Refusal):
--- /dev/null
+++ b/rhubarbreach/batch/tests/test_records.py
@@ -0,0 +1,152 @@
+"""Tests of request records over a machine in process."""
+
+import threading
+
+import pytest
+
+from rhubarbreach.batch import records
+from rhubarbreach.batch.tests import fakes
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.dispatch import call
+from rhubarbreach.state import logicaltime
+from rhubarbreach.state import requestcommands
+from rhubarbreach.state import requests
+
+RESULT = call.CallResult(200, 'application/json', b'{"a":1}', 'e', 1)
+UNKNOWN = codes.Refusal(
+    codes.ResultCode.STREAM_BROKEN, 'lost', codes.Ran.UNKNOWN
+)
+
+
+class Bench:
+    """Two hosts that share one group of records."""
+
+    def __init__(self):
+        self.client = fakes.LocalClient(
+            [records.GROUP_ID], requests.RequestsMachine
+        )
+        self.first = records.Records(self.client, 'h1#1', 60.0)
+        self.second = records.Records(self.client, 'h2#1', 60.0)
+
+    @property
+    def machine(self):
+        """The machine of the group."""
+        return self.client.machines[records.GROUP_ID]
+
+    def pass_time(self, milliseconds):
+        """Advance logical time."""
+        for _ in range(0, milliseconds, 1000):
+            tick = logicaltime.Tick(self.machine.time, 1000)
+            self.machine.apply(0, requestcommands.COMMANDS.encode(tick))
+
+    def reload(self):
+        """Replace the machine by one restored from its snapshot."""
+        data = self.machine.snapshot()
+        restored = requests.RequestsMachine()
+        restored.restore(data)
+        self.client.machines[records.GROUP_ID] = restored
+
+
+@pytest.fixture
+def bench():
+    """Return two hosts with request records."""
+    made = Bench()
+    yield made
+    made.first.close()
+    made.second.close()
+
+
+def reserve(host, key='k', fingerprint=b'f', seconds=0.1):
+    """Reserve a request at a host."""
+    deadline = clock.monotonic() + seconds
+    return host.reserve('a', key, fingerprint, deadline)
+
+
+def test_duplicate_gets_the_first_result(bench):
+    """A request sent again at another host must not run again."""
+    reservation = reserve(bench.first)
+    assert bench.first.complete(reservation, RESULT) is None
+    bench.reload()
+    assert reserve(bench.second) == RESULT
+    other = reserve(bench.second, fingerprint=b'g')
+    assert other.code == codes.ResultCode.IDEMPOTENCY_CONFLICT
+
+
+def test_duplicate_waits_for_the_running_request(bench):
+    """A duplicate during the run must get the result of that run."""
+    reservation = reserve(bench.first)
+    found = []
+    waiting = threading.Thread(
+        target=lambda: found.append(reserve(bench.second, seconds=20))
+    )
+    waiting.start()
+    bench.first.complete(reservation, RESULT)
+    waiting.join(20)
+    assert found == [RESULT]
+    assert reserve(bench.second, key='other', seconds=1) != RESULT
+
+
+def test_lost_holder_leaves_the_outcome_unknown(bench):
+    """A request of a lost host must never run a second time."""
+    reservation = reserve(bench.first)
+    bench.second.lose_holder('h1#1')
+    bench.reload()
+    duplicate = reserve(bench.second)
+    assert duplicate.code == codes.ResultCode.OUTCOME_UNKNOWN
+    assert duplicate.ran == codes.Ran.UNKNOWN
+    # The first host was only cut off: its result is the true one.
+    bench.first.complete(reservation, RESULT)
+    assert reserve(bench.second) == RESULT
+
+
+def test_deadline_leaves_the_outcome_unknown(bench):
+    """A request whose host never reports must not stay running."""
+    reserve(bench.first, seconds=5)
+    bench.pass_time(8000)
+    duplicate = reserve(bench.second)
+    assert duplicate.code == codes.ResultCode.OUTCOME_UNKNOWN
+    bench.pass_time(61_000)
+    assert isinstance(reserve(bench.second), records.Reservation)
+
+
+def test_request_that_did_not_run_may_be_sent_again(bench):
+    """A key must not be used up by a request that was refused."""
+    refusal = codes.Refusal(codes.ResultCode.NO_ENDPOINT, 'none')
+    bench.first.complete(reserve(bench.first), refusal)
+    reservation = reserve(bench.second)
+    assert isinstance(reservation, records.Reservation)
+    bench.second.complete(reservation, UNKNOWN)
+    assert reserve(bench.first).code == codes.ResultCode.OUTCOME_UNKNOWN
+
+
+def test_lost_reply_never_allows_two_runs(bench):
+    """A reservation whose reply was lost must not run, nor a second one."""
+    bench.client.lose_reply = lambda command: True
+    refused = reserve(bench.first)
+    assert (refused.code, refused.ran) == (
+        codes.ResultCode.UNAVAILABLE,
+        codes.Ran.NO,
+    )
+    bench.client.lose_reply = None
+    data = requestcommands.COMMANDS.encode(
+        requestcommands.ReserveRequest('a', 'r', b'f', 't', 'h', 9000, 9000)
+    )
+    states = [
+        requestcommands.REPLIES.decode(bench.machine.apply(0, data)).state
+        for _ in range(2)
+    ]
+    # The repetition of one and the same reservation is not a duplicate.
+    assert states == ['reserved', 'reserved']
+    assert reserve(bench.second, 'r').ran == codes.Ran.UNKNOWN
+
+
+def test_large_result_is_not_kept_and_not_repeated(bench):
+    """A result beyond the bound must not break the group or run again."""
+    large = call.CallResult(200, 'text/plain', b'x' * 300_000, 'e', 1)
+    bench.first.complete(reserve(bench.first), large)
+    duplicate = reserve(bench.second)
+    assert duplicate.code == codes.ResultCode.BODY_TOO_LARGE
+    assert duplicate.ran == codes.Ran.YES
+    missing = bench.first.get('a', 'none', clock.monotonic() + 1)
+    assert missing.code == codes.ResultCode.NOT_FOUND
--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -104,6 +104,7 @@
     yield made
     for one in made.runners:
         one.close()
+        assert not one.metrics.get_count('batch_exchange_errors_total')
 
 
 def test_jobs_of_all_groups_complete(bench):
--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'AddItems',
+    'Applied',
     'BeginJob',
     'COMMANDS',
     'CancelJob',
@@ -306,6 +307,11 @@
     created_at: float
 
 
+@frozen
+class Applied:
+    """A command without a result was applied."""
+
+
 @frozen
 class JobReply:
     """Status of a job or why there is none."""
@@ -395,6 +401,7 @@
 
 
 REPLIES = tagged.Family(
+    Applied,
     JobReply,
     ClaimReply,
     RenewReply,
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -52,11 +52,11 @@
         Returns
         -------
         bytes
-            One of `jobcommands.REPLIES`, encoded; empty for a tick.
+            One of `jobcommands.REPLIES`, encoded.
         """
         with self.lock:
             reply = self.run(jobcommands.COMMANDS.decode(command))
-        return b'' if reply is None else jobcommands.REPLIES.encode(reply)
+        return jobcommands.REPLIES.encode(reply)
 
     def query(self, query):
         """Answer an encoded query with an encoded reply."""
@@ -346,14 +346,19 @@
             job = self.find_claimed(leased.epoch)
             if job is None:
                 continue
-            for index in leased.items:
-                if job.is_held(index, leased.epoch):
-                    job.give_back(index)
-                    self.shares.refund(job, 1)
-                    self.settle(leased.epoch)
-            if command.delay:
-                job.not_before = max(job.not_before, self.time + command.delay)
+            held = [
+                index
+                for index in leased.items
+                if job.is_held(index, leased.epoch)
+            ]
+            for index in held:
+                job.give_back(index)
+                self.settle(leased.epoch)
+            self.shares.refund(job, len(held))
+            if held and command.delay:
+                job.not_before = self.time + command.delay
             self.refresh(job)
+        return jobcommands.Applied()
 
     def cancel(self, command):
         """Cancel a job; a second cancel gets the same reply."""
@@ -393,6 +398,7 @@
             if last[2] + CLAIM_MEMORY <= self.time:
                 del self.last_claims[host_id]
         self.shares.trim()
+        return jobcommands.Applied()
 
     def expire(self, epoch, claim):
         """End a claim whose holder did not renew it."""
--- a/rhubarbreach/state/requestcommands.py
+++ b/rhubarbreach/state/requestcommands.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     'AbandonRequest',
+    'Applied',
     'COMMANDS',
     'CompleteRequest',
     'GetRecord',
@@ -133,4 +134,9 @@
     refusal: codes.Refusal | None = None
 
 
-REPLIES = tagged.Family(RecordReply)
+@frozen
+class Applied:
+    """A command without a result was applied."""
+
+
+REPLIES = tagged.Family(Applied, RecordReply)
--- a/rhubarbreach/state/requests.py
+++ b/rhubarbreach/state/requests.py
@@ -60,8 +60,6 @@
         decoded = requestcommands.COMMANDS.decode(command)
         with self.lock:
             reply = self.run(decoded)
-        if reply is None:
-            return b''
         return requestcommands.REPLIES.encode(reply)
 
     def query(self, query):
@@ -199,6 +197,7 @@
         for record in self.records.values():
             if record.holder_id == command.holder_id:
                 self.end_unknown(record)
+        return requestcommands.Applied()
 
     def tick(self, command):
         """Advance time and act on the deadlines that have passed."""
@@ -212,3 +211,4 @@
                 self.end_unknown(record)
             else:
                 del self.records[account_id, key]
+        return requestcommands.Applied()
--- /dev/null
+++ b/rhubarbreach/state/tests/test_history.py
@@ -0,0 +1,174 @@
+"""History check of a job group: exactly one final result for each item."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from rhubarbreach.state import jobcommands
+from rhubarbreach.state.tests import test_jobs
+
+State = jobcommands.ItemState
+End = jobcommands.ItemEnd
+HOSTS = strategies.sampled_from(('h1', 'h2', 'h3'))
+JOBS = strategies.sampled_from(('job-1', 'job-2', 'job-3'))
+PICK = strategies.integers(0, 1 << 16)
+
+
+class History(stateful.RuleBasedStateMachine):
+    """Random interleavings of claims, crashes, reports and cancels.
+
+    Job 3 is not idempotent. The model keeps what each host believes to hold,
+    also after its claims have expired, so that late and repeated reports and
+    releases occur.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.group = test_jobs.Group()
+        self.accepted = {}
+        self.cancelled = set()
+        self.held = []
+        self.sequence = 0
+        self.runs = {}
+        self.results = {}
+        self.number = 0
+
+    @stateful.rule(job_id=JOBS, count=strategies.integers(1, 40))
+    def submit(self, job_id, count):
+        """Submit a job; a resend with the same size is the same job."""
+        reply = self.group.submit(
+            job_id=job_id,
+            account_id=f'account-{job_id}',
+            count=count,
+            digest=b'%d' % count,
+            idempotent=job_id != 'job-3',
+        )
+        if job_id in self.accepted and self.accepted[job_id] != count:
+            assert reply.status is None
+        else:
+            self.accepted[job_id] = count
+            assert reply.status.total == count
+
+    @stateful.rule(host=HOSTS, limit=strategies.integers(1, 30))
+    def claim(self, host, limit):
+        """Claim and dispatch items."""
+        self.sequence += 1
+        for claimed in self.group.claim(host, self.sequence, limit):
+            assert claimed.job_id not in self.cancelled
+            for item in self.choose_started(claimed):
+                self.dispatch(host, claimed, item)
+
+    def choose_started(self, claimed):
+        """Return the items that may be dispatched."""
+        if claimed.idempotent:
+            return claimed.items
+        leased = jobcommands.LeasedItems(claimed.epoch, claimed.items[:3])
+        reply = self.group.propose(jobcommands.StartItems((leased,)))
+        return reply.claims[0].items
+
+    def dispatch(self, host, claimed, item):
+        """Note that an item runs."""
+        key = (claimed.job_id, item)
+        assert key not in self.results
+        self.runs.setdefault(key, []).append(claimed.epoch)
+        if not claimed.idempotent:
+            assert len(self.runs[key]) == 1
+        self.held.append((host, key, claimed.epoch))
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(
+        pick=PICK, end=strategies.sampled_from(End), keep=strategies.booleans()
+    )
+    def report(self, pick, end, keep):
+        """Report an item, perhaps late and perhaps again later."""
+        index = pick % len(self.held)
+        _, key, epoch = self.held[index]
+        if not keep:
+            self.held.pop(index)
+        self.number += 1
+        result = b'%d' % self.number
+        if not self.group.report(epoch, key[1], end, result):
+            return
+        assert key[0] not in self.cancelled
+        assert key not in self.results
+        state = self.get_state(key)
+        if state >= State.DONE:
+            self.results[key] = (state, result)
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(pick=PICK)
+    def release(self, pick):
+        """Hand back an item that may run again."""
+        _, key, epoch = self.held.pop(pick % len(self.held))
+        if key[0] != 'job-3':
+            leased = jobcommands.LeasedItems(epoch, (key[1],))
+            self.group.propose(jobcommands.ReleaseItems((leased,)))
+
+    @stateful.rule(host=HOSTS)
+    def crash(self, host):
+        """Lose a host with its items in flight."""
+        self.held = [one for one in self.held if one[0] != host]
+
+    @stateful.rule(host=HOSTS)
+    def renew(self, host):
+        """Renew the claims that a host believes to hold."""
+        epochs = tuple({one[2] for one in self.held if one[0] == host})
+        self.group.propose(jobcommands.RenewClaims(host, epochs, 10_000))
+
+    @stateful.rule(job_id=JOBS)
+    def cancel(self, job_id):
+        """Cancel a job."""
+        command = jobcommands.CancelJob(job_id, f'account-{job_id}')
+        reply = self.group.propose(command)
+        if reply.status is not None and reply.status.state == 'cancelled':
+            self.cancelled.add(job_id)
+
+    @stateful.rule(seconds=strategies.integers(1, 12))
+    def pass_time(self, seconds):
+        """Let claims expire."""
+        self.group.pass_time(seconds * 1000)
+
+    @stateful.rule()
+    def reload(self):
+        """Go on from a snapshot, as after a leader change."""
+        self.group.reload()
+
+    def get_state(self, key):
+        """Return the state of an item."""
+        return State(self.group.machine.jobs[key[0]].states[key[1]])
+
+    @stateful.invariant()
+    def keep_results(self):
+        """A final result never changes."""
+        for key, (state, result) in self.results.items():
+            job = self.group.machine.jobs.get(key[0])
+            if job is not None:
+                assert job.states[key[1]] == state
+                assert job.results.get(key[1]) == result
+
+    def teardown(self):
+        """Let one host finish everything and count the results."""
+        for _ in range(30):
+            self.sequence += 1
+            for claimed in self.group.claim('h9', self.sequence, 200):
+                assert claimed.job_id not in self.cancelled
+                for item in claimed.items:
+                    assert self.group.report(claimed.epoch, item)
+            self.group.pass_time(1000)
+        for job_id, count in self.accepted.items():
+            job = self.group.machine.jobs.get(job_id)
+            if job is None:
+                continue
+            assert len(job.states) == count
+            assert all(state >= State.DONE for state in job.states)
+            assert job.state in ('completed', 'cancelled')
+
+
+History.TestCase.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    print_blob=True,
+    database=None,
+)
+test_each_item_has_one_final_result = History.TestCase
