Check that a taken report belongs to the newest claim

Cause: the history check passed on a trial copy whose machine ignored the claim epoch of reports. Change: a report that is taken must be of the item's newest claim.

--- a/rhubarbreach/state/tests/test_history.py
+++ b/rhubarbreach/state/tests/test_history.py
@@ -91,6 +91,7 @@
             return
         assert key[0] not in self.cancelled
         assert key not in self.results
+        assert epoch == self.runs[key][-1]
         state = self.get_state(key)
         if state >= State.DONE:
             self.results[key] = (state, result)
