Add the endpoint emulator and a delay queue for link faults

Cause: tests, demo and bench need endpoints that batch continuously, fail and refuse orders; a timer thread for each delayed message is too costly. Change: emulated engine and plain service as programs of their own, run log for exactly-once checks, one delay task per link.

--- a/rhubarbreach/emulator/__init__.py
+++ b/rhubarbreach/emulator/__init__.py
@@ -1,1 +1,8 @@
 """Emulated endpoints for tests, demo and bench."""
+
+from rhubarbreach.emulator import endpoint
+from rhubarbreach.emulator import engine
+from rhubarbreach.emulator import runs
+from rhubarbreach.emulator import service
+
+__all__ = ['endpoint', 'engine', 'runs', 'service']
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -12,6 +12,7 @@
 from rhubarbreach import codes
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import codec
+from rhubarbreach.protocol import delay as delay_queue
 from rhubarbreach.protocol import tls
 
 __all__ = ['Link', 'Peer']
@@ -137,6 +138,7 @@
         self.call_ids = itertools.count(1)
         self.lock = threading.Lock()
         self.fault = None
+        self.delays = delay_queue.DelayQueue()
         self.closed = False
         self.rejected = 0
         self.received_bytes = 0
@@ -260,9 +262,7 @@
             if delay <= 0:
                 peer.put(data)
             else:
-                timer = threading.Timer(delay, peer.put, (data,))
-                timer.daemon = True
-                timer.start()
+                self.delays.call_later(delay, peer.put, data)
         return True
 
     def run(self):
@@ -368,6 +368,7 @@
     def close(self):
         """Stop all tasks of the link and complete open calls."""
         self.closed = True
+        self.delays.close()
         with self.lock:
             peers = list(self.peers.values())
             self.peers.clear()
