Add the command line, the timeline command and bench tools

Cause: hosts need an entry point that an operator can use, and the demo and bench need a deployment of real processes.

--- /dev/null
+++ b/rhubarbreach/commands/main.py
@@ -0,0 +1,71 @@
+"""Command line `rhubarbreach`."""
+
+import importlib
+
+import fire
+
+from rhubarbreach.commands import host
+from rhubarbreach.commands import timeline
+
+__all__ = ['main']
+
+
+def write_certificates(folder, *host_ids):
+    """Write a certificate authority and certificates for hosts.
+
+    Parameters
+    ----------
+    folder : str
+        Folder for ca.crt, ca.key and a pair HOST.crt, HOST.key each.
+    *host_ids : str
+        Ids of the hosts.
+    """
+    module = importlib.import_module('rhubarbreach.bench.certificates')
+    module.write_certificates(folder, [str(one) for one in host_ids])
+
+
+class Commands:
+    """Serving system for online and batch inference on one fleet.
+
+    serve runs a host, check checks its settings, admin holds the calls of
+    an operator, timeline explains what happened, load sends requests, demo
+    and bench start a small deployment on the loopback address.
+    """
+
+    def __init__(self):
+        self.serve = host.serve
+        self.check = host.check
+        self.version = host.print_version
+        self.timeline = timeline.print_timeline
+        self.certificates = write_certificates
+
+    @property
+    def admin(self):
+        """Calls of an operator."""
+        module = importlib.import_module('rhubarbreach.commands.admin')
+        return module.Admin
+
+    @property
+    def load(self):
+        """Send online requests to running hosts."""
+        return importlib.import_module('rhubarbreach.bench.load').run_load
+
+    @property
+    def demo(self):
+        """Run a small deployment with faults and check the outcome."""
+        return importlib.import_module('rhubarbreach.bench.demo').run_demo
+
+    @property
+    def bench(self):
+        """Measure the serving policy on real processes."""
+        return importlib.import_module('rhubarbreach.bench.serve').run_bench
+
+    @property
+    def slopes(self):
+        """Measure the slopes of docs/CAPACITY.md."""
+        return importlib.import_module('rhubarbreach.bench.slopes').run_slopes
+
+
+def main():
+    """Run the command named on the command line."""
+    fire.Fire(Commands, name='rhubarbreach')
--- a/rhubarbreach/exceptions.py
+++ b/rhubarbreach/exceptions.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    'AddressError',
     'CorruptLogError',
     'DataFolderError',
     'DiskFullError',
@@ -37,6 +38,10 @@
     """A data folder is missing, not writable or used by another process."""
 
 
+class AddressError(RhubarbreachError):
+    """An address of the settings cannot be listened on."""
+
+
 class CorruptLogError(RhubarbreachError):
     """A log has a damaged record before its last record."""
 
--- a/rhubarbreach/observe/__init__.py
+++ b/rhubarbreach/observe/__init__.py
@@ -1,7 +1,8 @@
 """Logs, metrics and the time line of one process."""
 
+from rhubarbreach.observe import explain
 from rhubarbreach.observe import logs
 from rhubarbreach.observe import metrics
 from rhubarbreach.observe import timeline
 
-__all__ = ['logs', 'metrics', 'timeline']
+__all__ = ['explain', 'logs', 'metrics', 'timeline']
--- /dev/null
+++ b/rhubarbreach/observe/tests/test_explain.py
@@ -0,0 +1,62 @@
+"""Tests of the merged timeline."""
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach.observe import explain
+from rhubarbreach.observe import timeline
+
+
+@pytest.fixture
+def recorders(tmp_path):
+    ahead = clock.HybridClock(wall=lambda: 2000.0)
+    behind = clock.HybridClock(wall=lambda: 1000.0)
+    pair = (
+        timeline.Recorder('host-1', ahead, str(tmp_path / 'a')),
+        timeline.Recorder('host-2', behind, str(tmp_path / 'b')),
+    )
+    yield pair
+    for one in pair:
+        one.close()
+
+
+def read_names(recorders, tmp_path, condition):
+    for one in recorders:
+        one.flush()
+    events = explain.merge_files([tmp_path / 'a', tmp_path / 'b'])
+    return [one.name for one in explain.select_events(events, condition)]
+
+
+def test_skewed_clocks_keep_cause_before_effect(recorders, tmp_path):
+    """Guards against an effect that is listed before its cause."""
+    first, second = recorders
+    first.record('sent', request_id='r1')
+    second.hybrid_clock.observe(first.hybrid_clock.now())
+    second.record('received', request_id='r1')
+    names = read_names(
+        recorders, tmp_path, explain.EventFilter(request_id='r1')
+    )
+    assert names == ['sent', 'received']
+
+
+def test_endpoint_events_explain_a_request(recorders, tmp_path):
+    """Guards against a failed attempt whose cause is not shown."""
+    first, _ = recorders
+    first.record('attempt_started', request_id='r1', endpoint_id='e1')
+    first.record('endpoint_lost', endpoint_id='e1')
+    first.record('endpoint_lost', endpoint_id='e2')
+    first.record('attempt_failed', request_id='r1', endpoint_id='e1')
+    first.record('attempt_started', request_id='r2', endpoint_id='e1')
+    names = read_names(
+        recorders, tmp_path, explain.EventFilter(request_id='r1')
+    )
+    assert names == ['attempt_started', 'endpoint_lost', 'attempt_failed']
+
+
+def test_torn_last_line_is_left_out(recorders, tmp_path):
+    """Guards against a killed host whose timeline cannot be read."""
+    recorders[0].record('one')
+    recorders[0].flush()
+    with open(tmp_path / 'a', 'ab') as file:
+        file.write(b'{"stamp": 12')
+    assert len(timeline.read_events(tmp_path / 'a')) == 1
--- a/rhubarbreach/settings/load.py
+++ b/rhubarbreach/settings/load.py
@@ -191,6 +191,7 @@
         jobs=model.JobSettings(**section('jobs')),
         policy=model.PolicySettings(**section('policy')),
         log=model.LogSettings(**section('log')),
+        debug=model.DebugSettings(**section('debug')),
         tls=tls.TlsFiles(**files) if files['ca_file'] else None,
         peers=peers,
     )
--- a/rhubarbreach/settings/model.py
+++ b/rhubarbreach/settings/model.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'DataSettings',
+    'DebugSettings',
     'HostSettings',
     'JobSettings',
     'LogSettings',
@@ -93,6 +94,13 @@
     timeline: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DebugSettings:
+    """Aids for tests; `faults` opens the path /debug/faults."""
+
+    faults: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one host."""
@@ -104,5 +112,6 @@
     jobs: JobSettings
     policy: PolicySettings
     log: LogSettings
+    debug: DebugSettings
     tls: tls.TlsFiles | None
     peers: tuple[tuple[str, str], ...]
--- a/rhubarbreach/settings/options.py
+++ b/rhubarbreach/settings/options.py
@@ -110,6 +110,13 @@
     return parse
 
 
+def parse_switch(text):
+    """Return whether a switch is on."""
+    if text not in SWITCH:
+        raise ValueProblem
+    return SWITCH[text]
+
+
 def make_number(section, name, kind, default, low, high, unit):
     """Return an option that holds a number."""
     word = 'whole number' if kind is int else 'number'
@@ -126,6 +133,7 @@
 NAME_FORM = 'letters, digits, ".", "_" and "-", at most 63 characters'
 LEVELS = ('debug', 'info', 'warning', 'error')
 MODES = ('full', 'baseline')
+SWITCH = {'yes': True, 'no': False}
 
 OPTIONS = (
     Option('host', 'host_id', parse_name, REQUIRED, NAME_FORM),
@@ -180,6 +188,7 @@
     ),
     Option('log', 'file', parse_text, '', 'path, empty for standard error'),
     Option('log', 'timeline', parse_text, '', 'path, empty for none'),
+    Option('debug', 'faults', parse_switch, 'no', 'yes, no'),
     Option('tls', 'ca_file', parse_text, '', 'path of a PEM file'),
     Option('tls', 'certificate_file', parse_text, '', 'path of a PEM file'),
     Option('tls', 'key_file', parse_text, '', 'path of a PEM file'),
