Add orders to endpoints under leases, and scaling of models

Cause: several hosts may order the same endpoint, and not every endpoint refuses an old fencing number. Change: order leases bound to the validity of the configuration, so that they need no renewal of their own; a new holder waits out validity, order timeout and drift where the endpoint ignores numbers, and reads the state back before it orders. A planner loads models by demand within the rate of the weight store. Conclusion: one commit per change of holder, none per order.

--- a/rhubarbreach/orders/__init__.py
+++ b/rhubarbreach/orders/__init__.py
@@ -1,1 +1,10 @@
 """Orders to endpoints under leases."""
+
+from rhubarbreach.orders import client
+from rhubarbreach.orders import lease
+from rhubarbreach.orders import model
+from rhubarbreach.orders import orderer
+from rhubarbreach.orders import planner
+from rhubarbreach.orders import scaling
+
+__all__ = ['client', 'lease', 'model', 'orderer', 'planner', 'scaling']
