--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from rhubarbreach.commands import host
+from rhubarbreach.commands import reference
 from rhubarbreach.commands import timeline
 
 __all__ = ['main']
@@ -37,6 +38,7 @@
         self.check = host.check
         self.version = host.print_version
         self.timeline = timeline.print_timeline
+        self.reference = reference.print_reference
         self.certificates = write_certificates
 
     @property
--- /dev/null
+++ b/rhubarbreach/commands/tests/test_reference.py
@@ -0,0 +1,12 @@
+"""Tests of the configuration reference."""
+
+import pathlib
+
+from rhubarbreach.commands import reference
+
+PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'configuration.md'
+
+
+def test_page_matches_the_options():
+    """Guards against a reference that misses a new option."""
+    assert PAGE.read_text(encoding='utf-8') == reference.format_reference()
