Add the configuration machine and the view of a host

Hosts need one configuration that is looked up by id and key digest and that costs little to change. Config now consists of maps in 256 shards, of which a change copies one; the document of tuples stays the form that is stored and sent. The machine answers a repeated operation id with the first result (8,192 are kept), refuses an unexpected revision and keeps 1,024 changes for deltas. ConfigView counts the validity of a reply from the moment the poll was sent and never goes back in revision.

--- a/rhubarbreach/distribution/__init__.py
+++ b/rhubarbreach/distribution/__init__.py
@@ -1,1 +1,6 @@
-"""Configuration view of a host and how it is kept up to date."""
+"""Configuration view of a host and its distribution to all hosts."""
+
+from rhubarbreach.distribution import revision
+from rhubarbreach.distribution import view
+
+__all__ = ['revision', 'view']
--- /dev/null
+++ b/rhubarbreach/state/changes.py
@@ -0,0 +1,400 @@
+"""Checking and applying one change to a configuration."""
+
+import dataclasses
+import math
+import re
+
+from rhubarbreach import codes
+from rhubarbreach.state import model
+
+__all__ = ['apply_change', 'get_changed_account']
+
+DIGEST_BYTES = 32
+MAX_RATE = 1e6
+MAX_BURST = 1e7
+MAX_WEIGHT = 1e3
+MAX_TIMEOUT = 3600.0
+MAX_KEYS = 64
+MAX_REPLICAS = 100000
+# Revoked keys are kept so that their callers learn the reason; the oldest
+# go first, which bounds the configuration under continuous key rotation.
+REVOKED_KEYS_KEPT = 8
+NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}')
+PATH = re.compile(r'/[!-~]{0,254}')
+
+
+def refuse(reason):
+    """Return the refusal of an invalid change."""
+    return codes.Refusal(codes.ResultCode.INVALID_CHANGE, reason)
+
+
+def apply_change(config, change):
+    """Return the configuration after a change.
+
+    Parameters
+    ----------
+    config : rhubarbreach.state.config.Config
+        Configuration before the change.
+    change : object
+        One of `rhubarbreach.state.model.CHANGES`.
+
+    Returns
+    -------
+    Config or Refusal
+        Configuration with the next revision, or INVALID_CHANGE.
+
+    Notes
+    -----
+    The result depends on nothing but the arguments, so that all hosts that
+    apply the same changes hold the same configuration.
+    """
+    reason = find_fault(config, change)
+    if reason:
+        return refuse(reason)
+    changed = CHANGERS[type(change)](config, change)
+    return dataclasses.replace(changed, revision=config.revision + 1)
+
+
+def find_fault(config, change):
+    """Return why a change is invalid, or an empty string."""
+    match change:
+        case model.PutAccount(account):
+            return check_account(account)
+        case model.RemoveAccount(account_id):
+            return check_removal(config, account_id)
+        case model.PutKey(key):
+            return check_key(config, key)
+        case model.RevokeKey(key_id):
+            return require(key_id in config.key_map, 'unknown key', key_id)
+        case model.PutModel(one):
+            return check_model(one)
+        case model.RemoveModel(model_id):
+            return check_model_removal(config, model_id)
+        case model.PutRoute(route):
+            return check_route(config, route)
+        case model.RemoveRoute(route_id):
+            return require(
+                route_id in config.route_map, 'unknown route', route_id
+            )
+        case model.SetShareSet():
+            return check_share_set(config, change)
+        case model.TakeOrderLease():
+            return check_lease(config, change)
+    return f'unknown change {type(change).__name__}'
+
+
+def require(condition, fault, value):
+    """Return the fault with the value, or an empty string."""
+    return '' if condition else f'{fault}: {value!r}'
+
+
+def check_name(what, name):
+    """Return why a name is invalid, or an empty string."""
+    return require(NAME.fullmatch(name), f'invalid {what}', name)
+
+
+def check_number(what, value, least, most):
+    """Return why a number is out of its range, or an empty string."""
+    inside = math.isfinite(value) and least <= value <= most
+    return require(inside, f'{what} outside {least:g} to {most:g}', value)
+
+
+def check_account(account):
+    """Return why an account is invalid, or an empty string."""
+    return (
+        check_name('account id', account.account_id)
+        or check_number('rate', account.rate, 0, MAX_RATE)
+        or check_number('burst', account.burst, 1, MAX_BURST)
+        or check_number('weight', account.weight, 1e-3, MAX_WEIGHT)
+        or check_number(
+            'stale_key_bound',
+            account.stale_key_bound,
+            model.DEFAULT_STALE_KEY_BOUND,
+            model.MAX_STALE_KEY_BOUND,
+        )
+    )
+
+
+def check_removal(config, account_id):
+    """Return why an account cannot be removed, or an empty string.
+
+    A route that lists accounts must not lose its last one, since an empty
+    list admits all accounts.
+    """
+    if account_id not in config.account_map:
+        return f'unknown account: {account_id!r}'
+    for route in config.routes:
+        if account_id in route.accounts:
+            return f'route {route.route_id!r} lists account {account_id!r}'
+    return ''
+
+
+def check_key(config, key):
+    """Return why a key cannot be added, or an empty string."""
+    active = sum(
+        not one.revoked for one in config.get_account_keys(key.account_id)
+    )
+    return (
+        check_name('key id', key.key_id)
+        or require(
+            key.account_id in config.account_map,
+            'unknown account',
+            key.account_id,
+        )
+        or require(
+            len(key.digest) == DIGEST_BYTES,
+            f'digest is not {DIGEST_BYTES} bytes',
+            len(key.digest),
+        )
+        or require(key.key_id not in config.key_map, 'key exists', key.key_id)
+        or require(
+            key.digest not in config.digest_map,
+            'digest belongs to another key',
+            key.key_id,
+        )
+        or require(not key.revoked, 'key is added as revoked', key.key_id)
+        or require(
+            active < MAX_KEYS, f'account has {MAX_KEYS} keys', key.account_id
+        )
+    )
+
+
+def check_model(one):
+    """Return why a model is invalid, or an empty string."""
+    return (
+        check_name('model id', one.model_id)
+        or require(one.weight_bytes >= 0, 'negative size', one.weight_bytes)
+        or check_number('min_replicas', one.min_replicas, 0, MAX_REPLICAS)
+        or check_number(
+            'max_replicas', one.max_replicas, one.min_replicas, MAX_REPLICAS
+        )
+    )
+
+
+def check_model_removal(config, model_id):
+    """Return why a model cannot be removed, or an empty string."""
+    if model_id not in config.model_map:
+        return f'unknown model: {model_id!r}'
+    for route in config.routes:
+        if route.target == model_id:
+            return f'route {route.route_id!r} targets model {model_id!r}'
+    return ''
+
+
+def check_route(config, route):
+    """Return why a route is invalid, or an empty string."""
+    owner = config.path_map.get(route.path, route.route_id)
+    unknown = [
+        account_id
+        for account_id in route.accounts
+        if account_id not in config.account_map
+    ]
+    return (
+        check_name('route id', route.route_id)
+        or require(PATH.fullmatch(route.path), 'invalid path', route.path)
+        or require(
+            owner == route.route_id, f'path of route {owner!r}', route.path
+        )
+        or require(route.kind in model.ROUTE_KINDS, 'unknown kind', route.kind)
+        or require(
+            route.record in model.RECORD_MODES, 'unknown record', route.record
+        )
+        or require(
+            (route.kind == 'service') == bool(route.target),
+            'a service has a target and an engine has none; found',
+            route.target,
+        )
+        or require(
+            not (route.open and route.accounts),
+            'an open route cannot list accounts',
+            route.route_id,
+        )
+        or require(not unknown, 'unknown accounts', unknown)
+        or check_number('timeout', route.timeout, 0.1, MAX_TIMEOUT)
+    )
+
+
+def check_share_set(config, change):
+    """Return why a share set is invalid, or an empty string."""
+    hosts = change.hosts
+    return require(
+        change.expected_epoch == config.share_epoch,
+        f'share epoch is {config.share_epoch}, expected',
+        change.expected_epoch,
+    ) or require(len(set(hosts)) == len(hosts), 'repeated host', hosts)
+
+
+def check_lease(config, change):
+    """Return why an order lease cannot be taken, or an empty string."""
+    lease = config.get_order_lease(change.endpoint_id)
+    epoch = lease.epoch if lease else 0
+    return check_name('endpoint id', change.endpoint_id) or require(
+        change.expected_epoch == epoch,
+        f'lease epoch is {epoch}, expected',
+        change.expected_epoch,
+    )
+
+
+def put_account(config, change):
+    """Apply `PutAccount`."""
+    account = change.account
+    account_id = account.account_id
+    bounds = config.bound_map
+    longest = config.get_longest_bound(account_id)
+    if account.stale_key_bound > longest:
+        bounds = bounds.put(account_id, account.stale_key_bound)
+    return dataclasses.replace(
+        config,
+        account_map=config.account_map.put(account_id, account),
+        bound_map=bounds,
+    )
+
+
+def remove_account(config, change):
+    """Apply `RemoveAccount`."""
+    changed = config
+    for key in config.get_account_keys(change.account_id):
+        changed = remove_key(changed, key)
+    return dataclasses.replace(
+        changed,
+        account_map=changed.account_map.remove(change.account_id),
+        account_keys=changed.account_keys.remove(change.account_id),
+    )
+
+
+def remove_key(config, key):
+    """Return the configuration without a key."""
+    key_ids = tuple(
+        key_id
+        for key_id in config.account_keys.get(key.account_id)
+        if key_id != key.key_id
+    )
+    return dataclasses.replace(
+        config,
+        key_map=config.key_map.remove(key.key_id),
+        digest_map=config.digest_map.remove(key.digest),
+        account_keys=config.account_keys.put(key.account_id, key_ids),
+    )
+
+
+def put_key(config, change):
+    """Apply `PutKey`."""
+    key = dataclasses.replace(change.key, revision=config.revision + 1)
+    key_ids = config.account_keys.get(key.account_id, ())
+    return dataclasses.replace(
+        config,
+        key_map=config.key_map.put(key.key_id, key),
+        digest_map=config.digest_map.put(key.digest, key.key_id),
+        account_keys=config.account_keys.put(
+            key.account_id, (*key_ids, key.key_id)
+        ),
+    )
+
+
+def revoke_key(config, change):
+    """Apply `RevokeKey`."""
+    key = dataclasses.replace(config.get_key(change.key_id), revoked=True)
+    changed = dataclasses.replace(
+        config, key_map=config.key_map.put(key.key_id, key)
+    )
+    revoked = [
+        one for one in changed.get_account_keys(key.account_id) if one.revoked
+    ]
+    for oldest in revoked[:-REVOKED_KEYS_KEPT]:
+        changed = remove_key(changed, oldest)
+    return changed
+
+
+def put_model(config, change):
+    """Apply `PutModel`."""
+    one = change.model
+    return dataclasses.replace(
+        config, model_map=config.model_map.put(one.model_id, one)
+    )
+
+
+def remove_model(config, change):
+    """Apply `RemoveModel`."""
+    return dataclasses.replace(
+        config, model_map=config.model_map.remove(change.model_id)
+    )
+
+
+def put_route(config, change):
+    """Apply `PutRoute`."""
+    route = change.route
+    old = config.get_route(route.route_id)
+    paths = config.path_map
+    if old is not None:
+        paths = paths.remove(old.path)
+    return dataclasses.replace(
+        config,
+        route_map=config.route_map.put(route.route_id, route),
+        path_map=paths.put(route.path, route.route_id),
+    )
+
+
+def remove_route(config, change):
+    """Apply `RemoveRoute`."""
+    route = config.get_route(change.route_id)
+    return dataclasses.replace(
+        config,
+        route_map=config.route_map.remove(route.route_id),
+        path_map=config.path_map.remove(route.path),
+    )
+
+
+def set_share_set(config, change):
+    """Apply `SetShareSet`."""
+    return dataclasses.replace(
+        config,
+        share_epoch=config.share_epoch + 1,
+        share_hosts=tuple(sorted(change.hosts)),
+    )
+
+
+def take_order_lease(config, change):
+    """Apply `TakeOrderLease`."""
+    lease = model.OrderLease(
+        change.endpoint_id, change.holder_id, change.expected_epoch + 1
+    )
+    return dataclasses.replace(
+        config, lease_map=config.lease_map.put(lease.endpoint_id, lease)
+    )
+
+
+CHANGERS = {
+    model.PutAccount: put_account,
+    model.RemoveAccount: remove_account,
+    model.PutKey: put_key,
+    model.RevokeKey: revoke_key,
+    model.PutModel: put_model,
+    model.RemoveModel: remove_model,
+    model.PutRoute: put_route,
+    model.RemoveRoute: remove_route,
+    model.SetShareSet: set_share_set,
+    model.TakeOrderLease: take_order_lease,
+}
+
+
+def get_changed_account(config, change):
+    """Return the account that a change concerns, empty for none.
+
+    Parameters
+    ----------
+    config : Config
+        Configuration before the change.
+    change : object
+        One of `rhubarbreach.state.model.CHANGES`.
+    """
+    match change:
+        case model.PutAccount(account):
+            return account.account_id
+        case model.RemoveAccount(account_id):
+            return account_id
+        case model.PutKey(key):
+            return key.account_id
+        case model.RevokeKey(key_id):
+            key = config.get_key(key_id)
+            return key.account_id if key else ''
+    return ''
--- a/rhubarbreach/state/model.py
+++ b/rhubarbreach/state/model.py
@@ -2,15 +2,21 @@
 
 import dataclasses
 
+import msgspec
+
+from rhubarbreach import codes
 from rhubarbreach.protocol import tagged
 
 __all__ = [
     'Account',
     'CHANGES',
     'ChangeRequest',
+    'ChangeResult',
     'Config',
     'Key',
+    'LongestBound',
     'Model',
+    'OrderLease',
     'PutAccount',
     'PutKey',
     'PutModel',
@@ -22,6 +28,9 @@
     'Route',
     'SetShareSet',
     'TakeOrderLease',
+    'decode_result',
+    'encode_request',
+    'encode_result',
 ]
 
 DEFAULT_STALE_KEY_BOUND = 2.0
@@ -60,12 +69,17 @@
 
 @frozen
 class Key:
-    """A key of a client account; only its SHA-256 digest is stored."""
+    """A key of a client account; only its SHA-256 digest is stored.
+
+    `revision` is the revision that added the key; it is set when the change
+    is applied.
+    """
 
     key_id: str
     account_id: str
     digest: bytes
     revoked: bool = False
+    revision: int = 0
 
 
 @frozen
@@ -139,11 +153,20 @@
     epoch: int
 
 
+@frozen
+class LongestBound:
+    """Longest `stale_key_bound` in seconds that an account has had."""
+
+    account_id: str
+    seconds: float
+
+
 @frozen
 class Config:
-    """The whole configuration at one revision.
+    """The whole configuration at one revision, as stored and sent.
 
-    Each tuple is sorted by the id of its members.
+    Each tuple is sorted by the id of its members. `state.config.Config`
+    holds the same with lookups.
     """
 
     revision: int = 0
@@ -154,6 +177,7 @@
     share_epoch: int = 0
     share_hosts: tuple[str, ...] = ()
     order_leases: tuple[OrderLease, ...] = ()
+    longest_bounds: tuple[LongestBound, ...] = ()
 
 
 @frozen
@@ -260,3 +284,59 @@
     operation_id: str
     expected_revision: int | None
     change: bytes
+
+
+@frozen
+class ChangeResult:
+    """Outcome of a change.
+
+    Parameters
+    ----------
+    code : ResultCode
+        OK, REVISION_CONFLICT or INVALID_CHANGE.
+    revision : int
+        Revision of the change when OK, else the current revision.
+    reason : str
+        One sentence when refused.
+    """
+
+    code: codes.ResultCode
+    revision: int
+    reason: str = ''
+
+
+ENCODER = msgspec.msgpack.Encoder()
+REQUEST_DECODER = msgspec.msgpack.Decoder(ChangeRequest)
+RESULT_DECODER = msgspec.msgpack.Decoder(ChangeResult)
+
+
+def encode_request(operation_id, expected_revision, change):
+    """Return the command that proposes a change.
+
+    Parameters
+    ----------
+    operation_id : str
+        The same for each resend of the same change.
+    expected_revision : int or None
+        Revision that must be current, None for any.
+    change : object
+        One of `CHANGES`.
+
+    Returns
+    -------
+    bytes
+        Command for the configuration group.
+    """
+    return ENCODER.encode(
+        ChangeRequest(operation_id, expected_revision, CHANGES.encode(change))
+    )
+
+
+def encode_result(result):
+    """Return the MessagePack of a `ChangeResult`."""
+    return ENCODER.encode(result)
+
+
+def decode_result(data):
+    """Return the `ChangeResult` that `apply` of a command returned."""
+    return RESULT_DECODER.decode(data)
