Add membership, endpoint registry, slots, fair queue and scheduler

Cause: dispatch, entry and batch need the scheduler and the tables of live hosts and endpoints to build on. Change: SWIM failure detection, endpoint registry with batches between zones, slot leases by home hosts, start-time fair queueing with two lanes, routing by load and cache, ejection, crash suspects, and the scheduler that composes them, with the baseline policy as a mode.

--- a/rhubarbreach/membership/__init__.py
+++ b/rhubarbreach/membership/__init__.py
@@ -1,1 +1,9 @@
 """Live hosts and announced endpoints."""
+
+from rhubarbreach.membership import endpoints
+from rhubarbreach.membership import hosts
+from rhubarbreach.membership import model
+from rhubarbreach.membership import rendezvous
+from rhubarbreach.membership import swim
+
+__all__ = ['endpoints', 'hosts', 'model', 'rendezvous', 'swim']
--- /dev/null
+++ b/rhubarbreach/membership/hosts.py
@@ -0,0 +1,204 @@
+"""Live hosts of the fleet, as one host sees them."""
+
+import random as random_module
+import threading
+import time
+
+import logbook
+
+from rhubarbreach import clock
+from rhubarbreach.membership import model
+from rhubarbreach.membership import rendezvous
+from rhubarbreach.membership import swim
+from rhubarbreach.protocol import messages
+
+__all__ = ['Membership']
+
+LOG = logbook.Logger('membership')
+
+TICK = 0.04
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Membership:
+    """Failure detection and table of live hosts.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Identity and addresses of this host.
+    link : Link
+        Link whose peers are kept up to date.
+    seeds : iterable of tuple of str and str
+        Host ids and link addresses of the peers in the settings.
+    incarnation : int, optional
+        Must grow with each start; by default milliseconds of the wall
+        clock.
+    random : random.Random, optional
+        Source of all choices.
+    """
+
+    def __init__(self, settings, link, seeds, incarnation=None, random=None):
+        if incarnation is None:
+            incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        own = messages.HostRow(
+            settings.host_id,
+            settings.link,
+            settings.zone,
+            settings.region,
+            tuple(settings.roles),
+            incarnation,
+            swim.Status.ALIVE,
+            settings.http,
+        )
+        self.host_id = settings.host_id
+        self.region = settings.region
+        self.zone = settings.zone
+        self.link = link
+        self.seeds = dict(seeds)
+        self.lock = threading.RLock()
+        self.stopped = threading.Event()
+        self.listeners = []
+        self.outgoing = []
+        self.snapshot = ()
+        self.thread = None
+        self.detector = swim.Detector(
+            own, self.seeds, self.queue_message, random or random_module
+        )
+        self.rebuild()
+        for message_type in (
+            messages.Probe,
+            messages.ProbeReply,
+            messages.ProbeRequest,
+            messages.HostTable,
+        ):
+            link.register(message_type, self.receive, inline=True)
+
+    def start(self):
+        """Join through the seeds and start probing."""
+        for host_id, address in self.seeds.items():
+            self.link.set_peer(host_id, address)
+        self.thread = threading.Thread(
+            target=self.run, name='membership', daemon=True
+        )
+        self.thread.start()
+
+    def close(self):
+        """Stop probing; the other hosts will see this host as dead."""
+        self.stopped.set()
+        if self.thread is not None:
+            self.thread.join()
+
+    def alive(self):
+        """Return the live hosts including this one, sorted by id."""
+        return self.snapshot
+
+    def owners(self, name, count, zone=None, region=None):
+        """Return the hosts responsible for a name.
+
+        Parameters
+        ----------
+        name : str
+            What the hosts are responsible for.
+        count : int
+            Number of hosts wanted.
+        zone, region : str, optional
+            Restrict the choice to live entry hosts of a zone or region.
+
+        Returns
+        -------
+        tuple of str
+            Host ids, best first. Draining hosts and hosts that are not
+            entry hosts are left out while there are others.
+        """
+        hosts = [
+            host
+            for host in self.snapshot
+            if (zone is None or host.zone == zone)
+            and (region is None or host.region == region)
+        ]
+        entry = [host for host in hosts if 'entry' in host.roles]
+        staying = [host for host in entry if not host.draining]
+        chosen = [host.host_id for host in staying or entry or hosts]
+        return rendezvous.rank_hosts(name, chosen, count)
+
+    def subscribe(self, listener):
+        """Call `listener(hosts)` after each change of the live hosts."""
+        with self.lock:
+            self.listeners.append(listener)
+
+    def set_draining(self, draining=True):
+        """Tell all hosts whether this host takes new work."""
+        status = swim.Status.DRAINING if draining else swim.Status.ALIVE
+        with self.lock:
+            self.detector.set_own(status=status)
+            self.rebuild()
+            alive = self.detector.alive_ids()[: swim.MAX_ROWS]
+            for host_id in alive:
+                self.detector.probe(host_id, clock.monotonic())
+        self.flush()
+
+    def queue_message(self, host_id, message):
+        """Keep a message of the detector until the lock is free."""
+        self.outgoing.append((host_id, message))
+
+    def run(self):
+        """Probe until closed."""
+        while not self.stopped.wait(TICK):
+            with self.lock:
+                self.detector.tick(clock.monotonic())
+            self.flush()
+
+    def receive(self, sender_id, message):
+        """Handle a message of the failure detection."""
+        with self.lock:
+            self.detector.receive(sender_id, message, clock.monotonic())
+        self.flush()
+
+    def flush(self):
+        """Apply changes to the link, send messages, call the listeners."""
+        with self.lock:
+            changes = self.detector.take_changes()
+            for row in changes:
+                self.link.set_peer(row.host_id, row.address)
+                LOG.info(
+                    'event=host_changed peer={} status={} incarnation={}',
+                    row.host_id,
+                    row.status,
+                    row.incarnation,
+                )
+            before = self.snapshot
+            self.rebuild()
+            outgoing, self.outgoing = self.outgoing, []
+            listeners = tuple(self.listeners)
+            snapshot = self.snapshot
+        for host_id, message in outgoing:
+            self.link.send(host_id, message)
+        if snapshot != before:
+            for listener in listeners:
+                listener(snapshot)
+
+    def rebuild(self):
+        """Replace the table that `alive` returns."""
+        own = self.detector.own
+        draining = own.status == swim.Status.DRAINING
+        hosts = [make_info(own, draining)]
+        for member in self.detector.members.values():
+            if member.row.status != swim.Status.DEAD:
+                hosts.append(make_info(member.row, member.draining))
+        hosts.sort(key=lambda host: host.host_id)
+        self.snapshot = tuple(hosts)
+
+
+def make_info(row, draining):
+    """Return the `HostInfo` of a row."""
+    return model.HostInfo(
+        row.host_id,
+        row.region,
+        row.zone,
+        row.address,
+        row.http_address,
+        row.roles,
+        row.incarnation,
+        draining,
+    )
--- /dev/null
+++ b/rhubarbreach/placement/core.py
@@ -0,0 +1,520 @@
+"""Decisions of the scheduler of one host, without threads and clocks."""
+
+import collections
+import dataclasses
+
+from rhubarbreach import codes
+from rhubarbreach.placement import alone
+from rhubarbreach.routing import cache
+from rhubarbreach.routing import choose
+from rhubarbreach.routing import ejection
+from rhubarbreach.routing import load
+from rhubarbreach.routing import suspects
+from rhubarbreach.scheduling import fair
+from rhubarbreach.scheduling import work
+
+__all__ = ['Core', 'Placed', 'Preempted', 'Refused', 'Running']
+
+# Seconds an online request waits while no endpoint serves its model.
+NO_ENDPOINT_WAIT = 2.0
+# Seconds between two searches for entries past their deadline.
+EXPIRY_PERIOD = 0.1
+BASELINE = 'baseline'
+FAILURES = (
+    work.OutcomeStatus.FAILED,
+    work.OutcomeStatus.NOT_RUN,
+    work.OutcomeStatus.ENDPOINT_LOST,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Work may start now."""
+
+    placement: work.Placement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Work will not be run."""
+
+    work: work.Work
+    refusal: codes.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preempted:
+    """A batch placement whose slot is taken back."""
+
+    placement: work.Placement
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A placement that has not been released."""
+
+    placement: work.Placement
+    preempted: bool = False
+
+
+class Core:
+    """Fair queue, slots and routing of one host composed.
+
+    All methods take the time; the caller serializes them.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of this host.
+    registry : EndpointRegistry
+        Announced endpoints.
+    slots : SlotTable
+        Slots of this host.
+    policy : PolicySettings
+        Full or baseline policy.
+    random : random.Random
+        Source of all choices.
+    """
+
+    def __init__(self, zone, registry, slots, policy, random):
+        self.zone = zone
+        self.registry = registry
+        self.slots = slots
+        self.baseline = policy.mode == BASELINE
+        self.random = random
+        self.queue = fair.FairQueue(fair=not self.baseline)
+        self.load = load.LoadView()
+        self.cache = cache.CacheView()
+        self.ejector = ejection.Ejector()
+        self.suspects = suspects.Suspects()
+        self.alone = alone.AloneQueue()
+        # In order of placement, so that the last one is the newest.
+        self.running = {}
+        self.by_endpoint = collections.defaultdict(dict)
+        self.reports = []
+        self.turn = 0
+        self.next_expiry = 0.0
+
+    def submit(self, item, now):
+        """Queue work.
+
+        Parameters
+        ----------
+        item : Work
+            Work to place.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        Refusal or None
+            When it is not queued.
+        """
+        refusal = self.check(item, now)
+        if refusal is not None:
+            return refusal
+        entry = fair.Entry(item, now)
+        if not self.baseline and self.suspects.is_suspect(item.digest, now):
+            self.alone.push(entry)
+            return None
+        return self.queue.push(entry)
+
+    def check(self, item, now):
+        """Return the refusal of work that must not run, or None."""
+        if item.deadline <= now:
+            return codes.Refusal(
+                codes.ResultCode.DEADLINE_TOO_SHORT, 'the deadline has passed'
+            )
+        if self.suspects.is_quarantined(item.digest, now):
+            return codes.Refusal(
+                codes.ResultCode.QUARANTINED,
+                'endpoints died while this request ran alone on them',
+            )
+        return None
+
+    def withdraw(self, work_id):
+        """Remove waiting work; return whether it waited."""
+        if self.queue.withdraw(work_id):
+            return True
+        return self.alone.withdraw(work_id, self.slots)
+
+    def step(self, now):
+        """Decide all that can be decided now.
+
+        Returns
+        -------
+        list of Placed, Refused or Preempted
+            In the order to be carried out.
+        """
+        decisions = []
+        if now >= self.next_expiry:
+            self.next_expiry = now + EXPIRY_PERIOD
+            decisions += self.refuse_expired(now)
+            self.eject(now)
+        if self.baseline:
+            return decisions + self.place_in_order(now)
+        decisions += self.give_back(now)
+        decisions += self.place_alone(now)
+        decisions += self.place_online(now)
+        decisions += self.place_batch(now)
+        return decisions
+
+    def refuse_expired(self, now):
+        """Refuse entries past their deadline or without any endpoint."""
+        decisions = []
+        expired = self.alone.take_expired(now, self.slots)
+        for lane in self.queue.lanes.values():
+            expired += lane.take_expired(now)
+        for entry in expired:
+            refusal = codes.Refusal(
+                codes.ResultCode.DEADLINE_TOO_SHORT,
+                'the deadline passed while the request waited',
+            )
+            decisions.append(Refused(entry.work, refusal))
+        online = self.queue.lanes[work.Lane.ONLINE]
+        waited = [
+            entry
+            for entry in online.by_work.values()
+            if now - entry.queued_at > NO_ENDPOINT_WAIT
+            and not self.registry.usable(entry.work.model_id, now)
+        ]
+        for entry in waited:
+            online.remove(entry)
+            refusal = codes.Refusal(
+                codes.ResultCode.NO_ENDPOINT,
+                f'no endpoint serves {entry.work.model_id}',
+                retry_after=NO_ENDPOINT_WAIT,
+            )
+            decisions.append(Refused(entry.work, refusal))
+        return decisions
+
+    def eject(self, now):
+        """Look for slow or failing replicas of the models in use."""
+        if self.baseline:
+            return
+        models = {
+            running.placement.work.model_id
+            for running in self.running.values()
+        }
+        for model_id in models:
+            replicas = self.registry.usable(model_id, now)
+            ids = [endpoint.endpoint_id for endpoint in replicas]
+            self.ejector.update(ids, now)
+
+    def list_candidates(self, item, now):
+        """Return the endpoints on which work could run."""
+        usable = self.registry.usable(item.model_id, now)
+        healthy = [
+            endpoint
+            for endpoint in usable
+            if not self.ejector.is_ejected(endpoint.endpoint_id, now)
+        ]
+        allowed = [
+            endpoint
+            for endpoint in healthy
+            if endpoint.endpoint_id not in item.excluded
+        ]
+        return allowed or healthy or list(usable)
+
+    def list_placeable(self, lane, now):
+        """Return the models of a lane that have a slot for it."""
+        return {
+            model_id
+            for model_id, count in self.queue.lanes[lane].models.items()
+            if count > 0 and self.has_slot(model_id, lane, now)
+        }
+
+    def has_slot(self, model_id, lane, now):
+        """Return whether some endpoint of a model takes work of a lane."""
+        for endpoint in self.registry.usable(model_id, now):
+            endpoint_id = endpoint.endpoint_id
+            if self.ejector.is_ejected(endpoint_id, now):
+                continue
+            if self.slots.has_free(endpoint_id, lane, now):
+                return True
+            if lane == work.Lane.ONLINE and (
+                self.find_newest(endpoint_id)
+                or self.slots.may_exceed(endpoint_id, now)
+            ):
+                return True
+        return False
+
+    def place_online(self, now):
+        """Place online work, taking slots back from batch work."""
+        decisions = []
+        lane = self.queue.lanes[work.Lane.ONLINE]
+        while len(lane):
+            models = self.list_placeable(work.Lane.ONLINE, now)
+            entry = lane.pop(now, models)
+            if entry is None:
+                break
+            decisions += self.place_one_online(entry.work, now)
+        return decisions
+
+    def place_one_online(self, item, now):
+        """Place one online request."""
+        if self.suspects.is_suspect(item.digest, now):
+            return self.divert(item, now)
+        candidates = self.list_candidates(item, now)
+        free = self.filter_free(candidates, item.lane, now)
+        choice = self.choose(item, free, now)
+        if isinstance(choice, choose.Choice):
+            return [self.start(item, choice, now)]
+        held = [e for e in candidates if self.find_newest(e.endpoint_id)]
+        choice = self.choose(item, held, now)
+        if isinstance(choice, choose.Choice):
+            newest = self.find_newest(choice.endpoint.endpoint_id)
+            preempted = self.preempt(newest)
+            return [preempted, self.start(item, choice, now)]
+        excess = [
+            endpoint
+            for endpoint in candidates
+            if self.slots.may_exceed(endpoint.endpoint_id, now)
+        ]
+        choice = self.choose(item, excess or candidates, now)
+        if isinstance(choice, choose.Choice):
+            return [self.start(item, choice, now)]
+        return [Refused(item, choice)]
+
+    def place_batch(self, now):
+        """Place batch work on spare slots."""
+        decisions = []
+        lane = self.queue.lanes[work.Lane.BATCH]
+        while len(lane):
+            models = self.list_placeable(work.Lane.BATCH, now)
+            entry = lane.pop(now, models) if models else None
+            if entry is None:
+                break
+            item = entry.work
+            if self.suspects.is_suspect(item.digest, now):
+                decisions += self.divert(item, now)
+                continue
+            candidates = self.list_candidates(item, now)
+            free = self.filter_free(candidates, item.lane, now)
+            if not free:
+                # Only excluded endpoints have a slot: better one of them
+                # than to hold up the lane.
+                usable = self.registry.usable(item.model_id, now)
+                free = self.filter_free(usable, item.lane, now)
+            choice = self.choose(item, free, now)
+            decisions.append(self.start(item, choice, now))
+        return decisions
+
+    def place_in_order(self, now):
+        """Place work of both lanes in order of arrival, round robin."""
+        decisions = []
+        while True:
+            models = {
+                model_id
+                for lane in work.Lane
+                for model_id in self.list_placeable_fixed(lane, now)
+            }
+            entry = self.pop_oldest(models, now)
+            if entry is None:
+                return decisions
+            candidates = self.list_candidates(entry.work, now)
+            free = self.filter_free(candidates, entry.work.lane, now)
+            self.turn += 1
+            options = free or candidates
+            endpoint = options[self.turn % len(options)]
+            choice = choose.Choice(endpoint, 'round robin')
+            decisions.append(self.start(entry.work, choice, now))
+
+    def list_placeable_fixed(self, lane, now):
+        """Return the models of a lane with a slot of a fixed limit."""
+        return {
+            model_id
+            for model_id, count in self.queue.lanes[lane].models.items()
+            if count > 0
+            and self.filter_free(
+                self.registry.usable(model_id, now), lane, now
+            )
+        }
+
+    def pop_oldest(self, models, now):
+        """Return the entry of both lanes that came first."""
+        firsts = [
+            (entry.queued_at, lane)
+            for lane in work.Lane
+            for entry in self.queue.lanes[lane].peek(models)
+        ]
+        if not firsts:
+            return None
+        _, lane = min(firsts)
+        return self.queue.lanes[lane].pop(now, models)
+
+    def filter_free(self, endpoints, lane, now):
+        """Return the endpoints that have a slot for a lane."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if self.slots.has_free(endpoint.endpoint_id, lane, now)
+        ]
+
+    def choose(self, item, candidates, now):
+        """Choose among candidates by load, cache and zone."""
+        view = choose.View(
+            self.zone,
+            lambda endpoint: self.load.estimate(endpoint, now),
+            lambda name, prefix: self.cache.match(name, prefix, now),
+            lambda name: self.ejector.get_weight(name, now),
+        )
+        choice = choose.choose_endpoint(
+            item, candidates, view, now, self.random
+        )
+        if isinstance(choice, codes.Refusal) and candidates:
+            # Slow start may leave out all candidates of this draw.
+            return choose.Choice(candidates[0], 'only candidate')
+        return choice
+
+    def start(self, item, choice, now, is_alone=False):
+        """Record a placement and return the decision."""
+        endpoint_id = choice.endpoint.endpoint_id
+        placement = work.Placement(
+            item, choice.endpoint, is_alone, choice.reason
+        )
+        self.slots.take(endpoint_id, item.lane)
+        self.load.start(endpoint_id, now)
+        self.cache.add(endpoint_id, item.prefix, now)
+        self.running[item.work_id] = Running(placement)
+        self.by_endpoint[endpoint_id][item.work_id] = placement
+        return Placed(placement)
+
+    def find_newest(self, endpoint_id):
+        """Return the newest batch placement on an endpoint, or None."""
+        for work_id in reversed(self.by_endpoint[endpoint_id]):
+            running = self.running[work_id]
+            lane = running.placement.work.lane
+            if lane == work.Lane.BATCH and not running.preempted:
+                return running
+        return None
+
+    def preempt(self, running):
+        """Take the slot of a batch placement and return the decision."""
+        running.preempted = True
+        placement = running.placement
+        self.slots.release(placement.endpoint.endpoint_id, work.Lane.BATCH)
+        return Preempted(placement)
+
+    def give_back(self, now):
+        """Preempt batch placements beyond the leased slots."""
+        decisions = []
+        for endpoint_id in list(self.by_endpoint):
+            for _ in range(self.slots.count_excess(endpoint_id, now)):
+                newest = self.find_newest(endpoint_id)
+                if newest is None:
+                    break
+                decisions.append(self.preempt(newest))
+        return decisions
+
+    def divert(self, item, now):
+        """Move work that became a suspect to the queue for running alone."""
+        refusal = self.check(item, now)
+        if refusal is not None:
+            return [Refused(item, refusal)]
+        self.alone.push(fair.Entry(item, now))
+        return []
+
+    def place_alone(self, now):
+        """Place the first suspect once its endpoint is empty."""
+        entry = self.alone.get_first()
+        if entry is None:
+            return []
+        refusal = self.check(entry.work, now)
+        if refusal is not None:
+            self.withdraw(entry.work.work_id)
+            return [Refused(entry.work, refusal)]
+        candidates = self.list_candidates(entry.work, now)
+        endpoint = self.alone.select(candidates, self.load, self.slots, now)
+        if endpoint is None:
+            return []
+        if not self.slots.is_alone(endpoint.endpoint_id, now):
+            return []
+        self.alone.start_first()
+        choice = choose.Choice(endpoint, 'crash suspect runs alone')
+        return [self.start(entry.work, choice, now, is_alone=True)]
+
+    def release(self, placement, outcome, now):
+        """Take the end of a placement into account.
+
+        Parameters
+        ----------
+        placement : Placement
+            As decided.
+        outcome : Outcome
+            How it ended.
+        now : float
+            Monotonic seconds.
+        """
+        item, endpoint = placement.work, placement.endpoint
+        running = self.running.get(item.work_id)
+        if running is None:
+            return
+        if outcome.status == work.OutcomeStatus.ENDPOINT_LOST:
+            self.report_death(placement, now)
+        del self.running[item.work_id]
+        del self.by_endpoint[endpoint.endpoint_id][item.work_id]
+        if not running.preempted:
+            self.slots.release(endpoint.endpoint_id, item.lane)
+        self.load.finish(endpoint.endpoint_id)
+        self.settle(placement, outcome, now)
+        if placement.alone:
+            self.alone.finish(self.slots)
+            if outcome.status == work.OutcomeStatus.COMPLETED:
+                self.suspects.clear(item.digest)
+
+    def report_death(self, placement, now):
+        """Make all that ran on a lost endpoint suspects."""
+        endpoint = placement.endpoint
+        digests = {
+            other.work.digest
+            for other in self.by_endpoint[endpoint.endpoint_id].values()
+        }
+        self.reports += self.suspects.report_death(
+            endpoint, sorted(digests), placement.alone, now
+        )
+
+    def settle(self, placement, outcome, now):
+        """Charge the account and record latency and errors."""
+        item, endpoint = placement.work, placement.endpoint
+        served = float(outcome.tokens)
+        self.queue.charge(
+            item.account_id, served - item.cost, item.lane, served
+        )
+        failed = outcome.status in FAILURES
+        if failed or outcome.inter_token is not None:
+            self.ejector.observe(
+                endpoint.endpoint_id, failed, outcome.inter_token, now
+            )
+        self.slots.observe(
+            endpoint.endpoint_id, outcome.first_token, outcome.inter_token, now
+        )
+        if outcome.status in (
+            work.OutcomeStatus.ENDPOINT_LOST,
+            work.OutcomeStatus.NOT_RUN,
+        ):
+            self.registry.mark_lost(endpoint.endpoint_id, now)
+
+    def take_reports(self):
+        """Return strike reports for the other hosts."""
+        reports, self.reports = self.reports, []
+        return reports
+
+    def update_demand(self, now):
+        """Tell the slot table what waits, before it reports to the homes."""
+        online = self.queue.lanes[work.Lane.ONLINE].models
+        batch = self.queue.lanes[work.Lane.BATCH].models
+        waiting = {endpoint: [0, 0] for endpoint in self.slots.uses}
+        for model_id in {*online, *batch}:
+            endpoints = self.registry.usable(model_id, now)
+            for endpoint in endpoints:
+                counts = waiting.setdefault(endpoint.endpoint_id, [0, 0])
+                # Waiting online work needs one slot anywhere, not on each
+                # endpoint; rounding up keeps a single request visible.
+                counts[0] += -(-online[model_id] // len(endpoints))
+                counts[1] += batch[model_id]
+        for endpoint_id, counts in waiting.items():
+            self.slots.set_waiting(endpoint_id, *counts)
+        backlogged = self.queue.lanes[work.Lane.BATCH].backlogged
+        weight = sum(flow.weight for flow in backlogged.values())
+        self.slots.batch_weight = max(weight, 1e-3)
--- /dev/null
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -0,0 +1,85 @@
+"""Tests of the scheduler with its own task."""
+
+import threading
+import time
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.placement.tests import conftest
+from rhubarbreach.scheduling import work
+
+WAIT = 10
+DONE = work.Outcome(work.OutcomeStatus.COMPLETED, 10, 0.1, 0.02)
+
+
+def fill_with_batch(scheduler, count):
+    """Submit batch work and return the futures that were placed."""
+    futures = [
+        scheduler.submit(conftest.make_work(f'b{i}', work.Lane.BATCH))
+        for i in range(count)
+    ]
+    end = clock.monotonic() + WAIT
+    while sum(f.done() for f in futures) < 2 and clock.monotonic() < end:
+        time.sleep(0.01)
+    return [future for future in futures if future.done()]
+
+
+def test_online_work_preempts_batch(scheduler_of):
+    """An online request must not wait for a batch item to end."""
+    scheduler = scheduler_of()
+    preempted = []
+    scheduler.set_preempt(preempted.append)
+    assert fill_with_batch(scheduler, 8)
+    placed = [
+        scheduler.submit(conftest.make_work(f'o{i}')).result(WAIT)
+        for i in range(4)
+    ]
+    assert {p.work.work_id for p in placed} == {'o0', 'o1', 'o2', 'o3'}
+    assert all(p.work.lane == work.Lane.BATCH for p in preempted)
+    for placement in [*preempted, *placed]:
+        scheduler.release(placement, DONE)
+    assert scheduler.slots.get_use('e1').count() <= 2
+
+
+def test_waiting_work_is_withdrawn_once(scheduler_of):
+    """A withdrawn request must neither be placed nor left without answer."""
+    scheduler = scheduler_of()
+    futures = [
+        scheduler.submit(conftest.make_work(f'b{i}', work.Lane.BATCH))
+        for i in range(8)
+    ]
+    assert scheduler.withdraw('b7')
+    assert not scheduler.withdraw('b7')
+    assert futures[7].result(WAIT).code == codes.ResultCode.CANCELLED
+
+
+def test_baseline_serves_in_order_without_preemption(scheduler_of):
+    """The baseline must not gain from preemption or fair queueing."""
+    scheduler = scheduler_of('baseline')
+    called = threading.Event()
+    scheduler.set_preempt(lambda placement: called.set())
+    futures = [
+        scheduler.submit(conftest.make_work(f'b{i}', work.Lane.BATCH))
+        for i in range(5)
+    ]
+    online = scheduler.submit(conftest.make_work('o'))
+    placed = [future.result(WAIT) for future in futures[:4]]
+    assert not online.done()
+    scheduler.release(placed[0], DONE)
+    futures[4].result(WAIT)
+    scheduler.release(placed[1], DONE)
+    assert online.result(WAIT).work.work_id == 'o'
+    assert not called.is_set()
+
+
+def test_close_refuses_what_waits(scheduler_of):
+    """A caller must not wait for ever on a host that has stopped."""
+    scheduler = scheduler_of('baseline')
+    futures = [
+        scheduler.submit(conftest.make_work(f'b{i}', work.Lane.BATCH))
+        for i in range(6)
+    ]
+    scheduler.close()
+    assert futures[5].result(WAIT).code == codes.ResultCode.DRAINING
+    refused = scheduler.submit(conftest.make_work('late')).result(WAIT)
+    assert refused.ran == codes.Ran.NO
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -22,6 +22,7 @@
     'GrantReply',
     'GrantRequest',
     'HostRow',
+    'HostTable',
     'InstallReply',
     'InstallSnapshot',
     'LogEntry',
@@ -323,7 +324,11 @@
 
 @frozen_message
 class SlotUse:
-    """Slots of one endpoint that a host uses and wants."""
+    """Slots of one endpoint that a host uses and wants.
+
+    `batch_weight` is the weight of the accounts whose batch work waits on
+    the host. `alone` asks for the whole endpoint, for a crash suspect.
+    """
 
     endpoint_id: str
     online_running: int
@@ -332,6 +337,8 @@
     batch_waiting: int
     first_token: float
     inter_token: float
+    batch_weight: float = 1.0
+    alone: bool = False
 
 
 @frozen_message
@@ -343,11 +350,15 @@
 
 @frozen_message
 class SlotReply:
-    """Slots leased to the host, in the order of the request's uses."""
+    """Slots leased to the host, in the order of the request's uses.
+
+    `alone` tells for each use whether nothing else runs on the endpoint.
+    """
 
     online: tuple[int, ...]
     batch: tuple[int, ...]
     duration: float
+    alone: tuple[bool, ...] = ()
 
 
 # Scheduling, suspects and cancellation.
@@ -359,6 +370,7 @@
 
     account_id: str
     served: float
+    lane: str = 'batch'
 
 
 @frozen_message
@@ -386,3 +398,11 @@
     """Cancel what runs for a job on the receiving host."""
 
     job_id: str
+
+
+@frozen_message
+class HostTable:
+    """Part of the table of hosts; `wanted` asks for the receiver's table."""
+
+    rows: tuple[HostRow, ...]
+    wanted: bool
