--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -27,6 +27,7 @@
     'GrantRequest',
     'HostLag',
     'HostRow',
+    'HostTable',
     'InstallReply',
     'InstallSnapshot',
     'LogEntry',
@@ -349,7 +350,11 @@
 
 @frozen_message
 class SlotUse:
-    """Slots of one endpoint that a host uses and wants."""
+    """Slots of one endpoint that a host uses and wants.
+
+    `batch_weight` is the weight of the accounts whose batch work waits on
+    the host. `alone` asks for the whole endpoint, for a crash suspect.
+    """
 
     endpoint_id: str
     online_running: int
@@ -358,6 +363,8 @@
     batch_waiting: int
     first_token: float
     inter_token: float
+    batch_weight: float = 1.0
+    alone: bool = False
 
 
 @frozen_message
@@ -369,11 +376,15 @@
 
 @frozen_message
 class SlotReply:
-    """Slots leased to the host, in the order of the request's uses."""
+    """Slots leased to the host, in the order of the request's uses.
+
+    `alone` tells for each use whether nothing else runs on the endpoint.
+    """
 
     online: tuple[int, ...]
     batch: tuple[int, ...]
     duration: float
+    alone: tuple[bool, ...] = ()
 
 
 # Scheduling, suspects and cancellation.
@@ -385,6 +396,7 @@
 
     account_id: str
     served: float
+    lane: str = 'batch'
 
 
 @frozen_message
@@ -464,3 +476,11 @@
 
     known: bool
     pending: tuple[PendingHost, ...]
+
+
+@frozen_message
+class HostTable:
+    """Part of the table of hosts; `wanted` asks for the receiver's table."""
+
+    rows: tuple[HostRow, ...]
+    wanted: bool
