--- /dev/null
+++ b/rhubarbreach/consensus/applying.py
@@ -0,0 +1,173 @@
+"""The task that applies committed entries to the machine of a group."""
+
+import concurrent.futures
+import threading
+
+import logbook
+
+from rhubarbreach import codes
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
+from rhubarbreach import exceptions
+
+__all__ = ['Applier', 'complete']
+
+LOG = logbook.Logger('consensus')
+MAX_BATCH_ENTRIES = 1024
+
+
+def complete(future, result):
+    """Complete a future that may have been cancelled or completed."""
+    try:
+        future.set_result(result)
+    except concurrent.futures.InvalidStateError:
+        return
+
+
+class Applier:
+    """Applies entries in order and takes snapshots.
+
+    Parameters
+    ----------
+    group : Group
+        Group whose machine is fed.
+    """
+
+    def __init__(self, group):
+        self.group = group
+        self.snapshot_index = group.store.snapshot.last_index
+        self.thread = threading.Thread(
+            target=self.run, name=f'apply-{group.group_id}', daemon=True
+        )
+        self.thread.start()
+
+    def join(self):
+        """Wait for the end of the task."""
+        if threading.current_thread() is not self.thread:
+            self.thread.join()
+
+    def run(self):
+        """Apply until the group is closed."""
+        try:
+            while True:
+                restore, entries, ready = self.wait_work()
+                if self.group.closed:
+                    return
+                if restore is not None:
+                    self.restore(restore)
+                if entries:
+                    self.apply(entries)
+                for read in ready:
+                    complete(read.future, read.index)
+        except Exception as error:
+            LOG.exception('event=apply_failed group={}', self.group.group_id)
+            self.group.post(raise_error, error)
+
+    def wait_work(self):
+        """Return a snapshot to restore, entries and reads that are due."""
+        group = self.group
+        state = group.state
+        with group.lock:
+            while not group.closed:
+                restore, state.restore = state.restore, None
+                if restore is not None:
+                    return restore, [], []
+                first = state.applied_index + 1
+                count = min(
+                    state.commit_index - state.applied_index,
+                    MAX_BATCH_ENTRIES,
+                )
+                entries = group.store.get_entries(first, count)
+                ready = take_ready_reads(state)
+                if entries or ready:
+                    return None, entries, ready
+                group.committed.wait()
+        return None, [], []
+
+    def restore(self, snapshot):
+        """Replace the state of the machine."""
+        state = self.group.state
+        if snapshot.last_index <= state.applied_index:
+            return
+        self.group.machine.restore(snapshot.data)
+        self.snapshot_index = snapshot.last_index
+        with self.group.lock:
+            state.applied_index = snapshot.last_index
+
+    def apply(self, entries):
+        """Apply entries and complete their proposals."""
+        group = self.group
+        results = [self.apply_entry(entry) for entry in entries]
+        with group.lock:
+            state = group.state
+            if entries[-1].index > state.applied_index:
+                state.applied_index = entries[-1].index
+            waiting = [
+                state.pending.pop(entry.index, None) for entry in entries
+            ]
+            ready = take_ready_reads(state)
+        for entry, result, found in zip(
+            entries, results, waiting, strict=True
+        ):
+            if found is None:
+                continue
+            term, proposal = found
+            if term != entry.term:
+                result = states.make_not_leader(state)
+            complete(proposal.future, result)
+        for read in ready:
+            complete(read.future, read.index)
+        self.take_snapshot(entries[-1])
+
+    def apply_entry(self, entry):
+        """Return what the machine makes of one entry."""
+        if entry.kind != model.ENTRY_COMMAND:
+            return None
+        try:
+            return self.group.machine.apply(entry.index, entry.data)
+        except exceptions.MessageError as error:
+            # Deterministic: each replica refuses the same command.
+            return codes.Refusal(
+                codes.ResultCode.INVALID_CHANGE, str(error), codes.Ran.NO
+            )
+
+    def take_snapshot(self, last):
+        """Hand a snapshot to the task of the group when one is due."""
+        group = self.group
+        taken = last.index - self.snapshot_index
+        if taken < group.settings.snapshot_entries:
+            return
+        with group.lock:
+            changed, members = group.store.get_members_at(last.index)
+        data = group.machine.snapshot()
+        self.snapshot_index = last.index
+        snapshot = model.Snapshot(
+            last.index, last.term, changed, members, data
+        )
+        group.post(save_snapshot, group, snapshot)
+
+
+def raise_error(error):
+    """Raise an error on the task of the group."""
+    raise error
+
+
+def save_snapshot(group, snapshot):
+    """Persist a snapshot; a full disk only keeps the log longer."""
+    try:
+        group.store.save_snapshot(snapshot)
+    except exceptions.DiskFullError:
+        group.state.disk_full = True
+
+
+def take_ready_reads(state):
+    """Remove and return the reads whose index is applied."""
+    ready = [
+        read
+        for read in state.reads
+        if read.confirmed
+        and (read.index_only or read.index <= state.applied_index)
+    ]
+    if ready:
+        state.reads = [read for read in state.reads if read not in ready]
+    return ready
--- /dev/null
+++ b/rhubarbreach/consensus/changes.py
@@ -0,0 +1,328 @@
+"""Proposals, reads, transfer of leadership and changes of the members."""
+
+import dataclasses
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
+from rhubarbreach.consensus import store as store_codec
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import messages
+
+__all__ = [
+    'add_learner',
+    'append_proposals',
+    'continue_transfer',
+    'expire',
+    'follow_commit',
+    'promote',
+    'promote_replacements',
+    'remove',
+    'replace_store',
+    'start_read',
+    'start_transfer',
+]
+
+# Seconds given to a change that the leader starts by itself.
+OWN_CHANGE_SECONDS = 10.0
+
+
+def refuse(state, future, code, reason):
+    """Refuse a request as not run."""
+    state.refused.append((future, codes.Refusal(code, reason)))
+
+
+def append_proposals(state, proposals, now):
+    """Write proposals to the log as one record, or refuse them.
+
+    Nothing is sent to the peers before it is written here, so that a full
+    disk is a refusal that is known not to have run.
+    """
+    if not state.is_leader or state.transfer_id is not None:
+        refusal = states.make_not_leader(state)
+        state.refused.extend((p.future, refusal) for p in proposals)
+        return
+    store = state.store
+    accepted = [p for p in proposals if p.deadline > now]
+    entries = [
+        messages.LogEntry(index, store.term, proposal.kind, proposal.data)
+        for index, proposal in enumerate(accepted, store.last_index + 1)
+    ]
+    for proposal in proposals:
+        if proposal.deadline <= now:
+            refuse(
+                state,
+                proposal.future,
+                codes.ResultCode.UNAVAILABLE,
+                'deadline passed before the command was appended',
+            )
+    if not entries:
+        return
+    try:
+        store.append(entries)
+    except exceptions.DiskFullError as error:
+        state.disk_full = True
+        for proposal in accepted:
+            refuse(
+                state,
+                proposal.future,
+                codes.ResultCode.DISK_FULL,
+                f'disk is full: {error}',
+            )
+        return
+    state.disk_full = False
+    for entry, proposal in zip(entries, accepted, strict=True):
+        state.pending[entry.index] = (entry.term, proposal)
+
+
+def expire(state, now):
+    """Complete what has reached its deadline."""
+    refusal = states.make_unknown('not committed in time')
+    expired = [
+        index
+        for index, (_, proposal) in state.pending.items()
+        if proposal.deadline <= now
+    ]
+    for index in expired:
+        _, proposal = state.pending.pop(index)
+        state.refused.append((proposal.future, refusal))
+    late = [read for read in state.reads if read.deadline <= now]
+    for read in late:
+        state.reads.remove(read)
+        refuse(
+            state,
+            read.future,
+            codes.ResultCode.UNAVAILABLE,
+            'no quorum confirmed the leader in time',
+        )
+
+
+def start_read(group, future, deadline, index_only):
+    """Start a read at the leader, or ask the leader for its index."""
+    state = group.state
+    now = clock.monotonic()
+    if state.is_leader:
+        # The first entry of the term is at or above everything that was
+        # committed before the term.
+        index = max(state.commit_index, state.term_start_index)
+        state.reads.append(
+            model.Read(now, deadline, future, index, False, index_only)
+        )
+        for peer in state.peers.values():
+            peer.urgent = True
+        return
+    if index_only or state.leader_id is None:
+        state.refused.append((future, states.make_not_leader(state)))
+        return
+    request = messages.ReadIndexRequest(
+        state.settings.group_id, clock.remaining(deadline, now)
+    )
+    call = group.link.call(state.leader_id, request, deadline)
+    call.add_done_callback(
+        lambda done: group.post(
+            finish_remote_read, state, done.result(), deadline, future
+        )
+    )
+
+
+def finish_remote_read(state, reply, deadline, future):
+    """Wait for the index that the leader has told."""
+    if isinstance(reply, codes.Refusal):
+        refusal = dataclasses.replace(reply, ran=codes.Ran.NO)
+        state.refused.append((future, refusal))
+        return
+    if reply.refusal is not None:
+        state.refused.append((future, reply.refusal))
+        return
+    state.reads.append(model.Read(0.0, deadline, future, reply.index, True))
+
+
+def start_transfer(state, peer_id, future):
+    """Begin to hand leadership to a peer."""
+    peer = state.peers.get(peer_id)
+    member = model.find_member(state.store.members, peer_id)
+    if not state.is_leader or peer is None or not member.voter:
+        state.refused.append((future, False))
+        return
+    states.finish_transfer(state, False)
+    state.transfer_id = peer_id
+    state.transfer_future = future
+    state.transfer_deadline = (
+        clock.monotonic() + 2 * state.settings.election_timeout
+    )
+
+
+def continue_transfer(state, now):
+    """Tell the peer to take over once it holds the whole log."""
+    if state.transfer_id is None:
+        return
+    peer = state.peers.get(state.transfer_id)
+    if peer is None or now >= state.transfer_deadline:
+        states.finish_transfer(state, False)
+        return
+    if peer.match_index == state.store.last_index:
+        state.outbox.append(
+            (
+                peer.peer_id,
+                messages.TransferLeadership(
+                    state.settings.group_id, state.store.term
+                ),
+            )
+        )
+
+
+def find_obstacle(state):
+    """Return why the members cannot be changed now, or None."""
+    if not state.is_leader or state.transfer_id is not None:
+        return states.make_not_leader(state)
+    if state.commit_index < max(
+        state.term_start_index, state.store.members_index
+    ):
+        return codes.Refusal(
+            codes.ResultCode.UNAVAILABLE, 'another change is not committed'
+        )
+    return None
+
+
+def propose_members(state, members, deadline, future, now):
+    """Append a change of the members, which takes effect at once."""
+    proposal = model.Proposal(
+        model.ENTRY_MEMBERS,
+        store_codec.encode_members(tuple(members)),
+        deadline,
+        future,
+    )
+    append_proposals(state, [proposal], now)
+    states.sync_peers(state)
+
+
+def add_learner(group, host_id, deadline):
+    """Ask a host for its store identity and add it as a learner."""
+    query = messages.StoreQuery(group.group_id)
+    future = model.make_future()
+    call = group.link.call(host_id, query, deadline)
+    call.add_done_callback(
+        lambda done: group.post(
+            add_store, group.state, host_id, done.result(), deadline, future
+        )
+    )
+    return future
+
+
+def add_store(state, host_id, hello, deadline, future):
+    """Add a store that has told its identity."""
+    if isinstance(hello, codes.Refusal):
+        refusal = dataclasses.replace(hello, ran=codes.Ran.NO)
+        state.refused.append((future, refusal))
+        return
+    obstacle = find_obstacle(state)
+    if obstacle is not None:
+        state.refused.append((future, obstacle))
+        return
+    members = state.store.members
+    if model.find_member(members, host_id) is not None:
+        refuse(
+            state,
+            future,
+            codes.ResultCode.INVALID_CHANGE,
+            f'{host_id} is a member already',
+        )
+        return
+    member = messages.Member(host_id, hello.store_id, False)
+    propose_members(
+        state, (*members, member), deadline, future, clock.monotonic()
+    )
+
+
+def promote(state, host_id, deadline, future):
+    """Make a learner a voter once it holds the log, synced."""
+    obstacle = find_obstacle(state)
+    if obstacle is not None:
+        state.refused.append((future, obstacle))
+        return
+    member = model.find_member(state.store.members, host_id)
+    peer = state.peers.get(host_id)
+    if member is None or member.voter or peer is None:
+        refuse(
+            state,
+            future,
+            codes.ResultCode.INVALID_CHANGE,
+            f'{host_id} is not a learner',
+        )
+        return
+    if peer.match_index < state.commit_index:
+        refuse(
+            state,
+            future,
+            codes.ResultCode.UNAVAILABLE,
+            f'{host_id} does not hold the log yet',
+        )
+        return
+    voter = dataclasses.replace(member, voter=True, replaces=False)
+    members = [
+        voter if known is member else known for known in state.store.members
+    ]
+    propose_members(state, members, deadline, future, clock.monotonic())
+
+
+def remove(state, host_id, deadline, future):
+    """Remove a member; a leader that removes itself then steps down."""
+    obstacle = find_obstacle(state)
+    if obstacle is not None:
+        state.refused.append((future, obstacle))
+        return
+    members = [
+        known for known in state.store.members if known.host_id != host_id
+    ]
+    if len(members) == len(state.store.members) or not model.get_voters(
+        members
+    ):
+        refuse(
+            state,
+            future,
+            codes.ResultCode.INVALID_CHANGE,
+            f'{host_id} is not a member, or the last voter',
+        )
+        return
+    propose_members(state, members, deadline, future, clock.monotonic())
+
+
+def replace_store(state, host_id, hello, now):
+    """Replace the store of a host that lost its disk by a learner."""
+    if find_obstacle(state) is not None:
+        return
+    members = state.store.members
+    known = model.find_member(members, host_id)
+    if known is None or known.store_id == hello.store_id:
+        return
+    learner = messages.Member(
+        host_id, hello.store_id, False, known.voter or known.replaces
+    )
+    changed = [learner if one is known else one for one in members]
+    if not model.get_voters(changed):
+        return
+    future = model.make_future()
+    propose_members(state, changed, now + OWN_CHANGE_SECONDS, future, now)
+
+
+def promote_replacements(state, now):
+    """Promote a learner that replaces a lost voter once it is ready."""
+    if find_obstacle(state) is not None:
+        return
+    for member in state.store.members:
+        peer = state.peers.get(member.host_id)
+        if not member.replaces or peer is None:
+            continue
+        if peer.match_index >= state.commit_index:
+            deadline = now + OWN_CHANGE_SECONDS
+            promote(state, member.host_id, deadline, model.make_future())
+            return
+
+
+def follow_commit(state, now):
+    """Step down when this leader's own removal is committed."""
+    if state.store.members_index > state.commit_index:
+        return
+    if not states.is_voter(state):
+        states.become_follower(state, state.store.term, None, now)
--- /dev/null
+++ b/rhubarbreach/consensus/following.py
@@ -0,0 +1,158 @@
+"""What a replica does with the messages of a leader."""
+
+import dataclasses
+
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
+from rhubarbreach.consensus import store as store_codec
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import messages
+
+__all__ = ['Incoming', 'handle_append', 'handle_install']
+
+
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """Chunks of a snapshot received so far."""
+
+    last_index: int
+    last_term: int
+    data: bytearray
+
+
+def accept_leader(state, sender_id, term, now):
+    """Follow the sender of a leader's message; return False if it is old."""
+    if term < state.store.term:
+        return False
+    if term > state.store.term or state.role != model.Role.FOLLOWER:
+        states.become_follower(state, term, sender_id, now)
+    state.leader_id = sender_id
+    state.leader_contact = now
+    states.set_election_deadline(state, now)
+    return True
+
+
+def make_reply(state, message, success, match_index):
+    """Return the answer to `AppendEntries`."""
+    return messages.AppendReply(
+        state.settings.group_id,
+        state.store.term,
+        success,
+        match_index,
+        message.round_id,
+        state.store.store_id,
+    )
+
+
+def handle_append(state, sender_id, message, now):
+    """Append the entries of a leader; answer when they are synced."""
+    if not accept_leader(state, sender_id, message.term, now):
+        reply = make_reply(state, message, False, 0)
+        state.outbox.append((sender_id, reply))
+        return
+    store = state.store
+    found = store.get_term(message.previous_index)
+    if message.previous_index > store.base_index and (
+        found != message.previous_term
+    ):
+        hint = find_hint(state, message.previous_index)
+        reply = make_reply(state, message, False, hint)
+        state.outbox.append((sender_id, reply))
+        return
+    try:
+        append_missing(state, message.entries)
+    except exceptions.DiskFullError:
+        # Without an answer the leader tries again with its next heartbeat.
+        state.disk_full = True
+        return
+    match = message.previous_index + len(message.entries)
+    state.commit_index = max(
+        state.commit_index, min(message.commit_index, match)
+    )
+    reply = make_reply(state, message, True, match)
+    state.after_sync.append((sender_id, reply))
+
+
+def find_hint(state, previous_index):
+    """Return an index at which the leader may find the logs equal."""
+    store = state.store
+    if previous_index > store.last_index:
+        return store.last_index
+    term = store.get_term(previous_index)
+    index = previous_index - 1
+    while index > state.commit_index and store.get_term(index) == term:
+        index -= 1
+    return index
+
+
+def append_missing(state, entries):
+    """Append the entries that the log does not hold yet."""
+    store = state.store
+    for position, entry in enumerate(entries):
+        if entry.index <= store.base_index:
+            continue
+        if store.get_term(entry.index) == entry.term:
+            continue
+        if entry.index <= state.commit_index:
+            raise exceptions.CorruptLogError(
+                f'committed entry {entry.index} differs from the leader'
+            )
+        store.append(entries[position:])
+        state.disk_full = False
+        return
+
+
+def handle_install(state, sender_id, message, now):
+    """Collect the chunks of a snapshot and install it."""
+    done = False
+    offset = 0
+    if accept_leader(state, sender_id, message.term, now):
+        if message.last_index <= state.commit_index:
+            done = True
+        else:
+            offset = add_chunk(state, message)
+            done = message.done and offset == message.offset + len(
+                message.data
+            )
+            if done:
+                install(state, message)
+    reply = messages.InstallReply(
+        state.settings.group_id,
+        state.store.term,
+        message.last_index if done else offset,
+        done,
+        state.store.store_id,
+        message.round_id,
+    )
+    state.after_sync.append((sender_id, reply))
+
+
+def add_chunk(state, message):
+    """Add a chunk if it is the next one; return the offset wanted."""
+    incoming = state.incoming
+    key = (message.last_index, message.last_term)
+    if incoming is None or (incoming.last_index, incoming.last_term) != key:
+        incoming = Incoming(*key, bytearray())
+        state.incoming = incoming
+    if message.offset == len(incoming.data):
+        incoming.data.extend(message.data)
+    return len(incoming.data)
+
+
+def install(state, message):
+    """Replace log and machine by a complete snapshot."""
+    snapshot = model.Snapshot(
+        message.last_index,
+        message.last_term,
+        message.last_index,
+        store_codec.decode_members(message.members),
+        bytes(state.incoming.data),
+    )
+    state.incoming = None
+    try:
+        state.store.install_snapshot(snapshot)
+    except exceptions.DiskFullError:
+        state.disk_full = True
+        return
+    state.commit_index = max(state.commit_index, snapshot.last_index)
+    state.restore = snapshot
--- /dev/null
+++ b/rhubarbreach/consensus/formation.py
@@ -0,0 +1,117 @@
+"""How the first voters of a group learn each other's store identities.
+
+All initial voters have to be present once. Each persists the identities
+that it has seen and then keeps them; the group is formed when all have
+announced the same. A store that lost its disk later has another identity,
+is not in that set and joins as a learner.
+"""
+
+from rhubarbreach.consensus import model
+from rhubarbreach.protocol import messages
+
+__all__ = ['handle_hello', 'make_hello', 'send_hellos', 'start_formation']
+
+
+def make_hello(state):
+    """Return the announcement of this store."""
+    store = state.store
+    joined = store.formed or store.last_index > 0
+    members = store.members if joined and store.members else store.initial
+    return messages.StoreHello(
+        state.settings.group_id,
+        store.store_id,
+        joined,
+        members,
+        store.term,
+        state.leader_id,
+    )
+
+
+def start_formation(state):
+    """Form a group of one store at once."""
+    if not state.store.formed and state.settings.initial == (
+        state.settings.host_id,
+    ):
+        own = messages.Member(
+            state.settings.host_id, state.store.store_id, True
+        )
+        state.store.save_formation(True, (own,))
+
+
+def is_joined(state):
+    """Return whether this store is a member under its identity."""
+    member = model.find_member(state.store.members, state.settings.host_id)
+    return member is not None and member.store_id == state.store.store_id
+
+
+def send_hellos(state):
+    """Announce this store until it belongs to the group."""
+    if is_joined(state):
+        return
+    hello = make_hello(state)
+    hosts = set(state.settings.initial)
+    hosts.update(member.host_id for member in state.store.members)
+    for host_id in sorted(hosts - {state.settings.host_id}):
+        state.outbox.append((host_id, hello))
+
+
+def handle_hello(state, sender_id, hello):
+    """Take the announcement of another store into account.
+
+    Returns
+    -------
+    bool
+        Whether the sender does not belong to the group yet, so that a
+        leader may have to replace its former store.
+    """
+    store = state.store
+    state.hellos[sender_id] = hello
+    if store.formed or store.last_index > 0:
+        known = model.find_member(store.members, sender_id)
+        outside = known is None or known.store_id != hello.store_id
+        # A store outside the group never answers, so that two of them
+        # do not answer each other forever.
+        if is_joined(state) and (outside or not hello.formed):
+            state.outbox.append((sender_id, make_hello(state)))
+        return outside
+    if state.settings.host_id in state.settings.initial:
+        try_forming(state)
+    return False
+
+
+def try_forming(state):
+    """Form the group when all initial voters announce the same members."""
+    store = state.store
+    hellos = state.hellos
+    for hello in hellos.values():
+        # Another store has seen the announcements of all.
+        own = model.find_member(hello.members, state.settings.host_id)
+        if hello.formed and own is not None:
+            if own.store_id == store.store_id and own.voter:
+                store.save_formation(True, hello.members)
+            return
+    others = [
+        host_id
+        for host_id in state.settings.initial
+        if host_id != state.settings.host_id
+    ]
+    if any(host_id not in hellos for host_id in others):
+        return
+    if not store.initial:
+        store.save_formation(False, collect_members(state))
+        send_hellos(state)
+    if all(hellos[host_id].members == store.initial for host_id in others):
+        store.save_formation(True, store.initial)
+        send_hellos(state)
+
+
+def collect_members(state):
+    """Return the initial voters with the identities that they announced."""
+    identities = {
+        host_id: hello.store_id for host_id, hello in state.hellos.items()
+    }
+    identities[state.settings.host_id] = state.store.store_id
+    return tuple(
+        messages.Member(host_id, identities[host_id], True)
+        for host_id in sorted(state.settings.initial)
+    )
--- /dev/null
+++ b/rhubarbreach/consensus/group.py
@@ -0,0 +1,399 @@
+"""One replica of a replicated log group."""
+
+import concurrent.futures
+import functools
+import pathlib
+import queue
+import random
+import threading
+
+import logbook
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.consensus import applying
+from rhubarbreach.consensus import changes
+from rhubarbreach.consensus import following
+from rhubarbreach.consensus import formation
+from rhubarbreach.consensus import leading
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import replicator
+from rhubarbreach.consensus import state as states
+from rhubarbreach.consensus import store as stores
+from rhubarbreach.consensus import voting
+from rhubarbreach import exceptions
+from rhubarbreach.protocol import messages
+
+__all__ = ['Group']
+
+LOG = logbook.Logger('consensus')
+
+# A leader without answers of a quorum for this many election timeouts
+# steps down; the others may have elected another one.
+STEP_DOWN_TIMEOUTS = 2
+# A quarter of the entries between two snapshots stays in memory after one.
+KEPT_FRACTION = 4
+MAX_EVENTS = 4096
+MAX_COMMAND_BYTES = 768 * 1024
+
+
+class Group:
+    """A replica: one task for its state, one to apply, one per peer.
+
+    Parameters
+    ----------
+    settings : GroupSettings
+        Settings of the replica.
+    link : Link
+        Link to the other hosts. `GroupSet.add` passes messages on.
+    machine : object
+        State machine with `apply(index, command)`, `snapshot()` and
+        `restore(data)`.
+    metrics : Metrics, optional
+        Counters and latencies.
+    recorder : Recorder, optional
+        Time line.
+
+    Raises
+    ------
+    CorruptLogError
+        If the log is damaged; see `rhubarbreach.consensus.repair`.
+    DataFolderError
+        If the folder of the group is in use.
+    """
+
+    def __init__(self, settings, link, machine, metrics=None, recorder=None):
+        self.settings = settings
+        self.link = link
+        self.machine = machine
+        self.metrics = metrics
+        self.recorder = recorder
+        path = pathlib.Path(settings.folder) / settings.group_id
+        kept_entries = settings.snapshot_entries // KEPT_FRACTION
+        self.store = stores.Store(path, kept_entries)
+        self.lock = threading.RLock()
+        self.changed = threading.Condition(self.lock)
+        self.committed = threading.Condition(self.lock)
+        self.inbox = queue.SimpleQueue()
+        self.closed = False
+        self.failure = None
+        self.state = states.State(
+            settings, self.store, random.Random(), clock.monotonic()
+        )
+        formation.start_formation(self.state)
+        if self.store.snapshot.last_index:
+            machine.restore(self.store.snapshot.data)
+        self.next_tick = clock.monotonic()
+        self.replicators = {}
+        self.applier = applying.Applier(self)
+        self.thread = threading.Thread(
+            target=self.run, name=f'group-{settings.group_id}', daemon=True
+        )
+        self.thread.start()
+
+    @property
+    def group_id(self):
+        """Name of the group."""
+        return self.settings.group_id
+
+    @property
+    def is_leader(self):
+        """Whether this replica leads, as far as it knows."""
+        return self.state.is_leader
+
+    @property
+    def leader_id(self):
+        """Host of the leader, None when it is not known."""
+        return self.state.leader_id
+
+    @property
+    def term(self):
+        """Current term."""
+        return self.store.term
+
+    @property
+    def members(self):
+        """Members by the latest change in the log."""
+        with self.lock:
+            return self.store.members
+
+    @property
+    def applied_index(self):
+        """Index of the last entry that the machine has applied."""
+        return self.state.applied_index
+
+    @property
+    def quorum_contact(self):
+        """When messages were sent that a majority has answered since.
+
+        Seconds of the monotonic clock; minus infinity unless this replica
+        leads and its first entry of the term is committed.
+        """
+        with self.lock:
+            state = self.state
+            if state.commit_index < state.term_start_index:
+                return float('-inf')
+            return states.get_quorum_contact(state, clock.monotonic())
+
+    def propose(self, command, deadline):
+        """Append a command to the log.
+
+        Parameters
+        ----------
+        command : bytes
+            Command of the machine.
+        deadline : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            What the machine returned, or a `Refusal`: NOT_LEADER or
+            DISK_FULL with ran NO, UNAVAILABLE with ran UNKNOWN.
+        """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise exceptions.MessageError(
+                f'command of {len(command)} bytes exceeds {MAX_COMMAND_BYTES}'
+            )
+        future = concurrent.futures.Future()
+        self.inbox.put(
+            model.Proposal(model.ENTRY_COMMAND, command, deadline, future)
+        )
+        return future
+
+    def read(self, deadline):
+        """Wait until this replica has applied what is committed now.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Index that was applied, or a `Refusal`.
+        """
+        future = concurrent.futures.Future()
+        self.post(changes.start_read, self, future, deadline, False)
+        return future
+
+    def read_index(self, deadline):
+        """Return a future of the index that a read has to wait for."""
+        future = concurrent.futures.Future()
+        self.post(changes.start_read, self, future, deadline, True)
+        return future
+
+    def transfer(self, peer_id):
+        """Hand leadership to a peer.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            True when this replica has stopped leading, False when the peer
+            did not take over within an election timeout.
+        """
+        future = concurrent.futures.Future()
+        self.post(changes.start_transfer, self.state, peer_id, future)
+        return future
+
+    def add_learner(self, host_id, deadline):
+        """Add a host that receives the log but does not vote.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            None when committed, or a `Refusal`.
+        """
+        return changes.add_learner(self, host_id, deadline)
+
+    def promote(self, host_id, deadline):
+        """Make a learner that holds the log a voter."""
+        return self.change(changes.promote, host_id, deadline)
+
+    def remove(self, host_id, deadline):
+        """Remove a member."""
+        return self.change(changes.remove, host_id, deadline)
+
+    def change(self, function, host_id, deadline):
+        """Post a change of the members; return its future."""
+        future = concurrent.futures.Future()
+        self.post(function, self.state, host_id, deadline, future)
+        return future
+
+    def get_hello(self):
+        """Return the announcement of this store."""
+        with self.lock:
+            return formation.make_hello(self.state)
+
+    def post(self, function, *arguments):
+        """Run a function on the task of the group, under its lock."""
+        self.inbox.put(functools.partial(function, *arguments))
+
+    def deliver(self, sender_id, message):
+        """Take a message from the link."""
+        self.inbox.put((sender_id, message))
+
+    def run(self):
+        """Handle events until the group is closed or its disk fails."""
+        try:
+            while not self.closed:
+                self.step(self.collect())
+        except Exception as error:
+            self.fail(error)
+
+    def fail(self, error):
+        """Stop taking part: what is durable is no longer known."""
+        if self.closed:
+            return
+        LOG.exception('event=group_failed group={}', self.group_id)
+        with self.lock:
+            self.failure = error
+            states.become_follower(
+                self.state, self.store.term, None, clock.monotonic()
+            )
+            self.changed.notify_all()
+        self.finish_refused()
+        refusal = codes.Refusal(
+            codes.ResultCode.UNAVAILABLE, f'group has failed: {error}'
+        )
+        while not self.closed:
+            self.refuse_event(self.inbox.get(), refusal)
+
+    def refuse_event(self, event, refusal):
+        """Refuse a proposal that was never looked at."""
+        if isinstance(event, model.Proposal):
+            applying.complete(event.future, refusal)
+        if isinstance(event, functools.partial):
+            for argument in event.args:
+                if isinstance(argument, concurrent.futures.Future):
+                    applying.complete(argument, refusal)
+
+    def collect(self):
+        """Return the events that wait, or none at the next tick."""
+        delay = clock.remaining(self.next_tick, clock.monotonic())
+        try:
+            events = [self.inbox.get(timeout=delay)]
+            while len(events) < MAX_EVENTS:
+                events.append(self.inbox.get_nowait())
+        except queue.Empty:
+            pass
+        return events if 'events' in locals() else []
+
+    def step(self, events):
+        """Handle events, make the log durable, answer."""
+        with self.lock:
+            now = clock.monotonic()
+            proposals = []
+            for event in events:
+                if isinstance(event, model.Proposal):
+                    proposals.append(event)
+                elif isinstance(event, tuple):
+                    self.handle(*event, now)
+                elif event is not None:
+                    event()
+            if now >= self.next_tick:
+                self.tick(now)
+            if proposals:
+                changes.append_proposals(self.state, proposals, now)
+            self.settle(now)
+            dirty = not self.store.is_synced
+            last_index = self.store.last_index
+        self.send(self.state.outbox)
+        self.finish_refused()
+        if dirty:
+            self.store.sync()
+            with self.lock:
+                self.store.synced_index = last_index
+                self.settle(clock.monotonic())
+            self.finish_refused()
+        self.send(self.state.after_sync)
+
+    def settle(self, now):
+        """Draw the consequences of what has changed."""
+        state = self.state
+        if state.is_leader:
+            if states.advance_commit(state):
+                changes.follow_commit(state, now)
+            leading.settle_reads(state, now)
+            changes.continue_transfer(state, now)
+        self.update_replicators()
+        self.changed.notify_all()
+        self.committed.notify_all()
+
+    def handle(self, sender_id, message, now):
+        """Handle one message."""
+        state = self.state
+        match message:
+            case messages.AppendEntries():
+                following.handle_append(state, sender_id, message, now)
+            case messages.AppendReply():
+                leading.handle_append_reply(state, sender_id, message, now)
+            case messages.VoteRequest():
+                voting.handle_vote_request(state, sender_id, message, now)
+            case messages.VoteReply():
+                voting.handle_vote_reply(state, sender_id, message, now)
+            case messages.InstallSnapshot():
+                following.handle_install(state, sender_id, message, now)
+            case messages.InstallReply():
+                leading.handle_install_reply(state, sender_id, message, now)
+            case messages.TransferLeadership():
+                if message.term == state.store.term:
+                    voting.start_election(state, now, True)
+            case messages.StoreHello():
+                if formation.handle_hello(state, sender_id, message):
+                    changes.replace_store(state, sender_id, message, now)
+
+    def tick(self, now):
+        """Do what is due by time."""
+        state = self.state
+        self.next_tick = now + self.settings.heartbeat
+        changes.expire(state, now)
+        formation.send_hellos(state)
+        if state.is_leader:
+            changes.promote_replacements(state, now)
+            limit = self.settings.election_timeout * STEP_DOWN_TIMEOUTS
+            contact = max(
+                states.get_quorum_contact(state, now), state.leader_since
+            )
+            if now - contact > limit:
+                LOG.warning('event=quorum_lost group={}', self.group_id)
+                states.become_follower(state, self.store.term, None, now)
+        elif now >= state.election_deadline:
+            voting.start_pre_vote(state, now)
+
+    def update_replicators(self):
+        """Run one replication task for each peer of a leader."""
+        wanted = self.state.peers if self.state.is_leader else {}
+        for peer_id in list(self.replicators):
+            task = self.replicators[peer_id]
+            if wanted.get(peer_id) is not task.peer:
+                task.closed = True
+                del self.replicators[peer_id]
+        for peer_id, peer in wanted.items():
+            if peer_id not in self.replicators:
+                self.replicators[peer_id] = replicator.Replicator(self, peer)
+
+    def send(self, outbox):
+        """Send and clear collected messages."""
+        for peer_id, message in outbox:
+            self.link.send(peer_id, message)
+        outbox.clear()
+
+    def finish_refused(self):
+        """Complete futures outside the lock, as they run callbacks."""
+        with self.lock:
+            refused = self.state.refused
+            self.state.refused = []
+        for future, refusal in refused:
+            applying.complete(future, refusal)
+
+    def close(self):
+        """Stop all tasks and release the folder."""
+        with self.lock:
+            self.closed = True
+            self.changed.notify_all()
+            self.committed.notify_all()
+        self.inbox.put(None)
+        if threading.current_thread() is not self.thread:
+            self.thread.join()
+        self.applier.join()
+        with self.lock:
+            states.drop_leadership(self.state)
+            self.store.close()
+        self.finish_refused()
--- /dev/null
+++ b/rhubarbreach/consensus/leading.py
@@ -0,0 +1,163 @@
+"""What a leader does: replication, commit, reads and members."""
+
+from rhubarbreach.consensus import state as states
+from rhubarbreach.consensus import store as store_codec
+from rhubarbreach.protocol import messages
+
+__all__ = [
+    'CHUNK_BYTES',
+    'build_message',
+    'handle_append_reply',
+    'handle_install_reply',
+    'has_work',
+    'settle_reads',
+]
+
+CHUNK_BYTES = 256 * 1024
+MAX_BATCH_ENTRIES = 512
+# Commands may be large, so that a message is also bounded by its bytes.
+MAX_BATCH_BYTES = 512 * 1024
+ENTRY_OVERHEAD_BYTES = 64
+# Entries sent and not yet answered, per peer.
+WINDOW_ENTRIES = 8192
+# Rounds remembered while a peer does not answer.
+MAX_ROUNDS = 256
+
+
+def has_work(state, peer, now):
+    """Return whether a message to a peer is due."""
+    if peer.urgent or now >= peer.heartbeat_due:
+        return True
+    if peer.next_index <= state.store.base_index:
+        return False
+    return (
+        peer.next_index <= state.store.last_index
+        and peer.next_index - peer.match_index <= WINDOW_ENTRIES
+    )
+
+
+def build_message(state, peer, now):
+    """Return the next message to a peer."""
+    peer.urgent = False
+    peer.heartbeat_due = now + state.settings.heartbeat
+    if peer.next_index <= state.store.base_index:
+        return build_chunk(state, peer, now)
+    return build_append(state, peer, now)
+
+
+def build_append(state, peer, now):
+    """Return entries from the peer's next index on, or a heartbeat."""
+    store = state.store
+    entries = ()
+    if peer.next_index - peer.match_index <= WINDOW_ENTRIES:
+        entries = limit_bytes(
+            store.get_entries(peer.next_index, MAX_BATCH_ENTRIES)
+        )
+    previous = peer.next_index - 1
+    peer.next_index += len(entries)
+    return messages.AppendEntries(
+        state.settings.group_id,
+        store.term,
+        state.settings.host_id,
+        previous,
+        store.get_term(previous),
+        entries,
+        state.commit_index,
+        start_round(peer, now),
+    )
+
+
+def start_round(peer, now):
+    """Return the id of a new message, whose send time is remembered."""
+    peer.round_id += 1
+    peer.sent[peer.round_id] = now
+    if len(peer.sent) > MAX_ROUNDS:
+        del peer.sent[next(iter(peer.sent))]
+    return peer.round_id
+
+
+def limit_bytes(entries):
+    """Return the first entries that fit in one message, at least one."""
+    total = 0
+    for count, entry in enumerate(entries):
+        total += len(entry.data) + ENTRY_OVERHEAD_BYTES
+        if total > MAX_BATCH_BYTES and count:
+            return tuple(entries[:count])
+    return tuple(entries)
+
+
+def build_chunk(state, peer, now):
+    """Return the next chunk of the snapshot."""
+    snapshot = state.store.snapshot
+    if peer.snapshot_index != snapshot.last_index:
+        peer.snapshot_index = snapshot.last_index
+        peer.snapshot_offset = 0
+    start = peer.snapshot_offset
+    data = snapshot.data[start : start + CHUNK_BYTES]
+    return messages.InstallSnapshot(
+        state.settings.group_id,
+        state.store.term,
+        state.settings.host_id,
+        snapshot.last_index,
+        snapshot.last_term,
+        store_codec.encode_members(snapshot.members),
+        start,
+        data,
+        start + len(data) >= len(snapshot.data),
+        start_round(peer, now),
+    )
+
+
+def find_peer(state, sender_id, reply, now):
+    """Return the peer of a reply that counts in this term, or None."""
+    if reply.term > state.store.term:
+        states.become_follower(state, reply.term, None, now)
+        return None
+    if not state.is_leader or reply.term != state.store.term:
+        return None
+    peer = state.peers.get(sender_id)
+    # A store under another identity is not the member that was asked.
+    if peer is None or peer.store_id != reply.store_id:
+        return None
+    sent = peer.sent.pop(reply.round_id, None)
+    if sent is not None:
+        peer.contact = max(peer.contact, sent)
+    return peer
+
+
+def handle_append_reply(state, sender_id, reply, now):
+    """Take the progress of a peer into account."""
+    peer = find_peer(state, sender_id, reply, now)
+    if peer is None:
+        return
+    if reply.success:
+        peer.match_index = max(peer.match_index, reply.match_index)
+        peer.next_index = max(peer.next_index, peer.match_index + 1)
+    else:
+        wanted = max(peer.match_index, reply.match_index) + 1
+        peer.next_index = min(peer.next_index, wanted)
+        peer.urgent = True
+
+
+def handle_install_reply(state, sender_id, reply, now):
+    """Send the next chunk, or go on with entries."""
+    peer = find_peer(state, sender_id, reply, now)
+    if peer is None:
+        return
+    if reply.done:
+        peer.match_index = max(peer.match_index, reply.offset)
+        peer.next_index = max(peer.next_index, peer.match_index + 1)
+        peer.snapshot_offset = 0
+    else:
+        peer.snapshot_offset = reply.offset
+    peer.urgent = True
+
+
+def settle_reads(state, now):
+    """Confirm reads that began before the latest quorum contact."""
+    if not state.reads:
+        return
+    contact = states.get_quorum_contact(state, now)
+    for read in state.reads:
+        if not read.confirmed and contact >= read.start:
+            read.confirmed = True
--- /dev/null
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -0,0 +1,71 @@
+"""Tests of a group of three stores over real links."""
+
+from rhubarbreach import clock
+from rhubarbreach.consensus.tests import cluster
+
+
+def test_commands_reach_all_machines_in_one_order(tmp_path):
+    """Guards against replicas that diverge."""
+    with cluster.running(tmp_path, group_ids=('g', 'h')) as three:
+        for number in range(20):
+            three.commit(f'{number}'.encode(), group_id='gh'[number % 2])
+        three.wait_equal('g')
+        three.wait_equal('h')
+        assert len(three.get('host-1').machine.commands) == 10
+
+
+def test_read_on_a_follower_sees_what_was_committed(tmp_path):
+    """Guards against stale reads at a replica that lags."""
+    with cluster.running(tmp_path) as three:
+        for number in range(10):
+            three.commit(f'{number}'.encode())
+            for group in three.groups():
+                deadline = clock.monotonic() + cluster.WAIT_SECONDS
+                index = group.read(deadline).result()
+                assert isinstance(index, int), index
+                assert len(group.machine.commands) == number + 1
+
+
+def test_leader_loss_elects_another_and_keeps_commands(tmp_path):
+    """Guards against loss of accepted commands with the leader."""
+    with cluster.running(tmp_path) as three:
+        three.commit(b'before')
+        lost = three.leader().settings.host_id
+        three.stop(lost)
+        three.commit(b'after')
+        three.start(lost)
+        three.wait_equal()
+        assert three.get(lost).machine.commands[0] == b'before'
+
+
+def test_lost_disk_rejoins_under_a_new_identity(tmp_path):
+    """Guards against a store that counts under the identity it lost."""
+    with cluster.running(tmp_path) as three:
+        three.commit(b'one')
+        three.wait_equal()
+        before = three.get('host-2').store.store_id
+        three.stop('host-2')
+        three.commit(b'two')
+        cluster.wipe(tmp_path / 'host-2')
+        three.start('host-2')
+        three.wait_joined('host-2')
+        three.wait_equal()
+        member = three.find_member('host-2')
+        assert member.store_id != before
+        three.stop(three.leader().settings.host_id)
+        three.commit(b'three')
+        three.wait_equal()
+
+
+def test_snapshot_reaches_a_replica_that_was_away(tmp_path):
+    """Guards against a log that can be trimmed only with all present."""
+    with cluster.running(tmp_path, snapshot_entries=50) as three:
+        three.commit(b'first')
+        three.stop('host-3')
+        for number in range(200):
+            three.commit(f'{number}'.encode(), host='host-1')
+        cluster.wipe(tmp_path / 'host-3')
+        three.start('host-3')
+        three.wait_equal()
+        assert three.leader().store.base_index > 0
+        cluster.wait_until(lambda: three.get('host-3').store.base_index)
--- /dev/null
+++ b/rhubarbreach/consensus/voting.py
@@ -0,0 +1,143 @@
+"""Elections: pre-vote, vote and the checks of a voter."""
+
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
+from rhubarbreach.protocol import messages
+
+__all__ = [
+    'handle_vote_reply',
+    'handle_vote_request',
+    'start_election',
+    'start_pre_vote',
+]
+
+
+def start_pre_vote(state, now):
+    """Ask whether an election could be won, without changing the term.
+
+    A replica that was cut off therefore cannot end the term of a leader
+    that the others still hear from.
+    """
+    states.set_election_deadline(state, now)
+    if not states.is_voter(state):
+        return
+    state.role = model.Role.PRE_CANDIDATE
+    state.leader_id = None
+    state.votes = {state.settings.host_id}
+    ask_voters(state, state.store.term + 1, True, False)
+    count_votes(state, now)
+
+
+def start_election(state, now, transfer):
+    """Vote for this replica in a new term and ask the others."""
+    states.set_election_deadline(state, now)
+    if not states.is_voter(state):
+        return
+    state.role = model.Role.CANDIDATE
+    state.leader_id = None
+    state.store.save_vote(state.store.term + 1, state.settings.host_id)
+    state.votes = {state.settings.host_id}
+    ask_voters(state, state.store.term, False, transfer)
+    count_votes(state, now)
+
+
+def ask_voters(state, term, pre_vote, transfer):
+    """Send a vote request to all other voters."""
+    store = state.store
+    request = messages.VoteRequest(
+        state.settings.group_id,
+        term,
+        state.settings.host_id,
+        store.store_id,
+        store.last_index,
+        store.last_term,
+        pre_vote,
+        transfer,
+    )
+    for member in model.get_voters(store.members):
+        if member.host_id != state.settings.host_id:
+            state.outbox.append((member.host_id, request))
+
+
+def count_votes(state, now):
+    """Move on when a majority has answered yes."""
+    if len(state.votes) < model.count_majority(state.store.members):
+        return
+    if state.role == model.Role.PRE_CANDIDATE:
+        start_election(state, now, False)
+    elif state.role == model.Role.CANDIDATE:
+        states.become_leader(state, now)
+
+
+def handle_vote_request(state, sender_id, request, now):
+    """Answer a candidate."""
+    store = state.store
+    if request.pre_vote:
+        granted = would_vote(state, request, now)
+    else:
+        if request.term > store.term:
+            states.become_follower(state, request.term, None, now)
+        granted = can_vote(state, request)
+        if granted:
+            store.save_vote(store.term, request.candidate_id)
+            states.set_election_deadline(state, now)
+    reply = messages.VoteReply(
+        state.settings.group_id,
+        request.term if granted and request.pre_vote else store.term,
+        granted,
+        request.pre_vote,
+        store.store_id,
+    )
+    state.outbox.append((sender_id, reply))
+
+
+def is_up_to_date(state, request):
+    """Return whether the candidate's log holds all that may be committed."""
+    store = state.store
+    return (request.last_term, request.last_index) >= (
+        store.last_term,
+        store.last_index,
+    )
+
+
+def would_vote(state, request, now):
+    """Return whether a vote would be given, as no leader is heard."""
+    heard = now - state.leader_contact < state.settings.election_timeout
+    return (
+        not state.is_leader
+        and not heard
+        and request.term > state.store.term
+        and is_up_to_date(state, request)
+    )
+
+
+def can_vote(state, request):
+    """Return whether this replica may vote for the candidate."""
+    store = state.store
+    return (
+        request.term == store.term
+        and store.vote in ('', request.candidate_id)
+        and is_up_to_date(state, request)
+    )
+
+
+def handle_vote_reply(state, sender_id, reply, now):
+    """Count a vote of a store that is a voter under its identity."""
+    if reply.term > state.store.term and not reply.granted:
+        states.become_follower(state, reply.term, None, now)
+        return
+    asked = {
+        model.Role.PRE_CANDIDATE: (True, state.store.term + 1),
+        model.Role.CANDIDATE: (False, state.store.term),
+    }.get(state.role)
+    if asked != (reply.pre_vote, reply.term) or not reply.granted:
+        return
+    member = model.find_member(state.store.members, sender_id)
+    if member is None or not member.voter:
+        return
+    # A host that lost its disk may have voted before under its former
+    # identity, so its vote does not count.
+    if member.store_id != reply.store_id:
+        return
+    state.votes.add(sender_id)
+    count_votes(state, now)
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -25,9 +25,12 @@
     'InstallReply',
     'InstallSnapshot',
     'LogEntry',
+    'Member',
     'Probe',
     'ProbeReply',
     'ProbeRequest',
+    'ReadIndexReply',
+    'ReadIndexRequest',
     'ServiceCounter',
     'ServiceCounters',
     'ShareLease',
@@ -35,6 +38,8 @@
     'SlotReply',
     'SlotRequest',
     'SlotUse',
+    'StoreHello',
+    'StoreQuery',
     'StrikeReport',
     'TransferLeadership',
     'VoteReply',
@@ -129,6 +134,7 @@
     offset: int
     data: bytes
     done: bool
+    round_id: int = 0
 
 
 @frozen_message
@@ -140,6 +146,7 @@
     offset: int
     done: bool
     store_id: str
+    round_id: int = 0
 
 
 @frozen_message
@@ -386,3 +393,59 @@
     """Cancel what runs for a job on the receiving host."""
 
     job_id: str
+
+
+# Replicated log: store identities and reads.
+
+
+@frozen_message
+class Member:
+    """A store of a group; `replaces` marks one that follows a lost store.
+
+    A learner that replaces a lost voter is promoted by the leader without
+    a further request.
+    """
+
+    host_id: str
+    store_id: str
+    voter: bool
+    replaces: bool = False
+
+
+@frozen_message
+class StoreHello:
+    """Identity of the sender's store and the members it knows.
+
+    `formed` tells that the sender has seen the same `members` from all
+    initial voters, or has joined the group.
+    """
+
+    group_id: str
+    store_id: str
+    formed: bool
+    members: tuple[Member, ...]
+    term: int = 0
+    leader_id: str | None = None
+
+
+@frozen_message
+class StoreQuery:
+    """Ask for a `StoreHello`."""
+
+    group_id: str
+
+
+@frozen_message
+class ReadIndexRequest:
+    """Ask the leader for the index that a read has to wait for."""
+
+    group_id: str
+    timeout: float
+
+
+@frozen_message
+class ReadIndexReply:
+    """Index that was committed when the read began, or a refusal."""
+
+    index: int
+    refusal: codes.Refusal | None = None
