--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -32,9 +32,12 @@
     'InstallSnapshot',
     'LogEntry',
     'PendingHost',
+    'Member',
     'Probe',
     'ProbeReply',
     'ProbeRequest',
+    'ReadIndexReply',
+    'ReadIndexRequest',
     'ServiceCounter',
     'ServiceCounters',
     'ShareLease',
@@ -42,6 +45,8 @@
     'SlotReply',
     'SlotRequest',
     'SlotUse',
+    'StoreHello',
+    'StoreQuery',
     'StrikeReport',
     'TransferLeadership',
     'VoteReply',
@@ -136,6 +141,7 @@
     offset: int
     data: bytes
     done: bool
+    round_id: int = 0
 
 
 @frozen_message
@@ -147,6 +153,7 @@
     offset: int
     done: bool
     store_id: str
+    round_id: int = 0
 
 
 @frozen_message
@@ -464,6 +471,51 @@
 
     revision: int
     account_id: str
+# Replicated log: store identities and reads.
+
+
+@frozen_message
+class Member:
+    """A store of a group; `replaces` marks one that follows a lost store.
+
+    A learner that replaces a lost voter is promoted by the leader without
+    a further request.
+    """
+
+    host_id: str
+    store_id: str
+    voter: bool
+    replaces: bool = False
+
+
+@frozen_message
+class StoreHello:
+    """Identity of the sender's store and the members it knows.
+
+    `formed` tells that the sender has seen the same `members` from all
+    initial voters, or has joined the group.
+    """
+
+    group_id: str
+    store_id: str
+    formed: bool
+    members: tuple[Member, ...]
+    term: int = 0
+    leader_id: str | None = None
+
+
+@frozen_message
+class StoreQuery:
+    """Ask for a `StoreHello`."""
+
+    group_id: str
+
+
+@frozen_message
+class ReadIndexRequest:
+    """Ask the leader for the index that a read has to wait for."""
+
+    group_id: str
     timeout: float
 
 
@@ -484,3 +536,8 @@
 
     rows: tuple[HostRow, ...]
     wanted: bool
+class ReadIndexReply:
+    """Index that was committed when the read began, or a refusal."""
+
+    index: int
+    refusal: codes.Refusal | None = None
