--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -471,6 +471,8 @@
 
     revision: int
     account_id: str
+
+
 # Replicated log: store identities and reads.
 
 
@@ -536,6 +538,8 @@
 
     rows: tuple[HostRow, ...]
     wanted: bool
+
+
 class ReadIndexReply:
     """Index that was committed when the read began, or a refusal."""
 
