Distribute the configuration by long polls over relays

A change has to reach each host within 2 s, and a revoked key must stop working on a partitioned host. A store host that leads confirms its view by a quorum read every 0.5 s; each other host holds one poll, gets deltas and the remaining validity counted from when its poll was received, and turns to another upstream after 0.9 s. Each host tracks the revisions of its pollers and reports those behind in its own poll, so that the leader can name them with a deadline.

--- a/rhubarbreach/distribution/__init__.py
+++ b/rhubarbreach/distribution/__init__.py
@@ -1,6 +1,10 @@
 """Configuration view of a host and its distribution to all hosts."""
 
+from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import revision
+from rhubarbreach.distribution import serve
+from rhubarbreach.distribution import store
 from rhubarbreach.distribution import view
+from rhubarbreach.distribution import watch
 
-__all__ = ['revision', 'view']
+__all__ = ['effect', 'revision', 'serve', 'store', 'view', 'watch']
