Add the online path: dispatch and entry

Callers had no HTTP interface and calls no way to an endpoint. This adds the event loop over pycurl, the executor with retries and resume, and the HTTP front end with keys, routes, records and drain. Covered so far: plain and streamed chat completions through a fake scheduler and endpoint.

--- a/rhubarbreach/dispatch/__init__.py
+++ b/rhubarbreach/dispatch/__init__.py
@@ -1,1 +1,27 @@
 """Requests to endpoints and the bytes of their responses."""
+
+from rhubarbreach.dispatch import attempt
+from rhubarbreach.dispatch import budget
+from rhubarbreach.dispatch import call
+from rhubarbreach.dispatch import decide
+from rhubarbreach.dispatch import errors
+from rhubarbreach.dispatch import events
+from rhubarbreach.dispatch import executor
+from rhubarbreach.dispatch import loop
+from rhubarbreach.dispatch import prompt
+from rhubarbreach.dispatch import sink
+from rhubarbreach.dispatch import transfer
+
+__all__ = [
+    'attempt',
+    'budget',
+    'call',
+    'decide',
+    'errors',
+    'events',
+    'executor',
+    'loop',
+    'prompt',
+    'sink',
+    'transfer',
+]
--- /dev/null
+++ b/rhubarbreach/dispatch/attempt.py
@@ -0,0 +1,100 @@
+"""Frozen data classes of one attempt on one endpoint."""
+
+import dataclasses
+import enum
+
+from rhubarbreach.dispatch import events
+
+__all__ = ['Attempt', 'AttemptEnd', 'AttemptResult']
+
+
+class AttemptEnd(enum.StrEnum):
+    """How an attempt ended, as seen on this host."""
+
+    ANSWERED = 'answered'
+    NOT_SENT = 'not_sent'
+    BROKEN = 'broken'
+    INCOMPLETE = 'incomplete'
+    CROSSED = 'crossed'
+    STALLED = 'stalled'
+    EXPIRED = 'expired'
+    CANCELLED = 'cancelled'
+    CALLER_GONE = 'caller_gone'
+    CALLER_SLOW = 'caller_slow'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One request to one endpoint.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Sent as X-Attempt-Id; binds each event to this attempt.
+    address : str
+        `IP:port` of the endpoint.
+    method, path : str
+        HTTP method and path.
+    headers : tuple of str
+        Header lines.
+    body : bytes
+        Body.
+    deadline : float
+        Monotonic deadline of the call.
+    first_byte_deadline : float
+        Monotonic deadline of the first byte of the answer.
+    reuse : bool
+        Whether a pooled connection may be used. libcurl repeats a request
+        by itself when a pooled connection breaks before the first byte of
+        the answer, so calls that are not idempotent use new connections.
+    echo : bool
+        Whether the answer has to echo the attempt id.
+    relay : events.EventRelay or None
+        Takes the events of a stream.
+    """
+
+    attempt_id: str
+    address: str
+    method: str
+    path: str
+    headers: tuple[str, ...]
+    body: bytes
+    deadline: float
+    first_byte_deadline: float
+    reuse: bool = True
+    echo: bool = False
+    relay: events.EventRelay | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended.
+
+    Parameters
+    ----------
+    end : AttemptEnd
+        How it ended.
+    status : int
+        HTTP status, 0 without an answer.
+    content_type : str
+        Content type of the answer.
+    body : bytes
+        Body, empty for a relayed stream.
+    sent : bool
+        Whether any byte of the request may have reached the endpoint.
+    not_run : bool
+        Whether the endpoint said that it did not run the request.
+    detail : str
+        Error text for the timeline.
+    first_byte : float or None
+        Seconds from the start to the first byte of the body.
+    """
+
+    end: AttemptEnd
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+    sent: bool = False
+    not_run: bool = False
+    detail: str = ''
+    first_byte: float | None = None
--- a/rhubarbreach/dispatch/call.py
+++ b/rhubarbreach/dispatch/call.py
@@ -40,6 +40,8 @@
         Job of a batch item.
     item : int
         Index of a batch item.
+    headers : tuple of (str, str)
+        Headers of the caller that may be passed on, such as Content-Type.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     weight: float = 1.0
     job_id: str = ''
     item: int = -1
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rhubarbreach/dispatch/transfer.py
@@ -0,0 +1,158 @@
+"""State of one attempt while its bytes move, and its curl handle."""
+
+import concurrent.futures
+
+import msgspec
+import pycurl
+
+from rhubarbreach.dispatch import attempt as attempt_module
+
+__all__ = ['MAX_BODY_BYTES', 'Transfer', 'configure_handle']
+
+# A longer body of an answer that is not a stream counts as broken.
+MAX_BODY_BYTES = 64 << 20
+CONNECT_TIMEOUT_MS = 1000
+ATTEMPT_HEADER = 'x-attempt-id'
+EVENT_STREAM = 'text/event-stream'
+
+
+CLIENT_ERROR = 400
+
+
+class ErrorFields(msgspec.Struct):
+    """Members of an error answer of an endpoint."""
+
+    not_run: bool = False
+
+
+DECODER = msgspec.json.Decoder(ErrorFields)
+
+
+class Transfer:
+    """One running attempt; used by the event loop thread only.
+
+    Parameters
+    ----------
+    attempt : attempt.Attempt
+        What to send.
+    dirty : list
+        Shared list that takes this object when bytes arrive.
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(self, attempt, dirty, now):
+        self.attempt = attempt
+        self.dirty = dirty
+        self.future = concurrent.futures.Future()
+        self.curl = None
+        self.header_lines = []
+        self.status = 0
+        self.headers = {}
+        self.chunks = []
+        self.body = []
+        self.body_bytes = 0
+        self.relay = None
+        self.paused = False
+        self.started_at = now
+        self.first_byte_at = None
+        self.received_at = now
+        self.linger_until = None
+        self.sent = False
+
+    def receive(self, data):
+        """Keep bytes of the body until the loop processes them."""
+        chunks = self.chunks
+        if not chunks:
+            self.dirty.append(self)
+        chunks.append(data)
+
+    def receive_header(self, line):
+        """Keep a header line; a status line begins a new head."""
+        if line.startswith(b'HTTP/'):
+            self.header_lines.clear()
+        self.header_lines.append(line)
+
+    def note_sent(self):
+        """Keep whether bytes of the request were sent."""
+        self.sent = self.curl.getinfo(pycurl.REQUEST_SIZE) > 0
+
+    def parse_head(self):
+        """Read status and headers once."""
+        if self.status or not self.header_lines:
+            return
+        self.status = int(self.header_lines[0].split(None, 2)[1])
+        for line in self.header_lines[1:]:
+            name, _, value = line.decode('latin-1').partition(':')
+            self.headers[name.strip().lower()] = value.strip()
+        if self.status == 200 and self.content_type.startswith(EVENT_STREAM):
+            self.relay = self.attempt.relay
+
+    @property
+    def content_type(self):
+        """Content type of the answer."""
+        return self.headers.get('content-type', '')
+
+    def is_crossed(self):
+        """Return whether the answer belongs to another attempt."""
+        echoed = self.headers.get(ATTEMPT_HEADER)
+        if echoed is None:
+            return self.attempt.echo and self.status == 200
+        return echoed != self.attempt.attempt_id
+
+    def says_not_run(self):
+        """Return whether an error answer says that nothing was run."""
+        if self.status < CLIENT_ERROR:
+            return False
+        try:
+            return DECODER.decode(b''.join(self.body)).not_run
+        except msgspec.DecodeError:
+            return False
+
+    def make_result(self, end, detail=''):
+        """Return the result of the attempt."""
+        first = self.first_byte_at
+        return attempt_module.AttemptResult(
+            end=end,
+            status=self.status,
+            content_type=self.content_type,
+            body=b''.join(self.body),
+            sent=self.sent,
+            not_run=self.says_not_run(),
+            detail=detail,
+            first_byte=None if first is None else first - self.started_at,
+        )
+
+
+def configure_handle(curl, transfer):
+    """Set the options of a curl handle for an attempt.
+
+    Parameters
+    ----------
+    curl : pycurl.Curl
+        New or reset handle.
+    transfer : Transfer
+        Attempt to send.
+    """
+    attempt = transfer.attempt
+    transfer.curl = curl
+    curl.transfer = transfer
+    curl.setopt(pycurl.URL, f'http://{attempt.address}{attempt.path}')
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PATH_AS_IS, 1)
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.HTTPHEADER, ['Expect:', *attempt.headers])
+    if attempt.method == 'HEAD':
+        curl.setopt(pycurl.NOBODY, 1)
+    elif attempt.body or attempt.method == 'POST':
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE, len(attempt.body))
+        curl.setopt(pycurl.COPYPOSTFIELDS, attempt.body)
+    if attempt.method not in ('HEAD', 'POST'):
+        curl.setopt(pycurl.CUSTOMREQUEST, attempt.method)
+    if not attempt.reuse:
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.HEADERFUNCTION, transfer.receive_header)
+    curl.setopt(pycurl.WRITEFUNCTION, transfer.receive)
--- /dev/null
+++ b/rhubarbreach/entry/app.py
@@ -0,0 +1,253 @@
+"""Application: routes of the HTTP interface, request ids, drain."""
+
+import time
+import uuid
+
+import logbook
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+from rhubarbreach import codes
+from rhubarbreach.dispatch import errors
+from rhubarbreach.entry import bodies
+from rhubarbreach.entry import refusals
+
+__all__ = ['Application', 'EntryRequest']
+
+LOG = logbook.Logger('entry')
+REQUEST_ID = 'X-Request-Id'
+DRAIN_RETRY_SECONDS = 1.0
+MAX_BODY_BYTES = 256 << 20
+BODY_SECONDS = 30.0
+
+# Paths that answer while the host drains.
+UNREFUSED = ('/livez', '/readyz', '/metrics')
+UNREFUSED_PREFIX = '/internal/'
+LAST_CONTROL = 0x20
+DELETE = 0x7F
+
+
+class EntryRequest(wrappers.Request):
+    """A request of a caller.
+
+    Attributes
+    ----------
+    request_id : str
+        Id that the answer carries.
+    connection : connection.ConnectionHandler
+        Connection of the caller.
+    received_at : float
+        Monotonic seconds.
+    path_values : dict
+        Values of the variable parts of the matched path.
+    body_read : bool
+        Whether the whole body was read.
+    """
+
+    def __init__(self, connection, received_at, max_body, body_seconds):
+        super().__init__(connection.environ, populate_request=False)
+        self.max_body = max_body
+        self.body_seconds = body_seconds
+        self.body = None
+        self.connection = connection
+        self.request_id = uuid.uuid4().hex
+        self.received_at = received_at
+        self.path_values = {}
+        self.body_read = False
+
+    def get_data(self, *arguments, **options):
+        """Return the body within the bounds of the application.
+
+        Raises
+        ------
+        BodyRefused
+            The application answers with its refusal.
+        """
+        if self.body is None:
+            body = bodies.read_body(self, self.max_body, self.body_seconds)
+            if isinstance(body, codes.Refusal):
+                raise BodyRefused(body)
+            self.body = body
+        return self.body
+
+
+class BodyRefused(Exception):
+    """The body of a request was not accepted.
+
+    Parameters
+    ----------
+    refusal : codes.Refusal
+        Answer to the caller.
+    """
+
+    def __init__(self, refusal):
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class Application:
+    """Finds the handler of a request and sends its answer.
+
+    A handler takes an `EntryRequest` and returns a werkzeug response, or
+    None when it has sent the answer by itself.
+
+    Parameters
+    ----------
+    metrics : observe.metrics.Metrics
+        Counters.
+    max_body : int
+        Bytes of a body that `EntryRequest.get_data` accepts.
+    body_seconds : float
+        Time within which such a body has to arrive.
+
+    Attributes
+    ----------
+    fallback : callable or None
+        Handler of paths without an added route.
+    """
+
+    def __init__(
+        self, metrics, max_body=MAX_BODY_BYTES, body_seconds=BODY_SECONDS
+    ):
+        self.metrics = metrics
+        self.max_body = max_body
+        self.body_seconds = body_seconds
+        self.fallback = None
+        self.rules = routing.Map(
+            strict_slashes=False, merge_slashes=False, redirect_defaults=False
+        )
+        self.handlers = {}
+        self.draining = False
+        self.readiness = []
+
+    def add_route(self, method, path, handler):
+        """Add a handler.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path, with variable parts as in werkzeug: `/v1/batches/<job_id>`;
+            their values are in `request.path_values`.
+        handler : callable
+            `handler(request)` returns a response.
+        """
+        endpoint = (method, path)
+        self.handlers[endpoint] = handler
+        self.rules.add(routing.Rule(path, methods=[method], endpoint=endpoint))
+
+    def add_readiness(self, check):
+        """Add a check; it returns why the host is not ready, or ''."""
+        self.readiness.append(check)
+
+    def get_unready(self):
+        """Return why the host is not ready, or an empty string."""
+        if self.draining:
+            return 'draining'
+        for check in self.readiness:
+            reason = check()
+            if reason:
+                return reason
+        return ''
+
+    def drain(self):
+        """Report not ready and refuse new requests from now on."""
+        self.draining = True
+
+    def serve(self, connection):
+        """Answer one request of a connection."""
+        request = EntryRequest(
+            connection, time.monotonic(), self.max_body, self.body_seconds
+        )
+        connection.set_read_deadline(self.body_seconds)
+        try:
+            response = self.answer(request)
+        except BodyRefused as error:
+            response = self.refuse(request, error.refusal)
+        except Exception as error:
+            self.metrics.count('entry_faults_total')
+            LOG.exception(
+                'event=handler_fault request_id={} type={}',
+                request.request_id,
+                type(error).__name__,
+            )
+            response = self.refuse(
+                request,
+                errors.make_refusal(
+                    'INTERNAL', 'internal error', codes.Ran.UNKNOWN
+                ),
+            )
+        if response is None:
+            return
+        if not bodies.discard_body(request) or self.draining:
+            connection.close_connection = True
+        response.headers[REQUEST_ID] = request.request_id
+        connection.send_answer(response)
+
+    def send_malformed(self, connection, reason):
+        """Answer a request whose head could not be read."""
+        refusal = errors.make_refusal('MALFORMED_BODY', reason)
+        self.metrics.count('entry_refusals_total', code='MALFORMED_BODY')
+        response = refusals.make_response(refusal, uuid.uuid4().hex)
+        connection.close_connection = True
+        connection.send_answer(response)
+
+    def refuse(self, request, refusal):
+        """Return the answer for a refusal and count it."""
+        name = refusal.code.name
+        self.metrics.count('entry_refusals_total', code=name)
+        return refusals.make_response(refusal, request.request_id)
+
+    def answer(self, request):
+        """Return the answer of the handler, or of a refusal."""
+        path = request.path
+        if self.draining and not is_unrefused(path):
+            refusal = errors.make_refusal(
+                'DRAINING',
+                'this host is shutting down',
+                retry_after=DRAIN_RETRY_SECONDS,
+            )
+            return self.refuse(request, refusal)
+        if not is_plain(request.environ.get('REQUEST_URI', ''), path):
+            refusal = errors.make_refusal(
+                'ROUTE_UNKNOWN', 'the path has parts that are not allowed'
+            )
+            return self.refuse(request, refusal)
+        handler = self.find_handler(request)
+        if isinstance(handler, codes.Refusal):
+            return self.refuse(request, handler)
+        return handler(request)
+
+    def find_handler(self, request):
+        """Return the handler of a request or a refusal."""
+        adapter = self.rules.bind('entry')
+        try:
+            endpoint, values = adapter.match(request.path, request.method)
+        except exceptions.MethodNotAllowed:
+            return errors.make_refusal(
+                'METHOD_NOT_ALLOWED', 'the path does not take this method'
+            )
+        except exceptions.HTTPException:
+            if self.fallback is not None:
+                return self.fallback
+            return errors.make_refusal('ROUTE_UNKNOWN', 'no such path')
+        request.path_values = values
+        return self.handlers[endpoint]
+
+
+def is_unrefused(path):
+    """Return whether a path answers while the host drains."""
+    return path in UNREFUSED or path.startswith(UNREFUSED_PREFIX)
+
+
+def is_plain(raw, path):
+    """Return whether a path means the same here and on an endpoint."""
+    if not path.startswith('/') or '\\' in path or '//' in path:
+        return False
+    if any(part in ('.', '..') for part in path.split('/')):
+        return False
+    return all(LAST_CONTROL < ord(letter) < DELETE for letter in raw) and all(
+        ord(letter) >= LAST_CONTROL for letter in path
+    )
--- /dev/null
+++ b/rhubarbreach/entry/bodies.py
@@ -0,0 +1,100 @@
+"""Bounded reading of request bodies."""
+
+from rhubarbreach.dispatch import errors
+
+__all__ = ['discard_body', 'read_body']
+
+READ_BYTES = 64 * 1024
+
+# An unread body up to this size is read and dropped to keep the connection.
+DISCARD_BYTES = 64 * 1024
+DISCARD_SECONDS = 1.0
+
+
+def read_body(request, max_bytes, seconds):
+    """Read the body of a request.
+
+    Parameters
+    ----------
+    request : app.EntryRequest
+        Request of the caller.
+    max_bytes : int
+        Size that is accepted.
+    seconds : float
+        Time within which the whole body has to arrive.
+
+    Returns
+    -------
+    bytes or codes.Refusal
+        Body, or why it was not accepted. After a refusal the connection is
+        closed with the answer.
+    """
+    length = request.content_length
+    chunked = bool(request.environ.get('wsgi.input_terminated'))
+    if length is None and not chunked:
+        request.body_read = True
+        return b''
+    if chunked and request.headers.get('Content-Length') is not None:
+        return errors.make_refusal(
+            'MALFORMED_BODY', 'both Content-Length and Transfer-Encoding'
+        )
+    if length is not None and length > max_bytes:
+        return refuse_large(max_bytes)
+    request.connection.set_read_deadline(seconds)
+    try:
+        body = read_stream(request.environ['wsgi.input'], length, max_bytes)
+    except TimeoutError:
+        return errors.make_refusal(
+            'BODY_INCOMPLETE', f'no whole body within {seconds:g} s'
+        )
+    except (OSError, ValueError):
+        return errors.make_refusal(
+            'BODY_INCOMPLETE', 'the body ended before its length'
+        )
+    if len(body) > max_bytes:
+        return refuse_large(max_bytes)
+    if length is not None and len(body) < length:
+        return errors.make_refusal(
+            'BODY_INCOMPLETE', 'the body ended before its length'
+        )
+    request.body_read = True
+    return body
+
+
+def refuse_large(max_bytes):
+    """Return the refusal of a body that is too large."""
+    return errors.make_refusal(
+        'BODY_TOO_LARGE', f'the body has more than {max_bytes} bytes'
+    )
+
+
+def read_stream(stream, length, max_bytes):
+    """Read until the length, the end or one byte more than allowed."""
+    wanted = max_bytes + 1 if length is None else length
+    pieces = []
+    while wanted > 0:
+        piece = stream.read(min(wanted, READ_BYTES))
+        if not piece:
+            break
+        pieces.append(piece)
+        wanted -= len(piece)
+    return b''.join(pieces)
+
+
+def discard_body(request):
+    """Drop an unread small body; return whether none is left unread."""
+    if request.body_read:
+        return True
+    length = request.content_length
+    if request.environ.get('wsgi.input_terminated'):
+        return False
+    if not length:
+        return True
+    if length > DISCARD_BYTES:
+        return False
+    request.connection.set_read_deadline(DISCARD_SECONDS)
+    try:
+        body = read_stream(request.environ['wsgi.input'], length, length)
+    except (OSError, ValueError):
+        return False
+    return len(body) == length
--- /dev/null
+++ b/rhubarbreach/entry/records.py
@@ -0,0 +1,58 @@
+"""Interface of the request records that are injected into the entry.
+
+The entry calls these methods of the injected object:
+
+- `reserve(account_id, key, fingerprint, deadline)` returns `Reserved`,
+  `Running`, `Completed` or a `codes.Refusal`.
+- `complete(account_id, key, token, completed, deadline)` stores the answer
+  and returns None or a `codes.Refusal`.
+- `abandon(account_id, key, token)` forgets a reservation whose request
+  certainly did not run.
+- `mark_unknown(account_id, key, token)` ends a reservation whose outcome is
+  unknown.
+- `get(account_id, key)` returns `Running`, `Completed` or a `codes.Refusal`;
+  the refusal has the code OUTCOME_UNKNOWN when the outcome is unknown.
+
+Deadlines are monotonic seconds.
+"""
+
+import dataclasses
+
+__all__ = ['Completed', 'Reserved', 'Running']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reserved:
+    """The request is new; whoever reserved it has to run it.
+
+    Parameters
+    ----------
+    token : str
+        Proves the reservation to the methods that end it.
+    """
+
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """An equal request is running, perhaps at another host."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """A recorded answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    content_type : str
+        Content type of the body.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
