--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -540,6 +540,7 @@
     wanted: bool
 
 
+@frozen_message
 class ReadIndexReply:
     """Index that was committed when the read began, or a refusal."""
 
