--- a/rhubarbreach/batch/api.py
+++ b/rhubarbreach/batch/api.py
@@ -1,6 +1,5 @@
 """HTTP routes of batch jobs under /v1/batches."""
 
-import dataclasses
 import hashlib
 import itertools
 import json
@@ -9,14 +8,15 @@
 
 import msgspec
 from werkzeug import exceptions as http_exceptions
-from werkzeug import wrappers
 
+from rhubarbreach.batch import streaming
 from rhubarbreach.batch import upload
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.entry import refusals
 from rhubarbreach.state import jobcommands
 
-__all__ = ['BatchApi', 'Caller', 'make_job_id']
+__all__ = ['BatchApi', 'make_job_id']
 
 PREFIX = '/v1/batches'
 JSON = 'application/json'
@@ -36,14 +36,6 @@
 RESULT_DECODER = msgspec.msgpack.Decoder(jobcommands.StoredResult)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Caller:
-    """Client account that a request came from."""
-
-    account_id: str
-    weight: float
-
-
 def make_job_id(account_id, client_id):
     """Return the id of a job from the id that its client chose.
 
@@ -63,7 +55,8 @@
         Client of the job groups.
     access : object
         `identify(request)` returns a `Caller` or a `Refusal`;
-        `find_route(caller, method, path)` a `JobRoute` or a `Refusal`.
+        `find_route(caller, method, path)` a `JobRoute` or a `Refusal`;
+        `has_model(model_id)` a bool. See `batch.access.Access`.
     settings : JobSettings
         Bounds of jobs.
     stop_job : callable
@@ -96,7 +89,7 @@
         def handle(request):
             caller = self.access.identify(request)
             if isinstance(caller, codes.Refusal):
-                return make_error(caller)
+                return make_error(request, caller)
             return handler(request, caller)
 
         return handle
@@ -108,17 +101,18 @@
         )
         parser = upload.UploadParser(
             lambda method, path: self.access.find_route(caller, method, path),
+            self.access.has_model,
             self.settings.max_items,
         )
         try:
             checked = upload.read_upload(
-                request.stream, parser, self.settings.max_body
+                streaming.open_body(request), parser, self.settings.max_body
             )
         except (OSError, http_exceptions.HTTPException):
             reason = 'the connection ended within the body'
             checked = codes.Refusal(Code.BODY_INCOMPLETE, reason)
         if isinstance(checked, codes.Refusal):
-            return make_error(checked)
+            return make_error(request, checked)
         begin = self.make_begin(caller, client_id or uuid.uuid4().hex, checked)
         status = self.store.submit(
             begin,
@@ -127,8 +121,8 @@
             clock.monotonic() + SUBMIT_TIMEOUT,
         )
         if isinstance(status, codes.Refusal):
-            return make_error(status)
-        return make_json(describe_job(status))
+            return make_error(request, status)
+        return refusals.make_json(describe_job(status))
 
     def make_begin(self, caller, client_id, checked):
         """Return the command that opens a job."""
@@ -156,8 +150,8 @@
             caller.account_id, request.args.get('after', ''), limit, soon()
         )
         if isinstance(found, codes.Refusal):
-            return make_error(found)
-        return make_json(
+            return make_error(request, found)
+        return refusals.make_json(
             {
                 'object': 'list',
                 'data': [describe_job(status) for status in found],
@@ -171,8 +165,8 @@
             get_job_id(request), caller.account_id, soon()
         )
         if isinstance(status, codes.Refusal):
-            return make_error(status)
-        return make_json(describe_job(status))
+            return make_error(request, status)
+        return refusals.make_json(describe_job(status))
 
     def show_results(self, request, caller):
         """Stream the final items of a job."""
@@ -189,18 +183,18 @@
         )
         first = next(pages)
         if isinstance(first, codes.Refusal):
-            return make_error(first)
+            return make_error(request, first)
         lines = make_lines(itertools.chain((first,), pages))
-        return wrappers.Response(lines, 200, content_type=JSON_LINES)
+        return streaming.send_lines(request, JSON_LINES, lines)
 
     def cancel(self, request, caller):
         """Cancel a job."""
         job_id = get_job_id(request)
         reply = self.store.cancel(job_id, caller.account_id, soon())
         if isinstance(reply, codes.Refusal):
-            return make_error(reply)
+            return make_error(request, reply)
         self.stop_job(job_id, reply.holders)
-        return make_json(describe_job(reply.status))
+        return refusals.make_json(describe_job(reply.status))
 
 
 def soon():
@@ -234,13 +228,17 @@
 
 
 def make_lines(pages):
-    """Yield the JSON Lines of result pages."""
+    """Yield the JSON Lines of result pages.
+
+    Raises
+    ------
+    ConnectionAbortedError
+        If a later page cannot be read, so that the answer ends as
+        incomplete.
+    """
     for page in pages:
         if isinstance(page, codes.Refusal):
-            # The status line was sent already; the client sees that the
-            # results are not complete.
-            yield encode_line({'incomplete': True, **describe_error(page)})
-            return
+            raise ConnectionAbortedError(page.reason)
         yield b''.join(encode_line(describe_row(row)) for row in page.rows)
 
 
@@ -290,30 +288,6 @@
     return stored.body.decode('utf-8', 'replace')
 
 
-def describe_error(refusal):
-    """Return the JSON object of a refusal."""
-    return {
-        'error': {
-            'code': int(refusal.code),
-            'name': refusal.code.name,
-            'message': refusal.reason,
-            'ran': refusal.ran.value,
-        }
-    }
-
-
-def make_json(value, status=200):
-    """Return a JSON response."""
-    return wrappers.Response(
-        msgspec.json.encode(value), status, content_type=JSON
-    )
-
-
-def make_error(refusal):
+def make_error(request, refusal):
     """Return the response of a refusal."""
-    response = make_json(
-        describe_error(refusal), codes.HTTP_STATUS[refusal.code]
-    )
-    if refusal.retry_after is not None:
-        response.headers['Retry-After'] = str(round(refusal.retry_after))
-    return response
+    return refusals.make_response(refusal, getattr(request, 'request_id', ''))
--- a/rhubarbreach/batch/holdings.py
+++ b/rhubarbreach/batch/holdings.py
@@ -42,6 +42,7 @@
         self.lock = threading.Lock()
         self.claims = {}
         self.targets = {}
+        self.futures = {}
 
     def add(self, group, claimed, held, deadline):
         """Add a claim with its items.
@@ -64,10 +65,21 @@
             target = self.targets.setdefault(claimed.target, Target())
             target.outstanding += len(held)
 
+    def attach(self, held, future):
+        """Remember the future of an item's call until the item ends."""
+        with self.lock:
+            self.futures[held.group, held.epoch, held.item] = future
+
+    def get_future(self, held):
+        """Return the future of an item's call, None when it has ended."""
+        with self.lock:
+            return self.futures.get((held.group, held.epoch, held.item))
+
     def end(self, held):
         """Remove an item; return False when its claim is gone."""
         key = (held.group, held.epoch)
         with self.lock:
+            self.futures.pop((*key, held.item), None)
             target = self.targets[held.target]
             target.outstanding -= 1
             target.throughput.add(1)
@@ -89,11 +101,14 @@
         return found
 
     def remove_job(self, job_id):
-        """Remove the claims of a job."""
+        """Remove the claims of a job and return their items."""
+        found = []
         with self.lock:
             for key, claim in list(self.claims.items()):
                 if claim.job_id == job_id:
+                    found.extend(claim.items.values())
                     del self.claims[key]
+        return found
 
     def list_epochs(self, group):
         """Return the epochs of the claims of a group."""
--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -31,6 +31,7 @@
 NO_ENDPOINT_DELAY = 2000
 # Statuses that say nothing about the item itself.
 TRANSIENT_STATUSES = frozenset((408, 425, 429))
+JSON_HEADERS = (('Content-Type', 'application/json'),)
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
@@ -173,6 +174,7 @@
         weight=held.weight,
         job_id=held.job_id,
         item=held.item,
+        headers=JSON_HEADERS,
     )
 
 
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -86,6 +86,7 @@
         self.holdings = holdings.Holdings()
         self.lanes = [GroupLane(number) for number in range(store.job_groups)]
         self.lock = threading.Lock()
+        self.stopping = []
         self.wake = threading.Event()
         self.draining = False
         self.closed = False
@@ -112,7 +113,10 @@
 
     def step(self, now):
         """Start the exchanges that are due."""
-        self.stop_items(self.holdings.remove_expired(now))
+        self.repeat_stops()
+        expired = self.holdings.remove_expired(now)
+        if expired:
+            self.stop_items(expired)
         for lane in self.lanes:
             if not lane.reporting and self.is_report_due(lane, now):
                 lane.reporting = True
@@ -233,6 +237,7 @@
         call_deadline = clock.monotonic() + ITEM_TIMEOUT
         for one in held:
             future = self.executor.submit(items.make_call(one, call_deadline))
+            self.holdings.attach(one, future)
             future.add_done_callback(
                 lambda done, one=one: self.end(lane, one, done)
             )
@@ -357,20 +362,39 @@
             self.holdings.extend(
                 lane.group, epochs, self.get_claim_deadline(now)
             )
-            self.stop_items(self.holdings.remove(lane.group, reply.lost))
+            lost = self.holdings.remove(lane.group, reply.lost)
+            if lost:
+                self.stop_items(lost)
         finally:
             lane.renewing = False
 
     def stop_items(self, held):
         """Cancel the calls of items whose claims are gone."""
-        for one in held:
-            self.metrics.count('batch_items_stopped_total')
-            self.executor.cancel(items.make_request_id(one))
+        self.metrics.count('batch_items_stopped_total', len(held))
+        with self.lock:
+            self.stopping.extend(held)
+        self.repeat_stops()
+
+    def repeat_stops(self):
+        """Cancel again what has not ended.
+
+        A call that was just handed over may not be known to the executor
+        yet, and would start after a single cancellation.
+        """
+        with self.lock:
+            stopping, self.stopping = self.stopping, []
+        left = []
+        for one in stopping:
+            future = self.holdings.get_future(one)
+            if future is not None and not future.cancel():
+                self.executor.cancel(items.make_request_id(one))
+                left.append(one)
+        with self.lock:
+            self.stopping.extend(left)
 
     def cancel_job(self, job_id):
         """Stop the items of a job that was cancelled."""
-        self.holdings.remove_job(job_id)
-        self.executor.cancel_job(job_id)
+        self.stop_items(self.holdings.remove_job(job_id))
 
     # Drain.
 
@@ -397,9 +421,11 @@
 
     def cancel_repeatable(self):
         """Cancel the calls of items that may run again elsewhere."""
-        for held in self.holdings.list_items():
-            if held.idempotent:
-                self.executor.cancel(items.make_request_id(held))
+        repeatable = [
+            held for held in self.holdings.list_items() if held.idempotent
+        ]
+        if repeatable:
+            self.stop_items(repeatable)
 
     def is_idle(self):
         """Return whether no item is outstanding or unreported."""
--- a/rhubarbreach/batch/upload.py
+++ b/rhubarbreach/batch/upload.py
@@ -76,12 +76,15 @@
     ----------
     find_route : callable
         `find_route(method, path)` returns a `JobRoute` or a `Refusal`.
+    has_model : callable
+        Returns whether a model is known.
     max_items : int
         Bound of a job.
     """
 
-    def __init__(self, find_route, max_items):
+    def __init__(self, find_route, has_model, max_items):
         self.find_route = find_route
+        self.has_model = has_model
         self.max_items = max_items
         self.lines = {}
         self.bodies = []
@@ -165,6 +168,10 @@
         model = BODY_DECODER.decode(body).model
         if not model:
             raise LineFault('the body names no model')
+        if model in self.targets:
+            return
+        if not self.has_model(model):
+            raise LineFault(f'no model {model}', Code.MODEL_UNKNOWN)
         self.targets.add(model)
 
     def finish(self):
--- a/rhubarbreach/batch/window.py
+++ b/rhubarbreach/batch/window.py
@@ -9,7 +9,8 @@
 # were running.
 AHEAD_SECONDS = 2.0
 MIN_AHEAD = 16
-MAX_AHEAD = 2048
+# Each item that waits occupies a thread of the executor.
+MAX_AHEAD = 512
 # Items that may be outstanding when the scheduler does not tell how many of
 # them wait.
 DEFAULT_OUTSTANDING = 256
--- a/rhubarbreach/state/jobimage.py
+++ b/rhubarbreach/state/jobimage.py
@@ -142,9 +142,12 @@
     machine.next_epoch = image.next_epoch
     machine.jobs = {}
     machine.accounts = {}
-    machine.shares.load_image(image.shares)
+    machine.shares = jobshares.JobShares()
     for stored in image.jobs:
         machine.insert(load_job(stored))
+    # Inserting jobs lifts accounts to the virtual time; what the snapshot
+    # says of them replaces that, so that all replicas choose alike.
+    machine.shares.load_image(image.shares)
     machine.claims = {
         stored.epoch: load_claim(stored) for stored in image.claims
     }
--- a/rhubarbreach/state/jobitems.py
+++ b/rhubarbreach/state/jobitems.py
@@ -132,7 +132,7 @@
     def is_held(self, index, epoch):
         """Return whether an item is under the claim of an epoch."""
         return (
-            index < len(self.states)
+            0 <= index < len(self.states)
             and self.epochs[index] == epoch
             and self.states[index] in (State.CLAIMED, State.STARTED)
         )
@@ -149,7 +149,14 @@
         self.bodies.drop(index)
 
     def retry(self, index, result):
-        """End one attempt of an item."""
+        """End one attempt of an item.
+
+        An item that may not run twice ends with outcome unknown, whatever
+        its holder says.
+        """
+        if self.states[index] == State.STARTED:
+            self.finish(index, State.UNKNOWN, result)
+            return
         self.attempts[index] = min(255, self.attempts[index] + 1)
         if self.attempts[index] >= self.begin.max_attempts:
             self.finish(index, State.FAILED, result)
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -170,7 +170,9 @@
             skip = job.added - command.first
             end = command.first + len(command.bodies)
             is_open = job.state == JobState.UPLOADING
-            if is_open and skip >= 0 and end <= job.begin.item_count:
+            matching = len(command.custom_ids) == len(command.bodies)
+            fits = skip >= 0 and end <= job.begin.item_count
+            if is_open and fits and matching:
                 job.add(command.custom_ids[skip:], command.bodies[skip:])
                 job.changed_at = self.time
         return self.reply_upload(job, command)
--- a/rhubarbreach/state/jobshares.py
+++ b/rhubarbreach/state/jobshares.py
@@ -101,7 +101,6 @@
         return ShareImage(self.virtual_time, dict(self.served))
 
     def load_image(self, image):
-        """Take over the shares of a snapshot."""
+        """Take over the shares of a snapshot for the jobs added here."""
         self.virtual_time = image.virtual_time
         self.served = dict(image.served)
-        self.ready = {}
--- a/rhubarbreach/state/tests/test_jobs.py
+++ b/rhubarbreach/state/tests/test_jobs.py
@@ -206,6 +206,26 @@
     assert group.get_status().unknown == 1
 
 
+def test_failed_attempt_of_a_started_item_is_final(group):
+    """A report of a failed attempt must not let it run a second time."""
+    group.submit(count=1, idempotent=False)
+    epoch = group.claim()[0].epoch
+    leased = jobcommands.LeasedItems(epoch, (0,))
+    group.propose(jobcommands.StartItems((leased,)))
+    assert group.report(epoch, 0, End.RETRY)
+    assert group.claim(sequence=2) == ()
+    assert group.get_status().unknown == 1
+
+
+def test_restored_replica_chooses_like_the_others(group):
+    """Shares below the virtual time must survive a snapshot unchanged."""
+    group.submit(count=2)
+    group.claim(limit=1)
+    group.claim(sequence=2, limit=1)
+    group.pass_time(12_000)
+    group.reload()
+
+
 def test_leader_change_does_not_shorten_a_claim(group):
     """A tick of a stopped or earlier leader must not end a claim early."""
     group.submit(count=1)
