Measure a job group and test it over three hosts

Cause: the rates of a group and the memory of an item were not known, and the runner had only run over fakes. Change: bench.jobbench; tests with replicated groups, lost hosts, a changed leader and a cancel at another host; full pack segments are trimmed.

--- /dev/null
+++ b/rhubarbreach/batch/tests/test_groups.py
@@ -0,0 +1,174 @@
+"""Tests of jobs over three hosts with replicated groups."""
+
+import contextlib
+import dataclasses
+import threading
+
+import pytest
+
+from rhubarbreach.batch import runner
+from rhubarbreach.batch import store
+from rhubarbreach.batch.tests import fakes
+from rhubarbreach.batch.tests import test_runner
+from rhubarbreach.batch import ticker
+from rhubarbreach import clock
+from rhubarbreach.consensus import client
+from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.observe import metrics
+from rhubarbreach.state import jobcommands
+from rhubarbreach.state import jobs
+
+GROUP_IDS = ('jobs-0', 'jobs-1')
+SETTINGS = dataclasses.replace(test_runner.SETTINGS, claim_timeout=1.5)
+
+
+class Deployment:
+    """Three hosts with tickers; runners are started one by one."""
+
+    def __init__(self, running, stack):
+        self.running = running
+        self.stack = stack
+        for host in cluster.HOSTS:
+            ticked = [
+                ticker.TickedGroup(one, one.machine, jobcommands.COMMANDS)
+                for one in running.sets[host].groups.values()
+            ]
+            clocks = ticker.Ticker(ticked)
+            clocks.start()
+            stack.callback(clocks.close)
+
+    def open_store(self, host):
+        """Return the store as seen from a host."""
+        found = client.Client(self.running.links[host], cluster.HOSTS)
+        return store.Store(found, len(GROUP_IDS))
+
+    def start(self, host, executor):
+        """Start the runner of a host."""
+        one = runner.Runner(
+            self.open_store(host),
+            executor,
+            f'{host}#1',
+            SETTINGS,
+            metrics.Metrics(),
+        )
+        one.start()
+        self.stack.callback(one.close)
+        return one
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Run three hosts with two job groups and frequent snapshots."""
+    with contextlib.ExitStack() as stack:
+        running = stack.enter_context(
+            cluster.running(
+                tmp_path,
+                group_ids=GROUP_IDS,
+                machine_type=jobs.JobsMachine,
+                snapshot_entries=20,
+            )
+        )
+        yield Deployment(running, stack)
+
+
+def submit(jobs_store, job_id, count, **fields):
+    """Store a job from one host."""
+    names = [f'c{number}' for number in range(count)]
+    bodies = [b'{"model":"m","n":%d}' % number for number in range(count)]
+    begin = test_runner.make_begin(job_id, count, **fields)
+    deadline = clock.monotonic() + test_runner.TIMEOUT
+    return jobs_store.submit(begin, names, bodies, deadline)
+
+
+def wait_state(jobs_store, job_id, state):
+    """Wait until a job is in a state and return its status."""
+
+    def look():
+        deadline = clock.monotonic() + 2
+        found = jobs_store.get_job(job_id, 'a', deadline)
+        return found if getattr(found, 'state', None) == state else None
+
+    return test_runner.wait_for(look)
+
+
+def test_items_survive_lost_hosts_and_leaders(deployment):
+    """A killed runner and a killed leader must cost no item its result."""
+    first, second, third = cluster.HOSTS
+    gate = threading.Event()
+    hung = fakes.FakeExecutor(lambda one: gate.wait(60) and None)
+    kept = deployment.open_store(third)
+    for job_id in ('job-a', 'job-b'):
+        assert submit(deployment.open_store(first), job_id, 120).total == 120
+    for number, job_id in enumerate(('once-a', 'once-b')):
+        submit(kept, job_id, 8 + number, idempotent=False)
+    lost = deployment.start(first, hung)
+    test_runner.wait_for(lambda: len(hung.futures) >= 120)
+    lost.close()
+    deployment.running.stop(first)
+    gate.set()
+    for job_id in ('job-a', 'job-b'):
+        assert submit(kept, job_id, 120).total == 120
+    executor = fakes.FakeExecutor()
+    deployment.start(second, executor)
+    for job_id in ('job-a', 'job-b'):
+        assert wait_state(kept, job_id, 'completed').done == 120
+    for number, job_id in enumerate(('once-a', 'once-b')):
+        status = wait_state(kept, job_id, 'completed')
+        assert status.done + status.unknown == 8 + number
+        ran = [
+            one.item
+            for one in (*hung.ran, *executor.ran)
+            if one.job_id == job_id
+        ]
+        assert len(ran) == len(set(ran))
+
+
+def test_cancel_at_another_host_stops_work(deployment):
+    """A cancel must reach the host that holds the items by itself."""
+    first, second, third = cluster.HOSTS
+    gate = threading.Event()
+    executor = fakes.FakeExecutor(lambda one: gate.wait(60) and None, 2)
+    assert submit(deployment.open_store(second), 'job-a', 100).total == 100
+    deployment.start(first, executor)
+    test_runner.wait_for(lambda: len(executor.ran) == 2)
+    deadline = clock.monotonic() + test_runner.TIMEOUT
+    reply = deployment.open_store(third).cancel('job-a', 'a', deadline)
+    assert reply.status.cancelled == 100
+    # Cancelled futures and the two that run: nothing else is left.
+    test_runner.wait_for(
+        lambda: (
+            len(executor.cancelled) == 2
+            and sum(one.done() for one in executor.futures.values())
+            >= len(executor.futures) - 2
+        )
+    )
+    gate.set()
+    assert len(executor.ran) == 2
+
+
+def test_claims_outlive_a_change_of_the_leader(deployment):
+    """A running item must not be lost to a new leader's clock."""
+    first, second, _ = cluster.HOSTS
+    gate = threading.Event()
+
+    def answer(one):
+        gate.wait(60)
+        return fakes.answer_ok(one)
+
+    executor = fakes.FakeExecutor(answer, 20)
+    jobs_store = deployment.open_store(second)
+    submit(jobs_store, 'job-a', 20)
+    group_id = store.make_group_id(jobs_store.get_group('job-a'))
+    one = deployment.start(first, executor)
+    test_runner.wait_for(lambda: len(executor.ran) == 20)
+    for _ in range(2):
+        leader = deployment.running.leader(group_id)
+        other = next(h for h in cluster.HOSTS if h != leader.settings.host_id)
+        leader.transfer(other)
+        test_runner.wait_for(lambda old=leader: not old.is_leader)
+        deployment.running.leader(group_id)
+        threading.Event().wait(0.8)
+    gate.set()
+    assert wait_state(jobs_store, 'job-a', 'completed').done == 20
+    assert len(executor.ran) == 20
+    assert not one.metrics.get_count('batch_results_dropped_total')
--- /dev/null
+++ b/rhubarbreach/bench/jobbench.py
@@ -0,0 +1,316 @@
+"""Figures of one job group: items accepted, claimed and ended a second.
+
+Run with `python -m rhubarbreach.bench.jobbench machine` for the state
+machine alone, or with `group` for three hosts in one process over loopback
+links, each with its own log.
+"""
+
+import concurrent.futures
+import contextlib
+import ctypes
+import dataclasses
+import gc
+import pathlib
+import resource
+import socket
+import sys
+import tempfile
+import time
+
+import msgspec
+
+from rhubarbreach.batch import store
+from rhubarbreach.batch import ticker
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.consensus import client
+from rhubarbreach.consensus import group
+from rhubarbreach.consensus import groups
+from rhubarbreach.consensus import model
+from rhubarbreach.protocol import link
+from rhubarbreach.state import jobcommands
+from rhubarbreach.state import jobs
+
+__all__ = ['measure_group', 'measure_machine', 'run_jobs']
+
+GROUP_ID = 'jobs-0'
+HOSTS = ('host-1', 'host-2', 'host-3')
+TIMEOUT = 60.0
+# Sizes of a typical item: a chat request and its answer.
+BODY_BYTES = 600
+RESULT_BYTES = 500
+CLAIM_ITEMS = 64
+REPORT_ITEMS = 64
+CLAIM_MILLISECONDS = 60_000
+CLAIM_BYTES = 512 * 1024
+PAGE_BYTES = resource.getpagesize()
+# Items a day at the target size.
+TARGET_ITEMS_A_DAY = 67_000_000
+SECONDS_A_DAY = 86_400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """Rates in items per second and resident bytes per item.
+
+    `waiting_bytes` counts an item with its body, `ended_bytes` one with its
+    result in place of the body, `snapshot_seconds` a snapshot of all items.
+    """
+
+    items: int
+    accepted_rate: float
+    ended_rate: float
+    waiting_bytes: float = 0.0
+    ended_bytes: float = 0.0
+    snapshot_seconds: float = 0.0
+
+    def describe(self):
+        """Return one line of key=value pairs."""
+        share = TARGET_ITEMS_A_DAY / SECONDS_A_DAY / self.ended_rate
+        return (
+            f'items={self.items} accepted_per_s={self.accepted_rate:.0f} '
+            f'claimed_and_ended_per_s={self.ended_rate:.0f} '
+            f'waiting_bytes={self.waiting_bytes:.0f} '
+            f'ended_bytes={self.ended_bytes:.0f} '
+            f'snapshot_s={self.snapshot_seconds:.2f} '
+            f'groups_for_target={share:.2f}'
+        )
+
+
+class LocalClient:
+    """A machine alone behind the interface of the client."""
+
+    def __init__(self):
+        self.machine = jobs.JobsMachine()
+        self.index = 0
+
+    def propose(self, group_id, command, deadline):
+        """Apply a command at once."""
+        self.index += 1
+        return self.machine.apply(self.index, command)
+
+    def query(self, group_id, query, deadline):
+        """Answer a query."""
+        return self.machine.query(query)
+
+
+def get_resident():
+    """Return the resident bytes of this process.
+
+    What the allocator keeps for reuse is handed back first; otherwise the
+    copies that the caller of the store held would be counted too.
+    """
+    gc.collect()
+    ctypes.CDLL(None).malloc_trim(0)
+    fields = pathlib.Path('/proc/self/statm').read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+def make_begin(number, count):
+    """Return the command that opens a job of one of eight accounts."""
+    return jobcommands.BeginJob(
+        f'batch-{number:032x}',
+        f'account-{number % 8}',
+        f'job-{number}',
+        b'd' * 32,
+        'POST',
+        '/v1/chat/completions',
+        'rota',
+        count,
+        True,
+        1.0,
+        3,
+        SECONDS_A_DAY * 1000,
+        0.0,
+    )
+
+
+def submit_job(jobs_store, number, count):
+    """Store a job; return its number of items."""
+    custom_ids = [f'item-{index:05d}' for index in range(count)]
+    filler = b'x' * (BODY_BYTES - 50)
+    bodies = [
+        b'{"model":"rota","n":%06d,"prompt":"%s"}' % (index, filler)
+        for index in range(count)
+    ]
+    status = jobs_store.submit(
+        make_begin(number, count),
+        custom_ids,
+        bodies,
+        clock.monotonic() + TIMEOUT,
+    )
+    if isinstance(status, codes.Refusal):
+        raise RuntimeError(status.reason)
+    return status.total
+
+
+def run_holder(jobs_store, name):
+    """Claim and end items like one host until none is left."""
+    stored = jobcommands.StoredResult(
+        0, '', 200, 'application/json', b'r' * RESULT_BYTES
+    )
+    result = msgspec.msgpack.encode(stored)
+    sequence = 0
+    ended = 0
+    while True:
+        sequence += 1
+        command = jobcommands.ClaimItems(
+            name, sequence, CLAIM_ITEMS, CLAIM_BYTES, CLAIM_MILLISECONDS
+        )
+        reply = jobs_store.propose(0, command, clock.monotonic() + TIMEOUT)
+        if isinstance(reply, codes.Refusal):
+            raise RuntimeError(reply.reason)
+        if not reply.claims:
+            return ended
+        results = [
+            jobcommands.ItemResult(
+                claim.epoch, item, jobcommands.ItemEnd.DONE, result
+            )
+            for claim in reply.claims
+            for item in claim.items
+        ]
+        for first in range(0, len(results), REPORT_ITEMS):
+            report = jobcommands.ReportResults(
+                tuple(results[first : first + REPORT_ITEMS])
+            )
+            answer = jobs_store.propose(0, report, clock.monotonic() + TIMEOUT)
+            ended += sum(answer.taken)
+
+
+def run_jobs(jobs_store, job_count, item_count, holders):
+    """Store jobs, then end all items from several holders at a time.
+
+    Returns
+    -------
+    tuple of float
+        Seconds to store, resident bytes gained meanwhile, and seconds to
+        claim and end all items.
+    """
+    before = get_resident()
+    started = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(holders) as pool:
+        total = sum(
+            pool.map(
+                lambda number: submit_job(jobs_store, number, item_count),
+                range(job_count),
+            )
+        )
+    stored = time.monotonic() - started
+    gained = get_resident() - before
+    started = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(holders) as pool:
+        ended = sum(
+            pool.map(
+                lambda number: run_holder(jobs_store, f'host-{number}#1'),
+                range(holders),
+            )
+        )
+    spent = time.monotonic() - started
+    if ended != total:
+        raise RuntimeError(f'{ended} of {total} items ended')
+    return stored, gained, spent
+
+
+def measure_machine(job_count, item_count):
+    """Measure the state machine alone.
+
+    Parameters
+    ----------
+    job_count, item_count : int
+        Jobs, and items of each.
+
+    Returns
+    -------
+    Figures
+        Of one run.
+    """
+    local = LocalClient()
+    before = get_resident()
+    stored, gained, spent = run_jobs(
+        store.Store(local, 1), job_count, item_count, 1
+    )
+    left = get_resident() - before
+    started = time.monotonic()
+    local.machine.snapshot()
+    total = job_count * item_count
+    return Figures(
+        total,
+        total / stored,
+        total / spent,
+        gained / total,
+        left / total,
+        time.monotonic() - started,
+    )
+
+
+def find_address():
+    """Return a free loopback address."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+@contextlib.contextmanager
+def running_group(folder):
+    """Run three hosts of one group; yield a client at the first."""
+    addresses = {host: find_address() for host in HOSTS}
+    opened = contextlib.ExitStack()
+    with opened:
+        links = {}
+        ticked = []
+        for host in HOSTS:
+            peers = {name: at for name, at in addresses.items()}
+            links[host] = link.Link(host, addresses[host], peers, None)
+            opened.callback(links[host].close)
+            hosted = groups.GroupSet(links[host])
+            opened.callback(hosted.close)
+            settings = model.GroupSettings(
+                GROUP_ID, host, str(pathlib.Path(folder) / host), HOSTS
+            )
+            machine = jobs.JobsMachine()
+            one = hosted.add(group.Group(settings, links[host], machine))
+            ticked.append(
+                ticker.TickedGroup(one, machine, jobcommands.COMMANDS)
+            )
+        clocks = ticker.Ticker(ticked)
+        clocks.start()
+        opened.callback(clocks.close)
+        yield client.Client(links[HOSTS[0]], HOSTS)
+
+
+def measure_group(job_count, item_count, holders=8):
+    """Measure one group of three hosts in this process.
+
+    Parameters
+    ----------
+    job_count, item_count : int
+        Jobs, and items of each.
+    holders : int
+        Hosts that claim and report at the same time.
+
+    Returns
+    -------
+    Figures
+        Of one run, without the bytes of items, since three machines share
+        the process.
+    """
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_group(folder) as hosts,
+    ):
+        stored, _, spent = run_jobs(
+            store.Store(hosts, 1), job_count, item_count, holders
+        )
+    total = job_count * item_count
+    return Figures(total, total / stored, total / spent)
+
+
+def main(mode='machine', job_count=4, item_count=25_000):
+    """Measure and print one line."""
+    measure = measure_group if mode == 'group' else measure_machine
+    figures = measure(int(job_count), int(item_count))
+    sys.stdout.write(f'mode={mode} {figures.describe()}\n')
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
--- a/rhubarbreach/state/pack.py
+++ b/rhubarbreach/state/pack.py
@@ -43,6 +43,9 @@
         self.sizes[slot] = len(value)
         self.data += value
         self.live += len(value)
+        if slot == SEGMENT_ITEMS - 1:
+            # A growing buffer is up to an eighth larger than its content.
+            self.data = self.data[:]
 
     def get(self, slot):
         """Return the value of a slot or None."""
