--- a/rhubarbreach/consensus/client.py
+++ b/rhubarbreach/consensus/client.py
@@ -9,8 +9,13 @@
 __all__ = ['Client', 'propose', 'query']
 
 # A host that does not answer within this time is passed over; commands
-# carry operation ids, so that trying again elsewhere is harmless.
-ATTEMPT_SECONDS = 1.0
+# carry operation ids, so that trying again elsewhere is harmless. Each
+# attempt after a silent one waits longer, for a slow disk.
+ATTEMPT_SECONDS = 0.3
+MAX_ATTEMPT_SECONDS = 4.0
+# A host that did not answer is not taken for the leader within this time,
+# although others may still name it.
+SILENT_SECONDS = 1.0
 RETRY_SECONDS = 0.05
 RETRIED = (codes.ResultCode.NOT_LEADER, codes.ResultCode.UNAVAILABLE)
 
@@ -30,6 +35,7 @@
         self.link = link
         self.hosts = tuple(hosts)
         self.leaders = {}
+        self.silent_until = {}
 
     def propose(self, group_id, command, deadline):
         """Commit a command.
@@ -62,11 +68,13 @@
             codes.ResultCode.UNAVAILABLE, 'no store host is known'
         )
         turn = 0
+        silences = 0
         while clock.monotonic() < deadline:
             host_id = self.choose_host(group_id, turn)
-            if host_id is None:
-                break
-            reply = self.attempt(host_id, group_id, command, deadline, is_read)
+            message = messages.ClusterCommand(
+                group_id, command, limit(silences, deadline), is_read
+            )
+            reply = self.attempt(host_id, message)
             if reply.refusal is None:
                 self.leaders[group_id] = host_id
                 return reply.result
@@ -76,6 +84,7 @@
             if refusal.ran != codes.Ran.NO and not is_read:
                 may_have_run = True
             turn += 1
+            silences += self.is_silent(host_id, clock.monotonic())
             self.note_failure(group_id, host_id, reply)
         ran = codes.Ran.UNKNOWN if may_have_run else codes.Ran.NO
         return codes.Refusal(
@@ -90,29 +99,44 @@
         if leader is not None:
             return leader
         hosts = self.hosts or (self.link.host_id, *list(self.link.peers))
-        return hosts[turn % len(hosts)] if hosts else None
+        now = clock.monotonic()
+        awake = [host for host in hosts if not self.is_silent(host, now)]
+        hosts = awake or hosts
+        return hosts[turn % len(hosts)]
+
+    def is_silent(self, host_id, now):
+        """Return whether a host has lately left a request unanswered."""
+        return now < self.silent_until.get(host_id, now)
 
     def note_failure(self, group_id, host_id, reply):
         """Remember the leader a host has named, or forget it."""
+        now = clock.monotonic()
         leader = reply.leader_id
-        if leader is not None and leader != host_id:
+        if leader not in (None, host_id) and not self.is_silent(leader, now):
             self.leaders[group_id] = leader
             return
         self.leaders.pop(group_id, None)
         threading.Event().wait(RETRY_SECONDS)
 
-    def attempt(self, host_id, group_id, command, deadline, is_read):
+    def attempt(self, host_id, message):
         """Return the reply of one host."""
         now = clock.monotonic()
-        timeout = min(clock.remaining(deadline, now), ATTEMPT_SECONDS)
-        message = messages.ClusterCommand(group_id, command, timeout, is_read)
-        call = self.link.call(host_id, message, now + timeout)
+        call = self.link.call(host_id, message, now + message.timeout)
         reply = call.result()
         if isinstance(reply, codes.Refusal):
+            # The link itself has refused: nothing came back in time.
+            self.silent_until[host_id] = clock.monotonic() + SILENT_SECONDS
             return messages.ClusterReply(None, reply)
         return reply
 
 
+def limit(silences, deadline):
+    """Return the seconds that an attempt may take."""
+    left = clock.remaining(deadline, clock.monotonic())
+    longest = min(ATTEMPT_SECONDS * (1 + silences), MAX_ATTEMPT_SECONDS)
+    return min(left, longest)
+
+
 def propose(link, group_id, command, deadline, hosts=()):
     """Commit a command; see `Client.propose`."""
     return get_client(link, hosts).propose(group_id, command, deadline)
--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -9,7 +9,9 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.protocol import messages
 
-__all__ = ['handle_hello', 'make_hello', 'send_hellos', 'start_formation']
+__all__ = ['announce', 'handle_hello', 'make_hello', 'start_formation']
+
+HELLO_SECONDS = 1.0
 
 
 def make_hello(state):
@@ -44,10 +46,20 @@
     return member is not None and member.store_id == state.store.store_id
 
 
-def send_hellos(state):
-    """Announce this store until it belongs to the group."""
-    if is_joined(state):
+def announce(state, now):
+    """Announce this store once a second until it belongs to the group.
+
+    A forming group announces at each tick, as it serves nobody yet.
+    """
+    if is_joined(state) or now < state.hello_due:
         return
+    if state.store.formed or state.store.last_index > 0:
+        state.hello_due = now + HELLO_SECONDS
+    send_hellos(state)
+
+
+def send_hellos(state):
+    """Send the announcement to all hosts that may know the group."""
     hello = make_hello(state)
     hosts = set(state.settings.initial)
     hosts.update(member.host_id for member in state.store.members)
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -283,12 +283,11 @@
             for event in events:
                 if isinstance(event, model.Proposal):
                     proposals.append(event)
-                elif isinstance(event, tuple):
-                    self.handle(*event, now)
                 elif event is not None:
-                    event()
+                    self.handle_event(event, now)
             if now >= self.next_tick:
-                self.tick(now)
+                self.next_tick = now + self.settings.heartbeat
+                self.handle_event(functools.partial(self.tick, now), now)
             if proposals:
                 changes.append_proposals(self.state, proposals, now)
             self.settle(now)
@@ -304,6 +303,25 @@
             self.finish_refused()
         self.send(self.state.after_sync)
 
+    def handle_event(self, event, now):
+        """Handle a message or call a function.
+
+        What cannot be persisted has no effect: a vote is not given and
+        entries are not acknowledged.
+        """
+        try:
+            if isinstance(event, tuple):
+                self.handle(*event, now)
+            else:
+                event()
+        except exceptions.DiskFullError as error:
+            self.state.disk_full = True
+            LOG.warning(
+                'event=disk_full group={} file={!r}',
+                self.group_id,
+                str(error),
+            )
+
     def settle(self, now):
         """Draw the consequences of what has changed."""
         state = self.state
@@ -342,9 +360,8 @@
     def tick(self, now):
         """Do what is due by time."""
         state = self.state
-        self.next_tick = now + self.settings.heartbeat
         changes.expire(state, now)
-        formation.send_hellos(state)
+        formation.announce(state, now)
         if state.is_leader:
             changes.promote_replacements(state, now)
             limit = self.settings.election_timeout * STEP_DOWN_TIMEOUTS
--- a/rhubarbreach/consensus/groups.py
+++ b/rhubarbreach/consensus/groups.py
@@ -2,12 +2,16 @@
 
 import concurrent.futures
 
+import logbook
+
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach import exceptions
 from rhubarbreach.protocol import messages
 
 __all__ = ['GroupSet']
 
+LOG = logbook.Logger('consensus')
 GROUP_MESSAGES = (
     messages.AppendEntries,
     messages.AppendReply,
@@ -81,8 +85,15 @@
                 group.read(deadline),
                 lambda result: answer_query(group, message, result),
             )
+        try:
+            future = group.propose(message.command, deadline)
+        except exceptions.MessageError as error:
+            refusal = codes.Refusal(
+                codes.ResultCode.INVALID_CHANGE, str(error)
+            )
+            return messages.ClusterReply(None, refusal)
         return translate(
-            group.propose(message.command, deadline),
+            future,
             lambda result: make_reply(group, result),
         )
 
@@ -105,9 +116,12 @@
 
     def finish(done):
         try:
-            translated.set_result(function(done.result()))
+            result = function(done.result())
         except Exception as error:
-            translated.set_exception(error)
+            LOG.exception('event=query_failed')
+            refusal = codes.Refusal(codes.ResultCode.INTERNAL, str(error))
+            result = function(refusal)
+        translated.set_result(result)
 
     future.add_done_callback(finish)
     return translated
--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -41,6 +41,8 @@
     peer.urgent = False
     peer.heartbeat_due = now + state.settings.heartbeat
     if peer.next_index <= state.store.base_index:
+        # A chunk is sent again only when the peer had time to answer.
+        peer.heartbeat_due = now + state.settings.election_timeout
         return build_chunk(state, peer, now)
     return build_append(state, peer, now)
 
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -65,6 +65,7 @@
         self.transfer_deadline = 0.0
         self.transfer_future = None
         self.hellos = {}
+        self.hello_due = now
         set_election_deadline(self, now)
 
     @property
@@ -153,11 +154,6 @@
 
 def become_leader(state, now):
     """Lead the current term and append its first entry."""
-    state.role = model.Role.LEADER
-    state.leader_id = state.settings.host_id
-    state.leader_since = now
-    state.peers = {}
-    sync_peers(state)
     store = state.store
     index = store.last_index + 1
     kind, data = model.ENTRY_NOOP, b''
@@ -165,8 +161,13 @@
         # The log itself then says who the first members are.
         kind = model.ENTRY_MEMBERS
         data = store_codec.encode_members(store.members)
-    state.term_start_index = index
     store.append([messages.LogEntry(index, store.term, kind, data)])
+    state.term_start_index = index
+    state.role = model.Role.LEADER
+    state.leader_id = state.settings.host_id
+    state.leader_since = now
+    state.peers = {}
+    sync_peers(state)
 
 
 def sync_peers(state):
@@ -180,7 +181,8 @@
             known = model.Progress(
                 member.host_id,
                 member.store_id,
-                state.store.last_index + 1,
+                # The new leader's first entry is sent at once.
+                max(state.term_start_index, state.store.base_index + 1),
             )
         wanted[member.host_id] = known
     state.peers = wanted
--- a/rhubarbreach/consensus/voting.py
+++ b/rhubarbreach/consensus/voting.py
@@ -33,9 +33,9 @@
     states.set_election_deadline(state, now)
     if not states.is_voter(state):
         return
+    state.store.save_vote(state.store.term + 1, state.settings.host_id)
     state.role = model.Role.CANDIDATE
     state.leader_id = None
-    state.store.save_vote(state.store.term + 1, state.settings.host_id)
     state.votes = {state.settings.host_id}
     ask_voters(state, state.store.term, False, transfer)
     count_votes(state, now)
