--- a/rhubarbreach/distribution/__init__.py
+++ b/rhubarbreach/distribution/__init__.py
@@ -1,5 +1,6 @@
 """Configuration view of a host and its distribution to all hosts."""
 
+from rhubarbreach.distribution import client
 from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import revision
 from rhubarbreach.distribution import serve
@@ -7,4 +8,12 @@
 from rhubarbreach.distribution import view
 from rhubarbreach.distribution import watch
 
-__all__ = ['effect', 'revision', 'serve', 'store', 'view', 'watch']
+__all__ = [
+    'client',
+    'effect',
+    'revision',
+    'serve',
+    'store',
+    'view',
+    'watch',
+]
--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -7,7 +7,10 @@
 from rhubarbreach.protocol import messages
 from rhubarbreach.state import model
 
-__all__ = ['Tracker', 'get_extra']
+__all__ = ['ANY_ACCOUNT', 'Tracker', 'get_extra', 'get_longest_extra']
+
+# In place of an account id: the account with the longest bound.
+ANY_ACCOUNT = '*'
 
 # Hosts listed by name in one message; the others are sent as one row.
 MAX_LAGS = 64
@@ -53,7 +56,7 @@
     config : Config
         Configuration in effect.
     account_id : str
-        Client account, empty for none.
+        Client account, empty for none, `ANY_ACCOUNT` when not known.
 
     Returns
     -------
@@ -61,10 +64,18 @@
         Seconds beyond the validity of the configuration. The longest bound
         ever set counts, since a partitioned host may still use that one.
     """
+    if account_id == ANY_ACCOUNT:
+        return get_longest_extra(config)
     bound = config.get_longest_bound(account_id)
     return max(0.0, bound - view.CONFIG_VALIDITY)
 
 
+def get_longest_extra(config):
+    """Return for how much longer any account's keys may work, in seconds."""
+    bounds = (seconds for _, seconds in config.bound_map.items())
+    return max(0.0, max(bounds, default=0.0) - view.CONFIG_VALIDITY)
+
+
 class Tracker:
     """Revisions in use at the hosts that poll this one."""
 
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import threading
+import time
 
 from rhubarbreach import clock
 from rhubarbreach.distribution import effect
@@ -128,7 +129,7 @@
             self.answer_polls(now)
             self.answer_queries(now)
             timeout = self.find_timeout(now)
-            threading.Event().wait(COALESCE)
+            time.sleep(COALESCE)
 
     def find_timeout(self, now):
         """Return the seconds until the next answer is due."""
--- a/rhubarbreach/distribution/watch.py
+++ b/rhubarbreach/distribution/watch.py
@@ -9,6 +9,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import view as view_module
 from rhubarbreach.protocol import messages
 from rhubarbreach.state import index
@@ -149,10 +150,7 @@
     def make_watch(self, hold, now):
         """Return the poll, with the state of the hosts below this one."""
         config = self.view.snapshot
-        longest = max(
-            (seconds for _, seconds in config.bound_map.items()), default=0.0
-        )
-        extra = max(0.0, longest - view_module.CONFIG_VALIDITY)
+        extra = effect.get_longest_extra(config)
         self.polls_sent += 1
         return messages.ConfigWatch(
             self.settings.host_id,
--- a/rhubarbreach/state/config.py
+++ b/rhubarbreach/state/config.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import hashlib
 import threading
 
 import msgspec
@@ -26,15 +27,19 @@
 # A resend after that does no harm: changes of operators carry an expected
 # revision and those of hosts an expected epoch, which by then is refused.
 OPERATIONS_KEPT = 8192
+# A repeated operation id with another change is refused: a lost answer to
+# the addition of one key must not be taken for that to another key.
+FINGERPRINT_BYTES = 8
 # Changes kept for deltas; a host that is further behind gets a snapshot.
 HISTORY_CHANGES = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operation:
-    """Answer given to an operation id."""
+    """Answer given to an operation id, and a digest of the change."""
 
     operation_id: str
+    fingerprint: bytes
     result: model.ChangeResult
 
 
@@ -50,6 +55,13 @@
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(MachineSnapshot)
 
 
+def make_fingerprint(request):
+    """Return a short digest of a change and its expected revision."""
+    digest = hashlib.blake2b(request.change, digest_size=FINGERPRINT_BYTES)
+    digest.update(str(request.expected_revision).encode())
+    return digest.digest()
+
+
 class History:
     """Latest changes of a configuration, by revision.
 
@@ -133,15 +145,27 @@
         except msgspec.DecodeError:
             return model.encode_result(self.make_refused('malformed command'))
         with self.lock:
-            known = self.operations.get(request.operation_id)
             before = self.config
-            if known is None:
-                known = self.execute(request)
-                self.remember(request.operation_id, known)
+            result = self.find_answer(request)
+            if result is None:
+                result = self.execute(request)
+                self.remember(request, result)
             changed = self.config is not before
         if changed:
             self.notify()
-        return model.encode_result(known)
+        return model.encode_result(result)
+
+    def find_answer(self, request):
+        """Return the answer to an operation id, None for a new one."""
+        known = self.operations.get(request.operation_id)
+        if known is None:
+            return None
+        if known.fingerprint != make_fingerprint(request):
+            return self.make_refused(
+                'the operation id belongs to another change',
+                codes.ResultCode.IDEMPOTENCY_CONFLICT,
+            )
+        return known.result
 
     def make_refused(self, reason, code=codes.ResultCode.INVALID_CHANGE):
         """Return the result of a refused change."""
@@ -169,9 +193,11 @@
         self.history.add(request.change)
         return model.ChangeResult(codes.ResultCode.OK, changed.revision)
 
-    def remember(self, operation_id, result):
+    def remember(self, request, result):
         """Keep the answer of an operation, and forget the oldest."""
-        self.operations[operation_id] = result
+        self.operations[request.operation_id] = Operation(
+            request.operation_id, make_fingerprint(request), result
+        )
         if len(self.operations) > OPERATIONS_KEPT:
             self.operations.popitem(last=False)
 
@@ -202,10 +228,7 @@
         """Return all state, equal on all replicas at the same index."""
         with self.lock:
             config = self.config
-            operations = tuple(
-                Operation(operation_id, result)
-                for operation_id, result in self.operations.items()
-            )
+            operations = tuple(self.operations.values())
             history = tuple(self.history.changes)
         return model.ENCODER.encode(
             MachineSnapshot(index.to_document(config), operations, history)
@@ -224,6 +247,6 @@
             self.config = index.from_document(found.document)
             self.history = History(self.config.revision, found.history)
             self.operations = collections.OrderedDict(
-                (one.operation_id, one.result) for one in found.operations
+                (one.operation_id, one) for one in found.operations
             )
         self.notify()
--- a/rhubarbreach/state/model.py
+++ b/rhubarbreach/state/model.py
@@ -293,7 +293,7 @@
     Parameters
     ----------
     code : ResultCode
-        OK, REVISION_CONFLICT or INVALID_CHANGE.
+        OK, REVISION_CONFLICT, INVALID_CHANGE or IDEMPOTENCY_CONFLICT.
     revision : int
         Revision of the change when OK, else the current revision.
     reason : str
