--- /dev/null
+++ b/rhubarbreach/commands/operation.py
@@ -0,0 +1,165 @@
+"""Operator commands for hosts, endpoints, groups and jobs."""
+
+from rhubarbreach.commands import calls
+from rhubarbreach.operators import operators_pb2
+
+__all__ = ['OperationCommands']
+
+
+class OperationCommands(calls.Calls):
+    """State of the fleet and actions on it."""
+
+    def wait_in_effect(self, revision, account_id=''):
+        """Wait until a revision is in effect on all hosts.
+
+        Parameters
+        ----------
+        revision : int
+            Revision that a change was accepted with.
+        account_id : str
+            Account that the change concerned, for its `stale_key_bound`.
+        """
+        request = operators_pb2.WaitRequest(
+            revision=int(revision),
+            account_id=str(account_id),
+            wait=self._session.wait,
+        )
+        self._session.report(self._session.call('WaitInEffect', request))
+
+    def list_hosts(self):
+        """List the hosts with their state and configuration revision."""
+        columns = (
+            'host_id',
+            'region',
+            'zone',
+            'address',
+            'roles',
+            'status',
+            'revision',
+        )
+        self._session.show('ListHosts', '', 'hosts', columns)
+
+    def list_endpoints(self):
+        """List the endpoints with the load that they reported."""
+        columns = (
+            'endpoint_id',
+            'zone',
+            'address',
+            'kind',
+            'models',
+            'draining',
+            'running',
+            'waiting',
+            'slots',
+        )
+        self._session.show('ListEndpoints', '', 'endpoints', columns)
+
+    def list_groups(self):
+        """List the replicated log groups with leader and members."""
+        columns = (
+            'group_id',
+            'leader_id',
+            'term',
+            'applied_index',
+            'voters',
+            'learners',
+        )
+        self._session.show('ListGroups', '', 'groups', columns)
+
+    def list_rates(self, account_id=''):
+        """List configured rates and the requests admitted and refused."""
+        columns = (
+            'account_id',
+            'rate',
+            'burst',
+            'admitted',
+            'refused',
+            'owner_id',
+        )
+        self._session.show('ListRates', account_id, 'rates', columns)
+
+    def change_member(self, host_id, action, group_id=''):
+        """Change the store hosts of a replicated log group.
+
+        A new store host is added, catches up as a learner, and is promoted;
+        a lost one is removed. One change at a time is accepted.
+
+        Parameters
+        ----------
+        host_id : str
+            Store host.
+        action : str
+            `add`, `promote`, `remove`, or `transfer` of the leadership.
+        group_id : str
+            Group, default all groups.
+        """
+        request = operators_pb2.ChangeMemberRequest(
+            change=self._session.make_header(),
+            group_id=str(group_id),
+            host_id=str(host_id),
+            action=str(action),
+        )
+        self._session.change('ChangeMember', request)
+
+    def drain_host(self, host_id):
+        """Drain a host: no new work, in-flight work finishes, then exit."""
+        self._remove('DrainHost', host_id)
+
+    def list_jobs(self, account_id=''):
+        """List the batch jobs of all accounts or of one."""
+        columns = (
+            'job_id',
+            'account_id',
+            'status',
+            'items',
+            'completed',
+            'failed',
+        )
+        self._session.show('ListJobs', account_id, 'jobs', columns)
+
+    def cancel_job(self, job_id):
+        """Cancel a batch job."""
+        self._remove('CancelJob', job_id)
+
+    def set_log_level(self, host_id, level):
+        """Set the log level of a host until its next start.
+
+        Parameters
+        ----------
+        host_id : str
+            Host.
+        level : str
+            `debug`, `info`, `warning` or `error`.
+        """
+        request = operators_pb2.SetLogLevelRequest(
+            change=self._session.make_header(),
+            host_id=str(host_id),
+            level=str(level),
+        )
+        self._session.change('SetLogLevel', request)
+
+    def order_endpoint(
+        self, endpoint_id, order, model_id='', version='', role=''
+    ):
+        """Give an order to an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint.
+        order : str
+            `load` or `unload` a model, or change the `role`.
+        model_id, version : str
+            Model to load or unload.
+        role : str
+            New role, such as `prefill` or `decode`.
+        """
+        request = operators_pb2.OrderEndpointRequest(
+            change=self._session.make_header(),
+            endpoint_id=str(endpoint_id),
+            order=str(order),
+            model_id=str(model_id),
+            version=str(version),
+            role=str(role),
+        )
+        self._session.change('OrderEndpoint', request)
--- /dev/null
+++ b/rhubarbreach/commands/tests/test_admin.py
@@ -0,0 +1,78 @@
+"""Tests of the operator command line."""
+
+import fire
+import pytest
+
+from rhubarbreach.commands import admin
+from rhubarbreach.commands import session
+from rhubarbreach.distribution import view
+from rhubarbreach.operators import operators_pb2
+from rhubarbreach.operators import server
+from rhubarbreach.operators.tests import memory
+from rhubarbreach.protocol import messages
+
+
+@pytest.fixture
+def provider():
+    return memory.MemoryProvider()
+
+
+@pytest.fixture
+def run(provider, capsys):
+    one = server.Server('127.0.0.1:0', provider)
+
+    def run_command(*words):
+        hosts = f'--hosts=127.0.0.1:{one.port}'
+        status = 0
+        try:
+            fire.Fire(admin.Admin, [hosts, *words])
+        except SystemExit as error:
+            status = error.code
+        output = capsys.readouterr()
+        return status, output.out, output.err
+
+    yield run_command
+    one.close()
+
+
+def test_account_key_and_route_are_managed_from_the_command_line(run):
+    """Guards against commands that do not match the service."""
+    assert run('put_account', 'patio', '--rate=5')[0] == 0
+    assert run('put_account', 'patio', '--burst=9')[0] == 0
+    assert 'patio       5     9' in run('list_accounts')[1]
+    route = ('put_route', 'chat', '--path=/v1/chat', '--accounts=patio')
+    assert run(*route)[0] == 0
+    assert run('put_route', 'chat', '--timeout=7')[0] == 0
+    assert 'chat      /v1/chat  engine' in run('list_routes')[1]
+    assert run('put_model', 'rota', '--version=2')[0] == 0
+    status, _, errors = run('remove_account', 'patio')
+    assert status == session.EXIT_REFUSED
+    assert errors.startswith('refused: 203 INVALID_CHANGE: route')
+
+
+def test_key_is_printed_once_and_only_its_digest_is_kept(run, provider):
+    """Guards against keys that can be read from the store hosts."""
+    run('put_account', 'patio', '--rate=5')
+    key = run('add_key', 'patio', 'k-1')[1].splitlines()[0]
+    found = provider.machine.config.find_key(view.get_digest(key))
+    assert found.key_id == 'k-1'
+    assert key.encode() not in provider.machine.snapshot()
+    assert key not in run('list_keys')[1]
+    assert run('revoke_key', 'k-1')[0] == 0
+    assert provider.machine.config.get_key('k-1').revoked
+
+
+def test_pending_hosts_give_their_own_exit_status(run, provider):
+    """Guards against a script that takes a pending change for done."""
+    provider.pending = (messages.PendingHost('host-9', 1.5),)
+    status, output, _ = run('put_account', 'patio', '--rate=5')
+    assert status == session.EXIT_PENDING
+    assert 'not yet in effect on host-9; at the latest in 1.5 s' in output
+
+
+def test_each_call_of_the_schema_has_a_command():
+    """Guards against a call that operators cannot make."""
+    service = operators_pb2.DESCRIPTOR.services_by_name['Operators']
+    for method in service.methods:
+        name = server.find_function_name(method.name)
+        assert getattr(admin.Admin, name).__doc__
--- /dev/null
+++ b/rhubarbreach/operators/tests/test_server.py
@@ -0,0 +1,151 @@
+"""Tests of the operator service over gRPC."""
+
+import contextlib
+import pathlib
+
+import pytest
+
+from rhubarbreach.bench import certificates
+from rhubarbreach import codes
+from rhubarbreach.operators import client
+from rhubarbreach.operators import operators_pb2 as pb
+from rhubarbreach.operators import server
+from rhubarbreach.operators.tests import memory
+from rhubarbreach.orders import model as orders_model
+from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import tls
+
+CODE = codes.ResultCode
+
+
+@pytest.fixture
+def provider():
+    return memory.MemoryProvider()
+
+
+@pytest.fixture
+def caller(provider):
+    one = server.Server('127.0.0.1:0', provider)
+    made = client.Client((client.Target('', f'127.0.0.1:{one.port}'),))
+    yield made
+    made.close()
+    one.close()
+
+
+def put_account(caller, operation_id, revision, rate=1.0, timeout=5.0):
+    header = pb.Change(operation_id=operation_id, expected_revision=revision)
+    account = pb.Account(
+        account_id='patio',
+        rate=rate,
+        burst=2.0,
+        weight=1.0,
+        stale_key_bound=2.0,
+    )
+    request = pb.PutAccountRequest(change=header, account=account)
+    return caller.call('PutAccount', request, timeout)
+
+
+def test_change_is_made_once_when_the_answer_is_lost(caller, provider):
+    """Guards against a second change by the resend of an operator."""
+    provider.lost_answers = 2
+    reply = put_account(caller, 'op-1', 0)
+    assert (reply.result.code, reply.revision) == (0, 1)
+    assert provider.machine.revision == 1
+
+
+def test_second_operator_with_the_same_revision_is_refused(caller, provider):
+    """Guards against a change that undoes another one unseen."""
+    put_account(caller, 'op-1', 0, 1.0)
+    reply = put_account(caller, 'op-2', 0, 9.0)
+    assert reply.result.code == CODE.REVISION_CONFLICT
+    assert (reply.revision, reply.result.ran) == (1, 'no')
+    assert provider.machine.config.get_account('patio').rate == 1.0
+
+
+def test_pending_hosts_are_named_with_their_deadline(caller, provider):
+    """Guards against an answer that hides where a change is missing."""
+    provider.pending = (messages.PendingHost('host-9', 1.5),)
+    reply = put_account(caller, 'op-1', 0)
+    assert not reply.in_effect
+    assert [(p.host_id, p.seconds) for p in reply.pending] == [('host-9', 1.5)]
+
+
+@pytest.mark.parametrize(
+    ('name', 'request_message'),
+    [
+        ('PutAccount', pb.PutAccountRequest()),
+        ('PutAccount', pb.PutAccountRequest(change=pb.Change(wait=1e9))),
+        ('AddKey', pb.AddKeyRequest(change=pb.Change(operation_id='a'))),
+        ('PutRoute', pb.PutRouteRequest(change=pb.Change(operation_id='b'))),
+        ('PutModel', pb.PutModelRequest(change=pb.Change(operation_id='c'))),
+        ('RevokeKey', pb.RemoveRequest(change=pb.Change(operation_id='d'))),
+        ('ChangeMember', pb.ChangeMemberRequest(action='explode')),
+        ('SetLogLevel', pb.SetLogLevelRequest(level='loud')),
+        ('OrderEndpoint', pb.OrderEndpointRequest(order='dance')),
+        ('DrainHost', pb.RemoveRequest(id='host-1')),
+    ],
+)
+def test_invalid_request_is_a_numbered_refusal(caller, name, request_message):
+    """Guards against tracebacks in place of result codes."""
+    reply = caller.call(name, request_message, 5.0)
+    assert reply.result.code == CODE.INVALID_CHANGE
+    assert reply.result.reason
+
+
+def test_fault_of_the_host_is_a_numbered_refusal(caller):
+    """Guards against a call that ends without a result."""
+    reply = caller.call('ListEndpoints', pb.ListRequest(), 5.0)
+    assert reply.result.code == CODE.INTERNAL
+    assert 'Traceback' not in reply.result.reason
+
+
+def test_action_needs_the_revision_that_the_operator_saw(caller, provider):
+    """Guards against an action that is based on an outdated list."""
+    put_account(caller, 'op-1', 0)
+    for revision in (0, 1):
+        header = pb.Change(
+            operation_id=f'order-{revision}', expected_revision=revision
+        )
+        request = pb.OrderEndpointRequest(
+            change=header, endpoint_id='e-1', order='load', model_id='m'
+        )
+        reply = caller.call('OrderEndpoint', request, 5.0)
+    assert reply.result.code == CODE.OK
+    action = orders_model.LoadModel('m', '')
+    assert [found[:3] for found in provider.actions] == [
+        ('e-1', action, 'order-1')
+    ]
+
+
+def test_revocation_counts_the_bound_of_its_account(caller, provider):
+    """Guards against a deadline that is too early for the account."""
+    put_account(caller, 'op-1', 0)
+    header = pb.Change(operation_id='op-2', expected_revision=1)
+    key = pb.Key(key_id='k', account_id='patio', digest=b'd' * 32)
+    caller.call('AddKey', pb.AddKeyRequest(change=header, key=key), 5.0)
+    header = pb.Change(operation_id='op-3', expected_revision=2)
+    request = pb.RemoveRequest(change=header, id='k')
+    assert caller.call('RevokeKey', request, 5.0).revision == 3
+    assert provider.asked_accounts[-1] == 'patio'
+
+
+def test_only_operator_certificates_may_call(tmp_path, provider):
+    """Guards against a host's certificate that can change accounts."""
+    names = ('host-1', 'operator-anna')
+    certificates.write_certificates(str(tmp_path), names)
+
+    def get_files(name):
+        parts = ('ca.crt', f'{name}.crt', f'{name}.key')
+        return tls.TlsFiles(*(str(pathlib.Path(tmp_path, p)) for p in parts))
+
+    one = server.Server('127.0.0.1:0', provider, get_files('host-1'))
+    target = client.Target('host-1', f'127.0.0.1:{one.port}')
+    found = []
+    with contextlib.ExitStack() as stack:
+        stack.callback(one.close)
+        for name in names:
+            caller = client.Client((target,), get_files(name))
+            stack.callback(caller.close)
+            reply = caller.call('ListHosts', pb.ListRequest(), 10.0)
+            found.append(reply.result.code)
+    assert found == [CODE.NOT_PERMITTED, CODE.OK]
