--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -471,6 +471,7 @@
 
     revision: int
     account_id: str
+    timeout: float
 
 
 # Replicated log: store identities and reads.
