--- a/rhubarbreach/commands/admin.py
+++ b/rhubarbreach/commands/admin.py
@@ -20,6 +20,13 @@
     Options of all commands stand before the command, as in
     `rhubarbreach admin --hosts=10.0.0.1:7003 list_accounts`.
 
+    Accounts and keys: put_account, remove_account, list_accounts, add_key,
+    revoke_key, list_keys. Models and routes: put_model, remove_model,
+    list_models, put_route, remove_route, list_routes. Fleet: list_hosts,
+    list_endpoints, list_groups, list_rates, wait_in_effect, change_member,
+    drain_host, set_log_level, order_endpoint. Jobs: list_jobs, cancel_job.
+    `rhubarbreach admin COMMAND --help` explains one.
+
     A change is refused if the configuration has changed since it was read.
     A change whose answer was lost is repeated with the same operation id,
     which has no further effect.
@@ -30,8 +37,12 @@
         Operator addresses, `IP:port` or `HOST=IP:port`, comma separated; the
         next one is asked when one does not answer. HOST names the host's
         certificate. Default: the variable RHUBARBREACH_OPERATORS.
-    ca_file, certificate_file, key_file : str
-        PEM files; the name in the certificate must start with `operator-`.
+    ca_file : str
+        PEM file of the authority of the fleet; empty for plain TCP.
+    certificate_file : str
+        PEM file; the name in the certificate must start with `operator-`.
+    key_file : str
+        PEM file of the private key.
     operation_id : str
         Id of a change that is repeated after an unknown outcome.
     revision : int
--- a/rhubarbreach/commands/session.py
+++ b/rhubarbreach/commands/session.py
@@ -48,22 +48,31 @@
         revision,
         wait,
     ):
-        text = str(hosts or os.environ.get(HOSTS_VARIABLE, ''))
+        self.hosts = hosts
+        self.files = None
+        if ca_file:
+            self.files = tls.TlsFiles(ca_file, certificate_file, key_file)
+        self.client = None
+        self.operation_id = str(operation_id or uuid.uuid4().hex)
+        self.revision = revision
+        self.wait = float(wait)
+
+    def connect(self):
+        """Connect at the first call, so that `--help` needs no hosts."""
+        if self.client is not None:
+            return
+        text = str(self.hosts or os.environ.get(HOSTS_VARIABLE, ''))
         if not text:
             leave(
                 f'give --hosts or set {HOSTS_VARIABLE} to HOST=IP:port,...',
                 EXIT_REFUSED,
             )
-        files = None
-        if ca_file:
-            files = tls.TlsFiles(ca_file, certificate_file, key_file)
-        self.client = client.Client(client.parse_targets(text), files)
-        self.operation_id = str(operation_id or uuid.uuid4().hex)
-        self.revision = revision
-        self.wait = float(wait)
+        targets = client.parse_targets(text)
+        self.client = client.Client(targets, self.files)
 
     def call(self, name, request):
         """Return the reply to a call; leave when it was refused."""
+        self.connect()
         reply = self.client.call(name, request, CALL_TIMEOUT + self.wait)
         if reply.result.code != codes.ResultCode.OK:
             self.leave_refused(reply.result)
--- a/rhubarbreach/distribution/tests/fleet.py
+++ b/rhubarbreach/distribution/tests/fleet.py
@@ -61,27 +61,33 @@
         Host ids that each other host polls.
     """
 
+    first = ('store',)
+
     def __init__(self, upstreams):
         self.machine = config.ConfigMachine()
         self.group = FakeGroup('store', self.machine)
         self.stack = contextlib.ExitStack()
         self.cut = set()
         self.operations = 0
-        names = ('store', *upstreams)
+        names = self.first + tuple(upstreams)
         self.addresses = {name: find_address() for name in (*names, 'late')}
         self.hosts = {}
         for name in names:
             self.start(name, upstreams.get(name, ()))
 
+    def make_store(self, name, one, seen):
+        """Return the local store of a host, None without one."""
+        if name != 'store':
+            return None
+        return store.LocalStore(self.group, self.machine, seen)
+
     def start(self, name, upstreams, incarnation=1):
         address = self.addresses[name]
         one = link.Link(name, address, self.addresses, None)
         one.set_fault(self.find_delays)
         seen = view.ConfigView()
         tracker = effect.Tracker()
-        local = None
-        if name == 'store':
-            local = store.LocalStore(self.group, self.machine, seen)
+        local = self.make_store(name, one, seen)
         server = serve.ConfigServer(one, seen, tracker, local)
         watcher = watch.Watcher(
             watch.WatcherSettings(name, incarnation),
--- a/rhubarbreach/operators/service.py
+++ b/rhubarbreach/operators/service.py
@@ -22,6 +22,7 @@
 COMMIT_TIMEOUT = 10.0
 MAX_WAIT = 60.0
 MAX_OPERATION_ID = 128
+MAX_COMMAND_BYTES = 256 * 1024
 
 
 def refuse(reason, code=codes.ResultCode.INVALID_CHANGE):
@@ -118,6 +119,10 @@
         command = model.encode_request(
             header.operation_id, header.expected_revision, change
         )
+        if len(command) > MAX_COMMAND_BYTES:
+            return make_refused(
+                refuse(f'the change exceeds {MAX_COMMAND_BYTES} bytes')
+            )
         found = self.provider.propose(command, deadline)
         if isinstance(found, codes.Refusal):
             return make_refused(found)
--- /dev/null
+++ b/rhubarbreach/operators/tests/stores.py
@@ -0,0 +1,74 @@
+"""Three store hosts with a real configuration group, and other hosts."""
+
+from rhubarbreach import clock
+from rhubarbreach.consensus import group
+from rhubarbreach.consensus import groups
+from rhubarbreach.consensus import model as group_model
+from rhubarbreach.distribution import store
+from rhubarbreach.distribution.tests import fleet
+from rhubarbreach.operators import fleet as provider
+from rhubarbreach.state import config
+from rhubarbreach.state import model
+
+STORES = ('store-1', 'store-2', 'store-3')
+
+
+class RealFleet(fleet.Fleet):
+    """Fleet whose stores elect a leader and keep logs in a folder."""
+
+    first = ()
+
+    def __init__(self, folder, upstreams, **options):
+        self.folder = folder
+        self.options = {'heartbeat': 0.05, 'election_timeout': 0.3, **options}
+        super().__init__(dict.fromkeys(STORES, ()) | upstreams)
+
+    def make_store(self, name, one, seen):
+        if name not in STORES:
+            return None
+        machine = config.ConfigMachine()
+        made = groups.GroupSet(one)
+        settings = group_model.GroupSettings(
+            provider.CONFIG_GROUP,
+            name,
+            str(self.folder / name),
+            STORES,
+            **self.options,
+        )
+        replica = made.add(group.Group(settings, one, machine))
+        self.stack.callback(made.close)
+        return store.LocalStore(replica, machine, seen)
+
+    def get_provider(self, name):
+        host = self.hosts[name]
+        return provider.FleetProvider(
+            host.link, host.view, lambda: STORES, host.store
+        )
+
+    def find_leader(self):
+        """Return the name of the store that leads with a quorum."""
+        found = []
+
+        def find():
+            found[:] = [
+                name
+                for name in STORES
+                if name not in self.cut
+                and self.hosts[name].store.group.quorum_contact > 0
+            ]
+            return found
+
+        assert fleet.wait_until(find)
+        return found[0]
+
+    def make_change(self, change, name='store-1', operation_id='', **fields):
+        self.operations += 1
+        command = model.encode_request(
+            operation_id or f'change-{self.operations}',
+            fields.get('expected'),
+            change,
+        )
+        result = self.get_provider(name).propose(
+            command, clock.monotonic() + 15
+        )
+        return model.decode_result(result)
--- a/rhubarbreach/state/config.py
+++ b/rhubarbreach/state/config.py
@@ -224,6 +224,13 @@
         with self.lock:
             return self.config, self.history.get_after(revision)
 
+    def query(self, query):
+        """Return the current revision as MessagePack.
+
+        A host that is no store host waits until its view has it.
+        """
+        return model.ENCODER.encode(self.config.revision)
+
     def snapshot(self):
         """Return all state, equal on all replicas at the same index."""
         with self.lock:
