--- /dev/null
+++ b/rhubarbreach/operators/tests/test_history.py
@@ -0,0 +1,173 @@
+"""Linearizability of the configuration over concurrent histories."""
+
+import concurrent.futures
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.distribution.tests import fleet
+from rhubarbreach.operators.tests import histories
+from rhubarbreach.operators.tests import stores
+from rhubarbreach.state import config
+from rhubarbreach.state import model
+
+HOSTS = (*stores.STORES, 'entry')
+EXAMPLES = 4
+CALL_TIMEOUT = 10.0
+
+
+@pytest.fixture(scope='module')
+def hosts(tmp_path_factory):
+    made = stores.RealFleet(
+        tmp_path_factory.mktemp('stores'), {'entry': stores.STORES}
+    )
+    with made.stack:
+        made.find_leader()
+        assert fleet.wait_until(lambda: made.hosts['entry'].view.ready)
+        yield made
+
+
+class Client:
+    """One operator at one host, whose calls are recorded."""
+
+    def __init__(self, hosts, name, label):
+        self.provider = hosts.get_provider(name)
+        self.label = label
+        self.calls = []
+        self.revision = 0
+
+    def read(self):
+        started = clock.monotonic()
+        found = self.provider.read_config(started + CALL_TIMEOUT)
+        if isinstance(found, codes.Refusal):
+            return
+        self.revision = found.revision
+        self.calls.append(
+            histories.Call(
+                started,
+                clock.monotonic(),
+                code=0,
+                revision=found.revision,
+                accounts=found.accounts,
+            )
+        )
+
+    def put(self, number, step, conditional):
+        """Send a change, some of them twice under one operation id."""
+        account = model.Account(f'a-{number}', step + 1.0, 1.0)
+        change = model.PutAccount(account)
+        expected = self.revision if conditional else None
+        command = model.encode_request(
+            f'{self.label}-{step}', expected, change
+        )
+        started = clock.monotonic()
+        for _ in range(1 + step % 2):
+            found = self.provider.propose(command, started + CALL_TIMEOUT)
+        code, revision = None, 0
+        if not isinstance(found, codes.Refusal):
+            result = model.decode_result(found)
+            code, revision = result.code, result.revision
+        self.calls.append(
+            histories.Call(
+                started, clock.monotonic(), change, expected, code, revision
+            )
+        )
+
+    def run(self, steps):
+        for place, step in enumerate(steps):
+            match step:
+                case (number, conditional):
+                    self.put(number, place, conditional)
+                case None:
+                    self.read()
+
+
+def make_fault(seed):
+    """Return a function that loses, repeats and delays messages."""
+    chance = random.Random(seed)
+
+    def fault(sender_id, receiver_id, message):
+        draw = chance.random()
+        if draw < 0.01:
+            return []
+        if draw < 0.06:
+            return [0, 0.02]
+        return [0.03] if draw < 0.1 else [0]
+
+    return fault
+
+
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.none(),
+        strategies.tuples(strategies.integers(0, 2), strategies.booleans()),
+    ),
+    min_size=4,
+    max_size=12,
+)
+
+
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    print_blob=True,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(
+    strategies.tuples(*(STEPS for _ in HOSTS)),
+    strategies.integers(0, 2**32),
+    strategies.booleans(),
+)
+def test_concurrent_changes_and_reads_are_linearizable(
+    hosts, programs, seed, transfer
+):
+    """Guards against lost, repeated, reordered and stale operations."""
+    hosts.operations += 1
+    first = hosts.get_provider('store-1').read_config(clock.monotonic() + 10)
+    clients = [
+        Client(hosts, name, f'{hosts.operations}-{name}') for name in HOSTS
+    ]
+    for host in hosts.hosts.values():
+        host.link.set_fault(make_fault(seed))
+    with concurrent.futures.ThreadPoolExecutor(len(HOSTS)) as executor:
+        running = [
+            executor.submit(client.run, steps)
+            for client, steps in zip(clients, programs, strict=True)
+        ]
+        if transfer:
+            leader = hosts.hosts[hosts.find_leader()].store.group
+            leader.transfer(stores.STORES[seed % len(stores.STORES)])
+        for one in running:
+            one.result()
+    for host in hosts.hosts.values():
+        host.link.set_fault(None)
+    calls = [call for client in clients for call in client.calls]
+    assert histories.find_faults(calls, first) == []
+
+
+def make_change(started, ended, revision, expected=None, rate=1.0):
+    change = model.PutAccount(model.Account('a', rate, 1.0))
+    return histories.Call(started, ended, change, expected, 0, revision)
+
+
+@pytest.mark.parametrize(
+    'calls',
+    [
+        [make_change(0, 1, 1), make_change(0, 1, 1)],
+        [make_change(0, 1, 2), make_change(2, 3, 1)],
+        [make_change(0, 1, 1), histories.Call(2, 3, code=0)],
+        [make_change(0, 1, 2)],
+        [make_change(0, 1, 1), make_change(0, 1, 2, expected=0)],
+        [make_change(0, 1, 1), histories.Call(2, 3, code=0, revision=1)],
+    ],
+)
+def test_check_finds_broken_histories(calls):
+    """Guards against a check that accepts everything."""
+    assert histories.find_faults(calls, config.Config())
