Confirm leadership before telling where a change is in effect

A deposed leader does not hear of the hosts that poll its successor and could report a change as in effect too early. It now answers only after a quorum read begun after the query, which the query triggers. The poll of a process that was replaced while it waited ended the serving task with a KeyError; it is tracked like any other now, and the task survives faults. Hosts order relays by rendezvous hash, so that they spread over them.

--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -119,17 +119,23 @@
         """
         key = (watch.host_id, watch.incarnation)
         with self.lock:
-            entry = self.entries[key]
+            # The process may have been replaced while its poll waited.
+            entry = self.entries.get(
+                key, Entry(watch.revision, NEVER, watch.downstream, ())
+            )
             self.entries[key] = dataclasses.replace(
                 entry,
                 revision=entry.revision or revision,
                 granted_until=max(entry.granted_until, granted_until),
             )
 
-    def get_host_ids(self):
-        """Return the ids of the hosts that have polled."""
+    def get_revisions(self):
+        """Return the revisions of the hosts that have polled, by host id."""
+        found = {}
         with self.lock:
-            return {host_id for host_id, _ in self.entries}
+            for (host_id, _), entry in self.entries.items():
+                found[host_id] = max(entry.revision, found.get(host_id, 0))
+        return found
 
     def count_downstream(self, extra, now):
         """Return how many polling processes may still serve keys."""
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import logbook
+
 from rhubarbreach import clock
 from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import store as store_module
@@ -14,11 +16,15 @@
 
 __all__ = ['ConfigServer']
 
+LOG = logbook.Logger('distribution')
+
 # Changes that follow each other closely are sent in one reply.
 COALESCE = 0.005
 MAX_HOLD = 5.0
 MAX_WAIT = 60.0
 EFFECT_PERIOD = 0.1
+# A query waits at least this long, for the leadership to be confirmed.
+MIN_WAIT = 0.25
 MAX_REPLY_BYTES = 512 * 1024
 PART_BYTES = 256 * 1024
 SNAPSHOT_KEPT = 10.0
@@ -104,10 +110,12 @@
     def handle_query(self, sender_id, query):
         """Take a question where a revision is in effect."""
         now = clock.monotonic()
-        wait = min(query.timeout, MAX_WAIT)
+        wait = max(MIN_WAIT, min(query.timeout, MAX_WAIT))
         waiting = Waiting(query, now, now + wait, concurrent.futures.Future())
         with self.lock:
             self.queries.append(waiting)
+        if self.store is not None:
+            self.store.wake.set()
         self.due.set()
         return waiting.future
 
@@ -126,8 +134,11 @@
             self.due.wait(timeout)
             self.due.clear()
             now = clock.monotonic()
-            self.answer_polls(now)
-            self.answer_queries(now)
+            try:
+                self.answer_polls(now)
+                self.answer_queries(now)
+            except Exception:
+                LOG.exception('event=config_server_failed')
             timeout = self.find_timeout(now)
             time.sleep(COALESCE)
 
@@ -217,20 +228,35 @@
             queries, self.queries = self.queries, []
         kept = []
         for waiting in queries:
-            reply = self.make_effect_reply(waiting.message, now)
-            settled = not reply.known or not reply.pending
-            if settled or now >= waiting.reply_by:
+            reply = self.make_effect_reply(waiting, now)
+            settled = reply.known and not reply.pending
+            if settled or now >= waiting.reply_by or not self.is_leading(now):
                 waiting.future.set_result(reply)
             else:
                 kept.append(waiting)
         with self.lock:
             self.queries.extend(kept)
 
-    def make_effect_reply(self, query, now):
-        """Return where a revision is not in effect yet."""
-        since = self.store.find_leadership(now) if self.store else None
-        if since is None:
+    def is_leading(self, now):
+        """Return whether this host leads, as far as it knows."""
+        if self.store is None:
+            return False
+        return self.store.find_leadership(now) is not None
+
+    def make_effect_reply(self, waiting, now):
+        """Return where a revision is not in effect yet.
+
+        A deposed leader does not hear of the hosts that poll its successor,
+        so the leadership must have been confirmed after the query came.
+        """
+        query = waiting.message
+        if (
+            not self.is_leading(now)
+            or self.store.confirmed_at < waiting.received_at
+            or self.view.revision < query.revision
+        ):
             return messages.EffectReply(False, ())
+        since = self.store.since
         extra = effect.get_extra(self.view.snapshot, query.account_id)
         pending = self.tracker.find_pending(query.revision, extra, now)
         former = since + store_module.FORMER_GRANTS + extra - now
@@ -242,7 +268,7 @@
         """Return the hosts that have not polled since the leader changed."""
         if self.expected_hosts is None:
             return (messages.PendingHost('', seconds),)
-        heard = self.tracker.get_host_ids()
+        heard = self.tracker.get_revisions()
         return tuple(
             messages.PendingHost(host_id, seconds)
             for host_id in sorted(self.expected_hosts())
--- a/rhubarbreach/distribution/store.py
+++ b/rhubarbreach/distribution/store.py
@@ -1,5 +1,7 @@
 """Link between the configuration group of a store host and its view."""
 
+import threading
+
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.distribution import view as view_module
@@ -7,6 +9,7 @@
 __all__ = ['LocalStore']
 
 READ_TIMEOUT = 0.5
+NEVER = float('-inf')
 # A new leader must assume that hosts use what the former leader granted.
 FORMER_GRANTS = view_module.CONFIG_VALIDITY * (1 + clock.MAX_DRIFT)
 
@@ -22,6 +25,14 @@
         Machine of that replica.
     view : ConfigView
         View of this host, which gets the committed changes.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Latest time at which a quorum confirmed that this host leads the
+        current term.
+    wake : threading.Event
+        Set to have the leadership confirmed at once.
     """
 
     def __init__(self, group, machine, view):
@@ -30,6 +41,8 @@
         self.view = view
         self.term = -1
         self.since = None
+        self.confirmed_at = NEVER
+        self.wake = threading.Event()
         machine.subscribe(lambda config: self.pull())
         self.pull()
 
@@ -81,9 +94,12 @@
         bool
             Whether a quorum confirmed that this host leads.
         """
+        term = self.term
         result = self.group.read(now + READ_TIMEOUT).result()
         if isinstance(result, codes.Refusal):
             return False
+        if self.group.is_leader and self.group.term == term:
+            self.confirmed_at = now
         self.pull()
         until = now + view_module.CONFIG_VALIDITY
         self.view.renew(self.view.revision, until)
--- a/rhubarbreach/distribution/tests/test_watch.py
+++ b/rhubarbreach/distribution/tests/test_watch.py
@@ -100,6 +100,26 @@
     assert wait_until(lambda: get_code(hosts, 'entry') is None)
 
 
+def test_deposed_leader_does_not_tell_where_a_change_is_in_effect(hosts):
+    """Guards against an answer that misses the hosts of a new leader."""
+    hosts.group.confirmed = False
+    assert not ask(hosts, 2, timeout=0.5).known
+    hosts.group.confirmed = True
+    assert not ask(hosts, 3, timeout=0.5).known
+    assert ask(hosts, 2).known
+
+
+def test_poll_of_a_process_that_was_replaced_does_no_harm(hosts):
+    """Guards against a restart that stops the server of all hosts."""
+    for incarnation in (7, 8, 9):
+        poll = messages.ConfigWatch('entry', incarnation, 2, 1.0)
+        relay = hosts.hosts['relay-1']
+        relay.server.handle_watch('entry', poll)
+    result = hosts.change(model.RevokeKey('key-1'))
+    entry = hosts.hosts['entry'].view
+    assert wait_until(lambda: entry.revision == result.revision)
+
+
 def test_new_leader_waits_for_what_the_former_one_granted(hosts):
     """Guards against hosts that a new leader has not heard of."""
     result = hosts.change(model.RevokeKey('key-1'))
--- a/rhubarbreach/distribution/watch.py
+++ b/rhubarbreach/distribution/watch.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import hashlib
 import threading
 
 import logbook
@@ -15,7 +16,13 @@
 from rhubarbreach.state import index
 from rhubarbreach.state import model
 
-__all__ = ['HOLD', 'RENEW_PERIOD', 'Watcher', 'WatcherSettings']
+__all__ = [
+    'HOLD',
+    'RENEW_PERIOD',
+    'Watcher',
+    'WatcherSettings',
+    'order_upstreams',
+]
 
 LOG = logbook.Logger('distribution')
 
@@ -46,6 +53,32 @@
     incarnation: int
 
 
+def order_upstreams(host_id, candidates):
+    """Return upstreams in an order that differs between hosts.
+
+    Parameters
+    ----------
+    host_id : str
+        Host that polls.
+    candidates : iterable of str
+        Hosts of equal preference, such as the relays of a zone.
+
+    Returns
+    -------
+    tuple of str
+        Ordered by rendezvous hash, so that each candidate gets its share of
+        the hosts, also of those that lost another one.
+    """
+    return tuple(
+        sorted(
+            candidates,
+            key=lambda one: hashlib.blake2b(
+                f'{host_id} {one}'.encode()
+            ).digest(),
+        )
+    )
+
+
 class Watcher:
     """Polls an upstream, or confirms the leader's own view.
 
@@ -79,6 +112,7 @@
         self.settled = False
         self.polls_sent = 0
         self.closed = threading.Event()
+        self.wake = store.wake if store else threading.Event()
         self.thread = threading.Thread(
             target=self.run, name='config-watch', daemon=True
         )
@@ -96,7 +130,8 @@
                 LOG.exception('event=config_watch_failed')
                 pause = RETRY_PAUSE
             if pause:
-                self.closed.wait(pause)
+                self.wake.wait(pause)
+                self.wake.clear()
 
     def step(self):
         """Renew once; return the seconds to wait before the next time."""
@@ -209,3 +244,4 @@
     def close(self):
         """Stop the task."""
         self.closed.set()
+        self.wake.set()
