Test the online path against failing endpoints and callers

Each failure is caused by a scripted endpoint or socket: refused, dying, hanging and crossed endpoints, broken streams, slow and lost callers, bad bodies, duplicates, drain. Found and fixed on the way: an error event was not decoded and counted as crossed, so that the stream stalled for 10 s.

--- a/rhubarbreach/dispatch/__init__.py
+++ b/rhubarbreach/dispatch/__init__.py
@@ -7,8 +7,10 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.dispatch import events
 from rhubarbreach.dispatch import executor
+from rhubarbreach.dispatch import hedge
 from rhubarbreach.dispatch import loop
 from rhubarbreach.dispatch import prompt
+from rhubarbreach.dispatch import run
 from rhubarbreach.dispatch import sink
 from rhubarbreach.dispatch import transfer
 
@@ -20,8 +22,10 @@
     'errors',
     'events',
     'executor',
+    'hedge',
     'loop',
     'prompt',
+    'run',
     'sink',
     'transfer',
 ]
--- a/rhubarbreach/dispatch/attempt.py
+++ b/rhubarbreach/dispatch/attempt.py
@@ -5,7 +5,16 @@
 
 from rhubarbreach.dispatch import events
 
-__all__ = ['Attempt', 'AttemptEnd', 'AttemptResult']
+__all__ = [
+    'Attempt',
+    'AttemptEnd',
+    'AttemptResult',
+    'CANCEL_PATH',
+    'make_cancel',
+]
+
+CANCEL_PATH = '/cancel'
+CANCEL_SECONDS = 2.0
 
 
 class AttemptEnd(enum.StrEnum):
@@ -98,3 +107,25 @@
     not_run: bool = False
     detail: str = ''
     first_byte: float | None = None
+
+
+def make_cancel(attempt, now):
+    """Return the attempt that asks an endpoint to stop another one.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        Attempt to be stopped.
+    now : float
+        Monotonic seconds.
+    """
+    return Attempt(
+        attempt_id=f'cancel-{attempt.attempt_id}',
+        address=attempt.address,
+        method='POST',
+        path=CANCEL_PATH,
+        headers=('Content-Type: application/json',),
+        body=b'{"attempt_id":"%b"}' % attempt.attempt_id.encode(),
+        deadline=now + CANCEL_SECONDS,
+        first_byte_deadline=now + CANCEL_SECONDS,
+    )
--- a/rhubarbreach/dispatch/decide.py
+++ b/rhubarbreach/dispatch/decide.py
@@ -7,7 +7,14 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.scheduling import work
 
-__all__ = ['Again', 'Finish', 'Progress', 'decide_next', 'judge_outcome']
+__all__ = [
+    'Again',
+    'Finish',
+    'Progress',
+    'decide_next',
+    'is_whole',
+    'judge_outcome',
+]
 
 AttemptEnd = attempt.AttemptEnd
 MAX_ATTEMPTS = 6
--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -30,7 +30,7 @@
 
     id: str = ''
     index: int | None = None
-    error: msgspec.Raw | None = None
+    error: object = None
 
 
 DECODER = msgspec.json.Decoder(EventFields)
--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -15,68 +15,22 @@
 from rhubarbreach.dispatch import decide
 from rhubarbreach.dispatch import errors
 from rhubarbreach.dispatch import events
-from rhubarbreach.dispatch import prompt
+from rhubarbreach.dispatch import hedge
+from rhubarbreach.dispatch import run as run_module
 from rhubarbreach.scheduling import work as work_module
 
-__all__ = ['Executor', 'Policy']
+__all__ = ['Executor']
 
 LOG = logbook.Logger('dispatch')
 AttemptEnd = attempt_module.AttemptEnd
 MAX_SUBMITTED_THREADS = 1024
 ATTEMPT_ID_BYTES = 8
-MILLISECONDS = 1000
 
 # Time beyond its deadline after which an attempt that was not settled by
 # the event loop counts as a fault of this process.
 LOOP_GRACE_SECONDS = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Policy:
-    """Bounds of the executor.
-
-    Parameters
-    ----------
-    first_byte_fraction : float
-        Part of the remaining time within which an idempotent call needs
-        its first byte, so that time is left for a retry.
-    hedge_after : float or None
-        Seconds after which an idempotent call without a stream is also
-        sent to a second endpoint; None for never.
-    """
-
-    first_byte_fraction: float = 0.5
-    hedge_after: float | None = None
-
-
-class Run:
-    """State of one call while it runs."""
-
-    def __init__(self, call, sink, now):
-        self.call = call
-        self.started_at = now
-        self.relay = events.EventRelay(sink) if call.stream else None
-        self.digest = prompt.digest_call(call.path, call.body)
-        self.prefix = prompt.list_prefixes(call.body) if call.body else ()
-        self.excluded = frozenset()
-        self.attempts = 0
-        self.resumes = 0
-        self.ran = codes.Ran.NO
-        self.cancelled = concurrent.futures.Future()
-        self.preempted = False
-        self.attempt_ids = set()
-
-    @property
-    def tokens(self):
-        """Tokens delivered so far."""
-        return self.relay.next_index if self.relay else 0
-
-    @property
-    def begun(self):
-        """Whether bytes of a stream were delivered."""
-        return bool(self.relay and self.relay.delivered)
-
-
 class Executor:
     """Runs calls on endpoints that a scheduler chooses.
 
@@ -90,7 +44,7 @@
         Takes each decision with its reason.
     metrics : observe.metrics.Metrics
         Counters and latencies.
-    policy : Policy
+    policy : run.Policy
         Bounds.
     """
 
@@ -99,7 +53,7 @@
         self.loop = loop
         self.recorder = recorder
         self.metrics = metrics
-        self.policy = policy or Policy()
+        self.policy = policy or run_module.Policy()
         self.budget = budget.RetryBudget(clock.monotonic())
         self.lock = threading.Lock()
         self.runs = {}
@@ -125,7 +79,7 @@
             Whole answer, or why there is none. A stream that had begun
             ends with an error event and a result with its refusal.
         """
-        run = Run(call, sink, clock.monotonic())
+        run = run_module.Run(call, sink, clock.monotonic())
         with self.lock:
             self.runs.setdefault(call.request_id, set()).add(run)
         self.budget.add_request()
@@ -197,8 +151,8 @@
             placement = self.place(run)
             if isinstance(placement, codes.Refusal):
                 return self.refuse(run, placement)
-            result = self.attempt(run, placement)
-            progress = self.describe(run, placement)
+            placement, result = hedge.run_attempt(self, run, placement)
+            progress = run_module.describe(run, placement)
             now = clock.monotonic()
             step = decide.decide_next(progress, result, self.budget, now)
             match step:
@@ -208,21 +162,6 @@
                     return self.refuse(run, refusal, result)
             self.prepare_again(run, placement, result, step)
 
-    def describe(self, run, placement):
-        """Return the state of a call for the decision."""
-        return decide.Progress(
-            idempotent=run.call.idempotent,
-            attempts=run.attempts,
-            resumes=run.resumes,
-            tokens=run.tokens,
-            begun=run.begun,
-            cancelled=run.cancelled.done(),
-            preempted=run.preempted,
-            engine=placement.endpoint.kind == 'engine',
-            ran=run.ran,
-            deadline=run.call.deadline,
-        )
-
     def prepare_again(self, run, placement, result, step):
         """Take over what the next attempt has to know."""
         if result.sent and not result.not_run:
@@ -238,7 +177,7 @@
         self.metrics.count(f'dispatch_{name}_total')
         self.record(run, name, step.reason, placement)
 
-    def place(self, run, excluded=frozenset()):
+    def place(self, run):
         """Wait for a placement.
 
         Returns
@@ -246,28 +185,30 @@
         work.Placement or codes.Refusal
             The refusal says truthfully whether an earlier attempt ran.
         """
-        call = run.call
-        work = work_module.Work(
-            work_id=os.urandom(ATTEMPT_ID_BYTES).hex(),
-            account_id=call.account_id,
-            model_id=call.model_id,
-            lane=call.lane,
-            cost=call.cost,
-            deadline=call.deadline,
-            digest=run.digest,
-            prefix=run.prefix,
-            excluded=run.excluded | excluded,
-            weight=call.weight,
-        )
-        with self.lock:
-            self.placed[work.work_id] = run
-        future = self.scheduler.submit(work)
+        work, future = self.submit_work(run)
         placement = self.await_placement(run, work, future)
         if isinstance(placement, codes.Refusal):
             with self.lock:
                 self.placed.pop(work.work_id, None)
         return placement
 
+    def submit_work(self, run, excluded=frozenset()):
+        """Submit the work of a call; return it and the future."""
+        work_id = os.urandom(ATTEMPT_ID_BYTES).hex()
+        work = run_module.make_work(run, work_id, excluded)
+        # Before the scheduler knows the work, since it may place and
+        # preempt it at once.
+        with self.lock:
+            self.placed[work_id] = run
+        return work, self.scheduler.submit(work)
+
+    def withdraw_work(self, work, future):
+        """Withdraw work; a placement that comes too late is released."""
+        with self.lock:
+            self.placed.pop(work.work_id, None)
+        self.scheduler.withdraw(work.work_id)
+        future.add_done_callback(self.release_unused)
+
     def await_placement(self, run, work, future):
         """Return what the scheduler says, unless cancelled or too late."""
         call = run.call
@@ -277,8 +218,7 @@
             concurrent.futures.FIRST_COMPLETED,
         )
         if run.cancelled.done() or not future.done():
-            self.scheduler.withdraw(work.work_id)
-            future.add_done_callback(self.release_unused)
+            self.withdraw_work(work, future)
             if run.cancelled.done():
                 return errors.make_refusal('CANCELLED', 'cancelled')
             return errors.make_refusal(
@@ -297,23 +237,28 @@
 
     def attempt(self, run, placement):
         """Run one attempt and release its placement."""
-        attempt = self.make_attempt(run, placement)
-        run.attempts += 1
-        result = attempt_module.AttemptResult(AttemptEnd.STALLED, sent=True)
+        future = self.start(run, placement)
+        result = self.await_result(run, placement, future)
+        self.end_attempt(run, placement, result)
+        return result
+
+    def await_result(self, run, placement, future):
+        """Return the result of an attempt that the loop settles."""
+        left = clock.remaining(run.call.deadline, clock.monotonic())
         try:
-            future = self.start(run, placement, attempt)
-            left = clock.remaining(run.call.deadline, clock.monotonic())
-            result = future.result(left + LOOP_GRACE_SECONDS)
+            return future.result(left + LOOP_GRACE_SECONDS)
         except concurrent.futures.TimeoutError:
-            LOG.error('event=attempt_not_settled attempt={}', attempt)
-            self.loop.cancel(attempt.attempt_id)
-        finally:
-            self.end_attempt(run, placement, attempt, result)
-        return result
+            attempt_id = placement.work.work_id
+            LOG.error('event=attempt_not_settled attempt={}', attempt_id)
+            self.loop.cancel(attempt_id)
+            return attempt_module.AttemptResult(AttemptEnd.STALLED, sent=True)
 
-    def start(self, run, placement, attempt):
+    def start(self, run, placement):
         """Start an attempt so that it can be cancelled and preempted."""
+        now = clock.monotonic()
+        attempt = run_module.make_attempt(run, placement, self.policy, now)
         attempt_id = attempt.attempt_id
+        run.attempts += 1
         with self.lock:
             run.attempt_ids.add(attempt_id)
         self.record(run, 'attempt_started', placement.reason, placement)
@@ -322,52 +267,18 @@
             self.loop.cancel(attempt_id)
         return future
 
-    def make_attempt(self, run, placement):
-        """Return the attempt for a placement."""
-        call = run.call
-        now = clock.monotonic()
-        left = clock.remaining(call.deadline, now)
-        first_byte = call.deadline
-        if call.idempotent:
-            first_byte = now + left * self.policy.first_byte_fraction
-        attempt_id = placement.work.work_id
-        headers = (
-            f'X-Request-Id: {call.request_id}',
-            f'X-Attempt-Id: {attempt_id}',
-            f'X-Deadline-Ms: {int(left * MILLISECONDS)}',
-            *(f'{name}: {value}' for name, value in call.headers),
-        )
-        body = call.body
-        if run.relay is not None:
-            run.relay.begin(attempt_id)
-            if run.tokens:
-                body = prompt.add_resume(body, run.tokens)
-        return attempt_module.Attempt(
-            attempt_id=attempt_id,
-            address=placement.endpoint.address,
-            method=call.method,
-            path=call.path,
-            headers=headers,
-            body=body,
-            deadline=call.deadline,
-            first_byte_deadline=first_byte,
-            reuse=call.idempotent,
-            echo=placement.endpoint.kind == 'engine',
-            relay=run.relay,
-        )
-
-    def end_attempt(self, run, placement, attempt, result):
+    def end_attempt(self, run, placement, result):
         """Release a placement and report how its attempt ended."""
         with self.lock:
-            run.attempt_ids.discard(attempt.attempt_id)
-            self.placed.pop(attempt.attempt_id, None)
-        self.scheduler.release(placement, make_outcome(run, result))
+            run.attempt_ids.discard(placement.work.work_id)
+            self.placed.pop(placement.work.work_id, None)
+        self.scheduler.release(placement, run_module.make_outcome(run, result))
         reason = f'{result.end} {result.status} {result.detail}'.strip()
         self.record(run, 'attempt_ended', reason, placement)
 
     def make_result(self, run, placement, result):
         """Return the result of a call that was answered."""
-        self.count_dropped(run)
+        run_module.count_dropped(run, self.metrics)
         relay = run.relay
         body = result.body
         first_token = None
@@ -391,7 +302,7 @@
 
     def refuse(self, run, refusal, result=None):
         """Return a refusal, or end a stream that had begun with an event."""
-        self.count_dropped(run)
+        run_module.count_dropped(run, self.metrics)
         if run.ran is not codes.Ran.NO and refusal.ran is codes.Ran.NO:
             refusal = dataclasses.replace(refusal, ran=run.ran)
         name = refusal.code.name
@@ -414,20 +325,6 @@
             refusal=refusal,
         )
 
-    def count_dropped(self, run):
-        """Count the events that were dropped."""
-        relay = run.relay
-        if relay is None:
-            return
-        if relay.dropped_crossed:
-            self.metrics.count(
-                'dispatch_events_crossed_total', relay.dropped_crossed
-            )
-        if relay.dropped_duplicate:
-            self.metrics.count(
-                'dispatch_events_duplicate_total', relay.dropped_duplicate
-            )
-
     def record(self, run, name, reason, placement=None):
         """Record one decision on the timeline."""
         call = run.call
@@ -447,22 +344,3 @@
     """Deliver an error event; runs on the event loop thread."""
     relay.deliver(events.make_error_event(error))
     done.set_result(None)
-
-
-def make_outcome(run, result):
-    """Return the outcome of an attempt for the scheduler."""
-    relay = run.relay
-    tokens = 0
-    first_token = result.first_byte
-    inter_token = None
-    if relay is not None:
-        tokens = relay.next_index - relay.attempt_index
-        if tokens > 1:
-            spent = relay.last_token_at - relay.attempt_first_at
-            inter_token = spent / (tokens - 1)
-    return work_module.Outcome(
-        status=decide.judge_outcome(result),
-        tokens=tokens,
-        first_token=first_token,
-        inter_token=inter_token,
-    )
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -32,14 +32,12 @@
 # How long the connection of a stream is kept after its end marker, so that
 # it can be used again.
 LINGER_SECONDS = 1.0
-CANCEL_SECONDS = 2.0
 
 POLL_MASKS = {
     pycurl.POLL_IN: select.EPOLLIN,
     pycurl.POLL_OUT: select.EPOLLOUT,
     pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
 }
-CANCEL_PATH = '/cancel'
 
 
 class Loop:
@@ -326,7 +324,10 @@
     def end_early(self, transfer, end, detail):
         """Settle an attempt without an answer and tell its endpoint."""
         self.metrics.count('dispatch_attempts_ended_early_total', end=end)
-        if transfer.sent and transfer.attempt.path != CANCEL_PATH:
+        if (
+            transfer.sent
+            and transfer.attempt.path != attempt_module.CANCEL_PATH
+        ):
             self.send_cancel(transfer.attempt)
         self.settle(transfer, end, detail)
 
@@ -334,17 +335,7 @@
         """Ask an endpoint to stop an attempt; its answer does not matter."""
         if self.closing:
             return
-        deadline = self.now + CANCEL_SECONDS
-        cancel = attempt_module.Attempt(
-            attempt_id=f'cancel-{attempt.attempt_id}',
-            address=attempt.address,
-            method='POST',
-            path=CANCEL_PATH,
-            headers=('Content-Type: application/json',),
-            body=b'{"attempt_id":"%b"}' % attempt.attempt_id.encode(),
-            deadline=deadline,
-            first_byte_deadline=deadline,
-        )
+        cancel = attempt_module.make_cancel(attempt, self.now)
         self.add_transfer(
             transfer_module.Transfer(cancel, self.dirty, self.now)
         )
--- /dev/null
+++ b/rhubarbreach/dispatch/run.py
@@ -0,0 +1,200 @@
+"""State of one call while it runs, and what is derived from it."""
+
+import concurrent.futures
+import dataclasses
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.dispatch import attempt as attempt_module
+from rhubarbreach.dispatch import decide
+from rhubarbreach.dispatch import events
+from rhubarbreach.dispatch import prompt
+from rhubarbreach.scheduling import work as work_module
+
+__all__ = [
+    'Policy',
+    'Run',
+    'count_dropped',
+    'describe',
+    'make_attempt',
+    'make_outcome',
+    'make_work',
+]
+
+ENGINE = 'engine'
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """Bounds of the executor.
+
+    Parameters
+    ----------
+    first_byte_fraction : float
+        Part of the remaining time within which an idempotent call needs
+        its first byte, so that time is left for a retry.
+    hedge_after : float or None
+        Seconds after which an idempotent call without a stream is also
+        sent to a second endpoint; None for never.
+    """
+
+    first_byte_fraction: float = 0.5
+    hedge_after: float | None = None
+
+
+class Run:
+    """State of one call while it runs."""
+
+    def __init__(self, call, sink, now):
+        self.call = call
+        self.started_at = now
+        self.relay = events.EventRelay(sink) if call.stream else None
+        self.digest = prompt.digest_call(call.path, call.body)
+        self.prefix = prompt.list_prefixes(call.body) if call.body else ()
+        self.excluded = frozenset()
+        self.attempts = 0
+        self.resumes = 0
+        self.ran = codes.Ran.NO
+        self.cancelled = concurrent.futures.Future()
+        self.preempted = False
+        self.attempt_ids = set()
+
+    @property
+    def tokens(self):
+        """Tokens delivered so far."""
+        return self.relay.next_index if self.relay else 0
+
+    @property
+    def begun(self):
+        """Whether bytes of a stream were delivered."""
+        return bool(self.relay and self.relay.delivered)
+
+
+def make_attempt(run, placement, policy, now):
+    """Return the attempt for a placement.
+
+    Parameters
+    ----------
+    run : Run
+        The call and its state.
+    placement : work.Placement
+        Where it runs; the id of its work is the id of the attempt.
+    policy : Policy
+        Bounds.
+    now : float
+        Monotonic seconds.
+    """
+    call = run.call
+    left = clock.remaining(call.deadline, now)
+    first_byte = call.deadline
+    if call.idempotent:
+        first_byte = now + left * policy.first_byte_fraction
+    attempt_id = placement.work.work_id
+    headers = (
+        f'X-Request-Id: {call.request_id}',
+        f'X-Attempt-Id: {attempt_id}',
+        f'X-Deadline-Ms: {int(left * MILLISECONDS)}',
+        *(f'{name}: {value}' for name, value in call.headers),
+    )
+    body = call.body
+    if run.relay is not None:
+        run.relay.begin(attempt_id)
+        if run.tokens:
+            body = prompt.add_resume(body, run.tokens)
+    return attempt_module.Attempt(
+        attempt_id=attempt_id,
+        address=placement.endpoint.address,
+        method=call.method,
+        path=call.path,
+        headers=headers,
+        body=body,
+        deadline=call.deadline,
+        first_byte_deadline=first_byte,
+        reuse=call.idempotent,
+        echo=placement.endpoint.kind == ENGINE,
+        relay=run.relay,
+    )
+
+
+def describe(run, placement):
+    """Return the state of a call for the decision after an attempt."""
+    return decide.Progress(
+        idempotent=run.call.idempotent,
+        attempts=run.attempts,
+        resumes=run.resumes,
+        tokens=run.tokens,
+        begun=run.begun,
+        cancelled=run.cancelled.done(),
+        preempted=run.preempted,
+        engine=placement.endpoint.kind == ENGINE,
+        ran=run.ran,
+        deadline=run.call.deadline,
+    )
+
+
+def count_dropped(run, metrics):
+    """Count the events that were dropped.
+
+    Parameters
+    ----------
+    run : Run
+        Call that is over.
+    metrics : observe.metrics.Metrics
+        Counters.
+    """
+    relay = run.relay
+    if relay is None:
+        return
+    if relay.dropped_crossed:
+        metrics.count('dispatch_events_crossed_total', relay.dropped_crossed)
+    if relay.dropped_duplicate:
+        metrics.count(
+            'dispatch_events_duplicate_total', relay.dropped_duplicate
+        )
+
+
+def make_work(run, work_id, excluded=frozenset()):
+    """Return the work to be placed for the next attempt of a call.
+
+    Parameters
+    ----------
+    run : Run
+        The call and its state.
+    work_id : str
+        New id, which also becomes the id of the attempt.
+    excluded : frozenset of str
+        Endpoints to leave out beside those that failed the call.
+    """
+    call = run.call
+    return work_module.Work(
+        work_id=work_id,
+        account_id=call.account_id,
+        model_id=call.model_id,
+        lane=call.lane,
+        cost=call.cost,
+        deadline=call.deadline,
+        digest=run.digest,
+        prefix=run.prefix,
+        excluded=run.excluded | excluded,
+        weight=call.weight,
+    )
+
+
+def make_outcome(run, result):
+    """Return the outcome of an attempt for the scheduler."""
+    relay = run.relay
+    tokens = 0
+    first_token = result.first_byte
+    inter_token = None
+    if relay is not None:
+        tokens = relay.next_index - relay.attempt_index
+        if tokens > 1:
+            spent = relay.last_token_at - relay.attempt_first_at
+            inter_token = spent / (tokens - 1)
+    return work_module.Outcome(
+        status=decide.judge_outcome(result),
+        tokens=tokens,
+        first_token=first_token,
+        inter_token=inter_token,
+    )
--- a/rhubarbreach/dispatch/sink.py
+++ b/rhubarbreach/dispatch/sink.py
@@ -32,8 +32,6 @@
         Status line and headers, sent before the first bytes.
     chunked : bool
         Whether the bytes are sent in HTTP/1.1 chunks.
-    stall_seconds : float
-        How long the caller may take nothing while bytes wait.
 
     Attributes
     ----------
@@ -44,14 +42,11 @@
         False when the caller is gone or too slow.
     """
 
-    def __init__(
-        self, connection, head, chunked=True, stall_seconds=STALL_SECONDS
-    ):
+    def __init__(self, connection, head, chunked=True):
         self.connection = connection
         self.fd = connection.fileno()
         self.head = head
         self.chunked = chunked
-        self.stall_seconds = stall_seconds
         self.started = False
         self.finished = False
         self.gone = False
@@ -140,7 +135,7 @@
     def check_stalled(self, now):
         """Give the caller up when it took nothing for too long."""
         since = self.stalled_since
-        if since is not None and now - since > self.stall_seconds:
+        if since is not None and now - since > STALL_SECONDS:
             self.slow = True
             self.lose()
 
--- a/rhubarbreach/dispatch/tests/conftest.py
+++ b/rhubarbreach/dispatch/tests/conftest.py
@@ -6,6 +6,7 @@
 from rhubarbreach.dispatch import call
 from rhubarbreach.dispatch import executor
 from rhubarbreach.dispatch import loop
+from rhubarbreach.dispatch import run
 from rhubarbreach.dispatch.tests import fakes
 from rhubarbreach.observe import metrics
 from rhubarbreach.observe import timeline
@@ -40,7 +41,7 @@
             loops[-1],
             recorder,
             counters,
-            executor.Policy(**policy),
+            run.Policy(**policy),
         )
 
     yield start
--- a/rhubarbreach/dispatch/tests/fakes.py
+++ b/rhubarbreach/dispatch/tests/fakes.py
@@ -40,7 +40,8 @@
 class FakeRequest:
     """A request at the fake endpoint, with means to answer it."""
 
-    def __init__(self, connection, method, path, headers, body):
+    def __init__(self, connection, file, method, path, headers, body):
+        self.file = file
         self.connection = connection
         self.method = method
         self.path = path
@@ -91,6 +92,7 @@
         self.connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0'
         )
+        self.file.close()
         self.connection.close()
 
 
@@ -133,7 +135,9 @@
                     name, _, value = line.decode().partition(':')
                     headers[name.lower()] = value.strip()
                 body = file.read(int(headers.get('content-length', 0)))
-                request = FakeRequest(connection, method, path, headers, body)
+                request = FakeRequest(
+                    connection, file, method, path, headers, body
+                )
                 if path == '/cancel':
                     self.note(self.cancelled, request.json()['attempt_id'])
                     request.answer(b'{}')
--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -1,4 +1,16 @@
-"""Tests of the executor against a scripted endpoint."""
+"""Tests of the executor against scripted endpoints."""
+
+import socket
+import threading
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.dispatch.tests import fakes
+from rhubarbreach.scheduling import work
+
+CODES = codes.ResultCode
 
 
 class ListSink:
@@ -6,22 +18,32 @@
 
     def __init__(self):
         self.data = b''
+        self.written = threading.Event()
 
     def write(self, data):
         """Keep bytes."""
         self.data += data
+        self.written.set()
         return True
 
 
 def get_tokens(data):
     """Return the tokens in a stream."""
     return [
-        int(line.split(b'"content": "t')[1].split(b' ')[0])
-        for line in data.split(b'\n\n')
-        if b'"content"' in line
+        int(event.split(b'"content": "t')[1].split(b' ')[0])
+        for event in data.split(b'\n\n')
+        if b'"content"' in event
     ]
 
 
+def refuse_connections(start_endpoint):
+    """Return an endpoint that refuses connections."""
+    endpoint = start_endpoint(None)
+    endpoint.socket.shutdown(socket.SHUT_RDWR)
+    endpoint.close()
+    return endpoint
+
+
 def test_stream_is_relayed_whole(start_endpoint, start_executor, make_call):
     """Guards against lost bytes in the plain path of a stream."""
     endpoint = start_endpoint(lambda request: request.stream(50))
@@ -42,3 +64,297 @@
     endpoint = start_endpoint(lambda request: request.answer(b'{"a":1}', 404))
     result = start_executor(endpoint).execute(make_call(stream=False))
     assert (result.status, result.body) == (404, b'{"a":1}')
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_refused_connection(
+    start_endpoint, start_executor, make_call, idempotent
+):
+    """Guards against giving up, although nothing was sent."""
+    good = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(refuse_connections(start_endpoint), good)
+    call = make_call(stream=False, idempotent=idempotent)
+    assert executor.execute(call).endpoint_id == 'e1'
+    assert executor.scheduler.statuses() == ['not_run', 'completed']
+
+
+def test_all_refuse(start_endpoint, start_executor, make_call):
+    """Guards against an untrue statement when no endpoint is there."""
+    executor = start_executor(refuse_connections(start_endpoint))
+    refusal = executor.execute(make_call(idempotent=False, stream=False))
+    assert refusal.code is CODES.NO_ENDPOINT
+    assert refusal.ran is codes.Ran.NO
+
+
+@pytest.mark.parametrize('warm', [False, True])
+def test_endpoint_dies_without_answer(
+    start_endpoint, start_executor, make_call, warm
+):
+    """Guards against a second run, also by libcurl on a warm connection."""
+
+    def handle(request):
+        if request.body == b'warm':
+            request.answer(b'{}')
+        else:
+            request.die()
+
+    endpoint = start_endpoint(handle)
+    other = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(endpoint, other)
+    if warm:
+        executor.execute(make_call(stream=False, body=b'warm'))
+    call = make_call(stream=False, idempotent=False, body=b'cold')
+    refusal = executor.execute(call)
+    assert refusal.code is CODES.OUTCOME_UNKNOWN
+    assert refusal.ran is codes.Ran.UNKNOWN
+    assert len(endpoint.requests) == 1 + warm and not other.requests
+    assert executor.scheduler.statuses()[-1] == 'endpoint_lost'
+
+
+def test_warm_connection_then_refused(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against "not run" when a pooled connection took the request."""
+
+    def handle(request):
+        if request.body == b'warm':
+            request.answer(b'{}')
+            return
+        endpoint.socket.shutdown(socket.SHUT_RDWR)
+        endpoint.close()
+        request.die()
+
+    endpoint = start_endpoint(handle)
+    executor = start_executor(endpoint)
+    executor.execute(make_call(stream=False, body=b'warm'))
+    refusal = executor.execute(make_call(stream=False, body=b'cold'))
+    assert refusal.ran is codes.Ran.UNKNOWN
+    assert executor.scheduler.statuses()[1] == 'endpoint_lost'
+
+
+def test_idempotent_call_is_repeated(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a failed call that another endpoint could answer."""
+    bad = start_endpoint(lambda request: request.die())
+    good = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(bad, good)
+    result = executor.execute(make_call(stream=False))
+    assert (result.endpoint_id, result.attempts) == ('e1', 2)
+
+
+def test_retry_budget(start_endpoint, start_executor, make_call):
+    """Guards against retries that multiply the load of a sick fleet."""
+    bad = start_endpoint(lambda request: request.answer(b'{}', 500))
+    executor = start_executor(bad, bad)
+    executor.budget.saved = -1e9
+    refusal = executor.execute(make_call(stream=False))
+    assert refusal.code is CODES.ENDPOINT_FAILED
+    assert len(bad.requests) == 1
+
+
+def test_endpoint_says_not_run(start_endpoint, start_executor, make_call):
+    """Guards against a lost call when a draining endpoint declined it."""
+    draining = start_endpoint(
+        lambda request: request.answer(b'{"not_run":true}', 503)
+    )
+    good = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(draining, good)
+    call = make_call(stream=False, idempotent=False)
+    assert executor.execute(call).status == 200
+    assert executor.scheduler.statuses() == ['not_run', 'completed']
+
+
+def break_stream(how):
+    """Return a handler that sends three tokens and then fails."""
+
+    def handle(request):
+        request.begin()
+        request.send(fakes.make_sse(request.attempt_id, 0, 3, done=False))
+        match how:
+            case 'dies':
+                request.send(b'data: {"id": "cut')
+                request.die()
+            case 'ends':
+                request.end()
+            case 'gap':
+                request.send(fakes.make_event(request.attempt_id, 5))
+            case 'error':
+                request.send(b'data: {"error": {"message": "oom"}}\n\n')
+
+    return handle
+
+
+@pytest.mark.parametrize('how', ['dies', 'ends', 'gap', 'error'])
+def test_broken_stream_is_resumed(
+    start_endpoint, start_executor, make_call, how
+):
+    """Guards against a short, doubled or crossed answer after a break."""
+    bad = start_endpoint(break_stream(how))
+    good = start_endpoint(lambda request: request.stream(9))
+    sink = ListSink()
+    executor = start_executor(bad, good)
+    result = executor.execute(make_call(), sink)
+    assert get_tokens(sink.data) == list(range(9))
+    assert sink.data.endswith(b'data: [DONE]\n\n')
+    assert result.tokens == 9 and result.refusal is None
+    assert good.requests[0].json()['resume_from'] == 3
+    bad.wait_for(bad.cancelled)
+
+
+def test_broken_stream_ends_in_error_event(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a silent short answer."""
+    bad = start_endpoint(break_stream('dies'))
+    sink = ListSink()
+    result = start_executor(bad).execute(make_call(), sink)
+    assert get_tokens(sink.data) == [0, 1, 2]
+    last = sink.data.split(b'\n\n')[-2]
+    assert last.startswith(b'data: {"error":') and b'"not_run":false' in last
+    assert result.refusal.ran is codes.Ran.YES
+
+
+def test_non_idempotent_stream_is_not_resumed(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a second run of a stream that may not be repeated."""
+    bad = start_endpoint(break_stream('ends'))
+    good = start_endpoint(lambda request: request.stream(9))
+    executor = start_executor(bad, good)
+    result = executor.execute(make_call(idempotent=False), ListSink())
+    assert result.refusal.code is CODES.OUTCOME_UNKNOWN
+    assert not good.requests
+
+
+def test_foreign_and_duplicate_events(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against tokens of another request in an answer."""
+
+    def handle(request):
+        request.begin()
+        for index in range(4):
+            request.send(fakes.make_event('other', index))
+            request.send(fakes.make_event(request.attempt_id, index))
+            request.send(fakes.make_event(request.attempt_id, 0))
+        request.send(b'data: [DONE]\n\n')
+        request.end()
+
+    executor = start_executor(start_endpoint(handle))
+    result = executor.execute(make_call())
+    assert get_tokens(result.body) == [0, 1, 2, 3]
+    assert b'other' not in result.body
+    count = executor.metrics.get_count
+    assert count('dispatch_events_crossed_total') == 4
+    assert count('dispatch_events_duplicate_total') == 4
+
+
+def test_crossed_answer(start_endpoint, start_executor, make_call):
+    """Guards against passing on the answer to another request."""
+    crossed = start_endpoint(
+        lambda request: request.answer(b'{"of":"other"}', attempt_id='x')
+    )
+    executor = start_executor(crossed)
+    refusal = executor.execute(make_call(stream=False, idempotent=False))
+    assert refusal.code is CODES.OUTCOME_UNKNOWN
+
+
+def test_hanging_endpoint(start_endpoint, start_executor, make_call):
+    """Guards against waiting for a hung endpoint until the deadline."""
+    hung = start_endpoint(lambda request: None)
+    good = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(hung, good, first_byte_fraction=0.01)
+    assert executor.execute(make_call(stream=False)).endpoint_id == 'e1'
+    hung.wait_for(hung.cancelled)
+    assert hung.cancelled == [hung.requests[0].attempt_id]
+
+
+def test_deadline(start_endpoint, start_executor, make_call):
+    """Guards against an untrue "not run" and a late end at the deadline."""
+    hung = start_endpoint(lambda request: None)
+    executor = start_executor(hung)
+    deadline = clock.monotonic() + 0.2
+    call = make_call(stream=False, idempotent=False, deadline=deadline)
+    refusal = executor.execute(call)
+    assert refusal.code is CODES.DEADLINE_EXCEEDED
+    assert refusal.ran is codes.Ran.UNKNOWN
+    hung.wait_for(hung.cancelled)
+
+
+def test_answer_after_cancel(start_endpoint, start_executor, make_call):
+    """Guards against a cancelled call that goes on or is delivered."""
+    go_on = threading.Event()
+
+    def handle(request):
+        request.begin()
+        request.send(fakes.make_event(request.attempt_id, 0))
+        go_on.wait(20)
+        request.send(fakes.make_sse(request.attempt_id, 1, 5))
+
+    endpoint = start_endpoint(handle)
+    executor = start_executor(endpoint)
+    sink = ListSink()
+    future = executor.submit(make_call(job_id='j1'), sink)
+    assert sink.written.wait(20)
+    assert executor.cancel_job('j1') == 1
+    result = future.result(20)
+    go_on.set()
+    assert result.refusal.code is CODES.CANCELLED
+    assert get_tokens(sink.data) == [0]
+    endpoint.wait_for(endpoint.cancelled)
+    assert executor.scheduler.statuses() == ['cancelled']
+    assert not executor.runs and not executor.placed
+
+
+def test_cancel_while_waiting(start_endpoint, start_executor, make_call):
+    """Guards against a slot that leaks when it comes after the cancel."""
+    executor = start_executor(start_endpoint(None))
+    scheduler = executor.scheduler
+    scheduler.held = []
+    future = executor.submit(make_call())
+    while not scheduler.held:
+        pass
+    assert executor.cancel('r1')
+    refusal = future.result(20)
+    assert (refusal.code, refusal.ran) == (CODES.CANCELLED, codes.Ran.NO)
+    item = scheduler.submitted[0]
+    placement = work.Placement(item, scheduler.endpoints[0])
+    scheduler.held[0].set_result(placement)
+    assert scheduler.statuses() == ['not_run']
+
+
+def test_preempted_stream_is_resumed(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against preemption that fails an item or starts it anew."""
+
+    def handle(request):
+        if 'resume_from' in request.json():
+            request.stream(6)
+            return
+        request.begin()
+        request.send(fakes.make_sse(request.attempt_id, 0, 2, done=False))
+
+    endpoint = start_endpoint(handle)
+    executor = start_executor(endpoint)
+    scheduler = executor.scheduler
+    sink = ListSink()
+    future = executor.submit(make_call(lane=work.Lane.BATCH), sink)
+    assert sink.written.wait(20)
+    item = scheduler.submitted[0]
+    scheduler.preempt(work.Placement(item, scheduler.endpoints[0]))
+    result = future.result(20)
+    assert get_tokens(sink.data) == list(range(6))
+    assert result.attempts == 1
+    assert scheduler.statuses() == ['cancelled', 'completed']
+
+
+def test_hedged_call(start_endpoint, start_executor, make_call):
+    """Guards against a hedge that leaks a slot or loses the answer."""
+    slow = start_endpoint(lambda request: None)
+    good = start_endpoint(lambda request: request.answer(b'{"e":1}'))
+    executor = start_executor(slow, good, hedge_after=0.05)
+    assert executor.execute(make_call(stream=False)).body == b'{"e":1}'
+    slow.wait_for(slow.cancelled)
+    assert sorted(executor.scheduler.statuses()) == ['cancelled', 'completed']
--- a/rhubarbreach/entry/app.py
+++ b/rhubarbreach/entry/app.py
@@ -43,6 +43,8 @@
         Values of the variable parts of the matched path.
     body_read : bool
         Whether the whole body was read.
+    body_failed : bool
+        Whether the body ended early or came too slowly.
     """
 
     def __init__(self, connection, received_at, max_body, body_seconds):
@@ -55,6 +57,7 @@
         self.received_at = received_at
         self.path_values = {}
         self.body_read = False
+        self.body_failed = False
 
     def get_data(self, *arguments, **options):
         """Return the body within the bounds of the application.
@@ -181,10 +184,13 @@
             )
         if response is None:
             return
-        if not bodies.discard_body(request) or self.draining:
+        unread = not bodies.discard_body(request)
+        if unread or self.draining:
             connection.close_connection = True
         response.headers[REQUEST_ID] = request.request_id
         connection.send_answer(response)
+        if unread and not request.body_failed:
+            connection.linger()
 
     def send_malformed(self, connection, reason):
         """Answer a request whose head could not be read."""
--- a/rhubarbreach/entry/bodies.py
+++ b/rhubarbreach/entry/bodies.py
@@ -44,10 +44,12 @@
     try:
         body = read_stream(request.environ['wsgi.input'], length, max_bytes)
     except TimeoutError:
+        request.body_failed = True
         return errors.make_refusal(
             'BODY_INCOMPLETE', f'no whole body within {seconds:g} s'
         )
     except (OSError, ValueError):
+        request.body_failed = True
         return errors.make_refusal(
             'BODY_INCOMPLETE', 'the body ended before its length'
         )
@@ -86,7 +88,7 @@
     if request.body_read:
         return True
     length = request.content_length
-    if request.environ.get('wsgi.input_terminated'):
+    if request.body_failed or request.environ.get('wsgi.input_terminated'):
         return False
     if not length:
         return True
--- a/rhubarbreach/entry/connection.py
+++ b/rhubarbreach/entry/connection.py
@@ -2,6 +2,7 @@
 
 import http
 import io
+import socket
 import time
 
 from werkzeug import serving
@@ -13,6 +14,10 @@
 SLOW_HEAD_SECONDS = 10.0
 WRITE_SECONDS = 10.0
 
+# How long the rest of a refused body is read and dropped.
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 64 * 1024
+
 
 class DeadlineReader(io.RawIOBase):
     """Reads a socket until a deadline that covers many reads.
@@ -135,6 +140,21 @@
             self.wfile.write(body)
         self.flush_answer()
 
+    def linger(self):
+        """Let the caller read the answer before the connection closes.
+
+        Closing a socket with unread bytes resets the connection, which may
+        discard an answer on its way.
+        """
+        self.connection.shutdown(socket.SHUT_WR)
+        deadline = time.monotonic() + LINGER_SECONDS
+        left = LINGER_SECONDS
+        while left > 0:
+            self.connection.settimeout(left)
+            if not self.connection.recv(LINGER_BYTES):
+                return
+            left = deadline - time.monotonic()
+
     def flush_answer(self):
         """Send what was queued."""
         data = self.wfile.getvalue()
--- a/rhubarbreach/entry/tests/test_online.py
+++ b/rhubarbreach/entry/tests/test_online.py
@@ -1,6 +1,12 @@
 """Tests of the path of an online request."""
 
+import concurrent.futures
+import threading
+
 import msgspec
+import pytest
+
+from rhubarbreach.dispatch.tests import fakes
 
 
 def get_error(body):
@@ -27,3 +33,167 @@
         assert body.endswith(b'data: [DONE]\n\n')
     for request in entry.endpoint.requests:
         assert 'authorization' not in request.headers
+
+
+@pytest.mark.parametrize(
+    'path, key, code, status',
+    [
+        ('/v1/chat/completions', None, 110, 401),
+        ('/v1/chat/completions', 'no', 112, 401),
+        ('/v1/chat/completions', 'k2', 140, 429),
+        ('/private', 'k1', 113, 403),
+        ('/private/../swaps', 'k1', 121, 404),
+        ('/private/%2e%2e/swaps', 'k1', 121, 404),
+        ('/nothing', 'k1', 121, 404),
+    ],
+)
+def test_refusals(start_entry, path, key, code, status):
+    """Guards against a request that runs without permission."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    entry.limiter.over = {'a2'}
+    body = b'{"model":"rota","messages":[]}'
+    found, headers, answer = entry.ask('POST', path, body, key=key)
+    error = get_error(answer)
+    assert (found, error['code'], error['not_run']) == (status, code, True)
+    assert error['request_id'] == headers['X-Request-Id']
+    assert headers['Retry-After'] == ('3' if code == 140 else None)
+    assert not entry.endpoint.requests
+
+
+@pytest.mark.parametrize(
+    'body, code',
+    [
+        (b'{"model":"rota"', 100),
+        (b'{"model":"rota"}', 100),
+        (b'{"model":"rota","prompt":"\xff\xfe"}', 100),
+        (b'{"model":"rota","prompt":"x","resume_from":3}', 100),
+        (b'[]', 100),
+        (b'', 100),
+        (b'{"model":"none","prompt":"x"}', 120),
+        (b'x' * 5000, 101),
+        (b'x' * 500000, 101),
+    ],
+)
+def test_bad_bodies(start_entry, body, code):
+    """Guards against passing on, or tripping over, a bad body."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    _, headers, answer = entry.ask('POST', '/v1/completions', body)
+    assert get_error(answer)['code'] == code
+    assert not entry.endpoint.requests
+
+
+def test_service_headers(start_entry):
+    """Guards against a key or an unlisted header reaching an endpoint."""
+    entry = start_entry(
+        lambda request: request.answer(request.path.encode()), kind='service'
+    )
+    status, _, body = entry.ask(
+        'PUT',
+        '/open/a%20b?c=d',
+        b'x',
+        X_Api_Key='secret',
+        Cookie='secret',
+        Content_Type='text/x',
+    )
+    assert (status, body) == (200, b'/open/a%20b?c=d')
+    headers = entry.endpoint.requests[0].headers
+    assert headers['content-type'] == 'text/x'
+    assert 'secret' not in headers.values()
+    assert not any('k1' in value for value in headers.values())
+
+
+def test_duplicates_run_once(start_entry):
+    """Guards against two runs of one request that may not be repeated."""
+    go_on = threading.Event()
+
+    def handle(request):
+        go_on.wait(20)
+        request.answer(b'{"n":1}')
+
+    entry = start_entry(handle, kind='service')
+
+    def send(_):
+        return entry.ask('POST', '/swaps/1', b'x', Idempotency_Key='s1')
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        answers = [pool.submit(send, n) for n in range(8)]
+        entry.endpoint.wait_for(entry.endpoint.requests)
+        go_on.set()
+        found = {answer.result()[0::2] for answer in answers}
+    assert found == {(200, b'{"n":1}')}
+    assert len(entry.endpoint.requests) == 1
+    other = entry.ask('POST', '/swaps/1', b'y', Idempotency_Key='s1')
+    assert get_error(other[2])['code'] == 130
+    assert entry.ask('GET', '/v1/requests/s1')[2] == b'{"n":1}'
+    assert entry.ask('GET', '/v1/requests/s1', key='k2')[0] == 404
+
+
+def test_unknown_outcome_never_runs_again(start_entry):
+    """Guards against a repetition after the endpoint died in the call."""
+    entry = start_entry(lambda request: request.die(), kind='service')
+    for _ in range(2):
+        _, _, body = entry.ask('POST', '/swaps', b'x', Idempotency_Key='s1')
+        error = get_error(body)
+        assert (error['code'], error['not_run']) == (152, 'unknown')
+    assert len(entry.endpoint.requests) == 1
+
+
+def test_recorded_stream_outlives_its_caller(start_entry):
+    """Guards against losing an accepted request with its caller."""
+    go_on = threading.Event()
+
+    def handle(request):
+        request.begin()
+        request.send(fakes.make_event(request.attempt_id, 0))
+        go_on.wait(20)
+        request.send(fakes.make_sse(request.attempt_id, 1, 4))
+        request.end()
+
+    entry = start_entry(handle)
+    client = entry.connect()
+    body = b'{"model":"rota","prompt":"x","stream":true}'
+    headers = {'Authorization': 'Bearer k1', 'Idempotency-Key': 's1'}
+    client.request('POST', '/v1/completions', body, headers)
+    response = client.getresponse()
+    response.read(10)
+    response.close()
+    client.close()
+    go_on.set()
+    answer = entry.ask('POST', '/v1/completions', body, Idempotency_Key='s1')
+    assert answer[2].count(b'data: ') == 5
+    assert len(entry.endpoint.requests) == 1
+
+
+def test_revoked_key_on_open_connection(start_entry):
+    """Guards against a connection that outlives its key."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    client = entry.connect()
+    assert entry.chat(client=client)[0] == 200
+    del entry.view.keys['k1']
+    assert entry.chat(client=client)[0] == 401
+
+
+def test_no_traceback(start_entry, monkeypatch):
+    """Guards against internals in the answer to a fault of this process."""
+    entry = start_entry(lambda request: None)
+    monkeypatch.setattr(entry.executor, 'execute', lambda *_: 1 / 0)
+    status, _, body = entry.chat()
+    assert status == 500 and b'ZeroDivision' not in body
+    assert get_error(body)['not_run'] == 'unknown'
+
+
+def test_short_deadline(start_entry):
+    """Guards against queueing a request that cannot be answered in time."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    _, headers, body = entry.chat(X_Deadline_Ms='1')
+    assert get_error(body)['code'] == 142 and headers['Retry-After']
+
+
+def test_announcement(start_entry):
+    """Guards against announcements that get lost or need a key."""
+    entry = start_entry(lambda request: None)
+    status, _, body = entry.ask(
+        'POST', '/internal/announce', b'{"endpoint_id":"e"}', key=None
+    )
+    assert (status, body) == (200, b'{"announce_to":[]}')
+    assert entry.announced == [{'endpoint_id': 'e'}]
