Read steady streams less often when the event loop is busy

Each token woke the loop once: at 600 streams the relay carried 28,255 of 30,308 tokens/s with first token p95 1,656 ms. Streams after their first token now wait in a second epoll object that is read at a pace chosen from the load, at most every 40 ms, in slices between the prompt sockets.

--- a/rhubarbreach/dispatch/__init__.py
+++ b/rhubarbreach/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from rhubarbreach.dispatch import loop
 from rhubarbreach.dispatch import prompt
 from rhubarbreach.dispatch import run
+from rhubarbreach.dispatch import selector
 from rhubarbreach.dispatch import sink
 from rhubarbreach.dispatch import transfer
 
@@ -26,6 +27,7 @@
     'loop',
     'prompt',
     'run',
+    'selector',
     'sink',
     'transfer',
 ]
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -11,6 +11,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach.dispatch import attempt as attempt_module
+from rhubarbreach.dispatch import selector
 from rhubarbreach.dispatch import sink as sink_module
 from rhubarbreach.dispatch import transfer as transfer_module
 
@@ -21,7 +22,6 @@
 
 # Deadlines, stalls and slow callers are checked at this interval.
 SWEEP_SECONDS = 0.05
-MAX_POLL_EVENTS = 1024
 MAX_IDLE_HANDLES = 256
 MAX_IDLE_CONNECTIONS = 4096
 
@@ -51,9 +51,7 @@
 
     def __init__(self, metrics):
         self.metrics = metrics
-        self.epoll = select.epoll()
-        self.wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
-        self.epoll.register(self.wake_fd, select.EPOLLIN)
+        self.selector = selector.Selector()
         self.commands = collections.deque()
         self.curl_masks = {}
         self.callers = {}
@@ -78,7 +76,7 @@
     def call_soon(self, function, *arguments):
         """Run a function on the loop thread."""
         self.commands.append((function, arguments))
-        os.eventfd_write(self.wake_fd, 1)
+        self.selector.wake()
 
     def start(self, attempt):
         """Start an attempt.
@@ -107,7 +105,7 @@
         """Notice when the caller of a sink is gone."""
         sink.loop = self
         self.callers[sink.fd] = sink
-        self.epoll.register(sink.fd, sink_module.READ_EVENTS)
+        self.selector.register(sink.fd, sink_module.READ_EVENTS)
 
     def unwatch(self, sink):
         """Forget a caller; the future completes when that is done."""
@@ -139,16 +137,14 @@
         for curl in self.idle_handles:
             curl.close()
         self.multi.close()
-        self.epoll.close()
-        os.close(self.wake_fd)
+        self.selector.close()
 
     def run_pass(self):
         """Wait for events and process all of them."""
         until = self.next_sweep
         if self.timer_at is not None:
             until = min(until, self.timer_at)
-        timeout = max(0.0, until - clock.monotonic())
-        events = self.epoll.poll(timeout, MAX_POLL_EVENTS)
+        events = self.selector.poll(until)
         self.now = now = clock.monotonic()
         curl_masks = self.curl_masks
         callers = self.callers
@@ -159,8 +155,8 @@
                 action(fd, mask & 1 | (mask & 4) >> 1 | (mask & 8) >> 1)
             elif fd in callers:
                 callers[fd].handle_event(mask)
-            elif fd == self.wake_fd:
-                os.eventfd_read(self.wake_fd)
+            elif fd == self.selector.wake_fd:
+                os.eventfd_read(fd)
         while self.commands:
             function, arguments = self.commands.popleft()
             function(*arguments)
@@ -180,13 +176,13 @@
         if what == pycurl.POLL_REMOVE:
             if known:
                 del self.curl_masks[fd]
-                self.epoll.unregister(fd)
+                self.selector.unregister(fd)
             return
         mask = POLL_MASKS.get(what, 0)
         if not known:
-            self.epoll.register(fd, mask)
+            self.selector.register(fd, mask)
         elif self.curl_masks[fd] != mask:
-            self.epoll.modify(fd, mask)
+            self.selector.modify(fd, mask)
         self.curl_masks[fd] = mask
 
     def handle_timer(self, milliseconds):
@@ -233,6 +229,10 @@
         transfer.parse_head()
         if transfer.is_crossed():
             self.abort(transfer, AttemptEnd.CROSSED, 'answer of another')
+        elif transfer.relay is not None:
+            fd = transfer.curl.getinfo(pycurl.ACTIVESOCKET)
+            if fd in self.curl_masks:
+                self.selector.make_steady(fd, self.curl_masks[fd])
 
     def relay_events(self, transfer, data):
         """Pass events on and react to what the relay found."""
@@ -383,10 +383,10 @@
         if fd not in self.callers:
             return
         if mask:
-            self.epoll.modify(fd, mask)
+            self.selector.modify(fd, mask)
         else:
             del self.callers[fd]
-            self.epoll.unregister(fd)
+            self.selector.unregister(fd)
 
     def caller_lost(self, sink):
         """End the attempt that writes to a sink whose caller is gone."""
