--- /dev/null
+++ b/rhubarbreach/limits/tests/test_limiter.py
@@ -0,0 +1,92 @@
+"""Tests of the rate limiter over links on loopback."""
+
+import dataclasses
+import socket
+import time
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.limits import shares
+from rhubarbreach.limits import shareset
+from rhubarbreach.membership import rendezvous
+from rhubarbreach.protocol import link
+from rhubarbreach.state import model
+
+NAMES = ('h0', 'h1', 'h2')
+WAIT = 20
+
+
+@dataclasses.dataclass
+class View:
+    """Configuration that is always valid."""
+
+    snapshot: model.Config
+    valid_until: float = float('inf')
+
+
+class Members:
+    """Membership of fixed hosts."""
+
+    def owners(self, name, count, region):
+        """Return the owners."""
+        return rendezvous.rank_hosts(name, NAMES, count)
+
+
+def find_address():
+    """Return a free address on loopback."""
+    with socket.socket() as found:
+        found.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{found.getsockname()[1]}'
+
+
+@pytest.fixture
+def limiters():
+    """Return the limiters of three hosts."""
+    addresses = {name: find_address() for name in NAMES}
+    account = model.Account('a', 5.0, 20.0)
+    view = View(model.Config(1, (account,), share_epoch=1, share_hosts=NAMES))
+    links = [link.Link(n, addresses[n], addresses, None) for n in NAMES]
+    found = [
+        shares.RateLimiter(item.host_id, 'r', view, Members(), item)
+        for item in links
+    ]
+    for limiter in found:
+        limiter.start()
+    yield found
+    for limiter in found:
+        limiter.close()
+    for item in links:
+        item.close()
+
+
+def test_burst_is_admitted_once_over_all_hosts(limiters):
+    """Hosts together must admit the burst, and no more than it."""
+    time.sleep(9.0)
+    started = clock.monotonic()
+    results = [
+        limiters[i % 3].acquire('a', 1.0, clock.monotonic()) for i in range(60)
+    ]
+    admitted = sum(result is None for result in results)
+    elapsed = clock.monotonic() - started
+    assert 15 <= admitted <= 20 + 5 * elapsed * 1.01 + 1e-6
+    refused = [result for result in results if result is not None]
+    assert {r.code for r in refused} == {codes.ResultCode.RATE_EXCEEDED}
+    assert all(r.retry_after > 0 for r in refused)
+
+
+def test_host_leaves_the_set_only_when_it_cannot_spend():
+    """A share must not be used by others while its host may use it."""
+    config = model.Config(1, share_epoch=1, share_hosts=NAMES)
+    alive = [shareset.HostState(n, True, 0.0, 100.0) for n in NAMES[:2]]
+    lost = shareset.HostState('h2', False, 20.0, 22.0)
+
+    def propose(now, settled=True):
+        return shareset.propose_share_set(
+            config, [*alive, lost], 0.0, settled, now
+        )
+
+    assert propose(24.9) is None
+    assert propose(30.0, settled=False) is None
+    assert propose(30.0) == model.SetShareSet(1, ('h0', 'h1'))
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -279,22 +279,32 @@
 
 @frozen_message
 class ShareLease:
-    """Lease the sender's rate shares to the receiver for `duration` s.
+    """Lease the sender's rate shares to the receiver.
 
-    `duration` 0 releases them at once.
+    The lease lasts until `echo`, a time of the receiver's clock from its
+    last reply, plus `duration` s; a late message thus cannot lengthen it.
+    `duration` 0 releases the shares at once. The lease is for the accounts
+    that belong to the receiver among `owners`, but for those that belonged
+    to one of `held` among `previous`, where an old lease has not ended.
     """
 
     share_epoch: int
     share_count: int
     duration: float
+    number: int = 0
+    echo: float = 0.0
+    owners: tuple[str, ...] = ()
+    previous: tuple[str, ...] = ()
+    held: tuple[str, ...] = ()
 
 
 @frozen_message
 class ShareLeaseReply:
-    """Whether the owner accepted the lease."""
+    """Whether the owner accepted the lease; `stamp` is its clock in s."""
 
     accepted: bool
     share_epoch: int
+    stamp: float = 0.0
 
 
 @frozen_message
@@ -302,12 +312,17 @@
     """Ask the owner for tokens of one client account.
 
     `served` is the measured cost served for the account since the last
-    request, for fair sharing across the fleet.
+    request, for fair sharing across the fleet. `unit` is the largest cost
+    of a waiting request, `extra` what is expected to be needed soon, and
+    `finished` lists the grants that were spent.
     """
 
     account_id: str
     wanted: float
     served: float
+    unit: float = 0.0
+    extra: float = 0.0
+    finished: tuple[int, ...] = ()
 
 
 @frozen_message
@@ -317,6 +332,7 @@
     granted: float
     duration: float
     retry_after: float
+    grant_id: int = 0
 
 
 # Endpoint concurrency: package limits.
