Compose one host from its packages

Cause: the packages existed side by side without a process. Conclusion: the whole path can be tried.

--- /dev/null
+++ b/rhubarbreach/daemon/host.py
@@ -0,0 +1,413 @@
+"""One host: its packages composed from its settings."""
+
+import threading
+import time
+import uuid
+
+import logbook
+
+from rhubarbreach.batch import api
+from rhubarbreach.batch import records as batch_records
+from rhubarbreach.batch import runner
+from rhubarbreach.batch import store as batch_store
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.consensus import client as consensus_client
+from rhubarbreach.daemon import access
+from rhubarbreach.daemon import announce
+from rhubarbreach.daemon import faults
+from rhubarbreach.daemon import provider
+from rhubarbreach.daemon import records
+from rhubarbreach.daemon import sharetask
+from rhubarbreach.daemon import stores
+from rhubarbreach.dispatch import executor
+from rhubarbreach.dispatch import loop
+from rhubarbreach.distribution import effect
+from rhubarbreach.distribution import revision
+from rhubarbreach.distribution import serve
+from rhubarbreach.distribution import store as local_store
+from rhubarbreach.distribution import view as view_module
+from rhubarbreach.distribution import watch
+from rhubarbreach.entry import app
+from rhubarbreach.entry import online
+from rhubarbreach.entry import server
+from rhubarbreach.entry import status
+from rhubarbreach.limits import shares
+from rhubarbreach.membership import endpoints
+from rhubarbreach.membership import hosts
+from rhubarbreach.observe import logs
+from rhubarbreach.observe import metrics
+from rhubarbreach.observe import timeline
+from rhubarbreach.operators import server as operators_server
+from rhubarbreach.orders import orderer
+from rhubarbreach.placement import scheduler
+from rhubarbreach.protocol import link
+from rhubarbreach.protocol import messages
+from rhubarbreach.state import model
+from rhubarbreach.storage import folder
+
+__all__ = ['Host']
+
+LOG = logbook.Logger('host')
+
+ORDER_SECONDS = 5.0
+MILLISECONDS = 1000
+TRANSFER_SECONDS = 5.0
+# Time between the report of not being ready and the refusal of requests,
+# in which the load balancer turns to other hosts.
+BALANCER_SECONDS = 1.0
+
+
+class Host:
+    """All tasks of one host.
+
+    Parameters
+    ----------
+    settings : settings.model.Settings
+        Checked settings.
+    log_handler : logbook.Handler or None
+        Handler whose level operators may change.
+
+    Raises
+    ------
+    DataFolderError, CorruptLogError
+        If the data folder cannot be used.
+    AddressError
+        If an address cannot be listened on.
+    """
+
+    def __init__(self, settings, log_handler=None):
+        self.settings = settings
+        self.log_handler = log_handler
+        self.host_id = settings.host.host_id
+        self.incarnation = int(time.time() * MILLISECONDS)
+        self.holder_id = f'{self.host_id}#{self.incarnation}'
+        self.drain_requested = threading.Event()
+        self.metrics = metrics.Metrics()
+        self.clock = clock.HybridClock()
+        self.recorder = timeline.Recorder(
+            self.host_id, self.clock, settings.log.timeline
+        )
+        self.folder = None
+        if settings.data.folder:
+            self.folder = folder.DataFolder(settings.data.folder)
+        self.link = link.Link(
+            self.host_id,
+            settings.host.link,
+            dict(settings.peers),
+            settings.tls,
+            self.clock,
+        )
+        self.open_membership()
+        self.open_configuration()
+        self.open_serving()
+        self.open_batch()
+        self.open_orders()
+        self.open_http()
+        self.open_operators()
+
+    def open_membership(self):
+        """Create host and endpoint tables."""
+        self.membership = hosts.Membership(
+            self.settings.host,
+            self.link,
+            self.settings.peers,
+            self.incarnation,
+        )
+        self.registry = endpoints.EndpointRegistry(self.membership, self.link)
+
+    def open_configuration(self):
+        """Create the groups of a store host and the configuration view."""
+        revision_file = None
+        if self.settings.data.folder:
+            revision_file = revision.RevisionFile(self.settings.data.folder)
+        self.view = view_module.ConfigView(revision_file)
+        self.tracker = effect.Tracker()
+        self.stores = None
+        self.local_store = None
+        if 'store' in self.settings.host.roles:
+            self.stores = stores.open_stores(
+                self.settings,
+                self.settings.data.folder,
+                self.link,
+                self.metrics,
+                self.recorder,
+            )
+            self.local_store = local_store.LocalStore(
+                self.stores.config_group,
+                self.stores.config_machine,
+                self.view,
+            )
+        self.config_server = serve.ConfigServer(
+            self.link,
+            self.view,
+            self.tracker,
+            self.local_store,
+            self.list_entry_hosts,
+        )
+        self.watcher = watch.Watcher(
+            watch.WatcherSettings(self.host_id, self.incarnation),
+            self.link,
+            self.view,
+            self.get_store_hosts,
+            self.tracker,
+            self.local_store,
+        )
+        self.share_task = None
+        if self.stores is not None:
+            self.share_task = sharetask.ShareSetTask(
+                self.stores.config_group,
+                self.view,
+                self.membership,
+                self.tracker,
+                self.recorder,
+            )
+
+    def get_store_hosts(self):
+        """Return the store hosts, those of the own zone first."""
+        found = [
+            host for host in self.membership.alive() if 'store' in host.roles
+        ]
+        found.sort(
+            key=lambda host: (
+                host.draining,
+                host.zone != self.settings.host.zone,
+                host.host_id,
+            )
+        )
+        known = tuple(host.host_id for host in found)
+        return known or self.settings.store.initial
+
+    def list_entry_hosts(self):
+        """Return the ids of the hosts that may serve keys."""
+        alive = {
+            host.host_id
+            for host in self.membership.alive()
+            if 'entry' in host.roles
+        }
+        return alive | set(self.view.snapshot.share_hosts)
+
+    def open_serving(self):
+        """Create limiter, scheduler and executor."""
+        host = self.settings.host
+        self.limiter = shares.RateLimiter(
+            self.host_id, host.region, self.view, self.membership, self.link
+        )
+        self.scheduler = scheduler.Scheduler(
+            self.host_id,
+            host.zone,
+            self.registry,
+            self.settings.policy,
+            self.membership,
+            self.link,
+        )
+        self.loop = loop.Loop(self.metrics)
+        self.executor = executor.Executor(
+            self.scheduler, self.loop, self.recorder, self.metrics
+        )
+
+    def open_batch(self):
+        """Create clients of jobs and records, and the batch runner."""
+        settings = self.settings
+        client = consensus_client.Client(self.link, settings.store.initial)
+        self.job_store = batch_store.Store(client, settings.store.job_groups)
+        self.records = batch_records.Records(
+            client, self.holder_id, settings.jobs.retention
+        )
+        self.runner = runner.Runner(
+            self.job_store,
+            self.executor,
+            self.holder_id,
+            settings.jobs,
+            self.metrics,
+            self.scheduler.count_waiting_batch,
+        )
+        self.link.register(messages.CancelAttempts, self.take_cancel)
+
+    def take_cancel(self, sender_id, message):
+        """Stop the items of a cancelled job."""
+        self.runner.cancel_job(message.job_id)
+
+    def stop_job(self, job_id, holders):
+        """Tell the holders of claims that a job was cancelled.
+
+        Parameters
+        ----------
+        job_id : str
+            Cancelled job.
+        holders : iterable of str
+            Host ids and incarnations, `host#incarnation`.
+        """
+        message = messages.CancelAttempts(job_id)
+        for holder_id in holders:
+            self.link.send(holder_id.partition('#')[0], message)
+
+    def open_orders(self):
+        """Create the task that gives orders to endpoints."""
+        self.orderer = orderer.Orderer(
+            self.host_id,
+            self.view,
+            self.take_order_lease,
+            self.registry,
+            view_module.CONFIG_VALIDITY,
+            self.recorder,
+        )
+
+    def take_order_lease(self, endpoint_id, expected_epoch):
+        """Propose to take an order lease; return its epoch or a refusal."""
+        change = model.TakeOrderLease(
+            endpoint_id, self.host_id, expected_epoch
+        )
+        command = model.encode_request(uuid.uuid4().hex, None, change)
+        answer = consensus_client.propose(
+            self.link,
+            stores.CONFIG_GROUP,
+            command,
+            clock.monotonic() + ORDER_SECONDS,
+            self.get_store_hosts(),
+        )
+        if isinstance(answer, codes.Refusal):
+            return answer
+        result = model.decode_result(answer)
+        if result.code != codes.ResultCode.OK:
+            return codes.Refusal(result.code, result.reason)
+        return expected_epoch + 1
+
+    def open_http(self):
+        """Create the HTTP interface."""
+        self.application = app.Application(self.metrics)
+        online.OnlineHandlers(
+            self.application,
+            self.view,
+            self.limiter,
+            self.executor,
+            records.EntryRecords(self.records),
+            self.settings.requests,
+        )
+        announcements = announce.Announcements(self.registry, self.membership)
+        status.StatusHandlers(
+            self.application, self.metrics, announcements.take
+        )
+        batch_api = api.BatchApi(
+            self.job_store,
+            access.JobAccess(self.view),
+            self.settings.jobs,
+            self.stop_job,
+        )
+        batch_api.add_routes(self.application)
+        if self.settings.debug.faults:
+            faults.FaultHandlers(self.application, self.link)
+        self.application.add_readiness(self.find_unready_reason)
+        self.server = server.Server(
+            self.settings.host.http,
+            self.application,
+            self.metrics,
+            self.settings.requests.max_connections,
+        )
+
+    def find_unready_reason(self):
+        """Return why requests cannot be served here, or an empty string."""
+        if not self.view.ready:
+            return 'no configuration'
+        return ''
+
+    def open_operators(self):
+        """Create the interface of operators."""
+        self.provider = provider.HostProvider(self, self.local_store)
+        self.operators = None
+        if self.settings.host.operators:
+            self.operators = operators_server.Server(
+                self.settings.host.operators, self.provider, self.settings.tls
+            )
+
+    def start(self):
+        """Start all tasks."""
+        self.membership.start()
+        self.registry.start()
+        if self.stores is not None:
+            self.stores.ticker.start()
+            self.share_task.start()
+        self.watcher.start()
+        self.limiter.start()
+        self.scheduler.start()
+        self.runner.start()
+        self.server.start()
+        self.recorder.record('host_started', f'incarnation {self.incarnation}')
+        LOG.info('event=host_started incarnation={}', self.incarnation)
+
+    def request_drain(self):
+        """Ask for a drain; the main task carries it out."""
+        self.drain_requested.set()
+
+    def set_log_level(self, level):
+        """Change the log level until the next start."""
+        if self.log_handler is not None:
+            logs.set_level(self.log_handler, level)
+
+    def drain(self):
+        """Finish what runs, hand back what is held, and stop.
+
+        Returns
+        -------
+        bool
+            Whether everything in flight was finished in time.
+        """
+        seconds = self.settings.requests.drain_timeout
+        deadline = clock.monotonic() + seconds
+        self.recorder.record('drain_started', 'shutdown was asked for')
+        LOG.info('event=drain_started')
+        self.application.drain()
+        self.membership.set_draining()
+        finished = self.runner.drain(deadline, deadline)
+        finished = self.server.wait_quiet(deadline) and finished
+        self.transfer_leadership()
+        self.recorder.record(
+            'drain_ended', 'all finished' if finished else 'deadline passed'
+        )
+        LOG.info('event=drain_ended finished={}', finished)
+        self.close()
+        return finished
+
+    def transfer_leadership(self):
+        """Hand the leadership of groups to other stores."""
+        if self.stores is None:
+            return
+        peers = [
+            host_id
+            for host_id in self.get_store_hosts()
+            if host_id != self.host_id
+        ]
+        led = [one for one in self.stores.get_groups() if one.is_leader]
+        if not peers or not led:
+            return
+        for group in led:
+            group.transfer(peers[0])
+        deadline = clock.monotonic() + TRANSFER_SECONDS
+        while any(group.is_leader for group in led):
+            if clock.monotonic() > deadline:
+                return
+            time.sleep(self.settings.store.heartbeat)
+
+    def close(self):
+        """Stop all tasks without waiting for what runs."""
+        if self.operators is not None:
+            self.operators.close()
+        self.server.close()
+        self.runner.close()
+        self.limiter.close()
+        self.scheduler.close()
+        self.executor.close()
+        self.loop.close()
+        self.records.close()
+        if self.share_task is not None:
+            self.share_task.close()
+        self.watcher.close()
+        self.config_server.close()
+        if self.stores is not None:
+            self.stores.close()
+        self.registry.close()
+        self.membership.close()
+        self.link.close()
+        self.recorder.close()
+        if self.folder is not None:
+            self.folder.close()
--- /dev/null
+++ b/rhubarbreach/daemon/provider.py
@@ -0,0 +1,226 @@
+"""Calls of operators that need the parts of a whole host."""
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.observe import logs
+from rhubarbreach.operators import fleet
+from rhubarbreach.operators import provider
+from rhubarbreach.protocol import messages
+
+__all__ = ['HostProvider']
+
+ALL_JOBS = 1000
+Code = codes.ResultCode
+
+
+class HostProvider(fleet.FleetProvider):
+    """Provider of one host.
+
+    Parameters
+    ----------
+    host : daemon.host.Host
+        Composed host.
+    store : distribution.store.LocalStore or None
+        Configuration group, on a store host.
+    """
+
+    def __init__(self, host, store):
+        super().__init__(host.link, host.view, host.get_store_hosts, store)
+        self.host = host
+        host.link.register(messages.HostOrder, self.take_host_order)
+
+    def list_hosts(self, deadline):
+        """Return the live hosts of the fleet."""
+        revisions = self.host.tracker.get_revisions()
+        revisions[self.host.host_id] = self.view.revision
+        return tuple(
+            provider.HostStatus(
+                one.host_id,
+                one.region,
+                one.zone,
+                one.address,
+                one.roles,
+                'draining' if one.draining else 'alive',
+                revisions.get(one.host_id, -1),
+            )
+            for one in self.host.membership.alive()
+        )
+
+    def list_endpoints(self, deadline):
+        """Return the endpoints that are known here."""
+        return tuple(
+            provider.EndpointStatus(
+                one.endpoint_id,
+                one.zone,
+                one.address,
+                one.kind,
+                one.models,
+                one.draining,
+                one.load.running,
+                one.load.waiting,
+                one.load.slots,
+            )
+            for one in self.host.registry.list_all(clock.monotonic())
+        )
+
+    def list_groups(self, deadline):
+        """Return the groups of this host."""
+        if self.host.stores is None:
+            return ()
+        return tuple(
+            make_group_status(group) for group in self.host.stores.get_groups()
+        )
+
+    def list_rates(self, account_id, deadline):
+        """Return configured and recent rates as seen by this host."""
+        config = self.view.snapshot
+        metrics = self.host.metrics
+        return tuple(
+            provider.RateStatus(
+                one.account_id,
+                one.rate,
+                one.burst,
+                metrics.get_count('rate_admitted', account=one.account_id),
+                metrics.get_count('rate_refused', account=one.account_id),
+                self.host.limiter.holder.find_owner(one.account_id) or '',
+            )
+            for one in config.accounts
+            if account_id in ('', one.account_id)
+        )
+
+    def list_jobs(self, account_id, deadline):
+        """Return the jobs of one account or of all."""
+        account_ids = [account_id]
+        if not account_id:
+            account_ids = [
+                one.account_id for one in self.view.snapshot.accounts
+            ]
+        found = []
+        for one in account_ids:
+            jobs = self.host.job_store.list_jobs(one, '', ALL_JOBS, deadline)
+            if isinstance(jobs, codes.Refusal):
+                return jobs
+            found.extend(make_job_status(job) for job in jobs)
+        return tuple(found)
+
+    def cancel_job(self, job_id, operation_id, deadline):
+        """Cancel a job of any account."""
+        jobs = self.list_jobs('', deadline)
+        if isinstance(jobs, codes.Refusal):
+            return jobs
+        for job in jobs:
+            if job.job_id == job_id:
+                return self.cancel_found(job, deadline)
+        return codes.Refusal(Code.NOT_FOUND, f'no job {job_id}')
+
+    def cancel_found(self, job, deadline):
+        """Cancel a job that exists."""
+        reply = self.host.job_store.cancel(
+            job.job_id, job.account_id, deadline
+        )
+        if isinstance(reply, codes.Refusal):
+            return reply
+        self.host.stop_job(job.job_id, reply.holders)
+        return None
+
+    def change_member(self, group_id, host_id, action, operation_id, deadline):
+        """Carry out a membership change on one group or on all."""
+        if self.host.stores is None:
+            return codes.Refusal(
+                Code.NOT_LEADER, 'this host is not a store host'
+            )
+        groups = [
+            group
+            for group in self.host.stores.get_groups()
+            if group_id in ('', group.group_id)
+        ]
+        if not groups:
+            return codes.Refusal(Code.NOT_FOUND, f'no group {group_id}')
+        for group in groups:
+            refusal = change_group(group, host_id, action, deadline)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def drain_host(self, host_id, operation_id, deadline):
+        """Start the drain of a host."""
+        return self.order_host(host_id, 'drain', '', deadline)
+
+    def set_log_level(self, host_id, level, operation_id, deadline):
+        """Set the log level of a host until its next start."""
+        if level not in logs.LEVELS:
+            allowed = ', '.join(logs.LEVELS)
+            return codes.Refusal(
+                Code.INVALID_CHANGE, f'level {level}, allowed: {allowed}'
+            )
+        return self.order_host(host_id, 'log_level', level, deadline)
+
+    def order_host(self, host_id, order, value, deadline):
+        """Send an order to a host and wait until it is carried out."""
+        message = messages.HostOrder(order, value)
+        reply = self.link.call(host_id, message, deadline).result()
+        return reply if isinstance(reply, codes.Refusal) else reply.refusal
+
+    def take_host_order(self, sender_id, message):
+        """Carry out an order that an operator gave through a host."""
+        match message.order:
+            case 'drain':
+                self.host.request_drain()
+            case 'log_level':
+                self.host.set_log_level(message.value)
+            case _:
+                refusal = codes.Refusal(
+                    Code.INVALID_CHANGE, f'unknown order {message.order}'
+                )
+                return messages.HostOrderReply(refusal)
+        return messages.HostOrderReply(None)
+
+    def order_endpoint(self, endpoint_id, action, operation_id, deadline):
+        """Give an order to an endpoint."""
+        result = self.host.orderer.give_order(
+            endpoint_id, action, f'operation {operation_id}', deadline
+        )
+        return result if isinstance(result, codes.Refusal) else None
+
+
+def make_group_status(group):
+    """Return the status of a replica."""
+    members = group.members
+    return provider.GroupStatus(
+        group.group_id,
+        group.leader_id or '',
+        group.term,
+        group.applied_index,
+        tuple(one.host_id for one in members if one.voter),
+        tuple(one.host_id for one in members if not one.voter),
+    )
+
+
+def make_job_status(job):
+    """Return the status of a job as operators see it."""
+    return provider.JobStatus(
+        job.job_id,
+        job.account_id,
+        job.state.value,
+        job.total,
+        job.done,
+        job.failed + job.unknown,
+    )
+
+
+def change_group(group, host_id, action, deadline):
+    """Carry out a membership change; return a refusal or None."""
+    match action:
+        case 'add':
+            result = group.add_learner(host_id, deadline).result()
+        case 'promote':
+            result = group.promote(host_id, deadline).result()
+        case 'remove':
+            result = group.remove(host_id, deadline).result()
+        case 'transfer':
+            result = group.transfer(host_id)
+        case _:
+            return codes.Refusal(
+                Code.INVALID_CHANGE, f'unknown action {action}'
+            )
+    return result if isinstance(result, codes.Refusal) else None
--- /dev/null
+++ b/rhubarbreach/daemon/run.py
@@ -0,0 +1,47 @@
+"""Thin daemon: runs one host until a signal."""
+
+import signal
+import threading
+
+from rhubarbreach.daemon import host as host_module
+from rhubarbreach.daemon import probe
+from rhubarbreach import exceptions
+from rhubarbreach.observe import logs
+
+__all__ = ['run_host']
+
+FLUSH_SECONDS = 0.5
+
+
+def run_host(settings):
+    """Run a host until SIGTERM, SIGINT or an order to drain.
+
+    Parameters
+    ----------
+    settings : settings.model.Settings
+        Checked settings.
+
+    Raises
+    ------
+    AddressError
+        If an address cannot be listened on.
+    DataFolderError, CorruptLogError
+        If the data folder cannot be used.
+    """
+    handler = logs.open_log(
+        settings.host.host_id, settings.log.level, settings.log.file
+    )
+    for fault in probe.find_machine_faults(settings):
+        if fault.is_address:
+            raise exceptions.AddressError(fault.text)
+        raise exceptions.DataFolderError(fault.text)
+    host = host_module.Host(settings, handler)
+    host.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: host.request_drain())
+    while not host.drain_requested.wait(FLUSH_SECONDS):
+        host.recorder.flush()
+    host.drain()
+    logs.close_log(handler)
+    # Threads of libraries may be blocked in calls without a timeout.
+    threading.Event().wait(0)
--- /dev/null
+++ b/rhubarbreach/daemon/sharetask.py
@@ -0,0 +1,119 @@
+"""Task of the configuration leader that keeps the share set current."""
+
+import threading
+import uuid
+
+import logbook
+
+from rhubarbreach import clock
+from rhubarbreach.distribution import effect
+from rhubarbreach.limits import shareset
+from rhubarbreach.state import model
+
+__all__ = ['ShareSetTask']
+
+LOG = logbook.Logger('shareset')
+
+PERIOD_SECONDS = 0.5
+PROPOSE_SECONDS = 5.0
+
+
+class ShareSetTask:
+    """Proposes a new share set when entry hosts come and go.
+
+    Parameters
+    ----------
+    group : consensus.group.Group
+        Replica of the configuration group.
+    view : distribution.view.ConfigView
+        Configuration in effect here.
+    membership : membership.hosts.Membership
+        Live hosts.
+    tracker : distribution.effect.Tracker
+        Validity that hosts were granted.
+    recorder : observe.timeline.Recorder
+        Receives each proposal.
+    """
+
+    def __init__(self, group, view, membership, tracker, recorder):
+        self.group = group
+        self.view = view
+        self.membership = membership
+        self.tracker = tracker
+        self.recorder = recorder
+        self.states = {}
+        self.epoch = -1
+        self.term = -1
+        self.changed_at = 0.0
+        self.closed = threading.Event()
+        self.thread = threading.Thread(
+            target=self.run, name='share-set', daemon=True
+        )
+
+    def start(self):
+        """Start the task."""
+        self.thread.start()
+
+    def run(self):
+        """Look at the hosts until closed."""
+        while not self.closed.wait(PERIOD_SECONDS):
+            try:
+                self.step(clock.monotonic())
+            except Exception:
+                LOG.exception('event=share_set_failed')
+
+    def step(self, now):
+        """Propose a change if one is due and this host leads."""
+        if not self.group.is_leader:
+            self.term = -1
+            return
+        self.observe(now)
+        config = self.view.snapshot
+        extra = effect.get_longest_extra(config)
+        pending = self.tracker.find_pending(config.revision, extra, now)
+        change = shareset.propose_share_set(
+            config, self.states.values(), self.changed_at, not pending, now
+        )
+        if change is None:
+            return
+        self.recorder.record(
+            'share_set_proposed',
+            'entry hosts changed',
+            detail=f'hosts={",".join(change.hosts)}',
+        )
+        command = model.encode_request(uuid.uuid4().hex, None, change)
+        self.group.propose(command, now + PROPOSE_SECONDS).result()
+
+    def observe(self, now):
+        """Take over which entry hosts are alive and until when they serve."""
+        config = self.view.snapshot
+        if self.term != self.group.term or self.epoch != config.share_epoch:
+            self.term = self.group.term
+            self.epoch = config.share_epoch
+            self.changed_at = now
+        alive = {
+            host.host_id
+            for host in self.membership.alive()
+            if 'entry' in host.roles and not host.draining
+        }
+        extra = effect.get_longest_extra(config)
+        granted = self.tracker.get_granted()
+        for host_id in {*alive, *config.share_hosts, *self.states}:
+            known = self.states.get(host_id)
+            is_alive = host_id in alive
+            since = now
+            if known is not None and known.alive == is_alive:
+                since = known.since
+            # A host that this leader never granted anything may still use
+            # what the former leader granted until now.
+            serves_until = max(
+                granted.get(host_id, self.changed_at),
+                self.changed_at,
+            )
+            self.states[host_id] = shareset.HostState(
+                host_id, is_alive, since, serves_until + extra
+            )
+
+    def close(self):
+        """Stop the task."""
+        self.closed.set()
--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -137,6 +137,21 @@
                 found[host_id] = max(entry.revision, found.get(host_id, 0))
         return found
 
+    def get_granted(self):
+        """Return until when each host that has polled was granted.
+
+        Returns
+        -------
+        dict of str to float
+            Monotonic seconds by host id.
+        """
+        found = {}
+        with self.lock:
+            for (host_id, _), entry in self.entries.items():
+                known = found.get(host_id, NEVER)
+                found[host_id] = max(entry.granted_until, known)
+        return found
+
     def count_downstream(self, extra, now):
         """Return how many polling processes may still serve keys."""
         with self.lock:
--- a/rhubarbreach/entry/app.py
+++ b/rhubarbreach/entry/app.py
@@ -88,6 +88,11 @@
         super().__init__(refusal.reason)
         self.refusal = refusal
 
+    @property
+    def stream(self):
+        """Body as a stream, for handlers that read it piece by piece."""
+        return bodies.open_stream(self)
+
 
 class Application:
     """Finds the handler of a request and sends its answer.
--- a/rhubarbreach/entry/bodies.py
+++ b/rhubarbreach/entry/bodies.py
@@ -2,7 +2,7 @@
 
 from rhubarbreach.dispatch import errors
 
-__all__ = ['discard_body', 'read_body']
+__all__ = ['discard_body', 'open_stream', 'read_body']
 
 READ_BYTES = 64 * 1024
 
@@ -10,6 +10,9 @@
 DISCARD_BYTES = 64 * 1024
 DISCARD_SECONDS = 1.0
 
+# Time within which a body that is read piece by piece has to arrive.
+STREAM_SECONDS = 300.0
+
 
 def read_body(request, max_bytes, seconds):
     """Read the body of a request.
@@ -63,6 +66,49 @@
     return body
 
 
+class BodyStream:
+    """Body of a request that is read piece by piece.
+
+    Parameters
+    ----------
+    request : app.EntryRequest
+        Request of the caller.
+    """
+
+    def __init__(self, request):
+        self.request = request
+        self.source = request.environ['wsgi.input']
+        self.left = request.content_length
+        if not request.environ.get('wsgi.input_terminated'):
+            self.left = self.left or 0
+        request.connection.set_read_deadline(STREAM_SECONDS)
+
+    def read(self, size):
+        """Return up to `size` bytes, empty at the end.
+
+        Raises
+        ------
+        OSError
+            If the body ends before its length or is too slow.
+        """
+        if self.left is not None:
+            size = min(size, self.left)
+        data = self.source.read(size) if size else b''
+        if self.left is not None:
+            self.left -= len(data)
+            if not data and self.left:
+                self.request.body_failed = True
+                raise ConnectionError('the body ended before its length')
+        if not data or self.left == 0:
+            self.request.body_read = True
+        return data
+
+
+def open_stream(request):
+    """Return the body of a request as a `BodyStream`."""
+    return BodyStream(request)
+
+
 def refuse_large(max_bytes):
     """Return the refusal of a body that is too large."""
     return errors.make_refusal(
--- a/rhubarbreach/placement/scheduler.py
+++ b/rhubarbreach/placement/scheduler.py
@@ -11,6 +11,7 @@
 from rhubarbreach.limits import slots
 from rhubarbreach.placement import core
 from rhubarbreach.placement import exchange
+from rhubarbreach.scheduling import work
 
 __all__ = ['Scheduler']
 
@@ -153,6 +154,12 @@
             self.core.release(placement, outcome, clock.monotonic())
             self.wake()
 
+    def count_waiting_batch(self, model_id):
+        """Return the batch work of a model that waits for a slot."""
+        with self.lock:
+            lane = self.core.queue.lanes[work.Lane.BATCH]
+            return lane.models[model_id]
+
     def wake(self):
         """Let the dispatch task decide again."""
         self.ready.set()
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -25,6 +25,8 @@
     'EndpointRow',
     'GrantReply',
     'GrantRequest',
+    'HostOrder',
+    'HostOrderReply',
     'HostLag',
     'HostRow',
     'HostTable',
@@ -563,3 +565,21 @@
 
     index: int
     refusal: codes.Refusal | None = None
+
+
+# Orders of operators to a host: package daemon.
+
+
+@frozen_message
+class HostOrder:
+    """Order to a host: `drain`, or `log_level` with a value."""
+
+    order: str
+    value: str
+
+
+@frozen_message
+class HostOrderReply:
+    """Whether the order was carried out."""
+
+    refusal: codes.Refusal | None
