--- a/rhubarbreach/bench/fleet.py
+++ b/rhubarbreach/bench/fleet.py
@@ -20,6 +20,7 @@
 STOP_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.1
 HTTP_TIMEOUT_SECONDS = 5.0
+OPERATOR = 'operator-bench'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,7 +105,9 @@
             endpoint.endpoint_id: f'127.0.0.1:{next(ports)}'
             for endpoint in plan.endpoints
         }
-        certificates.write_certificates(self.folder / 'tls', list(self.hosts))
+        certificates.write_certificates(
+            self.folder / 'tls', [*self.hosts, OPERATOR]
+        )
         for host in plan.hosts:
             self.write_settings(host)
 
--- a/rhubarbreach/bench/plans.py
+++ b/rhubarbreach/bench/plans.py
@@ -38,6 +38,7 @@
     rate: float
     burst: float
     weight: float = 1.0
+    stale_key_bound: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
