--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -7,7 +7,10 @@
 from rhubarbreach.protocol import messages
 from rhubarbreach.state import model
 
-__all__ = ['Tracker', 'get_extra']
+__all__ = ['ANY_ACCOUNT', 'Tracker', 'get_extra', 'get_longest_extra']
+
+# In place of an account id: the account with the longest bound.
+ANY_ACCOUNT = '*'
 
 # Hosts listed by name in one message; the others are sent as one row.
 MAX_LAGS = 64
@@ -53,7 +56,7 @@
     config : Config
         Configuration in effect.
     account_id : str
-        Client account, empty for none.
+        Client account, empty for none, `ANY_ACCOUNT` when not known.
 
     Returns
     -------
@@ -61,10 +64,18 @@
         Seconds beyond the validity of the configuration. The longest bound
         ever set counts, since a partitioned host may still use that one.
     """
+    if account_id == ANY_ACCOUNT:
+        return get_longest_extra(config)
     bound = config.get_longest_bound(account_id)
     return max(0.0, bound - view.CONFIG_VALIDITY)
 
 
+def get_longest_extra(config):
+    """Return for how much longer any account's keys may work, in seconds."""
+    bounds = (seconds for _, seconds in config.bound_map.items())
+    return max(0.0, max(bounds, default=0.0) - view.CONFIG_VALIDITY)
+
+
 class Tracker:
     """Revisions in use at the hosts that poll this one."""
 
@@ -108,17 +119,38 @@
         """
         key = (watch.host_id, watch.incarnation)
         with self.lock:
-            entry = self.entries[key]
+            # The process may have been replaced while its poll waited.
+            entry = self.entries.get(
+                key, Entry(watch.revision, NEVER, watch.downstream, ())
+            )
             self.entries[key] = dataclasses.replace(
                 entry,
                 revision=entry.revision or revision,
                 granted_until=max(entry.granted_until, granted_until),
             )
 
-    def get_host_ids(self):
-        """Return the ids of the hosts that have polled."""
+    def get_revisions(self):
+        """Return the revisions of the hosts that have polled, by host id."""
+        found = {}
+        with self.lock:
+            for (host_id, _), entry in self.entries.items():
+                found[host_id] = max(entry.revision, found.get(host_id, 0))
+        return found
+
+    def get_granted(self):
+        """Return until when each host that has polled was granted.
+
+        Returns
+        -------
+        dict of str to float
+            Monotonic seconds by host id.
+        """
+        found = {}
         with self.lock:
-            return {host_id for host_id, _ in self.entries}
+            for (host_id, _), entry in self.entries.items():
+                known = found.get(host_id, NEVER)
+                found[host_id] = max(entry.granted_until, known)
+        return found
 
     def count_downstream(self, extra, now):
         """Return how many polling processes may still serve keys."""
