Let the host use the records and job access of the batch package

Cause: the daemon adapted the first form of Records; the present one has the interface that entry.records asks for, and the account of a job also needs its models checked and its rate charged. Change: the host passes Records to the entry and batch.access.Access to the job routes; the two adapters are gone. Jobs of several models use the window of outstanding items, since the scheduler counts by model. Conclusion: records and job routes are wired without adapters.

--- a/rhubarbreach/batch/__init__.py
+++ b/rhubarbreach/batch/__init__.py
@@ -1,5 +1,6 @@
 """Execution of batch items."""
 
+from rhubarbreach.batch import access
 from rhubarbreach.batch import api
 from rhubarbreach.batch import items
 from rhubarbreach.batch import records
@@ -10,6 +11,7 @@
 from rhubarbreach.batch import window
 
 __all__ = [
+    'access',
     'api',
     'items',
     'records',
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -169,8 +169,10 @@
         excluded = []
         used = 0
         for name, outstanding, rate in self.holdings.measure_targets(now):
+            # The items of a job without a common model are counted under
+            # no target here and under several in the scheduler.
             waiting = None
-            if self.count_waiting is not None:
+            if self.count_waiting is not None and name:
                 waiting = self.count_waiting(name)
             used += outstanding if waiting is None else waiting
             state = window.Window(outstanding, waiting, requested, rate)
--- a/rhubarbreach/daemon/__init__.py
+++ b/rhubarbreach/daemon/__init__.py
@@ -1,24 +1,20 @@
 """Composition of one host process."""
 
-from rhubarbreach.daemon import access
 from rhubarbreach.daemon import announce
 from rhubarbreach.daemon import faults
 from rhubarbreach.daemon import host
 from rhubarbreach.daemon import probe
 from rhubarbreach.daemon import provider
-from rhubarbreach.daemon import records
 from rhubarbreach.daemon import run
 from rhubarbreach.daemon import sharetask
 from rhubarbreach.daemon import stores
 
 __all__ = [
-    'access',
     'announce',
     'faults',
     'host',
     'probe',
     'provider',
-    'records',
     'run',
     'sharetask',
     'stores',
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from rhubarbreach.batch import access
 from rhubarbreach.batch import api
 from rhubarbreach.batch import records as batch_records
 from rhubarbreach.batch import runner
@@ -13,11 +14,9 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus import client as consensus_client
-from rhubarbreach.daemon import access
 from rhubarbreach.daemon import announce
 from rhubarbreach.daemon import faults
 from rhubarbreach.daemon import provider
-from rhubarbreach.daemon import records
 from rhubarbreach.daemon import sharetask
 from rhubarbreach.daemon import stores
 from rhubarbreach.dispatch import executor
@@ -281,7 +280,7 @@
             self.view,
             self.limiter,
             self.executor,
-            records.EntryRecords(self.records),
+            self.records,
             self.settings.requests,
         )
         announcements = announce.Announcements(self.registry, self.membership)
@@ -290,7 +289,7 @@
         )
         batch_api = api.BatchApi(
             self.job_store,
-            access.JobAccess(self.view),
+            access.Access(self.view, self.limiter),
             self.settings.jobs,
             self.stop_job,
         )
