--- a/rhubarbreach/state/tests/test_history.py
+++ b/rhubarbreach/state/tests/test_history.py
@@ -11,6 +11,8 @@
 End = jobcommands.ItemEnd
 HOSTS = strategies.sampled_from(('h1', 'h2', 'h3'))
 JOBS = strategies.sampled_from(('job-1', 'job-2', 'job-3'))
+# No job is deleted meanwhile; after that its id names a new job.
+DAY = 86_400_000
 PICK = strategies.integers(0, 1 << 16)
 
 
@@ -42,6 +44,7 @@
             count=count,
             digest=b'%d' % count,
             idempotent=job_id != 'job-3',
+            retention=DAY,
         )
         if job_id in self.accepted and self.accepted[job_id] != count:
             assert reply.status is None
@@ -142,10 +145,9 @@
     def keep_results(self):
         """A final result never changes."""
         for key, (state, result) in self.results.items():
-            job = self.group.machine.jobs.get(key[0])
-            if job is not None:
-                assert job.states[key[1]] == state
-                assert job.results.get(key[1]) == result
+            job = self.group.machine.jobs[key[0]]
+            assert job.states[key[1]] == state
+            assert job.results.get(key[1]) == result
 
     def teardown(self):
         """Let one host finish everything and count the results."""
@@ -157,9 +159,7 @@
                     assert self.group.report(claimed.epoch, item)
             self.group.pass_time(1000)
         for job_id, count in self.accepted.items():
-            job = self.group.machine.jobs.get(job_id)
-            if job is None:
-                continue
+            job = self.group.machine.jobs[job_id]
             assert len(job.states) == count
             assert all(state >= State.DONE for state in job.states)
             assert job.state in ('completed', 'cancelled')
--- a/rhubarbreach/state/tests/test_jobs.py
+++ b/rhubarbreach/state/tests/test_jobs.py
@@ -20,6 +20,7 @@
         'idempotent': True,
         'weight': 1.0,
         'max_attempts': 3,
+        'retention': RETENTION,
     }
     values.update(fields)
     return jobcommands.BeginJob(
@@ -29,7 +30,6 @@
         method='POST',
         path='/v1/chat/completions',
         item_count=count,
-        retention=RETENTION,
         created_at=0.0,
         **values,
     )
