--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -15,19 +15,29 @@
     'CancelAttempts',
     'ClusterCommand',
     'ClusterReply',
+    'ConfigFetch',
+    'ConfigPart',
     'ConfigReply',
     'ConfigWatch',
+    'EffectQuery',
+    'EffectReply',
     'EndpointBatch',
     'EndpointRow',
     'GrantReply',
     'GrantRequest',
+    'HostLag',
     'HostRow',
+    'HostTable',
     'InstallReply',
     'InstallSnapshot',
     'LogEntry',
+    'PendingHost',
+    'Member',
     'Probe',
     'ProbeReply',
     'ProbeRequest',
+    'ReadIndexReply',
+    'ReadIndexRequest',
     'ServiceCounter',
     'ServiceCounters',
     'ShareLease',
@@ -35,6 +45,8 @@
     'SlotReply',
     'SlotRequest',
     'SlotUse',
+    'StoreHello',
+    'StoreQuery',
     'StrikeReport',
     'TransferLeadership',
     'VoteReply',
@@ -129,6 +141,7 @@
     offset: int
     data: bytes
     done: bool
+    round_id: int = 0
 
 
 @frozen_message
@@ -140,6 +153,7 @@
     offset: int
     done: bool
     store_id: str
+    round_id: int = 0
 
 
 @frozen_message
@@ -175,23 +189,43 @@
 # Configuration distribution: package distribution.
 
 
+@frozen_message
+class HostLag:
+    """A host below a relay that may still use an older revision.
+
+    `seconds` is what is left of its validity, negative when it has passed.
+    An empty `host_id` stands for several hosts.
+    """
+
+    host_id: str
+    revision: int
+    seconds: float
+
+
 @frozen_message
 class ConfigWatch:
-    """Long poll for changes after `revision`, which is in effect here."""
+    """Long poll for changes after `revision`, which is in effect here.
+
+    With `timeout` 0 the answer comes at once. A relay counts the hosts that
+    it vouches for in `downstream` and lists those `behind` its revision.
+    """
 
     host_id: str
     incarnation: int
     revision: int
     timeout: float
+    downstream: int = 0
+    behind: tuple[HostLag, ...] = ()
 
 
 @frozen_message
 class ConfigReply:
     """Changes after the polled revision and the validity in seconds.
 
-    `snapshot` is set in place of `changes` when the changes are no longer
-    kept. `validity` counts from the moment the poll was sent; 0 means that
-    the upstream cannot vouch for its own view.
+    `snapshot` is empty, not None, when the changes are no longer kept; the
+    host then gets the whole configuration by `ConfigFetch`. `validity`
+    counts from the moment the poll was sent; 0 means that the upstream
+    cannot vouch for its own view, or that more changes follow.
     """
 
     revision: int
@@ -323,7 +357,11 @@
 
 @frozen_message
 class SlotUse:
-    """Slots of one endpoint that a host uses and wants."""
+    """Slots of one endpoint that a host uses and wants.
+
+    `batch_weight` is the weight of the accounts whose batch work waits on
+    the host. `alone` asks for the whole endpoint, for a crash suspect.
+    """
 
     endpoint_id: str
     online_running: int
@@ -332,6 +370,8 @@
     batch_waiting: int
     first_token: float
     inter_token: float
+    batch_weight: float = 1.0
+    alone: bool = False
 
 
 @frozen_message
@@ -343,11 +383,15 @@
 
 @frozen_message
 class SlotReply:
-    """Slots leased to the host, in the order of the request's uses."""
+    """Slots leased to the host, in the order of the request's uses.
+
+    `alone` tells for each use whether nothing else runs on the endpoint.
+    """
 
     online: tuple[int, ...]
     batch: tuple[int, ...]
     duration: float
+    alone: tuple[bool, ...] = ()
 
 
 # Scheduling, suspects and cancellation.
@@ -359,6 +403,7 @@
 
     account_id: str
     served: float
+    lane: str = 'batch'
 
 
 @frozen_message
@@ -386,3 +431,119 @@
     """Cancel what runs for a job on the receiving host."""
 
     job_id: str
+
+
+# Whole configurations and where a revision is in effect: distribution.
+
+
+@frozen_message
+class ConfigFetch:
+    """Ask for a part of the snapshot at `revision`; 0 for any revision."""
+
+    revision: int
+    offset: int
+
+
+@frozen_message
+class ConfigPart:
+    """Part of a snapshot of `total` bytes; another revision starts anew."""
+
+    revision: int
+    offset: int
+    total: int
+    data: bytes
+
+
+@frozen_message
+class PendingHost:
+    """A host that may use an older revision for at most `seconds` more."""
+
+    host_id: str
+    seconds: float
+
+
+@frozen_message
+class EffectQuery:
+    """Ask the leader to wait until a revision is in effect everywhere.
+
+    `account_id` is the account that the change concerns, empty for none.
+    """
+
+    revision: int
+    account_id: str
+    timeout: float
+
+
+# Replicated log: store identities and reads.
+
+
+@frozen_message
+class Member:
+    """A store of a group; `replaces` marks one that follows a lost store.
+
+    A learner that replaces a lost voter is promoted by the leader without
+    a further request.
+    """
+
+    host_id: str
+    store_id: str
+    voter: bool
+    replaces: bool = False
+
+
+@frozen_message
+class StoreHello:
+    """Identity of the sender's store and the members it knows.
+
+    `formed` tells that the sender has seen the same `members` from all
+    initial voters, or has joined the group.
+    """
+
+    group_id: str
+    store_id: str
+    formed: bool
+    members: tuple[Member, ...]
+    term: int = 0
+    leader_id: str | None = None
+
+
+@frozen_message
+class StoreQuery:
+    """Ask for a `StoreHello`."""
+
+    group_id: str
+
+
+@frozen_message
+class ReadIndexRequest:
+    """Ask the leader for the index that a read has to wait for."""
+
+    group_id: str
+    timeout: float
+
+
+@frozen_message
+class EffectReply:
+    """Hosts on which the revision is not in effect yet.
+
+    `known` is False when the receiver is not the leader.
+    """
+
+    known: bool
+    pending: tuple[PendingHost, ...]
+
+
+@frozen_message
+class HostTable:
+    """Part of the table of hosts; `wanted` asks for the receiver's table."""
+
+    rows: tuple[HostRow, ...]
+    wanted: bool
+
+
+@frozen_message
+class ReadIndexReply:
+    """Index that was committed when the read began, or a refusal."""
+
+    index: int
+    refusal: codes.Refusal | None = None
