Split callers from the event loop and harden the entry

Exceptions were logged with their message, which may quote a key or a body: now class and place only. A fault after the first byte of a stream wrote a second head into it: now the connection is closed. Refusals go to the timeline. The refusal of a surplus connection carries a request id.

--- a/rhubarbreach/bench/relaybench.py
+++ b/rhubarbreach/bench/relaybench.py
@@ -7,6 +7,7 @@
 import fire
 import msgspec
 
+from rhubarbreach.bench import relayload
 from rhubarbreach.bench import relayparts
 
 __all__ = ['main', 'run_steps']
@@ -125,7 +126,7 @@
         for client in clients:
             client.tell()
         reports = [
-            msgspec.json.decode(client.read(), type=relayparts.ClientReport)
+            msgspec.json.decode(client.read(), type=relayload.ClientReport)
             for client in clients
         ]
         used = read_processor_seconds(entry) - before
@@ -218,7 +219,7 @@
             'run': run_steps,
             'endpoint': relayparts.run_endpoint,
             'entry': run_entry,
-            'client': relayparts.run_client,
+            'client': relayload.run_client,
         }
     )
 
--- a/rhubarbreach/bench/relayparts.py
+++ b/rhubarbreach/bench/relayparts.py
@@ -1,10 +1,9 @@
-"""Parts of the relay benchmark: paced endpoint, entry, load client."""
+"""Parts of the relay benchmark: paced endpoint and entry."""
 
 import collections
 import concurrent.futures
 import dataclasses
 import heapq
-import random
 import resource
 import select
 import socket
@@ -27,15 +26,12 @@
 from rhubarbreach.settings import model as settings_model
 from rhubarbreach.state import model
 
-__all__ = ['ClientReport', 'run_client', 'run_endpoint', 'run_entry']
+__all__ = ['HOST', 'LAST_CHUNK', 'RECEIVE_BYTES', 'run_endpoint', 'run_entry']
 
 HOST = '127.0.0.1'
-PATH = '/v1/chat/completions'
-PROMPT_CHARACTERS = 800
 BACKLOG = 2048
 RECEIVE_BYTES = 65536
 HEAD_END = b'\r\n\r\n'
-EVENT_END = b'\n\n'
 LAST_CHUNK = b'0\r\n\r\n'
 ANSWER_HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
@@ -258,146 +254,3 @@
     for _ in sys.stdin:
         used = resource.getrusage(resource.RUSAGE_SELF)
         print(used.ru_utime + used.ru_stime, flush=True)
-
-
-@dataclasses.dataclass(frozen=True)
-class ClientReport:
-    """What one load client saw; times in seconds."""
-
-    tokens: int
-    requests: int
-    broken: int
-    seconds: float
-    first: list[float]
-    gaps: list[float]
-
-
-class Caller:
-    """One connection of the load client, with one stream at a time."""
-
-    def __init__(self, port, random_source):
-        self.random = random_source
-        self.socket = socket.create_connection((HOST, port), 10)
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.tail = b''
-        self.sent_at = 0.0
-        self.last_at = None
-
-    def ask(self, tokens):
-        """Send a request."""
-        words = [str(self.random.random()) for _ in range(4)]
-        prompt = ' '.join(words).ljust(PROMPT_CHARACTERS, '.')
-        body = msgspec.json.encode(
-            {
-                'model': 'rota',
-                'stream': True,
-                'max_tokens': tokens,
-                'messages': [{'role': 'user', 'content': prompt}],
-            }
-        )
-        head = (
-            f'POST {PATH} HTTP/1.1\r\nHost: bench\r\n'
-            'Authorization: Bearer bench\r\nContent-Type: application/json'
-            f'\r\nContent-Length: {len(body)}\r\n\r\n'
-        )
-        self.last_at = None
-        self.tail = b''
-        self.sent_at = time.monotonic()
-        self.socket.sendall(head.encode() + body)
-
-
-class LoadClient:
-    """Keeps a number of streams running against one port.
-
-    Parameters
-    ----------
-    port : int
-        Entry or endpoint.
-    streams : int
-        Streams at once.
-    tokens : int
-        Tokens of a whole stream; the first one of each caller is shorter,
-        so that the ends are spread.
-    seed : int
-        Seed of prompts and first lengths.
-    """
-
-    def __init__(self, port, streams, tokens, seed):
-        self.tokens = tokens
-        self.random = random.Random(seed)
-        self.epoll = select.epoll()
-        self.callers = {}
-        for _ in range(streams):
-            caller = Caller(port, self.random)
-            fd = caller.socket.fileno()
-            self.callers[fd] = caller
-            self.epoll.register(fd, select.EPOLLIN)
-        self.reset()
-
-    def reset(self):
-        """Begin to count anew."""
-        self.counted = self.requests = self.broken = 0
-        self.first = []
-        self.gaps = []
-
-    def start(self, seconds):
-        """Start all callers, spread over some seconds."""
-        pause = seconds / len(self.callers)
-        for caller in tuple(self.callers.values()):
-            caller.ask(self.random.randint(10, self.tokens))
-            self.run_until(time.monotonic() + pause)
-
-    def run_until(self, end):
-        """Read until a time of the monotonic clock."""
-        while (left := end - time.monotonic()) > 0:
-            for fd, _ in self.epoll.poll(left):
-                self.receive(fd, self.callers[fd])
-
-    def receive(self, fd, caller):
-        """Count what arrived; send the next request after the end."""
-        data = caller.socket.recv(RECEIVE_BYTES)
-        now = time.monotonic()
-        if not data:
-            self.broken += 1
-            self.epoll.unregister(fd)
-            return
-        ended = (caller.tail + data).endswith(LAST_CHUNK)
-        events = (caller.tail[-1:] + data).count(EVENT_END)
-        caller.tail = (caller.tail + data)[-len(LAST_CHUNK) :]
-        events -= ended
-        if events:
-            self.count(caller, events, now)
-        if ended:
-            self.requests += 1
-            caller.ask(self.tokens)
-
-    def count(self, caller, events, now):
-        """Note tokens and their times."""
-        self.counted += events
-        if caller.last_at is None:
-            self.first.append(now - caller.sent_at)
-        else:
-            self.gaps.append(now - caller.last_at)
-        self.gaps.extend([0.0] * (events - 1))
-        caller.last_at = now
-
-
-def run_client(port, streams, tokens, seed, warm_up, seconds):
-    """Load a port and print a `ClientReport` as JSON."""
-    client = LoadClient(port, streams, tokens, seed)
-    client.start(warm_up)
-    print('ready', flush=True)
-    sys.stdin.readline()
-    client.reset()
-    began = time.monotonic()
-    client.run_until(began + seconds)
-    spent = time.monotonic() - began
-    report = ClientReport(
-        client.counted,
-        client.requests,
-        client.broken,
-        spent,
-        client.first,
-        client.gaps,
-    )
-    print(msgspec.json.encode(report).decode(), flush=True)
--- a/rhubarbreach/dispatch/__init__.py
+++ b/rhubarbreach/dispatch/__init__.py
@@ -3,6 +3,7 @@
 from rhubarbreach.dispatch import attempt
 from rhubarbreach.dispatch import budget
 from rhubarbreach.dispatch import call
+from rhubarbreach.dispatch import callers
 from rhubarbreach.dispatch import decide
 from rhubarbreach.dispatch import errors
 from rhubarbreach.dispatch import events
@@ -19,6 +20,7 @@
     'attempt',
     'budget',
     'call',
+    'callers',
     'decide',
     'errors',
     'events',
--- a/rhubarbreach/dispatch/errors.py
+++ b/rhubarbreach/dispatch/errors.py
@@ -1,8 +1,11 @@
 """The error object that callers get for a refusal."""
 
+import pathlib
+import traceback
+
 from rhubarbreach import codes
 
-__all__ = ['make_error', 'make_refusal']
+__all__ = ['describe_fault', 'make_error', 'make_refusal']
 
 NOT_RUN = {
     codes.Ran.NO: True,
@@ -11,6 +14,16 @@
 }
 
 
+def describe_fault(error):
+    """Return class and place of an exception for the log.
+
+    Its message is left out, since it may quote a key or a body.
+    """
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    file = pathlib.PurePath(frame.filename).name
+    return f'type={type(error).__name__} at={file}:{frame.lineno}'
+
+
 def make_error(refusal, request_id):
     """Return the error object of a refusal.
 
--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -76,6 +76,7 @@
         self.dropped_duplicate = 0
         self.attempt_id = ''
         self.attempt_index = 0
+        self.repeated = False
         self.attempt_first_at = None
         self.pending = b''
         self.prefix = b''
@@ -88,6 +89,8 @@
         self.prefix = b''
         self.fault = None
         self.attempt_index = self.next_index
+        # An event without a token, such as the role, is not sent twice.
+        self.repeated = bool(self.delivered)
         self.attempt_first_at = None
 
     def feed(self, data, now):
@@ -167,7 +170,7 @@
     def accept_index(self, event, index):
         """Return whether a token is the next one; None is no token."""
         if index is None:
-            return True
+            return not self.repeated or self.next_index > self.attempt_index
         if index < self.next_index:
             self.dropped_duplicate += 1
             return False
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -11,8 +11,9 @@
 
 from rhubarbreach import clock
 from rhubarbreach.dispatch import attempt as attempt_module
+from rhubarbreach.dispatch import callers
+from rhubarbreach.dispatch import errors
 from rhubarbreach.dispatch import selector
-from rhubarbreach.dispatch import sink as sink_module
 from rhubarbreach.dispatch import transfer as transfer_module
 
 __all__ = ['Loop']
@@ -54,7 +55,7 @@
         self.selector = selector.Selector()
         self.commands = collections.deque()
         self.curl_masks = {}
-        self.callers = {}
+        self.callers = callers.CallerTable(self.selector, metrics)
         self.transfers = {}
         self.dirty = []
         self.idle_handles = []
@@ -103,14 +104,12 @@
 
     def watch(self, sink):
         """Notice when the caller of a sink is gone."""
-        sink.loop = self
-        self.callers[sink.fd] = sink
-        self.selector.register(sink.fd, sink_module.READ_EVENTS)
+        self.callers.add(sink)
 
     def unwatch(self, sink):
         """Forget a caller; the future completes when that is done."""
         done = concurrent.futures.Future()
-        self.call_soon(self.forget_caller, sink, done)
+        self.call_soon(self.callers.remove, sink, done)
         return done
 
     def close(self):
@@ -133,7 +132,7 @@
                 self.run_pass()
             except Exception as error:
                 self.metrics.count('dispatch_loop_errors_total')
-                LOG.exception('event=loop_error type={}', type(error).__name__)
+                LOG.error('event=loop_error {}', errors.describe_fault(error))
         for curl in self.idle_handles:
             curl.close()
         self.multi.close()
@@ -145,16 +144,16 @@
         if self.timer_at is not None:
             until = min(until, self.timer_at)
         events = self.selector.poll(until)
-        self.now = now = clock.monotonic()
+        self.now = self.callers.now = now = clock.monotonic()
         curl_masks = self.curl_masks
-        callers = self.callers
+        sinks = self.callers.sinks
         action = self.multi.socket_action
         for fd, mask in events:
             if fd in curl_masks:
                 # EPOLLIN, EPOLLOUT and EPOLLERR as CURL_CSELECT_ flags.
                 action(fd, mask & 1 | (mask & 4) >> 1 | (mask & 8) >> 1)
-            elif fd in callers:
-                callers[fd].handle_event(mask)
+            elif fd in sinks:
+                sinks[fd].handle_event(mask)
             elif fd == self.selector.wake_fd:
                 os.eventfd_read(fd)
         while self.commands:
@@ -216,7 +215,10 @@
             transfer.received_at = self.now
             if transfer.first_byte_at is None:
                 self.begin_body(transfer)
-            if transfer.curl is None or transfer.linger_until is not None:
+            if transfer.linger_until is not None:
+                self.metrics.count('dispatch_late_bytes_total', len(data))
+                continue
+            if transfer.curl is None:
                 continue
             if transfer.relay is not None:
                 self.relay_events(transfer, data)
@@ -375,28 +377,4 @@
                 and now - transfer.received_at > STREAM_STALL_SECONDS
             ):
                 self.abort(transfer, AttemptEnd.STALLED, 'no further byte')
-        for sink in tuple(self.callers.values()):
-            sink.check_stalled(now)
-
-    def modify_caller(self, fd, mask):
-        """Change which events of a caller's socket are waited for."""
-        if fd not in self.callers:
-            return
-        if mask:
-            self.selector.modify(fd, mask)
-        else:
-            del self.callers[fd]
-            self.selector.unregister(fd)
-
-    def caller_lost(self, sink):
-        """End the attempt that writes to a sink whose caller is gone."""
-        reason = 'slow' if sink.slow else 'gone'
-        self.metrics.count('dispatch_callers_lost_total', reason=reason)
-        if sink.on_lost is not None:
-            sink.on_lost(sink)
-
-    def forget_caller(self, sink, done):
-        """Stop watching a caller's socket."""
-        if self.callers.get(sink.fd) is sink:
-            self.modify_caller(sink.fd, 0)
-        done.set_result(None)
+        self.callers.check_stalled(now)
--- a/rhubarbreach/dispatch/sink.py
+++ b/rhubarbreach/dispatch/sink.py
@@ -54,7 +54,7 @@
         self.buffer = collections.deque()
         self.waiting_bytes = 0
         self.stalled_since = None
-        self.loop = None
+        self.table = None
         self.on_lost = None
         self.resume = None
         self.closed = concurrent.futures.Future()
@@ -95,8 +95,8 @@
             if sent == len(data):
                 return True
             data = data[sent:]
-            self.stalled_since = self.loop.now
-            self.loop.modify_caller(self.fd, WRITE_EVENTS)
+            self.stalled_since = self.table.now
+            self.table.modify(self.fd, WRITE_EVENTS)
         self.buffer.append(data)
         self.waiting_bytes += len(data)
         return True
@@ -119,7 +119,7 @@
             except OSError:
                 self.lose()
                 return
-            self.stalled_since = self.loop.now
+            self.stalled_since = self.table.now
             self.waiting_bytes -= sent
             if sent < len(data):
                 self.buffer[0] = data[sent:]
@@ -127,7 +127,7 @@
             self.buffer.popleft()
         if not self.buffer:
             self.stalled_since = None
-            self.loop.modify_caller(self.fd, READ_EVENTS)
+            self.table.modify(self.fd, READ_EVENTS)
         if self.resume is not None and self.waiting_bytes < LOW_BYTES:
             self.resume()
         self.check_closed()
@@ -147,9 +147,9 @@
         self.buffer.clear()
         self.waiting_bytes = 0
         self.stalled_since = None
-        self.loop.modify_caller(self.fd, 0)
+        self.table.modify(self.fd, 0)
         self.check_closed()
-        self.loop.caller_lost(self)
+        self.table.lose(self)
 
     def check_closed(self):
         """Complete `closed` when nothing more will be sent."""
--- a/rhubarbreach/entry/access.py
+++ b/rhubarbreach/entry/access.py
@@ -29,8 +29,8 @@
     ----------
     view : distribution.view.ConfigView
         Knows the keys.
-    request : werkzeug.wrappers.Request
-        Request of the caller.
+    request : app.EntryRequest
+        Request of the caller; gets the account.
     now : float
         Monotonic seconds.
 
@@ -44,7 +44,10 @@
         return errors.make_refusal(
             'KEY_MISSING', 'the request has no Authorization: Bearer key'
         )
-    return view.authenticate(key, now)
+    found = view.authenticate(key, now)
+    if not isinstance(found, codes.Refusal):
+        request.account_id = found.account_id
+    return found
 
 
 def check_route(route, identity):
--- a/rhubarbreach/entry/app.py
+++ b/rhubarbreach/entry/app.py
@@ -39,12 +39,16 @@
         Connection of the caller.
     received_at : float
         Monotonic seconds.
+    account_id : str
+        Client account, once the caller is authenticated.
     path_values : dict
         Values of the variable parts of the matched path.
     body_read : bool
         Whether the whole body was read.
     body_failed : bool
         Whether the body ended early or came too slowly.
+    sink : dispatch.sink.CallerSink or None
+        Takes the answer when it is relayed.
     """
 
     def __init__(self, connection, received_at, max_body, body_seconds):
@@ -56,8 +60,10 @@
         self.request_id = uuid.uuid4().hex
         self.received_at = received_at
         self.path_values = {}
+        self.account_id = ''
         self.body_read = False
         self.body_failed = False
+        self.sink = None
 
     def get_data(self, *arguments, **options):
         """Return the body within the bounds of the application.
@@ -103,6 +109,8 @@
         Bytes of a body that `EntryRequest.get_data` accepts.
     body_seconds : float
         Time within which such a body has to arrive.
+    recorder : observe.timeline.Recorder or None
+        Takes each refusal with its reason.
 
     Attributes
     ----------
@@ -111,9 +119,14 @@
     """
 
     def __init__(
-        self, metrics, max_body=MAX_BODY_BYTES, body_seconds=BODY_SECONDS
+        self,
+        metrics,
+        max_body=MAX_BODY_BYTES,
+        body_seconds=BODY_SECONDS,
+        recorder=None,
     ):
         self.metrics = metrics
+        self.recorder = recorder
         self.max_body = max_body
         self.body_seconds = body_seconds
         self.fallback = None
@@ -171,11 +184,14 @@
             response = self.refuse(request, error.refusal)
         except Exception as error:
             self.metrics.count('entry_faults_total')
-            LOG.exception(
-                'event=handler_fault request_id={} type={}',
+            LOG.error(
+                'event=handler_fault request_id={} {}',
                 request.request_id,
-                type(error).__name__,
+                errors.describe_fault(error),
             )
+            if request.sink is not None and request.sink.started:
+                connection.close_connection = True
+                return
             response = self.refuse(
                 request,
                 errors.make_refusal(
@@ -204,6 +220,13 @@
         """Return the answer for a refusal and count it."""
         name = refusal.code.name
         self.metrics.count('entry_refusals_total', code=name)
+        if self.recorder is not None:
+            self.recorder.record(
+                'request_refused',
+                f'{name}: {refusal.reason}',
+                request_id=request.request_id,
+                account_id=request.account_id,
+            )
         return refusals.make_response(refusal, request.request_id)
 
     def answer(self, request):
--- a/rhubarbreach/entry/online.py
+++ b/rhubarbreach/entry/online.py
@@ -32,6 +32,7 @@
 # A request with less time than this is refused before it is queued.
 MIN_SECONDS = 0.005
 RECORD_POLL_SECONDS = 0.05
+MAX_RECORD_POLL_SECONDS = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -231,17 +232,19 @@
 
     def wait_record(self, call, key):
         """Wait until an equal request has ended; return its record."""
+        pause = RECORD_POLL_SECONDS
         while True:
             found = self.records.get(call.account_id, key)
             if not isinstance(found, records_module.Running):
                 return found
-            if time.monotonic() + RECORD_POLL_SECONDS >= call.deadline:
+            if time.monotonic() + pause >= call.deadline:
                 return errors.make_refusal(
                     'DEADLINE_EXCEEDED',
                     'an equal request is still running',
                     codes.Ran.UNKNOWN,
                 )
-            time.sleep(RECORD_POLL_SECONDS)
+            time.sleep(pause)
+            pause = min(MAX_RECORD_POLL_SECONDS, pause * 2)
 
     def get_record(self, request):
         """Answer with the recorded result of an earlier request."""
--- a/rhubarbreach/entry/server.py
+++ b/rhubarbreach/entry/server.py
@@ -7,10 +7,13 @@
 import socket
 import threading
 import time
+import uuid
 
 import logbook
 
+from rhubarbreach.dispatch import errors
 from rhubarbreach.entry import connection as connection_module
+from rhubarbreach.entry import refusals
 
 __all__ = ['BACKLOG', 'Server']
 
@@ -19,12 +22,6 @@
 ACCEPTS_PER_PASS = 64
 IDLE_SECONDS = 75.0
 POLL_SECONDS = 0.5
-BUSY = (
-    b'HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n'
-    b'Retry-After: 1\r\nConnection: close\r\nContent-Length: 95\r\n\r\n'
-    b'{"error":{"code":141,"name":"QUEUE_FULL","reason":"too many connections"'
-    b',"not_run":true}}      '
-)
 
 
 class Server:
@@ -128,6 +125,10 @@
             while self.returned:
                 self.keep_idle(self.returned.popleft())
             self.close_old()
+        # Requests that have just arrived still get an answer.
+        for fd, _ in self.epoll.poll(0):
+            if fd in self.idle:
+                self.begin(self.take_idle(fd))
         for fd in tuple(self.idle):
             self.drop(self.take_idle(fd))
 
@@ -154,7 +155,7 @@
         self.metrics.count('entry_connections_refused_total')
         try:
             accepted.setblocking(False)
-            accepted.send(BUSY)
+            accepted.send(make_busy())
         except OSError:
             pass
         accepted.close()
@@ -208,3 +209,19 @@
         for fd, handler in tuple(self.idle.items()):
             if handler.last_used < before:
                 self.drop(self.take_idle(fd))
+
+
+def make_busy():
+    """Return the whole answer to a connection too many."""
+    request_id = uuid.uuid4().hex
+    refusal = errors.make_refusal(
+        'QUEUE_FULL', 'too many connections', retry_after=1.0
+    )
+    body = refusals.make_response(refusal, request_id).get_data()
+    head = (
+        'HTTP/1.1 503 Service Unavailable\r\n'
+        'Content-Type: application/json\r\n'
+        f'X-Request-Id: {request_id}\r\nRetry-After: 1\r\n'
+        f'Connection: close\r\nContent-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
--- a/rhubarbreach/entry/streams.py
+++ b/rhubarbreach/entry/streams.py
@@ -74,6 +74,7 @@
     head, chunked = make_head(request)
     connection.connection.setblocking(False)
     sink = sink_module.CallerSink(connection.connection, head, chunked)
+    request.sink = sink
     if not recorded:
         sink.on_lost = lambda _: executor.cancel(call.request_id)
     loop.watch(sink)
