--- a/rhubarbreach/entry/online.py
+++ b/rhubarbreach/entry/online.py
@@ -22,6 +22,7 @@
 __all__ = ['OnlineHandlers']
 
 ENGINE_PATHS = ('/v1/chat/completions', '/v1/completions')
+JSON_HEADERS = (('Content-Type', 'application/json'),)
 FORWARDED_HEADERS = ('Content-Type', 'Accept')
 DEADLINE_HEADER = 'X-Deadline-Ms'
 KEY_HEADER = 'Idempotency-Key'
@@ -173,6 +174,7 @@
             call,
             model_id=fields.model,
             path=request.path,
+            headers=JSON_HEADERS,
             stream=bool(fields.stream),
             cost=completions.estimate_cost(fields, body),
         )
