--- a/rhubarbreach/entry/online.py
+++ b/rhubarbreach/entry/online.py
@@ -22,6 +22,7 @@
 __all__ = ['OnlineHandlers']
 
 ENGINE_PATHS = ('/v1/chat/completions', '/v1/completions')
+JSON_HEADERS = (('Content-Type', 'application/json'),)
 FORWARDED_HEADERS = ('Content-Type', 'Accept')
 DEADLINE_HEADER = 'X-Deadline-Ms'
 KEY_HEADER = 'Idempotency-Key'
@@ -32,6 +33,7 @@
 # A request with less time than this is refused before it is queued.
 MIN_SECONDS = 0.005
 RECORD_POLL_SECONDS = 0.05
+MAX_RECORD_POLL_SECONDS = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +174,7 @@
             call,
             model_id=fields.model,
             path=request.path,
+            headers=JSON_HEADERS,
             stream=bool(fields.stream),
             cost=completions.estimate_cost(fields, body),
         )
@@ -231,17 +234,19 @@
 
     def wait_record(self, call, key):
         """Wait until an equal request has ended; return its record."""
+        pause = RECORD_POLL_SECONDS
         while True:
             found = self.records.get(call.account_id, key)
             if not isinstance(found, records_module.Running):
                 return found
-            if time.monotonic() + RECORD_POLL_SECONDS >= call.deadline:
+            if time.monotonic() + pause >= call.deadline:
                 return errors.make_refusal(
                     'DEADLINE_EXCEEDED',
                     'an equal request is still running',
                     codes.Ran.UNKNOWN,
                 )
-            time.sleep(RECORD_POLL_SECONDS)
+            time.sleep(pause)
+            pause = min(MAX_RECORD_POLL_SECONDS, pause * 2)
 
     def get_record(self, request):
         """Answer with the recorded result of an earlier request."""
