--- a/rhubarbreach/distribution/tests/test_view.py
+++ b/rhubarbreach/distribution/tests/test_view.py
@@ -96,6 +96,14 @@
     assert one.valid_until == until
 
 
+def test_older_configuration_never_replaces_a_newer_one(one):
+    """Guards against a late snapshot that takes back a revocation."""
+    older = one.snapshot
+    one.accept_reply(2, 100.5, make_reply(3, REVOKE))
+    assert not one.adopt(older, None)
+    assert get_code(one, 100.6) == codes.ResultCode.KEY_REVOKED
+
+
 def test_restarted_host_refuses_a_revision_older_than_it_had(tmp_path):
     """Guards against a restart that takes back a revocation."""
     first = view.ConfigView(revision.RevisionFile(str(tmp_path)))
