Choose test ports that outgoing connections do not take

One of three runs with three workers at a load of 12 failed with 'Address in use': a link that dialled had taken the port found for another link. Ports are now chosen below the range of outgoing connections.

--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -72,8 +72,8 @@
 
 def get_longest_extra(config):
     """Return for how much longer any account's keys may work, in seconds."""
-    bounds = (seconds for _, seconds in config.bound_map.items())
-    return max(0.0, max(bounds, default=0.0) - view.CONFIG_VALIDITY)
+    longest = max(config.bound_map.values(), default=0.0)
+    return max(0.0, longest - view.CONFIG_VALIDITY)
 
 
 class Tracker:
--- a/rhubarbreach/distribution/tests/fleet.py
+++ b/rhubarbreach/distribution/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import contextlib
+import random
 import socket
 
 from rhubarbreach import clock
@@ -15,6 +16,9 @@
 from rhubarbreach.state import model
 
 
+PORTS = (10240, 32768)
+
+
 class FakeGroup:
     """Group of one replica whose quorum contact a test can take away."""
 
@@ -41,9 +45,16 @@
 
 
 def find_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    """Return a free address below the ports of outgoing connections.
+
+    A port above could be taken by a link that dials before it is listened
+    on; that made one of three runs on a busy machine fail.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return f'127.0.0.1:{port}'
 
 
 class Fleet:
