Sharpen the history tests of the rate bound

Cause: trials with one rule removed (own share not emptied, no wait of a joining host, unspent grants not counted) passed the generated histories. Change: phases in which buckets fill, unnoticed cuts, three rates, and one directed schedule for each of the three rules.

--- a/rhubarbreach/limits/tests/fleet.py
+++ b/rhubarbreach/limits/tests/fleet.py
@@ -4,6 +4,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 from rhubarbreach.limits import holder
@@ -15,11 +16,17 @@
 VALIDITY = 2.0
 # Two clocks differ by at most twice this, which is below MAX_DRIFT.
 DRIFT = 0.0049
+# Requests of one host that come at a time.
+REQUESTS = 4
 
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """`kind` is cut, store_cut, pause or crash; times in seconds."""
+    """A fault of one host; times in seconds.
+
+    `kind` is cut (from the other hosts), silent (the same, but the hosts
+    do not notice), store_cut, pause or crash.
+    """
 
     kind: str
     host: int
@@ -78,11 +85,14 @@
             return
         if not self.fleet.is_busy():
             return
-        if self.holder.spend(self.account, 1.0, now):
+        waiting = REQUESTS
+        while waiting and self.holder.spend(self.account, 1.0, now):
             self.fleet.admit(self)
-        elif now >= self.asking:
+            waiting -= 1
+        if waiting and now >= self.asking:
             self.asking = now + 0.2
-            request = self.holder.make_request('a', 1.0, 1.0, 2.0)
+            wanted = float(waiting)
+            request = self.holder.make_request('a', wanted, 1.0, wanted)
             owner_id = self.holder.find_owner('a')
             self.fleet.send(self, owner_id, Ask(request, now, owner_id, set()))
 
@@ -151,7 +161,7 @@
         self.time = 0.0
         self.faults = faults
         self.lossy = lossy
-        self.busy = 6.0
+        self.busy = ((0.0, math.inf),)
         self.order = itertools.count()
         self.events = []
         self.admissions = []
@@ -172,7 +182,7 @@
 
     def is_busy(self):
         """Return whether requests come; in between the buckets fill."""
-        return self.time % 6.0 < self.busy
+        return any(start <= self.time < end for start, end in self.busy)
 
     def set_config(self, **fields):
         """Commit a configuration."""
@@ -234,7 +244,9 @@
         if receiver is None:
             return
         cut = receiver is not sender and any(
-            self.is_faulty('cut', host.name) for host in (sender, receiver)
+            self.is_faulty(kind, host.name)
+            for host in (sender, receiver)
+            for kind in ('cut', 'silent')
         )
         if cut:
             return
--- a/rhubarbreach/limits/tests/test_shares.py
+++ b/rhubarbreach/limits/tests/test_shares.py
@@ -10,13 +10,17 @@
 RATE = 20.0
 BURST = 30.0
 END = 30.0
+# Between the phases the buckets fill.
+PHASES = ((5, 8), (11, 14), (17, 20), (23, 26))
 # Clocks run fast by at most this.
 FAST = 1 + fleet.DRIFT
 
 FAULTS = strategies.lists(
     strategies.builds(
         fleet.Fault,
-        strategies.sampled_from(('cut', 'store_cut', 'pause', 'crash')),
+        strategies.sampled_from(
+            ('cut', 'silent', 'store_cut', 'pause', 'crash')
+        ),
         strategies.integers(0, 4),
         strategies.floats(0, 25),
         strategies.floats(0.1, 8),
@@ -25,23 +29,32 @@
 )
 
 
-def make_fleet(seed, faults, rate=RATE, **options):
+def make_fleet(seed, faults, rate=RATE, burst=BURST, **options):
     """Return a fleet with one account."""
-    account = model.Account('a', rate, BURST)
+    account = model.Account('a', rate, burst)
     return fleet.Fleet(seed, account, faults, **options)
 
 
+def measure(found, burst=BURST, rate=RATE):
+    """Return the excess of a history over a constant rate."""
+    return fleet.measure_excess(
+        found.admissions, burst, lambda time: rate * FAST * time
+    )
+
+
 @hypothesis.settings(max_examples=40, deadline=None, print_blob=True)
-@hypothesis.given(strategies.integers(0, 1000), FAULTS)
-def test_bound_holds_under_faults(seed, faults):
+@hypothesis.given(
+    strategies.integers(0, 1000),
+    FAULTS,
+    strategies.sampled_from((5.0, 20.0, 100.0)),
+    strategies.booleans(),
+)
+def test_bound_holds_under_faults(seed, faults, rate, lossy):
     """Lost owners, cuts, pauses and restarts must not add tokens."""
-    found = make_fleet(seed, faults)
-    found.busy = 3.0
+    found = make_fleet(seed, faults, rate, lossy=lossy)
+    found.busy = PHASES
     found.run(END)
-    excess = fleet.measure_excess(
-        found.admissions, BURST, lambda time: RATE * FAST * time
-    )
-    assert excess <= 1e-6
+    assert measure(found, rate=rate) <= 1e-6
     assert found.admissions or faults
 
 
@@ -52,7 +65,7 @@
 def test_bound_holds_when_the_rate_is_lowered(seed, faults, when):
     """Tokens of a higher rate must be gone once the lower is in effect."""
     found = make_fleet(seed, faults)
-    found.busy = 3.0
+    found.busy = PHASES
     lower = model.Account('a', RATE / 4, BURST)
     found.at(when, lambda: found.set_config(accounts=(lower,)))
     found.run(END)
@@ -70,21 +83,58 @@
 
 @hypothesis.settings(max_examples=20, deadline=None, print_blob=True)
 @hypothesis.given(
-    strategies.integers(0, 1000), FAULTS, strategies.floats(8, 20)
+    strategies.integers(0, 1000),
+    FAULTS,
+    strategies.floats(8, 20),
+    strategies.booleans(),
 )
-def test_bound_holds_when_a_host_joins_the_set(seed, faults, when):
+def test_bound_holds_when_a_host_joins_the_set(seed, faults, when, lossy):
     """A joining host must wait until all others use smaller shares."""
-    found = make_fleet(seed, faults)
-    found.busy = 3.0
+    found = make_join(seed, faults, when, lossy)
+    found.busy = PHASES
+    found.run(END)
+    assert measure(found) <= 1e-6
+
+
+def make_join(seed, faults, when, lossy):
+    """Return a fleet whose last host joins the share set at a time."""
+    found = make_fleet(seed, faults, lossy=lossy)
     names = tuple(found.by_name)
     found.set_config(share_hosts=names[:4])
     change = {'share_epoch': 2, 'share_hosts': names}
     found.at(when, lambda: found.set_config(**change))
+    return found
+
+
+def test_joining_host_waits_for_hosts_with_the_former_set():
+    """Hosts that missed a change must not add up to more than the rate."""
+    faults = [fleet.Fault('store_cut', i, 9.9, 9.0) for i in range(4)]
+    found = make_join(1, [*faults, fleet.Fault('cut', 4, 9.0, 20.0)], 10.0, 0)
+    found.busy = ((9.5, END),)
     found.run(END)
-    excess = fleet.measure_excess(
-        found.admissions, BURST, lambda time: RATE * FAST * time
-    )
-    assert excess <= 1e-6
+    assert measure(found) <= 1e-6
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_share_taken_back_starts_empty(seed):
+    """Tokens from an earlier use of the own share must be gone."""
+    faults = [
+        fleet.Fault('silent', 0, 6.0, 6.0),
+        fleet.Fault('silent', 0, 20.0, 9.0),
+    ]
+    found = make_fleet(seed, faults, 100.0, lossy=False, burst=400.0)
+    found.busy = ((9.0, 9.5), (20.0, END))
+    found.run(END)
+    assert measure(found, 400.0, 100.0) <= 1e-6
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_unspent_grants_count_against_the_burst(seed):
+    """Grants and bucket together must not hold more than the burst."""
+    found = make_fleet(seed, [], 100.0, lossy=False)
+    found.busy = tuple((i, i + 0.5) for i in range(5, 30))
+    found.run(END)
+    assert measure(found, rate=100.0) <= 1e-6
 
 
 @pytest.mark.parametrize('rate', [2.0, 20.0])
@@ -99,9 +149,7 @@
 def test_whole_burst_is_usable_through_one_host():
     """Shares must not split the burst of an account that uses one host."""
     found = make_fleet(1, [], lossy=False, callers=1)
-    found.busy = 0.0
-    found.run(29.9)
-    found.busy = 6.0
+    found.busy = ((30.0, 31.0),)
     found.run(31.0)
     assert len(found.admissions) >= 23
 
