Let scheduler and rate limiter run on a virtual clock

Cause: the policy has to be measured with the code that serves, without sockets and threads. Change: the clock is a parameter of Scheduler, Exchange and RateLimiter; a step of the scheduler and a request for tokens can be made without blocking; the static rate shares of the baseline are a parameter.

--- a/rhubarbreach/limits/shares.py
+++ b/rhubarbreach/limits/shares.py
@@ -88,10 +88,25 @@
         Names the owners.
     link : Link
         Link to them.
+    static : bool
+        Baseline policy: every host spends its own share and asks nobody.
+    monotonic : callable, optional
+        Clock, virtual in measurements.
     """
 
-    def __init__(self, host_id, region, view, membership, link):
-        now = clock.monotonic()
+    def __init__(
+        self,
+        host_id,
+        region,
+        view,
+        membership,
+        link,
+        static=False,
+        monotonic=clock.monotonic,
+    ):
+        self.monotonic = monotonic
+        self.static = static
+        now = monotonic()
         self.host_id = host_id
         self.region = region
         self.view = view
@@ -151,13 +166,13 @@
 
     def send_leases(self):
         """Lease or release the shares at all owners."""
-        now = clock.monotonic()
+        now = self.monotonic()
         owners = self.membership.owners(
             f'rate-{self.region}', OWNER_COUNT, region=self.region
         )
         with self.lock:
             self.load_config(now)
-            if now >= self.view.valid_until:
+            if self.static or now >= self.view.valid_until:
                 return
             planned = self.holder.plan_leases(owners, now)
         for outgoing in planned:
@@ -165,7 +180,7 @@
 
     def send_lease(self, outgoing):
         """Send one lease and take the reply."""
-        deadline = clock.monotonic() + holder.LEASE_PERIOD
+        deadline = self.monotonic() + holder.LEASE_PERIOD
         future = self.link.call(outgoing.owner_id, outgoing.message, deadline)
         future.add_done_callback(
             lambda done: self.accept_lease_reply(outgoing, done.result())
@@ -175,7 +190,7 @@
         """Take the reply of an owner; lease at once if it is new."""
         if isinstance(reply, codes.Refusal):
             return
-        now = clock.monotonic()
+        now = self.monotonic()
         again = None
         with self.lock:
             fresh = self.holder.accept_lease_reply(outgoing, reply, now)
@@ -187,11 +202,11 @@
     def answer_lease(self, sender_id, message):
         """Take a lease as an owner."""
         with self.lock:
-            return self.owner.lease(sender_id, message, clock.monotonic())
+            return self.owner.lease(sender_id, message, self.monotonic())
 
     def answer_grant(self, _sender_id, request):
         """Grant tokens as an owner."""
-        now = clock.monotonic()
+        now = self.monotonic()
         with self.lock:
             self.load_config(now)
             account = self.accounts.get(request.account_id)
@@ -219,62 +234,93 @@
             asked, at most `MAX_WAIT` seconds.
         """
         deadline = now + MAX_WAIT
-        refusal = self.try_acquire(account_id, cost, deadline)
-        if refusal is None or refusal.retry_after is None:
-            return refusal
-        if refusal.retry_after > TOKEN_WAIT:
+        refusal = self.wait_for(account_id, cost, deadline)
+        if not is_short(refusal):
             return refusal
         self.stopped.wait(refusal.retry_after)
-        return self.try_acquire(account_id, cost, deadline)
+        return self.wait_for(account_id, cost, deadline)
 
-    def try_acquire(self, account_id, cost, deadline):
-        """Spend held tokens, or ask the owner until a deadline."""
-        now = clock.monotonic()
+    def wait_for(self, account_id, cost, deadline):
+        """Return the decision about a request, by a deadline."""
+        waiter = self.submit(account_id, cost)
+        while True:
+            left = deadline - self.monotonic()
+            if left <= 0:
+                return self.give_up(account_id, waiter)
+            try:
+                return waiter.future.result(min(left, REPLY_TIMEOUT))
+            except concurrent.futures.TimeoutError:
+                self.ask_again(account_id)
+
+    def submit(self, account_id, cost):
+        """Spend held tokens or ask the owner, without blocking.
+
+        Parameters
+        ----------
+        account_id : str
+            Client account.
+        cost : float
+            Tokens.
+
+        Returns
+        -------
+        Waiter
+            Its future completes with None or a `Refusal`.
+        """
+        waiter = Waiter(cost, concurrent.futures.Future())
+        now = self.monotonic()
         with self.lock:
             self.load_config(now)
-            account = self.accounts.get(account_id)
-            if account is None:
-                return codes.Refusal(
-                    codes.ResultCode.NOT_PERMITTED,
-                    f'client account {account_id} does not exist',
-                )
-            if not self.is_valid(account, now):
-                return codes.Refusal(
-                    codes.ResultCode.CONFIG_STALE,
-                    'the configuration of this host is out of date',
-                    retry_after=owner.NO_SHARES_RETRY_AFTER,
-                )
+            refusal = self.check_account(account_id, now)
+            if refusal is not None:
+                waiter.future.set_result(refusal)
+                return waiter
+            account = self.accounts[account_id]
+            if self.static:
+                waiter.future.set_result(self.spend_static(account, cost, now))
+                return waiter
             demand = self.demands.setdefault(account_id, Demand())
             demand.record(cost, now)
             if self.holder.spend(account, cost, now):
+                waiter.future.set_result(None)
                 ask = self.prepare_advance(account_id, demand, now)
-                waiter = None
             else:
-                waiter = Waiter(cost, concurrent.futures.Future())
                 demand.waiting.append(waiter)
                 ask = self.prepare_ask(account_id, demand)
         self.send_ask(account_id, ask)
-        if waiter is not None:
-            return self.wait_for(account_id, waiter, deadline)
-        if ask is None:
-            self.send_finished(account_id)
-        return None
-
-    def wait_for(self, account_id, waiter, deadline):
-        """Return the decision about a waiting request."""
-        while True:
-            left = deadline - clock.monotonic()
-            if left <= 0:
-                return self.give_up(account_id, waiter)
-            try:
-                return waiter.future.result(min(left, REPLY_TIMEOUT))
-            except concurrent.futures.TimeoutError:
-                self.ask_again(account_id)
+        self.send_finished(account_id)
+        return waiter
+
+    def check_account(self, account_id, now):
+        """Return the refusal of an account that cannot be served."""
+        account = self.accounts.get(account_id)
+        if account is None:
+            return codes.Refusal(
+                codes.ResultCode.NOT_PERMITTED,
+                f'client account {account_id} does not exist',
+            )
+        if self.is_valid(account, now):
+            return None
+        return codes.Refusal(
+            codes.ResultCode.CONFIG_STALE,
+            'the configuration of this host is out of date',
+            retry_after=owner.NO_SHARES_RETRY_AFTER,
+        )
+
+    def spend_static(self, account, cost, now):
+        """Return the decision of the baseline policy."""
+        if self.holder.spend_share(account, cost, now):
+            return None
+        count = max(1, len(self.holder.hosts))
+        wait = cost * count / account.rate if account.rate else 1.0
+        return make_refusal(
+            account.account_id, messages.GrantReply(0.0, 0.0, wait)
+        )
 
     def ask_again(self, account_id):
         """Ask the owner, which may be another one by now, once more."""
         with self.lock:
-            self.serve_waiting(account_id, clock.monotonic())
+            self.serve_waiting(account_id, self.monotonic())
             request = self.prepare_ask(account_id, self.demands[account_id])
         self.send_ask(account_id, request)
 
@@ -330,7 +376,7 @@
         """Send a request to the owner of an account."""
         if request is None:
             return
-        sent_at = clock.monotonic()
+        sent_at = self.monotonic()
         owner_id = self.holder.find_owner(account_id)
         future = self.link.call(owner_id, request, sent_at + REPLY_TIMEOUT)
         future.add_done_callback(
@@ -341,7 +387,7 @@
 
     def accept_grant(self, account_id, owner_id, reply, sent_at):
         """Serve the waiting requests from a reply, and ask again."""
-        now = clock.monotonic()
+        now = self.monotonic()
         with self.lock:
             demand = self.demands[account_id]
             demand.asking = False
@@ -377,6 +423,15 @@
             self.link.send(owner_id, message)
 
 
+def is_short(refusal):
+    """Return whether tokens come so soon that a request should wait."""
+    return (
+        refusal is not None
+        and refusal.code == codes.ResultCode.RATE_EXCEEDED
+        and refusal.retry_after <= TOKEN_WAIT
+    )
+
+
 def make_refusal(account_id, reply):
     """Return the refusal of a request for which there were no tokens."""
     return codes.Refusal(
--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -2,7 +2,6 @@
 
 import threading
 
-from rhubarbreach import clock
 from rhubarbreach.limits import slots
 from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import messages
@@ -91,7 +90,7 @@
     def run(self):
         """Report to the home hosts until closed."""
         while True:
-            self.report(clock.monotonic())
+            self.report(self.scheduler.monotonic())
             if self.stopped.wait(slots.REPORT_PERIOD):
                 return
 
@@ -140,7 +139,7 @@
     def answer(self, sender_id, request):
         """Issue slots as the home host."""
         return self.scheduler.slots.answer(
-            sender_id, request, clock.monotonic(), self.get_slots
+            sender_id, request, self.scheduler.monotonic(), self.get_slots
         )
 
     def get_slots(self, endpoint_id):
@@ -183,4 +182,6 @@
     def merge_strike(self, _sender_id, report):
         """Take a strike of another host."""
         with self.scheduler.lock:
-            self.scheduler.core.suspects.merge(report, clock.monotonic())
+            self.scheduler.core.suspects.merge(
+                report, self.scheduler.monotonic()
+            )
--- a/rhubarbreach/placement/scheduler.py
+++ b/rhubarbreach/placement/scheduler.py
@@ -39,6 +39,8 @@
         Link to the other hosts.
     random : random.Random, optional
         Source of all choices.
+    monotonic : callable, optional
+        Clock, virtual in measurements.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         membership=None,
         link=None,
         random=None,
+        monotonic=clock.monotonic,
     ):
+        self.monotonic = monotonic
         self.registry = registry
         fixed = policy.baseline_slots if policy.mode == core.BASELINE else 0
         self.slots = slots.SlotTable(host_id, fixed)
@@ -107,7 +111,7 @@
             on the dispatch task and must not block.
         """
         future = concurrent.futures.Future()
-        now = clock.monotonic()
+        now = self.monotonic()
         with self.lock:
             if self.stopped:
                 refusal = make_draining()
@@ -150,7 +154,7 @@
             How the attempt ended.
         """
         with self.lock:
-            self.core.release(placement, outcome, clock.monotonic())
+            self.core.release(placement, outcome, self.monotonic())
             self.wake()
 
     def wake(self):
@@ -162,21 +166,25 @@
         while True:
             self.ready.wait(IDLE_STEP)
             self.ready.clear()
-            with self.lock:
-                if self.stopped:
-                    return
-                decisions = self.decide()
-            for decision in decisions:
-                try:
-                    self.carry_out(decision)
-                except Exception:
-                    LOG.exception('event=decision_failed')
-            self.exchange.send_reports()
+            if self.stopped:
+                return
+            self.step()
+
+    def step(self):
+        """Make and carry out the decisions that are due."""
+        with self.lock:
+            decisions = self.decide()
+        for decision in decisions:
+            try:
+                self.carry_out(decision)
+            except Exception:
+                LOG.exception('event=decision_failed')
+        self.exchange.send_reports()
 
     def decide(self):
         """Return the decisions of one step."""
         try:
-            return self.core.step(clock.monotonic())
+            return self.core.step(self.monotonic())
         except Exception:
             LOG.exception('event=step_failed')
             return []
