Measure the engine time that online leaves; learn limits from medians

Cause: limits fell to a few requests, since the lowest first-token latency of short prompts is a poor reference, and answers that are not streams were charged as if they had cost nothing. Change: the reference is the lowest median of a window; uncounted tokens are charged by estimate; the bench has prompts in proportion to its answers and measures capacity in engine time, and counts preemptions.

--- a/rhubarbreach/bench/policybench.py
+++ b/rhubarbreach/bench/policybench.py
@@ -32,10 +32,10 @@
 BURST_EVERY = 10.0
 BURST_SECONDS = 2.0
 BURST_FACTOR = 1.6
-ONLINE_PROMPT = (100, 600)
+ONLINE_PROMPT = (30, 200)
 ONLINE_OUTPUT = (8, 48)
 ONLINE_TIMEOUT = 15.0
-BATCH_PROMPT = (100, 400)
+BATCH_PROMPT = (50, 300)
 BATCH_OUTPUT = (60, 240)
 # Accounts with batch backlog, and the hosts whose runners claimed it.
 BATCH_HOSTS = {
@@ -73,8 +73,10 @@
         Worst account's service relative to its fair share.
     batch_rate, online_rate : float
         Tokens per second.
-    online_slots : float
-        Part of the engines' slots that online requests used.
+    online_part : float
+        Part of the engines' time that online requests needed.
+    preemptions : float
+        Batch attempts preempted per second.
     flood_part : float
         Requests admitted for the flooding account relative to its rate.
     messages : float
@@ -90,7 +92,8 @@
     batch_share: float
     batch_rate: float
     online_rate: float
-    online_slots: float
+    online_part: float
+    preemptions: float
     flood_part: float
     messages: float
 
@@ -197,11 +200,11 @@
         sample.admitted_at = self.loop.now
         arrival = sample.arrival
 
-        def finish(outcome, refused):
+        def finish(outcome, refused, first):
             sample.refusal = refused
             sample.tokens = outcome.tokens if outcome else 0
-            if outcome and outcome.first_token is not None:
-                sample.first_token = outcome.first_token
+            if first is not None:
+                sample.first_token = first - sample.sent_at
 
         host.execute(
             arrival.account_id,
@@ -209,7 +212,6 @@
             arrival.prompt,
             arrival.output,
             self.loop.now + ONLINE_TIMEOUT,
-            sample.sent_at,
             finish,
         )
 
@@ -229,7 +231,7 @@
     def run_item(self, host, account_id, prompt, output):
         """Run the rest of a batch item; resume it after a preemption."""
 
-        def finish(outcome, refused):
+        def finish(outcome, refused, _first):
             made = outcome.tokens if outcome else 0
             self.batch_tokens[account_id] += made
             if refused is not None:
@@ -247,7 +249,6 @@
             prompt,
             output,
             self.loop.now + 3600.0,
-            self.loop.now,
             finish,
         )
 
@@ -279,7 +280,8 @@
             batch_share=self.get_batch_share(),
             batch_rate=sum(self.batch_tokens.values()) / self.seconds,
             online_rate=sum(s.tokens for s in self.samples) / self.seconds,
-            online_slots=self.fleet.get_online_part(self.seconds),
+            online_part=self.fleet.get_online_part(self.seconds),
+            preemptions=self.fleet.preemptions / self.seconds,
             flood_part=admitted / allowed,
             messages=self.fleet.count_messages() / self.end,
         )
@@ -370,7 +372,7 @@
     """Return the goals of a policy, and its run with batch."""
     alone = run(mode, seed, seconds, False)
     mixed = run(mode, seed, seconds, True)
-    left = capacity * (1 - mixed.online_slots)
+    left = capacity * (1 - mixed.online_part)
     report = Report(
         online_p99_ratio=mixed.p99 / alone.p99,
         batch_ratio=mixed.batch_rate / left,
--- a/rhubarbreach/bench/policyhost.py
+++ b/rhubarbreach/bench/policyhost.py
@@ -6,6 +6,7 @@
 
 from rhubarbreach.bench import virtual
 from rhubarbreach import codes
+from rhubarbreach.emulator import engine
 from rhubarbreach.limits import holder
 from rhubarbreach.limits import shares
 from rhubarbreach.limits import slots
@@ -127,10 +128,8 @@
 
         waiter.future.add_done_callback(decide)
 
-    def execute(
-        self, account_id, lane, prompt, output, deadline, sent_at, finish
-    ):
-        """Place and run a request, then call `finish(outcome, refusal)`."""
+    def execute(self, account_id, lane, prompt, output, deadline, finish):
+        """Run a request; `finish(outcome, refusal, first token time)`."""
         name = f'{self.plan.host_id}-{next(self.ids)}'
         item = work.Work(
             name,
@@ -144,20 +143,18 @@
         )
         future = self.scheduler.submit(item)
         future.add_done_callback(
-            lambda done: self.run(
-                done.result(), prompt, output, sent_at, finish
-            )
+            lambda done: self.run(done.result(), prompt, output, finish)
         )
 
-    def run(self, result, prompt, output, sent_at, finish):
+    def run(self, result, prompt, output, finish):
         """Run a placed request on its engine."""
         if isinstance(result, codes.Refusal):
-            finish(None, result)
+            finish(None, result, None)
             return
         engine = self.fleet.engines[result.endpoint.endpoint_id]
         delay = self.fleet.get_delay(self.plan.zone, result.endpoint.zone)
         lane = result.work.lane
-        times = {}
+        times = {'start': self.loop.now}
 
         def on_first(sequence):
             times['first'] = self.loop.now + delay
@@ -174,11 +171,11 @@
             outcome = work.Outcome(
                 status,
                 sequence.made,
-                first - sent_at if first is not None else None,
+                first - times['start'] if first is not None else None,
                 span / (sequence.made - 1) if sequence.made > 1 else None,
             )
             self.scheduler.release(result, outcome)
-            finish(outcome, None)
+            finish(outcome, None, first)
 
         sequence = virtual.Sequence(prompt, output, on_first, on_end)
         self.attempts[result.work.work_id] = (engine, sequence, delay, end)
@@ -189,6 +186,7 @@
         attempt = self.attempts.get(placement.work.work_id)
         if attempt is None:
             return
+        self.fleet.preemptions += 1
         engine, sequence, delay, end = attempt
         self.loop.after(delay, engine.cancel, sequence)
         self.loop.after(2 * delay, self.end_cancelled, sequence, end)
@@ -238,6 +236,7 @@
         ]
         self.sequence = itertools.count(1)
         self.online_seconds = 0.0
+        self.preemptions = 0
         loop.every(ANNOUNCE_PERIOD, self.announce)
 
     def get_delay(self, one, two):
@@ -257,7 +256,7 @@
 
     def make_row(self, name):
         """Return the announcement of an engine."""
-        engine = self.engines[name]
+        found = self.engines[name]
         return messages.EndpointRow(
             name,
             '',
@@ -268,32 +267,44 @@
             next(self.sequence),
             False,
             False,
-            len(engine.running),
-            len(engine.waiting),
-            engine.settings.slots,
+            len(found.running),
+            len(found.waiting),
+            found.settings.slots,
             0.0,
             0.0,
         )
 
     def count_use(self, lane, sequence):
-        """Add the time that a sequence held a slot of its engine."""
+        """Add the engine time that an online sequence needed."""
         if lane == work.Lane.ONLINE:
-            self.online_seconds += self.loop.now - sequence.started_at
+            self.online_seconds += get_engine_time(sequence)
 
     def reset_usage(self):
-        """Start to measure the use of slots."""
+        """Start to measure the use of engines."""
         self.online_seconds = 0.0
+        self.preemptions = 0
 
     def get_online_part(self, seconds):
-        """Return the part of all slots that online requests used."""
-        slots_of = [e.settings.slots for e in self.engines.values()]
-        return self.online_seconds / (sum(slots_of) * seconds)
+        """Return the part of the engines' time that online needed."""
+        return self.online_seconds / (len(self.engines) * seconds)
 
     def count_messages(self):
         """Return the messages of a host on average."""
         return self.network.messages.total() / len(self.hosts)
 
 
+def get_engine_time(sequence):
+    """Return the time of an engine with a full batch that a sequence costs.
+
+    Reading the prompt holds up the whole batch; of each decoding step the
+    sequence costs its part.
+    """
+    speed = engine.EngineSettings()
+    step = speed.step_base + speed.step_slope * speed.slots
+    decoding = sequence.made * step / speed.slots
+    return sequence.prompt * speed.prefill_token + decoding
+
+
 def make_config(plan):
     """Return the configuration of a deployment."""
     accounts = tuple(
--- a/rhubarbreach/limits/concurrency.py
+++ b/rhubarbreach/limits/concurrency.py
@@ -17,8 +17,9 @@
     inter_token : float
         Seconds between tokens above which the limit falls.
     first_token_ratio : float
-        First-token latency relative to the lowest seen above which the
-        limit falls, because requests then wait inside the engine.
+        Median first-token latency relative to the lowest median of a
+        window above which the limit falls, because requests then wait
+        inside the engine.
     window : float
         Seconds between two changes.
     decrease : float
@@ -35,7 +36,7 @@
 
 
 DEFAULT = LimitSettings()
-# Growth per window of the lowest first-token latency, so that it is
+# Growth per window of the lowest median first-token latency, so that it is
 # measured again when the mix of requests changes.
 FLOOR_GROWTH = 1.002
 # Fraction of the limit in use below which the limit does not grow, because
@@ -127,8 +128,8 @@
         if not self.first_tokens:
             return False
         ordered = sorted(self.first_tokens)
-        lowest, median = ordered[0], ordered[len(ordered) // 2]
+        median = ordered[len(ordered) // 2]
         if self.floor is None:
-            self.floor = lowest
-        self.floor = min(lowest, self.floor * FLOOR_GROWTH)
+            self.floor = median
+        self.floor = min(median, self.floor * FLOOR_GROWTH)
         return median > self.floor * self.settings.first_token_ratio
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -478,6 +478,9 @@
         """Charge the account and record latency and errors."""
         item, endpoint = placement.work, placement.endpoint
         served = float(outcome.tokens)
+        if outcome.status == work.OutcomeStatus.COMPLETED and not served:
+            # The answer was not a stream, so its tokens were not counted.
+            served = item.cost
         self.queue.charge(
             item.account_id, served - item.cost, item.lane, served
         )
@@ -486,9 +489,13 @@
             self.ejector.observe(
                 endpoint.endpoint_id, failed, outcome.inter_token, now
             )
-        self.slots.observe(
-            endpoint.endpoint_id, outcome.first_token, outcome.inter_token, now
-        )
+        if outcome.inter_token is not None:
+            self.slots.observe(
+                endpoint.endpoint_id,
+                outcome.first_token,
+                outcome.inter_token,
+                now,
+            )
         if outcome.status in (
             work.OutcomeStatus.ENDPOINT_LOST,
             work.OutcomeStatus.NOT_RUN,
