Model the prefix cache of engines in the policy measurement

Cause: the emulated endpoint keeps read prompts; the model read the prompt of a resumed item again. Change: cached prompts in the model, prefix digests in the work.

--- a/rhubarbreach/bench/policybench.py
+++ b/rhubarbreach/bench/policybench.py
@@ -209,8 +209,7 @@
         host.execute(
             arrival.account_id,
             work.Lane.ONLINE,
-            arrival.prompt,
-            arrival.output,
+            policyhost.Task(self.make_key(), arrival.prompt, arrival.output),
             self.loop.now + ONLINE_TIMEOUT,
             finish,
         )
@@ -222,32 +221,37 @@
                 for _ in range(policyhost.BATCH_WINDOW):
                     self.submit_batch(self.fleet.hosts[index], account_id)
 
+    def make_key(self):
+        """Return the digest of a prompt that was not seen before."""
+        return self.random.randbytes(8)
+
     def submit_batch(self, host, account_id):
         """Run a batch item, then the next one."""
-        prompt = self.random.randint(*BATCH_PROMPT)
-        output = self.random.randint(*BATCH_OUTPUT)
-        self.run_item(host, account_id, prompt, output)
+        task = policyhost.Task(
+            self.make_key(),
+            self.random.randint(*BATCH_PROMPT),
+            self.random.randint(*BATCH_OUTPUT),
+        )
+        self.run_item(host, account_id, task)
 
-    def run_item(self, host, account_id, prompt, output):
+    def run_item(self, host, account_id, task):
         """Run the rest of a batch item; resume it after a preemption."""
 
         def finish(outcome, refused, _first):
             made = outcome.tokens if outcome else 0
             self.batch_tokens[account_id] += made
+            rest = dataclasses.replace(task, made=task.made + made)
             if refused is not None:
-                self.loop.after(
-                    1.0, self.run_item, host, account_id, prompt, output
-                )
-            elif made < output:
-                self.run_item(host, account_id, prompt + made, output - made)
+                self.loop.after(1.0, self.run_item, host, account_id, task)
+            elif rest.made < task.output:
+                self.run_item(host, account_id, rest)
             else:
                 self.submit_batch(host, account_id)
 
         host.execute(
             account_id,
             work.Lane.BATCH,
-            prompt,
-            output,
+            task,
             self.loop.now + 3600.0,
             finish,
         )
@@ -343,8 +347,10 @@
 
     def feed(engine):
         sequence = virtual.Sequence(
+            source.randbytes(8),
             source.randint(*BATCH_PROMPT),
             source.randint(*BATCH_OUTPUT),
+            0,
             lambda _: None,
             lambda one: finish(engine, one),
         )
--- a/rhubarbreach/bench/policyhost.py
+++ b/rhubarbreach/bench/policyhost.py
@@ -20,7 +20,7 @@
 from rhubarbreach.settings import model as settings_model
 from rhubarbreach.state import model as state_model
 
-__all__ = ['BATCH_WINDOW', 'Fleet', 'Host']
+__all__ = ['BATCH_WINDOW', 'Fleet', 'Host', 'Task', 'get_engine_time']
 
 # Batch items that a host claims in advance for each account.
 BATCH_WINDOW = 16
@@ -56,6 +56,16 @@
         return rendezvous.rank_hosts(name, ids, count)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """A request or item: sizes in tokens, and how many are made."""
+
+    key: bytes
+    prompt: int
+    output: int
+    made: int = 0
+
+
 class Host:
     """One host: rate limiter, scheduler and a stand-in for dispatch."""
 
@@ -128,7 +138,7 @@
 
         waiter.future.add_done_callback(decide)
 
-    def execute(self, account_id, lane, prompt, output, deadline, finish):
+    def execute(self, account_id, lane, task, deadline, finish):
         """Run a request; `finish(outcome, refusal, first token time)`."""
         name = f'{self.plan.host_id}-{next(self.ids)}'
         item = work.Work(
@@ -136,17 +146,18 @@
             account_id,
             self.fleet.plan.model_id,
             lane,
-            float(output),
+            float(task.output - task.made),
             deadline,
             digest=name.encode(),
+            prefix=(task.key,),
             weight=self.fleet.weights[account_id],
         )
         future = self.scheduler.submit(item)
         future.add_done_callback(
-            lambda done: self.run(done.result(), prompt, output, finish)
+            lambda done: self.run(done.result(), task, finish)
         )
 
-    def run(self, result, prompt, output, finish):
+    def run(self, result, task, finish):
         """Run a placed request on its engine."""
         if isinstance(result, codes.Refusal):
             finish(None, result, None)
@@ -177,7 +188,14 @@
             self.scheduler.release(result, outcome)
             finish(outcome, None, first)
 
-        sequence = virtual.Sequence(prompt, output, on_first, on_end)
+        sequence = virtual.Sequence(
+            task.key,
+            task.prompt,
+            task.output - task.made,
+            task.made,
+            on_first,
+            on_end,
+        )
         self.attempts[result.work.work_id] = (engine, sequence, delay, end)
         self.loop.after(delay, engine.submit, sequence)
 
--- a/rhubarbreach/bench/virtual.py
+++ b/rhubarbreach/bench/virtual.py
@@ -17,6 +17,10 @@
 ]
 
 
+# Prompt tokens in the cache of the emulated endpoint.
+CACHE_TOKENS = 2000 * 16
+
+
 class EventLoop:
     """Events in the order of virtual time; time in seconds."""
 
@@ -127,14 +131,20 @@
 
     Parameters
     ----------
+    key : bytes
+        Digest of the prompt.
     prompt, output : int
         Tokens to read and to make.
+    resumed : int
+        Tokens made by an earlier attempt, which are read as well.
     on_first, on_end : callable
         Called with the sequence after the first and the last token.
     """
 
+    key: bytes
     prompt: int
     output: int
+    resumed: int
     on_first: object
     on_end: object
     made: int = 0
@@ -159,7 +169,8 @@
         self.waiting = collections.deque()
         self.running = []
         self.stepping = False
-        self.slot_seconds = collections.Counter()
+        self.cached = collections.OrderedDict()
+        self.cached_tokens = 0
 
     def submit(self, sequence):
         """Queue a sequence behind all earlier ones."""
@@ -181,13 +192,25 @@
                 continue
             sequence.started_at = self.loop.now
             self.running.append(sequence)
-            prefill += sequence.prompt * self.settings.prefill_token
+            prefill += self.read(sequence) * self.settings.prefill_token
         self.stepping = bool(self.running)
         if not self.running:
             return
         slope = self.settings.step_slope * len(self.running)
         self.loop.after(self.settings.step_base + slope + prefill, self.emit)
 
+    def read(self, sequence):
+        """Return the tokens to be read, and cache the prompt."""
+        if sequence.key in self.cached:
+            self.cached.move_to_end(sequence.key)
+            return sequence.resumed
+        self.cached[sequence.key] = sequence.prompt
+        self.cached_tokens += sequence.prompt
+        while self.cached_tokens > CACHE_TOKENS:
+            _, tokens = self.cached.popitem(last=False)
+            self.cached_tokens -= tokens
+        return sequence.prompt + sequence.resumed
+
     def emit(self):
         """Hand out the tokens of a step and begin the next one."""
         kept = []
