Share spare slots between hosts and route by the home host's load

Cause: an online request without a leased slot preempted a batch item even when the endpoint had room, and hosts chose endpoints by reports up to 1.3 s old. Change: the home host keeps two slots free of batch work for any host's online requests, does not refill slots of batch work that is above its share instead of preempting it, and tells each host what the others run.

--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -6,14 +6,13 @@
 from rhubarbreach.limits import concurrency
 from rhubarbreach.protocol import messages
 
-__all__ = ['Demand', 'Home', 'LEASE_DURATION', 'divide_slots']
+__all__ = ['Demand', 'Home', 'LEASE_DURATION', 'Slots', 'divide_slots']
 
 # Seconds for which leased slots may be used without another report.
 LEASE_DURATION = 1.0
-# Slots kept free of batch work for online requests of a host that holds
-# none; the engine would otherwise let them wait behind batch items until
-# the preempted ones have stopped.
-ONLINE_RESERVE = 1
+# Slots that batch work does not fill, so that most online requests find a
+# free one: a preempted item has to read its answer so far again.
+ONLINE_RESERVE = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +34,29 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slots:
+    """Slots of one endpoint leased to one host.
+
+    Parameters
+    ----------
+    online, batch : int
+        Slots for online and for batch work.
+    spare : int
+        Slots leased to nobody, which any host may use for online work.
+    others : int
+        Requests of other hosts that run on the endpoint.
+    alone : bool
+        Whether nothing else runs on the endpoint.
+    """
+
+    online: int
+    batch: int
+    spare: int
+    others: int
+    alone: bool = False
+
+
 def divide_slots(slots, wanted, weights):
     """Divide slots over hosts, max-min fair by weight.
 
@@ -100,9 +122,8 @@
 
         Returns
         -------
-        tuple of int, int and bool
-            Slots for online and for batch work, and whether the host has
-            the endpoint alone.
+        Slots
+            Leased to the host.
         """
         self.expire(now)
         self.limit.observe(use.first_token, use.inter_token)
@@ -110,13 +131,14 @@
         leased = known.leased if known else 0
         self.demands[host_id] = Demand(use, leased, now)
         self.limit.update(self.count_running(), now)
-        online, batch = self.divide(host_id, now)
+        slots = self.divide(host_id, now)
         alone = self.decide_alone(host_id, use, now)
         if self.alone_host is not None:
-            online, batch = (1, 0) if alone else (0, 0)
+            slots = Slots(int(alone), 0, 0, slots.others, alone)
         expires_at = now + LEASE_DURATION * (1 + clock.MAX_DRIFT)
-        self.demands[host_id] = Demand(use, online + batch, expires_at)
-        return online, batch, alone
+        leased = slots.online + slots.batch
+        self.demands[host_id] = Demand(use, leased, expires_at)
+        return slots
 
     def count_running(self):
         """Return the requests that run according to the reports."""
@@ -134,27 +156,53 @@
                     self.alone_host = None
 
     def divide(self, host_id, now):
-        """Return the online and batch slots of one host."""
+        """Return the `Slots` of one host."""
         limit = self.limit.get()
         uses = {name: demand.use for name, demand in self.demands.items()}
         online_wanted = {
             name: use.online_running + use.online_waiting
             for name, use in uses.items()
         }
-        equal = dict.fromkeys(uses, 1.0)
-        online = divide_slots(limit, online_wanted, equal)
+        online = divide_slots(limit, online_wanted, dict.fromkeys(uses, 1.0))
+        running_elsewhere = sum(
+            use.online_running + use.batch_running
+            for name, use in uses.items()
+            if name != host_id
+        )
         if now < self.started_at + LEASE_DURATION * (1 + clock.MAX_DRIFT):
-            return max(1, online[host_id]), 0
-        spare = max(0, limit - sum(online.values()) - ONLINE_RESERVE)
-        batch_wanted = {
+            return Slots(max(1, online[host_id]), 0, 0, running_elsewhere)
+        others = self.count_held(host_id, uses)
+        batch = self.divide_batch(limit - sum(online.values()), uses)[host_id]
+        running = uses[host_id].batch_running
+        if batch < running:
+            batch = self.keep_running(host_id, uses, limit, batch)
+        elif batch > running:
+            free = limit - others - online[host_id]
+            batch = max(running, min(batch, free))
+        spare = max(0, limit - others - online[host_id] - batch)
+        return Slots(online[host_id], batch, spare, running_elsewhere)
+
+    def divide_batch(self, room, uses):
+        """Return the batch slots that each host should have."""
+        wanted = {
             name: use.batch_running + use.batch_waiting
             for name, use in uses.items()
         }
         weights = {name: use.batch_weight for name, use in uses.items()}
-        batch = divide_slots(spare, batch_wanted, weights)
-        held = self.count_held(host_id, uses)
-        free = max(0, limit - held - online[host_id])
-        return online[host_id], min(batch[host_id], free)
+        return divide_slots(max(0, room - ONLINE_RESERVE), wanted, weights)
+
+    def keep_running(self, host_id, uses, limit, target):
+        """Return the slots of a host that runs more batch work than due.
+
+        Running items are kept, and their slots not filled again, while the
+        endpoint has room; what exceeds the limit is given back at once.
+        """
+        running = uses[host_id].batch_running
+        total = sum(
+            use.online_running + use.online_waiting + use.batch_running
+            for use in uses.values()
+        )
+        return max(target, running - max(0, total - limit))
 
     def count_held(self, host_id, uses):
         """Return slots that other hosts may hold until they report again."""
--- a/rhubarbreach/limits/slots.py
+++ b/rhubarbreach/limits/slots.py
@@ -35,6 +35,10 @@
         Requests running.
     online_leased, batch_leased : int
         Slots leased by the home host.
+    spare : int
+        Slots leased to nobody when the home host answered.
+    others : int
+        Requests of other hosts that ran there then.
     expires_at : float
         When the lease ends.
     alone : bool
@@ -51,6 +55,8 @@
     batch: int = 0
     online_leased: int = 0
     batch_leased: int = 0
+    spare: int = 0
+    others: int = 0
     expires_at: float = 0.0
     alone: bool = False
     want_alone: bool = False
@@ -113,7 +119,7 @@
             total = use.online_leased + use.batch_leased
             if kind == BATCH:
                 return use.batch < use.batch_leased and use.count() < total
-            return use.count() < total
+            return use.count() < total + use.spare
 
     def may_exceed(self, endpoint_id, now):
         """Return whether online work may start beyond the lease."""
@@ -191,6 +197,21 @@
         with self.lock:
             return self.get_use(endpoint_id).count()
 
+    def get_load(self, endpoint_id, now):
+        """Return the requests on an endpoint by the home host's last reply.
+
+        Returns
+        -------
+        int or None
+            This host's requests are exact, those of others as old as the
+            reply; None without a valid lease.
+        """
+        with self.lock:
+            use = self.get_use(endpoint_id)
+            if now >= use.expires_at:
+                return None
+            return use.count() + use.others
+
     def want_alone(self, endpoint_id, wanted):
         """Ask for a whole endpoint, or give it back."""
         with self.lock:
@@ -267,6 +288,8 @@
                 use.online_leased = reply.online[index]
                 use.batch_leased = reply.batch[index]
                 use.alone = reply.alone[index]
+                use.spare = reply.spare[index]
+                use.others = reply.others[index]
                 use.expires_at = sent_at + duration
 
     def answer(self, host_id, request, now, slots_of):
@@ -296,8 +319,14 @@
                     found = self.homes[use.endpoint_id] = home.Home(now)
                 found.limit.set_reported(slots_of(use.endpoint_id))
                 results.append(found.request(host_id, use, now))
-        online, batch, alone = zip(*results, strict=True)
-        return messages.SlotReply(online, batch, home.LEASE_DURATION, alone)
+        return messages.SlotReply(
+            tuple(slots.online for slots in results),
+            tuple(slots.batch for slots in results),
+            home.LEASE_DURATION,
+            tuple(slots.alone for slots in results),
+            tuple(slots.spare for slots in results),
+            tuple(slots.others for slots in results),
+        )
 
     def forget_homes(self, kept):
         """Stop being the home host of endpoints that are not kept."""
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -355,7 +355,7 @@
         """Choose among candidates by load, cache and zone."""
         view = choose.View(
             self.zone,
-            lambda endpoint: self.load.estimate(endpoint, now),
+            lambda endpoint: self.get_load(endpoint, now),
             lambda name, prefix: self.cache.match(name, prefix, now),
             lambda name: self.ejector.get_weight(name, now),
         )
@@ -367,6 +367,16 @@
             return choose.Choice(candidates[0], 'only candidate')
         return choice
 
+    def get_load(self, endpoint, now):
+        """Return the estimated requests at an endpoint.
+
+        The home host's reply is fresher than the endpoint's own report.
+        """
+        load_now = self.slots.get_load(endpoint.endpoint_id, now)
+        if load_now is None:
+            load_now = self.load.estimate(endpoint, now)
+        return load_now
+
     def start(self, item, choice, now, is_alone=False):
         """Record a placement and return the decision."""
         endpoint_id = choice.endpoint.endpoint_id
