Lease free slots in advance and keep them for a decaying online peak

Cause: several hosts used the same spare slots at once, so that requests waited inside an engine; with a larger reserve the tail became worse. Change: free slots are leased as headroom to single hosts, ranked differently at each endpoint; batch work is kept below the decaying peak of online work.

--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -4,15 +4,20 @@
 
 from rhubarbreach import clock
 from rhubarbreach.limits import concurrency
+from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import messages
 
 __all__ = ['Demand', 'Home', 'LEASE_DURATION', 'Slots', 'divide_slots']
 
 # Seconds for which leased slots may be used without another report.
 LEASE_DURATION = 1.0
+# Seconds in which the distance of the peak of online work to its present
+# value halves. Slots that online requests have left are kept free for a
+# while, because the next ones come before a batch item would be done.
+PEAK_HALF_LIFE = 0.5
 # Slots that batch work does not fill, so that most online requests find a
 # free one: a preempted item has to read its answer so far again.
-ONLINE_RESERVE = 2
+ONLINE_RESERVE = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,8 +47,6 @@
     ----------
     online, batch : int
         Slots for online and for batch work.
-    spare : int
-        Slots leased to nobody, which any host may use for online work.
     others : int
         Requests of other hosts that run on the endpoint.
     alone : bool
@@ -52,7 +55,6 @@
 
     online: int
     batch: int
-    spare: int
     others: int
     alone: bool = False
 
@@ -95,6 +97,8 @@
 
     Parameters
     ----------
+    endpoint_id : str
+        Endpoint.
     now : float
         When the host became the home host. Until leases of the former home
         host have ended only the demand of online requests is served.
@@ -102,10 +106,13 @@
         Bounds of the learned limit.
     """
 
-    def __init__(self, now, settings=concurrency.DEFAULT):
+    def __init__(self, endpoint_id, now, settings=concurrency.DEFAULT):
+        self.endpoint_id = endpoint_id
         self.limit = concurrency.ConcurrencyLimit(settings, now)
         self.started_at = now
         self.demands = {}
+        self.peak = 0.0
+        self.peak_at = now
         self.alone_host = None
 
     def request(self, host_id, use, now):
@@ -134,7 +141,7 @@
         slots = self.divide(host_id, now)
         alone = self.decide_alone(host_id, use, now)
         if self.alone_host is not None:
-            slots = Slots(int(alone), 0, 0, slots.others, alone)
+            slots = Slots(int(alone), 0, slots.others, alone)
         expires_at = now + LEASE_DURATION * (1 + clock.MAX_DRIFT)
         leased = slots.online + slots.batch
         self.demands[host_id] = Demand(use, leased, expires_at)
@@ -170,17 +177,39 @@
             if name != host_id
         )
         if now < self.started_at + LEASE_DURATION * (1 + clock.MAX_DRIFT):
-            return Slots(max(1, online[host_id]), 0, 0, running_elsewhere)
+            return Slots(max(1, online[host_id]), 0, running_elsewhere)
         others = self.count_held(host_id, uses)
-        batch = self.divide_batch(limit - sum(online.values()), uses)[host_id]
+        peak = self.update_peak(sum(online.values()), now)
+        batch = self.divide_batch(limit - round(peak), uses)[host_id]
         running = uses[host_id].batch_running
+        free = max(0, limit - others - online[host_id])
         if batch < running:
             batch = self.keep_running(host_id, uses, limit, batch)
-        elif batch > running:
-            free = limit - others - online[host_id]
+        else:
             batch = max(running, min(batch, free))
-        spare = max(0, limit - others - online[host_id] - batch)
-        return Slots(online[host_id], batch, spare, running_elsewhere)
+        headroom = self.divide_headroom(host_id, limit, uses)
+        headroom = max(0, min(headroom, free - batch))
+        return Slots(online[host_id] + headroom, batch, running_elsewhere)
+
+    def divide_headroom(self, host_id, limit, uses):
+        """Return the free slots leased to a host in advance.
+
+        The hosts that get one more are ranked differently at each endpoint,
+        so that each host finds a free slot at some endpoint.
+        """
+        running = sum(
+            use.online_running + use.batch_running for use in uses.values()
+        )
+        ranked = rendezvous.rank_hosts(self.endpoint_id, uses, len(uses))
+        each, rest = divmod(max(0, limit - running), len(ranked))
+        return each + (ranked.index(host_id) < rest)
+
+    def update_peak(self, online, now):
+        """Return the decaying maximum of the slots for online work."""
+        factor = 0.5 ** ((now - self.peak_at) / PEAK_HALF_LIFE)
+        self.peak_at = now
+        self.peak = max(online, online + (self.peak - online) * factor)
+        return self.peak
 
     def divide_batch(self, room, uses):
         """Return the batch slots that each host should have."""
--- a/rhubarbreach/limits/slots.py
+++ b/rhubarbreach/limits/slots.py
@@ -35,8 +35,6 @@
         Requests running.
     online_leased, batch_leased : int
         Slots leased by the home host.
-    spare : int
-        Slots leased to nobody when the home host answered.
     others : int
         Requests of other hosts that ran there then.
     expires_at : float
@@ -55,7 +53,6 @@
     batch: int = 0
     online_leased: int = 0
     batch_leased: int = 0
-    spare: int = 0
     others: int = 0
     expires_at: float = 0.0
     alone: bool = False
@@ -119,7 +116,7 @@
             total = use.online_leased + use.batch_leased
             if kind == BATCH:
                 return use.batch < use.batch_leased and use.count() < total
-            return use.count() < total + use.spare
+            return use.count() < total
 
     def may_exceed(self, endpoint_id, now):
         """Return whether online work may start beyond the lease."""
@@ -288,7 +285,6 @@
                 use.online_leased = reply.online[index]
                 use.batch_leased = reply.batch[index]
                 use.alone = reply.alone[index]
-                use.spare = reply.spare[index]
                 use.others = reply.others[index]
                 use.expires_at = sent_at + duration
 
@@ -316,7 +312,9 @@
             for use in request.uses:
                 found = self.homes.get(use.endpoint_id)
                 if found is None:
-                    found = self.homes[use.endpoint_id] = home.Home(now)
+                    found = self.homes[use.endpoint_id] = home.Home(
+                        use.endpoint_id, now
+                    )
                 found.limit.set_reported(slots_of(use.endpoint_id))
                 results.append(found.request(host_id, use, now))
         return messages.SlotReply(
@@ -324,7 +322,6 @@
             tuple(slots.batch for slots in results),
             home.LEASE_DURATION,
             tuple(slots.alone for slots in results),
-            tuple(slots.spare for slots in results),
             tuple(slots.others for slots in results),
         )
 
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -402,7 +402,6 @@
     """Slots leased to the host, in the order of the request's uses.
 
     `alone` tells for each use whether nothing else runs on the endpoint,
-    `spare` how many slots are leased to nobody, for online work only, and
     `others` how many requests of other hosts run there.
     """
 
@@ -410,7 +409,6 @@
     batch: tuple[int, ...]
     duration: float
     alone: tuple[bool, ...] = ()
-    spare: tuple[int, ...] = ()
     others: tuple[int, ...] = ()
 
 
