--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -241,6 +241,9 @@
             self.calls[call_id] = (future, deadline)
         if not self.post(peer_id, call_id, False, message):
             self.finish_call(call_id, make_refusal(peer_id, codes.Ran.NO))
+        if self.closed:
+            # close() may have completed the open calls before this one.
+            self.finish_call(call_id, make_refusal('', codes.Ran.UNKNOWN))
         return future
 
     def post(self, peer_id, call_id, is_reply, message):
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -73,3 +73,12 @@
     deadline = clock.monotonic() + 0.3
     result = pair[0].call('host-2', messages.Probe(1, ()), deadline).result()
     assert result.ran == codes.Ran.UNKNOWN
+
+
+def test_call_on_a_closed_link_completes(pair):
+    """Guards against a caller that waits forever while a host stops."""
+    pair[0].close()
+    for peer_id in ('host-1', 'host-2'):
+        deadline = clock.monotonic() + 60
+        call = pair[0].call(peer_id, messages.Probe(1, ()), deadline)
+        assert isinstance(call.result(timeout=5), codes.Refusal)
