Fix late replies, reused round ids and replaced logs

Change: call ids start at random, round ids are never reused, a replaced log is deleted. A test for each that can be caused at will.

--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -65,17 +65,21 @@
         store.get_term(previous),
         entries,
         state.commit_index,
-        start_round(peer, now),
+        start_round(state, peer, now),
     )
 
 
-def start_round(peer, now):
-    """Return the id of a new message, whose send time is remembered."""
-    peer.round_id += 1
-    peer.sent[peer.round_id] = now
+def start_round(state, peer, now):
+    """Return the id of a new message, whose send time is remembered.
+
+    Ids are never used again: a late answer to a message of an earlier term
+    would otherwise count as contact in this one.
+    """
+    round_id = next(state.round_ids)
+    peer.sent[round_id] = now
     if len(peer.sent) > MAX_ROUNDS:
         del peer.sent[next(iter(peer.sent))]
-    return peer.round_id
+    return round_id
 
 
 def limit_bytes(entries):
@@ -106,7 +110,7 @@
         start,
         data,
         start + len(data) >= len(snapshot.data),
-        start_round(peer, now),
+        start_round(state, peer, now),
     )
 
 
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -116,7 +116,6 @@
     next_index: int
     match_index: int = 0
     contact: float = 0.0
-    round_id: int = 0
     sent: dict = dataclasses.field(default_factory=dict)
     snapshot_offset: int = 0
     snapshot_index: int = 0
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -1,6 +1,7 @@
 """State of one replica and the changes of its role."""
 
 import collections
+import itertools
 
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
@@ -66,6 +67,7 @@
         self.transfer_future = None
         self.hellos = {}
         self.hello_due = now
+        self.round_ids = itertools.count(1)
         set_election_deadline(self, now)
 
     @property
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -152,6 +152,7 @@
             and covered[-1].term != self.base_term
         ):
             # The snapshot came from a leader whose log replaced this one.
+            self.drop_segments()
             return []
         return entries[len(covered) :]
 
@@ -295,9 +296,20 @@
         self.synced_index = max(self.synced_index, self.base_index)
         if not keep:
             self.synced_index = self.base_index
+            self.drop_segments()
         self.rebuild_members()
         self.trim_segments()
 
+    def drop_segments(self):
+        """Delete the whole log, which a snapshot has replaced.
+
+        Entries that are appended later would otherwise be taken for a part
+        of the replaced log when the store is opened again.
+        """
+        self.log.roll()
+        self.log.remove_before(self.log.number)
+        self.segment_ends = {}
+
     def write_snapshot(self, snapshot):
         """Replace the snapshot file."""
         data = ENCODER.encode(
--- /dev/null
+++ b/rhubarbreach/consensus/tests/test_store.py
@@ -0,0 +1,52 @@
+"""Tests of the durable state of a replica."""
+
+import pytest
+
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import store as stores
+from rhubarbreach.protocol import messages
+
+
+def make_entries(first, last, term):
+    return [
+        messages.LogEntry(index, term, model.ENTRY_COMMAND, b'x')
+        for index in range(first, last + 1)
+    ]
+
+
+def reopen(store):
+    store.close()
+    return stores.Store(store.path)
+
+
+@pytest.mark.parametrize('crash', [False, True])
+def test_log_replaced_by_a_snapshot_does_not_come_back(
+    tmp_path, monkeypatch, crash
+):
+    """Guards against entries lost after a snapshot replaced other ones."""
+    store = stores.Store(tmp_path / 'g')
+    store.append(make_entries(1, 20, 1))
+    store.sync()
+    snapshot = model.Snapshot(10, 2, 0, (), b'')
+    if crash:
+        store.write_snapshot(snapshot)
+    else:
+        store.install_snapshot(snapshot)
+    store = reopen(store)
+    assert (store.last_index, store.last_term) == (10, 2)
+    store.append(make_entries(11, 13, 2))
+    store.sync()
+    store = reopen(store)
+    assert (store.last_index, store.last_term) == (13, 2)
+    store.close()
+
+
+def test_entries_that_replace_others_survive_a_restart(tmp_path):
+    """Guards against replaced entries that return from an old record."""
+    store = stores.Store(tmp_path / 'g')
+    store.append(make_entries(1, 9, 1))
+    store.append(make_entries(5, 6, 3))
+    store.sync()
+    store = reopen(store)
+    assert [store.get_term(n) for n in range(1, 8)] == [1] * 4 + [3, 3, None]
+    store.close()
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import itertools
+import secrets
 import threading
 
 import logbook
@@ -27,6 +28,7 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 HANDLER_THREADS = 16
+CALL_ID_BITS = 62
 
 
 class Peer:
@@ -135,7 +137,9 @@
         self.hybrid_clock = hybrid_clock or clock.HybridClock()
         self.handlers = {}
         self.calls = {}
-        self.call_ids = itertools.count(1)
+        # A random start, because a reply to a call made before a restart
+        # of this host must not complete a call made after it.
+        self.call_ids = itertools.count(secrets.randbits(CALL_ID_BITS) + 1)
         self.lock = threading.Lock()
         self.fault = None
         self.delays = delay_queue.DelayQueue()
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -82,3 +82,13 @@
         deadline = clock.monotonic() + 60
         call = pair[0].call(peer_id, messages.Probe(1, ()), deadline)
         assert isinstance(call.result(timeout=5), codes.Refusal)
+
+
+def test_late_reply_does_not_complete_a_call_after_a_restart(pair):
+    """Guards against crossed replies when call numbers start again."""
+    pair[0].call('host-2', messages.Probe(1, ()), clock.monotonic() + 60)
+    number = next(iter(pair[0].calls))
+    again = link.Link('host-1', find_address(), {}, None)
+    again.call('host-1', messages.Probe(1, ()), clock.monotonic() + 60)
+    assert number not in again.calls
+    again.close()
