--- /dev/null
+++ b/rhubarbreach/bench/jobs.py
@@ -0,0 +1,215 @@
+"""Batch jobs as a caller sends and reads them."""
+
+import dataclasses
+import http.client
+import json
+import time
+
+from rhubarbreach.emulator import tokens
+
+__all__ = ['JobCaller', 'JobReport', 'make_items']
+
+TIMEOUT_SECONDS = 60.0
+POLL_SECONDS = 0.3
+RUNNING = 'running'
+TRIES = 8
+RETRIED = (
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobReport:
+    """Results of one job as read back.
+
+    Parameters
+    ----------
+    job_id, status : str
+        Job and its last status.
+    sent, done, failed : int
+        Items.
+    wrong : tuple of str
+        One line for each missing, doubled or wrong result.
+    seconds : float
+        Time from the upload to the end.
+    """
+
+    job_id: str
+    status: str
+    sent: int
+    done: int
+    failed: int
+    wrong: tuple[str, ...]
+    seconds: float
+
+
+def make_items(name, count, model_id, max_tokens, failing=()):
+    """Return the bodies of items by custom id.
+
+    Parameters
+    ----------
+    name : str
+        Distinguishes the prompts of jobs.
+    count : int
+        Items.
+    model_id : str
+        Model.
+    max_tokens : int
+        Tokens of each answer.
+    failing : iterable of int
+        Items that every endpoint refuses.
+
+    Returns
+    -------
+    dict of str to dict
+        Bodies.
+    """
+    items = {}
+    for number in range(count):
+        prompt = f'{name} sheet {number}'
+        if number in failing:
+            prompt += ' fail-request'
+        items[f'item-{number}'] = {
+            'model': model_id,
+            'prompt': prompt,
+            'max_tokens': max_tokens,
+        }
+    return items
+
+
+class JobCaller:
+    """Caller of the job routes.
+
+    Parameters
+    ----------
+    pick : callable
+        Returns the `IP:port` of an entry host.
+    key : str
+        Key of the account.
+    """
+
+    def __init__(self, pick, key):
+        self.pick = pick
+        self.key = key
+
+    def request(self, method, path, body=None, **headers):
+        """Return status and body; other hosts are tried on failure."""
+        headers = {'Authorization': f'Bearer {self.key}', **headers}
+        error = None
+        for _ in range(TRIES):
+            connection = http.client.HTTPConnection(
+                self.pick(), timeout=TIMEOUT_SECONDS
+            )
+            try:
+                connection.request(method, path, body, headers)
+                response = connection.getresponse()
+                data = response.read()
+                if response.status not in RETRIED:
+                    return response.status, data
+                error = RuntimeError(data.decode('utf-8', 'replace'))
+            except (OSError, http.client.HTTPException) as failure:
+                error = failure
+            finally:
+                connection.close()
+            time.sleep(POLL_SECONDS)
+        raise error
+
+    def create(self, client_id, items, path='/v1/completions'):
+        """Send a job; return its id."""
+        lines = [
+            json.dumps(
+                {
+                    'custom_id': custom_id,
+                    'method': 'POST',
+                    'url': path,
+                    'body': body,
+                }
+            )
+            for custom_id, body in items.items()
+        ]
+        status, data = self.request(
+            'POST',
+            '/v1/batches',
+            '\n'.join(lines),
+            **{'Idempotency-Key': client_id},
+        )
+        if status != http.HTTPStatus.OK:
+            raise RuntimeError(f'job refused: {data!r}')
+        return json.loads(data)['id']
+
+    def show(self, job_id):
+        """Return the description of a job."""
+        _, data = self.request('GET', f'/v1/batches/{job_id}')
+        return json.loads(data)
+
+    def cancel(self, job_id):
+        """Cancel a job."""
+        self.request('POST', f'/v1/batches/{job_id}/cancel')
+
+    def wait(self, job_id, deadline):
+        """Wait for the end of a job; return its description."""
+        while True:
+            described = self.show(job_id)
+            if described['status'] != RUNNING or time.monotonic() > deadline:
+                return described
+            time.sleep(POLL_SECONDS)
+
+    def read_report(self, job_id, items, started_at):
+        """Read all results of a job and compare them with its items.
+
+        Parameters
+        ----------
+        job_id : str
+            Job.
+        items : dict of str to dict
+            Bodies that were sent.
+        started_at : float
+            Monotonic time of the upload.
+
+        Returns
+        -------
+        JobReport
+            Outcome.
+        """
+        described = self.show(job_id)
+        seconds = time.monotonic() - started_at
+        _, data = self.request('GET', f'/v1/batches/{job_id}/results')
+        rows = [json.loads(line) for line in data.splitlines()]
+        seen = {}
+        wrong = []
+        for row in rows:
+            custom_id = row.get('custom_id', '')
+            if custom_id in seen or custom_id not in items:
+                wrong.append(f'{job_id} {custom_id}: second or unknown row')
+            seen[custom_id] = row
+        wrong += [
+            f'{job_id} {custom_id}: no result'
+            for custom_id in items
+            if custom_id not in seen
+        ]
+        done = [row for row in seen.values() if row['status'] == 'done']
+        wrong += [
+            f'{job_id} {row["custom_id"]}: wrong answer'
+            for row in done
+            if not is_right(items[row['custom_id']], row)
+        ]
+        return JobReport(
+            job_id,
+            described['status'],
+            len(items),
+            len(done),
+            len(seen) - len(done),
+            tuple(wrong),
+            seconds,
+        )
+
+
+def is_right(body, row):
+    """Return whether a result is the whole answer to its item."""
+    content = row['response']['body']['choices'][0]['message']['content']
+    words = [
+        tokens.make_token(body['prompt'], index)
+        for index in range(body['max_tokens'])
+    ]
+    return content == ''.join(words)
--- a/rhubarbreach/bench/load.py
+++ b/rhubarbreach/bench/load.py
@@ -271,6 +271,9 @@
                 detail = json.dumps(event['error'])
                 continue
             received.append(event['choices'][0]['delta']['content'])
+        # Raises for a connection that was closed within the response,
+        # which readline() reports as an ordinary end.
+        response.read()
     except (OSError, ValueError, http.client.HTTPException) as error:
         detail = repr(error)
     expected = [
--- a/rhubarbreach/emulator/endpoint.py
+++ b/rhubarbreach/emulator/endpoint.py
@@ -23,6 +23,8 @@
 DRAIN_POLL_SECONDS = 0.05
 # A prompt that holds this text crashes the endpoint that runs it.
 CRASH_MARKER = 'crash-endpoint'
+# A prompt that holds this text is refused by each endpoint.
+FAIL_MARKER = 'fail-request'
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
@@ -136,6 +138,8 @@
         prompt = tokens.get_prompt(body)
         if CRASH_MARKER in prompt:
             server.crash()
+        if FAIL_MARKER in prompt:
+            return server.make_json({'error': 'prompt refused'}, 422)
         sequence = engine.Sequence(
             attempt_id,
             prompt,
