--- a/rhubarbreach/bench/declare.py
+++ b/rhubarbreach/bench/declare.py
@@ -5,6 +5,7 @@
 import uuid
 
 from rhubarbreach.bench import fleet
+from rhubarbreach import codes
 from rhubarbreach.operators import client
 from rhubarbreach.operators import operators_pb2
 from rhubarbreach.protocol import tls
@@ -14,6 +15,7 @@
 SERVICE_PATH = '/swaps'
 CALL_TIMEOUT = 30.0
 KEY_BYTES = 32
+CONFLICT_TRIES = 5
 
 
 class DeclarationError(Exception):
@@ -50,17 +52,27 @@
         DeclarationError
             If it was not accepted.
         """
+        for _ in range(CONFLICT_TRIES):
+            reply = self.try_change(name, request, wait)
+            if reply.result.code != codes.ResultCode.REVISION_CONFLICT:
+                break
+        if reply.result.code:
+            raise DeclarationError(f'{name}: {reply.result.reason}')
+        return reply
+
+    def try_change(self, name, request, wait):
+        """Make one change at the current revision; return the reply.
+
+        The system itself changes the configuration when hosts come and go,
+        so that the revision may have moved between the two calls.
+        """
         request.change.operation_id = uuid.uuid4().hex
         request.change.wait = wait
-        # The current revision is read first, as an operator would.
         listed = self.client.call(
             'ListAccounts', operators_pb2.ListRequest(), CALL_TIMEOUT
         )
         request.change.expected_revision = listed.revision
-        reply = self.client.call(name, request, CALL_TIMEOUT)
-        if reply.result.code:
-            raise DeclarationError(f'{name}: {reply.result.reason}')
-        return reply
+        return self.client.call(name, request, CALL_TIMEOUT)
 
     def add_account(self, plan):
         """Add an account and a key; return the key."""
--- a/rhubarbreach/bench/tests/test_figures.py
+++ b/rhubarbreach/bench/tests/test_figures.py
@@ -11,6 +11,7 @@
 def make_sample(sent_at, code=0, **fields):
     arrival = load.Arrival(0.0, 'a', 'k', '/v1/completions', 'p', 4)
     status = 429 if code else 200
+    fields.setdefault('not_run', True if code else None)
     return load.Sample(arrival, sent_at, status, code, **fields)
 
 
--- /dev/null
+++ b/rhubarbreach/bench/tests/test_load.py
@@ -0,0 +1,54 @@
+"""Tests of the load tool."""
+
+import socket
+import threading
+
+import pytest
+
+from rhubarbreach.bench import load
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+
+
+def make_chunk(data):
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+@pytest.fixture
+def serve():
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def start(answer):
+        def run():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(HEAD + answer)
+
+        threading.Thread(target=run, daemon=True).start()
+        return f'127.0.0.1:{listener.getsockname()[1]}'
+
+    yield start
+    listener.close()
+
+
+def send(address):
+    arrival = load.Arrival(0.0, 'a', 'k', '/v1/completions', 'p', 1)
+    return load.send_request(lambda: address, arrival, 'rota', 0.0)
+
+
+def test_closed_connection_is_not_a_silent_short_answer(serve):
+    """Guards against a lost host that is reported as a broken rule."""
+    sample = send(serve(make_chunk(b': comment\n\n')))
+    assert not sample.complete
+    assert 'IncompleteRead' in sample.detail
+
+
+def test_ended_answer_without_its_end_marker_is_reported(serve):
+    """Guards against a short answer that goes unnoticed."""
+    sample = send(serve(make_chunk(b': comment\n\n') + b'0\r\n\r\n'))
+    assert not sample.complete
+    assert sample.detail == ''
