--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -50,7 +50,8 @@
     @property
     def load(self):
         """Send online requests to running hosts."""
-        return importlib.import_module('rhubarbreach.bench.load').run_load
+        name = 'rhubarbreach.bench.loadcommand'
+        return importlib.import_module(name).run_load
 
     @property
     def demo(self):
