--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -13,8 +13,8 @@
 from rhubarbreach import codes
 from rhubarbreach.consensus import applying
 from rhubarbreach.consensus import changes
-from rhubarbreach.consensus import following
 from rhubarbreach.consensus import formation
+from rhubarbreach.consensus import handling
 from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import replicator
@@ -22,7 +22,6 @@
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus import voting
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
 
 __all__ = ['Group']
 
@@ -80,9 +79,13 @@
         self.state = states.State(
             settings, self.store, random.Random(), clock.monotonic()
         )
-        formation.start_formation(self.state)
-        if self.store.snapshot.last_index:
-            machine.restore(self.store.snapshot.data)
+        try:
+            formation.start_formation(self.state)
+            if self.store.snapshot.last_index:
+                machine.restore(self.store.snapshot.data)
+        except BaseException:
+            self.store.close()
+            raise
         self.next_tick = clock.monotonic()
         self.replicators = {}
         self.applier = applying.Applier(self)
@@ -231,13 +234,15 @@
 
     def run(self):
         """Handle events until the group is closed or its disk fails."""
+        events = []
         try:
             while not self.closed:
-                self.step(self.collect())
+                events = self.collect()
+                self.step(events)
         except Exception as error:
-            self.fail(error)
+            self.fail(error, events)
 
-    def fail(self, error):
+    def fail(self, error, events):
         """Stop taking part: what is durable is no longer known."""
         if self.closed:
             return
@@ -249,20 +254,12 @@
             )
             self.changed.notify_all()
         self.finish_refused()
-        refusal = codes.Refusal(
-            codes.ResultCode.UNAVAILABLE, f'group has failed: {error}'
-        )
+        reason = f'group has failed: {error}'
+        for event in events:
+            handling.refuse_event(event, states.make_unknown(reason))
+        refusal = codes.Refusal(codes.ResultCode.UNAVAILABLE, reason)
         while not self.closed:
-            self.refuse_event(self.inbox.get(), refusal)
-
-    def refuse_event(self, event, refusal):
-        """Refuse a proposal that was never looked at."""
-        if isinstance(event, model.Proposal):
-            applying.complete(event.future, refusal)
-        if isinstance(event, functools.partial):
-            for argument in event.args:
-                if isinstance(argument, concurrent.futures.Future):
-                    applying.complete(argument, refusal)
+            handling.refuse_event(self.inbox.get(), refusal)
 
     def collect(self):
         """Return the events that wait, or none at the next tick."""
@@ -311,7 +308,7 @@
         """
         try:
             if isinstance(event, tuple):
-                self.handle(*event, now)
+                handling.handle_message(self.state, *event, now)
             else:
                 event()
         except exceptions.DiskFullError as error:
@@ -334,29 +331,6 @@
         self.changed.notify_all()
         self.committed.notify_all()
 
-    def handle(self, sender_id, message, now):
-        """Handle one message."""
-        state = self.state
-        match message:
-            case messages.AppendEntries():
-                following.handle_append(state, sender_id, message, now)
-            case messages.AppendReply():
-                leading.handle_append_reply(state, sender_id, message, now)
-            case messages.VoteRequest():
-                voting.handle_vote_request(state, sender_id, message, now)
-            case messages.VoteReply():
-                voting.handle_vote_reply(state, sender_id, message, now)
-            case messages.InstallSnapshot():
-                following.handle_install(state, sender_id, message, now)
-            case messages.InstallReply():
-                leading.handle_install_reply(state, sender_id, message, now)
-            case messages.TransferLeadership():
-                if message.term == state.store.term:
-                    voting.start_election(state, now, True)
-            case messages.StoreHello():
-                if formation.handle_hello(state, sender_id, message):
-                    changes.replace_store(state, sender_id, message, now)
-
     def tick(self, now):
         """Do what is due by time."""
         state = self.state
@@ -411,6 +385,10 @@
             self.thread.join()
         self.applier.join()
         with self.lock:
+            self.state.commit_index = self.state.applied_index
             states.drop_leadership(self.state)
             self.store.close()
         self.finish_refused()
+        refusal = states.make_not_leader(self.state)
+        while not self.inbox.empty():
+            handling.refuse_event(self.inbox.get(), refusal)
--- /dev/null
+++ b/rhubarbreach/consensus/handling.py
@@ -0,0 +1,60 @@
+"""Which function handles which message, and what refuses an event."""
+
+import concurrent.futures
+import functools
+
+from rhubarbreach.consensus import applying
+from rhubarbreach.consensus import changes
+from rhubarbreach.consensus import following
+from rhubarbreach.consensus import formation
+from rhubarbreach.consensus import leading
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import voting
+from rhubarbreach.protocol import messages
+
+__all__ = ['handle_message', 'refuse_event']
+
+
+def handle_message(state, sender_id, message, now):
+    """Handle one message of a peer.
+
+    Parameters
+    ----------
+    state : State
+        State of the replica.
+    sender_id : str
+        Host that sent the message.
+    message : object
+        Message of the replicated log.
+    now : float
+        Seconds of the monotonic clock.
+    """
+    match message:
+        case messages.AppendEntries():
+            following.handle_append(state, sender_id, message, now)
+        case messages.AppendReply():
+            leading.handle_append_reply(state, sender_id, message, now)
+        case messages.VoteRequest():
+            voting.handle_vote_request(state, sender_id, message, now)
+        case messages.VoteReply():
+            voting.handle_vote_reply(state, sender_id, message, now)
+        case messages.InstallSnapshot():
+            following.handle_install(state, sender_id, message, now)
+        case messages.InstallReply():
+            leading.handle_install_reply(state, sender_id, message, now)
+        case messages.TransferLeadership():
+            if message.term == state.store.term:
+                voting.start_election(state, now, True)
+        case messages.StoreHello():
+            if formation.handle_hello(state, sender_id, message):
+                changes.replace_store(state, sender_id, message, now)
+
+
+def refuse_event(event, refusal):
+    """Complete the futures that an event carries."""
+    if isinstance(event, model.Proposal):
+        applying.complete(event.future, refusal)
+    if isinstance(event, functools.partial):
+        for argument in event.args:
+            if isinstance(argument, concurrent.futures.Future):
+                applying.complete(argument, refusal)
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -16,6 +16,7 @@
     'get_quorum_contact',
     'is_voter',
     'make_not_leader',
+    'make_unknown',
     'set_election_deadline',
     'sync_peers',
 ]
@@ -136,9 +137,10 @@
     """Complete what only a leader can complete."""
     state.peers = {}
     refusal = make_unknown('leadership was lost')
-    for _, proposal in state.pending.values():
+    # What is committed already still gets its result when it is applied.
+    for index in [one for one in state.pending if one > state.commit_index]:
+        _, proposal = state.pending.pop(index)
         state.refused.append((proposal.future, refusal))
-    state.pending.clear()
     refusal = make_not_leader(state)
     for read in state.reads:
         state.refused.append((read.future, refusal))
--- /dev/null
+++ b/rhubarbreach/consensus/tests/test_voting.py
@@ -0,0 +1,71 @@
+"""Tests of a voter without link and tasks."""
+
+import random
+
+import pytest
+
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
+from rhubarbreach.consensus import store as stores
+from rhubarbreach.consensus import voting
+from rhubarbreach.protocol import messages
+
+
+def open_state(folder):
+    settings = model.GroupSettings('g', 'host-1', str(folder))
+    store = stores.Store(folder / 'g')
+    members = (
+        messages.Member('host-1', store.store_id, True),
+        messages.Member('host-2', 'store-2', True),
+        messages.Member('host-3', 'store-3', True),
+    )
+    store.save_formation(True, members)
+    return states.State(settings, store, random.Random(1), 0.0)
+
+
+@pytest.fixture
+def state(tmp_path):
+    one = open_state(tmp_path)
+    yield one
+    one.store.close()
+
+
+def ask(state, host_id, term, pre_vote=False, now=100.0):
+    """Return whether a candidate gets a vote."""
+    request = messages.VoteRequest('g', term, host_id, 'store', 0, 0, pre_vote)
+    voting.handle_vote_request(state, host_id, request, now)
+    return state.outbox.pop()[1].granted
+
+
+def test_vote_is_kept_over_a_restart(tmp_path, state):
+    """Guards against two leaders in one term after a crash."""
+    assert ask(state, 'host-2', 5)
+    state.store.close()
+    again = open_state(tmp_path)
+    assert not ask(again, 'host-3', 5)
+    assert ask(again, 'host-2', 5)
+    again.store.close()
+
+
+def test_vote_of_another_store_identity_does_not_count(state):
+    """Guards against a second vote of a host that lost its disk."""
+    voting.start_election(state, 0.0, False)
+    for store_id, leads in (('new', False), ('store-2', True)):
+        reply = messages.VoteReply('g', 1, True, False, store_id)
+        voting.handle_vote_reply(state, 'host-2', reply, 0.0)
+        assert state.is_leader is leads
+
+
+def test_pre_vote_is_refused_while_a_leader_is_heard(state):
+    """Guards against a host with a bad link that ends terms."""
+    state.leader_contact = 99.9
+    assert not ask(state, 'host-2', 7, pre_vote=True)
+    assert ask(state, 'host-2', 7, pre_vote=True, now=101.0)
+    assert state.store.term == 0
+
+
+def test_candidate_with_a_shorter_log_gets_no_vote(state):
+    """Guards against a leader that lacks accepted entries."""
+    entry = messages.LogEntry(1, 1, model.ENTRY_NOOP, b'')
+    state.store.append([entry])
+    assert not ask(state, 'host-2', 5)
--- a/rhubarbreach/storage/folder.py
+++ b/rhubarbreach/storage/folder.py
@@ -25,6 +25,8 @@
     ----------
     path : str or pathlib.Path
         Folder; it is made when missing.
+    with_identity : bool
+        Whether the identity is read, or made on first use.
 
     Raises
     ------
@@ -32,7 +34,7 @@
         If the folder cannot be used or is locked.
     """
 
-    def __init__(self, path):
+    def __init__(self, path, with_identity=True):
         self.path = pathlib.Path(path)
         try:
             self.path.mkdir(parents=True, exist_ok=True)
@@ -50,7 +52,13 @@
             raise exceptions.DataFolderError(
                 'data folder is used by another process'
             ) from error
-        self.store_id = self.load_identity()
+        self.store_id = None
+        if with_identity:
+            try:
+                self.store_id = self.load_identity()
+            except BaseException:
+                self.close()
+                raise
 
     def load_identity(self):
         """Return the store identity, made on first use."""
