Wake the tasks of an idle group only when they have work

Cause: each message woke the tasks that replicate and apply, and idle followers ticked ten times a second. Change: notifications only when there is work; an idle follower waits until its election deadline.

--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -10,7 +10,7 @@
 from rhubarbreach.consensus import state as states
 from rhubarbreach import exceptions
 
-__all__ = ['Applier', 'complete']
+__all__ = ['Applier', 'complete', 'has_work']
 
 LOG = logbook.Logger('consensus')
 MAX_BATCH_ENTRIES = 1024
@@ -147,6 +147,22 @@
         group.post(save_snapshot, group, snapshot)
 
 
+def has_work(state):
+    """Return whether the task that applies has something to do."""
+    return (
+        state.commit_index > state.applied_index
+        or state.restore is not None
+        or any(is_ready(state, read) for read in state.reads)
+    )
+
+
+def is_ready(state, read):
+    """Return whether a read may complete."""
+    if not read.confirmed:
+        return False
+    return read.index_only or read.index <= state.applied_index
+
+
 def raise_error(error):
     """Raise an error on the task of the group."""
     raise error
@@ -162,12 +178,7 @@
 
 def take_ready_reads(state):
     """Remove and return the reads whose index is applied."""
-    ready = [
-        read
-        for read in state.reads
-        if read.confirmed
-        and (read.index_only or read.index <= state.applied_index)
-    ]
+    ready = [read for read in state.reads if is_ready(state, read)]
     if ready:
         state.reads = [read for read in state.reads if read not in ready]
     return ready
--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -9,7 +9,13 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.protocol import messages
 
-__all__ = ['announce', 'handle_hello', 'make_hello', 'start_formation']
+__all__ = [
+    'announce',
+    'handle_hello',
+    'is_joined',
+    'make_hello',
+    'start_formation',
+]
 
 HELLO_SECONDS = 1.0
 
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -283,11 +283,12 @@
                 elif event is not None:
                     self.handle_event(event, now)
             if now >= self.next_tick:
-                self.next_tick = now + self.settings.heartbeat
+                self.next_tick = float('inf')
                 self.handle_event(functools.partial(self.tick, now), now)
             if proposals:
                 changes.append_proposals(self.state, proposals, now)
             self.settle(now)
+            self.plan_tick(now)
             dirty = not self.store.is_synced
             last_index = self.store.last_index
         self.send(self.state.outbox)
@@ -327,9 +328,18 @@
                 changes.follow_commit(state, now)
             leading.settle_reads(state, now)
             changes.continue_transfer(state, now)
-        self.update_replicators()
-        self.changed.notify_all()
-        self.committed.notify_all()
+        self.update_replicators(now)
+        if applying.has_work(state):
+            self.committed.notify_all()
+
+    def plan_tick(self, now):
+        """Set the next tick: an idle follower only waits for its leader."""
+        state = self.state
+        due = now + self.settings.heartbeat
+        idle = not (state.reads or state.pending or state.is_leader)
+        if idle and formation.is_joined(state):
+            due = max(due, state.election_deadline)
+        self.next_tick = min(self.next_tick, due)
 
     def tick(self, now):
         """Do what is due by time."""
@@ -348,7 +358,7 @@
         elif now >= state.election_deadline:
             voting.start_pre_vote(state, now)
 
-    def update_replicators(self):
+    def update_replicators(self, now):
         """Run one replication task for each peer of a leader."""
         wanted = self.state.peers if self.state.is_leader else {}
         for peer_id in list(self.replicators):
@@ -356,9 +366,12 @@
             if wanted.get(peer_id) is not task.peer:
                 task.closed = True
                 del self.replicators[peer_id]
+                self.changed.notify_all()
         for peer_id, peer in wanted.items():
             if peer_id not in self.replicators:
                 self.replicators[peer_id] = replicator.Replicator(self, peer)
+            elif leading.has_work(self.state, peer, now):
+                self.changed.notify_all()
 
     def send(self, outbox):
         """Send and clear collected messages."""
