--- a/rhubarbreach/entry/streams.py
+++ b/rhubarbreach/entry/streams.py
@@ -35,6 +35,10 @@
         self.inner.write(data)
         return True
 
+    def finish(self):
+        """End the stream."""
+        self.inner.finish()
+
 
 def make_head(request):
     """Return status line and headers of a stream."""
@@ -74,6 +78,7 @@
     head, chunked = make_head(request)
     connection.connection.setblocking(False)
     sink = sink_module.CallerSink(connection.connection, head, chunked)
+    request.sink = sink
     if not recorded:
         sink.on_lost = lambda _: executor.cancel(call.request_id)
     loop.watch(sink)
@@ -97,7 +102,8 @@
 
 def finish_stream(loop, sink, connection, chunked):
     """Send the end of a stream and wait until the caller has it."""
-    loop.call_soon(sink.finish)
+    if not sink.finished:
+        loop.call_soon(sink.finish)
     try:
         whole = sink.closed.result(CLOSE_SECONDS)
     except concurrent.futures.TimeoutError:
