Track the grants of all hosts below a relay

Store hosts that follow serve polls too, so the leader knew nothing of the validity of the hosts below them: the share set task took such a host for one without a grant, and with a lengthened stale_key_bound its share could be given away while it still served. A relay now lists all hosts below it with revision and remaining validity, and get_granted_until counts them, and a silent relay for any host. A host that turned to another upstream is no longer named until its former grant ends.

--- a/rhubarbreach/daemon/sharetask.py
+++ b/rhubarbreach/daemon/sharetask.py
@@ -7,6 +7,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach.distribution import effect
+from rhubarbreach.distribution import store
 from rhubarbreach.limits import shareset
 from rhubarbreach.state import model
 
@@ -97,7 +98,7 @@
             if 'entry' in host.roles and not host.draining
         }
         extra = effect.get_longest_extra(config)
-        granted = self.tracker.get_granted()
+        former_until = self.changed_at + store.FORMER_GRANTS
         for host_id in {*alive, *config.share_hosts, *self.states}:
             known = self.states.get(host_id)
             is_alive = host_id in alive
@@ -107,8 +108,7 @@
             # A host that this leader never granted anything may still use
             # what the former leader granted until now.
             serves_until = max(
-                granted.get(host_id, self.changed_at),
-                self.changed_at,
+                self.tracker.get_granted_until(host_id, now), former_until
             )
             self.states[host_id] = shareset.HostState(
                 host_id, is_alive, since, serves_until + extra
--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -12,16 +12,22 @@
 # In place of an account id: the account with the longest bound.
 ANY_ACCOUNT = '*'
 
-# Hosts listed by name in one message; the others are sent as one row.
-MAX_LAGS = 64
+# Hosts listed by name in one message; the others are sent as one row. At
+# the target size a relay has 36 hosts.
+MAX_LAGS = 256
+# A host polls at least this often. What a relay lists is up to date until
+# then; later it may have granted more, up to its own validity.
+SILENT = 1.0
 NEVER = float('-inf')
+LATER_THAN_ALL = 2**63
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lag:
-    """Host below a relay that used an older revision until a deadline."""
+    """Process of a host, its revision and the deadline it was granted."""
 
     host_id: str
+    incarnation: int
     revision: int
     deadline: float
 
@@ -38,14 +44,17 @@
         Latest deadline on the monotonic clock that it was granted.
     downstream : int
         Hosts that it vouches for.
-    behind : tuple of Lag
-        Those of them that may use an older revision.
+    below : tuple of Lag
+        These hosts, as listed in the last poll.
+    polled_at : float
+        When the last poll was received.
     """
 
     revision: int
     granted_until: float
     downstream: int
-    behind: tuple[Lag, ...]
+    below: tuple[Lag, ...] = ()
+    polled_at: float = NEVER
 
 
 def get_extra(config, account_id):
@@ -90,9 +99,9 @@
         the hosts below it may still use what it granted.
         """
         key = (watch.host_id, watch.incarnation)
-        behind = tuple(
-            Lag(lag.host_id, lag.revision, now + lag.seconds)
-            for lag in watch.behind
+        below = tuple(
+            Lag(lag.host_id, lag.incarnation, lag.revision, now + lag.seconds)
+            for lag in watch.below
         )
         with self.lock:
             known = self.entries.get(key)
@@ -100,7 +109,7 @@
                 self.forget_restarted(watch, now)
             granted = known.granted_until if known else NEVER
             self.entries[key] = Entry(
-                watch.revision, granted, watch.downstream, behind
+                watch.revision, granted, watch.downstream, below, now
             )
 
     def forget_restarted(self, watch, now):
@@ -121,7 +130,7 @@
         with self.lock:
             # The process may have been replaced while its poll waited.
             entry = self.entries.get(
-                key, Entry(watch.revision, NEVER, watch.downstream, ())
+                key, Entry(watch.revision, NEVER, watch.downstream)
             )
             self.entries[key] = dataclasses.replace(
                 entry,
@@ -137,20 +146,34 @@
                 found[host_id] = max(entry.revision, found.get(host_id, 0))
         return found
 
-    def get_granted(self):
-        """Return until when each host that has polled was granted.
+    def get_granted_until(self, host_id, now):
+        """Return until when a host was granted to use its configuration.
+
+        Parameters
+        ----------
+        host_id : str
+            Host that polls this one or a relay below it.
+        now : float
+            Seconds of the monotonic clock.
 
         Returns
         -------
-        dict of str to float
-            Monotonic seconds by host id.
+        float
+            Deadline on the monotonic clock; minus infinity when neither
+            this host nor a relay has heard of it. A relay that has fallen
+            silent may have granted any host as much as it had itself.
         """
-        found = {}
+        latest = NEVER
         with self.lock:
-            for (host_id, _), entry in self.entries.items():
-                known = found.get(host_id, NEVER)
-                found[host_id] = max(entry.granted_until, known)
-        return found
+            entries = list(self.entries.items())
+        for (name, _), entry in entries:
+            silent = entry.downstream and now > entry.polled_at + SILENT
+            if name == host_id or silent:
+                latest = max(latest, entry.granted_until)
+            for lag in entry.below:
+                if lag.host_id in (host_id, ''):
+                    latest = max(latest, lag.deadline)
+        return latest
 
     def count_downstream(self, extra, now):
         """Return how many polling processes may still serve keys."""
@@ -177,23 +200,65 @@
         list of Lag
             Deadlines are those of the validity, without `extra`.
         """
-        found = []
+        return [
+            lag
+            for lag in self.list_processes()
+            if lag.revision < revision and lag.deadline + extra > now
+        ]
+
+    def list_processes(self):
+        """Return all processes here and below, one row for each.
+
+        A process that turned to another upstream is known from several; its
+        revision never goes back, so the highest one holds.
+        """
         with self.lock:
             entries = list(self.entries.items())
-        for (host_id, _), entry in entries:
-            if entry.revision < revision:
-                found.append(Lag(host_id, entry.revision, entry.granted_until))
-            found.extend(
-                lag for lag in entry.behind if lag.revision < revision
+        rows = []
+        for (host_id, incarnation), entry in entries:
+            rows.append(
+                Lag(host_id, incarnation, entry.revision, entry.granted_until)
             )
-        return [lag for lag in found if lag.deadline + extra > now]
+            rows.extend(entry.below)
+        found = [row for row in rows if not row.host_id]
+        merged = {}
+        for row in rows:
+            key = (row.host_id, row.incarnation)
+            known = merged.get(key)
+            if known is None:
+                merged[key] = row
+                continue
+            merged[key] = dataclasses.replace(
+                row,
+                revision=max(row.revision, known.revision),
+                deadline=max(row.deadline, known.deadline),
+            )
+        found.extend(row for key, row in merged.items() if key[0])
+        return found
 
-    def report_behind(self, revision, extra, now):
-        """Return the rows for this host's own poll, a bounded number."""
-        lags = self.find_behind(revision, extra, now)
+    def report_below(self, extra, now):
+        """Return the rows for this host's own poll, a bounded number.
+
+        Parameters
+        ----------
+        extra : float
+            Seconds beyond the validity for which a host still matters.
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        tuple of HostLag
+            Hosts that may serve keys, those that relays list included.
+        """
         rows = [
-            messages.HostLag(lag.host_id, lag.revision, lag.deadline - now)
-            for lag in lags
+            messages.HostLag(
+                lag.host_id,
+                lag.incarnation,
+                lag.revision,
+                lag.deadline - now,
+            )
+            for lag in self.find_behind(LATER_THAN_ALL, extra, now)
         ]
         if len(rows) <= MAX_LAGS:
             return tuple(rows)
@@ -202,7 +267,7 @@
         longest = max(row.seconds for row in rest)
         return (
             *rows[: MAX_LAGS - 1],
-            messages.HostLag('', least, longest),
+            messages.HostLag('', 0, least, longest),
         )
 
     def find_pending(self, revision, extra, now):
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -23,6 +23,8 @@
 MAX_HOLD = 5.0
 MAX_WAIT = 60.0
 EFFECT_PERIOD = 0.1
+# Looking through all hosts for a query takes at most a fifth of the time.
+EFFECT_PAUSE_FACTOR = 4
 # A query waits at least this long, for the leadership to be confirmed.
 MIN_WAIT = 0.25
 MAX_REPLY_BYTES = 512 * 1024
@@ -76,6 +78,7 @@
         self.queries = []
         self.snapshot = None
         self.renewed_at = 0.0
+        self.next_queries_at = 0.0
         self.due = threading.Event()
         self.lock = threading.Lock()
         self.closed = False
@@ -238,6 +241,8 @@
 
     def answer_queries(self, now):
         """Answer the queries whose revision is in effect, or late."""
+        if not self.queries or now < self.next_queries_at:
+            return
         with self.lock:
             queries, self.queries = self.queries, []
         kept = []
@@ -250,6 +255,8 @@
                 kept.append(waiting)
         with self.lock:
             self.queries.extend(kept)
+        ended = clock.monotonic()
+        self.next_queries_at = ended + (ended - now) * EFFECT_PAUSE_FACTOR
 
     def is_leading(self, now):
         """Return whether this host leads, as far as it knows."""
--- a/rhubarbreach/distribution/tests/test_effect.py
+++ b/rhubarbreach/distribution/tests/test_effect.py
@@ -51,20 +51,46 @@
     """Guards against a relay that answers for hosts it cannot reach."""
     below = effect.Tracker()
     below.record_grant(poll(below, 100.0, 5, host_id='entry'), 5, 101.5)
-    behind = below.report_behind(6, 0.0, 100.5)
+    rows = below.report_below(0.0, 100.5)
     tracker = effect.Tracker()
-    poll(tracker, 10.0, 6, behind=behind)
+    poll(tracker, 10.0, 6, below=rows)
     assert find(tracker, 6, 10.2) == [('entry', 0.8)]
     assert find(tracker, 6, 11.1) == []
 
 
+def test_grants_of_relays_count_for_the_hosts_below():
+    """Guards against a share that is given away while its host serves."""
+    tracker = effect.Tracker()
+    rows = (messages.HostLag('entry', 1, 6, 1.5),)
+    made = poll(tracker, 10.0, 6, downstream=1, below=rows)
+    tracker.record_grant(made, 6, 12.0)
+    assert tracker.get_granted_until('entry', 10.5) == 11.5
+    assert tracker.get_granted_until('other', 10.5) == effect.NEVER
+    assert tracker.get_granted_until('relay', 10.5) == 12.0
+    for host_id in ('entry', 'other'):
+        assert tracker.get_granted_until(host_id, 11.5) == 12.0
+
+
+def test_host_that_turned_to_another_upstream_is_not_pending():
+    """Guards against a host named for as long as its former grant counts."""
+    tracker = effect.Tracker()
+    tracker.record_grant(poll(tracker, 10.0, 5, host_id='entry'), 5, 12.0)
+    rows = (messages.HostLag('entry', 1, 6, 1.5),)
+    made = poll(tracker, 10.5, 6, downstream=1, below=rows)
+    tracker.record_grant(made, 6, 12.5)
+    assert find(tracker, 6, 11.0, extra=600.0) == []
+    restarted = (messages.HostLag('entry', 2, 5, 1.5),)
+    poll(tracker, 11.0, 6, downstream=1, below=restarted)
+    assert find(tracker, 6, 11.0) == [('entry', 1.5)]
+
+
 def test_report_of_many_hosts_is_bounded():
     """Guards against polls that grow with the number of hosts."""
     tracker = effect.Tracker()
     for number in range(500):
         made = poll(tracker, 10.0, 5, host_id=f'entry-{number}')
         tracker.record_grant(made, 5, 12.0 + number / 1000)
-    rows = tracker.report_behind(6, 0.0, 10.0)
+    rows = tracker.report_below(0.0, 10.0)
     assert len(rows) == effect.MAX_LAGS
     assert rows[-1].host_id == ''
     assert rows[-1].seconds > 2.4
--- a/rhubarbreach/distribution/watch.py
+++ b/rhubarbreach/distribution/watch.py
@@ -193,7 +193,7 @@
             config.revision,
             hold,
             self.tracker.count_downstream(extra, now),
-            self.tracker.report_behind(config.revision, extra, now),
+            self.tracker.report_below(extra, now),
         )
 
     def call(self, upstream, message, deadline):
--- a/rhubarbreach/operators/fleet.py
+++ b/rhubarbreach/operators/fleet.py
@@ -13,6 +13,7 @@
 
 CONFIG_GROUP = 'config'
 VIEW_POLL = 0.01
+READ_PAUSE = 0.05
 
 
 class FleetProvider:
@@ -48,10 +49,7 @@
     def read_config(self, deadline):
         """Return the configuration with all changes accepted before."""
         if self.store is not None:
-            result = self.store.group.read(deadline).result()
-            if isinstance(result, codes.Refusal):
-                return result
-            return self.store.machine.config
+            return self.read_store(deadline)
         result = consensus_client.query(
             self.link, CONFIG_GROUP, b'', deadline, self.get_store_hosts()
         )
@@ -59,6 +57,19 @@
             return result
         return self.wait_for_view(msgspec.msgpack.decode(result), deadline)
 
+    def read_store(self, deadline):
+        """Return the configuration of the replica here after a read.
+
+        The read is repeated while no leader is known, as in an election.
+        """
+        while True:
+            result = self.store.group.read(deadline).result()
+            if not isinstance(result, codes.Refusal):
+                return self.store.machine.config
+            if clock.monotonic() + READ_PAUSE >= deadline:
+                return result
+            time.sleep(READ_PAUSE)
+
     def wait_for_view(self, revision, deadline):
         """Return the configuration of the view once it has a revision."""
         while self.view.revision < revision:
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -193,13 +193,14 @@
 
 @frozen_message
 class HostLag:
-    """A host below a relay that may still use an older revision.
+    """A host below a relay: the revision it stated and what it was granted.
 
     `seconds` is what is left of its validity, negative when it has passed.
     An empty `host_id` stands for several hosts.
     """
 
     host_id: str
+    incarnation: int
     revision: int
     seconds: float
 
@@ -209,7 +210,7 @@
     """Long poll for changes after `revision`, which is in effect here.
 
     With `timeout` 0 the answer comes at once. A relay counts the hosts that
-    it vouches for in `downstream` and lists those `behind` its revision.
+    it vouches for in `downstream` and lists them in `below`.
     """
 
     host_id: str
@@ -217,7 +218,7 @@
     revision: int
     timeout: float
     downstream: int = 0
-    behind: tuple[HostLag, ...] = ()
+    below: tuple[HostLag, ...] = ()
 
 
 @frozen_message
