Poll relays where there are any, and keep to one upstream

Hosts polled the store hosts only, so that the load of a store host grew with the number of hosts. choose_upstreams puts the relays of the zone first, spread by rendezvous hash. The watch task keeps its upstream while it stays in the list, instead of a place in a list that changes.

--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -26,6 +26,7 @@
 from rhubarbreach.distribution import revision
 from rhubarbreach.distribution import serve
 from rhubarbreach.distribution import store as local_store
+from rhubarbreach.distribution import upstreams
 from rhubarbreach.distribution import view as view_module
 from rhubarbreach.distribution import watch
 from rhubarbreach.entry import app
@@ -149,7 +150,7 @@
             watch.WatcherSettings(self.host_id, self.incarnation),
             self.link,
             self.view,
-            self.get_store_hosts,
+            self.get_upstreams,
             self.tracker,
             self.local_store,
         )
@@ -178,6 +179,17 @@
         known = tuple(host.host_id for host in found)
         return known or self.settings.store.initial
 
+    def get_upstreams(self):
+        """Return the hosts to poll for the configuration."""
+        host = self.settings.host
+        return upstreams.choose_upstreams(
+            host.host_id,
+            host.zone,
+            host.roles,
+            self.membership.alive(),
+            self.settings.store.initial,
+        )
+
     def list_entry_hosts(self):
         """Return the ids of the hosts that may serve keys."""
         alive = {
--- a/rhubarbreach/distribution/__init__.py
+++ b/rhubarbreach/distribution/__init__.py
@@ -6,6 +6,7 @@
 from rhubarbreach.distribution import revision
 from rhubarbreach.distribution import serve
 from rhubarbreach.distribution import store
+from rhubarbreach.distribution import upstreams
 from rhubarbreach.distribution import view
 from rhubarbreach.distribution import watch
 
@@ -16,6 +17,7 @@
     'revision',
     'serve',
     'store',
+    'upstreams',
     'view',
     'watch',
 ]
--- a/rhubarbreach/distribution/tests/test_effect.py
+++ b/rhubarbreach/distribution/tests/test_effect.py
@@ -1,7 +1,9 @@
 """Tests of the tracking of revisions, without sockets."""
 
 from rhubarbreach.distribution import effect
+from rhubarbreach.distribution import upstreams
 from rhubarbreach.distribution import watch
+from rhubarbreach.membership import model
 from rhubarbreach.protocol import messages
 
 
@@ -104,3 +106,21 @@
         for number in range(400)
     ]
     assert all(first.count(relay) > 50 for relay in relays)
+
+
+def test_relays_of_the_zone_come_first_and_poll_stores():
+    """Guards against store hosts that all hosts poll, and circles."""
+
+    def make(host_id, zone, *roles):
+        return model.HostInfo(host_id, 'r', zone, '', '', roles, 1)
+
+    hosts = (
+        make('store', 'a', 'store'),
+        make('far', 'b', 'relay'),
+        make('near', 'a', 'relay'),
+        make('entry', 'a', 'entry'),
+    )
+    choose = upstreams.choose_upstreams
+    assert choose('entry', 'a', ('entry',), hosts) == ('near', 'far', 'store')
+    assert choose('near', 'a', ('relay',), hosts) == ('store',)
+    assert choose('entry', 'a', ('entry',), (), ('store',)) == ('store',)
--- a/rhubarbreach/distribution/watch.py
+++ b/rhubarbreach/distribution/watch.py
@@ -108,7 +108,8 @@
         self.tracker = tracker
         self.store = store
         self.get_upstreams = store.get_upstreams if store else get_upstreams
-        self.place = 0
+        self.upstream = ''
+        self.failures = 0
         self.settled = False
         self.polls_sent = 0
         self.closed = threading.Event()
@@ -146,16 +147,20 @@
         ]
         if not upstreams:
             return RETRY_PAUSE
-        upstream = upstreams[self.place % len(upstreams)]
-        if self.poll(upstream):
+        if self.upstream not in upstreams:
+            self.upstream = upstreams[0]
+            self.settled = False
+        if self.poll(self.upstream):
             return 0.0
-        return self.turn_away(len(upstreams))
+        return self.turn_away(upstreams)
 
-    def turn_away(self, count):
-        """Choose the next upstream; pause after all of them failed."""
+    def turn_away(self, upstreams):
+        """Choose the next upstream; pause after each round of failures."""
+        place = upstreams.index(self.upstream) + 1
+        self.upstream = upstreams[place % len(upstreams)]
         self.settled = False
-        self.place += 1
-        return RETRY_PAUSE if self.place % count == 0 else 0.0
+        self.failures += 1
+        return RETRY_PAUSE if self.failures % len(upstreams) == 0 else 0.0
 
     def poll(self, upstream):
         """Send one poll and apply its reply.
