Count only hosts that stated the revision after an election

For 2 s after an election, hosts that the new leader has not heard of are named as pending. Any host that had ever polled the leader was taken for heard, also one that had turned to another store host long before; only a host that has stated the revision counts now.

--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -139,11 +139,16 @@
             )
 
     def get_revisions(self):
-        """Return the revisions of the hosts that have polled, by host id."""
+        """Return the revisions in use here and below, by host id.
+
+        Hosts that were never granted anything here are left out, such as
+        one that polled once and then turned to another upstream.
+        """
         found = {}
-        with self.lock:
-            for (host_id, _), entry in self.entries.items():
-                found[host_id] = max(entry.revision, found.get(host_id, 0))
+        for row in self.list_processes():
+            if row.host_id and row.deadline > NEVER:
+                known = found.get(row.host_id, 0)
+                found[row.host_id] = max(row.revision, known)
         return found
 
     def get_granted_until(self, host_id, now):
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -282,18 +282,21 @@
         pending = self.tracker.find_pending(query.revision, extra, now)
         former = since + store_module.FORMER_GRANTS + extra - now
         if former > 0:
-            pending += self.find_unheard(former)
+            pending += self.find_unheard(query.revision, former)
         return messages.EffectReply(True, pending)
 
-    def find_unheard(self, seconds):
-        """Return the hosts that have not polled since the leader changed."""
+    def find_unheard(self, revision, seconds):
+        """Return the hosts that may use what a former leader granted.
+
+        A host that has stated the revision, or a later one, does not.
+        """
         if self.expected_hosts is None:
             return (messages.PendingHost('', seconds),)
-        heard = self.tracker.get_revisions()
+        stated = self.tracker.get_revisions()
         return tuple(
             messages.PendingHost(host_id, seconds)
             for host_id in sorted(self.expected_hosts())
-            if host_id not in heard
+            if stated.get(host_id, -1) < revision
         )
 
     def close(self):
--- a/rhubarbreach/distribution/tests/test_effect.py
+++ b/rhubarbreach/distribution/tests/test_effect.py
@@ -30,6 +30,13 @@
     assert find(tracker, 5, 10.5) == []
 
 
+def test_host_that_polled_once_in_vain_is_not_listed():
+    """Guards against a list that shows revision 0 for a healthy host."""
+    tracker = effect.Tracker()
+    poll(tracker, 10.0, 0, host_id='entry')
+    assert tracker.get_revisions() == {}
+
+
 def test_restarted_relay_leaves_what_it_granted_below():
     """Guards against hosts below a relay that restarts."""
     tracker = effect.Tracker()
@@ -81,6 +88,7 @@
     made = poll(tracker, 10.5, 6, downstream=1, below=rows)
     tracker.record_grant(made, 6, 12.5)
     assert find(tracker, 6, 11.0, extra=600.0) == []
+    assert tracker.get_revisions() == {'entry': 6, 'relay': 6}
     restarted = (messages.HostLag('entry', 2, 5, 1.5),)
     poll(tracker, 11.0, 6, downstream=1, below=restarted)
     assert find(tracker, 6, 11.0) == [('entry', 1.5)]
--- a/rhubarbreach/distribution/tests/test_watch.py
+++ b/rhubarbreach/distribution/tests/test_watch.py
@@ -125,8 +125,13 @@
     """Guards against hosts that a new leader has not heard of."""
     result = hosts.change(model.RevokeKey('key-1'))
     assert ask(hosts, result.revision).pending == ()
+    hosts.hosts['store'].server.expected_hosts = lambda: ('entry', 'lost')
+    hosts.hosts['store'].tracker.record_poll(
+        messages.ConfigWatch('lost', 1, 2, 0.6), clock.monotonic() - 60
+    )
     hosts.group.term += 1
-    assert ask(hosts, result.revision, timeout=0.0).pending
+    early = ask(hosts, result.revision, timeout=0.0).pending
+    assert [one.host_id for one in early] == ['lost']
     assert ask(hosts, result.revision).pending == ()
 
 
