--- a/rhubarbreach/bench/relaybench.py
+++ b/rhubarbreach/bench/relaybench.py
@@ -39,6 +39,9 @@
         Milliseconds to the first token and between tokens.
     core : float
         Processor seconds of the entry process per second.
+    queued : float
+        Seconds per second that threads of the entry process were ready and
+        waited for a processor.
     token_us : float
         Processor microseconds of the entry process per token.
     """
@@ -52,6 +55,7 @@
     first_p95: float
     gap_p95: float
     core: float
+    queued: float
     token_us: float
 
 
@@ -129,20 +133,21 @@
             msgspec.json.decode(client.read(), type=relayload.ClientReport)
             for client in clients
         ]
-        used = read_processor_seconds(entry) - before
+        after = read_processor_seconds(entry)
+        used, queued = after[0] - before[0], after[1] - before[1]
     finally:
         for client in clients:
             client.close()
-    return summarize(path, streams, reports, used)
+    return summarize(path, streams, reports, used, queued)
 
 
 def read_processor_seconds(entry):
-    """Return the processor seconds that the entry process has used."""
+    """Return seconds on a processor and waiting for one, of the entry."""
     entry.tell()
-    return float(entry.read())
+    return tuple(map(float, entry.read().split()))
 
 
-def summarize(path, streams, reports, used):
+def summarize(path, streams, reports, used, queued):
     """Return the step that the reports of the clients describe."""
     seconds = max(report.seconds for report in reports)
     tokens = sum(report.tokens for report in reports)
@@ -158,6 +163,7 @@
         first_p95=get_quantile(first, 0.95),
         gap_p95=get_quantile(gaps, 0.95),
         core=used / seconds,
+        queued=queued / seconds,
         token_us=used / tokens * 1e6 if tokens else 0.0,
     )
 
@@ -188,7 +194,7 @@
         entry_port = int(entry.read())
         print(
             'path   streams tokens/s  req/s first_p50 first_p95 gap_p95 '
-            'core us/token broken'
+            'core queued us/token broken'
         )
         for streams in counts:
             for path, targets in (('direct', ports), ('relay', [entry_port])):
@@ -199,7 +205,8 @@
                     f'{step.path:6} {step.streams:7} {step.tokens:8.0f} '
                     f'{step.requests:6.1f} {step.first_p50:9.1f} '
                     f'{step.first_p95:9.1f} {step.gap_p95:7.1f} '
-                    f'{step.core:4.2f} {step.token_us:8.1f} {step.broken:6}',
+                    f'{step.core:4.2f} {step.queued:6.2f} '
+                    f'{step.token_us:8.1f} {step.broken:6}',
                     flush=True,
                 )
     finally:
--- a/rhubarbreach/bench/relayparts.py
+++ b/rhubarbreach/bench/relayparts.py
@@ -2,8 +2,10 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import dataclasses
 import heapq
+import pathlib
 import resource
 import select
 import socket
@@ -30,6 +32,7 @@
 
 HOST = '127.0.0.1'
 BACKLOG = 2048
+NANOSECONDS = 1e9
 RECEIVE_BYTES = 65536
 HEAD_END = b'\r\n\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -231,7 +234,7 @@
 
 
 def run_entry(ports):
-    """Print the port, then the processor seconds for each line read."""
+    """Print the port, then `read_processor_use` for each line read."""
     counters = metrics.Metrics()
     application = app.Application(counters)
     online.OnlineHandlers(
@@ -252,5 +255,17 @@
     front.start()
     print(front.port, flush=True)
     for _ in sys.stdin:
-        used = resource.getrusage(resource.RUSAGE_SELF)
-        print(used.ru_utime + used.ru_stime, flush=True)
+        print(*read_processor_use(), flush=True)
+
+
+def read_processor_use():
+    """Return seconds on a processor, and ready but waiting for one.
+
+    Much waiting means that the machine was busy with other processes.
+    """
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    waited = 0
+    for file in pathlib.Path('/proc/self/task').glob('*/schedstat'):
+        with contextlib.suppress(OSError):
+            waited += int(file.read_text().split()[1])
+    return used.ru_utime + used.ru_stime, waited / NANOSECONDS
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -136,6 +136,9 @@
             except Exception as error:
                 self.metrics.count('dispatch_loop_errors_total')
                 LOG.error('event=loop_error {}', errors.describe_fault(error))
+        while self.commands:
+            function, arguments = self.commands.popleft()
+            function(*arguments)
         for curl in self.idle_handles:
             curl.close()
         self.multi.close()
--- a/rhubarbreach/entry/online.py
+++ b/rhubarbreach/entry/online.py
@@ -251,10 +251,16 @@
     def get_record(self, request):
         """Answer with the recorded result of an earlier request."""
         identity = access.authenticate(self.view, request, time.monotonic())
-        if isinstance(identity, codes.Refusal):
-            return self.application.refuse(request, identity)
         key = request.path_values['key']
-        found = self.records.get(identity.account_id, key)
+        if not isinstance(identity, codes.Refusal):
+            found = self.records.get(identity.account_id, key)
+        elif access.get_key(request) is None:
+            # Requests on open routes have no account.
+            found = self.records.get('', key)
+            if is_missing(found):
+                found = identity
+        else:
+            found = identity
         if isinstance(found, codes.Refusal):
             return self.application.refuse(request, found)
         if isinstance(found, records_module.Running):
@@ -275,6 +281,12 @@
         return refusals.make_json({'object': 'list', 'data': models})
 
 
+def is_missing(found):
+    """Return whether there is no record."""
+    missing = codes.ResultCode.NOT_FOUND
+    return isinstance(found, codes.Refusal) and found.code is missing
+
+
 def get_deadline(request, route):
     """Return the monotonic deadline of a request, or a refusal."""
     seconds = route.timeout
--- a/rhubarbreach/entry/streams.py
+++ b/rhubarbreach/entry/streams.py
@@ -11,6 +11,7 @@
 
 LOG = logbook.Logger('entry')
 CLOSE_SECONDS = 30.0
+UNWATCH_SECONDS = 10.0
 
 
 class DetachedSink:
@@ -91,7 +92,7 @@
         if sent:
             finish_stream(loop, sink, connection, chunked)
     finally:
-        loop.unwatch(sink).result()
+        loop.unwatch(sink).result(UNWATCH_SECONDS)
     if sink.gone:
         connection.close_connection = True
         sent = True
--- a/rhubarbreach/entry/tests/test_online.py
+++ b/rhubarbreach/entry/tests/test_online.py
@@ -128,6 +128,15 @@
     assert entry.ask('GET', '/v1/requests/s1', key='k2')[0] == 404
 
 
+def test_record_of_open_route(start_entry):
+    """Guards against a result that is not readable without a key."""
+    entry = start_entry(lambda request: request.answer(b'{}'), kind='service')
+    entry.ask('POST', '/open', b'x', key=None, Idempotency_Key='s1')
+    entry.ask('POST', '/swaps', b'x', Idempotency_Key='s2')
+    assert entry.ask('GET', '/v1/requests/s1', key=None)[0] == 200
+    assert entry.ask('GET', '/v1/requests/s2', key=None)[0] == 401
+
+
 def test_unknown_outcome_never_runs_again(start_entry):
     """Guards against a repetition after the endpoint died in the call."""
     entry = start_entry(lambda request: request.die(), kind='service')
