Put the body stream back on the request

A merge had placed the property stream on BodyRefused, so that handlers got the stream of werkzeug, whose deadline covers 30 s. A test reads an upload piece by piece.

--- a/rhubarbreach/entry/app.py
+++ b/rhubarbreach/entry/app.py
@@ -1,5 +1,6 @@
 """Application: routes of the HTTP interface, request ids, drain."""
 
+import functools
 import time
 import uuid
 
@@ -80,6 +81,11 @@
             self.body = body
         return self.body
 
+    @functools.cached_property
+    def stream(self):
+        """Body as a stream, for handlers that read it piece by piece."""
+        return bodies.open_stream(self)
+
 
 class BodyRefused(Exception):
     """The body of a request was not accepted.
@@ -94,11 +100,6 @@
         super().__init__(refusal.reason)
         self.refusal = refusal
 
-    @property
-    def stream(self):
-        """Body as a stream, for handlers that read it piece by piece."""
-        return bodies.open_stream(self)
-
 
 class Application:
     """Finds the handler of a request and sends its answer.
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -11,6 +11,7 @@
 
 from rhubarbreach.dispatch import sink
 from rhubarbreach.dispatch.tests import fakes
+from rhubarbreach.entry import refusals
 
 HEAD = (
     b'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
@@ -163,3 +164,23 @@
         entry.server.close()
         for answer in answers:
             assert answer.result().count(b'data: ') == 41
+
+
+def test_body_read_piece_by_piece(start_entry):
+    """Guards against uploads that are held in memory as a whole or cut."""
+    entry = start_entry(lambda request: None)
+    seen = []
+
+    def handle(request):
+        seen.append(type(request.stream).__name__)
+        pieces = iter(lambda: request.stream.read(65536), b'')
+        return refusals.make_json(sum(map(len, pieces)))
+
+    entry.app.add_route('POST', '/upload', handle)
+    client = entry.connect()
+    for _ in range(2):
+        _, _, body = entry.ask(
+            'POST', '/upload', b'abc\n' * 50000, client=client
+        )
+        assert body == b'200000'
+    assert seen == ['BodyStream'] * 2
