Let a fault in one attempt end that attempt only

An exception while bytes of one stream were processed dropped the pass: other streams of that pass were never looked at again and stalled. Each attempt is now guarded; a test raises in the sink of one of five streams.

--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -3,7 +3,6 @@
 import collections
 import concurrent.futures
 import os
-import select
 import threading
 
 import logbook
@@ -34,12 +33,6 @@
 # it can be used again.
 LINGER_SECONDS = 1.0
 
-POLL_MASKS = {
-    pycurl.POLL_IN: select.EPOLLIN,
-    pycurl.POLL_OUT: select.EPOLLOUT,
-    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
-}
-
 
 class Loop:
     """One thread with a curl multi handle and an epoll selector.
@@ -54,7 +47,6 @@
         self.metrics = metrics
         self.selector = selector.Selector()
         self.commands = collections.deque()
-        self.curl_masks = {}
         self.callers = callers.CallerTable(self.selector, metrics)
         self.transfers = {}
         self.dirty = []
@@ -65,7 +57,7 @@
         self.closing = False
         self.waiting = False
         self.multi = pycurl.CurlMulti()
-        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.handle_socket)
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.selector.handle_curl)
         self.multi.setopt(pycurl.M_TIMERFUNCTION, self.handle_timer)
         self.multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
         self.thread = threading.Thread(
@@ -134,8 +126,7 @@
             try:
                 self.run_pass()
             except Exception as error:
-                self.metrics.count('dispatch_loop_errors_total')
-                LOG.error('event=loop_error {}', errors.describe_fault(error))
+                self.note_fault(error)
         while self.commands:
             function, arguments = self.commands.popleft()
             function(*arguments)
@@ -153,7 +144,7 @@
         events = self.selector.poll(0.0 if self.commands else until)
         self.waiting = False
         self.now = self.callers.now = now = clock.monotonic()
-        curl_masks = self.curl_masks
+        curl_masks = self.selector.curl_masks
         sinks = self.callers.sinks
         action = self.multi.socket_action
         for fd, mask in events:
@@ -177,21 +168,6 @@
             self.next_sweep = now + SWEEP_SECONDS
             self.sweep()
 
-    def handle_socket(self, what, fd, _multi, _data):
-        """Register a socket as libcurl asks."""
-        known = fd in self.curl_masks
-        if what == pycurl.POLL_REMOVE:
-            if known:
-                del self.curl_masks[fd]
-                self.selector.unregister(fd)
-            return
-        mask = POLL_MASKS.get(what, 0)
-        if not known:
-            self.selector.register(fd, mask)
-        elif self.curl_masks[fd] != mask:
-            self.selector.modify(fd, mask)
-        self.curl_masks[fd] = mask
-
     def handle_timer(self, milliseconds):
         """Keep the time at which libcurl wants to be called."""
         if milliseconds < 0:
@@ -218,20 +194,38 @@
             chunks = transfer.chunks
             data = chunks[0] if len(chunks) == 1 else b''.join(chunks)
             chunks.clear()
-            if transfer.curl is None or not data:
-                continue
-            transfer.received_at = self.now
-            if transfer.first_byte_at is None:
-                self.begin_body(transfer)
             if transfer.linger_until is not None:
                 self.metrics.count('dispatch_late_bytes_total', len(data))
-                continue
-            if transfer.curl is None:
-                continue
-            if transfer.relay is not None:
-                self.relay_events(transfer, data)
-            else:
-                self.keep_body(transfer, data)
+            elif transfer.curl is not None and data:
+                self.guard(self.process_data, transfer, data)
+
+    def guard(self, function, transfer, *arguments):
+        """Let a fault in one attempt end that attempt only."""
+        try:
+            function(transfer, *arguments)
+        except Exception as error:
+            self.note_fault(error)
+            if transfer.curl is not None:
+                self.release_handle(transfer)
+            if not transfer.future.done():
+                self.end_early(transfer, AttemptEnd.BROKEN, 'internal fault')
+
+    def note_fault(self, error):
+        """Count and log a fault of this process."""
+        self.metrics.count('dispatch_loop_errors_total')
+        LOG.error('event=loop_error {}', errors.describe_fault(error))
+
+    def process_data(self, transfer, data):
+        """Process bytes of one attempt."""
+        transfer.received_at = self.now
+        if transfer.first_byte_at is None:
+            self.begin_body(transfer)
+        if transfer.curl is None:
+            return
+        if transfer.relay is not None:
+            self.relay_events(transfer, data)
+        else:
+            self.keep_body(transfer, data)
 
     def begin_body(self, transfer):
         """Check the head of an answer when its first bytes arrive."""
@@ -240,9 +234,9 @@
         if transfer.is_crossed():
             self.abort(transfer, AttemptEnd.CROSSED, 'answer of another')
         elif transfer.relay is not None:
-            fd = transfer.curl.getinfo(pycurl.ACTIVESOCKET)
-            if fd in self.curl_masks:
-                self.selector.make_steady(fd, self.curl_masks[fd])
+            self.selector.make_steady(
+                transfer.curl.getinfo(pycurl.ACTIVESOCKET)
+            )
 
     def relay_events(self, transfer, data):
         """Pass events on and react to what the relay found."""
@@ -292,9 +286,9 @@
             if self.dirty:
                 self.process_received()
             for curl in finished:
-                self.finish(curl.transfer, 0, '')
+                self.guard(self.finish, curl.transfer, 0, '')
             for curl, number, message in failed:
-                self.finish(curl.transfer, number, message)
+                self.guard(self.finish, curl.transfer, number, message)
 
     def finish(self, transfer, number, message):
         """Settle an attempt whose transfer is over."""
--- a/rhubarbreach/dispatch/selector.py
+++ b/rhubarbreach/dispatch/selector.py
@@ -8,6 +8,8 @@
 import os
 import select
 
+import pycurl
+
 from rhubarbreach import clock
 
 __all__ = ['MAX_PACE', 'Selector', 'choose_pace']
@@ -28,6 +30,12 @@
 SLICE_EVENTS = 48
 MAX_EVENTS = 256
 
+POLL_MASKS = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
+
 
 def choose_pace(pace, busy):
     """Return the time between two reads of a stream.
@@ -59,6 +67,7 @@
         self.prompt = select.epoll()
         self.steady = select.epoll()
         self.steady_fds = set()
+        self.curl_masks = {}
         self.wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.prompt.register(self.wake_fd, select.EPOLLIN)
         self.prompt.register(self.steady.fileno(), select.EPOLLIN)
@@ -85,11 +94,26 @@
         """Return the epoll object that has a socket."""
         return self.steady if fd in self.steady_fds else self.prompt
 
-    def make_steady(self, fd, mask):
-        """Treat a socket as a stream from now on."""
-        if fd not in self.steady_fds:
+    def handle_curl(self, what, fd, _multi, _data):
+        """Wait for a socket as libcurl asks."""
+        known = fd in self.curl_masks
+        if what == pycurl.POLL_REMOVE:
+            if known:
+                del self.curl_masks[fd]
+                self.unregister(fd)
+            return
+        mask = POLL_MASKS.get(what, 0)
+        if not known:
+            self.register(fd, mask)
+        elif self.curl_masks[fd] != mask:
+            self.modify(fd, mask)
+        self.curl_masks[fd] = mask
+
+    def make_steady(self, fd):
+        """Treat a socket of libcurl as a stream from now on."""
+        if fd in self.curl_masks and fd not in self.steady_fds:
             self.prompt.unregister(fd)
-            self.steady.register(fd, mask)
+            self.steady.register(fd, self.curl_masks[fd])
             self.steady_fds.add(fd)
 
     def wake(self):
--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -260,6 +260,34 @@
     assert refusal.code is CODES.OUTCOME_UNKNOWN
 
 
+def test_garbage_instead_of_head(start_endpoint, start_executor, make_call):
+    """Guards against a stuck or wrongly explained call after garbage."""
+    endpoint = start_endpoint(
+        lambda request: request.connection.sendall(b'\0garbage\r\n\r\n')
+    )
+    executor = start_executor(endpoint)
+    refusal = executor.execute(make_call(stream=False, idempotent=False))
+    assert refusal.code is CODES.OUTCOME_UNKNOWN
+
+
+def test_fault_in_one_stream(start_endpoint, start_executor, make_call):
+    """Guards against a fault that stalls or breaks other streams."""
+
+    class BadSink(ListSink):
+        def write(self, data):
+            raise RuntimeError('fault')
+
+    endpoint = start_endpoint(lambda request: request.stream(20, 0.005))
+    executor = start_executor(endpoint)
+    sinks = [ListSink() for _ in range(4)]
+    futures = [executor.submit(make_call(), sink) for sink in sinks]
+    bad = executor.submit(make_call(idempotent=False), BadSink())
+    assert bad.result(20).code is CODES.OUTCOME_UNKNOWN
+    for future, sink in zip(futures, sinks, strict=True):
+        assert future.result(20).tokens == 20
+        assert get_tokens(sink.data) == list(range(20))
+
+
 def test_hanging_endpoint(start_endpoint, start_executor, make_call):
     """Guards against waiting for a hung endpoint until the deadline."""
     hung = start_endpoint(lambda request: None)
--- a/rhubarbreach/dispatch/tests/test_selector.py
+++ b/rhubarbreach/dispatch/tests/test_selector.py
@@ -3,6 +3,7 @@
 import select
 import socket
 
+import pycurl
 import pytest
 
 from rhubarbreach.dispatch import selector
@@ -14,8 +15,8 @@
     chosen = selector.Selector()
     made = [socket.socketpair() for _ in range(10)]
     for reader, _ in made:
-        chosen.register(reader.fileno(), select.EPOLLIN)
-        chosen.make_steady(reader.fileno(), select.EPOLLIN)
+        chosen.handle_curl(pycurl.POLL_IN, reader.fileno(), None, None)
+        chosen.make_steady(reader.fileno())
     yield chosen, made
     chosen.close()
     for pair in made:
