--- a/rhubarbreach/bench/relaybench.py
+++ b/rhubarbreach/bench/relaybench.py
@@ -16,7 +16,11 @@
 STREAM_COUNTS = (100, 300, 600)
 ENDPOINTS = 2
 CLIENTS = 2
-WARM_UP_SECONDS = 2.0
+
+# The streams begin at this rate, and run on for a while before the
+# measurement, so that it does not see a backlog from their start.
+STARTS_PER_SECOND = 150
+SETTLE_SECONDS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +122,8 @@
             streams // CLIENTS,
             tokens,
             seed + number,
-            WARM_UP_SECONDS,
+            streams / STARTS_PER_SECOND,
+            SETTLE_SECONDS,
             seconds,
         )
         for number in range(CLIENTS)
--- a/rhubarbreach/bench/relayload.py
+++ b/rhubarbreach/bench/relayload.py
@@ -111,6 +111,17 @@
             for fd, _ in self.epoll.poll(left):
                 self.receive(fd, self.callers[fd])
 
+    def run_until_told(self, file):
+        """Read until there is a line in a file."""
+        self.epoll.register(file.fileno(), select.EPOLLIN)
+        while True:
+            for fd, _ in self.epoll.poll():
+                if fd == file.fileno():
+                    file.readline()
+                    self.epoll.unregister(fd)
+                    return
+                self.receive(fd, self.callers[fd])
+
     def receive(self, fd, caller):
         """Count what arrived; send the next request after the end."""
         data = caller.socket.recv(relayparts.RECEIVE_BYTES)
@@ -140,12 +151,13 @@
         caller.last_at = now
 
 
-def run_client(port, streams, tokens, seed, warm_up, seconds):
+def run_client(port, streams, tokens, seed, warm_up, settle, seconds):
     """Load a port and print a `ClientReport` as JSON."""
     client = LoadClient(port, streams, tokens, seed)
     client.start(warm_up)
+    client.run_until(time.monotonic() + settle)
     print('ready', flush=True)
-    sys.stdin.readline()
+    client.run_until_told(sys.stdin)
     client.reset()
     began = time.monotonic()
     client.run_until(began + seconds)
