--- /dev/null
+++ b/model/shares.pml
@@ -0,0 +1,70 @@
+/* expect: pass */
+/* One rate share moves between its host and an owner. The owner counts a
+   lease from its own clock as the host last heard it, so that late messages
+   cannot lengthen it; grants end before the lease. The host uses its share
+   again only when lease and grants must have ended. At no time may tokens of
+   the share be spendable at both places. */
+#define LEASE 3
+#define TTL 1
+#define END 9
+
+byte now = 0;
+
+/* Host: last clock of the owner, when it came, end of what was leased. */
+byte echo = 0;
+byte echo_at = 0;
+byte held_until = 0;
+bool own_token = false;
+
+/* Owner: end of the lease; end of a grant that a third host may spend. */
+byte deadline = 0;
+byte grant_until = 0;
+
+/* Messages may be delayed without bound. */
+chan leases = [1] of { byte };
+chan stamps = [1] of { byte };
+
+active proctype clock()
+{
+    do
+    :: now < END -> now++
+    :: now == END -> break
+    od
+}
+
+active proctype host()
+{
+    do
+    :: atomic { stamps?echo -> echo_at = now }
+    :: atomic {
+           echo > 0 && now < echo_at + LEASE && nfull(leases) ->
+           own_token = false;
+           if
+           :: held_until < echo_at + LEASE -> held_until = echo_at + LEASE
+           :: else -> skip
+           fi;
+           leases!echo
+       }
+    :: atomic {
+           !own_token && now > 0 && now >= held_until ->
+           own_token = true;
+           assert(now >= grant_until)
+       }
+    :: now == END -> break
+    od
+}
+
+active proctype owner()
+{
+    byte start;
+    do
+    :: atomic { now > 0 && nfull(stamps) -> stamps!now }
+    :: atomic { leases?start -> deadline = start + LEASE; start = 0 }
+    :: atomic {
+           now + TTL < deadline && now >= grant_until ->
+           grant_until = now + TTL;
+           assert(!own_token)
+       }
+    :: now == END -> break
+    od
+}
