--- /dev/null
+++ b/rhubarbreach/bench/membershipbench.py
@@ -0,0 +1,167 @@
+"""Measure the messages of the failure detection in virtual time.
+
+Examples
+--------
+    python -m rhubarbreach.bench.membershipbench --seed 1
+"""
+
+import argparse
+import collections
+import dataclasses
+import random
+import sys
+
+from rhubarbreach.bench import virtual
+from rhubarbreach.membership import swim
+from rhubarbreach.protocol import codec
+from rhubarbreach.protocol import messages
+
+__all__ = ['Cost', 'Swarm', 'main', 'measure']
+
+TICK = 0.04
+JOIN_SECONDS = 30.0
+MEASURE_SECONDS = 60.0
+DELAYS = (0.0005, 0.003)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """Figures of one size.
+
+    Parameters
+    ----------
+    hosts : int
+        Hosts.
+    messages, bytes : float
+        Sent per host and second.
+    joined_after : float
+        Seconds until every host knew all others.
+    detected_after : float
+        Seconds until every host counted a lost host as dead.
+    """
+
+    hosts: int
+    messages: float
+    bytes: float
+    joined_after: float
+    detected_after: float
+
+
+class Swarm:
+    """Detectors of many hosts; the first one is the seed.
+
+    Parameters
+    ----------
+    count : int
+        Hosts.
+    seed : int
+        Seed of all choices.
+    loss : float
+        Fraction of messages that are lost.
+    """
+
+    def __init__(self, count, seed, loss=0.0):
+        self.loop = virtual.EventLoop()
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.sent = collections.Counter()
+        self.bytes = collections.Counter()
+        self.lost = set()
+        self.detectors = {}
+        for index in range(count):
+            self.add(f'host-{index:03}')
+
+    def add(self, name, incarnation=1):
+        """Start a host."""
+        own = messages.HostRow(
+            name,
+            '10.0.0.1:7000',
+            'zone-a',
+            'region',
+            ('entry',),
+            incarnation,
+            swim.Status.ALIVE,
+            '10.0.0.1:8000',
+        )
+        detector = swim.Detector(
+            own,
+            ('host-000',),
+            lambda peer, message: self.send(name, peer, message),
+            random.Random(self.random.random()),
+        )
+        self.detectors[name] = detector
+        first = self.random.uniform(0, TICK)
+        self.loop.every(TICK, lambda: self.tick(detector), first)
+
+    def tick(self, detector):
+        """Run the periodic work of a host that is still the present one."""
+        name = detector.own.host_id
+        if name not in self.lost and self.detectors[name] is detector:
+            detector.tick(self.loop.now)
+
+    def send(self, sender, receiver, message):
+        """Count and deliver a message."""
+        self.sent[type(message).__name__] += 1
+        envelope = codec.Envelope(sender, 0, False, 0, message)
+        self.bytes['all'] += len(codec.encode(envelope))
+        if self.random.random() >= self.loss:
+            delay = self.random.uniform(*DELAYS)
+            self.loop.after(delay, self.receive, sender, receiver, message)
+
+    def receive(self, sender, receiver, message):
+        """Hand a message to its receiver."""
+        if receiver in self.detectors and receiver not in self.lost:
+            self.detectors[receiver].receive(sender, message, self.loop.now)
+
+    def run_until(self, condition, limit):
+        """Run until a condition holds; return the seconds it took."""
+        start = self.loop.now
+        while not condition() and self.loop.now < start + limit:
+            self.loop.run(self.loop.now + 0.1)
+        return self.loop.now - start
+
+    def count_seen(self):
+        """Return the number of live others that each live host sees."""
+        return [
+            len(detector.alive_ids())
+            for name, detector in self.detectors.items()
+            if name not in self.lost
+        ]
+
+
+def measure(count, seed):
+    """Return the `Cost` of one size."""
+    swarm = Swarm(count, seed)
+    joined = swarm.run_until(
+        lambda: min(swarm.count_seen()) == count - 1, JOIN_SECONDS
+    )
+    swarm.loop.run(JOIN_SECONDS)
+    swarm.sent.clear()
+    swarm.bytes.clear()
+    swarm.loop.run(JOIN_SECONDS + MEASURE_SECONDS)
+    per_host = count * MEASURE_SECONDS
+    sent = swarm.sent.total() / per_host
+    size = swarm.bytes.total() / per_host
+    swarm.lost.add(f'host-{count - 1:03}')
+    detected = swarm.run_until(
+        lambda: max(swarm.count_seen()) == count - 2, JOIN_SECONDS
+    )
+    return Cost(count, sent, size, joined, detected)
+
+
+def main():
+    """Print the figures of three sizes."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    for count in (5, 20, 80):
+        cost = measure(count, options.seed)
+        fields = ' '.join(
+            f'{field.name}={getattr(cost, field.name):.4g}'
+            for field in dataclasses.fields(cost)
+        )
+        sys.stdout.write(f'seed={options.seed} {fields}\n')
+
+
+if __name__ == '__main__':
+    main()
