--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler with its own task."""
 
+import dataclasses
 import threading
 import time
 
@@ -83,3 +84,24 @@
     assert futures[5].result(WAIT).code == codes.ResultCode.DRAINING
     refused = scheduler.submit(conftest.make_work('late')).result(WAIT)
     assert refused.ran == codes.Ran.NO
+
+
+def test_crash_suspect_runs_alone_and_is_quarantined(scheduler_of):
+    """A request that crashes endpoints must end, and harm no other."""
+    scheduler = scheduler_of()
+    lost = work.Outcome(work.OutcomeStatus.ENDPOINT_LOST)
+    first = scheduler.submit(conftest.make_work('w1', digest=b'x'))
+    scheduler.release(first.result(WAIT), lost)
+    for turn in (2, 3):
+        for name in ('e1', 'e2'):
+            row = conftest.make_row(name, sequence=turn)
+            row = dataclasses.replace(row, incarnation=turn)
+            scheduler.registry.announce(row, clock.monotonic())
+        item = conftest.make_work(f'w{turn}', digest=b'x')
+        placement = scheduler.submit(item).result(WAIT)
+        assert placement.alone
+        assert scheduler.slots.count_running(placement.endpoint.endpoint_id)
+        scheduler.release(placement, lost)
+    item = conftest.make_work('w4', digest=b'x')
+    refusal = scheduler.submit(item).result(WAIT)
+    assert refusal.code == codes.ResultCode.QUARANTINED
