--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -41,6 +41,8 @@
     peer.urgent = False
     peer.heartbeat_due = now + state.settings.heartbeat
     if peer.next_index <= state.store.base_index:
+        # A chunk is sent again only when the peer had time to answer.
+        peer.heartbeat_due = now + state.settings.election_timeout
         return build_chunk(state, peer, now)
     return build_append(state, peer, now)
 
@@ -63,17 +65,21 @@
         store.get_term(previous),
         entries,
         state.commit_index,
-        start_round(peer, now),
+        start_round(state, peer, now),
     )
 
 
-def start_round(peer, now):
-    """Return the id of a new message, whose send time is remembered."""
-    peer.round_id += 1
-    peer.sent[peer.round_id] = now
+def start_round(state, peer, now):
+    """Return the id of a new message, whose send time is remembered.
+
+    Ids are never used again: a late answer to a message of an earlier term
+    would otherwise count as contact in this one.
+    """
+    round_id = next(state.round_ids)
+    peer.sent[round_id] = now
     if len(peer.sent) > MAX_ROUNDS:
         del peer.sent[next(iter(peer.sent))]
-    return peer.round_id
+    return round_id
 
 
 def limit_bytes(entries):
@@ -104,7 +110,7 @@
         start,
         data,
         start + len(data) >= len(snapshot.data),
-        start_round(peer, now),
+        start_round(state, peer, now),
     )
 
 
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -11,7 +11,9 @@
 
 from rhubarbreach import clock
 from rhubarbreach.dispatch import attempt as attempt_module
-from rhubarbreach.dispatch import sink as sink_module
+from rhubarbreach.dispatch import callers
+from rhubarbreach.dispatch import errors
+from rhubarbreach.dispatch import selector
 from rhubarbreach.dispatch import transfer as transfer_module
 
 __all__ = ['Loop']
@@ -21,7 +23,6 @@
 
 # Deadlines, stalls and slow callers are checked at this interval.
 SWEEP_SECONDS = 0.05
-MAX_POLL_EVENTS = 1024
 MAX_IDLE_HANDLES = 256
 MAX_IDLE_CONNECTIONS = 4096
 
@@ -32,14 +33,12 @@
 # How long the connection of a stream is kept after its end marker, so that
 # it can be used again.
 LINGER_SECONDS = 1.0
-CANCEL_SECONDS = 2.0
 
 POLL_MASKS = {
     pycurl.POLL_IN: select.EPOLLIN,
     pycurl.POLL_OUT: select.EPOLLOUT,
     pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
 }
-CANCEL_PATH = '/cancel'
 
 
 class Loop:
@@ -53,12 +52,10 @@
 
     def __init__(self, metrics):
         self.metrics = metrics
-        self.epoll = select.epoll()
-        self.wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
-        self.epoll.register(self.wake_fd, select.EPOLLIN)
+        self.selector = selector.Selector()
         self.commands = collections.deque()
         self.curl_masks = {}
-        self.callers = {}
+        self.callers = callers.CallerTable(self.selector, metrics)
         self.transfers = {}
         self.dirty = []
         self.idle_handles = []
@@ -66,6 +63,7 @@
         self.now = clock.monotonic()
         self.next_sweep = self.now
         self.closing = False
+        self.waiting = False
         self.multi = pycurl.CurlMulti()
         self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.handle_socket)
         self.multi.setopt(pycurl.M_TIMERFUNCTION, self.handle_timer)
@@ -80,7 +78,9 @@
     def call_soon(self, function, *arguments):
         """Run a function on the loop thread."""
         self.commands.append((function, arguments))
-        os.eventfd_write(self.wake_fd, 1)
+        # The loop looks at the commands after it has set this flag.
+        if self.waiting:
+            self.selector.wake()
 
     def start(self, attempt):
         """Start an attempt.
@@ -107,14 +107,12 @@
 
     def watch(self, sink):
         """Notice when the caller of a sink is gone."""
-        sink.loop = self
-        self.callers[sink.fd] = sink
-        self.epoll.register(sink.fd, sink_module.READ_EVENTS)
+        self.callers.add(sink)
 
     def unwatch(self, sink):
         """Forget a caller; the future completes when that is done."""
         done = concurrent.futures.Future()
-        self.call_soon(self.forget_caller, sink, done)
+        self.call_soon(self.callers.remove, sink, done)
         return done
 
     def close(self):
@@ -137,32 +135,32 @@
                 self.run_pass()
             except Exception as error:
                 self.metrics.count('dispatch_loop_errors_total')
-                LOG.exception('event=loop_error type={}', type(error).__name__)
+                LOG.error('event=loop_error {}', errors.describe_fault(error))
         for curl in self.idle_handles:
             curl.close()
         self.multi.close()
-        self.epoll.close()
-        os.close(self.wake_fd)
+        self.selector.close()
 
     def run_pass(self):
         """Wait for events and process all of them."""
         until = self.next_sweep
         if self.timer_at is not None:
             until = min(until, self.timer_at)
-        timeout = max(0.0, until - clock.monotonic())
-        events = self.epoll.poll(timeout, MAX_POLL_EVENTS)
-        self.now = now = clock.monotonic()
+        self.waiting = True
+        events = self.selector.poll(0.0 if self.commands else until)
+        self.waiting = False
+        self.now = self.callers.now = now = clock.monotonic()
         curl_masks = self.curl_masks
-        callers = self.callers
+        sinks = self.callers.sinks
         action = self.multi.socket_action
         for fd, mask in events:
             if fd in curl_masks:
                 # EPOLLIN, EPOLLOUT and EPOLLERR as CURL_CSELECT_ flags.
                 action(fd, mask & 1 | (mask & 4) >> 1 | (mask & 8) >> 1)
-            elif fd in callers:
-                callers[fd].handle_event(mask)
-            elif fd == self.wake_fd:
-                os.eventfd_read(self.wake_fd)
+            elif fd in sinks:
+                sinks[fd].handle_event(mask)
+            elif fd == self.selector.wake_fd:
+                os.eventfd_read(fd)
         while self.commands:
             function, arguments = self.commands.popleft()
             function(*arguments)
@@ -182,13 +180,13 @@
         if what == pycurl.POLL_REMOVE:
             if known:
                 del self.curl_masks[fd]
-                self.epoll.unregister(fd)
+                self.selector.unregister(fd)
             return
         mask = POLL_MASKS.get(what, 0)
         if not known:
-            self.epoll.register(fd, mask)
+            self.selector.register(fd, mask)
         elif self.curl_masks[fd] != mask:
-            self.epoll.modify(fd, mask)
+            self.selector.modify(fd, mask)
         self.curl_masks[fd] = mask
 
     def handle_timer(self, milliseconds):
@@ -222,7 +220,10 @@
             transfer.received_at = self.now
             if transfer.first_byte_at is None:
                 self.begin_body(transfer)
-            if transfer.curl is None or transfer.linger_until is not None:
+            if transfer.linger_until is not None:
+                self.metrics.count('dispatch_late_bytes_total', len(data))
+                continue
+            if transfer.curl is None:
                 continue
             if transfer.relay is not None:
                 self.relay_events(transfer, data)
@@ -235,6 +236,10 @@
         transfer.parse_head()
         if transfer.is_crossed():
             self.abort(transfer, AttemptEnd.CROSSED, 'answer of another')
+        elif transfer.relay is not None:
+            fd = transfer.curl.getinfo(pycurl.ACTIVESOCKET)
+            if fd in self.curl_masks:
+                self.selector.make_steady(fd, self.curl_masks[fd])
 
     def relay_events(self, transfer, data):
         """Pass events on and react to what the relay found."""
@@ -242,6 +247,7 @@
         relay.feed(data, self.now)
         if relay.done:
             transfer.linger_until = self.now + LINGER_SECONDS
+            relay.finish()
             self.settle(transfer, AttemptEnd.ANSWERED)
         elif relay.fault is not None:
             end = AttemptEnd.INCOMPLETE
@@ -326,7 +332,10 @@
     def end_early(self, transfer, end, detail):
         """Settle an attempt without an answer and tell its endpoint."""
         self.metrics.count('dispatch_attempts_ended_early_total', end=end)
-        if transfer.sent and transfer.attempt.path != CANCEL_PATH:
+        if (
+            transfer.sent
+            and transfer.attempt.path != attempt_module.CANCEL_PATH
+        ):
             self.send_cancel(transfer.attempt)
         self.settle(transfer, end, detail)
 
@@ -334,17 +343,7 @@
         """Ask an endpoint to stop an attempt; its answer does not matter."""
         if self.closing:
             return
-        deadline = self.now + CANCEL_SECONDS
-        cancel = attempt_module.Attempt(
-            attempt_id=f'cancel-{attempt.attempt_id}',
-            address=attempt.address,
-            method='POST',
-            path=CANCEL_PATH,
-            headers=('Content-Type: application/json',),
-            body=b'{"attempt_id":"%b"}' % attempt.attempt_id.encode(),
-            deadline=deadline,
-            first_byte_deadline=deadline,
-        )
+        cancel = attempt_module.make_cancel(attempt, self.now)
         self.add_transfer(
             transfer_module.Transfer(cancel, self.dirty, self.now)
         )
@@ -384,28 +383,4 @@
                 and now - transfer.received_at > STREAM_STALL_SECONDS
             ):
                 self.abort(transfer, AttemptEnd.STALLED, 'no further byte')
-        for sink in tuple(self.callers.values()):
-            sink.check_stalled(now)
-
-    def modify_caller(self, fd, mask):
-        """Change which events of a caller's socket are waited for."""
-        if fd not in self.callers:
-            return
-        if mask:
-            self.epoll.modify(fd, mask)
-        else:
-            del self.callers[fd]
-            self.epoll.unregister(fd)
-
-    def caller_lost(self, sink):
-        """End the attempt that writes to a sink whose caller is gone."""
-        reason = 'slow' if sink.slow else 'gone'
-        self.metrics.count('dispatch_callers_lost_total', reason=reason)
-        if sink.on_lost is not None:
-            sink.on_lost(sink)
-
-    def forget_caller(self, sink, done):
-        """Stop watching a caller's socket."""
-        if self.callers.get(sink.fd) is sink:
-            self.modify_caller(sink.fd, 0)
-        done.set_result(None)
+        self.callers.check_stalled(now)
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -3,6 +3,9 @@
 import concurrent.futures
 import dataclasses
 import threading
+import time
+
+import logbook
 
 from rhubarbreach import clock
 from rhubarbreach.distribution import effect
@@ -13,11 +16,15 @@
 
 __all__ = ['ConfigServer']
 
+LOG = logbook.Logger('distribution')
+
 # Changes that follow each other closely are sent in one reply.
 COALESCE = 0.005
 MAX_HOLD = 5.0
 MAX_WAIT = 60.0
 EFFECT_PERIOD = 0.1
+# A query waits at least this long, for the leadership to be confirmed.
+MIN_WAIT = 0.25
 MAX_REPLY_BYTES = 512 * 1024
 PART_BYTES = 256 * 1024
 SNAPSHOT_KEPT = 10.0
@@ -103,10 +110,12 @@
     def handle_query(self, sender_id, query):
         """Take a question where a revision is in effect."""
         now = clock.monotonic()
-        wait = min(query.timeout, MAX_WAIT)
+        wait = max(MIN_WAIT, min(query.timeout, MAX_WAIT))
         waiting = Waiting(query, now, now + wait, concurrent.futures.Future())
         with self.lock:
             self.queries.append(waiting)
+        if self.store is not None:
+            self.store.wake.set()
         self.due.set()
         return waiting.future
 
@@ -125,10 +134,14 @@
             self.due.wait(timeout)
             self.due.clear()
             now = clock.monotonic()
-            self.answer_polls(now)
-            self.answer_queries(now)
+            try:
+                self.answer_polls(now)
+                self.answer_queries(now)
+                self.drop_snapshot(now)
+            except Exception:
+                LOG.exception('event=config_server_failed')
             timeout = self.find_timeout(now)
-            threading.Event().wait(COALESCE)
+            time.sleep(COALESCE)
 
     def find_timeout(self, now):
         """Return the seconds until the next answer is due."""
@@ -191,16 +204,17 @@
         )
 
     def get_snapshot(self, revision):
-        """Return the snapshot of a revision, else one that is being sent.
+        """Return the snapshot of a revision, else one to start with.
 
         A snapshot is kept while it is fetched, so that continuous changes
-        cannot keep a host from completing its first fetch.
+        cannot keep a host from completing its first fetch. A host starts
+        only with one to which the changes since are still kept.
         """
         now = clock.monotonic()
         with self.lock:
             known = self.snapshot
             if known is None or (
-                known.revision != revision and known.keep_until < now
+                known.revision != revision and self.is_outdated(known, now)
             ):
                 config = self.view.snapshot
                 data = model.ENCODER.encode(index.to_document(config))
@@ -210,26 +224,53 @@
             )
             return self.snapshot
 
+    def drop_snapshot(self, now):
+        """Free the memory of a snapshot that nobody fetches any more."""
+        with self.lock:
+            if self.snapshot and self.snapshot.keep_until < now:
+                self.snapshot = None
+
+    def is_outdated(self, snapshot, now):
+        """Return whether a snapshot is of no use to another host."""
+        with self.view.lock:
+            changes = self.view.history.get_after(snapshot.revision)
+        return changes is None or snapshot.keep_until < now
+
     def answer_queries(self, now):
         """Answer the queries whose revision is in effect, or late."""
         with self.lock:
             queries, self.queries = self.queries, []
         kept = []
         for waiting in queries:
-            reply = self.make_effect_reply(waiting.message, now)
-            settled = not reply.known or not reply.pending
-            if settled or now >= waiting.reply_by:
+            reply = self.make_effect_reply(waiting, now)
+            settled = reply.known and not reply.pending
+            if settled or now >= waiting.reply_by or not self.is_leading(now):
                 waiting.future.set_result(reply)
             else:
                 kept.append(waiting)
         with self.lock:
             self.queries.extend(kept)
 
-    def make_effect_reply(self, query, now):
-        """Return where a revision is not in effect yet."""
-        since = self.store.find_leadership(now) if self.store else None
-        if since is None:
+    def is_leading(self, now):
+        """Return whether this host leads, as far as it knows."""
+        if self.store is None:
+            return False
+        return self.store.find_leadership(now) is not None
+
+    def make_effect_reply(self, waiting, now):
+        """Return where a revision is not in effect yet.
+
+        A deposed leader does not hear of the hosts that poll its successor,
+        so the leadership must have been confirmed after the query came.
+        """
+        query = waiting.message
+        if (
+            not self.is_leading(now)
+            or self.store.confirmed_at < waiting.received_at
+            or self.view.revision < query.revision
+        ):
             return messages.EffectReply(False, ())
+        since = self.store.since
         extra = effect.get_extra(self.view.snapshot, query.account_id)
         pending = self.tracker.find_pending(query.revision, extra, now)
         former = since + store_module.FORMER_GRANTS + extra - now
@@ -241,7 +282,7 @@
         """Return the hosts that have not polled since the leader changed."""
         if self.expected_hosts is None:
             return (messages.PendingHost('', seconds),)
-        heard = self.tracker.get_host_ids()
+        heard = self.tracker.get_revisions()
         return tuple(
             messages.PendingHost(host_id, seconds)
             for host_id in sorted(self.expected_hosts())
--- a/rhubarbreach/entry/app.py
+++ b/rhubarbreach/entry/app.py
@@ -39,10 +39,16 @@
         Connection of the caller.
     received_at : float
         Monotonic seconds.
+    account_id : str
+        Client account, once the caller is authenticated.
     path_values : dict
         Values of the variable parts of the matched path.
     body_read : bool
         Whether the whole body was read.
+    body_failed : bool
+        Whether the body ended early or came too slowly.
+    sink : dispatch.sink.CallerSink or None
+        Takes the answer when it is relayed.
     """
 
     def __init__(self, connection, received_at, max_body, body_seconds):
@@ -54,7 +60,10 @@
         self.request_id = uuid.uuid4().hex
         self.received_at = received_at
         self.path_values = {}
+        self.account_id = ''
         self.body_read = False
+        self.body_failed = False
+        self.sink = None
 
     def get_data(self, *arguments, **options):
         """Return the body within the bounds of the application.
@@ -85,6 +94,11 @@
         super().__init__(refusal.reason)
         self.refusal = refusal
 
+    @property
+    def stream(self):
+        """Body as a stream, for handlers that read it piece by piece."""
+        return bodies.open_stream(self)
+
 
 class Application:
     """Finds the handler of a request and sends its answer.
@@ -100,6 +114,8 @@
         Bytes of a body that `EntryRequest.get_data` accepts.
     body_seconds : float
         Time within which such a body has to arrive.
+    recorder : observe.timeline.Recorder or None
+        Takes each refusal with its reason.
 
     Attributes
     ----------
@@ -108,9 +124,14 @@
     """
 
     def __init__(
-        self, metrics, max_body=MAX_BODY_BYTES, body_seconds=BODY_SECONDS
+        self,
+        metrics,
+        max_body=MAX_BODY_BYTES,
+        body_seconds=BODY_SECONDS,
+        recorder=None,
     ):
         self.metrics = metrics
+        self.recorder = recorder
         self.max_body = max_body
         self.body_seconds = body_seconds
         self.fallback = None
@@ -168,11 +189,14 @@
             response = self.refuse(request, error.refusal)
         except Exception as error:
             self.metrics.count('entry_faults_total')
-            LOG.exception(
-                'event=handler_fault request_id={} type={}',
+            LOG.error(
+                'event=handler_fault request_id={} {}',
                 request.request_id,
-                type(error).__name__,
+                errors.describe_fault(error),
             )
+            if request.sink is not None and request.sink.started:
+                connection.close_connection = True
+                return
             response = self.refuse(
                 request,
                 errors.make_refusal(
@@ -181,10 +205,13 @@
             )
         if response is None:
             return
-        if not bodies.discard_body(request) or self.draining:
+        unread = not bodies.discard_body(request)
+        if unread or self.draining:
             connection.close_connection = True
         response.headers[REQUEST_ID] = request.request_id
         connection.send_answer(response)
+        if unread and not request.body_failed:
+            connection.linger()
 
     def send_malformed(self, connection, reason):
         """Answer a request whose head could not be read."""
@@ -193,11 +220,19 @@
         response = refusals.make_response(refusal, uuid.uuid4().hex)
         connection.close_connection = True
         connection.send_answer(response)
+        connection.linger()
 
     def refuse(self, request, refusal):
         """Return the answer for a refusal and count it."""
         name = refusal.code.name
         self.metrics.count('entry_refusals_total', code=name)
+        if self.recorder is not None:
+            self.recorder.record(
+                'request_refused',
+                f'{name}: {refusal.reason}',
+                request_id=request.request_id,
+                account_id=request.account_id,
+            )
         return refusals.make_response(refusal, request.request_id)
 
     def answer(self, request):
