Split the scheduler core, the member rows and the policy bench

Change: decisions, baseline, settlement and demand of the core, rows of the failure detection, demand of the rate limiter and load of the bench are modules of their own. Conclusion: no change of behaviour.

--- a/rhubarbreach/bench/membershipbench.py
+++ b/rhubarbreach/bench/membershipbench.py
@@ -12,6 +12,7 @@
 import sys
 
 from rhubarbreach.bench import virtual
+from rhubarbreach.membership import members
 from rhubarbreach.membership import swim
 from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import messages
@@ -80,7 +81,7 @@
             'region',
             ('entry',),
             incarnation,
-            swim.Status.ALIVE,
+            members.Status.ALIVE,
             '10.0.0.1:8000',
         )
         detector = swim.Detector(
--- a/rhubarbreach/bench/policybench.py
+++ b/rhubarbreach/bench/policybench.py
@@ -16,28 +16,15 @@
 import sys
 
 from rhubarbreach.bench import figures
-from rhubarbreach.bench import plans
 from rhubarbreach.bench import policyhost
+from rhubarbreach.bench import policyload
 from rhubarbreach.bench import virtual
 from rhubarbreach.scheduling import work
 
 __all__ = ['Report', 'Result', 'compare', 'main', 'measure_capacity']
 
-PLAN = plans.TURNO_PATIO
+PLAN = policyload.PLAN
 WARM_UP = 12.0
-# Accounts send this part of their rate, as long as no other is given; the
-# last one sends five times its rate.
-LOAD_FRACTION = 0.5
-FLOOD_FACTOR = 5.0
-# One in `BURST_EVERY` seconds has requests at `BURST_FACTOR` times the rate.
-BURST_EVERY = 10.0
-BURST_SECONDS = 2.0
-BURST_FACTOR = 1.6
-ONLINE_PROMPT = (30, 200)
-ONLINE_OUTPUT = (8, 48)
-ONLINE_TIMEOUT = 15.0
-BATCH_PROMPT = (50, 300)
-BATCH_OUTPUT = (60, 240)
 # Accounts with batch backlog, and the hosts whose runners claimed it.
 BATCH_HOSTS = {
     'state-network': (0, 1, 2, 3, 4),
@@ -47,17 +34,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrival:
-    """One online request; `at` in seconds, sizes in tokens."""
-
-    at: float
-    account_id: str
-    host: int
-    prompt: int
-    output: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """Figures of one run; times in seconds.
@@ -110,31 +86,6 @@
     rate_excess: float
 
 
-def make_arrivals(seed, seconds, load):
-    """Return the online requests of a run, in order of time."""
-    source = random.Random(seed)
-    arrivals = []
-    for account in PLAN.accounts:
-        flood = account is PLAN.accounts[-1]
-        factor = FLOOD_FACTOR if flood else load
-        at = 0.0
-        while at < seconds:
-            bursting = at % BURST_EVERY < BURST_SECONDS and not flood
-            rate = account.rate * factor
-            rate *= BURST_FACTOR if bursting else 1.0
-            at += source.expovariate(rate)
-            arrivals.append(
-                Arrival(
-                    at,
-                    account.account_id,
-                    source.randrange(len(PLAN.hosts)),
-                    source.randint(*ONLINE_PROMPT),
-                    source.randint(*ONLINE_OUTPUT),
-                )
-            )
-    return sorted(arrivals, key=lambda arrival: arrival.at)
-
-
 class Sample:
     """What happened to one online request."""
 
@@ -172,7 +123,7 @@
         self.random = random.Random(seed + 1)
         self.samples = []
         self.batch_tokens = collections.Counter()
-        for arrival in make_arrivals(seed, seconds, load):
+        for arrival in policyload.make_arrivals(seed, seconds, load):
             self.loop.after(WARM_UP + arrival.at, self.send_online, arrival)
         if with_batch:
             self.loop.after(WARM_UP / 2, self.fill_batch)
@@ -213,7 +164,7 @@
             arrival.account_id,
             work.Lane.ONLINE,
             policyhost.Task(self.make_key(), arrival.prompt, arrival.output),
-            self.loop.now + ONLINE_TIMEOUT,
+            self.loop.now + policyload.ONLINE_TIMEOUT,
             finish,
         )
 
@@ -232,8 +183,8 @@
         """Run a batch item, then the next one."""
         task = policyhost.Task(
             self.make_key(),
-            self.random.randint(*BATCH_PROMPT),
-            self.random.randint(*BATCH_OUTPUT),
+            self.random.randint(*policyload.BATCH_PROMPT),
+            self.random.randint(*policyload.BATCH_OUTPUT),
         )
         self.run_item(host, account_id, task)
 
@@ -263,9 +214,10 @@
         """Return the figures of the run."""
         # A request that got no answer in time waited for all of it.
         first = [
-            s.first_token or ONLINE_TIMEOUT
+            s.first_token or policyload.ONLINE_TIMEOUT
             for s in self.samples
-            if s.admitted_at and s.sent_at < self.end - ONLINE_TIMEOUT
+            if s.admitted_at
+            and s.sent_at < self.end - policyload.ONLINE_TIMEOUT
         ]
         flood = PLAN.accounts[-1]
         steady = [s for s in self.samples if not is_of(s, flood)]
@@ -300,7 +252,8 @@
             own = [
                 s
                 for s in self.samples
-                if is_of(s, account) and s.sent_at < self.end - ONLINE_TIMEOUT
+                if is_of(s, account)
+                and s.sent_at < self.end - policyload.ONLINE_TIMEOUT
             ]
             ideal = figures.count_ideal_admissions(
                 [s.sent_at for s in own], account.rate, account.burst
@@ -351,8 +304,8 @@
     def feed(engine):
         sequence = virtual.Sequence(
             source.randbytes(8),
-            source.randint(*BATCH_PROMPT),
-            source.randint(*BATCH_OUTPUT),
+            source.randint(*policyload.BATCH_PROMPT),
+            source.randint(*policyload.BATCH_OUTPUT),
             0,
             lambda _: None,
             lambda one: finish(engine, one),
@@ -403,7 +356,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=60.0)
-    parser.add_argument('--load', type=float, default=LOAD_FRACTION)
+    parser.add_argument('--load', type=float, default=policyload.LOAD_FRACTION)
     parser.add_argument('--modes', default='full,baseline')
     options = parser.parse_args()
     capacity = measure_capacity(options.seed, options.seconds)
--- a/rhubarbreach/limits/__init__.py
+++ b/rhubarbreach/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from rhubarbreach.limits import buckets
 from rhubarbreach.limits import concurrency
+from rhubarbreach.limits import demand
 from rhubarbreach.limits import holder
 from rhubarbreach.limits import home
 from rhubarbreach.limits import owner
@@ -12,6 +13,7 @@
 __all__ = [
     'buckets',
     'concurrency',
+    'demand',
     'holder',
     'home',
     'owner',
--- a/rhubarbreach/limits/shares.py
+++ b/rhubarbreach/limits/shares.py
@@ -1,18 +1,18 @@
 """Rate limiter of one host: asks the owner of an account for tokens."""
 
 import concurrent.futures
-import dataclasses
 import threading
 
 import logbook
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.limits import demand as demands
 from rhubarbreach.limits import holder
 from rhubarbreach.limits import owner
 from rhubarbreach.protocol import messages
 
-__all__ = ['Demand', 'RateLimiter', 'Waiter']
+__all__ = ['RateLimiter', 'is_short']
 
 LOG = logbook.Logger('limits')
 
@@ -26,55 +26,10 @@
 # Seconds that a request waits for tokens that are about to come, rather
 # than being refused for a delay that its caller would not notice.
 TOKEN_WAIT = 0.05
-# Seconds over which the demand of an account is measured, and the part of
-# a grant's lifetime for which tokens are asked for in advance.
-DEMAND_WINDOW = 1.0
+# Part of a grant's lifetime for which tokens are asked for in advance.
 ADVANCE = owner.GRANT_TTL * 0.6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiter:
-    """A request that waits for tokens."""
-
-    cost: float
-    future: concurrent.futures.Future
-
-
-@dataclasses.dataclass(slots=True)
-class Demand:
-    """Requests of one account on this host.
-
-    Parameters
-    ----------
-    waiting : list of Waiter
-        Requests that wait for the next grant.
-    asked : list of Waiter
-        Requests that wait for the grant that was asked for.
-    asking : bool
-        Whether the owner is being asked.
-    window_end : float
-        Monotonic seconds at which `cost` is turned into `rate`.
-    cost, rate : float
-        Tokens in this window, and tokens per second in the last one.
-    """
-
-    waiting: list = dataclasses.field(default_factory=list)
-    asked: list = dataclasses.field(default_factory=list)
-    asking: bool = False
-    window_end: float = 0.0
-    cost: float = 0.0
-    rate: float = 0.0
-
-    def record(self, cost, now):
-        """Count tokens that a request needs."""
-        if now >= self.window_end:
-            idle = now - self.window_end > DEMAND_WINDOW
-            self.rate = 0.0 if idle else self.cost / DEMAND_WINDOW
-            self.cost = 0.0
-            self.window_end = now + DEMAND_WINDOW
-        self.cost += cost
-
-
 class RateLimiter:
     """Admission by the rate and burst of client accounts.
 
@@ -267,7 +222,7 @@
         Waiter
             Its future completes with None or a `Refusal`.
         """
-        waiter = Waiter(cost, concurrent.futures.Future())
+        waiter = demands.Waiter(cost, concurrent.futures.Future())
         now = self.monotonic()
         with self.lock:
             self.load_config(now)
@@ -279,7 +234,7 @@
             if self.static:
                 waiter.future.set_result(self.spend_static(account, cost, now))
                 return waiter
-            demand = self.demands.setdefault(account_id, Demand())
+            demand = self.demands.setdefault(account_id, demands.Demand())
             demand.record(cost, now)
             if self.holder.spend(account, cost, now):
                 waiter.future.set_result(None)
--- a/rhubarbreach/membership/hosts.py
+++ b/rhubarbreach/membership/hosts.py
@@ -7,6 +7,7 @@
 import logbook
 
 from rhubarbreach import clock
+from rhubarbreach.membership import members
 from rhubarbreach.membership import model
 from rhubarbreach.membership import rendezvous
 from rhubarbreach.membership import swim
@@ -48,7 +49,7 @@
             settings.region,
             tuple(settings.roles),
             incarnation,
-            swim.Status.ALIVE,
+            members.Status.ALIVE,
             settings.http,
         )
         self.host_id = settings.host_id
@@ -129,7 +130,7 @@
 
     def set_draining(self, draining=True):
         """Tell all hosts whether this host takes new work."""
-        status = swim.Status.DRAINING if draining else swim.Status.ALIVE
+        status = members.Status.DRAINING if draining else members.Status.ALIVE
         with self.lock:
             self.detector.set_own(status=status)
             self.rebuild()
@@ -181,10 +182,10 @@
     def rebuild(self):
         """Replace the table that `alive` returns."""
         own = self.detector.own
-        draining = own.status == swim.Status.DRAINING
+        draining = own.status == members.Status.DRAINING
         hosts = [make_info(own, draining)]
         for member in self.detector.members.values():
-            if member.row.status != swim.Status.DEAD:
+            if member.row.status != members.Status.DEAD:
                 hosts.append(make_info(member.row, member.draining))
         hosts.sort(key=lambda host: host.host_id)
         self.snapshot = tuple(hosts)
--- a/rhubarbreach/membership/swim.py
+++ b/rhubarbreach/membership/swim.py
@@ -9,16 +9,10 @@
 import dataclasses
 import math
 
+from rhubarbreach.membership import members
 from rhubarbreach.protocol import messages
 
-__all__ = [
-    'Detector',
-    'Member',
-    'PROBE_PERIOD',
-    'Pending',
-    'Relayed',
-    'Status',
-]
+__all__ = ['Detector', 'MAX_ROWS', 'PROBE_PERIOD']
 
 # Seconds between two probes of a host.
 PROBE_PERIOD = 0.2
@@ -48,64 +42,6 @@
 SYNC_PERIOD_PER_ROW = 0.1
 
 
-class Status:
-    """Values of `HostRow.status`, by rank within one incarnation."""
-
-    ALIVE = 'alive'
-    DRAINING = 'draining'
-    SUSPECT = 'suspect'
-    DEAD = 'dead'
-
-
-RANKS = {
-    Status.ALIVE: 0,
-    Status.DRAINING: 0,
-    Status.SUSPECT: 1,
-    Status.DEAD: 2,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Member:
-    """What this host knows of another one.
-
-    Parameters
-    ----------
-    row : HostRow
-        Latest row.
-    draining : bool
-        Whether the host drains, also while it is suspected.
-    deadline : float
-        When a suspected host counts as dead, or a dead one is forgotten.
-    sends : int
-        How often the row still has to be sent.
-    """
-
-    row: messages.HostRow
-    draining: bool = False
-    deadline: float = math.inf
-    sends: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """A probe without an answer yet; times are deadlines."""
-
-    target_id: str
-    ask_others_at: float
-    expires_at: float
-    incarnation: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Relayed:
-    """A probe sent for another host."""
-
-    origin_id: str
-    sequence: int
-    expires_at: float
-
-
 class Detector:
     """State of the failure detection of one host, without clock or sockets.
 
@@ -142,7 +78,7 @@
         return [
             host_id
             for host_id, member in self.members.items()
-            if member.row.status != Status.DEAD
+            if member.row.status != members.Status.DEAD
         ]
 
     def take_changes(self):
@@ -228,9 +164,9 @@
         member = self.members.get(pending.target_id)
         if member is None or member.row.incarnation != pending.incarnation:
             return
-        if member.row.status in (Status.SUSPECT, Status.DEAD):
+        if member.row.status in (members.Status.SUSPECT, members.Status.DEAD):
             return
-        row = dataclasses.replace(member.row, status=Status.SUSPECT)
+        row = dataclasses.replace(member.row, status=members.Status.SUSPECT)
         self.merge_row(row, now)
 
     def check_deadlines(self, now):
@@ -238,8 +174,10 @@
         for host_id, member in list(self.members.items()):
             if now < member.deadline:
                 continue
-            if member.row.status == Status.SUSPECT:
-                row = dataclasses.replace(member.row, status=Status.DEAD)
+            if member.row.status == members.Status.SUSPECT:
+                row = dataclasses.replace(
+                    member.row, status=members.Status.DEAD
+                )
                 self.merge_row(row, now)
             else:
                 del self.members[host_id]
@@ -262,7 +200,7 @@
         lost = [
             host_id
             for host_id, member in self.members.items()
-            if member.row.status == Status.DEAD
+            if member.row.status == members.Status.DEAD
         ]
         lost += [seed for seed in self.seeds if seed not in self.members]
         if lost:
@@ -274,7 +212,7 @@
         member = self.members.get(host_id)
         incarnation = -1 if member is None else member.row.incarnation
         self.sequence += 1
-        self.pending[self.sequence] = Pending(
+        self.pending[self.sequence] = members.Pending(
             host_id, now + DIRECT_TIMEOUT, now + PROBE_TIMEOUT, incarnation
         )
         rows = self.take_rows(host_id)
@@ -301,8 +239,8 @@
         rows = [self.own]
         receiver = self.members.get(receiver_id)
         if receiver is not None and receiver.row.status in (
-            Status.SUSPECT,
-            Status.DEAD,
+            members.Status.SUSPECT,
+            members.Status.DEAD,
         ):
             # The receiver can only refute what it is told.
             rows.append(receiver.row)
@@ -356,7 +294,7 @@
     def probe_for(self, origin_id, request, now):
         """Probe a host for another host."""
         self.sequence += 1
-        self.relayed[self.sequence] = Relayed(
+        self.relayed[self.sequence] = members.Relayed(
             origin_id, request.sequence, now + PROBE_TIMEOUT
         )
         rows = self.take_rows(request.target_id)
@@ -376,26 +314,26 @@
             self.refute(row)
             return
         member = self.members.get(row.host_id)
-        if member is not None and not is_newer(row, member.row):
+        if member is not None and not members.is_newer(row, member.row):
             return
         if member is None:
-            if row.status == Status.DEAD:
+            if row.status == members.Status.DEAD:
                 # Spreading deaths of unknown hosts would keep them forever.
                 return
-            member = self.members[row.host_id] = Member(row)
+            member = self.members[row.host_id] = members.Member(row)
         member.row = row
         member.sends = self.count_sends()
         member.deadline = self.get_deadline(row.status, now)
-        if row.status in (Status.ALIVE, Status.DRAINING):
-            member.draining = row.status == Status.DRAINING
+        if row.status in (members.Status.ALIVE, members.Status.DRAINING):
+            member.draining = row.status == members.Status.DRAINING
         self.changes.append(row)
 
     def get_deadline(self, status, now):
         """Return when a member of a status changes by itself."""
-        if status == Status.SUSPECT:
+        if status == members.Status.SUSPECT:
             decades = max(1.0, math.log10(len(self.members) + 1))
             return now + SUSPICION_TIMEOUT * decades
-        if status == Status.DEAD:
+        if status == members.Status.DEAD:
             return now + DEAD_KEEP
         return math.inf
 
@@ -404,10 +342,3 @@
         if row.incarnation < self.own.incarnation or row == self.own:
             return
         self.set_own(incarnation=row.incarnation + 1)
-
-
-def is_newer(row, known):
-    """Return whether a row replaces the known row of the same host."""
-    if row.incarnation != known.incarnation:
-        return row.incarnation > known.incarnation
-    return RANKS[row.status] > RANKS[known.status]
--- a/rhubarbreach/placement/__init__.py
+++ b/rhubarbreach/placement/__init__.py
@@ -1,8 +1,21 @@
 """Scheduler: fair queue, slots and routing composed."""
 
 from rhubarbreach.placement import alone
+from rhubarbreach.placement import baseline
 from rhubarbreach.placement import core
+from rhubarbreach.placement import decisions
 from rhubarbreach.placement import exchange
 from rhubarbreach.placement import scheduler
+from rhubarbreach.placement import settle
+from rhubarbreach.placement import waiting
 
-__all__ = ['alone', 'core', 'exchange', 'scheduler']
+__all__ = [
+    'alone',
+    'baseline',
+    'core',
+    'decisions',
+    'exchange',
+    'scheduler',
+    'settle',
+    'waiting',
+]
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -1,10 +1,12 @@
 """Decisions of the scheduler of one host, without threads and clocks."""
 
 import collections
-import dataclasses
 
 from rhubarbreach import codes
 from rhubarbreach.placement import alone
+from rhubarbreach.placement import baseline
+from rhubarbreach.placement import decisions
+from rhubarbreach.placement import settle
 from rhubarbreach.routing import cache
 from rhubarbreach.routing import choose
 from rhubarbreach.routing import ejection
@@ -13,48 +15,13 @@
 from rhubarbreach.scheduling import fair
 from rhubarbreach.scheduling import work
 
-__all__ = ['Core', 'Placed', 'Preempted', 'Refused', 'Running']
+__all__ = ['Core']
 
 # Seconds an online request waits while no endpoint serves its model.
 NO_ENDPOINT_WAIT = 2.0
 # Seconds between two searches for entries past their deadline.
 EXPIRY_PERIOD = 0.1
 BASELINE = 'baseline'
-FAILURES = (
-    work.OutcomeStatus.FAILED,
-    work.OutcomeStatus.NOT_RUN,
-    work.OutcomeStatus.ENDPOINT_LOST,
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
-    """Work may start now."""
-
-    placement: work.Placement
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """Work will not be run."""
-
-    work: work.Work
-    refusal: codes.Refusal
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Preempted:
-    """A batch placement whose slot is taken back."""
-
-    placement: work.Placement
-
-
-@dataclasses.dataclass(slots=True)
-class Running:
-    """A placement that has not been released."""
-
-    placement: work.Placement
-    preempted: bool = False
 
 
 class Core:
@@ -146,22 +113,22 @@
         list of Placed, Refused or Preempted
             In the order to be carried out.
         """
-        decisions = []
+        result = []
         if now >= self.next_expiry:
             self.next_expiry = now + EXPIRY_PERIOD
-            decisions += self.refuse_expired(now)
+            result += self.refuse_expired(now)
             self.eject(now)
         if self.baseline:
-            return decisions + self.place_in_order(now)
-        decisions += self.give_back(now)
-        decisions += self.place_alone(now)
-        decisions += self.place_online(now)
-        decisions += self.place_batch(now)
-        return decisions
+            return result + baseline.place_in_order(self, now)
+        result += self.give_back(now)
+        result += self.place_alone(now)
+        result += self.place_online(now)
+        result += self.place_batch(now)
+        return result
 
     def refuse_expired(self, now):
         """Refuse entries past their deadline or without any endpoint."""
-        decisions = []
+        result = []
         expired = self.alone.take_expired(now, self.slots)
         for lane in self.queue.lanes.values():
             expired += lane.take_expired(now)
@@ -170,7 +137,7 @@
                 codes.ResultCode.DEADLINE_TOO_SHORT,
                 'the deadline passed while the request waited',
             )
-            decisions.append(Refused(entry.work, refusal))
+            result.append(decisions.Refused(entry.work, refusal))
         online = self.queue.lanes[work.Lane.ONLINE]
         waited = [
             entry
@@ -185,8 +152,8 @@
                 f'no endpoint serves {entry.work.model_id}',
                 retry_after=NO_ENDPOINT_WAIT,
             )
-            decisions.append(Refused(entry.work, refusal))
-        return decisions
+            result.append(decisions.Refused(entry.work, refusal))
+        return result
 
     def eject(self, now):
         """Look for slow or failing replicas of the models in use."""
@@ -241,15 +208,15 @@
 
     def place_online(self, now):
         """Place online work, taking slots back from batch work."""
-        decisions = []
+        result = []
         lane = self.queue.lanes[work.Lane.ONLINE]
         while len(lane):
             models = self.list_placeable(work.Lane.ONLINE, now)
             entry = lane.pop(now, models)
             if entry is None:
                 break
-            decisions += self.place_one_online(entry.work, now)
-        return decisions
+            result += self.place_one_online(entry.work, now)
+        return result
 
     def place_one_online(self, item, now):
         """Place one online request."""
@@ -274,11 +241,11 @@
         choice = self.choose(item, excess or candidates, now)
         if isinstance(choice, choose.Choice):
             return [self.start(item, choice, now)]
-        return [Refused(item, choice)]
+        return [decisions.Refused(item, choice)]
 
     def place_batch(self, now):
         """Place batch work on spare slots."""
-        decisions = []
+        result = []
         lane = self.queue.lanes[work.Lane.BATCH]
         while len(lane):
             models = self.list_placeable(work.Lane.BATCH, now)
@@ -287,7 +254,7 @@
                 break
             item = entry.work
             if self.suspects.is_suspect(item.digest, now):
-                decisions += self.divert(item, now)
+                result += self.divert(item, now)
                 continue
             candidates = self.list_candidates(item, now)
             free = self.filter_free(candidates, item.lane, now)
@@ -297,51 +264,8 @@
                 usable = self.registry.usable(item.model_id, now)
                 free = self.filter_free(usable, item.lane, now)
             choice = self.choose(item, free, now)
-            decisions.append(self.start(item, choice, now))
-        return decisions
-
-    def place_in_order(self, now):
-        """Place work of both lanes in order of arrival, round robin."""
-        decisions = []
-        while True:
-            models = {
-                model_id
-                for lane in work.Lane
-                for model_id in self.list_placeable_fixed(lane, now)
-            }
-            entry = self.pop_oldest(models, now)
-            if entry is None:
-                return decisions
-            candidates = self.list_candidates(entry.work, now)
-            free = self.filter_free(candidates, entry.work.lane, now)
-            self.turn += 1
-            options = free or candidates
-            endpoint = options[self.turn % len(options)]
-            choice = choose.Choice(endpoint, 'round robin')
-            decisions.append(self.start(entry.work, choice, now))
-
-    def list_placeable_fixed(self, lane, now):
-        """Return the models of a lane with a slot of a fixed limit."""
-        return {
-            model_id
-            for model_id, count in self.queue.lanes[lane].models.items()
-            if count > 0
-            and self.filter_free(
-                self.registry.usable(model_id, now), lane, now
-            )
-        }
-
-    def pop_oldest(self, models, now):
-        """Return the entry of both lanes that came first."""
-        firsts = [
-            (entry.queued_at, lane)
-            for lane in work.Lane
-            for entry in self.queue.lanes[lane].peek(models)
-        ]
-        if not firsts:
-            return None
-        _, lane = min(firsts)
-        return self.queue.lanes[lane].pop(now, models)
+            result.append(self.start(item, choice, now))
+        return result
 
     def filter_free(self, endpoints, lane, now):
         """Return the endpoints that have a slot for a lane."""
@@ -386,9 +310,9 @@
         self.slots.take(endpoint_id, item.lane)
         self.load.start(endpoint_id, now)
         self.cache.add(endpoint_id, item.prefix, now)
-        self.running[item.work_id] = Running(placement)
+        self.running[item.work_id] = decisions.Running(placement)
         self.by_endpoint[endpoint_id][item.work_id] = placement
-        return Placed(placement)
+        return decisions.Placed(placement)
 
     def find_newest(self, endpoint_id):
         """Return the newest batch placement on an endpoint, or None."""
@@ -404,24 +328,24 @@
         running.preempted = True
         placement = running.placement
         self.slots.release(placement.endpoint.endpoint_id, work.Lane.BATCH)
-        return Preempted(placement)
+        return decisions.Preempted(placement)
 
     def give_back(self, now):
         """Preempt batch placements beyond the leased slots."""
-        decisions = []
+        result = []
         for endpoint_id in list(self.by_endpoint):
             for _ in range(self.slots.count_excess(endpoint_id, now)):
                 newest = self.find_newest(endpoint_id)
                 if newest is None:
                     break
-                decisions.append(self.preempt(newest))
-        return decisions
+                result.append(self.preempt(newest))
+        return result
 
     def divert(self, item, now):
         """Move work that became a suspect to the queue for running alone."""
         refusal = self.check(item, now)
         if refusal is not None:
-            return [Refused(item, refusal)]
+            return [decisions.Refused(item, refusal)]
         self.alone.push(fair.Entry(item, now))
         return []
 
@@ -433,7 +357,7 @@
         refusal = self.check(entry.work, now)
         if refusal is not None:
             self.withdraw(entry.work.work_id)
-            return [Refused(entry.work, refusal)]
+            return [decisions.Refused(entry.work, refusal)]
         candidates = self.list_candidates(entry.work, now)
         endpoint = self.alone.select(candidates, self.load, self.slots, now)
         if endpoint is None:
@@ -461,77 +385,19 @@
         if running is None:
             return
         if outcome.status == work.OutcomeStatus.ENDPOINT_LOST:
-            self.report_death(placement, now)
+            settle.report_death(self, placement, now)
         del self.running[item.work_id]
         del self.by_endpoint[endpoint.endpoint_id][item.work_id]
         if not running.preempted:
             self.slots.release(endpoint.endpoint_id, item.lane)
         self.load.finish(endpoint.endpoint_id)
-        self.settle(placement, outcome, now)
+        settle.settle(self, placement, outcome, now)
         if placement.alone:
             self.alone.finish(self.slots)
             if outcome.status == work.OutcomeStatus.COMPLETED:
                 self.suspects.clear(item.digest)
 
-    def report_death(self, placement, now):
-        """Make all that ran on a lost endpoint suspects."""
-        endpoint = placement.endpoint
-        digests = {
-            other.work.digest
-            for other in self.by_endpoint[endpoint.endpoint_id].values()
-        }
-        self.reports += self.suspects.report_death(
-            endpoint, sorted(digests), placement.alone, now
-        )
-
-    def settle(self, placement, outcome, now):
-        """Charge the account and record latency and errors."""
-        item, endpoint = placement.work, placement.endpoint
-        served = float(outcome.tokens)
-        if outcome.status == work.OutcomeStatus.COMPLETED and not served:
-            # The answer was not a stream, so its tokens were not counted.
-            served = item.cost
-        self.queue.charge(
-            item.account_id, served - item.cost, item.lane, served
-        )
-        failed = outcome.status in FAILURES
-        if failed or outcome.inter_token is not None:
-            self.ejector.observe(
-                endpoint.endpoint_id, failed, outcome.inter_token, now
-            )
-        if outcome.inter_token is not None:
-            self.slots.observe(
-                endpoint.endpoint_id,
-                outcome.first_token,
-                outcome.inter_token,
-                now,
-            )
-        if outcome.status in (
-            work.OutcomeStatus.ENDPOINT_LOST,
-            work.OutcomeStatus.NOT_RUN,
-        ):
-            self.registry.mark_lost(endpoint.endpoint_id, now)
-
     def take_reports(self):
         """Return strike reports for the other hosts."""
         reports, self.reports = self.reports, []
         return reports
-
-    def update_demand(self, now):
-        """Tell the slot table what waits, before it reports to the homes."""
-        online = self.queue.lanes[work.Lane.ONLINE].models
-        batch = self.queue.lanes[work.Lane.BATCH].models
-        waiting = {endpoint: [0, 0] for endpoint in self.slots.uses}
-        for model_id in {*online, *batch}:
-            endpoints = self.registry.usable(model_id, now)
-            for endpoint in endpoints:
-                counts = waiting.setdefault(endpoint.endpoint_id, [0, 0])
-                # Waiting online work needs one slot anywhere, not on each
-                # endpoint; rounding up keeps a single request visible.
-                counts[0] += -(-online[model_id] // len(endpoints))
-                counts[1] += batch[model_id]
-        for endpoint_id, counts in waiting.items():
-            self.slots.set_waiting(endpoint_id, *counts)
-        backlogged = self.queue.lanes[work.Lane.BATCH].backlogged
-        weight = sum(flow.weight for flow in backlogged.values())
-        self.slots.batch_weight = max(weight, 1e-3)
--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -4,6 +4,7 @@
 
 from rhubarbreach.limits import slots
 from rhubarbreach.membership import rendezvous
+from rhubarbreach.placement import waiting
 from rhubarbreach.protocol import messages
 
 __all__ = ['Exchange', 'find_home', 'group_by_home']
@@ -100,7 +101,7 @@
             return
         endpoints = self.scheduler.registry.list_all(now)
         with self.scheduler.lock:
-            self.scheduler.core.update_demand(now)
+            waiting.update_demand(self.scheduler.core, now)
         for home_id, endpoint_ids in self.group(endpoints).items():
             self.ask_home(home_id, endpoint_ids, now)
         if now >= self.next_counters:
--- a/rhubarbreach/placement/scheduler.py
+++ b/rhubarbreach/placement/scheduler.py
@@ -10,6 +10,7 @@
 from rhubarbreach import codes
 from rhubarbreach.limits import slots
 from rhubarbreach.placement import core
+from rhubarbreach.placement import decisions
 from rhubarbreach.placement import exchange
 from rhubarbreach.scheduling import work
 
@@ -180,8 +181,8 @@
     def step(self):
         """Make and carry out the decisions that are due."""
         with self.lock:
-            decisions = self.decide()
-        for decision in decisions:
+            made = self.decide()
+        for decision in made:
             try:
                 self.carry_out(decision)
             except Exception:
@@ -199,11 +200,11 @@
     def carry_out(self, decision):
         """Tell the submitter or the holder of a slot."""
         match decision:
-            case core.Placed(placement=placement):
+            case decisions.Placed(placement=placement):
                 self.complete(placement.work.work_id, placement)
-            case core.Refused(work=item, refusal=refusal):
+            case decisions.Refused(work=item, refusal=refusal):
                 self.complete(item.work_id, refusal)
-            case core.Preempted(placement=placement):
+            case decisions.Preempted(placement=placement):
                 if self.preempt is not None:
                     self.preempt(placement)
 
