Claim fairly by estimated tokens; split modules; count ends by jobs

Change: items carry an estimated cost in tokens, by which claims are charged; uploads, queries and the exchange with a group have modules of their own; the bench asks the jobs for their counts.

--- a/rhubarbreach/batch/__init__.py
+++ b/rhubarbreach/batch/__init__.py
@@ -3,6 +3,7 @@
 from rhubarbreach.batch import access
 from rhubarbreach.batch import api
 from rhubarbreach.batch import items
+from rhubarbreach.batch import lanes
 from rhubarbreach.batch import records
 from rhubarbreach.batch import runner
 from rhubarbreach.batch import store
@@ -14,6 +15,7 @@
     'access',
     'api',
     'items',
+    'lanes',
     'records',
     'runner',
     'store',
--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -14,7 +14,7 @@
     'Held',
     'MAX_RESULT_BYTES',
     'Released',
-    'estimate_cost',
+    'estimate_body',
     'judge_end',
     'make_call',
     'make_held',
@@ -129,10 +129,25 @@
     ]
 
 
-def estimate_cost(max_tokens, body):
+def estimate_cost(fields, body):
     """Return the estimated cost of an item in tokens."""
-    answer = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
-    return float(max(1, answer) + len(body) // BYTES_PER_TOKEN)
+    answer = fields.max_tokens
+    if answer is None:
+        answer = DEFAULT_MAX_TOKENS
+    return max(1, answer) + len(body) // BYTES_PER_TOKEN
+
+
+def read_fields(body):
+    """Return what can be read from the body of an item."""
+    try:
+        return BODY_DECODER.decode(body)
+    except msgspec.DecodeError:
+        return BodyFields()
+
+
+def estimate_body(body):
+    """Return the estimated cost of a body in tokens."""
+    return estimate_cost(read_fields(body), body)
 
 
 def make_request_id(held):
@@ -155,10 +170,7 @@
     Call
         In the batch lane; the request id names job, item and claim.
     """
-    try:
-        fields = BODY_DECODER.decode(held.body)
-    except msgspec.DecodeError:
-        fields = BodyFields()
+    fields = read_fields(held.body)
     return call.Call(
         request_id=make_request_id(held),
         account_id=held.account_id,
@@ -170,7 +182,7 @@
         stream=False,
         idempotent=held.idempotent,
         deadline=deadline,
-        cost=estimate_cost(fields.max_tokens, held.body),
+        cost=float(estimate_cost(fields, held.body)),
         weight=held.weight,
         job_id=held.job_id,
         item=held.item,
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -7,24 +7,19 @@
 
 from rhubarbreach.batch import holdings
 from rhubarbreach.batch import items
-from rhubarbreach.batch import outbox
+from rhubarbreach.batch import lanes
 from rhubarbreach.batch import window
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.state import jobcommands
 
-__all__ = ['GroupLane', 'Runner']
+__all__ = ['Runner']
 
 LOG = logbook.Logger('batch')
 
 # Seconds between renewals. A renewal also tells of cancelled jobs whose
 # `CancelAttempts` message was lost.
 RENEW_PERIOD = 1.0
-# Seconds that a result waits for others before it is reported.
-REPORT_DELAY = 0.05
-# Seconds after which a failed exchange with a group is repeated.
-RETRY_DELAY = 0.2
-EXCHANGE_TIMEOUT = 5.0
 # Seconds for an item from its hand-over to the executor, with its wait for
 # an endpoint.
 ITEM_TIMEOUT = 600.0
@@ -36,24 +31,6 @@
 MILLISECONDS = 1000
 
 
-class GroupLane:
-    """What the runner has under way with one job group."""
-
-    def __init__(self, group):
-        self.group = group
-        self.outbox = outbox.Outbox()
-        self.sequence = 1
-        self.pending_claim = None
-        self.claim_at = 0.0
-        self.backoff = 0.0
-        self.renew_at = 0.0
-        self.report_at = 0.0
-        self.claiming = False
-        self.renewing = False
-        self.reporting = False
-        self.requested = 0
-
-
 class Runner:
     """Runs the batch items of one host.
 
@@ -84,7 +61,9 @@
         self.metrics = metrics
         self.count_waiting = count_waiting
         self.holdings = holdings.Holdings()
-        self.lanes = [GroupLane(number) for number in range(store.job_groups)]
+        self.lanes = [
+            lanes.GroupLane(number) for number in range(store.job_groups)
+        ]
         self.lock = threading.Lock()
         self.stopping = []
         self.wake = threading.Event()
@@ -165,24 +144,17 @@
     def plan_claims(self, now):
         """Return how many items to claim and the targets to leave out."""
         requested = sum(lane.requested for lane in self.lanes)
-        wanted = 0
-        excluded = []
-        used = 0
+        windows = {}
         for name, outstanding, rate in self.holdings.measure_targets(now):
             # The items of a job without a common model are counted under
             # no target here and under several in the scheduler.
             waiting = None
             if self.count_waiting is not None and name:
                 waiting = self.count_waiting(name)
-            used += outstanding if waiting is None else waiting
-            state = window.Window(outstanding, waiting, requested, rate)
-            more = window.choose_wanted(state)
-            wanted = max(wanted, more)
-            if not more:
-                excluded.append(name)
-        if used + requested < window.MAX_AHEAD:
-            wanted = max(wanted, window.MIN_AHEAD - requested)
-        return wanted, tuple(excluded)
+            windows[name] = window.Window(
+                outstanding, waiting, requested, rate
+            )
+        return window.plan_claims(windows, requested)
 
     def claim(self, lane, limit, excluded):
         """Claim items of a group and hand them to the executor."""
@@ -206,10 +178,10 @@
             )
         now = clock.monotonic()
         reply = self.store.propose(
-            lane.group, lane.pending_claim, now + EXCHANGE_TIMEOUT
+            lane.group, lane.pending_claim, now + lanes.EXCHANGE_TIMEOUT
         )
         if isinstance(reply, codes.Refusal):
-            lane.claim_at = clock.monotonic() + RETRY_DELAY
+            lane.claim_at = clock.monotonic() + lanes.RETRY_DELAY
             return
         lane.pending_claim = None
         lane.sequence += 1
@@ -253,7 +225,7 @@
         command = jobcommands.StartItems(
             (jobcommands.LeasedItems(claimed.epoch, claimed.items),)
         )
-        deadline = clock.monotonic() + EXCHANGE_TIMEOUT
+        deadline = clock.monotonic() + lanes.EXCHANGE_TIMEOUT
         reply = self.store.propose(lane.group, command, deadline)
         if isinstance(reply, codes.Refusal):
             if reply.ran == codes.Ran.NO:
@@ -292,50 +264,18 @@
 
     def is_report_due(self, lane, now):
         """Return whether ends should be reported to a group now."""
-        if now < lane.report_at:
-            return False
-        return lane.outbox.is_due(now, 0 if self.draining else REPORT_DELAY)
+        delay = 0 if self.draining else lanes.REPORT_DELAY
+        return lane.is_report_due(now, delay)
 
     def report(self, lane):
         """Report batches of ends until none is due."""
         try:
-            while self.report_batch(lane):
+            while lane.report_batch(self.store, self.metrics):
                 if not self.is_report_due(lane, clock.monotonic()):
                     return
         finally:
             lane.reporting = False
 
-    def report_batch(self, lane):
-        """Report one batch; return False when the group did not take it.
-
-        A report may be repeated: an end that was taken before is no longer
-        under its claim and is dropped.
-        """
-        batch = lane.outbox.take(clock.monotonic())
-        complete = False
-        try:
-            complete = all(
-                self.report_command(lane, command)
-                for command in outbox.make_commands(batch)
-            )
-        finally:
-            if not complete:
-                now = clock.monotonic()
-                lane.outbox.put_back(batch, now)
-                lane.report_at = now + RETRY_DELAY
-        return complete
-
-    def report_command(self, lane, command):
-        """Send one report; return whether it was committed."""
-        deadline = clock.monotonic() + EXCHANGE_TIMEOUT
-        reply = self.store.propose(lane.group, command, deadline)
-        if isinstance(reply, codes.Refusal):
-            return False
-        if isinstance(reply, jobcommands.ReportReply):
-            taken = sum(reply.taken)
-            self.metrics.count('batch_results_taken_total', taken)
-        return True
-
     # Renewal and cancellation.
 
     def renew_if_held(self, lane, now):
@@ -357,7 +297,7 @@
                 int(self.settings.claim_timeout * MILLISECONDS),
             )
             reply = self.store.propose(
-                lane.group, command, now + EXCHANGE_TIMEOUT
+                lane.group, command, now + lanes.EXCHANGE_TIMEOUT
             )
             if isinstance(reply, codes.Refusal):
                 return
@@ -431,9 +371,8 @@
 
     def is_idle(self):
         """Return whether no item is outstanding or unreported."""
-        return not self.holdings.list_items() and not any(
-            lane.claiming or lane.reporting or len(lane.outbox)
-            for lane in self.lanes
+        return not self.holdings.list_items() and all(
+            lane.is_idle() for lane in self.lanes
         )
 
     def wait_until(self, condition, deadline):
--- a/rhubarbreach/batch/store.py
+++ b/rhubarbreach/batch/store.py
@@ -3,8 +3,10 @@
 import hashlib
 import itertools
 
+from rhubarbreach.batch import items
 from rhubarbreach import codes
 from rhubarbreach.state import jobcommands
+from rhubarbreach.state import jobqueries
 
 __all__ = [
     'CHUNK_BYTES',
@@ -123,7 +125,7 @@
 
     def query(self, group, query, deadline):
         """Ask a group; parameters and result as for `propose`."""
-        data = jobcommands.QUERIES.encode(query)
+        data = jobqueries.QUERIES.encode(query)
         answer = self.client.query(make_group_id(group), data, deadline)
         return decode_reply(answer)
 
@@ -176,6 +178,7 @@
                 first,
                 tuple(custom_ids[first:end]),
                 tuple(bodies[first:end]),
+                tuple(items.estimate_body(body) for body in bodies[first:end]),
             )
             reply = self.propose(group, chunk, deadline)
             if isinstance(reply, codes.Refusal):
@@ -184,14 +187,14 @@
 
     def get_job(self, job_id, account_id, deadline):
         """Return the `JobStatus` of a job or a refusal."""
-        query = jobcommands.GetJob(job_id, account_id)
+        query = jobqueries.GetJob(job_id, account_id)
         reply = self.query(self.get_group(job_id), query, deadline)
         return reply if isinstance(reply, codes.Refusal) else reply.status
 
     def list_jobs(self, account_id, after, limit, deadline):
         """Return jobs of an account over all groups, sorted by id."""
         found = []
-        query = jobcommands.ListJobs(account_id, after, limit)
+        query = jobqueries.ListJobs(account_id, after, limit)
         for group in range(self.job_groups):
             reply = self.query(group, query, deadline)
             if isinstance(reply, codes.Refusal):
@@ -227,7 +230,7 @@
         group = self.get_group(job_id)
         following = 0
         for _ in itertools.count():
-            query = jobcommands.GetResults(
+            query = jobqueries.GetResults(
                 job_id, account_id, following, page[0], page[1], failed
             )
             reply = self.query(group, query, get_deadline())
--- a/rhubarbreach/batch/window.py
+++ b/rhubarbreach/batch/window.py
@@ -2,7 +2,13 @@
 
 import dataclasses
 
-__all__ = ['Throughput', 'Window', 'choose_wanted', 'choose_backoff']
+__all__ = [
+    'Throughput',
+    'Window',
+    'choose_backoff',
+    'choose_wanted',
+    'plan_claims',
+]
 
 # Seconds of work kept claimed ahead. It covers one commit of a claim with
 # ample reserve; a lost host delays no more items than these and those that
@@ -71,6 +77,37 @@
     return free if free >= ahead * CLAIM_FRACTION else 0
 
 
+def plan_claims(windows, requested):
+    """Return how many items to claim, and of which targets none.
+
+    Parameters
+    ----------
+    windows : dict of str to Window
+        State of each known target.
+    requested : int
+        Items asked for in claims that have not been answered.
+
+    Returns
+    -------
+    tuple of int and tuple of str
+        Items, and the targets that have enough. While there is room, some
+        items of targets not seen before are wanted.
+    """
+    wanted = 0
+    used = requested
+    excluded = []
+    for name, state in windows.items():
+        waiting = state.waiting
+        used += state.outstanding if waiting is None else waiting
+        more = choose_wanted(state)
+        wanted = max(wanted, more)
+        if not more:
+            excluded.append(name)
+    if used < MAX_AHEAD:
+        wanted = max(wanted, MIN_AHEAD - requested)
+    return wanted, tuple(excluded)
+
+
 def choose_backoff(previous):
     """Return the seconds until the next claim after one without items."""
     return min(MAX_BACKOFF, max(MIN_BACKOFF, previous * BACKOFF_FACTOR))
--- a/rhubarbreach/bench/jobbench.py
+++ b/rhubarbreach/bench/jobbench.py
@@ -145,13 +145,12 @@
 
 
 def run_holder(jobs_store, name):
-    """Claim and end items like one host until none is left."""
+    """Claim and end items like one host; return when none is left."""
     stored = jobcommands.StoredResult(
         0, '', 200, 'application/json', b'r' * RESULT_BYTES
     )
     result = msgspec.msgpack.encode(stored)
     sequence = 0
-    ended = 0
     while True:
         sequence += 1
         command = jobcommands.ClaimItems(
@@ -161,7 +160,7 @@
         if isinstance(reply, codes.Refusal):
             raise RuntimeError(reply.reason)
         if not reply.claims:
-            return ended
+            return
         results = [
             jobcommands.ItemResult(
                 claim.epoch, item, jobcommands.ItemEnd.DONE, result
@@ -174,7 +173,24 @@
                 tuple(results[first : first + REPORT_ITEMS])
             )
             answer = jobs_store.propose(0, report, clock.monotonic() + TIMEOUT)
-            ended += sum(answer.taken)
+            if isinstance(answer, codes.Refusal):
+                raise RuntimeError(answer.reason)
+
+
+def count_ended(jobs_store, job_count):
+    """Return the items that have a result, as the jobs tell.
+
+    The replies to reports do not tell it: a report whose first reply was
+    lost is repeated, and its items are then no longer under their claim.
+    """
+    return sum(
+        jobs_store.get_job(
+            make_begin(number, 0).job_id,
+            make_begin(number, 0).account_id,
+            clock.monotonic() + TIMEOUT,
+        ).done
+        for number in range(job_count)
+    )
 
 
 def run_jobs(jobs_store, job_count, item_count, holders):
@@ -199,13 +215,14 @@
     gained = get_resident() - before
     started = time.monotonic()
     with concurrent.futures.ThreadPoolExecutor(holders) as pool:
-        ended = sum(
+        list(
             pool.map(
                 lambda number: run_holder(jobs_store, f'host-{number}#1'),
                 range(holders),
             )
         )
     spent = time.monotonic() - started
+    ended = count_ended(jobs_store, job_count)
     if ended != total:
         raise RuntimeError(f'{ended} of {total} items ended')
     return stored, gained, spent
--- a/rhubarbreach/state/__init__.py
+++ b/rhubarbreach/state/__init__.py
@@ -9,6 +9,7 @@
 from rhubarbreach.state import jobqueries
 from rhubarbreach.state import jobs
 from rhubarbreach.state import jobshares
+from rhubarbreach.state import jobuploads
 from rhubarbreach.state import logicaltime
 from rhubarbreach.state import model
 from rhubarbreach.state import pack
@@ -26,6 +27,7 @@
     'jobqueries',
     'jobs',
     'jobshares',
+    'jobuploads',
     'logicaltime',
     'model',
     'pack',
--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -1,4 +1,4 @@
-"""Commands, queries and replies of the job groups."""
+"""Commands and replies of the job groups."""
 
 import dataclasses
 import enum
@@ -19,8 +19,6 @@
     'ClaimItems',
     'ClaimReply',
     'Claimed',
-    'GetJob',
-    'GetResults',
     'ItemEnd',
     'ItemResult',
     'ItemState',
@@ -28,9 +26,7 @@
     'JobState',
     'JobStatus',
     'LeasedItems',
-    'ListJobs',
     'ListReply',
-    'QUERIES',
     'REPLIES',
     'ReleaseItems',
     'RenewClaims',
@@ -153,13 +149,17 @@
 
 @frozen
 class AddItems:
-    """Add a chunk of items; the first has the index `first`."""
+    """Add a chunk of items; the first has the index `first`.
+
+    `costs` are estimated costs in tokens, for fair claiming.
+    """
 
     job_id: str
     digest: bytes
     first: int
     custom_ids: tuple[str, ...]
     bodies: tuple[bytes, ...]
+    costs: tuple[int, ...]
 
 
 @frozen
@@ -253,41 +253,6 @@
 )
 
 
-@frozen
-class GetJob:
-    """Ask for the status of a job of an account."""
-
-    job_id: str
-    account_id: str
-
-
-@frozen
-class ListJobs:
-    """Ask for jobs of an account, in the order of their ids."""
-
-    account_id: str
-    after: str
-    limit: int
-
-
-@frozen
-class GetResults:
-    """Ask for final items from an index on, bounded by count and bytes.
-
-    `failed` asks only for items without a result.
-    """
-
-    job_id: str
-    account_id: str
-    first: int
-    limit: int
-    max_bytes: int
-    failed: bool
-
-
-QUERIES = tagged.Family(GetJob, ListJobs, GetResults)
-
-
 @frozen
 class JobStatus:
     """Status of a job; counts are numbers of items."""
--- a/rhubarbreach/state/jobimage.py
+++ b/rhubarbreach/state/jobimage.py
@@ -37,6 +37,7 @@
     attempts: bytes
     losses: bytes
     epochs: bytes
+    costs: bytes
     custom_ids: tuple[pack.SegmentImage, ...]
     bodies: tuple[pack.SegmentImage, ...]
     results: tuple[pack.SegmentImage, ...]
@@ -72,6 +73,7 @@
         job.attempts.tobytes(),
         job.losses.tobytes(),
         job.epochs.tobytes(),
+        job.costs.tobytes(),
         job.custom_ids.make_image(),
         job.bodies.make_image(),
         job.results.make_image(),
@@ -91,6 +93,8 @@
     job.losses = array.array('B', image.losses)
     job.epochs = array.array('Q')
     job.epochs.frombytes(image.epochs)
+    job.costs = array.array('I')
+    job.costs.frombytes(image.costs)
     job.counts = [image.states.count(state) for state in jobcommands.ItemState]
     job.custom_ids = pack.Pack.from_image(image.custom_ids)
     job.bodies = pack.Pack.from_image(image.bodies)
--- a/rhubarbreach/state/jobitems.py
+++ b/rhubarbreach/state/jobitems.py
@@ -16,6 +16,8 @@
 # A lost claim does not say which of its items was to blame, so that it takes
 # many before an item fails. Items fail on their own attempts much earlier.
 MAX_LOST_CLAIMS = 16
+# Largest cost that its column holds.
+MAX_COST = 0xFFFFFFFF
 ENCODER = msgspec.msgpack.Encoder()
 CANCEL_TABLE = bytes(
     {
@@ -71,6 +73,7 @@
         self.attempts = array.array('B')
         self.losses = array.array('B')
         self.epochs = array.array('Q')
+        self.costs = array.array('I')
         self.custom_ids = pack.Pack()
         self.bodies = pack.Pack()
         self.results = pack.Pack()
@@ -80,9 +83,11 @@
         """Number of items added so far."""
         return len(self.states)
 
-    def add(self, custom_ids, bodies):
+    def add(self, custom_ids, bodies, costs):
         """Add items at the end."""
-        for custom_id, body in zip(custom_ids, bodies, strict=True):
+        for custom_id, body, cost in zip(
+            custom_ids, bodies, costs, strict=True
+        ):
             index = len(self.states)
             self.custom_ids.set(index, custom_id.encode())
             self.bodies.set(index, body)
@@ -90,6 +95,7 @@
             self.attempts.append(0)
             self.losses.append(0)
             self.epochs.append(0)
+            self.costs.append(min(max(cost, 1), MAX_COST))
         self.counts[State.PENDING] = len(self.states)
 
     def has_pending(self):
@@ -118,6 +124,10 @@
             taken.append(index)
         return taken
 
+    def get_cost(self, indexes):
+        """Return the estimated cost of some items in tokens."""
+        return sum(self.costs[index] for index in indexes)
+
     def move(self, index, state):
         """Change the state of an item."""
         self.counts[self.states[index]] -= 1
--- a/rhubarbreach/state/jobqueries.py
+++ b/rhubarbreach/state/jobqueries.py
@@ -1,11 +1,57 @@
 """Queries of a job group, answered without a command."""
 
+import dataclasses
+
 from rhubarbreach import codes
+from rhubarbreach.protocol import tagged
 from rhubarbreach.state import jobcommands
 
-__all__ = ['answer_query', 'make_not_found']
+__all__ = [
+    'GetJob',
+    'GetResults',
+    'ListJobs',
+    'QUERIES',
+    'answer_query',
+    'make_not_found',
+]
 
 State = jobcommands.ItemState
+frozen = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@frozen
+class GetJob:
+    """Ask for the status of a job of an account."""
+
+    job_id: str
+    account_id: str
+
+
+@frozen
+class ListJobs:
+    """Ask for jobs of an account, in the order of their ids."""
+
+    account_id: str
+    after: str
+    limit: int
+
+
+@frozen
+class GetResults:
+    """Ask for final items from an index on, bounded by count and bytes.
+
+    `failed` asks only for items without a result.
+    """
+
+    job_id: str
+    account_id: str
+    first: int
+    limit: int
+    max_bytes: int
+    failed: bool
+
+
+QUERIES = tagged.Family(GetJob, ListJobs, GetResults)
 
 
 def make_not_found(job_id):
@@ -22,7 +68,7 @@
     machine : JobsMachine
         Where the jobs are.
     query : object
-        One of `jobcommands.QUERIES`.
+        One of `QUERIES`.
 
     Returns
     -------
@@ -30,14 +76,14 @@
         One of `jobcommands.REPLIES`.
     """
     match query:
-        case jobcommands.GetJob():
+        case GetJob():
             job = machine.find(query.job_id, query.account_id)
             if job is None:
                 return jobcommands.JobReply(None, make_not_found(query.job_id))
             return jobcommands.JobReply(job.make_status())
-        case jobcommands.ListJobs():
+        case ListJobs():
             return list_jobs(machine, query)
-        case jobcommands.GetResults():
+        case GetResults():
             return get_results(machine, query)
     raise TypeError(f'not a query: {query!r}')
 
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -5,12 +5,12 @@
 
 import threading
 
-from rhubarbreach import codes
 from rhubarbreach.state import jobcommands
 from rhubarbreach.state import jobimage
 from rhubarbreach.state import jobitems
 from rhubarbreach.state import jobqueries
 from rhubarbreach.state import jobshares
+from rhubarbreach.state import jobuploads
 from rhubarbreach.state import logicaltime
 
 __all__ = ['JobsMachine', 'UPLOAD_TIMEOUT']
@@ -60,7 +60,7 @@
 
     def query(self, query):
         """Answer an encoded query with an encoded reply."""
-        decoded = jobcommands.QUERIES.decode(query)
+        decoded = jobqueries.QUERIES.decode(query)
         with self.lock:
             reply = jobqueries.answer_query(self, decoded)
         return jobcommands.REPLIES.encode(reply)
@@ -89,11 +89,11 @@
             case jobcommands.ReleaseItems():
                 return self.release(command)
             case jobcommands.AddItems():
-                return self.add(command)
+                return jobuploads.add_items(self, command)
             case jobcommands.BeginJob():
-                return self.begin(command)
+                return jobuploads.begin_job(self, command)
             case jobcommands.SealJob():
-                return self.seal(command)
+                return jobuploads.seal_job(self, command)
             case jobcommands.CancelJob():
                 return self.cancel(command)
             case logicaltime.Tick():
@@ -135,62 +135,6 @@
             job.state = JobState.COMPLETED
             job.changed_at = self.time
 
-    # Upload.
-
-    def begin(self, command):
-        """Open a job, or return the one with the same id and digest."""
-        job = self.jobs.get(command.job_id)
-        if job is None:
-            job = jobitems.Job(command, self.next_sequence)
-            job.changed_at = self.time
-            self.next_sequence += 1
-            self.insert(job)
-        return self.reply_upload(job, command)
-
-    def reply_upload(self, job, command):
-        """Return the status of an upload or its conflict."""
-        if job is None:
-            return jobcommands.JobReply(
-                None, jobqueries.make_not_found(command.job_id)
-            )
-        if job.begin.digest != command.digest:
-            return jobcommands.JobReply(
-                None,
-                codes.Refusal(
-                    codes.ResultCode.JOB_CONFLICT,
-                    'another job was sent with the same id',
-                ),
-            )
-        return jobcommands.JobReply(job.make_status())
-
-    def add(self, command):
-        """Add the items of a chunk that are not there yet."""
-        job = self.jobs.get(command.job_id)
-        if job is not None and job.begin.digest == command.digest:
-            skip = job.added - command.first
-            end = command.first + len(command.bodies)
-            is_open = job.state == JobState.UPLOADING
-            matching = len(command.custom_ids) == len(command.bodies)
-            fits = skip >= 0 and end <= job.begin.item_count
-            if is_open and fits and matching:
-                job.add(command.custom_ids[skip:], command.bodies[skip:])
-                job.changed_at = self.time
-        return self.reply_upload(job, command)
-
-    def seal(self, command):
-        """Accept a job if all of its items are there."""
-        job = self.jobs.get(command.job_id)
-        if (
-            job is not None
-            and job.begin.digest == command.digest
-            and job.state == JobState.UPLOADING
-            and job.added == job.begin.item_count
-        ):
-            job.state = JobState.RUNNING
-            job.changed_at = self.time
-            self.refresh(job)
-        return self.reply_upload(job, command)
-
     # Claims.
 
     def claim(self, command):
@@ -223,7 +167,7 @@
             taken = job.take(min(limit, jobshares.SLICE_ITEMS), size)
             limit -= len(taken)
             size -= sum(job.bodies.get_size(index) for index in taken)
-            self.shares.charge(job, len(taken))
+            self.shares.charge(job, job.get_cost(taken))
             self.refresh(job)
             chosen.setdefault(job.begin.job_id, []).extend(taken)
         expires_at = self.time + command.duration + logicaltime.MAX_STEP
@@ -356,7 +300,7 @@
             for index in held:
                 job.give_back(index)
                 self.settle(leased.epoch)
-            self.shares.refund(job, len(held))
+            self.shares.charge(job, -job.get_cost(held))
             if held and command.delay:
                 job.not_before = self.time + command.delay
             self.refresh(job)
@@ -409,7 +353,7 @@
             if job.is_held(index, epoch):
                 job.lose(index)
                 if job.states[index] == State.PENDING:
-                    self.shares.refund(job, 1)
+                    self.shares.charge(job, -job.costs[index])
         del self.claims[epoch]
         self.refresh(job)
 
--- a/rhubarbreach/state/jobshares.py
+++ b/rhubarbreach/state/jobshares.py
@@ -6,6 +6,7 @@
 
 # Items taken from a job before the next account is considered.
 SLICE_ITEMS = 16
+MIN_WEIGHT = 1e-6
 
 
 class ShareImage(msgspec.Struct, frozen=True, array_like=True):
@@ -75,17 +76,20 @@
                 return job
         return None
 
-    def charge(self, job, items):
-        """Charge the account of a job for claimed items."""
-        weight = max(job.begin.weight, 1e-6)
-        self.served[job.begin.account_id] += items / weight
+    def charge(self, job, cost):
+        """Charge the account of a job for claimed items.
 
-    def refund(self, job, items):
-        """Take back the charge for items that were handed back."""
+        Parameters
+        ----------
+        job : Job
+            Job that was claimed from.
+        cost : int
+            Estimated tokens; negative for items that were handed back.
+        """
         account_id = job.begin.account_id
         if account_id in self.served:
-            weight = max(job.begin.weight, 1e-6)
-            self.served[account_id] -= items / weight
+            weight = max(job.begin.weight, MIN_WEIGHT)
+            self.served[account_id] += cost / weight
 
     def trim(self):
         """Forget accounts that resume at the virtual time anyway."""
--- a/rhubarbreach/state/tests/test_jobs.py
+++ b/rhubarbreach/state/tests/test_jobs.py
@@ -4,6 +4,7 @@
 
 from rhubarbreach import codes
 from rhubarbreach.state import jobcommands
+from rhubarbreach.state import jobqueries
 from rhubarbreach.state import jobs
 from rhubarbreach.state import logicaltime
 
@@ -51,17 +52,21 @@
 
     def ask(self, query):
         """Return the decoded reply to a query."""
-        data = jobcommands.QUERIES.encode(query)
+        data = jobqueries.QUERIES.encode(query)
         return jobcommands.REPLIES.decode(self.machine.query(data))
 
     def submit(self, **fields):
         """Store a job whole and return its last reply."""
+        cost = fields.pop('cost', 10)
         begin = make_begin(**fields)
         self.propose(begin)
         names = tuple(f'c{number}' for number in range(begin.item_count))
         bodies = tuple(name.encode() * 9 for name in names)
+        costs = (cost,) * len(names)
         self.propose(
-            jobcommands.AddItems(begin.job_id, begin.digest, 0, names, bodies)
+            jobcommands.AddItems(
+                begin.job_id, begin.digest, 0, names, bodies, costs
+            )
         )
         return self.propose(jobcommands.SealJob(begin.job_id, begin.digest))
 
@@ -85,7 +90,7 @@
 
     def get_status(self, job_id='job-1', account_id='a'):
         """Return the status of a job."""
-        return self.ask(jobcommands.GetJob(job_id, account_id)).status
+        return self.ask(jobqueries.GetJob(job_id, account_id)).status
 
     def reload(self):
         """Replace the machine by one restored from its snapshot."""
@@ -113,10 +118,10 @@
 def test_incomplete_upload_is_not_accepted(group):
     """A job without all items must not be claimed from, and ends."""
     group.propose(make_begin())
-    chunk = jobcommands.AddItems('job-1', b'd', 0, ('x',), (b'1',))
+    chunk = jobcommands.AddItems('job-1', b'd', 0, ('x',), (b'1',), (1,))
     assert group.propose(chunk).status.added == 1
     assert group.propose(chunk).status.added == 1
-    gap = jobcommands.AddItems('job-1', b'd', 2, ('z',), (b'3',))
+    gap = jobcommands.AddItems('job-1', b'd', 2, ('z',), (b'3',), (1,))
     assert group.propose(gap).status.added == 1
     reply = group.propose(jobcommands.SealJob('job-1', b'd'))
     assert reply.status.state == jobcommands.JobState.UPLOADING
@@ -248,15 +253,16 @@
 
 
 def test_accounts_are_claimed_from_fairly(group):
-    """A large job of one account must not starve another account."""
+    """No account may get more tokens by more or by dearer items."""
     group.submit(job_id='big', account_id='a', count=600)
     group.submit(job_id='small', account_id='b', count=600)
-    taken = {'a': 0, 'b': 0}
-    for sequence in range(1, 6):
+    group.submit(job_id='dear', account_id='c', count=600, cost=40)
+    taken = {'a': 0, 'b': 0, 'c': 0}
+    for sequence in range(1, 10):
         for claimed in group.claim(sequence=sequence, limit=64):
             taken[claimed.account_id] += len(claimed.items)
-    assert taken == {'a': 160, 'b': 160}
-    assert group.claim(sequence=9, excluded=('m',)) == ()
+    assert taken == {'a': 256, 'b': 256, 'c': 64}
+    assert group.claim(sequence=10, excluded=('m',)) == ()
 
 
 def test_lost_hosts_do_not_fail_items_early(group):
@@ -293,13 +299,13 @@
     rows = []
     first = 0
     while first >= 0:
-        query = jobcommands.GetResults('job-1', 'a', first, 7, 500, False)
+        query = jobqueries.GetResults('job-1', 'a', first, 7, 500, False)
         page = group.ask(query)
         assert len(page.rows) <= 5
         rows.extend(page.rows)
         first = page.following
     assert [row.custom_id for row in rows] == [f'c{n}' for n in range(30)]
-    query = jobcommands.GetResults('job-1', 'a', 0, 99, 1 << 20, True)
+    query = jobqueries.GetResults('job-1', 'a', 0, 99, 1 << 20, True)
     assert [row.item for row in group.ask(query).rows] == [0, 10, 20]
     assert group.machine.jobs['job-1'].bodies.get_bytes() == 0
     group.pass_time(RETENTION + 1000)
