Retry failed items after growing delays

Cause: an outage of the endpoints of a few seconds used up all attempts of an item, which then ended as failed. Change: a failed item is tried again after 1, 5 and 25 s, four attempts in all, without holding up its job; a refused item delays the next claim; a drain always keeps 5 s for handing items back.

--- a/rhubarbreach/batch/api.py
+++ b/rhubarbreach/batch/api.py
@@ -28,7 +28,10 @@
 PAGE = (2000, 400 * 1024)
 LIST_LIMIT = 20
 MAX_LIST_LIMIT = 100
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 4
+# Milliseconds until a failed item is tried again; with the factor of the
+# job groups the attempts of an item spread over half a minute.
+RETRY_DELAY = 1000
 MILLISECONDS = 1000
 
 Code = codes.ResultCode
@@ -138,6 +141,7 @@
             checked.idempotent,
             caller.weight,
             MAX_ATTEMPTS,
+            RETRY_DELAY,
             int(self.settings.retention * MILLISECONDS),
             time.time(),
         )
--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -26,9 +26,9 @@
 # Tokens assumed for an answer when the item does not bound them.
 DEFAULT_MAX_TOKENS = 256
 BYTES_PER_TOKEN = 4
-# Milliseconds for which a job is not claimed after its item found no
-# endpoint.
-NO_ENDPOINT_DELAY = 2000
+# Milliseconds for which a job is not claimed after its item was refused,
+# so that it is not claimed and refused over and over.
+REFUSED_DELAY = 2000
 # Statuses that say nothing about the item itself.
 TRANSIENT_STATUSES = frozenset((408, 425, 429))
 JSON_HEADERS = (('Content-Type', 'application/json'),)
@@ -49,7 +49,8 @@
         Code.BODY_TOO_LARGE,
     )
 )
-DELAYED_CODES = frozenset((Code.NO_ENDPOINT, Code.QUEUE_FULL))
+# Reasons of this host that do not concern the job.
+UNDELAYED_CODES = frozenset((Code.CANCELLED, Code.DRAINING))
 
 
 class BodyFields(msgspec.Struct):
@@ -235,8 +236,8 @@
     if refusal.code in FINAL_CODES:
         return end_item(held, End.FAILED, refusal)
     if refusal.ran == codes.Ran.NO:
-        late = refusal.code in DELAYED_CODES
-        return Released(held, NO_ENDPOINT_DELAY if late else 0)
+        soon = refusal.code in UNDELAYED_CODES
+        return Released(held, 0 if soon else REFUSED_DELAY)
     if refusal.code == Code.CANCELLED and held.idempotent:
         return Released(held, 0)
     return end_item(held, make_end(held), refusal)
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -23,6 +23,8 @@
 # Seconds for an item from its hand-over to the executor, with its wait for
 # an endpoint.
 ITEM_TIMEOUT = 600.0
+# Seconds for handing items back at the end of a drain.
+HANDBACK_TIME = 5.0
 # Bytes of bodies in one claim; the reply stays below 1 MiB.
 CLAIM_BYTES = 512 * 1024
 # Seconds between two looks at what is due.
@@ -347,7 +349,8 @@
         ----------
         finish_by : float
             Monotonic deadline for items that may run again; they are then
-            cancelled and handed back.
+            cancelled and handed back, at the latest `HANDBACK_TIME` before
+            the deadline of the drain.
         deadline : float
             Monotonic deadline of the whole drain.
 
@@ -357,6 +360,7 @@
             Whether nothing is left.
         """
         self.draining = True
+        finish_by = min(finish_by, deadline - HANDBACK_TIME)
         if not self.wait_until(self.is_idle, finish_by):
             self.cancel_repeatable()
         return self.wait_until(self.is_idle, deadline)
--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -38,6 +38,7 @@
         item_count=count,
         weight=1.0,
         max_attempts=3,
+        retry_delay=0,
         retention=60_000,
         created_at=0.0,
         **values,
--- a/rhubarbreach/bench/jobbench.py
+++ b/rhubarbreach/bench/jobbench.py
@@ -120,6 +120,7 @@
         True,
         1.0,
         3,
+        1000,
         SECONDS_A_DAY * 1000,
         0.0,
     )
--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -126,6 +126,9 @@
         Weight of the account.
     max_attempts : int
         Attempts after which an item has failed.
+    retry_delay : int
+        Milliseconds until a failed item is tried again; each further attempt
+        waits `RETRY_FACTOR` times longer.
     retention : int
         Milliseconds to keep the job after its end.
     created_at : float
@@ -143,6 +146,7 @@
     idempotent: bool
     weight: float
     max_attempts: int
+    retry_delay: int
     retention: int
     created_at: float
 
--- a/rhubarbreach/state/jobimage.py
+++ b/rhubarbreach/state/jobimage.py
@@ -33,6 +33,7 @@
     not_before: int
     next_new: int
     returned: list[int]
+    delayed: list[tuple[int, int]]
     states: bytes
     attempts: bytes
     losses: bytes
@@ -69,6 +70,7 @@
         job.not_before,
         job.next_new,
         list(job.returned),
+        list(job.delayed),
         job.states.tobytes(),
         job.attempts.tobytes(),
         job.losses.tobytes(),
@@ -88,6 +90,7 @@
     job.not_before = image.not_before
     job.next_new = image.next_new
     job.returned = list(image.returned)
+    job.delayed = list(image.delayed)
     job.states = array.array('B', image.states)
     job.attempts = array.array('B', image.attempts)
     job.losses = array.array('B', image.losses)
--- a/rhubarbreach/state/jobitems.py
+++ b/rhubarbreach/state/jobitems.py
@@ -16,6 +16,9 @@
 # A lost claim does not say which of its items was to blame, so that it takes
 # many before an item fails. Items fail on their own attempts much earlier.
 MAX_LOST_CLAIMS = 16
+# Endpoints that are lost come back after a while; attempts at growing
+# distances outlast that.
+RETRY_FACTOR = 5
 # Largest cost that its column holds.
 MAX_COST = 0xFFFFFFFF
 ENCODER = msgspec.msgpack.Encoder()
@@ -68,6 +71,7 @@
         self.not_before = 0
         self.next_new = 0
         self.returned = []
+        self.delayed = []
         self.counts = [0] * len(State)
         self.states = array.array('B')
         self.attempts = array.array('B')
@@ -158,20 +162,33 @@
         self.results.set(index, result)
         self.bodies.drop(index)
 
-    def retry(self, index, result):
+    def retry(self, index, result, now):
         """End one attempt of an item.
 
         An item that may not run twice ends with outcome unknown, whatever
-        its holder says.
+        its holder says. Others become pending again after a delay, which
+        does not hold up the job.
         """
         if self.states[index] == State.STARTED:
             self.finish(index, State.UNKNOWN, result)
             return
-        self.attempts[index] = min(255, self.attempts[index] + 1)
-        if self.attempts[index] >= self.begin.max_attempts:
+        attempts = self.attempts[index] = min(255, self.attempts[index] + 1)
+        if attempts >= self.begin.max_attempts:
             self.finish(index, State.FAILED, result)
-        else:
+        elif not self.begin.retry_delay:
             self.give_back(index)
+        else:
+            self.move(index, State.PENDING)
+            delay = self.begin.retry_delay * RETRY_FACTOR ** (attempts - 1)
+            heapq.heappush(self.delayed, (now + delay, index))
+
+    def wake(self, now):
+        """Make delayed items pending; return whether there were any."""
+        due = 0
+        while self.delayed and self.delayed[0][0] <= now:
+            heapq.heappush(self.returned, heapq.heappop(self.delayed)[1])
+            due += 1
+        return due > 0
 
     def lose(self, index):
         """End the claim of an item whose holder is lost."""
@@ -195,6 +212,7 @@
         self.states = array.array('B', moved)
         self.counts = [moved.count(state) for state in State]
         self.returned = []
+        self.delayed = []
         self.next_new = self.added
         self.bodies.clear()
 
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -284,7 +284,7 @@
             case End.UNKNOWN:
                 job.finish(result.item, State.UNKNOWN, result.result)
             case End.RETRY:
-                job.retry(result.item, result.result)
+                job.retry(result.item, result.result, self.time)
 
     def release(self, command):
         """Make items pending again without counting an attempt."""
@@ -340,6 +340,8 @@
         for job in list(self.jobs.values()):
             if self.is_outdated(job):
                 self.delete(job)
+            elif job.wake(self.time):
+                self.refresh(job)
         for host_id, last in list(self.last_claims.items()):
             if last[2] + CLAIM_MEMORY <= self.time:
                 del self.last_claims[host_id]
--- a/rhubarbreach/state/tests/test_history.py
+++ b/rhubarbreach/state/tests/test_history.py
@@ -45,6 +45,7 @@
             digest=b'%d' % count,
             idempotent=job_id != 'job-3',
             retention=DAY,
+            retry_delay=500,
         )
         if job_id in self.accepted and self.accepted[job_id] != count:
             assert reply.status is None
--- a/rhubarbreach/state/tests/test_jobs.py
+++ b/rhubarbreach/state/tests/test_jobs.py
@@ -21,6 +21,7 @@
         'idempotent': True,
         'weight': 1.0,
         'max_attempts': 3,
+        'retry_delay': 0,
         'retention': RETENTION,
     }
     values.update(fields)
@@ -166,6 +167,22 @@
     assert status.state == 'completed'
 
 
+def test_failed_item_is_retried_after_a_delay(group):
+    """An outage of seconds must not use up all attempts of an item."""
+    group.submit(count=2, retry_delay=1000)
+    epoch = group.claim(limit=1)[0].epoch
+    assert group.report(epoch, 0, End.RETRY)
+    assert group.claim(sequence=2)[0].items == (1,)
+    group.pass_time(1000)
+    group.reload()
+    epoch = group.claim(sequence=3)[0].epoch
+    assert group.report(epoch, 0, End.RETRY)
+    group.pass_time(4500)
+    assert group.claim(sequence=4) == ()
+    group.pass_time(500)
+    assert group.report(group.claim(sequence=5)[0].epoch, 0)
+
+
 def test_released_items_count_no_attempt(group):
     """Preempted items must not use up their attempts."""
     group.submit(count=1)
