Leave refused items to other hosts

Cause: an item that one host could not place kept its whole job from being claimed by all hosts for two seconds. Change: the host itself claims no items of the target for a second; jobs have no delay of their own. Conclusion: a host without endpoints costs a job no time at other hosts.

--- a/rhubarbreach/batch/holdings.py
+++ b/rhubarbreach/batch/holdings.py
@@ -22,10 +22,11 @@
 class Target:
     """Items of one target that were handed to the executor."""
 
-    __slots__ = ('outstanding', 'throughput')
+    __slots__ = ('outstanding', 'throughput', 'refused_until')
 
     def __init__(self):
         self.outstanding = 0
+        self.refused_until = 0.0
         self.throughput = window.Throughput()
 
 
@@ -150,10 +151,32 @@
         with self.lock:
             return sum(target.outstanding for target in self.targets.values())
 
+    def refuse(self, name, until):
+        """Note that items of a target cannot run here until a time."""
+        with self.lock:
+            self.targets[name].refused_until = until
+
     def measure_targets(self, now):
-        """Return target name, outstanding items and rate of each target."""
+        """Return the state of each target by name.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to Window
+            Without what waits and what is requested.
+        """
         with self.lock:
-            return [
-                (name, target.outstanding, target.throughput.update(now))
+            return {
+                name: window.Window(
+                    target.outstanding,
+                    None,
+                    0,
+                    target.throughput.update(now),
+                    target.refused_until > now,
+                )
                 for name, target in self.targets.items()
-            ]
+            }
--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import logbook
 import msgspec
 
 from rhubarbreach import codes
@@ -19,16 +20,16 @@
     'make_call',
     'make_held',
     'make_request_id',
+    'read_end',
 ]
 
+LOG = logbook.Logger('batch')
+
 # Bound of a stored result, so that it fits into a command.
 MAX_RESULT_BYTES = 200 * 1024
 # Tokens assumed for an answer when the item does not bound them.
 DEFAULT_MAX_TOKENS = 256
 BYTES_PER_TOKEN = 4
-# Milliseconds for which a job is not claimed after its item was refused,
-# so that it is not claimed and refused over and over.
-REFUSED_DELAY = 2000
 # Statuses that say nothing about the item itself.
 TRANSIENT_STATUSES = frozenset((408, 425, 429))
 JSON_HEADERS = (('Content-Type', 'application/json'),)
@@ -50,7 +51,7 @@
     )
 )
 # Reasons of this host that do not concern the job.
-UNDELAYED_CODES = frozenset((Code.CANCELLED, Code.DRAINING))
+OWN_CODES = frozenset((Code.CANCELLED, Code.DRAINING))
 
 
 class BodyFields(msgspec.Struct):
@@ -91,10 +92,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Released:
-    """An item is handed back; `delay` in milliseconds, see `ReleaseItems`."""
+    """An item is handed back.
+
+    `refused` tells that this host had no way to run it, so that it should
+    not claim the like at once.
+    """
 
     held: Held
-    delay: int
+    refused: bool
 
 
 def make_held(group, claimed):
@@ -191,6 +196,18 @@
     )
 
 
+def read_end(future):
+    """Return the `CallResult` or `Refusal` of a call that has ended."""
+    if future.cancelled():
+        reason = 'withdrawn before it ran'
+        return codes.Refusal(Code.CANCELLED, reason)
+    error = future.exception()
+    if error is None:
+        return future.result()
+    LOG.error('event=batch_call_failed error={!r}', str(error))
+    return codes.Refusal(Code.INTERNAL, str(error), codes.Ran.UNKNOWN)
+
+
 def judge_end(held, answer):
     """Return what the end of a call means for its item.
 
@@ -236,10 +253,9 @@
     if refusal.code in FINAL_CODES:
         return end_item(held, End.FAILED, refusal)
     if refusal.ran == codes.Ran.NO:
-        soon = refusal.code in UNDELAYED_CODES
-        return Released(held, 0 if soon else REFUSED_DELAY)
+        return Released(held, refusal.code not in OWN_CODES)
     if refusal.code == Code.CANCELLED and held.idempotent:
-        return Released(held, 0)
+        return Released(held, False)
     return end_item(held, make_end(held), refusal)
 
 
--- a/rhubarbreach/batch/outbox.py
+++ b/rhubarbreach/batch/outbox.py
@@ -83,7 +83,7 @@
         `ReportResults` and `ReleaseItems` commands.
     """
     results = []
-    released = collections.defaultdict(lambda: collections.defaultdict(list))
+    released = collections.defaultdict(list)
     for end in batch:
         match end:
             case items.Ended(held=held):
@@ -93,14 +93,14 @@
                     )
                 )
             case items.Released(held=held):
-                released[end.delay][held.epoch].append(held.item)
+                released[held.epoch].append(held.item)
     commands = []
     if results:
         commands.append(jobcommands.ReportResults(tuple(results)))
-    for delay, by_epoch in released.items():
+    if released:
         claims = tuple(
             jobcommands.LeasedItems(epoch, tuple(indexes))
-            for epoch, indexes in by_epoch.items()
+            for epoch, indexes in released.items()
         )
-        commands.append(jobcommands.ReleaseItems(claims, delay))
+        commands.append(jobcommands.ReleaseItems(claims))
     return commands
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -1,6 +1,7 @@
 """Batch runner of a host: claims items, runs them, reports results."""
 
 import concurrent.futures
+import dataclasses
 import threading
 
 import logbook
@@ -23,6 +24,9 @@
 # Seconds for an item from its hand-over to the executor, with its wait for
 # an endpoint.
 ITEM_TIMEOUT = 600.0
+# Seconds without claims for a target whose item was refused here, so that
+# it is not claimed and refused over and over. Other hosts may run it.
+REFUSED_SECONDS = 1.0
 # Seconds for handing items back at the end of a drain.
 HANDBACK_TIME = 5.0
 # Bytes of bodies in one claim; the reply stays below 1 MiB.
@@ -147,14 +151,14 @@
         """Return how many items to claim and the targets to leave out."""
         requested = sum(lane.requested for lane in self.lanes)
         windows = {}
-        for name, outstanding, rate in self.holdings.measure_targets(now):
+        for name, state in self.holdings.measure_targets(now).items():
             # The items of a job without a common model are counted under
             # no target here and under several in the scheduler.
             waiting = None
             if self.count_waiting is not None and name:
                 waiting = self.count_waiting(name)
-            windows[name] = window.Window(
-                outstanding, waiting, requested, rate
+            windows[name] = dataclasses.replace(
+                state, waiting=waiting, requested=requested
             )
         return window.plan_claims(windows, requested)
 
@@ -233,7 +237,7 @@
             if reply.ran == codes.Ran.NO:
                 now = clock.monotonic()
                 for one in held:
-                    lane.outbox.put(items.Released(one, 0), now)
+                    lane.outbox.put(items.Released(one, False), now)
             return []
         started = {index for leased in reply.claims for index in leased.items}
         return [one for one in held if one.item in started]
@@ -242,18 +246,7 @@
 
     def end(self, lane, held, future):
         """Queue the end of an item for its group."""
-        error = future.exception() if not future.cancelled() else None
-        if future.cancelled():
-            answer = codes.Refusal(
-                codes.ResultCode.CANCELLED, 'withdrawn before it ran'
-            )
-        elif error is not None:
-            LOG.error('event=batch_item_failed error={!r}', str(error))
-            answer = codes.Refusal(
-                codes.ResultCode.INTERNAL, str(error), codes.Ran.UNKNOWN
-            )
-        else:
-            answer = future.result()
+        answer = items.read_end(future)
         if not self.holdings.end(held):
             self.metrics.count('batch_results_dropped_total')
             return
@@ -262,7 +255,10 @@
         if isinstance(ended, items.Ended):
             kind = ended.end.name.lower()
         self.metrics.count('batch_items_ended_total', kind=kind)
-        lane.outbox.put(ended, clock.monotonic())
+        now = clock.monotonic()
+        if isinstance(ended, items.Released) and ended.refused:
+            self.holdings.refuse(held.target, now + REFUSED_SECONDS)
+        lane.outbox.put(ended, now)
 
     def is_report_due(self, lane, now):
         """Return whether ends should be reported to a group now."""
--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -235,6 +235,18 @@
     assert len(other.ran) == 30 - len(executor.ran)
 
 
+def test_refused_target_is_left_to_other_hosts(bench):
+    """A host without endpoints must not claim the same items in a loop."""
+    refusal = codes.Refusal(codes.ResultCode.NO_ENDPOINT, 'none')
+    executor = fakes.FakeExecutor(lambda one: refusal)
+    bench.submit('job-1', 40)
+    bench.start(executor)
+    wait_for(lambda: executor.ran)
+    bench.start(fakes.FakeExecutor(), 'h2#1')
+    assert bench.wait_state('job-1').done == 40
+    assert len(executor.ran) <= 80
+
+
 def test_rejected_item_ends_with_its_answer(bench):
     """A rejected item must not be repeated and must name its reason."""
 
--- a/rhubarbreach/batch/window.py
+++ b/rhubarbreach/batch/window.py
@@ -44,12 +44,15 @@
         Items asked for in claims that have not been answered.
     rate : float
         Items per second that ended lately.
+    refused : bool
+        Whether such items cannot run here at present.
     """
 
     outstanding: int
     waiting: int | None
     requested: int
     rate: float
+    refused: bool = False
 
 
 def choose_wanted(window):
@@ -66,6 +69,8 @@
         Items; 0 unless a worthwhile part of the window is free, so that
         claims do not become one commit for each item.
     """
+    if window.refused:
+        return 0
     if window.waiting is None:
         ahead = DEFAULT_OUTSTANDING
         used = window.outstanding
--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -226,13 +226,9 @@
 
 @frozen
 class ReleaseItems:
-    """Hand items back that did not run or may run again.
-
-    `delay` in milliseconds keeps their jobs from being claimed meanwhile.
-    """
+    """Hand items back that did not run or may run again."""
 
     claims: tuple[LeasedItems, ...]
-    delay: int = 0
 
 
 @frozen
--- a/rhubarbreach/state/jobimage.py
+++ b/rhubarbreach/state/jobimage.py
@@ -30,7 +30,6 @@
     sequence: int
     state: jobcommands.JobState
     changed_at: int
-    not_before: int
     next_new: int
     returned: list[int]
     delayed: list[tuple[int, int]]
@@ -67,7 +66,6 @@
         job.sequence,
         job.state,
         job.changed_at,
-        job.not_before,
         job.next_new,
         list(job.returned),
         list(job.delayed),
@@ -87,7 +85,6 @@
     job = jobitems.Job(image.begin, image.sequence)
     job.state = image.state
     job.changed_at = image.changed_at
-    job.not_before = image.not_before
     job.next_new = image.next_new
     job.returned = list(image.returned)
     job.delayed = list(image.delayed)
--- a/rhubarbreach/state/jobitems.py
+++ b/rhubarbreach/state/jobitems.py
@@ -68,7 +68,6 @@
         self.sequence = sequence
         self.state = jobcommands.JobState.UPLOADING
         self.changed_at = 0
-        self.not_before = 0
         self.next_new = 0
         self.returned = []
         self.delayed = []
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -158,7 +158,7 @@
         size = command.max_bytes
         chosen = {}
         while limit > 0 and size > 0:
-            job = self.shares.choose(self.time, excluded)
+            job = self.shares.choose(excluded)
             if job is None:
                 break
             first = not chosen
@@ -301,8 +301,6 @@
                 job.give_back(index)
                 self.settle(leased.epoch)
             self.shares.charge(job, -job.get_cost(held))
-            if held and command.delay:
-                job.not_before = self.time + command.delay
             self.refresh(job)
         return jobcommands.Applied()
 
--- a/rhubarbreach/state/jobshares.py
+++ b/rhubarbreach/state/jobshares.py
@@ -48,13 +48,11 @@
         if account_id in self.ready and not jobs:
             del self.ready[account_id]
 
-    def choose(self, now, excluded):
+    def choose(self, excluded):
         """Return the next job to claim from or None.
 
         Parameters
         ----------
-        now : int
-            Logical time in milliseconds.
         excluded : frozenset of str
             Targets of which no items are wanted.
 
@@ -68,7 +66,7 @@
             jobs = self.ready[account_id]
             for sequence in sorted(jobs):
                 job = jobs[sequence]
-                if job.not_before > now or job.begin.target in excluded:
+                if job.begin.target in excluded:
                     continue
                 self.virtual_time = max(
                     self.virtual_time, self.served[account_id]
