Keep logical time at the pace of real time

Cause: after host-3 of three host processes was killed, its claims ended after 22 s in place of 11 s (trial with emulated engines): each tick counted from the time that the machine had before the previous tick was applied, so that every second tick advanced nothing. Change: a tick counts from the proposal of the last one that was applied.

--- a/rhubarbreach/batch/ticker.py
+++ b/rhubarbreach/batch/ticker.py
@@ -6,6 +6,7 @@
 import logbook
 
 from rhubarbreach import clock
+from rhubarbreach import codes
 from rhubarbreach.state import logicaltime
 
 __all__ = ['TICK_PERIOD', 'TickedGroup', 'Ticker']
@@ -27,6 +28,23 @@
     commands: object
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Anchor:
+    """Logical time in milliseconds at a monotonic time in seconds."""
+
+    time: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """A proposed tick, the time it leads to, and when it was proposed."""
+
+    future: object
+    target: int
+    at: float
+
+
 class Ticker:
     """Proposes ticks in each group that this host leads.
 
@@ -76,19 +94,33 @@
         """
         if not ticked.group.is_leader:
             self.anchors.pop(number, None)
+            self.pending.pop(number, None)
             return
         pending = self.pending.get(number)
-        if pending is not None and not pending.done():
-            return
-        anchor = self.anchors.get(number)
-        self.anchors[number] = (base, now)
-        if anchor is None:
-            return
-        elapsed = int((now - anchor[1]) * MILLISECONDS)
-        command = ticked.commands.encode(logicaltime.Tick(anchor[0], elapsed))
-        self.pending[number] = ticked.group.propose(
-            command, now + TICK_TIMEOUT
+        if pending is not None:
+            if not pending.future.done():
+                return
+            del self.pending[number]
+            if isinstance(pending.future.result(), codes.Refusal):
+                self.anchors.pop(number, None)
+            else:
+                # Measured on from the proposal, so that the time of its
+                # commit counts; time that the machine cut off is not made
+                # up for, since claims were given meanwhile.
+                reached = min(pending.target, ticked.machine.time)
+                self.anchors[number] = Anchor(reached, pending.at)
+        anchor = self.anchors.setdefault(number, Anchor(base, now))
+        if anchor.at < now:
+            self.propose(number, ticked, anchor, now)
+
+    def propose(self, number, ticked, anchor, now):
+        """Propose a tick for the time since an anchor."""
+        elapsed = int((now - anchor.at) * MILLISECONDS)
+        tick = logicaltime.Tick(anchor.time, elapsed)
+        future = ticked.group.propose(
+            ticked.commands.encode(tick), now + TICK_TIMEOUT
         )
+        self.pending[number] = Pending(future, anchor.time + elapsed, now)
 
     def close(self):
         """Stop proposing."""
