--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PYTEST_WORKERS ?= 4
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup lint format test demo bench slopes check-model known-red
+.PHONY: setup lint format test demo bench faults slopes check-model known-red
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -33,6 +33,9 @@
 bench: $(STAMP)
 	$(PY) -m rhubarbreach bench
 
+faults: $(STAMP)
+	$(PY) -m rhubarbreach faults
+
 slopes: $(STAMP)
 	$(PY) -m rhubarbreach slopes
 
--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -63,6 +63,12 @@
         """Measure the serving policy on real processes."""
         return importlib.import_module('rhubarbreach.bench.serve').run_bench
 
+    @property
+    def faults(self):
+        """Measure how faults are felt on real processes."""
+        name = 'rhubarbreach.bench.faultbench'
+        return importlib.import_module(name).run_faults
+
     @property
     def slopes(self):
         """Measure the slopes of docs/CAPACITY.md."""
