Report a host as not ready when it can serve nothing

Change: not ready when the configuration is not confirmed, no account has a longer bound and no route is open.

--- a/rhubarbreach/bench/faultbench.py
+++ b/rhubarbreach/bench/faultbench.py
@@ -5,6 +5,7 @@
 an availability zone is cut off for 20 s.
 """
 
+import collections
 import concurrent.futures
 import dataclasses
 import json
@@ -73,12 +74,15 @@
         Seconds from the start of the fault until the last bad one ended.
     unanswered : int
         Requests that were not answered although within their rate.
+    codes : str
+        Their result codes with counts; 0 for a broken connection.
     """
 
     fault: Fault
     bad_seconds: int
     recovered_after: float
     unanswered: int
+    codes: str
 
 
 FAULTS = (
@@ -132,18 +136,23 @@
 def measure_fault(samples, fault, end, limit):
     """Return the recovery from one fault."""
     bad = []
-    unanswered = 0
+    unanswered = collections.Counter()
     for second in range(int(fault.start), int(end)):
         within = [
             one for one in samples if second <= one.arrival.at < second + 1
         ]
-        missing = sum(is_unanswered(one) for one in within)
+        missing = collections.Counter(
+            one.code for one in within if is_unanswered(one)
+        )
         unanswered += missing
         first = [one.first_token for one in within if one.complete]
         if missing or figures.get_percentile(first, 0.95) > limit:
             bad.append(second)
     last = max(bad) + 1 - fault.start if bad else 0.0
-    return Recovery(fault, len(bad), last, unanswered)
+    names = ' '.join(
+        f'{code}:{count}' for code, count in sorted(unanswered.items())
+    )
+    return Recovery(fault, len(bad), last, unanswered.total(), names)
 
 
 class FaultRun:
@@ -308,13 +317,14 @@
 def print_recoveries(recoveries):
     """Print one line for each fault."""
     sys.stdout.write(
-        'fault                start  bad seconds  over after  unanswered\n'
+        'fault                start  bad seconds  over after  unanswered  '
+        'codes\n'
     )
     for one in recoveries:
         sys.stdout.write(
             f'{one.fault.name:20s} {one.fault.start:5.0f} '
             f'{one.bad_seconds:12d} {one.recovered_after:11.1f} '
-            f'{one.unanswered:11d}\n'
+            f'{one.unanswered:11d}  {one.codes}\n'
         )
 
 
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -320,6 +320,12 @@
         """Return why requests cannot be served here, or an empty string."""
         if not self.view.ready:
             return 'no configuration'
+        config = self.view.snapshot
+        extra = effect.get_longest_extra(config)
+        expired = clock.monotonic() >= self.view.valid_until + extra
+        if expired and not any(route.open for route in config.routes):
+            # Nothing can be served here, while hosts of other zones may.
+            return 'configuration not confirmed'
         return ''
 
     def open_operators(self):
