Check laws by mutation, and test one whole host

Cause: it was not shown that each law has a test that fails without its mechanism, and the daemon package had no tests.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PYTEST_WORKERS ?= 4
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup lint format test demo bench faults slopes check-model known-red
+.PHONY: setup lint format test demo bench faults slopes check-model check-laws known-red
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -43,5 +43,8 @@
 	command -v spin > /dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
 	$(PY) -m rhubarbreach.bench.modelcheck model
 
+check-laws: $(STAMP)
+	$(PY) -m rhubarbreach.bench.mutations
+
 known-red: $(STAMP)
 	$(PY) -m rhubarbreach.bench.knownred KNOWN-RED.txt
--- /dev/null
+++ b/rhubarbreach/daemon/tests/conftest.py
@@ -0,0 +1,114 @@
+"""One whole host in this process, with an emulated engine."""
+
+import hashlib
+import pathlib
+import socket
+import time
+import uuid
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach.daemon import host as host_module
+from rhubarbreach.emulator import endpoint
+from rhubarbreach.emulator import engine
+from rhubarbreach.settings import load
+from rhubarbreach.state import model
+
+START_SECONDS = 30.0
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def wait_for(condition):
+    """Wait until a condition holds."""
+    end = clock.monotonic() + START_SECONDS
+    while clock.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError('condition not reached')
+
+
+class Deployment:
+    """A store host that can be stopped and started again.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings and data.
+    """
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.http = find_address()
+        self.host = None
+        lines = [
+            '[host]',
+            'host_id = host-1',
+            'region = mx-centro',
+            'zone = zone-1',
+            'roles = entry, store',
+            f'http = {self.http}',
+            f'link = {find_address()}',
+            '[data]',
+            f'folder = {folder / "data"}',
+            '[store]',
+            'initial = host-1',
+            'job_groups = 1',
+            'heartbeat = 0.05',
+            'election_timeout = 0.2',
+        ]
+        self.settings_path = pathlib.Path(folder) / 'host.ini'
+        self.settings_path.write_text('\n'.join(lines), encoding='utf-8')
+
+    def start(self):
+        """Start the host and wait until it serves."""
+        settings = load.load_settings(str(self.settings_path))
+        self.host = host_module.Host(settings)
+        self.host.start()
+        wait_for(lambda: self.host.view.ready)
+
+    def change(self, change):
+        """Make one configuration change."""
+        command = model.encode_request(uuid.uuid4().hex, None, change)
+        deadline = clock.monotonic() + START_SECONDS
+        answer = self.host.provider.propose(command, deadline)
+        assert model.decode_result(answer).code == 0
+
+    def declare(self):
+        """Declare an account, a key, a model and routes."""
+        self.change(model.PutAccount(model.Account('school', 100.0, 100.0)))
+        digest = hashlib.sha256(b'key').digest()
+        self.change(model.PutKey(model.Key('key-1', 'school', digest)))
+        self.change(model.PutModel(model.Model('rota')))
+        self.change(
+            model.PutRoute(model.Route('completions', '/v1/completions'))
+        )
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    one = Deployment(tmp_path)
+    one.start()
+    one.declare()
+    yield one
+    one.host.close()
+
+
+@pytest.fixture
+def emulated(deployment):
+    settings = endpoint.EndpointSettings(
+        'engine-1', 'zone-1', find_address(), ('rota',), (deployment.http,)
+    )
+    one = endpoint.EngineEndpoint(
+        settings, engine.EngineSettings(slots=4, step_base=0.01)
+    )
+    registry = deployment.host.registry
+    wait_for(lambda: registry.usable('rota', clock.monotonic()))
+    yield one
+    one.close()
--- /dev/null
+++ b/rhubarbreach/daemon/tests/test_host.py
@@ -0,0 +1,121 @@
+"""Tests of one whole host in front of an emulated engine."""
+
+import concurrent.futures
+import http.client
+import json
+import time
+
+from rhubarbreach.bench import load
+from rhubarbreach.daemon.tests import conftest
+from rhubarbreach.state import model
+
+HEADERS = {'Authorization': 'Bearer key'}
+
+
+def request(deployment, method, path, body=None):
+    connection = http.client.HTTPConnection(deployment.http, timeout=30)
+    connection.request(method, path, body, HEADERS)
+    response = connection.getresponse()
+    return response.status, response.read()
+
+
+def send(deployment, prompt='plan', max_tokens=8):
+    arrival = load.Arrival(
+        0.0, 'school', 'key', '/v1/completions', prompt, max_tokens
+    )
+    return load.send_request(
+        lambda: deployment.http, arrival, 'rota', time.monotonic()
+    )
+
+
+def make_job(count):
+    lines = [
+        json.dumps(
+            {
+                'custom_id': f'item-{number}',
+                'method': 'POST',
+                'url': '/v1/completions',
+                'body': {'model': 'rota', 'prompt': 'p', 'max_tokens': 2},
+            }
+        )
+        for number in range(count)
+    ]
+    return '\n'.join(lines)
+
+
+def create_job(deployment, count):
+    status, data = request(deployment, 'POST', '/v1/batches', make_job(count))
+    assert status == 200, data
+    return json.loads(data)['id']
+
+
+def wait_completed(deployment, job_id):
+    def is_completed():
+        _, data = request(deployment, 'GET', f'/v1/batches/{job_id}')
+        return json.loads(data).get('status') == 'completed'
+
+    conftest.wait_for(is_completed)
+
+
+def test_whole_path(deployment, emulated):
+    """Guards against packages that do not fit together."""
+    sample = send(deployment)
+    assert (sample.status, sample.complete, sample.correct) == (
+        200,
+        True,
+        True,
+    )
+
+
+def test_drain_cuts_no_stream_and_refuses_new_requests(deployment, emulated):
+    """Guards against a shutdown that cuts what runs."""
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        running = [
+            pool.submit(send, deployment, f'plan {number}', 60)
+            for number in range(8)
+        ]
+        conftest.wait_for(lambda: emulated.engine.running)
+        drained = pool.submit(deployment.host.drain)
+        conftest.wait_for(lambda: deployment.host.application.draining)
+        samples = [future.result() for future in running]
+        assert drained.result()
+    assert all(one.complete and one.correct for one in samples)
+
+
+def test_results_of_a_job_survive_a_restart(deployment, emulated):
+    """Guards against accepted items that are lost with the process."""
+    job_id = create_job(deployment, 12)
+    wait_completed(deployment, job_id)
+    deployment.host.close()
+    deployment.start()
+    status, data = request(deployment, 'GET', f'/v1/batches/{job_id}/results')
+    rows = [json.loads(line) for line in data.splitlines()]
+    assert status == 200
+    assert sorted(row['custom_id'] for row in rows) == sorted(
+        f'item-{number}' for number in range(12)
+    )
+
+
+def test_revoked_key_is_refused_with_its_number(deployment, emulated):
+    """Guards against a key that works on after its revocation."""
+    deployment.change(model.RevokeKey('key-1'))
+    conftest.wait_for(lambda: send(deployment).status == 401)
+    sample = send(deployment)
+    assert (sample.code, sample.not_run) == (112, True)
+
+
+def test_host_that_can_serve_nothing_is_not_ready(deployment, emulated):
+    """Guards against a load balancer that keeps using a cut-off host."""
+    assert request(deployment, 'GET', '/readyz')[0] == 200
+    deployment.host.watcher.close()
+    conftest.wait_for(lambda: request(deployment, 'GET', '/readyz')[0] == 503)
+    assert send(deployment).code == 114
+
+
+def test_unknown_announcement_is_a_refusal(deployment):
+    """Guards against a traceback for a malformed announcement."""
+    status, data = request(
+        deployment, 'POST', '/internal/announce', '{"endpoint_id": 5}'
+    )
+    assert status == 400
+    assert json.loads(data)['error']['code'] == 100
