Ask relays for a fresh report while a query waits

A relay's report of the hosts below it came with its next poll, up to 0.6 s after the change. While a query for the effect of a change waits, polls of relays are answered after 0.1 s.

--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -23,6 +23,9 @@
 MAX_HOLD = 5.0
 MAX_WAIT = 60.0
 EFFECT_PERIOD = 0.1
+# While a query waits, polls of relays are answered after this time, so that
+# they soon report what the hosts below them use.
+QUERY_HOLD = 0.1
 # Looking through all hosts for a query takes at most a fifth of the time.
 EFFECT_PAUSE_FACTOR = 4
 # A query waits at least this long, for the leadership to be confirmed.
@@ -128,6 +131,15 @@
             self.view.revision > waiting.message.revision
             or self.renewed_at > waiting.received_at
             or now >= waiting.reply_by
+            or self.is_report_wanted(waiting, now)
+        )
+
+    def is_report_wanted(self, waiting, now):
+        """Return whether a query waits for the report of a relay."""
+        return (
+            bool(self.queries)
+            and waiting.message.downstream > 0
+            and now >= waiting.received_at + QUERY_HOLD
         )
 
     def run(self):
--- a/rhubarbreach/distribution/tests/test_effect.py
+++ b/rhubarbreach/distribution/tests/test_effect.py
@@ -89,6 +89,7 @@
     tracker.record_grant(made, 6, 12.5)
     assert find(tracker, 6, 11.0, extra=600.0) == []
     assert tracker.get_revisions() == {'entry': 6, 'relay': 6}
+    poll(tracker, 10.8, 6, host_id='entry')
     restarted = (messages.HostLag('entry', 2, 5, 1.5),)
     poll(tracker, 11.0, 6, downstream=1, below=restarted)
     assert find(tracker, 6, 11.0) == [('entry', 1.5)]
--- a/rhubarbreach/distribution/tests/test_watch.py
+++ b/rhubarbreach/distribution/tests/test_watch.py
@@ -126,9 +126,10 @@
     result = hosts.change(model.RevokeKey('key-1'))
     assert ask(hosts, result.revision).pending == ()
     hosts.hosts['store'].server.expected_hosts = lambda: ('entry', 'lost')
-    hosts.hosts['store'].tracker.record_poll(
-        messages.ConfigWatch('lost', 1, 2, 0.6), clock.monotonic() - 60
-    )
+    tracker = hosts.hosts['store'].tracker
+    lost, ago = messages.ConfigWatch('lost', 1, 2, 0.6), clock.monotonic() - 60
+    tracker.record_poll(lost, ago)
+    tracker.record_grant(lost, 2, ago + 2)
     hosts.group.term += 1
     early = ask(hosts, result.revision, timeout=0.0).pending
     assert [one.host_id for one in early] == ['lost']
