--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import logbook
 import msgspec
 
 from rhubarbreach import codes
@@ -14,21 +15,21 @@
     'Held',
     'MAX_RESULT_BYTES',
     'Released',
-    'estimate_cost',
+    'estimate_body',
     'judge_end',
     'make_call',
     'make_held',
     'make_request_id',
+    'read_end',
 ]
 
+LOG = logbook.Logger('batch')
+
 # Bound of a stored result, so that it fits into a command.
 MAX_RESULT_BYTES = 200 * 1024
 # Tokens assumed for an answer when the item does not bound them.
 DEFAULT_MAX_TOKENS = 256
 BYTES_PER_TOKEN = 4
-# Milliseconds for which a job is not claimed after its item found no
-# endpoint.
-NO_ENDPOINT_DELAY = 2000
 # Statuses that say nothing about the item itself.
 TRANSIENT_STATUSES = frozenset((408, 425, 429))
 JSON_HEADERS = (('Content-Type', 'application/json'),)
@@ -49,7 +50,8 @@
         Code.BODY_TOO_LARGE,
     )
 )
-DELAYED_CODES = frozenset((Code.NO_ENDPOINT, Code.QUEUE_FULL))
+# Reasons of this host that do not concern the job.
+OWN_CODES = frozenset((Code.CANCELLED, Code.DRAINING))
 
 
 class BodyFields(msgspec.Struct):
@@ -90,10 +92,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Released:
-    """An item is handed back; `delay` in milliseconds, see `ReleaseItems`."""
+    """An item is handed back.
+
+    `refused` tells that this host had no way to run it, so that it should
+    not claim the like at once.
+    """
 
     held: Held
-    delay: int
+    refused: bool
 
 
 def make_held(group, claimed):
@@ -129,10 +135,25 @@
     ]
 
 
-def estimate_cost(max_tokens, body):
+def estimate_cost(fields, body):
     """Return the estimated cost of an item in tokens."""
-    answer = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
-    return float(max(1, answer) + len(body) // BYTES_PER_TOKEN)
+    answer = fields.max_tokens
+    if answer is None:
+        answer = DEFAULT_MAX_TOKENS
+    return max(1, answer) + len(body) // BYTES_PER_TOKEN
+
+
+def read_fields(body):
+    """Return what can be read from the body of an item."""
+    try:
+        return BODY_DECODER.decode(body)
+    except msgspec.DecodeError:
+        return BodyFields()
+
+
+def estimate_body(body):
+    """Return the estimated cost of a body in tokens."""
+    return estimate_cost(read_fields(body), body)
 
 
 def make_request_id(held):
@@ -155,10 +176,7 @@
     Call
         In the batch lane; the request id names job, item and claim.
     """
-    try:
-        fields = BODY_DECODER.decode(held.body)
-    except msgspec.DecodeError:
-        fields = BodyFields()
+    fields = read_fields(held.body)
     return call.Call(
         request_id=make_request_id(held),
         account_id=held.account_id,
@@ -170,7 +188,7 @@
         stream=False,
         idempotent=held.idempotent,
         deadline=deadline,
-        cost=estimate_cost(fields.max_tokens, held.body),
+        cost=float(estimate_cost(fields, held.body)),
         weight=held.weight,
         job_id=held.job_id,
         item=held.item,
@@ -178,6 +196,18 @@
     )
 
 
+def read_end(future):
+    """Return the `CallResult` or `Refusal` of a call that has ended."""
+    if future.cancelled():
+        reason = 'withdrawn before it ran'
+        return codes.Refusal(Code.CANCELLED, reason)
+    error = future.exception()
+    if error is None:
+        return future.result()
+    LOG.error('event=batch_call_failed error={!r}', str(error))
+    return codes.Refusal(Code.INTERNAL, str(error), codes.Ran.UNKNOWN)
+
+
 def judge_end(held, answer):
     """Return what the end of a call means for its item.
 
@@ -223,10 +253,9 @@
     if refusal.code in FINAL_CODES:
         return end_item(held, End.FAILED, refusal)
     if refusal.ran == codes.Ran.NO:
-        late = refusal.code in DELAYED_CODES
-        return Released(held, NO_ENDPOINT_DELAY if late else 0)
+        return Released(held, refusal.code not in OWN_CODES)
     if refusal.code == Code.CANCELLED and held.idempotent:
-        return Released(held, 0)
+        return Released(held, False)
     return end_item(held, make_end(held), refusal)
 
 
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -1,33 +1,34 @@
 """Batch runner of a host: claims items, runs them, reports results."""
 
 import concurrent.futures
+import dataclasses
 import threading
 
 import logbook
 
 from rhubarbreach.batch import holdings
 from rhubarbreach.batch import items
-from rhubarbreach.batch import outbox
+from rhubarbreach.batch import lanes
 from rhubarbreach.batch import window
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.state import jobcommands
 
-__all__ = ['GroupLane', 'Runner']
+__all__ = ['Runner']
 
 LOG = logbook.Logger('batch')
 
 # Seconds between renewals. A renewal also tells of cancelled jobs whose
 # `CancelAttempts` message was lost.
 RENEW_PERIOD = 1.0
-# Seconds that a result waits for others before it is reported.
-REPORT_DELAY = 0.05
-# Seconds after which a failed exchange with a group is repeated.
-RETRY_DELAY = 0.2
-EXCHANGE_TIMEOUT = 5.0
 # Seconds for an item from its hand-over to the executor, with its wait for
 # an endpoint.
 ITEM_TIMEOUT = 600.0
+# Seconds without claims for a target whose item was refused here, so that
+# it is not claimed and refused over and over. Other hosts may run it.
+REFUSED_SECONDS = 1.0
+# Seconds for handing items back at the end of a drain.
+HANDBACK_TIME = 5.0
 # Bytes of bodies in one claim; the reply stays below 1 MiB.
 CLAIM_BYTES = 512 * 1024
 # Seconds between two looks at what is due.
@@ -36,24 +37,6 @@
 MILLISECONDS = 1000
 
 
-class GroupLane:
-    """What the runner has under way with one job group."""
-
-    def __init__(self, group):
-        self.group = group
-        self.outbox = outbox.Outbox()
-        self.sequence = 1
-        self.pending_claim = None
-        self.claim_at = 0.0
-        self.backoff = 0.0
-        self.renew_at = 0.0
-        self.report_at = 0.0
-        self.claiming = False
-        self.renewing = False
-        self.reporting = False
-        self.requested = 0
-
-
 class Runner:
     """Runs the batch items of one host.
 
@@ -84,7 +67,9 @@
         self.metrics = metrics
         self.count_waiting = count_waiting
         self.holdings = holdings.Holdings()
-        self.lanes = [GroupLane(number) for number in range(store.job_groups)]
+        self.lanes = [
+            lanes.GroupLane(number) for number in range(store.job_groups)
+        ]
         self.lock = threading.Lock()
         self.stopping = []
         self.wake = threading.Event()
@@ -165,24 +150,17 @@
     def plan_claims(self, now):
         """Return how many items to claim and the targets to leave out."""
         requested = sum(lane.requested for lane in self.lanes)
-        wanted = 0
-        excluded = []
-        used = 0
-        for name, outstanding, rate in self.holdings.measure_targets(now):
+        windows = {}
+        for name, state in self.holdings.measure_targets(now).items():
             # The items of a job without a common model are counted under
             # no target here and under several in the scheduler.
             waiting = None
             if self.count_waiting is not None and name:
                 waiting = self.count_waiting(name)
-            used += outstanding if waiting is None else waiting
-            state = window.Window(outstanding, waiting, requested, rate)
-            more = window.choose_wanted(state)
-            wanted = max(wanted, more)
-            if not more:
-                excluded.append(name)
-        if used + requested < window.MAX_AHEAD:
-            wanted = max(wanted, window.MIN_AHEAD - requested)
-        return wanted, tuple(excluded)
+            windows[name] = dataclasses.replace(
+                state, waiting=waiting, requested=requested
+            )
+        return window.plan_claims(windows, requested)
 
     def claim(self, lane, limit, excluded):
         """Claim items of a group and hand them to the executor."""
@@ -206,10 +184,10 @@
             )
         now = clock.monotonic()
         reply = self.store.propose(
-            lane.group, lane.pending_claim, now + EXCHANGE_TIMEOUT
+            lane.group, lane.pending_claim, now + lanes.EXCHANGE_TIMEOUT
         )
         if isinstance(reply, codes.Refusal):
-            lane.claim_at = clock.monotonic() + RETRY_DELAY
+            lane.claim_at = clock.monotonic() + lanes.RETRY_DELAY
             return
         lane.pending_claim = None
         lane.sequence += 1
@@ -253,13 +231,13 @@
         command = jobcommands.StartItems(
             (jobcommands.LeasedItems(claimed.epoch, claimed.items),)
         )
-        deadline = clock.monotonic() + EXCHANGE_TIMEOUT
+        deadline = clock.monotonic() + lanes.EXCHANGE_TIMEOUT
         reply = self.store.propose(lane.group, command, deadline)
         if isinstance(reply, codes.Refusal):
             if reply.ran == codes.Ran.NO:
                 now = clock.monotonic()
                 for one in held:
-                    lane.outbox.put(items.Released(one, 0), now)
+                    lane.outbox.put(items.Released(one, False), now)
             return []
         started = {index for leased in reply.claims for index in leased.items}
         return [one for one in held if one.item in started]
@@ -268,18 +246,7 @@
 
     def end(self, lane, held, future):
         """Queue the end of an item for its group."""
-        error = future.exception() if not future.cancelled() else None
-        if future.cancelled():
-            answer = codes.Refusal(
-                codes.ResultCode.CANCELLED, 'withdrawn before it ran'
-            )
-        elif error is not None:
-            LOG.error('event=batch_item_failed error={!r}', str(error))
-            answer = codes.Refusal(
-                codes.ResultCode.INTERNAL, str(error), codes.Ran.UNKNOWN
-            )
-        else:
-            answer = future.result()
+        answer = items.read_end(future)
         if not self.holdings.end(held):
             self.metrics.count('batch_results_dropped_total')
             return
@@ -288,54 +255,25 @@
         if isinstance(ended, items.Ended):
             kind = ended.end.name.lower()
         self.metrics.count('batch_items_ended_total', kind=kind)
-        lane.outbox.put(ended, clock.monotonic())
+        now = clock.monotonic()
+        if isinstance(ended, items.Released) and ended.refused:
+            self.holdings.refuse(held.target, now + REFUSED_SECONDS)
+        lane.outbox.put(ended, now)
 
     def is_report_due(self, lane, now):
         """Return whether ends should be reported to a group now."""
-        if now < lane.report_at:
-            return False
-        return lane.outbox.is_due(now, 0 if self.draining else REPORT_DELAY)
+        delay = 0 if self.draining else lanes.REPORT_DELAY
+        return lane.is_report_due(now, delay)
 
     def report(self, lane):
         """Report batches of ends until none is due."""
         try:
-            while self.report_batch(lane):
+            while lane.report_batch(self.store, self.metrics):
                 if not self.is_report_due(lane, clock.monotonic()):
                     return
         finally:
             lane.reporting = False
 
-    def report_batch(self, lane):
-        """Report one batch; return False when the group did not take it.
-
-        A report may be repeated: an end that was taken before is no longer
-        under its claim and is dropped.
-        """
-        batch = lane.outbox.take(clock.monotonic())
-        complete = False
-        try:
-            complete = all(
-                self.report_command(lane, command)
-                for command in outbox.make_commands(batch)
-            )
-        finally:
-            if not complete:
-                now = clock.monotonic()
-                lane.outbox.put_back(batch, now)
-                lane.report_at = now + RETRY_DELAY
-        return complete
-
-    def report_command(self, lane, command):
-        """Send one report; return whether it was committed."""
-        deadline = clock.monotonic() + EXCHANGE_TIMEOUT
-        reply = self.store.propose(lane.group, command, deadline)
-        if isinstance(reply, codes.Refusal):
-            return False
-        if isinstance(reply, jobcommands.ReportReply):
-            taken = sum(reply.taken)
-            self.metrics.count('batch_results_taken_total', taken)
-        return True
-
     # Renewal and cancellation.
 
     def renew_if_held(self, lane, now):
@@ -357,7 +295,7 @@
                 int(self.settings.claim_timeout * MILLISECONDS),
             )
             reply = self.store.propose(
-                lane.group, command, now + EXCHANGE_TIMEOUT
+                lane.group, command, now + lanes.EXCHANGE_TIMEOUT
             )
             if isinstance(reply, codes.Refusal):
                 return
@@ -407,7 +345,8 @@
         ----------
         finish_by : float
             Monotonic deadline for items that may run again; they are then
-            cancelled and handed back.
+            cancelled and handed back, at the latest `HANDBACK_TIME` before
+            the deadline of the drain.
         deadline : float
             Monotonic deadline of the whole drain.
 
@@ -417,6 +356,7 @@
             Whether nothing is left.
         """
         self.draining = True
+        finish_by = min(finish_by, deadline - HANDBACK_TIME)
         if not self.wait_until(self.is_idle, finish_by):
             self.cancel_repeatable()
         return self.wait_until(self.is_idle, deadline)
@@ -431,9 +371,8 @@
 
     def is_idle(self):
         """Return whether no item is outstanding or unreported."""
-        return not self.holdings.list_items() and not any(
-            lane.claiming or lane.reporting or len(lane.outbox)
-            for lane in self.lanes
+        return not self.holdings.list_items() and all(
+            lane.is_idle() for lane in self.lanes
         )
 
     def wait_until(self, condition, deadline):
