--- a/rhubarbreach/entry/tests/test_online.py
+++ b/rhubarbreach/entry/tests/test_online.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import threading
 
+import logbook
 import msgspec
 import pytest
 
@@ -183,12 +184,22 @@
 
 
 def test_no_traceback(start_entry, monkeypatch):
-    """Guards against internals in the answer to a fault of this process."""
+    """Guards against internals in an answer, and keys or bodies in logs."""
     entry = start_entry(lambda request: None)
-    monkeypatch.setattr(entry.executor, 'execute', lambda *_: 1 / 0)
-    status, _, body = entry.chat()
-    assert status == 500 and b'ZeroDivision' not in body
+
+    def fail(call, sink):
+        raise KeyError('secret', call.body)
+
+    monkeypatch.setattr(entry.executor, 'execute', fail)
+    entry.view.keys['secret'] = 'a1'
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        status, _, body = entry.chat(key='secret')
+    assert status == 500 and b'KeyError' not in body
     assert get_error(body)['not_run'] == 'unknown'
+    logged = ' '.join(handler.formatted_records)
+    assert 'type=KeyError' in logged
+    assert 'secret' not in logged and 'messages' not in logged
 
 
 def test_short_deadline(start_entry):
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -184,3 +184,29 @@
         )
         assert body == b'200000'
     assert seen == ['BodyStream'] * 2
+
+
+def test_slow_sender(start_entry):
+    """Guards against a sender that stays below each single read's bound."""
+    entry = start_entry(lambda request: None)
+    with open_raw(entry) as raw:
+        raw.sendall(HEAD + b'Content-Length: 1000\r\n\r\n')
+        raw.settimeout(0.1)
+        for _ in range(200):
+            try:
+                raw.sendall(b'x')
+                answer = raw.recv(65536)
+                break
+            except TimeoutError:
+                continue
+    assert b'BODY_INCOMPLETE' in answer
+
+
+def test_surplus_connection(start_entry):
+    """Guards against an entry that takes more connections than it serves."""
+    entry = start_entry(lambda request: None)
+    entry.server.max_connections = 1
+    with open_raw(entry), open_raw(entry) as second:
+        answer = read_all(second)
+    assert b'503' in answer and b'QUEUE_FULL' in answer
+    assert b'"not_run":true' in answer and b'X-Request-Id' in answer
