--- a/rhubarbreach/batch/holdings.py
+++ b/rhubarbreach/batch/holdings.py
@@ -22,10 +22,11 @@
 class Target:
     """Items of one target that were handed to the executor."""
 
-    __slots__ = ('outstanding', 'throughput')
+    __slots__ = ('outstanding', 'throughput', 'refused_until')
 
     def __init__(self):
         self.outstanding = 0
+        self.refused_until = 0.0
         self.throughput = window.Throughput()
 
 
@@ -42,6 +43,7 @@
         self.lock = threading.Lock()
         self.claims = {}
         self.targets = {}
+        self.futures = {}
 
     def add(self, group, claimed, held, deadline):
         """Add a claim with its items.
@@ -64,10 +66,21 @@
             target = self.targets.setdefault(claimed.target, Target())
             target.outstanding += len(held)
 
+    def attach(self, held, future):
+        """Remember the future of an item's call until the item ends."""
+        with self.lock:
+            self.futures[held.group, held.epoch, held.item] = future
+
+    def get_future(self, held):
+        """Return the future of an item's call, None when it has ended."""
+        with self.lock:
+            return self.futures.get((held.group, held.epoch, held.item))
+
     def end(self, held):
         """Remove an item; return False when its claim is gone."""
         key = (held.group, held.epoch)
         with self.lock:
+            self.futures.pop((*key, held.item), None)
             target = self.targets[held.target]
             target.outstanding -= 1
             target.throughput.add(1)
@@ -89,11 +102,14 @@
         return found
 
     def remove_job(self, job_id):
-        """Remove the claims of a job."""
+        """Remove the claims of a job and return their items."""
+        found = []
         with self.lock:
             for key, claim in list(self.claims.items()):
                 if claim.job_id == job_id:
+                    found.extend(claim.items.values())
                     del self.claims[key]
+        return found
 
     def list_epochs(self, group):
         """Return the epochs of the claims of a group."""
@@ -135,10 +151,32 @@
         with self.lock:
             return sum(target.outstanding for target in self.targets.values())
 
+    def refuse(self, name, until):
+        """Note that items of a target cannot run here until a time."""
+        with self.lock:
+            self.targets[name].refused_until = until
+
     def measure_targets(self, now):
-        """Return target name, outstanding items and rate of each target."""
+        """Return the state of each target by name.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to Window
+            Without what waits and what is requested.
+        """
         with self.lock:
-            return [
-                (name, target.outstanding, target.throughput.update(now))
+            return {
+                name: window.Window(
+                    target.outstanding,
+                    None,
+                    0,
+                    target.throughput.update(now),
+                    target.refused_until > now,
+                )
                 for name, target in self.targets.items()
-            ]
+            }
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from rhubarbreach.batch import access
 from rhubarbreach.batch import api
 from rhubarbreach.batch import records as batch_records
 from rhubarbreach.batch import runner
@@ -13,11 +14,9 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus import client as consensus_client
-from rhubarbreach.daemon import access
 from rhubarbreach.daemon import announce
 from rhubarbreach.daemon import faults
 from rhubarbreach.daemon import provider
-from rhubarbreach.daemon import records
 from rhubarbreach.daemon import sharetask
 from rhubarbreach.daemon import stores
 from rhubarbreach.dispatch import executor
@@ -26,6 +25,7 @@
 from rhubarbreach.distribution import revision
 from rhubarbreach.distribution import serve
 from rhubarbreach.distribution import store as local_store
+from rhubarbreach.distribution import upstreams
 from rhubarbreach.distribution import view as view_module
 from rhubarbreach.distribution import watch
 from rhubarbreach.entry import app
@@ -149,7 +149,7 @@
             watch.WatcherSettings(self.host_id, self.incarnation),
             self.link,
             self.view,
-            self.get_store_hosts,
+            self.get_upstreams,
             self.tracker,
             self.local_store,
         )
@@ -178,6 +178,17 @@
         known = tuple(host.host_id for host in found)
         return known or self.settings.store.initial
 
+    def get_upstreams(self):
+        """Return the hosts to poll for the configuration."""
+        host = self.settings.host
+        return upstreams.choose_upstreams(
+            host.host_id,
+            host.zone,
+            host.roles,
+            self.membership.alive(),
+            self.settings.store.initial,
+        )
+
     def list_entry_hosts(self):
         """Return the ids of the hosts that may serve keys."""
         alive = {
@@ -281,7 +292,7 @@
             self.view,
             self.limiter,
             self.executor,
-            records.EntryRecords(self.records),
+            self.records,
             self.settings.requests,
         )
         announcements = announce.Announcements(self.registry, self.membership)
@@ -290,7 +301,7 @@
         )
         batch_api = api.BatchApi(
             self.job_store,
-            access.JobAccess(self.view),
+            access.Access(self.view, self.limiter),
             self.settings.jobs,
             self.stop_job,
         )
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -23,6 +23,8 @@
 MAX_HOLD = 5.0
 MAX_WAIT = 60.0
 EFFECT_PERIOD = 0.1
+# Looking through all hosts for a query takes at most a fifth of the time.
+EFFECT_PAUSE_FACTOR = 4
 # A query waits at least this long, for the leadership to be confirmed.
 MIN_WAIT = 0.25
 MAX_REPLY_BYTES = 512 * 1024
@@ -76,6 +78,7 @@
         self.queries = []
         self.snapshot = None
         self.renewed_at = 0.0
+        self.next_queries_at = 0.0
         self.due = threading.Event()
         self.lock = threading.Lock()
         self.closed = False
@@ -137,6 +140,7 @@
             try:
                 self.answer_polls(now)
                 self.answer_queries(now)
+                self.drop_snapshot(now)
             except Exception:
                 LOG.exception('event=config_server_failed')
             timeout = self.find_timeout(now)
@@ -203,16 +207,17 @@
         )
 
     def get_snapshot(self, revision):
-        """Return the snapshot of a revision, else one that is being sent.
+        """Return the snapshot of a revision, else one to start with.
 
         A snapshot is kept while it is fetched, so that continuous changes
-        cannot keep a host from completing its first fetch.
+        cannot keep a host from completing its first fetch. A host starts
+        only with one to which the changes since are still kept.
         """
         now = clock.monotonic()
         with self.lock:
             known = self.snapshot
             if known is None or (
-                known.revision != revision and known.keep_until < now
+                known.revision != revision and self.is_outdated(known, now)
             ):
                 config = self.view.snapshot
                 data = model.ENCODER.encode(index.to_document(config))
@@ -222,8 +227,22 @@
             )
             return self.snapshot
 
+    def drop_snapshot(self, now):
+        """Free the memory of a snapshot that nobody fetches any more."""
+        with self.lock:
+            if self.snapshot and self.snapshot.keep_until < now:
+                self.snapshot = None
+
+    def is_outdated(self, snapshot, now):
+        """Return whether a snapshot is of no use to another host."""
+        with self.view.lock:
+            changes = self.view.history.get_after(snapshot.revision)
+        return changes is None or snapshot.keep_until < now
+
     def answer_queries(self, now):
         """Answer the queries whose revision is in effect, or late."""
+        if not self.queries or now < self.next_queries_at:
+            return
         with self.lock:
             queries, self.queries = self.queries, []
         kept = []
@@ -236,6 +255,8 @@
                 kept.append(waiting)
         with self.lock:
             self.queries.extend(kept)
+        ended = clock.monotonic()
+        self.next_queries_at = ended + (ended - now) * EFFECT_PAUSE_FACTOR
 
     def is_leading(self, now):
         """Return whether this host leads, as far as it knows."""
@@ -261,18 +282,21 @@
         pending = self.tracker.find_pending(query.revision, extra, now)
         former = since + store_module.FORMER_GRANTS + extra - now
         if former > 0:
-            pending += self.find_unheard(former)
+            pending += self.find_unheard(query.revision, former)
         return messages.EffectReply(True, pending)
 
-    def find_unheard(self, seconds):
-        """Return the hosts that have not polled since the leader changed."""
+    def find_unheard(self, revision, seconds):
+        """Return the hosts that may use what a former leader granted.
+
+        A host that has stated the revision, or a later one, does not.
+        """
         if self.expected_hosts is None:
             return (messages.PendingHost('', seconds),)
-        heard = self.tracker.get_revisions()
+        stated = self.tracker.get_revisions()
         return tuple(
             messages.PendingHost(host_id, seconds)
             for host_id in sorted(self.expected_hosts())
-            if host_id not in heard
+            if stated.get(host_id, -1) < revision
         )
 
     def close(self):
--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -4,15 +4,19 @@
 
 from rhubarbreach import clock
 from rhubarbreach.limits import concurrency
+from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import messages
 
-__all__ = ['Demand', 'Home', 'LEASE_DURATION', 'divide_slots']
+__all__ = ['Demand', 'Home', 'LEASE_DURATION', 'Slots', 'divide_slots']
 
 # Seconds for which leased slots may be used without another report.
 LEASE_DURATION = 1.0
-# Slots kept free of batch work for online requests of a host that holds
-# none; the engine would otherwise let them wait behind batch items until
-# the preempted ones have stopped.
+# Seconds in which the distance of the peak of online work to its present
+# value halves. Slots that online requests have left are kept free for a
+# while, because the next ones come before a batch item would be done.
+PEAK_HALF_LIFE = 0.5
+# Slots that batch work does not fill, so that most online requests find a
+# free one: a preempted item has to read its answer so far again.
 ONLINE_RESERVE = 1
 
 
@@ -35,6 +39,26 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slots:
+    """Slots of one endpoint leased to one host.
+
+    Parameters
+    ----------
+    online, batch : int
+        Slots for online and for batch work.
+    others : int
+        Requests of other hosts that run on the endpoint.
+    alone : bool
+        Whether nothing else runs on the endpoint.
+    """
+
+    online: int
+    batch: int
+    others: int
+    alone: bool = False
+
+
 def divide_slots(slots, wanted, weights):
     """Divide slots over hosts, max-min fair by weight.
 
@@ -73,6 +97,8 @@
 
     Parameters
     ----------
+    endpoint_id : str
+        Endpoint.
     now : float
         When the host became the home host. Until leases of the former home
         host have ended only the demand of online requests is served.
@@ -80,10 +106,13 @@
         Bounds of the learned limit.
     """
 
-    def __init__(self, now, settings=concurrency.DEFAULT):
+    def __init__(self, endpoint_id, now, settings=concurrency.DEFAULT):
+        self.endpoint_id = endpoint_id
         self.limit = concurrency.ConcurrencyLimit(settings, now)
         self.started_at = now
         self.demands = {}
+        self.peak = 0.0
+        self.peak_at = now
         self.alone_host = None
 
     def request(self, host_id, use, now):
@@ -100,9 +129,8 @@
 
         Returns
         -------
-        tuple of int, int and bool
-            Slots for online and for batch work, and whether the host has
-            the endpoint alone.
+        Slots
+            Leased to the host.
         """
         self.expire(now)
         self.limit.observe(use.first_token, use.inter_token)
@@ -110,13 +138,14 @@
         leased = known.leased if known else 0
         self.demands[host_id] = Demand(use, leased, now)
         self.limit.update(self.count_running(), now)
-        online, batch = self.divide(host_id, now)
+        slots = self.divide(host_id, now)
         alone = self.decide_alone(host_id, use, now)
         if self.alone_host is not None:
-            online, batch = (1, 0) if alone else (0, 0)
+            slots = Slots(int(alone), 0, slots.others, alone)
         expires_at = now + LEASE_DURATION * (1 + clock.MAX_DRIFT)
-        self.demands[host_id] = Demand(use, online + batch, expires_at)
-        return online, batch, alone
+        leased = slots.online + slots.batch
+        self.demands[host_id] = Demand(use, leased, expires_at)
+        return slots
 
     def count_running(self):
         """Return the requests that run according to the reports."""
@@ -134,27 +163,75 @@
                     self.alone_host = None
 
     def divide(self, host_id, now):
-        """Return the online and batch slots of one host."""
+        """Return the `Slots` of one host."""
         limit = self.limit.get()
         uses = {name: demand.use for name, demand in self.demands.items()}
         online_wanted = {
             name: use.online_running + use.online_waiting
             for name, use in uses.items()
         }
-        equal = dict.fromkeys(uses, 1.0)
-        online = divide_slots(limit, online_wanted, equal)
+        online = divide_slots(limit, online_wanted, dict.fromkeys(uses, 1.0))
+        running_elsewhere = sum(
+            use.online_running + use.batch_running
+            for name, use in uses.items()
+            if name != host_id
+        )
         if now < self.started_at + LEASE_DURATION * (1 + clock.MAX_DRIFT):
-            return max(1, online[host_id]), 0
-        spare = max(0, limit - sum(online.values()) - ONLINE_RESERVE)
-        batch_wanted = {
+            return Slots(max(1, online[host_id]), 0, running_elsewhere)
+        others = self.count_held(host_id, uses)
+        peak = self.update_peak(sum(online.values()), now)
+        batch = self.divide_batch(limit - round(peak), uses)[host_id]
+        running = uses[host_id].batch_running
+        free = max(0, limit - others - online[host_id])
+        if batch < running:
+            batch = self.keep_running(host_id, uses, limit, batch)
+        else:
+            batch = max(running, min(batch, free))
+        headroom = self.divide_headroom(host_id, limit, uses)
+        headroom = max(0, min(headroom, free - batch))
+        return Slots(online[host_id] + headroom, batch, running_elsewhere)
+
+    def divide_headroom(self, host_id, limit, uses):
+        """Return the free slots leased to a host in advance.
+
+        The hosts that get one more are ranked differently at each endpoint,
+        so that each host finds a free slot at some endpoint.
+        """
+        running = sum(
+            use.online_running + use.batch_running for use in uses.values()
+        )
+        ranked = rendezvous.rank_hosts(self.endpoint_id, uses, len(uses))
+        each, rest = divmod(max(0, limit - running), len(ranked))
+        return each + (ranked.index(host_id) < rest)
+
+    def update_peak(self, online, now):
+        """Return the decaying maximum of the slots for online work."""
+        factor = 0.5 ** ((now - self.peak_at) / PEAK_HALF_LIFE)
+        self.peak_at = now
+        self.peak = max(online, online + (self.peak - online) * factor)
+        return self.peak
+
+    def divide_batch(self, room, uses):
+        """Return the batch slots that each host should have."""
+        wanted = {
             name: use.batch_running + use.batch_waiting
             for name, use in uses.items()
         }
         weights = {name: use.batch_weight for name, use in uses.items()}
-        batch = divide_slots(spare, batch_wanted, weights)
-        held = self.count_held(host_id, uses)
-        free = max(0, limit - held - online[host_id])
-        return online[host_id], min(batch[host_id], free)
+        return divide_slots(max(0, room - ONLINE_RESERVE), wanted, weights)
+
+    def keep_running(self, host_id, uses, limit, target):
+        """Return the slots of a host that runs more batch work than due.
+
+        Running items are kept, and their slots not filled again, while the
+        endpoint has room; what exceeds the limit is given back at once.
+        """
+        running = uses[host_id].batch_running
+        total = sum(
+            use.online_running + use.online_waiting + use.batch_running
+            for use in uses.values()
+        )
+        return max(target, running - max(0, total - limit))
 
     def count_held(self, host_id, uses):
         """Return slots that other hosts may hold until they report again."""
--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from rhubarbreach import clock
 from rhubarbreach.limits import slots
 from rhubarbreach.membership import rendezvous
+from rhubarbreach.placement import waiting
 from rhubarbreach.protocol import messages
 
 __all__ = ['Exchange', 'find_home', 'group_by_home']
@@ -91,7 +91,7 @@
     def run(self):
         """Report to the home hosts until closed."""
         while True:
-            self.report(clock.monotonic())
+            self.report(self.scheduler.monotonic())
             if self.stopped.wait(slots.REPORT_PERIOD):
                 return
 
@@ -101,7 +101,7 @@
             return
         endpoints = self.scheduler.registry.list_all(now)
         with self.scheduler.lock:
-            self.scheduler.core.update_demand(now)
+            waiting.update_demand(self.scheduler.core, now)
         for home_id, endpoint_ids in self.group(endpoints).items():
             self.ask_home(home_id, endpoint_ids, now)
         if now >= self.next_counters:
@@ -140,7 +140,7 @@
     def answer(self, sender_id, request):
         """Issue slots as the home host."""
         return self.scheduler.slots.answer(
-            sender_id, request, clock.monotonic(), self.get_slots
+            sender_id, request, self.scheduler.monotonic(), self.get_slots
         )
 
     def get_slots(self, endpoint_id):
@@ -183,4 +183,6 @@
     def merge_strike(self, _sender_id, report):
         """Take a strike of another host."""
         with self.scheduler.lock:
-            self.scheduler.core.suspects.merge(report, clock.monotonic())
+            self.scheduler.core.suspects.merge(
+                report, self.scheduler.monotonic()
+            )
--- a/rhubarbreach/placement/scheduler.py
+++ b/rhubarbreach/placement/scheduler.py
@@ -10,6 +10,7 @@
 from rhubarbreach import codes
 from rhubarbreach.limits import slots
 from rhubarbreach.placement import core
+from rhubarbreach.placement import decisions
 from rhubarbreach.placement import exchange
 from rhubarbreach.scheduling import work
 
@@ -40,6 +41,8 @@
         Link to the other hosts.
     random : random.Random, optional
         Source of all choices.
+    monotonic : callable, optional
+        Clock, virtual in measurements.
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         membership=None,
         link=None,
         random=None,
+        monotonic=clock.monotonic,
     ):
+        self.monotonic = monotonic
         self.registry = registry
         fixed = policy.baseline_slots if policy.mode == core.BASELINE else 0
         self.slots = slots.SlotTable(host_id, fixed)
@@ -108,7 +113,7 @@
             on the dispatch task and must not block.
         """
         future = concurrent.futures.Future()
-        now = clock.monotonic()
+        now = self.monotonic()
         with self.lock:
             if self.stopped:
                 refusal = make_draining()
@@ -151,7 +156,7 @@
             How the attempt ended.
         """
         with self.lock:
-            self.core.release(placement, outcome, clock.monotonic())
+            self.core.release(placement, outcome, self.monotonic())
             self.wake()
 
     def count_waiting_batch(self, model_id):
@@ -169,21 +174,25 @@
         while True:
             self.ready.wait(IDLE_STEP)
             self.ready.clear()
-            with self.lock:
-                if self.stopped:
-                    return
-                decisions = self.decide()
-            for decision in decisions:
-                try:
-                    self.carry_out(decision)
-                except Exception:
-                    LOG.exception('event=decision_failed')
-            self.exchange.send_reports()
+            if self.stopped:
+                return
+            self.step()
+
+    def step(self):
+        """Make and carry out the decisions that are due."""
+        with self.lock:
+            made = self.decide()
+        for decision in made:
+            try:
+                self.carry_out(decision)
+            except Exception:
+                LOG.exception('event=decision_failed')
+        self.exchange.send_reports()
 
     def decide(self):
         """Return the decisions of one step."""
         try:
-            return self.core.step(clock.monotonic())
+            return self.core.step(self.monotonic())
         except Exception:
             LOG.exception('event=step_failed')
             return []
@@ -191,11 +200,11 @@
     def carry_out(self, decision):
         """Tell the submitter or the holder of a slot."""
         match decision:
-            case core.Placed(placement=placement):
+            case decisions.Placed(placement=placement):
                 self.complete(placement.work.work_id, placement)
-            case core.Refused(work=item, refusal=refusal):
+            case decisions.Refused(work=item, refusal=refusal):
                 self.complete(item.work_id, refusal)
-            case core.Preempted(placement=placement):
+            case decisions.Preempted(placement=placement):
                 if self.preempt is not None:
                     self.preempt(placement)
 
--- a/rhubarbreach/state/jobimage.py
+++ b/rhubarbreach/state/jobimage.py
@@ -30,13 +30,14 @@
     sequence: int
     state: jobcommands.JobState
     changed_at: int
-    not_before: int
     next_new: int
     returned: list[int]
+    delayed: list[tuple[int, int]]
     states: bytes
     attempts: bytes
     losses: bytes
     epochs: bytes
+    costs: bytes
     custom_ids: tuple[pack.SegmentImage, ...]
     bodies: tuple[pack.SegmentImage, ...]
     results: tuple[pack.SegmentImage, ...]
@@ -65,13 +66,14 @@
         job.sequence,
         job.state,
         job.changed_at,
-        job.not_before,
         job.next_new,
         list(job.returned),
+        list(job.delayed),
         job.states.tobytes(),
         job.attempts.tobytes(),
         job.losses.tobytes(),
         job.epochs.tobytes(),
+        job.costs.tobytes(),
         job.custom_ids.make_image(),
         job.bodies.make_image(),
         job.results.make_image(),
@@ -83,14 +85,16 @@
     job = jobitems.Job(image.begin, image.sequence)
     job.state = image.state
     job.changed_at = image.changed_at
-    job.not_before = image.not_before
     job.next_new = image.next_new
     job.returned = list(image.returned)
+    job.delayed = list(image.delayed)
     job.states = array.array('B', image.states)
     job.attempts = array.array('B', image.attempts)
     job.losses = array.array('B', image.losses)
     job.epochs = array.array('Q')
     job.epochs.frombytes(image.epochs)
+    job.costs = array.array('I')
+    job.costs.frombytes(image.costs)
     job.counts = [image.states.count(state) for state in jobcommands.ItemState]
     job.custom_ids = pack.Pack.from_image(image.custom_ids)
     job.bodies = pack.Pack.from_image(image.bodies)
@@ -142,9 +146,12 @@
     machine.next_epoch = image.next_epoch
     machine.jobs = {}
     machine.accounts = {}
-    machine.shares.load_image(image.shares)
+    machine.shares = jobshares.JobShares()
     for stored in image.jobs:
         machine.insert(load_job(stored))
+    # Inserting jobs lifts accounts to the virtual time; what the snapshot
+    # says of them replaces that, so that all replicas choose alike.
+    machine.shares.load_image(image.shares)
     machine.claims = {
         stored.epoch: load_claim(stored) for stored in image.claims
     }
--- a/rhubarbreach/state/jobitems.py
+++ b/rhubarbreach/state/jobitems.py
@@ -16,6 +16,11 @@
 # A lost claim does not say which of its items was to blame, so that it takes
 # many before an item fails. Items fail on their own attempts much earlier.
 MAX_LOST_CLAIMS = 16
+# Endpoints that are lost come back after a while; attempts at growing
+# distances outlast that.
+RETRY_FACTOR = 5
+# Largest cost that its column holds.
+MAX_COST = 0xFFFFFFFF
 ENCODER = msgspec.msgpack.Encoder()
 CANCEL_TABLE = bytes(
     {
@@ -63,14 +68,15 @@
         self.sequence = sequence
         self.state = jobcommands.JobState.UPLOADING
         self.changed_at = 0
-        self.not_before = 0
         self.next_new = 0
         self.returned = []
+        self.delayed = []
         self.counts = [0] * len(State)
         self.states = array.array('B')
         self.attempts = array.array('B')
         self.losses = array.array('B')
         self.epochs = array.array('Q')
+        self.costs = array.array('I')
         self.custom_ids = pack.Pack()
         self.bodies = pack.Pack()
         self.results = pack.Pack()
@@ -80,9 +86,11 @@
         """Number of items added so far."""
         return len(self.states)
 
-    def add(self, custom_ids, bodies):
+    def add(self, custom_ids, bodies, costs):
         """Add items at the end."""
-        for custom_id, body in zip(custom_ids, bodies, strict=True):
+        for custom_id, body, cost in zip(
+            custom_ids, bodies, costs, strict=True
+        ):
             index = len(self.states)
             self.custom_ids.set(index, custom_id.encode())
             self.bodies.set(index, body)
@@ -90,6 +98,7 @@
             self.attempts.append(0)
             self.losses.append(0)
             self.epochs.append(0)
+            self.costs.append(min(max(cost, 1), MAX_COST))
         self.counts[State.PENDING] = len(self.states)
 
     def has_pending(self):
@@ -118,6 +127,10 @@
             taken.append(index)
         return taken
 
+    def get_cost(self, indexes):
+        """Return the estimated cost of some items in tokens."""
+        return sum(self.costs[index] for index in indexes)
+
     def move(self, index, state):
         """Change the state of an item."""
         self.counts[self.states[index]] -= 1
@@ -132,7 +145,7 @@
     def is_held(self, index, epoch):
         """Return whether an item is under the claim of an epoch."""
         return (
-            index < len(self.states)
+            0 <= index < len(self.states)
             and self.epochs[index] == epoch
             and self.states[index] in (State.CLAIMED, State.STARTED)
         )
@@ -148,13 +161,33 @@
         self.results.set(index, result)
         self.bodies.drop(index)
 
-    def retry(self, index, result):
-        """End one attempt of an item."""
-        self.attempts[index] = min(255, self.attempts[index] + 1)
-        if self.attempts[index] >= self.begin.max_attempts:
+    def retry(self, index, result, now):
+        """End one attempt of an item.
+
+        An item that may not run twice ends with outcome unknown, whatever
+        its holder says. Others become pending again after a delay, which
+        does not hold up the job.
+        """
+        if self.states[index] == State.STARTED:
+            self.finish(index, State.UNKNOWN, result)
+            return
+        attempts = self.attempts[index] = min(255, self.attempts[index] + 1)
+        if attempts >= self.begin.max_attempts:
             self.finish(index, State.FAILED, result)
-        else:
+        elif not self.begin.retry_delay:
             self.give_back(index)
+        else:
+            self.move(index, State.PENDING)
+            delay = self.begin.retry_delay * RETRY_FACTOR ** (attempts - 1)
+            heapq.heappush(self.delayed, (now + delay, index))
+
+    def wake(self, now):
+        """Make delayed items pending; return whether there were any."""
+        due = 0
+        while self.delayed and self.delayed[0][0] <= now:
+            heapq.heappush(self.returned, heapq.heappop(self.delayed)[1])
+            due += 1
+        return due > 0
 
     def lose(self, index):
         """End the claim of an item whose holder is lost."""
@@ -178,6 +211,7 @@
         self.states = array.array('B', moved)
         self.counts = [moved.count(state) for state in State]
         self.returned = []
+        self.delayed = []
         self.next_new = self.added
         self.bodies.clear()
 
--- a/rhubarbreach/state/jobshares.py
+++ b/rhubarbreach/state/jobshares.py
@@ -6,6 +6,7 @@
 
 # Items taken from a job before the next account is considered.
 SLICE_ITEMS = 16
+MIN_WEIGHT = 1e-6
 
 
 class ShareImage(msgspec.Struct, frozen=True, array_like=True):
@@ -47,13 +48,11 @@
         if account_id in self.ready and not jobs:
             del self.ready[account_id]
 
-    def choose(self, now, excluded):
+    def choose(self, excluded):
         """Return the next job to claim from or None.
 
         Parameters
         ----------
-        now : int
-            Logical time in milliseconds.
         excluded : frozenset of str
             Targets of which no items are wanted.
 
@@ -67,7 +66,7 @@
             jobs = self.ready[account_id]
             for sequence in sorted(jobs):
                 job = jobs[sequence]
-                if job.not_before > now or job.begin.target in excluded:
+                if job.begin.target in excluded:
                     continue
                 self.virtual_time = max(
                     self.virtual_time, self.served[account_id]
@@ -75,17 +74,20 @@
                 return job
         return None
 
-    def charge(self, job, items):
-        """Charge the account of a job for claimed items."""
-        weight = max(job.begin.weight, 1e-6)
-        self.served[job.begin.account_id] += items / weight
+    def charge(self, job, cost):
+        """Charge the account of a job for claimed items.
 
-    def refund(self, job, items):
-        """Take back the charge for items that were handed back."""
+        Parameters
+        ----------
+        job : Job
+            Job that was claimed from.
+        cost : int
+            Estimated tokens; negative for items that were handed back.
+        """
         account_id = job.begin.account_id
         if account_id in self.served:
-            weight = max(job.begin.weight, 1e-6)
-            self.served[account_id] -= items / weight
+            weight = max(job.begin.weight, MIN_WEIGHT)
+            self.served[account_id] += cost / weight
 
     def trim(self):
         """Forget accounts that resume at the virtual time anyway."""
@@ -101,7 +103,6 @@
         return ShareImage(self.virtual_time, dict(self.served))
 
     def load_image(self, image):
-        """Take over the shares of a snapshot."""
+        """Take over the shares of a snapshot for the jobs added here."""
         self.virtual_time = image.virtual_time
         self.served = dict(image.served)
-        self.ready = {}
