Report a host as ready only when its rate shares are leased

Cause: a deployment that had just started refused requests within the rate (429) for about 3 s; the emulator gave a resumed stream one token too many when only its end had been lost. Change: readiness waits for the bound of leases of a former process; the emulated engine ends such a stream at once.

--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -32,6 +32,7 @@
 from rhubarbreach.entry import online
 from rhubarbreach.entry import server
 from rhubarbreach.entry import status
+from rhubarbreach.limits import holder
 from rhubarbreach.limits import shares
 from rhubarbreach.membership import endpoints
 from rhubarbreach.membership import hosts
@@ -201,6 +202,7 @@
     def open_serving(self):
         """Create limiter, scheduler and executor."""
         host = self.settings.host
+        self.shares_at = clock.monotonic() + holder.LEASE_BOUND
         self.limiter = shares.RateLimiter(
             self.host_id, host.region, self.view, self.membership, self.link
         )
@@ -320,6 +322,10 @@
         """Return why requests cannot be served here, or an empty string."""
         if not self.view.ready:
             return 'no configuration'
+        if clock.monotonic() < self.shares_at:
+            # Shares that a former process leased may not be used yet, so
+            # requests within the rate would be refused.
+            return 'rate shares not leased'
         config = self.view.snapshot
         extra = effect.get_longest_extra(config)
         expired = clock.monotonic() >= self.view.valid_until + extra
--- a/rhubarbreach/daemon/tests/conftest.py
+++ b/rhubarbreach/daemon/tests/conftest.py
@@ -71,7 +71,7 @@
         settings = load.load_settings(str(self.settings_path))
         self.host = host_module.Host(settings)
         self.host.start()
-        wait_for(lambda: self.host.view.ready)
+        wait_for(lambda: not self.host.find_unready_reason())
 
     def change(self, change):
         """Make one configuration change."""
--- a/rhubarbreach/emulator/engine.py
+++ b/rhubarbreach/emulator/engine.py
@@ -119,6 +119,10 @@
 
     def submit(self, sequence):
         """Queue a sequence behind all earlier ones."""
+        if sequence.index >= sequence.max_tokens:
+            # A stream that broke between its last token and its end.
+            sequence.finish()
+            return
         with self.changed:
             self.waiting.append(sequence)
             self.changed.notify()
--- a/rhubarbreach/emulator/tests/test_endpoint.py
+++ b/rhubarbreach/emulator/tests/test_endpoint.py
@@ -57,6 +57,13 @@
     assert len(read_contents(whole)) == 6
 
 
+def test_stream_resumed_after_its_last_token_only_ends(emulated):
+    """Guards against an extra token of a stream that lost only its end."""
+    body = make_body(stream=True, resume_from=6)
+    _, data = post(emulated, '/v1/completions', body)
+    assert read_contents(data) == []
+
+
 def test_plain_answer_holds_all_tokens(emulated):
     """Guards against a short answer of the emulator itself."""
     status, data = post(emulated, '/v1/completions', make_body())
