--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -36,6 +36,8 @@
     def __init__(self, group):
         self.group = group
         self.snapshot_index = group.store.snapshot.last_index
+        # The next snapshot is not prepared before this one is in use.
+        self.publishing = False
         self.thread = threading.Thread(
             target=self.run, name=f'apply-{group.group_id}', daemon=True
         )
@@ -130,12 +132,21 @@
             return codes.Refusal(
                 codes.ResultCode.INVALID_CHANGE, str(error), codes.Ran.NO
             )
+        except (OSError, MemoryError):
+            raise
+        except Exception as error:
+            # A fault of the machine is the same on each replica. To stop
+            # here would stop all of them, again after each restart.
+            LOG.exception('event=command_failed index={}', entry.index)
+            return codes.Refusal(
+                codes.ResultCode.INTERNAL, str(error), codes.Ran.UNKNOWN
+            )
 
     def take_snapshot(self, last):
         """Hand a snapshot to the task of the group when one is due."""
         group = self.group
         taken = last.index - self.snapshot_index
-        if taken < group.settings.snapshot_entries:
+        if taken < group.settings.snapshot_entries or self.publishing:
             return
         with group.lock:
             changed, members = group.store.get_members_at(last.index)
@@ -144,7 +155,21 @@
         snapshot = model.Snapshot(
             last.index, last.term, changed, members, data
         )
-        group.post(save_snapshot, group, snapshot)
+        try:
+            group.store.prepare_snapshot(snapshot)
+        except exceptions.DiskFullError:
+            # The log is only kept longer; the next snapshot trims it.
+            LOG.warning('event=snapshot_refused group={}', group.group_id)
+            return
+        self.publishing = True
+        group.post(self.publish, snapshot)
+
+    def publish(self, snapshot):
+        """Take a prepared snapshot into use, on the task of the group."""
+        try:
+            self.group.store.publish_snapshot(snapshot)
+        finally:
+            self.publishing = False
 
 
 def has_work(state):
@@ -168,14 +193,6 @@
     raise error
 
 
-def save_snapshot(group, snapshot):
-    """Persist a snapshot; a full disk only keeps the log longer."""
-    try:
-        group.store.save_snapshot(snapshot)
-    except exceptions.DiskFullError:
-        group.state.disk_full = True
-
-
 def take_ready_reads(state):
     """Remove and return the reads whose index is applied."""
     ready = [read for read in state.reads if is_ready(state, read)]
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -18,6 +18,7 @@
 from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import replicator
+from rhubarbreach.consensus import reporting
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus import voting
@@ -76,9 +77,8 @@
         self.inbox = queue.SimpleQueue()
         self.closed = False
         self.failure = None
-        self.state = states.State(
-            settings, self.store, random.Random(), clock.monotonic()
-        )
+        now = clock.monotonic()
+        self.state = states.State(settings, self.store, random.Random(), now)
         try:
             formation.start_formation(self.state)
             if self.store.snapshot.last_index:
@@ -86,7 +86,8 @@
         except BaseException:
             self.store.close()
             raise
-        self.next_tick = clock.monotonic()
+        self.next_tick = now
+        self.was_leader = False
         self.replicators = {}
         self.applier = applying.Applier(self)
         self.thread = threading.Thread(
@@ -133,10 +134,9 @@
         leads and its first entry of the term is committed.
         """
         with self.lock:
-            state = self.state
-            if state.commit_index < state.term_start_index:
+            if self.state.commit_index < self.state.term_start_index:
                 return float('-inf')
-            return states.get_quorum_contact(state, clock.monotonic())
+            return states.get_quorum_contact(self.state, clock.monotonic())
 
     def propose(self, command, deadline):
         """Append a command to the log.
@@ -249,6 +249,8 @@
         LOG.exception('event=group_failed group={}', self.group_id)
         with self.lock:
             self.failure = error
+            # Nothing more is applied for sure, so nothing waits for it.
+            self.state.commit_index = self.state.applied_index
             states.become_follower(
                 self.state, self.store.term, None, clock.monotonic()
             )
@@ -264,13 +266,14 @@
     def collect(self):
         """Return the events that wait, or none at the next tick."""
         delay = clock.remaining(self.next_tick, clock.monotonic())
+        events = []
         try:
-            events = [self.inbox.get(timeout=delay)]
+            events.append(self.inbox.get(timeout=delay))
             while len(events) < MAX_EVENTS:
                 events.append(self.inbox.get_nowait())
         except queue.Empty:
             pass
-        return events if 'events' in locals() else []
+        return events
 
     def step(self, events):
         """Handle events, make the log durable, answer."""
@@ -294,7 +297,9 @@
         self.send(self.state.outbox)
         self.finish_refused()
         if dirty:
+            start = clock.monotonic()
             self.store.sync()
+            reporting.observe_sync(self, clock.monotonic() - start)
             with self.lock:
                 self.store.synced_index = last_index
                 self.settle(clock.monotonic())
@@ -328,7 +333,10 @@
                 changes.follow_commit(state, now)
             leading.settle_reads(state, now)
             changes.continue_transfer(state, now)
-        self.update_replicators(now)
+        if state.is_leader != self.was_leader:
+            self.was_leader = state.is_leader
+            reporting.record_leadership(self)
+        replicator.update_replicators(self, now)
         if applying.has_work(state):
             self.committed.notify_all()
 
@@ -358,21 +366,6 @@
         elif now >= state.election_deadline:
             voting.start_pre_vote(state, now)
 
-    def update_replicators(self, now):
-        """Run one replication task for each peer of a leader."""
-        wanted = self.state.peers if self.state.is_leader else {}
-        for peer_id in list(self.replicators):
-            task = self.replicators[peer_id]
-            if wanted.get(peer_id) is not task.peer:
-                task.closed = True
-                del self.replicators[peer_id]
-                self.changed.notify_all()
-        for peer_id, peer in wanted.items():
-            if peer_id not in self.replicators:
-                self.replicators[peer_id] = replicator.Replicator(self, peer)
-            elif leading.has_work(self.state, peer, now):
-                self.changed.notify_all()
-
     def send(self, outbox):
         """Send and clear collected messages."""
         for peer_id, message in outbox:
--- a/rhubarbreach/consensus/replicator.py
+++ b/rhubarbreach/consensus/replicator.py
@@ -5,7 +5,7 @@
 from rhubarbreach import clock
 from rhubarbreach.consensus import leading
 
-__all__ = ['Replicator']
+__all__ = ['Replicator', 'update_replicators']
 
 
 class Replicator:
@@ -53,3 +53,20 @@
     def is_over(self):
         """Return whether the task has nothing more to do."""
         return self.closed or self.group.closed or self.group.failure
+
+
+def update_replicators(group, now):
+    """Run one replication task for each peer of a leader."""
+    state = group.state
+    wanted = state.peers if state.is_leader else {}
+    for peer_id in list(group.replicators):
+        task = group.replicators[peer_id]
+        if wanted.get(peer_id) is not task.peer:
+            task.closed = True
+            del group.replicators[peer_id]
+            group.changed.notify_all()
+    for peer_id, peer in wanted.items():
+        if peer_id not in group.replicators:
+            group.replicators[peer_id] = Replicator(group, peer)
+        elif leading.has_work(state, peer, now):
+            group.changed.notify_all()
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -15,6 +15,7 @@
 
 VOTE_NAME = 'vote'
 SNAPSHOT_NAME = 'snapshot'
+PREPARED_NAME = 'snapshot.prepared'
 FORMATION_NAME = 'formation'
 LOG_NAME = 'log'
 ENCODER = msgspec.msgpack.Encoder()
@@ -49,6 +50,19 @@
     return MEMBERS_DECODER.decode(data)
 
 
+def encode_snapshot(snapshot):
+    """Return the content of a snapshot file."""
+    return ENCODER.encode(
+        SnapshotFile(
+            snapshot.last_index,
+            snapshot.last_term,
+            snapshot.members_index,
+            snapshot.members,
+            snapshot.data,
+        )
+    )
+
+
 class Store:
     """Log, term, vote and snapshot of one replica.
 
@@ -264,11 +278,20 @@
         """Make the entries durable."""
         self.log.sync()
 
-    def save_snapshot(self, snapshot):
-        """Persist a snapshot of this replica's machine and trim the log."""
+    def prepare_snapshot(self, snapshot):
+        """Write a snapshot, which may take long, beside the present one.
+
+        The only function that another task than the group's may call.
+        """
+        files.write_file(self.path / PREPARED_NAME, encode_snapshot(snapshot))
+
+    def publish_snapshot(self, snapshot):
+        """Take the prepared snapshot into use and trim the log."""
         if snapshot.last_index <= self.snapshot.last_index:
             return
-        self.write_snapshot(snapshot)
+        files.publish_file(
+            self.path / PREPARED_NAME, self.path / SNAPSHOT_NAME
+        )
         self.snapshot = snapshot
         first = snapshot.last_index - self.kept_entries
         if first > self.base_index:
@@ -284,7 +307,9 @@
 
     def install_snapshot(self, snapshot):
         """Persist a snapshot of the leader in place of this log."""
-        self.write_snapshot(snapshot)
+        files.replace_file(
+            self.path / SNAPSHOT_NAME, encode_snapshot(snapshot)
+        )
         keep = self.get_term(snapshot.last_index) == snapshot.last_term
         if keep:
             del self.entries[: snapshot.last_index - self.base_index]
@@ -310,19 +335,6 @@
         self.log.remove_before(self.log.number)
         self.segment_ends = {}
 
-    def write_snapshot(self, snapshot):
-        """Replace the snapshot file."""
-        data = ENCODER.encode(
-            SnapshotFile(
-                snapshot.last_index,
-                snapshot.last_term,
-                snapshot.members_index,
-                snapshot.members,
-                snapshot.data,
-            )
-        )
-        files.replace_file(self.path / SNAPSHOT_NAME, data)
-
     def trim_segments(self):
         """Start a new segment and delete those that are not needed."""
         self.log.roll()
--- a/rhubarbreach/consensus/tests/test_store.py
+++ b/rhubarbreach/consensus/tests/test_store.py
@@ -5,6 +5,7 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.protocol import messages
+from rhubarbreach.storage import files
 
 
 def make_entries(first, last, term):
@@ -29,7 +30,9 @@
     store.sync()
     snapshot = model.Snapshot(10, 2, 0, (), b'')
     if crash:
-        store.write_snapshot(snapshot)
+        store.prepare_snapshot(snapshot)
+        path = store.path / stores.SNAPSHOT_NAME
+        files.publish_file(store.path / stores.PREPARED_NAME, path)
     else:
         store.install_snapshot(snapshot)
     store = reopen(store)
--- a/rhubarbreach/storage/files.py
+++ b/rhubarbreach/storage/files.py
@@ -10,10 +10,12 @@
 
 __all__ = [
     'is_disk_full',
+    'publish_file',
     'read_file',
     'replace_file',
     'sync_data',
     'sync_folder',
+    'write_file',
 ]
 
 CHECKSUM = struct.Struct('>I')
@@ -54,21 +56,37 @@
     """
     path = pathlib.Path(path)
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    write_file(temporary, data)
+    publish_file(temporary, path)
+
+
+def write_file(path, data):
+    """Write a file with its checksum and sync it, for `publish_file`.
+
+    Raises
+    ------
+    DiskFullError
+        If the file system is full.
+    """
     try:
-        with temporary.open('wb') as file:
+        with path.open('wb') as file:
             file.write(CHECKSUM.pack(zlib.crc32(data)))
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        os.replace(temporary, path)
-        sync_folder(path.parent)
     except OSError as error:
         if is_disk_full(error):
-            temporary.unlink(missing_ok=True)
+            path.unlink(missing_ok=True)
             raise exceptions.DiskFullError(str(path.name)) from error
         raise
 
 
+def publish_file(temporary, path):
+    """Rename a file that was written and synced to its durable name."""
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
 def read_file(path):
     """Return the content of a replaced file, None if there is none.
 
