--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -11,6 +11,7 @@
 from rhubarbreach.state import jobcommands
 
 __all__ = [
+    'BODY_DECODER',
     'Ended',
     'Held',
     'MAX_RESULT_BYTES',
@@ -55,10 +56,13 @@
 
 
 class BodyFields(msgspec.Struct):
-    """What the runner reads from the body of an item."""
+    """What is read from the body of an item."""
 
     model: str = ''
     max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool | None = None
+    resume_from: int | None = None
 
 
 BODY_DECODER = msgspec.json.Decoder(BodyFields)
@@ -138,6 +142,8 @@
 def estimate_cost(fields, body):
     """Return the estimated cost of an item in tokens."""
     answer = fields.max_tokens
+    if answer is None:
+        answer = fields.max_completion_tokens
     if answer is None:
         answer = DEFAULT_MAX_TOKENS
     return max(1, answer) + len(body) // BYTES_PER_TOKEN
--- a/rhubarbreach/batch/tests/test_api.py
+++ b/rhubarbreach/batch/tests/test_api.py
@@ -153,6 +153,11 @@
         (make_line(1), 'DUPLICATE_CUSTOM_ID', "line 2: custom_id 'c1'"),
         (make_line(2, body={}), 'INVALID_JOB_LINE', 'names no model'),
         (make_line(2, body=[1]), 'INVALID_JOB_LINE', 'line 2: '),
+        (
+            make_line(2, body={'model': 'm', 'stream': True}),
+            'INVALID_JOB_LINE',
+            'not for jobs',
+        ),
         (make_line(2, url='/x'), 'INVALID_JOB_LINE', 'must be the same'),
         (make_line(2, custom_id=''), 'INVALID_JOB_LINE', 'characters'),
         (make_line(200_000), 'INVALID_JOB_LINE', 'more than'),
--- a/rhubarbreach/batch/upload.py
+++ b/rhubarbreach/batch/upload.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from rhubarbreach.batch import items
 from rhubarbreach import codes
 
 __all__ = ['JobRoute', 'Upload', 'UploadParser', 'read_upload']
@@ -27,14 +28,7 @@
     method: str = 'POST'
 
 
-class BodyFields(msgspec.Struct):
-    """What is read from a body."""
-
-    model: str = ''
-
-
 LINE_DECODER = msgspec.json.Decoder(Line)
-BODY_DECODER = msgspec.json.Decoder(BodyFields)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,7 +159,10 @@
         """Note the model of an item."""
         if self.route.target:
             return
-        model = BODY_DECODER.decode(body).model
+        fields = items.BODY_DECODER.decode(body)
+        if fields.stream or fields.resume_from is not None:
+            raise LineFault('stream and resume_from are not for jobs')
+        model = fields.model
         if not model:
             raise LineFault('the body names no model')
         if model in self.targets:
