Take up the items of a restarted host at once

Change: before its first claim in a group a host ends the claims of its earlier processes, and marks their recorded requests as unknown. Conclusion: a restart delays a job by the time of the start; a host that stays away still delays it by the claim timeout.

--- a/rhubarbreach/batch/lanes.py
+++ b/rhubarbreach/batch/lanes.py
@@ -28,6 +28,7 @@
         self.outbox = outbox.Outbox()
         self.sequence = 1
         self.pending_claim = None
+        self.begun = False
         self.claim_at = 0.0
         self.backoff = 0.0
         self.renew_at = 0.0
@@ -41,6 +42,23 @@
         """Return whether nothing is exchanged or waits to be."""
         return not (self.claiming or self.reporting or len(self.outbox))
 
+    def lose_former(self, store, holder_id):
+        """End once what earlier processes of this host held.
+
+        Returns
+        -------
+        bool
+            False when the group did not answer; claims then wait.
+        """
+        if not self.begun:
+            host_id = holder_id.partition('#')[0]
+            command = jobcommands.LoseClaims(host_id, holder_id)
+            deadline = clock.monotonic() + EXCHANGE_TIMEOUT
+            reply = store.propose(self.group, command, deadline)
+            self.begun = not isinstance(reply, codes.Refusal)
+            self.claim_at = clock.monotonic() + RETRY_DELAY
+        return self.begun
+
     def is_report_due(self, now, delay):
         """Return whether ends should be reported now.
 
--- a/rhubarbreach/batch/records.py
+++ b/rhubarbreach/batch/records.py
@@ -244,13 +244,27 @@
             deadline = clock.monotonic() + EXCHANGE_TIMEOUT
             if not isinstance(self.propose(command, deadline), codes.Refusal):
                 return
-        LOG.warning('event=record_not_stored key={!r}', command.key)
+        LOG.warning('event=record_not_stored command={!r}', command)
 
-    def lose_holder(self, holder_id):
-        """Mark the running requests of a lost host as unknown."""
-        command = requestcommands.LoseHolder(holder_id)
+    def lose_holder(self, host_id, kept=''):
+        """Mark the running requests of a lost host as unknown.
+
+        Parameters
+        ----------
+        host_id : str
+            Lost host, without its incarnation.
+        kept : str
+            Holder whose requests go on.
+        """
+        command = requestcommands.LoseHolder(host_id, kept)
         return self.propose(command, clock.monotonic() + EXCHANGE_TIMEOUT)
 
+    def start(self):
+        """End what earlier processes of this host left running."""
+        host_id = self.holder_id.partition('#')[0]
+        command = requestcommands.LoseHolder(host_id, self.holder_id)
+        self.pool.submit(self.repeat_end, command)
+
     def close(self):
         """Stop storing in the background."""
         self.pool.shutdown(wait=False, cancel_futures=True)
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -173,6 +173,8 @@
 
     def exchange_claim(self, lane, limit, excluded):
         """Send a claim, or repeat the one whose outcome is not known."""
+        if not lane.lose_former(self.store, self.holder_id):
+            return
         if lane.pending_claim is None:
             lane.pending_claim = jobcommands.ClaimItems(
                 self.holder_id,
--- a/rhubarbreach/batch/tests/test_records.py
+++ b/rhubarbreach/batch/tests/test_records.py
@@ -79,7 +79,9 @@
 def test_lost_holder_leaves_the_outcome_unknown(bench):
     """A request of a lost host must never run a second time."""
     reserved = reserve(bench.first)
-    bench.second.lose_holder('h1#1')
+    bench.second.lose_holder('h1', 'h1#1')
+    assert reserve(bench.second) == entry_records.Running()
+    bench.second.lose_holder('h1', 'h1#2')
     bench.reload()
     duplicate = reserve(bench.second)
     assert duplicate.code == codes.ResultCode.OUTCOME_UNKNOWN
--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -247,6 +247,20 @@
     assert len(executor.ran) <= 80
 
 
+def test_restarted_host_takes_its_items_up_at_once(bench):
+    """Claims of a killed process must not wait for their deadline."""
+    gate = threading.Event()
+    hung = fakes.FakeExecutor(lambda one: gate.wait(TIMEOUT) and None)
+    bench.submit('job-1', 30)
+    killed = bench.start(hung)
+    wait_for(lambda: len(hung.futures) == 30)
+    killed.close()
+    # The machines have no ticker here, so that no claim ever expires.
+    bench.start(fakes.FakeExecutor(), 'h1#2')
+    assert bench.wait_state('job-1').done == 30
+    gate.set()
+
+
 def test_rejected_item_ends_with_its_answer(bench):
     """A rejected item must not be repeated and must name its reason."""
 
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -329,6 +329,7 @@
         self.watcher.start()
         self.limiter.start()
         self.scheduler.start()
+        self.records.start()
         self.runner.start()
         self.server.start()
         self.recorder.record('host_started', f'incarnation {self.incarnation}')
--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -27,6 +27,7 @@
     'JobStatus',
     'LeasedItems',
     'ListReply',
+    'LoseClaims',
     'REPLIES',
     'ReleaseItems',
     'RenewClaims',
@@ -239,6 +240,22 @@
     account_id: str
 
 
+@frozen
+class LoseClaims:
+    """End the claims of earlier processes of a host that has started anew.
+
+    Parameters
+    ----------
+    host_id : str
+        Host; its holders are named `host#incarnation`.
+    kept : str
+        Holder whose claims stay.
+    """
+
+    host_id: str
+    kept: str
+
+
 COMMANDS = tagged.Family(
     logicaltime.Tick,
     BeginJob,
@@ -250,6 +267,7 @@
     ReportResults,
     ReleaseItems,
     CancelJob,
+    LoseClaims,
 )
 
 
--- a/rhubarbreach/state/jobs.py
+++ b/rhubarbreach/state/jobs.py
@@ -96,6 +96,8 @@
                 return jobuploads.seal_job(self, command)
             case jobcommands.CancelJob():
                 return self.cancel(command)
+            case jobcommands.LoseClaims():
+                return self.lose_claims(command)
             case logicaltime.Tick():
                 return self.tick(command)
         raise TypeError(f'not a command: {command!r}')
@@ -327,6 +329,15 @@
                 del self.claims[epoch]
         return tuple(holders)
 
+    def lose_claims(self, command):
+        """End the claims of earlier processes of a host."""
+        prefix = f'{command.host_id}#'
+        for epoch, claim in list(self.claims.items()):
+            holder_id = claim.host_id
+            if holder_id.startswith(prefix) and holder_id != command.kept:
+                self.expire(epoch, claim)
+        return jobcommands.Applied()
+
     # Time.
 
     def tick(self, command):
--- a/rhubarbreach/state/requestcommands.py
+++ b/rhubarbreach/state/requestcommands.py
@@ -99,9 +99,18 @@
 
 @frozen
 class LoseHolder:
-    """Note that a host was lost with its running requests."""
+    """Note that earlier processes of a host ended with their requests.
 
-    holder_id: str
+    Parameters
+    ----------
+    host_id : str
+        Host; its holders are named `host#incarnation`.
+    kept : str
+        Holder whose requests go on; empty for none.
+    """
+
+    host_id: str
+    kept: str = ''
 
 
 COMMANDS = tagged.Family(
--- a/rhubarbreach/state/requests.py
+++ b/rhubarbreach/state/requests.py
@@ -194,8 +194,10 @@
 
     def lose_holder(self, command):
         """Mark the running records of a lost host as unknown."""
+        prefix = f'{command.host_id}#'
         for record in self.records.values():
-            if record.holder_id == command.holder_id:
+            holder_id = record.holder_id
+            if holder_id.startswith(prefix) and holder_id != command.kept:
                 self.end_unknown(record)
         return requestcommands.Applied()
 
