Hand back items of a claim that was under way when a drain began

Items of a claim that was answered after the drain had looked for items to cancel ran on; an item that was being handed to the executor while it was cancelled did so too. Change: a draining host hands such claims back, looks again until it is idle, and repeats a cancellation until the call has ended or was never handed over.

--- a/rhubarbreach/batch/holdings.py
+++ b/rhubarbreach/batch/holdings.py
@@ -63,16 +63,25 @@
         claim = HeldClaim(group, claimed.job_id, deadline, items)
         with self.lock:
             self.claims[group, claimed.epoch] = claim
+            for one in held:
+                self.futures[group, claimed.epoch, one.item] = None
             target = self.targets.setdefault(claimed.target, Target())
             target.outstanding += len(held)
 
     def attach(self, held, future):
         """Remember the future of an item's call until the item ends."""
+        key = (held.group, held.epoch, held.item)
         with self.lock:
-            self.futures[held.group, held.epoch, held.item] = future
+            if key in self.futures:
+                self.futures[key] = future
+
+    def is_open(self, held):
+        """Return whether an item was taken and has not ended."""
+        with self.lock:
+            return (held.group, held.epoch, held.item) in self.futures
 
     def get_future(self, held):
-        """Return the future of an item's call, None when it has ended."""
+        """Return the future of an item's call, None before it is known."""
         with self.lock:
             return self.futures.get((held.group, held.epoch, held.item))
 
--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -71,7 +71,7 @@
             lanes.GroupLane(number) for number in range(store.job_groups)
         ]
         self.lock = threading.Lock()
-        self.stopping = []
+        self.stopping = {}
         self.wake = threading.Event()
         self.draining = False
         self.closed = False
@@ -127,8 +127,6 @@
             # The pool was shut down by close().
             return
 
-    # Claims.
-
     def claim_due(self, now):
         """Claim from the groups whose backoff has passed."""
         ready = [
@@ -210,6 +208,12 @@
     def take_claim(self, lane, claimed, deadline):
         """Hand the items of a claim to the executor."""
         held = items.make_held(lane.group, claimed)
+        if self.draining:
+            # The claim was under way when the drain began.
+            now = clock.monotonic()
+            for one in held:
+                lane.outbox.put(items.Released(one, False), now)
+            return
         if not claimed.idempotent:
             held = self.start_items(lane, claimed, held)
         if not held:
@@ -244,8 +248,6 @@
         started = {index for leased in reply.claims for index in leased.items}
         return [one for one in held if one.item in started]
 
-    # Ends of items.
-
     def end(self, lane, held, future):
         """Queue the end of an item for its group."""
         answer = items.read_end(future)
@@ -276,8 +278,6 @@
         finally:
             lane.reporting = False
 
-    # Renewal and cancellation.
-
     def renew_if_held(self, lane, now):
         """Start a renewal of the claims of a group, if there are any."""
         epochs = self.holdings.list_epochs(lane.group)
@@ -312,34 +312,31 @@
 
     def stop_items(self, held):
         """Cancel the calls of items whose claims are gone."""
-        self.metrics.count('batch_items_stopped_total', len(held))
         with self.lock:
-            self.stopping.extend(held)
+            for one in held:
+                self.stopping[items.make_request_id(one)] = one
         self.repeat_stops()
 
     def repeat_stops(self):
         """Cancel again what has not ended.
 
-        A call that was just handed over may not be known to the executor
-        yet, and would start after a single cancellation.
+        A call that is just being handed over may not be known to the
+        executor yet, and would start after a single cancellation.
         """
         with self.lock:
-            stopping, self.stopping = self.stopping, []
-        left = []
-        for one in stopping:
+            stopping = list(self.stopping.items())
+        for request_id, one in stopping:
             future = self.holdings.get_future(one)
             if future is not None and not future.cancel():
-                self.executor.cancel(items.make_request_id(one))
-                left.append(one)
-        with self.lock:
-            self.stopping.extend(left)
+                self.executor.cancel(request_id)
+            if not self.holdings.is_open(one):
+                with self.lock:
+                    self.stopping.pop(request_id, None)
 
     def cancel_job(self, job_id):
         """Stop the items of a job that was cancelled."""
         self.stop_items(self.holdings.remove_job(job_id))
 
-    # Drain.
-
     def drain(self, finish_by, deadline):
         """Stop claiming, finish or hand back all items.
 
@@ -359,17 +356,22 @@
         """
         self.draining = True
         finish_by = min(finish_by, deadline - HANDBACK_TIME)
-        if not self.wait_until(self.is_idle, finish_by):
+        if self.wait_until(self.is_idle, finish_by):
+            return True
+
+        def is_idle_or_stop():
+            # A claim that was under way may bring items after the first
+            # look.
             self.cancel_repeatable()
-        return self.wait_until(self.is_idle, deadline)
+            return self.is_idle()
+
+        return self.wait_until(is_idle_or_stop, deadline)
 
     def cancel_repeatable(self):
         """Cancel the calls of items that may run again elsewhere."""
-        repeatable = [
-            held for held in self.holdings.list_items() if held.idempotent
-        ]
-        if repeatable:
-            self.stop_items(repeatable)
+        self.stop_items(
+            [held for held in self.holdings.list_items() if held.idempotent]
+        )
 
     def is_idle(self):
         """Return whether no item is outstanding or unreported."""
