Take slots back from the newest batch item of all endpoints

Cause: preemption chose the least loaded endpoint first, and its newest item may have run for long; what it has made is read again when it resumes. Change: the newest batch placement of the host gives its slot.

--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -1,6 +1,7 @@
 """Decisions of the scheduler of one host, without threads and clocks."""
 
 import collections
+import itertools
 
 from rhubarbreach import codes
 from rhubarbreach.placement import alone
@@ -59,6 +60,7 @@
         self.running = {}
         self.by_endpoint = collections.defaultdict(dict)
         self.reports = []
+        self.order = itertools.count()
         self.turn = 0
         self.next_expiry = 0.0
 
@@ -227,12 +229,11 @@
         choice = self.choose(item, free, now)
         if isinstance(choice, choose.Choice):
             return [self.start(item, choice, now)]
-        held = [e for e in candidates if self.find_newest(e.endpoint_id)]
-        choice = self.choose(item, held, now)
-        if isinstance(choice, choose.Choice):
-            newest = self.find_newest(choice.endpoint.endpoint_id)
-            preempted = self.preempt(newest)
-            return [preempted, self.start(item, choice, now)]
+        newest = self.find_victim(candidates)
+        if newest is not None:
+            endpoint = newest.placement.endpoint
+            choice = choose.Choice(endpoint, 'slot taken back from batch')
+            return [self.preempt(newest), self.start(item, choice, now)]
         excess = [
             endpoint
             for endpoint in candidates
@@ -310,7 +311,9 @@
         self.slots.take(endpoint_id, item.lane)
         self.load.start(endpoint_id, now)
         self.cache.add(endpoint_id, item.prefix, now)
-        self.running[item.work_id] = decisions.Running(placement)
+        self.running[item.work_id] = decisions.Running(
+            placement, next(self.order)
+        )
         self.by_endpoint[endpoint_id][item.work_id] = placement
         return decisions.Placed(placement)
 
@@ -323,6 +326,15 @@
                 return running
         return None
 
+    def find_victim(self, candidates):
+        """Return the newest batch placement on some endpoints, or None.
+
+        It has made the fewest tokens, which are read again later.
+        """
+        found = [self.find_newest(e.endpoint_id) for e in candidates]
+        found = [running for running in found if running is not None]
+        return max(found, key=lambda one: one.order, default=None)
+
     def preempt(self, running):
         """Take the slot of a batch placement and return the decision."""
         running.preempted = True
--- a/rhubarbreach/placement/decisions.py
+++ b/rhubarbreach/placement/decisions.py
@@ -32,7 +32,8 @@
 
 @dataclasses.dataclass(slots=True)
 class Running:
-    """A placement that has not been released."""
+    """A placement that has not been released; `order` grows."""
 
     placement: work.Placement
+    order: int
     preempted: bool = False
