Tell other hosts of service when it starts

Cause: totals grew when an item ended, 3 to 6 s after its start; all hosts served the same account meanwhile, which led by 11 % over 60 s. Change: the estimate counts at the start, the correction at the end.

--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -214,7 +214,7 @@
         lane = self.queue.lanes[work.Lane.ONLINE]
         while len(lane):
             models = self.list_placeable(work.Lane.ONLINE, now)
-            entry = lane.pop(now, models)
+            entry = self.queue.pop(now, work.Lane.ONLINE, models)
             if entry is None:
                 break
             result += self.place_one_online(entry.work, now)
@@ -250,7 +250,9 @@
         lane = self.queue.lanes[work.Lane.BATCH]
         while len(lane):
             models = self.list_placeable(work.Lane.BATCH, now)
-            entry = lane.pop(now, models) if models else None
+            entry = None
+            if models:
+                entry = self.queue.pop(now, work.Lane.BATCH, models)
             if entry is None:
                 break
             item = entry.work
--- a/rhubarbreach/placement/settle.py
+++ b/rhubarbreach/placement/settle.py
@@ -30,7 +30,7 @@
     if outcome.status == work.OutcomeStatus.COMPLETED and not served:
         # The answer was not a stream, so its tokens were not counted.
         served = item.cost
-    core.queue.charge(item.account_id, served - item.cost, item.lane, served)
+    core.queue.charge(item.account_id, served - item.cost, item.lane)
     failed = outcome.status in FAILURES
     if failed or outcome.inter_token is not None:
         core.ejector.observe(
--- a/rhubarbreach/scheduling/counters.py
+++ b/rhubarbreach/scheduling/counters.py
@@ -15,13 +15,29 @@
 
     def __init__(self):
         self.own = {}
+        self.credit = {}
         self.sent = {}
         self.remote = {}
 
     def add(self, lane, account_id, cost):
-        """Count cost served on this host, in tokens."""
+        """Count cost served on this host.
+
+        Totals never fall, so that a smaller one means a restarted host:
+        what was counted too much is taken off what follows.
+
+        Parameters
+        ----------
+        lane : Lane
+            Lane in which it was served.
+        account_id : str
+            Client account.
+        cost : float
+            Tokens; negative to correct an estimate.
+        """
         key = (lane, account_id)
-        self.own[key] = self.own.get(key, 0.0) + cost
+        credit = self.credit.get(key, 0.0) - cost
+        self.credit[key] = max(0.0, credit)
+        self.own[key] = self.own.get(key, 0.0) + max(0.0, -credit)
 
     def take_changed(self):
         """Return a message with the totals that changed, or None."""
--- a/rhubarbreach/scheduling/fair.py
+++ b/rhubarbreach/scheduling/fair.py
@@ -281,16 +281,20 @@
 
     def pop(self, now, lane=None, model_ids=None):
         """Return the next entry of a lane, online first, or None."""
-        if lane is not None:
-            return self.lanes[lane].pop(now, model_ids)
-        entry = self.lanes[work.Lane.ONLINE].pop(now, model_ids)
-        return entry or self.lanes[work.Lane.BATCH].pop(now, model_ids)
+        for one in work.Lane if lane is None else (lane,):
+            entry = self.lanes[one].pop(now, model_ids)
+            if entry is not None:
+                item = entry.work
+                # The other hosts learn of it now, not when it has ended.
+                self.totals.add(one, item.account_id, item.cost)
+                return entry
+        return None
 
     def withdraw(self, work_id):
         """Remove an entry; return whether it waited."""
         return any(lane.withdraw(work_id) for lane in self.lanes.values())
 
-    def charge(self, account_id, cost, lane=work.Lane.BATCH, served=None):
+    def charge(self, account_id, cost, lane=work.Lane.BATCH):
         """Correct the service of an account when a request has ended.
 
         Parameters
@@ -301,12 +305,9 @@
             Tokens beyond the estimate; negative when it was less.
         lane : Lane
             Lane in which it was served.
-        served : float, optional
-            All tokens of the request, counted for the other hosts.
         """
         self.lanes[lane].charge(account_id, cost)
-        if served is not None:
-            self.totals.add(lane, account_id, served)
+        self.totals.add(lane, account_id, cost)
 
     def merge_remote(self, host_id, message):
         """Charge the accounts for what another host served.
--- a/rhubarbreach/scheduling/tests/test_fair.py
+++ b/rhubarbreach/scheduling/tests/test_fair.py
@@ -103,3 +103,16 @@
     assert refusal.code == codes.ResultCode.QUEUE_FULL
     assert queue.withdraw('a0') and not queue.withdraw('a0')
     assert queue.push(make_entry('more', 'a')) is None
+
+
+def test_totals_count_at_the_start_and_never_fall(queue):
+    """Other hosts must learn of long items before these have ended."""
+    first = queue.pop(0.0).work
+    counters = queue.totals.take_changed().counters
+    assert [(c.account_id, c.served) for c in counters] == [
+        (first.account_id, 10.0)
+    ]
+    queue.charge(first.account_id, -4.0)
+    assert queue.totals.take_changed() is None
+    queue.charge(first.account_id, 10.0)
+    assert queue.totals.take_changed().counters[0].served == 16.0
