--- a/rhubarbreach/state/jobcommands.py
+++ b/rhubarbreach/state/jobcommands.py
@@ -1,4 +1,4 @@
-"""Commands, queries and replies of the job groups."""
+"""Commands and replies of the job groups."""
 
 import dataclasses
 import enum
@@ -19,8 +19,6 @@
     'ClaimItems',
     'ClaimReply',
     'Claimed',
-    'GetJob',
-    'GetResults',
     'ItemEnd',
     'ItemResult',
     'ItemState',
@@ -28,9 +26,7 @@
     'JobState',
     'JobStatus',
     'LeasedItems',
-    'ListJobs',
     'ListReply',
-    'QUERIES',
     'REPLIES',
     'ReleaseItems',
     'RenewClaims',
@@ -130,6 +126,9 @@
         Weight of the account.
     max_attempts : int
         Attempts after which an item has failed.
+    retry_delay : int
+        Milliseconds until a failed item is tried again; each further attempt
+        waits `RETRY_FACTOR` times longer.
     retention : int
         Milliseconds to keep the job after its end.
     created_at : float
@@ -147,19 +146,24 @@
     idempotent: bool
     weight: float
     max_attempts: int
+    retry_delay: int
     retention: int
     created_at: float
 
 
 @frozen
 class AddItems:
-    """Add a chunk of items; the first has the index `first`."""
+    """Add a chunk of items; the first has the index `first`.
+
+    `costs` are estimated costs in tokens, for fair claiming.
+    """
 
     job_id: str
     digest: bytes
     first: int
     custom_ids: tuple[str, ...]
     bodies: tuple[bytes, ...]
+    costs: tuple[int, ...]
 
 
 @frozen
@@ -222,13 +226,9 @@
 
 @frozen
 class ReleaseItems:
-    """Hand items back that did not run or may run again.
-
-    `delay` in milliseconds keeps their jobs from being claimed meanwhile.
-    """
+    """Hand items back that did not run or may run again."""
 
     claims: tuple[LeasedItems, ...]
-    delay: int = 0
 
 
 @frozen
@@ -253,41 +253,6 @@
 )
 
 
-@frozen
-class GetJob:
-    """Ask for the status of a job of an account."""
-
-    job_id: str
-    account_id: str
-
-
-@frozen
-class ListJobs:
-    """Ask for jobs of an account, in the order of their ids."""
-
-    account_id: str
-    after: str
-    limit: int
-
-
-@frozen
-class GetResults:
-    """Ask for final items from an index on, bounded by count and bytes.
-
-    `failed` asks only for items without a result.
-    """
-
-    job_id: str
-    account_id: str
-    first: int
-    limit: int
-    max_bytes: int
-    failed: bool
-
-
-QUERIES = tagged.Family(GetJob, ListJobs, GetResults)
-
-
 @frozen
 class JobStatus:
     """Status of a job; counts are numbers of items."""
