--- a/rhubarbreach/placement/__init__.py
+++ b/rhubarbreach/placement/__init__.py
@@ -5,6 +5,7 @@
 from rhubarbreach.placement import core
 from rhubarbreach.placement import decisions
 from rhubarbreach.placement import exchange
+from rhubarbreach.placement import expiry
 from rhubarbreach.placement import scheduler
 from rhubarbreach.placement import settle
 from rhubarbreach.placement import waiting
@@ -15,6 +16,7 @@
     'core',
     'decisions',
     'exchange',
+    'expiry',
     'scheduler',
     'settle',
     'waiting',
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -7,6 +7,7 @@
 from rhubarbreach.placement import alone
 from rhubarbreach.placement import baseline
 from rhubarbreach.placement import decisions
+from rhubarbreach.placement import expiry
 from rhubarbreach.placement import settle
 from rhubarbreach.routing import cache
 from rhubarbreach.routing import choose
@@ -18,8 +19,6 @@
 
 __all__ = ['Core']
 
-# Seconds an online request waits while no endpoint serves its model.
-NO_ENDPOINT_WAIT = 2.0
 # Seconds between two searches for entries past their deadline.
 EXPIRY_PERIOD = 0.1
 BASELINE = 'baseline'
@@ -118,7 +117,7 @@
         result = []
         if now >= self.next_expiry:
             self.next_expiry = now + EXPIRY_PERIOD
-            result += self.refuse_expired(now)
+            result += expiry.refuse_expired(self, now)
             self.eject(now)
         if self.baseline:
             return result + baseline.place_in_order(self, now)
@@ -128,35 +127,6 @@
         result += self.place_batch(now)
         return result
 
-    def refuse_expired(self, now):
-        """Refuse entries past their deadline or without any endpoint."""
-        result = []
-        expired = self.alone.take_expired(now, self.slots)
-        for lane in self.queue.lanes.values():
-            expired += lane.take_expired(now)
-        for entry in expired:
-            refusal = codes.Refusal(
-                codes.ResultCode.DEADLINE_TOO_SHORT,
-                'the deadline passed while the request waited',
-            )
-            result.append(decisions.Refused(entry.work, refusal))
-        online = self.queue.lanes[work.Lane.ONLINE]
-        waited = [
-            entry
-            for entry in online.by_work.values()
-            if now - entry.queued_at > NO_ENDPOINT_WAIT
-            and not self.registry.usable(entry.work.model_id, now)
-        ]
-        for entry in waited:
-            online.remove(entry)
-            refusal = codes.Refusal(
-                codes.ResultCode.NO_ENDPOINT,
-                f'no endpoint serves {entry.work.model_id}',
-                retry_after=NO_ENDPOINT_WAIT,
-            )
-            result.append(decisions.Refused(entry.work, refusal))
-        return result
-
     def eject(self, now):
         """Look for slow or failing replicas of the models in use."""
         if self.baseline:
