--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -1,11 +1,13 @@
 """Decisions of the scheduler of one host, without threads and clocks."""
 
 import collections
+import itertools
 
 from rhubarbreach import codes
 from rhubarbreach.placement import alone
 from rhubarbreach.placement import baseline
 from rhubarbreach.placement import decisions
+from rhubarbreach.placement import expiry
 from rhubarbreach.placement import settle
 from rhubarbreach.routing import cache
 from rhubarbreach.routing import choose
@@ -17,8 +19,6 @@
 
 __all__ = ['Core']
 
-# Seconds an online request waits while no endpoint serves its model.
-NO_ENDPOINT_WAIT = 2.0
 # Seconds between two searches for entries past their deadline.
 EXPIRY_PERIOD = 0.1
 BASELINE = 'baseline'
@@ -59,6 +59,7 @@
         self.running = {}
         self.by_endpoint = collections.defaultdict(dict)
         self.reports = []
+        self.order = itertools.count()
         self.turn = 0
         self.next_expiry = 0.0
 
@@ -116,7 +117,7 @@
         result = []
         if now >= self.next_expiry:
             self.next_expiry = now + EXPIRY_PERIOD
-            result += self.refuse_expired(now)
+            result += expiry.refuse_expired(self, now)
             self.eject(now)
         if self.baseline:
             return result + baseline.place_in_order(self, now)
@@ -126,35 +127,6 @@
         result += self.place_batch(now)
         return result
 
-    def refuse_expired(self, now):
-        """Refuse entries past their deadline or without any endpoint."""
-        result = []
-        expired = self.alone.take_expired(now, self.slots)
-        for lane in self.queue.lanes.values():
-            expired += lane.take_expired(now)
-        for entry in expired:
-            refusal = codes.Refusal(
-                codes.ResultCode.DEADLINE_TOO_SHORT,
-                'the deadline passed while the request waited',
-            )
-            result.append(decisions.Refused(entry.work, refusal))
-        online = self.queue.lanes[work.Lane.ONLINE]
-        waited = [
-            entry
-            for entry in online.by_work.values()
-            if now - entry.queued_at > NO_ENDPOINT_WAIT
-            and not self.registry.usable(entry.work.model_id, now)
-        ]
-        for entry in waited:
-            online.remove(entry)
-            refusal = codes.Refusal(
-                codes.ResultCode.NO_ENDPOINT,
-                f'no endpoint serves {entry.work.model_id}',
-                retry_after=NO_ENDPOINT_WAIT,
-            )
-            result.append(decisions.Refused(entry.work, refusal))
-        return result
-
     def eject(self, now):
         """Look for slow or failing replicas of the models in use."""
         if self.baseline:
@@ -212,7 +184,7 @@
         lane = self.queue.lanes[work.Lane.ONLINE]
         while len(lane):
             models = self.list_placeable(work.Lane.ONLINE, now)
-            entry = lane.pop(now, models)
+            entry = self.queue.pop(now, work.Lane.ONLINE, models)
             if entry is None:
                 break
             result += self.place_one_online(entry.work, now)
@@ -227,12 +199,11 @@
         choice = self.choose(item, free, now)
         if isinstance(choice, choose.Choice):
             return [self.start(item, choice, now)]
-        held = [e for e in candidates if self.find_newest(e.endpoint_id)]
-        choice = self.choose(item, held, now)
-        if isinstance(choice, choose.Choice):
-            newest = self.find_newest(choice.endpoint.endpoint_id)
-            preempted = self.preempt(newest)
-            return [preempted, self.start(item, choice, now)]
+        newest = self.find_victim(candidates)
+        if newest is not None:
+            endpoint = newest.placement.endpoint
+            choice = choose.Choice(endpoint, 'slot taken back from batch')
+            return [self.preempt(newest), self.start(item, choice, now)]
         excess = [
             endpoint
             for endpoint in candidates
@@ -249,7 +220,9 @@
         lane = self.queue.lanes[work.Lane.BATCH]
         while len(lane):
             models = self.list_placeable(work.Lane.BATCH, now)
-            entry = lane.pop(now, models) if models else None
+            entry = None
+            if models:
+                entry = self.queue.pop(now, work.Lane.BATCH, models)
             if entry is None:
                 break
             item = entry.work
@@ -310,7 +283,9 @@
         self.slots.take(endpoint_id, item.lane)
         self.load.start(endpoint_id, now)
         self.cache.add(endpoint_id, item.prefix, now)
-        self.running[item.work_id] = decisions.Running(placement)
+        self.running[item.work_id] = decisions.Running(
+            placement, next(self.order)
+        )
         self.by_endpoint[endpoint_id][item.work_id] = placement
         return decisions.Placed(placement)
 
@@ -323,6 +298,15 @@
                 return running
         return None
 
+    def find_victim(self, candidates):
+        """Return the newest batch placement on some endpoints, or None.
+
+        It has made the fewest tokens, which are read again later.
+        """
+        found = [self.find_newest(e.endpoint_id) for e in candidates]
+        found = [running for running in found if running is not None]
+        return max(found, key=lambda one: one.order, default=None)
+
     def preempt(self, running):
         """Take the slot of a batch placement and return the decision."""
         running.preempted = True
