Use local static rates in the baseline policy

Cause: hosts in baseline mode kept the shared rate limiter, so the baseline was measured with a mechanism that it should lack. Change: the daemon passes the policy mode to the rate limiter.

--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -53,6 +53,7 @@
 
 ORDER_SECONDS = 5.0
 MILLISECONDS = 1000
+BASELINE = 'baseline'
 TRANSFER_SECONDS = 5.0
 # Time between the report of not being ready and the refusal of requests,
 # in which the load balancer turns to other hosts.
@@ -204,7 +205,12 @@
         host = self.settings.host
         self.shares_at = clock.monotonic() + holder.LEASE_BOUND
         self.limiter = shares.RateLimiter(
-            self.host_id, host.region, self.view, self.membership, self.link
+            self.host_id,
+            host.region,
+            self.view,
+            self.membership,
+            self.link,
+            static=self.settings.policy.mode == BASELINE,
         )
         self.scheduler = scheduler.Scheduler(
             self.host_id,
