--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -14,6 +14,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import delay as delay_queue
+from rhubarbreach.protocol import framing
 from rhubarbreach.protocol import tls
 
 __all__ = ['Link', 'Peer']
@@ -24,6 +25,7 @@
 # cannot exhaust the memory of its sender.
 QUEUE_MESSAGES = 4096
 SEND_TIMEOUT_MS = 500
+SEND_BUFFER_FRAMES = 32
 RECEIVE_TIMEOUT_MS = 200
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
@@ -54,7 +56,7 @@
         self.closed = False
         self.socket = pynng.Push0(
             send_timeout=SEND_TIMEOUT_MS,
-            send_buffer_size=1,
+            send_buffer_size=SEND_BUFFER_FRAMES,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
@@ -88,7 +90,8 @@
                     return
                 data = self.queue.popleft()
             try:
-                self.socket.send(data)
+                for frame in framing.split_message(data):
+                    self.socket.send(frame)
                 self.sent_bytes += len(data)
             except pynng.Timeout:
                 self.drop_backlog()
@@ -143,6 +146,7 @@
         self.lock = threading.Lock()
         self.fault = None
         self.delays = delay_queue.DelayQueue()
+        self.assembler = framing.Assembler()
         self.closed = False
         self.rejected = 0
         self.received_bytes = 0
@@ -150,7 +154,7 @@
             HANDLER_THREADS, thread_name_prefix='link-handler'
         )
         self.socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
-        self.socket.recv_max_size = codec.MAX_MESSAGE_BYTES
+        self.socket.recv_max_size = 2 * framing.FRAME_BYTES
         scheme = 'tcp'
         if tls_files is not None:
             scheme = 'tls+tcp'
@@ -293,9 +297,12 @@
 
     def accept(self, received):
         """Decode a received message and pass it on, or drop it."""
-        data = received.bytes
-        self.received_bytes += len(data)
+        frame = received.bytes
+        self.received_bytes += len(frame)
         try:
+            data = self.assembler.add(received.pipe.id, frame)
+            if data is None:
+                return
             envelope = codec.decode(data)
         except exceptions.MessageError as error:
             self.reject('malformed', str(error))
