Split the messages by concern and the shutdown from the host

Change: one module of messages for each concern, registered by the codec; drain, transfer of leadership and close in daemon/shutdown.py; a drain reports not ready and goes on serving for 1 s before it refuses. Conclusion: behaviour is the same but for the second in a drain.

--- a/rhubarbreach/bench/configcost.py
+++ b/rhubarbreach/bench/configcost.py
@@ -9,7 +9,7 @@
 
 from rhubarbreach.distribution import view
 from rhubarbreach.protocol import codec
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 from rhubarbreach.state import config
 from rhubarbreach.state import index
 from rhubarbreach.state import model
@@ -93,7 +93,7 @@
     apply_us = time_call(lambda number: machine.apply(0, commands[number]))
     encoded = [model.CHANGES.encode(change) for change in changes]
     replies = [
-        messages.ConfigReply(REVISION + number + 1, (data,), None, 1.5)
+        configmessages.ConfigReply(REVISION + number + 1, (data,), None, 1.5)
         for number, data in enumerate(encoded)
     ]
     delta_us = time_call(
@@ -105,8 +105,8 @@
     authenticate_us = time_call(
         lambda number: seen.authenticate(key, float(ROUNDS))
     )
-    watch = messages.ConfigWatch('entry-host-0001', 2**40, REVISION, 0.6)
-    idle = messages.ConfigReply(REVISION, (), None, 1.5)
+    watch = configmessages.ConfigWatch('entry-host-0001', 2**40, REVISION, 0.6)
+    idle = configmessages.ConfigReply(REVISION, (), None, 1.5)
     document = model.ENCODER.encode(index.to_document(seen.snapshot))
     return (
         count,
--- a/rhubarbreach/bench/membershipbench.py
+++ b/rhubarbreach/bench/membershipbench.py
@@ -15,7 +15,7 @@
 from rhubarbreach.membership import members
 from rhubarbreach.membership import swim
 from rhubarbreach.protocol import codec
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['Cost', 'Swarm', 'main', 'measure']
 
@@ -74,7 +74,7 @@
 
     def add(self, name, incarnation=1):
         """Start a host."""
-        own = messages.HostRow(
+        own = membermessages.HostRow(
             name,
             '10.0.0.1:7000',
             'zone-a',
--- a/rhubarbreach/bench/policyhost.py
+++ b/rhubarbreach/bench/policyhost.py
@@ -15,7 +15,7 @@
 from rhubarbreach.membership import rendezvous
 from rhubarbreach.placement import core
 from rhubarbreach.placement import scheduler
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 from rhubarbreach.scheduling import work
 from rhubarbreach.settings import model as settings_model
 from rhubarbreach.state import model as state_model
@@ -275,7 +275,7 @@
     def make_row(self, name):
         """Return the announcement of an engine."""
         found = self.engines[name]
-        return messages.EndpointRow(
+        return membermessages.EndpointRow(
             name,
             '',
             self.zones[name],
--- a/rhubarbreach/bench/slopeparts.py
+++ b/rhubarbreach/bench/slopeparts.py
@@ -13,7 +13,8 @@
 from rhubarbreach.membership import endpoints
 from rhubarbreach.membership import swim
 from rhubarbreach.protocol import codec
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
+from rhubarbreach.protocol import membermessages
 from rhubarbreach.state import model
 
 __all__ = [
@@ -65,7 +66,7 @@
         self.queue = []
         self.detectors = {}
         for number in range(count):
-            row = messages.HostRow(
+            row = membermessages.HostRow(
                 f'host-{number:04d}',
                 f'10.0.{number // 250}.{number % 250}:7000',
                 f'zone-{number % 19}',
@@ -133,7 +134,7 @@
 
 def make_endpoint_row(number, sequence):
     """Return the announcement of an engine."""
-    return messages.EndpointRow(
+    return membermessages.EndpointRow(
         f'engine-{number:05d}',
         f'10.1.{number // 250}.{number % 250}:9000',
         'zone-1',
@@ -171,7 +172,7 @@
         spent = time.process_time() - start
         cpu.append(fits.Point(count, spent * MICROSECONDS))
         resident_bytes.append(fits.Point(count, float(resident)))
-        batch = messages.EndpointBatch(tuple(rows), False)
+        batch = membermessages.EndpointBatch(tuple(rows), False)
         sent.append(fits.Point(count, float(get_size(batch))))
     named = (
         ('CPU us a round', cpu),
@@ -220,7 +221,7 @@
 
 def make_lease(hosts, number, now):
     """Return the lease that a host sends to its owner."""
-    return messages.ShareLease(
+    return limitmessages.ShareLease(
         share_epoch=1,
         share_count=hosts,
         duration=3.0,
@@ -242,7 +243,7 @@
         start = time.process_time()
         for number in range(GRANT_ROUNDS):
             account = own[number % len(own)]
-            request = messages.GrantRequest(account.account_id, 1.0, 0.0)
+            request = limitmessages.GrantRequest(account.account_id, 1.0, 0.0)
             one.grant(request, account, now + 0.001 * number)
         spent = time.process_time() - start
         grants.append(fits.Point(count, spent / GRANT_ROUNDS * MICROSECONDS))
--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -8,7 +8,7 @@
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as store_codec
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = [
     'add_learner',
@@ -46,7 +46,7 @@
     store = state.store
     accepted = [p for p in proposals if p.deadline > now]
     entries = [
-        messages.LogEntry(index, store.term, proposal.kind, proposal.data)
+        logmessages.LogEntry(index, store.term, proposal.kind, proposal.data)
         for index, proposal in enumerate(accepted, store.last_index + 1)
     ]
     for proposal in proposals:
@@ -115,7 +115,7 @@
     if index_only or state.leader_id is None:
         state.refused.append((future, states.make_not_leader(state)))
         return
-    request = messages.ReadIndexRequest(
+    request = logmessages.ReadIndexRequest(
         state.settings.group_id, clock.remaining(deadline, now)
     )
     call = group.link.call(state.leader_id, request, deadline)
@@ -165,7 +165,7 @@
         state.outbox.append(
             (
                 peer.peer_id,
-                messages.TransferLeadership(
+                logmessages.TransferLeadership(
                     state.settings.group_id, state.store.term
                 ),
             )
@@ -199,7 +199,7 @@
 
 def add_learner(group, host_id, deadline):
     """Ask a host for its store identity and add it as a learner."""
-    query = messages.StoreQuery(group.group_id)
+    query = logmessages.StoreQuery(group.group_id)
     future = model.make_future()
     call = group.link.call(host_id, query, deadline)
     call.add_done_callback(
@@ -229,7 +229,7 @@
             f'{host_id} is a member already',
         )
         return
-    member = messages.Member(host_id, hello.store_id, False)
+    member = logmessages.Member(host_id, hello.store_id, False)
     propose_members(
         state, (*members, member), deadline, future, clock.monotonic()
     )
@@ -296,7 +296,7 @@
     known = model.find_member(members, host_id)
     if known is None or known.store_id == hello.store_id:
         return
-    learner = messages.Member(
+    learner = logmessages.Member(
         host_id, hello.store_id, False, known.voter or known.replaces
     )
     changed = [learner if one is known else one for one in members]
--- a/rhubarbreach/consensus/client.py
+++ b/rhubarbreach/consensus/client.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = ['Client', 'propose', 'query']
 
@@ -71,7 +71,7 @@
         silences = 0
         while clock.monotonic() < deadline and not self.link.closed:
             host_id = self.choose_host(group_id, turn)
-            message = messages.ClusterCommand(
+            message = logmessages.ClusterCommand(
                 group_id, command, limit(silences, deadline), is_read
             )
             reply = self.attempt(host_id, message)
@@ -126,7 +126,7 @@
         if isinstance(reply, codes.Refusal):
             # The link itself has refused: nothing came back in time.
             self.silent_until[host_id] = clock.monotonic() + SILENT_SECONDS
-            return messages.ClusterReply(None, reply)
+            return logmessages.ClusterReply(None, reply)
         return reply
 
 
--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -6,7 +6,7 @@
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as store_codec
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = ['Incoming', 'handle_append', 'handle_install']
 
@@ -34,7 +34,7 @@
 
 def make_reply(state, message, success, match_index):
     """Return the answer to `AppendEntries`."""
-    return messages.AppendReply(
+    return logmessages.AppendReply(
         state.settings.group_id,
         state.store.term,
         success,
@@ -116,7 +116,7 @@
             )
             if done:
                 install(state, message)
-    reply = messages.InstallReply(
+    reply = logmessages.InstallReply(
         state.settings.group_id,
         state.store.term,
         message.last_index if done else offset,
--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -7,7 +7,7 @@
 """
 
 from rhubarbreach.consensus import model
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = [
     'announce',
@@ -25,7 +25,7 @@
     store = state.store
     joined = store.formed or store.last_index > 0
     members = store.members if joined and store.members else store.initial
-    return messages.StoreHello(
+    return logmessages.StoreHello(
         state.settings.group_id,
         store.store_id,
         joined,
@@ -40,7 +40,7 @@
     if not state.store.formed and state.settings.initial == (
         state.settings.host_id,
     ):
-        own = messages.Member(
+        own = logmessages.Member(
             state.settings.host_id, state.store.store_id, True
         )
         state.store.save_formation(True, (own,))
@@ -130,6 +130,6 @@
     }
     identities[state.settings.host_id] = state.store.store_id
     return tuple(
-        messages.Member(host_id, identities[host_id], True)
+        logmessages.Member(host_id, identities[host_id], True)
         for host_id in sorted(state.settings.initial)
     )
--- a/rhubarbreach/consensus/groups.py
+++ b/rhubarbreach/consensus/groups.py
@@ -7,20 +7,20 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = ['GroupSet']
 
 LOG = logbook.Logger('consensus')
 GROUP_MESSAGES = (
-    messages.AppendEntries,
-    messages.AppendReply,
-    messages.InstallReply,
-    messages.InstallSnapshot,
-    messages.StoreHello,
-    messages.TransferLeadership,
-    messages.VoteReply,
-    messages.VoteRequest,
+    logmessages.AppendEntries,
+    logmessages.AppendReply,
+    logmessages.InstallReply,
+    logmessages.InstallSnapshot,
+    logmessages.StoreHello,
+    logmessages.TransferLeadership,
+    logmessages.VoteReply,
+    logmessages.VoteRequest,
 )
 
 
@@ -38,12 +38,12 @@
         self.groups = {}
         for message_type in GROUP_MESSAGES:
             link.register(message_type, self.deliver, inline=True)
-        link.register(messages.StoreQuery, self.answer_query, inline=True)
+        link.register(logmessages.StoreQuery, self.answer_query, inline=True)
         link.register(
-            messages.ReadIndexRequest, self.answer_read_index, inline=True
+            logmessages.ReadIndexRequest, self.answer_read_index, inline=True
         )
         link.register(
-            messages.ClusterCommand, self.answer_command, inline=True
+            logmessages.ClusterCommand, self.answer_command, inline=True
         )
 
     def add(self, group):
@@ -70,7 +70,9 @@
         """Return a future of the index for another host's read."""
         group = self.groups.get(message.group_id)
         if group is None:
-            return messages.ReadIndexReply(0, make_missing(message.group_id))
+            return logmessages.ReadIndexReply(
+                0, make_missing(message.group_id)
+            )
         deadline = clock.monotonic() + message.timeout
         return translate(group.read_index(deadline), make_index_reply)
 
@@ -78,7 +80,9 @@
         """Return a future of the reply to a command or query."""
         group = self.groups.get(message.group_id)
         if group is None:
-            return messages.ClusterReply(None, make_missing(message.group_id))
+            return logmessages.ClusterReply(
+                None, make_missing(message.group_id)
+            )
         deadline = clock.monotonic() + message.timeout
         if message.read:
             return translate(
@@ -91,7 +95,7 @@
             refusal = codes.Refusal(
                 codes.ResultCode.INVALID_CHANGE, str(error)
             )
-            return messages.ClusterReply(None, refusal)
+            return logmessages.ClusterReply(None, refusal)
         return translate(
             future,
             lambda result: make_reply(group, result),
@@ -130,19 +134,19 @@
 def make_index_reply(result):
     """Return the reply to a request for a read index."""
     if isinstance(result, codes.Refusal):
-        return messages.ReadIndexReply(0, result)
-    return messages.ReadIndexReply(result)
+        return logmessages.ReadIndexReply(0, result)
+    return logmessages.ReadIndexReply(result)
 
 
 def answer_query(group, message, result):
     """Return the machine's answer to a query, after a read."""
     if isinstance(result, codes.Refusal):
-        return messages.ClusterReply(None, result, group.leader_id)
+        return logmessages.ClusterReply(None, result, group.leader_id)
     return make_reply(group, group.machine.query(message.command))
 
 
 def make_reply(group, result):
     """Return the reply for a result or refusal."""
     if isinstance(result, codes.Refusal):
-        return messages.ClusterReply(None, result, group.leader_id)
-    return messages.ClusterReply(result, None, group.leader_id)
+        return logmessages.ClusterReply(None, result, group.leader_id)
+    return logmessages.ClusterReply(result, None, group.leader_id)
--- a/rhubarbreach/consensus/handling.py
+++ b/rhubarbreach/consensus/handling.py
@@ -10,7 +10,7 @@
 from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import voting
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = ['handle_message', 'refuse_event']
 
@@ -30,22 +30,22 @@
         Seconds of the monotonic clock.
     """
     match message:
-        case messages.AppendEntries():
+        case logmessages.AppendEntries():
             following.handle_append(state, sender_id, message, now)
-        case messages.AppendReply():
+        case logmessages.AppendReply():
             leading.handle_append_reply(state, sender_id, message, now)
-        case messages.VoteRequest():
+        case logmessages.VoteRequest():
             voting.handle_vote_request(state, sender_id, message, now)
-        case messages.VoteReply():
+        case logmessages.VoteReply():
             voting.handle_vote_reply(state, sender_id, message, now)
-        case messages.InstallSnapshot():
+        case logmessages.InstallSnapshot():
             following.handle_install(state, sender_id, message, now)
-        case messages.InstallReply():
+        case logmessages.InstallReply():
             leading.handle_install_reply(state, sender_id, message, now)
-        case messages.TransferLeadership():
+        case logmessages.TransferLeadership():
             if message.term == state.store.term:
                 voting.start_election(state, now, True)
-        case messages.StoreHello():
+        case logmessages.StoreHello():
             if formation.handle_hello(state, sender_id, message):
                 changes.replace_store(state, sender_id, message, now)
 
--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -2,7 +2,7 @@
 
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as store_codec
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = [
     'CHUNK_BYTES',
@@ -57,7 +57,7 @@
         )
     previous = peer.next_index - 1
     peer.next_index += len(entries)
-    return messages.AppendEntries(
+    return logmessages.AppendEntries(
         state.settings.group_id,
         store.term,
         state.settings.host_id,
@@ -100,7 +100,7 @@
         peer.snapshot_offset = 0
     start = peer.snapshot_offset
     data = snapshot.data[start : start + CHUNK_BYTES]
-    return messages.InstallSnapshot(
+    return logmessages.InstallSnapshot(
         state.settings.group_id,
         state.store.term,
         state.settings.host_id,
--- a/rhubarbreach/consensus/repair.py
+++ b/rhubarbreach/consensus/repair.py
@@ -8,7 +8,7 @@
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
 from rhubarbreach.storage import folder
 
@@ -60,7 +60,7 @@
 
 def ask_peers(settings, link, deadline):
     """Return the announcements of the peers that answer, by host."""
-    query = messages.StoreQuery(settings.group_id)
+    query = logmessages.StoreQuery(settings.group_id)
     hosts = set(settings.initial) | set(link.peers)
     calls = {
         host: link.call(host, query, deadline)
@@ -71,7 +71,7 @@
     return {
         host: reply
         for host, reply in replies.items()
-        if isinstance(reply, messages.StoreHello) and reply.formed
+        if isinstance(reply, logmessages.StoreHello) and reply.formed
     }
 
 
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -6,7 +6,7 @@
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import store as store_codec
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = [
     'State',
@@ -165,7 +165,7 @@
         # The log itself then says who the first members are.
         kind = model.ENTRY_MEMBERS
         data = store_codec.encode_members(store.members)
-    store.append([messages.LogEntry(index, store.term, kind, data)])
+    store.append([logmessages.LogEntry(index, store.term, kind, data)])
     state.term_start_index = index
     state.role = model.Role.LEADER
     state.leader_id = state.settings.host_id
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -6,7 +6,7 @@
 
 from rhubarbreach.consensus import model
 from rhubarbreach import exceptions
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
 from rhubarbreach.storage import folder
 from rhubarbreach.storage import segments
@@ -21,9 +21,9 @@
 ENCODER = msgspec.msgpack.Encoder()
 BATCH_DECODER = msgspec.msgpack.Decoder(list[tuple[int, int, str, bytes]])
 VOTE_DECODER = msgspec.msgpack.Decoder(tuple[int, str])
-MEMBERS_DECODER = msgspec.msgpack.Decoder(tuple[messages.Member, ...])
+MEMBERS_DECODER = msgspec.msgpack.Decoder(tuple[logmessages.Member, ...])
 FORMATION_DECODER = msgspec.msgpack.Decoder(
-    tuple[bool, tuple[messages.Member, ...]]
+    tuple[bool, tuple[logmessages.Member, ...]]
 )
 
 
@@ -33,7 +33,7 @@
     last_index: int
     last_term: int
     members_index: int
-    members: tuple[messages.Member, ...]
+    members: tuple[logmessages.Member, ...]
     data: bytes
 
 
@@ -134,7 +134,7 @@
         entries = []
         for number, payload in self.log.payloads:
             batch = [
-                messages.LogEntry(*fields)
+                logmessages.LogEntry(*fields)
                 for fields in BATCH_DECODER.decode(payload)
             ]
             self.segment_ends[number] = max(
--- a/rhubarbreach/consensus/voting.py
+++ b/rhubarbreach/consensus/voting.py
@@ -2,7 +2,7 @@
 
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import logmessages
 
 __all__ = [
     'handle_vote_reply',
@@ -44,7 +44,7 @@
 def ask_voters(state, term, pre_vote, transfer):
     """Send a vote request to all other voters."""
     store = state.store
-    request = messages.VoteRequest(
+    request = logmessages.VoteRequest(
         state.settings.group_id,
         term,
         state.settings.host_id,
@@ -81,7 +81,7 @@
         if granted:
             store.save_vote(store.term, request.candidate_id)
             states.set_election_deadline(state, now)
-    reply = messages.VoteReply(
+    reply = logmessages.VoteReply(
         state.settings.group_id,
         request.term if granted and request.pre_vote else store.term,
         granted,
--- a/rhubarbreach/daemon/__init__.py
+++ b/rhubarbreach/daemon/__init__.py
@@ -7,6 +7,7 @@
 from rhubarbreach.daemon import provider
 from rhubarbreach.daemon import run
 from rhubarbreach.daemon import sharetask
+from rhubarbreach.daemon import shutdown
 from rhubarbreach.daemon import stores
 
 __all__ = [
@@ -17,5 +18,6 @@
     'provider',
     'run',
     'sharetask',
+    'shutdown',
     'stores',
 ]
--- a/rhubarbreach/daemon/announce.py
+++ b/rhubarbreach/daemon/announce.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['Announcements']
 
@@ -58,7 +58,7 @@
             return codes.Refusal(
                 codes.ResultCode.MALFORMED_BODY, f'announcement: {error}'
             )
-        row = messages.EndpointRow(
+        row = membermessages.EndpointRow(
             checked.endpoint_id,
             checked.address,
             checked.zone,
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -18,6 +18,7 @@
 from rhubarbreach.daemon import faults
 from rhubarbreach.daemon import provider
 from rhubarbreach.daemon import sharetask
+from rhubarbreach.daemon import shutdown
 from rhubarbreach.daemon import stores
 from rhubarbreach.dispatch import executor
 from rhubarbreach.dispatch import loop
@@ -42,8 +43,8 @@
 from rhubarbreach.operators import server as operators_server
 from rhubarbreach.orders import orderer
 from rhubarbreach.placement import scheduler
+from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import link
-from rhubarbreach.protocol import messages
 from rhubarbreach.state import model
 from rhubarbreach.storage import folder
 
@@ -57,10 +58,6 @@
 SHARE_SECONDS = holder.LEASE_BOUND + holder.LEASE_PERIOD + 0.5
 MILLISECONDS = 1000
 BASELINE = 'baseline'
-TRANSFER_SECONDS = 5.0
-# Time between the report of not being ready and the refusal of requests,
-# in which the load balancer turns to other hosts.
-BALANCER_SECONDS = 1.0
 
 
 class Host:
@@ -244,7 +241,7 @@
             self.metrics,
             self.scheduler.count_waiting_batch,
         )
-        self.link.register(messages.CancelAttempts, self.take_cancel)
+        self.link.register(hostmessages.CancelAttempts, self.take_cancel)
 
     def take_cancel(self, sender_id, message):
         """Stop the items of a cancelled job."""
@@ -260,7 +257,7 @@
         holders : iterable of str
             Host ids and incarnations, `host#incarnation`.
         """
-        message = messages.CancelAttempts(job_id)
+        message = hostmessages.CancelAttempts(job_id)
         for holder_id in holders:
             self.link.send(holder_id.partition('#')[0], message)
 
@@ -329,6 +326,8 @@
 
     def find_unready_reason(self):
         """Return why requests cannot be served here, or an empty string."""
+        if self.drain_requested.is_set():
+            return 'draining'
         if not self.view.ready:
             return 'no configuration'
         if clock.monotonic() < self.shares_at:
@@ -385,62 +384,8 @@
         bool
             Whether everything in flight was finished in time.
         """
-        seconds = self.settings.requests.drain_timeout
-        deadline = clock.monotonic() + seconds
-        self.recorder.record('drain_started', 'shutdown was asked for')
-        LOG.info('event=drain_started')
-        self.application.drain()
-        self.membership.set_draining()
-        finished = self.runner.drain(deadline, deadline)
-        finished = self.server.wait_quiet(deadline) and finished
-        self.transfer_leadership()
-        self.recorder.record(
-            'drain_ended', 'all finished' if finished else 'deadline passed'
-        )
-        LOG.info('event=drain_ended finished={}', finished)
-        self.close()
-        return finished
-
-    def transfer_leadership(self):
-        """Hand the leadership of groups to other stores."""
-        if self.stores is None:
-            return
-        peers = [
-            host_id
-            for host_id in self.get_store_hosts()
-            if host_id != self.host_id
-        ]
-        led = [one for one in self.stores.get_groups() if one.is_leader]
-        if not peers or not led:
-            return
-        for group in led:
-            group.transfer(peers[0])
-        deadline = clock.monotonic() + TRANSFER_SECONDS
-        while any(group.is_leader for group in led):
-            if clock.monotonic() > deadline:
-                return
-            time.sleep(self.settings.store.heartbeat)
+        return shutdown.drain_host(self)
 
     def close(self):
         """Stop all tasks without waiting for what runs."""
-        if self.operators is not None:
-            self.operators.close()
-        self.server.close()
-        self.runner.close()
-        self.limiter.close()
-        self.scheduler.close()
-        self.executor.close()
-        self.loop.close()
-        self.records.close()
-        if self.share_task is not None:
-            self.share_task.close()
-        self.watcher.close()
-        self.config_server.close()
-        if self.stores is not None:
-            self.stores.close()
-        self.registry.close()
-        self.membership.close()
-        self.link.close()
-        self.recorder.close()
-        if self.folder is not None:
-            self.folder.close()
+        shutdown.close_host(self)
--- a/rhubarbreach/daemon/provider.py
+++ b/rhubarbreach/daemon/provider.py
@@ -5,7 +5,7 @@
 from rhubarbreach.observe import logs
 from rhubarbreach.operators import fleet
 from rhubarbreach.operators import provider
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import hostmessages
 
 __all__ = ['HostProvider']
 
@@ -27,7 +27,7 @@
     def __init__(self, host, store):
         super().__init__(host.link, host.view, host.get_store_hosts, store)
         self.host = host
-        host.link.register(messages.HostOrder, self.take_host_order)
+        host.link.register(hostmessages.HostOrder, self.take_host_order)
 
     def list_hosts(self, deadline):
         """Return the live hosts of the fleet."""
@@ -157,7 +157,7 @@
 
     def order_host(self, host_id, order, value, deadline):
         """Send an order to a host and wait until it is carried out."""
-        message = messages.HostOrder(order, value)
+        message = hostmessages.HostOrder(order, value)
         reply = self.link.call(host_id, message, deadline).result()
         return reply if isinstance(reply, codes.Refusal) else reply.refusal
 
@@ -172,8 +172,8 @@
                 refusal = codes.Refusal(
                     Code.INVALID_CHANGE, f'unknown order {message.order}'
                 )
-                return messages.HostOrderReply(refusal)
-        return messages.HostOrderReply(None)
+                return hostmessages.HostOrderReply(refusal)
+        return hostmessages.HostOrderReply(None)
 
     def order_endpoint(self, endpoint_id, action, operation_id, deadline):
         """Give an order to an endpoint."""
--- a/rhubarbreach/distribution/client.py
+++ b/rhubarbreach/distribution/client.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 
 __all__ = ['wait_in_effect']
 
@@ -41,7 +41,7 @@
     while found is None or (found and clock.monotonic() < deadline):
         for host_id in store_hosts:
             reply = ask(link, host_id, revision, account_id, deadline)
-            if isinstance(reply, messages.EffectReply) and reply.known:
+            if isinstance(reply, configmessages.EffectReply) and reply.known:
                 found = reply.pending
                 break
         if found == () or clock.monotonic() >= deadline:
@@ -63,5 +63,5 @@
     """
     now = clock.monotonic()
     wait = min(ATTEMPT, clock.remaining(deadline, now))
-    query = messages.EffectQuery(revision, account_id, wait)
+    query = configmessages.EffectQuery(revision, account_id, wait)
     return link.call(host_id, query, now + wait + MARGIN).result()
--- a/rhubarbreach/distribution/effect.py
+++ b/rhubarbreach/distribution/effect.py
@@ -4,7 +4,7 @@
 import threading
 
 from rhubarbreach.distribution import view
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 from rhubarbreach.state import model
 
 __all__ = ['ANY_ACCOUNT', 'Tracker', 'get_extra', 'get_longest_extra']
@@ -257,7 +257,7 @@
             Hosts that may serve keys, those that relays list included.
         """
         rows = [
-            messages.HostLag(
+            configmessages.HostLag(
                 lag.host_id,
                 lag.incarnation,
                 lag.revision,
@@ -272,7 +272,7 @@
         longest = max(row.seconds for row in rest)
         return (
             *rows[: MAX_LAGS - 1],
-            messages.HostLag('', 0, least, longest),
+            configmessages.HostLag('', 0, least, longest),
         )
 
     def find_pending(self, revision, extra, now):
@@ -288,6 +288,6 @@
             seconds = lag.deadline + extra - now
             longest[lag.host_id] = max(seconds, longest.get(lag.host_id, 0))
         return tuple(
-            messages.PendingHost(host_id, seconds)
+            configmessages.PendingHost(host_id, seconds)
             for host_id, seconds in sorted(longest.items())
         )
--- a/rhubarbreach/distribution/serve.py
+++ b/rhubarbreach/distribution/serve.py
@@ -10,7 +10,7 @@
 from rhubarbreach import clock
 from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import store as store_module
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 from rhubarbreach.state import index
 from rhubarbreach.state import model
 
@@ -85,9 +85,9 @@
         self.due = threading.Event()
         self.lock = threading.Lock()
         self.closed = False
-        link.register(messages.ConfigWatch, self.handle_watch)
-        link.register(messages.ConfigFetch, self.handle_fetch)
-        link.register(messages.EffectQuery, self.handle_query)
+        link.register(configmessages.ConfigWatch, self.handle_watch)
+        link.register(configmessages.ConfigFetch, self.handle_fetch)
+        link.register(configmessages.EffectQuery, self.handle_query)
         view.subscribe(lambda update: self.due.set())
         view.subscribe_renewal(self.note_renewal)
         self.thread = threading.Thread(
@@ -201,20 +201,26 @@
             valid_until = self.view.valid_until
             found = self.view.history.get_after(revision)
         if found is None:
-            return messages.ConfigReply(current, (), b'', 0.0), valid_until
+            return configmessages.ConfigReply(
+                current, (), b'', 0.0
+            ), valid_until
         kept = cut_changes(found)
         if len(kept) < len(found):
             current = revision + len(kept)
-            return messages.ConfigReply(current, kept, None, 0.0), valid_until
+            return configmessages.ConfigReply(
+                current, kept, None, 0.0
+            ), valid_until
         validity = 1.0 if self.view.is_valid(clock.monotonic()) else 0.0
-        return messages.ConfigReply(current, kept, None, validity), valid_until
+        return configmessages.ConfigReply(
+            current, kept, None, validity
+        ), valid_until
 
     def handle_fetch(self, sender_id, fetch):
         """Return a part of the encoded configuration."""
         found = self.get_snapshot(fetch.revision)
         offset = fetch.offset if fetch.revision == found.revision else 0
         data = found.data[offset : offset + PART_BYTES]
-        return messages.ConfigPart(
+        return configmessages.ConfigPart(
             found.revision, offset, len(found.data), data
         )
 
@@ -288,14 +294,14 @@
             or self.store.confirmed_at < waiting.received_at
             or self.view.revision < query.revision
         ):
-            return messages.EffectReply(False, ())
+            return configmessages.EffectReply(False, ())
         since = self.store.since
         extra = effect.get_extra(self.view.snapshot, query.account_id)
         pending = self.tracker.find_pending(query.revision, extra, now)
         former = since + store_module.FORMER_GRANTS + extra - now
         if former > 0:
             pending += self.find_unheard(query.revision, former)
-        return messages.EffectReply(True, pending)
+        return configmessages.EffectReply(True, pending)
 
     def find_unheard(self, revision, seconds):
         """Return the hosts that may use what a former leader granted.
@@ -303,10 +309,10 @@
         A host that has stated the revision, or a later one, does not.
         """
         if self.expected_hosts is None:
-            return (messages.PendingHost('', seconds),)
+            return (configmessages.PendingHost('', seconds),)
         stated = self.tracker.get_revisions()
         return tuple(
-            messages.PendingHost(host_id, seconds)
+            configmessages.PendingHost(host_id, seconds)
             for host_id in sorted(self.expected_hosts())
             if stated.get(host_id, -1) < revision
         )
--- a/rhubarbreach/distribution/watch.py
+++ b/rhubarbreach/distribution/watch.py
@@ -12,7 +12,7 @@
 from rhubarbreach import codes
 from rhubarbreach.distribution import effect
 from rhubarbreach.distribution import view as view_module
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 from rhubarbreach.state import index
 from rhubarbreach.state import model
 
@@ -179,7 +179,7 @@
         sent_at = clock.monotonic()
         watch = self.make_watch(hold, sent_at)
         reply = self.call(upstream, watch, sent_at + hold + REPLY_MARGIN)
-        if not isinstance(reply, messages.ConfigReply):
+        if not isinstance(reply, configmessages.ConfigReply):
             return False
         outcome = self.view.accept_reply(watch.revision, sent_at, reply)
         self.settled = outcome == view_module.Outcome.RENEWED
@@ -192,7 +192,7 @@
         config = self.view.snapshot
         extra = effect.get_longest_extra(config)
         self.polls_sent += 1
-        return messages.ConfigWatch(
+        return configmessages.ConfigWatch(
             self.settings.host_id,
             self.settings.incarnation,
             config.revision,
@@ -224,9 +224,9 @@
         revision, data = 0, b''
         while not self.closed.is_set():
             deadline = clock.monotonic() + FETCH_TIMEOUT
-            fetch = messages.ConfigFetch(revision, len(data))
+            fetch = configmessages.ConfigFetch(revision, len(data))
             part = self.call(upstream, fetch, deadline)
-            if not isinstance(part, messages.ConfigPart):
+            if not isinstance(part, configmessages.ConfigPart):
                 return False
             if part.revision != revision:
                 revision, data = part.revision, b''
--- a/rhubarbreach/limits/holder.py
+++ b/rhubarbreach/limits/holder.py
@@ -7,7 +7,7 @@
 from rhubarbreach import clock
 from rhubarbreach.limits import buckets
 from rhubarbreach.limits import owner
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
 
 __all__ = [
     'Held',
@@ -35,7 +35,7 @@
     """A lease to be sent to an owner."""
 
     owner_id: str
-    message: messages.ShareLease
+    message: limitmessages.ShareLease
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,7 +189,7 @@
         if owner_id in self.owners and self.has_share(now) and end > now:
             duration = LEASE_DURATION
             state.held_until = max(state.held_until, end)
-        message = messages.ShareLease(
+        message = limitmessages.ShareLease(
             self.epoch,
             max(1, len(self.hosts)),
             duration,
@@ -313,7 +313,7 @@
         """Return the request to the owner of an account."""
         key = (account_id, self.find_owner(account_id))
         finished = tuple(self.finished.pop(key, ()))
-        return messages.GrantRequest(
+        return limitmessages.GrantRequest(
             account_id, wanted, 0.0, unit, extra, finished
         )
 
--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -5,7 +5,7 @@
 from rhubarbreach import clock
 from rhubarbreach.limits import concurrency
 from rhubarbreach.membership import rendezvous
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
 
 __all__ = ['Demand', 'Home', 'LEASE_DURATION', 'Slots', 'divide_slots']
 
@@ -34,7 +34,7 @@
         When the lease ends for certain.
     """
 
-    use: messages.SlotUse
+    use: limitmessages.SlotUse
     leased: int
     expires_at: float
 
--- a/rhubarbreach/limits/owner.py
+++ b/rhubarbreach/limits/owner.py
@@ -9,7 +9,7 @@
 from rhubarbreach import clock
 from rhubarbreach.limits import buckets
 from rhubarbreach.membership import rendezvous
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
 from rhubarbreach.state import model
 
 __all__ = [
@@ -68,7 +68,7 @@
         End of the lease.
     """
 
-    message: messages.ShareLease
+    message: limitmessages.ShareLease
     since: float
     deadline: float
 
@@ -180,7 +180,9 @@
         if known is not None and (
             message.number < known.message.number and now < known.deadline
         ):
-            return messages.ShareLeaseReply(False, message.share_epoch, now)
+            return limitmessages.ShareLeaseReply(
+                False, message.share_epoch, now
+            )
         deadline = message.echo + message.duration
         renewed = (
             known is not None
@@ -196,7 +198,9 @@
             self.settle(now)
         self.leases[lessor_id] = Lease(message, since, deadline)
         accepted = now < deadline or message.duration == 0
-        return messages.ShareLeaseReply(accepted, message.share_epoch, now)
+        return limitmessages.ShareLeaseReply(
+            accepted, message.share_epoch, now
+        )
 
     def settle(self, now):
         """Bring the buckets of all accounts up to date."""
@@ -286,12 +290,12 @@
         granted = choose_tokens(request, level, capacity)
         if granted <= 0:
             after = estimate_retry(request, level, capacity, account)
-            return messages.GrantReply(0.0, 0.0, after)
+            return limitmessages.GrantReply(0.0, 0.0, after)
         owned.bucket.take(granted)
         grant_id = next(self.grant_ids)
         deadline = now + GRANT_TTL * (1 + clock.MAX_DRIFT)
         owned.grants[grant_id] = Grant(granted, deadline)
-        return messages.GrantReply(granted, GRANT_TTL, 0.0, grant_id)
+        return limitmessages.GrantReply(granted, GRANT_TTL, 0.0, grant_id)
 
 
 def choose_tokens(request, level, capacity):
--- a/rhubarbreach/limits/shares.py
+++ b/rhubarbreach/limits/shares.py
@@ -10,7 +10,7 @@
 from rhubarbreach.limits import demand as demands
 from rhubarbreach.limits import holder
 from rhubarbreach.limits import owner
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
 
 __all__ = ['RateLimiter', 'is_short']
 
@@ -78,8 +78,8 @@
         self.thread = threading.Thread(
             target=self.run, name='rate-shares', daemon=True
         )
-        link.register(messages.ShareLease, self.answer_lease)
-        link.register(messages.GrantRequest, self.answer_grant)
+        link.register(limitmessages.ShareLease, self.answer_lease)
+        link.register(limitmessages.GrantRequest, self.answer_grant)
 
     def start(self):
         """Start leasing shares."""
@@ -167,7 +167,7 @@
             account = self.accounts.get(request.account_id)
             if account is None or not self.is_valid(account, now):
                 retry = owner.NO_SHARES_RETRY_AFTER
-                return messages.GrantReply(0.0, 0.0, retry)
+                return limitmessages.GrantReply(0.0, 0.0, retry)
             return self.owner.grant(request, account, now)
 
     def acquire(self, account_id, cost, now):
@@ -269,7 +269,7 @@
         count = max(1, len(self.holder.hosts))
         wait = cost * count / account.rate if account.rate else 1.0
         return make_refusal(
-            account.account_id, messages.GrantReply(0.0, 0.0, wait)
+            account.account_id, limitmessages.GrantReply(0.0, 0.0, wait)
         )
 
     def ask_again(self, account_id):
@@ -372,7 +372,7 @@
             key = (account_id, owner_id)
             finished = tuple(self.holder.finished.pop(key, ()))
         if finished:
-            message = messages.GrantRequest(
+            message = limitmessages.GrantRequest(
                 account_id, 0.0, 0.0, finished=finished
             )
             self.link.send(owner_id, message)
--- a/rhubarbreach/limits/slots.py
+++ b/rhubarbreach/limits/slots.py
@@ -6,7 +6,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.limits import home
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import limitmessages
 
 __all__ = ['BATCH', 'ONLINE', 'REPORT_PERIOD', 'SlotTable', 'Use']
 
@@ -242,7 +242,7 @@
         """
         with self.lock:
             uses = tuple(self.make_use(name) for name in endpoint_ids)
-        return messages.SlotRequest(uses)
+        return limitmessages.SlotRequest(uses)
 
     def make_use(self, endpoint_id):
         """Return the report about one endpoint and start a new one."""
@@ -251,7 +251,7 @@
         inter_token = mean(use.inter_tokens)
         use.first_tokens.clear()
         use.inter_tokens.clear()
-        return messages.SlotUse(
+        return limitmessages.SlotUse(
             endpoint_id,
             use.online,
             use.online_waiting,
@@ -317,7 +317,7 @@
                     )
                 found.limit.set_reported(slots_of(use.endpoint_id))
                 results.append(found.request(host_id, use, now))
-        return messages.SlotReply(
+        return limitmessages.SlotReply(
             tuple(slots.online for slots in results),
             tuple(slots.batch for slots in results),
             home.LEASE_DURATION,
--- a/rhubarbreach/membership/endpoints.py
+++ b/rhubarbreach/membership/endpoints.py
@@ -6,7 +6,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach.membership import model
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['EndpointRegistry', 'Record']
 
@@ -36,7 +36,7 @@
         Monotonic seconds.
     """
 
-    row: messages.EndpointRow
+    row: membermessages.EndpointRow
     info: model.EndpointInfo
     announced_at: float
 
@@ -66,7 +66,9 @@
         self.stopped = threading.Event()
         self.thread = None
         if link is not None:
-            link.register(messages.EndpointBatch, self.receive, inline=True)
+            link.register(
+                membermessages.EndpointBatch, self.receive, inline=True
+            )
 
     def start(self):
         """Start sending batches."""
@@ -240,7 +242,7 @@
         """Send rows in messages of bounded size."""
         for start in range(0, len(rows), MAX_ROWS):
             part = tuple(rows[start : start + MAX_ROWS])
-            self.link.send(host_id, messages.EndpointBatch(part, relay))
+            self.link.send(host_id, membermessages.EndpointBatch(part, relay))
 
     def take_rows(self, endpoint_ids, now):
         """Return the latest rows of a set of endpoints and empty it."""
--- a/rhubarbreach/membership/hosts.py
+++ b/rhubarbreach/membership/hosts.py
@@ -11,7 +11,7 @@
 from rhubarbreach.membership import model
 from rhubarbreach.membership import rendezvous
 from rhubarbreach.membership import swim
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['Membership']
 
@@ -42,7 +42,7 @@
     def __init__(self, settings, link, seeds, incarnation=None, random=None):
         if incarnation is None:
             incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
-        own = messages.HostRow(
+        own = membermessages.HostRow(
             settings.host_id,
             settings.link,
             settings.zone,
@@ -68,10 +68,10 @@
         )
         self.rebuild()
         for message_type in (
-            messages.Probe,
-            messages.ProbeReply,
-            messages.ProbeRequest,
-            messages.HostTable,
+            membermessages.Probe,
+            membermessages.ProbeReply,
+            membermessages.ProbeRequest,
+            membermessages.HostTable,
         ):
             link.register(message_type, self.receive, inline=True)
 
--- a/rhubarbreach/membership/members.py
+++ b/rhubarbreach/membership/members.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['Member', 'Pending', 'Relayed', 'Status', 'is_newer']
 
@@ -41,7 +41,7 @@
         How often the row still has to be sent.
     """
 
-    row: messages.HostRow
+    row: membermessages.HostRow
     draining: bool = False
     deadline: float = math.inf
     sends: int = 0
--- a/rhubarbreach/membership/swim.py
+++ b/rhubarbreach/membership/swim.py
@@ -10,7 +10,7 @@
 import math
 
 from rhubarbreach.membership import members
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import membermessages
 
 __all__ = ['Detector', 'MAX_ROWS', 'PROBE_PERIOD']
 
@@ -154,7 +154,7 @@
         ]
         count = min(INDIRECT_HOSTS, len(others))
         for host_id in self.random.sample(others, count):
-            request = messages.ProbeRequest(
+            request = membermessages.ProbeRequest(
                 sequence, pending.target_id, self.take_rows(host_id)
             )
             self.send(host_id, request)
@@ -216,7 +216,7 @@
             host_id, now + DIRECT_TIMEOUT, now + PROBE_TIMEOUT, incarnation
         )
         rows = self.take_rows(host_id)
-        self.send(host_id, messages.Probe(self.sequence, rows))
+        self.send(host_id, membermessages.Probe(self.sequence, rows))
 
     def sync_table(self, now):
         """Exchange the whole table with one random host.
@@ -228,11 +228,11 @@
         if not alive:
             self.next_sync = now + RECONNECT_PERIOD
             for seed in self.seeds:
-                self.send(seed, messages.HostTable((self.own,), True))
+                self.send(seed, membermessages.HostTable((self.own,), True))
             return
         self.next_sync = now + period
         host_id = self.random.choice(sorted(alive))
-        self.send(host_id, messages.HostTable((self.own,), True))
+        self.send(host_id, membermessages.HostTable((self.own,), True))
 
     def take_rows(self, receiver_id):
         """Return rows to send: own, the receiver's if not alive, recent."""
@@ -270,15 +270,15 @@
         for row in message.rows:
             self.merge_row(row, now)
         match message:
-            case messages.Probe(sequence=sequence):
+            case membermessages.Probe(sequence=sequence):
                 rows = self.take_rows(sender_id)
-                reply = messages.ProbeReply(sequence, rows)
+                reply = membermessages.ProbeReply(sequence, rows)
                 self.send(sender_id, reply)
-            case messages.ProbeReply(sequence=sequence):
+            case membermessages.ProbeReply(sequence=sequence):
                 self.accept_reply(sequence)
-            case messages.ProbeRequest(sequence=sequence):
+            case membermessages.ProbeRequest(sequence=sequence):
                 self.probe_for(sender_id, message, now)
-            case messages.HostTable(wanted=True):
+            case membermessages.HostTable(wanted=True):
                 self.send_table(sender_id)
 
     def accept_reply(self, sequence):
@@ -288,7 +288,7 @@
             self.pending.pop(sequence, None)
             return
         rows = self.take_rows(relayed.origin_id)
-        reply = messages.ProbeReply(relayed.sequence, rows)
+        reply = membermessages.ProbeReply(relayed.sequence, rows)
         self.send(relayed.origin_id, reply)
 
     def probe_for(self, origin_id, request, now):
@@ -298,7 +298,7 @@
             origin_id, request.sequence, now + PROBE_TIMEOUT
         )
         rows = self.take_rows(request.target_id)
-        self.send(request.target_id, messages.Probe(self.sequence, rows))
+        self.send(request.target_id, membermessages.Probe(self.sequence, rows))
 
     def send_table(self, receiver_id):
         """Send all rows in messages of bounded size."""
@@ -306,7 +306,7 @@
         rows += [member.row for member in self.members.values()]
         for start in range(0, len(rows), TABLE_ROWS):
             part = tuple(rows[start : start + TABLE_ROWS])
-            self.send(receiver_id, messages.HostTable(part, False))
+            self.send(receiver_id, membermessages.HostTable(part, False))
 
     def merge_row(self, row, now):
         """Take over a row if it is newer than the known one."""
--- a/rhubarbreach/operators/provider.py
+++ b/rhubarbreach/operators/provider.py
@@ -5,7 +5,7 @@
 
 from rhubarbreach import codes
 from rhubarbreach.orders import model as orders_model
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import configmessages
 from rhubarbreach.state import config as state_config
 
 __all__ = [
@@ -111,7 +111,7 @@
 
     def wait_in_effect(
         self, revision: int, account_id: str, deadline: float
-    ) -> tuple[messages.PendingHost, ...] | codes.Refusal:
+    ) -> tuple[configmessages.PendingHost, ...] | codes.Refusal:
         """Wait for a revision; return where it is not in effect yet."""
 
     def list_hosts(
--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -5,7 +5,8 @@
 from rhubarbreach.limits import slots
 from rhubarbreach.membership import rendezvous
 from rhubarbreach.placement import waiting
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import hostmessages
+from rhubarbreach.protocol import limitmessages
 
 __all__ = ['Exchange', 'find_home', 'group_by_home']
 
@@ -74,9 +75,9 @@
             target=self.run, name='slot-exchange', daemon=True
         )
         if link is not None:
-            link.register(messages.SlotRequest, self.answer)
-            link.register(messages.ServiceCounters, self.merge_counters)
-            link.register(messages.StrikeReport, self.merge_strike)
+            link.register(limitmessages.SlotRequest, self.answer)
+            link.register(hostmessages.ServiceCounters, self.merge_counters)
+            link.register(hostmessages.StrikeReport, self.merge_strike)
 
     def start(self):
         """Start reporting."""
--- a/rhubarbreach/protocol/codec.py
+++ b/rhubarbreach/protocol/codec.py
@@ -6,12 +6,26 @@
 import msgspec
 
 from rhubarbreach import exceptions
+from rhubarbreach.protocol import configmessages
+from rhubarbreach.protocol import hostmessages
+from rhubarbreach.protocol import limitmessages
+from rhubarbreach.protocol import logmessages
+from rhubarbreach.protocol import membermessages
 from rhubarbreach.protocol import messages
 
 __all__ = ['Envelope', 'MAX_MESSAGE_BYTES', 'decode', 'encode']
 
 MAX_MESSAGE_BYTES = 1024 * 1024
 
+# Importing these modules registers their messages.
+MESSAGE_MODULES = (
+    configmessages,
+    hostmessages,
+    limitmessages,
+    logmessages,
+    membermessages,
+)
+
 
 class WireEnvelope(msgspec.Struct, frozen=True, array_like=True):
     """Envelope as sent: the body stays raw until its type is known."""
--- a/rhubarbreach/routing/suspects.py
+++ b/rhubarbreach/routing/suspects.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import hostmessages
 
 __all__ = ['MAX_STRIKES', 'Suspects']
 
@@ -50,7 +50,7 @@
             To be sent to all hosts.
         """
         reports = [
-            messages.StrikeReport(
+            hostmessages.StrikeReport(
                 digest, endpoint.endpoint_id, endpoint.incarnation, alone
             )
             for digest in digests
--- a/rhubarbreach/scheduling/counters.py
+++ b/rhubarbreach/scheduling/counters.py
@@ -1,6 +1,6 @@
 """Service of client accounts, exchanged between hosts."""
 
-from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import hostmessages
 from rhubarbreach.scheduling import work
 
 __all__ = ['ServiceTotals']
@@ -49,9 +49,9 @@
         if not changed:
             return None
         self.sent.update(changed)
-        return messages.ServiceCounters(
+        return hostmessages.ServiceCounters(
             tuple(
-                messages.ServiceCounter(account_id, total, lane)
+                hostmessages.ServiceCounter(account_id, total, lane)
                 for (lane, account_id), total in changed
             )
         )
@@ -81,7 +81,7 @@
             known[key] = counter.served
             if before is not None and counter.served > before:
                 gained.append(
-                    messages.ServiceCounter(
+                    hostmessages.ServiceCounter(
                         counter.account_id, counter.served - before, lane
                     )
                 )
