Let a batch item that runs alone as a crash suspect finish

The timeline of one shows 148 attempts, each ended as preempted: a suspect runs alone, and steady online load took its slot back every time. Change: placements that run alone are not preempted. Conclusion: a suspect keeps one endpoint for one item; online work uses the others meanwhile.

--- a/rhubarbreach/bench/slopeparts.py
+++ b/rhubarbreach/bench/slopeparts.py
@@ -11,6 +11,7 @@
 from rhubarbreach import clock
 from rhubarbreach.limits import owner
 from rhubarbreach.membership import endpoints
+from rhubarbreach.membership import members
 from rhubarbreach.membership import swim
 from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import limitmessages
@@ -73,7 +74,7 @@
                 f'region-{number % 8}',
                 ('entry',),
                 1,
-                swim.Status.ALIVE,
+                members.Status.ALIVE,
                 f'10.0.{number // 250}.{number % 250}:8000',
             )
             self.detectors[row.host_id] = swim.Detector(
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -290,11 +290,16 @@
         return decisions.Placed(placement)
 
     def find_newest(self, endpoint_id):
-        """Return the newest batch placement on an endpoint, or None."""
+        """Return the newest batch placement on an endpoint, or None.
+
+        A suspect that runs alone is left out: under steady online load it
+        would be preempted each time and never be cleared or quarantined.
+        """
         for work_id in reversed(self.by_endpoint[endpoint_id]):
             running = self.running[work_id]
-            lane = running.placement.work.lane
-            if lane == work.Lane.BATCH and not running.preempted:
+            if running.preempted or running.placement.alone:
+                continue
+            if running.placement.work.lane == work.Lane.BATCH:
                 return running
         return None
 
--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -105,3 +105,26 @@
     item = conftest.make_work('w4', digest=b'x')
     refusal = scheduler.submit(item).result(WAIT)
     assert refusal.code == codes.ResultCode.QUARANTINED
+
+
+def test_batch_suspect_that_runs_alone_is_not_preempted(scheduler_of):
+    """Guards against a suspect that never ends under steady online load."""
+    scheduler = scheduler_of()
+    preempted = []
+    scheduler.set_preempt(preempted.append)
+    suspect = {'lane': work.Lane.BATCH, 'digest': b'x'}
+    first = scheduler.submit(conftest.make_work('b1', **suspect))
+    lost = work.Outcome(work.OutcomeStatus.ENDPOINT_LOST)
+    scheduler.release(first.result(WAIT), lost)
+    for name in ('e1', 'e2'):
+        row = conftest.make_row(name, sequence=2)
+        row = dataclasses.replace(row, incarnation=2)
+        scheduler.registry.announce(row, clock.monotonic())
+    alone = scheduler.submit(conftest.make_work('b2', **suspect)).result(WAIT)
+    assert alone.alone
+    online = [
+        scheduler.submit(conftest.make_work(f'o{number}'))
+        for number in range(6)
+    ]
+    online[0].result(WAIT)
+    assert preempted == []
