Mend two mutations of make check-laws

Cause: make check-laws noticed 13 of 15: the text of R3 had changed, and the mutation of R1 left a second check in place. Change: R3 names the present text; R1 switches both checks off.

--- a/rhubarbreach/bench/mutations.py
+++ b/rhubarbreach/bench/mutations.py
@@ -52,9 +52,16 @@
         'R1',
         'results of an old claim are dropped',
         'state/jobs.py',
-        'held = job is not None and job.is_held(result.item, result.epoch)',
-        'held = job is not None',
-        'state/tests/test_jobs.py state/tests/test_history.py',
+        '            job = self.find_claimed(result.epoch)\n'
+        '            held = job is not None and '
+        'job.is_held(result.item, result.epoch)\n',
+        '            job = next(iter(self.jobs.values()))\n'
+        '            held = True\n'
+        '            self.claims.setdefault(\n'
+        '                result.epoch, next(iter(self.claims.values()))\n'
+        '            )\n',
+        'state/tests/test_jobs.py'
+        '::test_first_result_wins_and_old_epoch_is_dropped',
     ),
     Mutation(
         'R2',
@@ -68,7 +75,8 @@
         'R3',
         'online work preempts batch work',
         'placement/core.py',
-        '            return [preempted, self.start(item, choice, now)]',
+        '            return [self.preempt(newest), '
+        'self.start(item, choice, now)]',
         '            return []',
         'placement/tests/test_scheduler.py::test_online_work_preempts_batch',
     ),
