--- a/rhubarbreach/daemon/run.py
+++ b/rhubarbreach/daemon/run.py
@@ -1,7 +1,6 @@
 """Thin daemon: runs one host until a signal."""
 
 import signal
-import threading
 
 from rhubarbreach.daemon import host as host_module
 from rhubarbreach.daemon import probe
@@ -43,5 +42,3 @@
         host.recorder.flush()
     host.drain()
     logs.close_log(handler)
-    # Threads of libraries may be blocked in calls without a timeout.
-    threading.Event().wait(0)
--- a/rhubarbreach/orders/orderer.py
+++ b/rhubarbreach/orders/orderer.py
@@ -15,7 +15,6 @@
 
 LOG = logbook.Logger('orders')
 
-PERIOD_SECONDS = 1.0
 WAIT_POLL_SECONDS = 0.05
 
 
--- a/rhubarbreach/orders/scaling.py
+++ b/rhubarbreach/orders/scaling.py
@@ -11,8 +11,6 @@
 # as a fraction of the replica's slots.
 TARGET_USE = 0.7
 DEFAULT_SLOTS = 16
-# An endpoint that serves fewer requests than this is unloaded first.
-IDLE_REQUESTS = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
