--- /dev/null
+++ b/rhubarbreach/backlog/runner.py
@@ -0,0 +1,435 @@
+"""The tasks that run batch items on endpoints, at the leader."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import threading
+import time
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach import eventlog
+from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import plan
+from rhubarbreach.web import client
+from rhubarbreach.web import errors
+from rhubarbreach.web import events
+
+__all__ = ['Place', 'Runner']
+
+LOG = eventlog.Logger('runner')
+
+# Items that run at once; the fleet of today has 48 slots.
+MAX_RUNNING = 64
+# Seconds between two plans; loads are reported this often.
+PLAN_SECONDS = 0.1
+# Results are collected this long, in seconds, to share one commit.
+COLLECT_SECONDS = 0.05
+CONNECT_SECONDS = 0.3
+# A run without any event for this long is ended and tried elsewhere, in
+# seconds. Engines make an event each 25 ms; a full queue takes about 5 s.
+SILENCE_SECONDS = 8.0
+# Seconds before a failed item runs again, doubled by each failure.
+FIRST_PAUSE_SECONDS = 0.2
+MAX_PAUSE_SECONDS = 3.0
+COMMIT_SECONDS = 3.0
+OK = 200
+FAILED = 500
+IMPOSSIBLE = 422
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where an item runs: its service and its route's host."""
+
+    service: str
+    host: str
+
+
+@dataclasses.dataclass
+class Progress:
+    """What is known of an item beside its state in the ledger."""
+
+    texts: list = dataclasses.field(default_factory=list)
+    last_id: int = 0
+    attempts: int = 0
+    failures: int = 0
+    not_before: float = 0.0
+
+
+class Run:
+    """A run of an item on an endpoint."""
+
+    def __init__(self, job, item, endpoint, place):
+        self.job = job
+        self.item = item
+        self.endpoint = endpoint
+        self.place = place
+        self.call = None
+        self.cancelled = False
+
+    @property
+    def key(self):
+        """Job and item."""
+        return (self.job.job_id, self.item.item_id)
+
+    def cancel(self):
+        """End the run; its endpoint stops when the connection closes."""
+        self.cancelled = True
+        call = self.call
+        if call is not None:
+            call.interrupt()
+
+
+class Runner:
+    """Plans and runs the open items while this store leads.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Replicated state.
+    propose : callable
+        Commits a command; takes it and a deadline, returns its reply or a
+        `Refusal`.
+    dialect : object
+        `encode_item(item, account, host, endpoint_id, last_id)` and
+        `is_not_run(head)`.
+    find_place : callable
+        Returns the `Place` of a job, None when its route is gone.
+    list_slots : callable
+        Returns the endpoints as a dict of id to `Endpoint` and the requests
+        that run on each for entry hosts, as a dict of id to int.
+    """
+
+    def __init__(self, ledger, propose, dialect, find_place, list_slots):
+        self.ledger = ledger
+        self.propose = propose
+        self.dialect = dialect
+        self.find_place = find_place
+        self.list_slots = list_slots
+        self.lock = threading.Lock()
+        self.wake = threading.Event()
+        self.runs = {}
+        self.progress = {}
+        self.results = []
+        self.is_leading = False
+        self.closed = False
+        self.counts = collections.Counter()
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            MAX_RUNNING, thread_name_prefix='item'
+        )
+        self.thread = threading.Thread(
+            target=self.run, name='runner', daemon=True
+        )
+        self.thread.start()
+
+    def lead(self, is_leading):
+        """Begin or cease to run items."""
+        if is_leading == self.is_leading:
+            return
+        self.is_leading = is_leading
+        LOG.info('event=runner_changed leading={}', is_leading)
+        if not is_leading:
+            self.cancel_all()
+            with self.lock:
+                self.progress.clear()
+                self.results.clear()
+        self.wake.set()
+
+    def cancel_all(self):
+        """End all runs."""
+        with self.lock:
+            runs = list(self.runs.values())
+        for run in runs:
+            run.cancel()
+
+    def run(self):
+        """Plan while this store leads; sleep while nothing is open."""
+        while not self.closed:
+            busy = False
+            try:
+                if self.is_leading:
+                    busy = self.step(clock.monotonic())
+            except Exception:
+                LOG.exception('event=plan_failed')
+            self.wake.wait(PLAN_SECONDS if busy else None)
+            self.wake.clear()
+
+    def step(self, now):
+        """Commit results, cancel, start; return whether items are open."""
+        self.commit_results()
+        open_items = self.find_open()
+        self.cancel_closed(open_items)
+        endpoints, online = self.list_slots()
+        with self.lock:
+            runs = list(self.runs.values())
+        slots = count_slots(endpoints, online, runs)
+        self.yield_slots(runs, slots)
+        self.start_items(open_items, endpoints, slots, now)
+        return bool(open_items or runs or self.results)
+
+    def find_open(self):
+        """Return the open items by key; give up what cannot be done."""
+        found = {}
+        moment = time.time()
+        for job, items in self.ledger.list_open():
+            place = self.find_place(job)
+            for item in items:
+                key = (job.job_id, item.item_id)
+                if place is None:
+                    self.give_up(job, item, 'its route is gone')
+                elif moment > job.retained_until:
+                    self.give_up(job, item, 'its time is over')
+                else:
+                    found[key] = (job, item, place)
+        return found
+
+    def cancel_closed(self, open_items):
+        """End the runs of items that need no result any more."""
+        with self.lock:
+            runs = list(self.runs.values())
+            for key in list(self.progress):
+                if key not in open_items and key not in self.runs:
+                    del self.progress[key]
+        for run in runs:
+            if run.key not in open_items or run.endpoint.is_draining:
+                run.cancel()
+
+    def yield_slots(self, runs, slots):
+        """Cancel the runs whose slots online requests need."""
+        running = [
+            plan.Running(
+                run.key,
+                run.endpoint.endpoint_id,
+                run.job.due,
+                len(self.get_progress(run.key).texts),
+            )
+            for run in runs
+            if not run.cancelled
+        ]
+        for key in plan.plan_yields(running, slots):
+            self.counts['yielded'] += 1
+            self.runs[key].cancel()
+
+    def start_items(self, open_items, endpoints, slots, now):
+        """Start the items for which there are free slots."""
+        waiting = []
+        with self.lock:
+            listed = {(job, result.item_id) for job, result in self.results}
+            for key, (job, _, place) in open_items.items():
+                progress = self.progress.get(key)
+                if key in self.runs or key in listed:
+                    continue
+                if progress is not None and progress.not_before > now:
+                    continue
+                made = 0 if progress is None else len(progress.texts)
+                waiting.append(
+                    plan.Waiting(key, place.service, job.due, made)
+                )
+        room = MAX_RUNNING - len(self.runs)
+        for item, endpoint_id in plan.plan_starts(waiting, slots)[:room]:
+            job, entry, place = open_items[item.key]
+            run = Run(job, entry, endpoints[endpoint_id], place)
+            with self.lock:
+                self.runs[run.key] = run
+                self.progress.setdefault(run.key, Progress())
+            self.executor.submit(self.run_item, run)
+
+    def count_running(self):
+        """Return the items that run on each endpoint."""
+        with self.lock:
+            return dict(
+                collections.Counter(
+                    run.endpoint.endpoint_id for run in self.runs.values()
+                )
+            )
+
+    def get_progress(self, key):
+        """Return the progress of an item, empty when it has none."""
+        with self.lock:
+            return self.progress.get(key) or Progress()
+
+    def run_item(self, run):
+        """Run an item once and draw the consequences."""
+        progress = self.get_progress(run.key)
+        outcome = 'failed'
+        detail = ''
+        try:
+            outcome, detail = self.attempt(run, progress)
+        except (errors.ConnectError, errors.ConnectionEndedError) as error:
+            detail = str(error)
+        except (errors.DeadlineError, errors.BadMessageError) as error:
+            detail = str(error)
+        except Exception as error:
+            LOG.exception('event=run_failed item={}', run.item.item_id)
+            detail = str(error)
+        finally:
+            if run.call is not None:
+                run.call.close()
+        self.finish(run, progress, outcome, detail)
+
+    def attempt(self, run, progress):
+        """Send an item and collect its events; return outcome, detail."""
+        headers = self.dialect.encode_item(
+            run.item,
+            run.job.account,
+            run.place.host,
+            run.endpoint.endpoint_id,
+            progress.last_id,
+        )
+        data = client.encode_request(
+            'POST', run.item.path.encode('latin-1'), headers, run.item.body
+        )
+        now = clock.monotonic()
+        call = client.Call(
+            run.endpoint.address,
+            data,
+            now + CONNECT_SECONDS,
+            now + SILENCE_SECONDS,
+        )
+        run.call = call
+        splitter = events.Splitter()
+        while not call.is_whole:
+            parts = call.read(clock.monotonic() + SILENCE_SECONDS)
+            if run.cancelled:
+                return 'cancelled', ''
+            if call.head is None or call.head.status != OK:
+                continue
+            for block in splitter.feed(b''.join(parts)):
+                if not take_event(progress, block):
+                    return 'failed', 'events are not in sequence'
+        return self.judge(call.head, splitter)
+
+    def judge(self, head, splitter):
+        """Return outcome and detail of a whole answer."""
+        if head.status == OK:
+            if splitter.rest.strip():
+                return 'failed', 'answer ends within an event'
+            return 'completed', ''
+        if self.dialect.is_not_run(head):
+            return 'not_run', f'status {head.status}'
+        if head.status == IMPOSSIBLE:
+            return 'impossible', f'status {head.status}'
+        if head.status == FAILED:
+            return 'attempted', f'status {head.status}'
+        return 'failed', f'status {head.status}'
+
+    def finish(self, run, progress, outcome, detail):
+        """Draw the consequences of a run."""
+        if run.cancelled:
+            outcome = 'cancelled'
+        self.counts[outcome] += 1
+        now = clock.monotonic()
+        if outcome == 'completed':
+            text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
+            self.list_result(
+                run.job,
+                commands.ItemResult(
+                    run.item.item_id, commands.ItemState.COMPLETED, text
+                ),
+            )
+        elif outcome == 'impossible':
+            self.give_up(run.job, run.item, detail)
+        elif outcome != 'cancelled':
+            progress.failures += 1
+            progress.attempts += outcome == 'attempted'
+            pause = FIRST_PAUSE_SECONDS * 2 ** min(progress.failures - 1, 8)
+            progress.not_before = now + min(MAX_PAUSE_SECONDS, pause)
+            LOG.info(
+                'event=item_failed job={} item={} endpoint={} outcome={} '
+                'attempts={} made={} reason={!r}',
+                run.job.job_id,
+                run.item.item_id,
+                run.endpoint.endpoint_id,
+                outcome,
+                progress.attempts,
+                len(progress.texts),
+                detail,
+            )
+            if progress.attempts >= max(1, run.job.max_attempts):
+                self.give_up(run.job, run.item, detail)
+        with self.lock:
+            self.runs.pop(run.key, None)
+        self.wake.set()
+
+    def give_up(self, job, item, reason):
+        """List an item as given up."""
+        self.list_result(
+            job,
+            commands.ItemResult(
+                item.item_id, commands.ItemState.GIVEN_UP, '', reason
+            ),
+        )
+
+    def list_result(self, job, result):
+        """Queue a result for the next commit."""
+        with self.lock:
+            known = any(
+                job_id == job.job_id and one.item_id == result.item_id
+                for job_id, one in self.results
+            )
+            if not known:
+                self.results.append((job.job_id, result))
+
+    def commit_results(self):
+        """Commit the queued results; keep them when it is not known."""
+        with self.lock:
+            results = list(self.results)
+        if not results:
+            return
+        command = commands.FAMILY.encode(commands.AddResults(tuple(results)))
+        reply = self.propose(command, clock.monotonic() + COMMIT_SECONDS)
+        if isinstance(reply, codes.Refusal):
+            LOG.warning('event=results_not_committed reason={!r}', reply.reason)
+            return
+        for job_id, result in results:
+            LOG.info(
+                'event=item_listed job={} item={} state={} bytes={} '
+                'reason={!r}',
+                job_id,
+                result.item_id,
+                result.state,
+                len(result.output),
+                result.reason,
+            )
+        with self.lock:
+            done = set(map(id, results))
+            self.results = [r for r in self.results if id(r) not in done]
+
+    def close(self):
+        """Stop all runs."""
+        self.closed = True
+        self.cancel_all()
+        self.wake.set()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+
+def take_event(progress, block):
+    """Add an event to an item's text; return False if one is missing."""
+    number = events.get_id(block)
+    data = events.get_data(block)
+    if number is None:
+        return True
+    if number != progress.last_id + 1:
+        return False
+    progress.last_id = number
+    progress.texts.append(data or b'')
+    return True
+
+
+def count_slots(endpoints, online, runs):
+    """Return the use of each endpoint's slots."""
+    batch = collections.Counter(
+        run.endpoint.endpoint_id for run in runs if not run.cancelled
+    )
+    return [
+        plan.Slots(
+            endpoint.endpoint_id,
+            endpoint.service,
+            endpoint.slots,
+            online.get(endpoint.endpoint_id, 0),
+            batch[endpoint.endpoint_id],
+        )
+        for endpoint in endpoints.values()
+        if not endpoint.is_draining
+    ]
--- a/rhubarbreach/clock.py
+++ b/rhubarbreach/clock.py
@@ -19,7 +19,14 @@
 COUNTER_BITS = 16
 MILLISECONDS_PER_SECOND = 1000
 
-monotonic = time.monotonic
+
+def monotonic():
+    """Return seconds of a clock that also counts suspended time.
+
+    A host that sleeps through the withdrawal of a key must not wake with
+    leases that still seem valid.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def remaining(deadline, now):
--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -3,16 +3,16 @@
 import concurrent.futures
 import threading
 
-import logbook
 
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 
 __all__ = ['Applier', 'complete', 'has_work']
 
-LOG = logbook.Logger('consensus')
+LOG = eventlog.Logger('consensus')
 MAX_BATCH_ENTRIES = 1024
 
 
--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -67,7 +67,7 @@
 def send_hellos(state):
     """Send the announcement to all hosts that may know the group."""
     hello = make_hello(state)
-    hosts = set(state.settings.initial)
+    hosts = set(state.settings.initial) | set(state.settings.contacts)
     hosts.update(member.host_id for member in state.store.members)
     for host_id in sorted(hosts - {state.settings.host_id}):
         state.outbox.append((host_id, hello))
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -7,7 +7,6 @@
 import random
 import threading
 
-import logbook
 
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -22,11 +21,12 @@
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus import voting
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 
 __all__ = ['Group']
 
-LOG = logbook.Logger('consensus')
+LOG = eventlog.Logger('consensus')
 
 # A leader without answers of a quorum for this many election timeouts
 # steps down; the others may have elected another one.
@@ -34,7 +34,7 @@
 # A quarter of the entries between two snapshots stays in memory after one.
 KEPT_FRACTION = 4
 MAX_EVENTS = 4096
-MAX_COMMAND_BYTES = 768 * 1024
+MAX_COMMAND_BYTES = 1536 * 1024
 
 
 class Group:
--- a/rhubarbreach/consensus/groups.py
+++ b/rhubarbreach/consensus/groups.py
@@ -2,16 +2,16 @@
 
 import concurrent.futures
 
-import logbook
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import logmessages
 
 __all__ = ['GroupSet']
 
-LOG = logbook.Logger('consensus')
+LOG = eventlog.Logger('consensus')
 GROUP_MESSAGES = (
     logmessages.AppendEntries,
     logmessages.AppendReply,
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -55,6 +55,9 @@
         between one and two of them.
     snapshot_entries : int
         Applied entries between two snapshots.
+    contacts : tuple of str
+        Hosts that may know the group. A store that has lost its disk knows
+        no members and announces itself to these.
     """
 
     group_id: str
@@ -64,6 +67,7 @@
     heartbeat: float = 0.1
     election_timeout: float = 0.6
     snapshot_entries: int = 20000
+    contacts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/consensus/repair.py
+++ b/rhubarbreach/consensus/repair.py
@@ -3,10 +3,10 @@
 import concurrent.futures
 import pathlib
 
-import logbook
 
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
@@ -14,7 +14,7 @@
 
 __all__ = ['wipe_replica']
 
-LOG = logbook.Logger('consensus')
+LOG = eventlog.Logger('consensus')
 DAMAGED_SUFFIX = '.damaged'
 
 
--- /dev/null
+++ b/rhubarbreach/fleet/member.py
@@ -0,0 +1,200 @@
+"""The task of an entry host that keeps in touch with the leader."""
+
+import threading
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach import eventlog
+from rhubarbreach.catalog import index as indexes
+from rhubarbreach.fleet import quota
+from rhubarbreach.protocol import fleetmessages
+
+__all__ = ['FRESH_SECONDS', 'Member']
+
+LOG = eventlog.Logger('member')
+
+# Interval of exchanges: an endpoint's drain, a withdrawn key and the load on
+# endpoints are known to all hosts this much later at most. The shortest
+# bound on any of them is 2 s; the waves of load last 2.4 s.
+EXCHANGE_SECONDS = 0.2
+EXCHANGE_TIMEOUT_SECONDS = 0.4
+# Another store is asked after this pause when one is not the leader.
+RETRY_SECONDS = 0.05
+# An older configuration is no ground to refuse a caller for good.
+FRESH_SECONDS = 1.0
+# Time that a request may wait for a grant of its account's rate.
+GRANT_SECONDS = 0.15
+
+
+class Member:
+    """Configuration, endpoints and rates as the leader last told them.
+
+    Parameters
+    ----------
+    link : Link
+        Link to the other hosts.
+    view : View
+        Endpoints of this host.
+    stores : tuple of str
+        Stores to ask first.
+    decode_catalog : callable
+        Returns the `Catalog` of an operator's document.
+    validity : float
+        Seconds for which a confirmed configuration may be used.
+    """
+
+    def __init__(self, link, view, stores, decode_catalog, validity):
+        self.link = link
+        self.view = view
+        self.seeds = tuple(stores)
+        self.stores = tuple(stores)
+        self.decode_catalog = decode_catalog
+        self.validity = validity
+        self.index = None
+        self.confirmed = float('-inf')
+        self.endpoints_stamp = ''
+        self.leader_id = None
+        self.turn = 0
+        self.entries = 1
+        self.holder = quota.Holder()
+        self.lock = threading.Lock()
+        self.granted = threading.Condition(self.lock)
+        self.wake = threading.Event()
+        self.closed = False
+        self.in_touch = False
+        self.thread = threading.Thread(
+            target=self.run, name='member', daemon=True
+        )
+        self.thread.start()
+
+    @property
+    def valid_until(self):
+        """Deadline of the configuration."""
+        return self.confirmed + self.validity
+
+    def is_fresh(self, now):
+        """Return whether the configuration was confirmed just now."""
+        return now - self.confirmed <= FRESH_SECONDS
+
+    def set_seeds(self, seeds):
+        """Replace the stores to ask when none of the known ones answers."""
+        self.seeds = tuple(seeds)
+
+    def take_request(self, account):
+        """Spend a request of an account's rate; return if it is within."""
+        with self.lock:
+            if self.holder.take(account):
+                return True
+            self.wake.set()
+            deadline = clock.monotonic() + GRANT_SECONDS
+            while True:
+                left = clock.remaining(deadline, clock.monotonic())
+                if not left or not self.granted.wait(left):
+                    return False
+                held = self.holder.accounts[account.name]
+                if held.tokens >= 1:
+                    held.tokens -= 1
+                    return True
+
+    def run(self):
+        """Exchange until the member is closed."""
+        while not self.closed:
+            pause = RETRY_SECONDS
+            try:
+                if self.exchange():
+                    pause = EXCHANGE_SECONDS
+            except Exception:
+                LOG.exception('event=exchange_failed')
+            self.wake.wait(pause)
+            self.wake.clear()
+
+    def exchange(self):
+        """Tell a store what runs here; return whether the leader answered."""
+        store = self.choose_store()
+        sent = clock.monotonic()
+        with self.lock:
+            wanted = self.holder.measure(sent)
+        message = fleetmessages.Exchange(
+            0 if self.index is None else self.index.version,
+            self.endpoints_stamp,
+            self.view.copy_running(),
+            wanted,
+            0,
+        )
+        call = self.link.call(store, message, sent + EXCHANGE_TIMEOUT_SECONDS)
+        reply = call.result()
+        if isinstance(reply, codes.Refusal) or not reply.is_leader:
+            self.lose(store, reply, clock.monotonic())
+            return False
+        self.leader_id = store
+        self.take_reply(reply, sent)
+        return True
+
+    def choose_store(self):
+        """Return the leader, or another store at each turn."""
+        if self.leader_id is not None:
+            return self.leader_id
+        stores = tuple(dict.fromkeys((*self.stores, *self.seeds)))
+        self.turn += 1
+        return stores[self.turn % len(stores)]
+
+    def lose(self, store, reply, now):
+        """Look for another leader."""
+        hint = None
+        if not isinstance(reply, codes.Refusal):
+            hint = reply.leader_id
+        self.leader_id = hint if hint != store else None
+        with self.granted:
+            index = self.index
+            if index is not None and now < self.valid_until:
+                self.holder.refill_alone(
+                    index.catalog.accounts, self.entries, now
+                )
+                self.granted.notify_all()
+        if self.in_touch and not self.is_fresh(now):
+            self.in_touch = False
+            LOG.warning('event=leader_lost store={}', store)
+
+    def take_reply(self, reply, sent):
+        """Take the answer of the leader to a message into account."""
+        if reply.catalog is not None:
+            self.take_catalog(reply.catalog)
+        if reply.endpoints is not None:
+            self.view.update_endpoints(reply.endpoints, reply.complete)
+            self.endpoints_stamp = reply.endpoints_stamp
+            LOG.info(
+                'event=endpoints_updated count={} complete={} stamp={}',
+                len(reply.endpoints),
+                reply.complete,
+                reply.endpoints_stamp,
+            )
+        self.view.update_others(reply.running)
+        self.stores = reply.stores or self.stores
+        self.entries = reply.entries
+        if self.index is not None:
+            self.confirmed = max(self.confirmed, sent - reply.age)
+        with self.granted:
+            self.holder.end_alone()
+            self.holder.add(reply.granted)
+            self.granted.notify_all()
+        if not self.in_touch and self.is_fresh(clock.monotonic()):
+            self.in_touch = True
+            LOG.info('event=leader_found store={}', self.leader_id)
+
+    def take_catalog(self, copy):
+        """Put a configuration in force; versions only go up."""
+        if self.index is not None and copy.version <= self.index.version:
+            return
+        catalog = self.decode_catalog(copy.document)
+        self.index = indexes.Index(catalog)
+        LOG.info(
+            'event=catalog_in_force version={} routes={} accounts={}',
+            catalog.version,
+            len(catalog.routes),
+            len(catalog.accounts),
+        )
+
+    def close(self):
+        """Stop the task."""
+        self.closed = True
+        self.wake.set()
--- /dev/null
+++ b/rhubarbreach/fleet/view.py
@@ -0,0 +1,202 @@
+"""Endpoints as one entry host sees them, and the choice among them.
+
+The load this answers: all slots busy for seconds, while endpoints crash or
+fall silent. A request goes where most slots are free. A few may queue at an
+endpoint, as long as their turn comes within the latency objective; beyond
+that a request is refused at once, with the time after which to come back.
+"""
+
+import dataclasses
+import threading
+
+from rhubarbreach import codes
+from rhubarbreach.fleet import registry
+
+__all__ = ['Endpoint', 'View', 'choose_endpoint']
+
+# Requests that may wait at an endpoint beyond its slots. A slot is freed each
+# 90 ms when eight streams of 0.7 s run, and the objective is 300 ms.
+QUEUE_ALLOWED = 3
+# Seconds until a full fleet is worth another try; clients wait a third of
+# their remaining time at most.
+RETRY_AFTER_SECONDS = 0.35
+# A failed endpoint is left out for this long, doubled by each failure.
+FIRST_EJECTION_SECONDS = 0.5
+MAX_EJECTION_SECONDS = 4.0
+# Load that counts for an endpoint in another availability zone, so that
+# traffic stays inside the zone while loads are equal.
+OTHER_ZONE_LOAD = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An endpoint that takes requests."""
+
+    endpoint_id: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    is_draining: bool = False
+
+
+@dataclasses.dataclass
+class Health:
+    """Failures of an endpoint in a row, and until when it is left out."""
+
+    failures: int = 0
+    until: float = 0.0
+
+
+def choose_endpoint(candidates, loads, zone, excluded=()):
+    """Return the endpoint with the lowest load for its slots.
+
+    Parameters
+    ----------
+    candidates : iterable of Endpoint
+        Endpoints of the service.
+    loads : dict of str to int
+        Requests on each endpoint.
+    zone : str
+        Availability zone of this host.
+    excluded : collection of str
+        Endpoints that have been tried.
+
+    Returns
+    -------
+    Endpoint or Refusal
+        NO_ENDPOINT when there is none, QUEUE_FULL when all are full.
+    """
+    best = None
+    for endpoint in candidates:
+        if endpoint.endpoint_id in excluded:
+            continue
+        running = loads.get(endpoint.endpoint_id, 0)
+        distance = OTHER_ZONE_LOAD if endpoint.availability_zone != zone else 0
+        load = (running + distance) / max(1, endpoint.slots)
+        key = (load, endpoint.endpoint_id)
+        if best is None or key < best[0]:
+            best = (key, endpoint, running)
+    if best is None:
+        return codes.Refusal(
+            codes.ResultCode.NO_ENDPOINT,
+            'no endpoint takes requests',
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+    _, endpoint, running = best
+    if running >= endpoint.slots + QUEUE_ALLOWED:
+        return codes.Refusal(
+            codes.ResultCode.QUEUE_FULL,
+            'all endpoints are full',
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+    return endpoint
+
+
+class View:
+    """Endpoints, their loads and their health, for all tasks of a host.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    """
+
+    def __init__(self, zone):
+        self.zone = zone
+        self.lock = threading.Lock()
+        self.services = {}
+        self.endpoints = {}
+        self.running = {}
+        self.others = {}
+        self.health = {}
+
+    def update_endpoints(self, rows, complete):
+        """Replace the endpoints, or only add to them if not complete."""
+        with self.lock:
+            endpoints = {} if complete else dict(self.endpoints)
+            for row in rows:
+                endpoints[row.endpoint_id] = Endpoint(
+                    row.endpoint_id,
+                    row.service,
+                    row.address,
+                    row.availability_zone,
+                    row.slots,
+                    row.state != registry.EndpointState.READY,
+                )
+            services = {}
+            for endpoint in endpoints.values():
+                if not endpoint.is_draining:
+                    services.setdefault(endpoint.service, []).append(endpoint)
+            self.endpoints = endpoints
+            self.services = services
+            for known in list(self.health):
+                if known not in endpoints:
+                    del self.health[known]
+
+    def update_others(self, running):
+        """Replace what runs for other hosts."""
+        with self.lock:
+            self.others = running
+
+    def take(self, service, excluded, now):
+        """Choose an endpoint and count a request on it."""
+        with self.lock:
+            candidates = self.services.get(service, ())
+            sound = [
+                one
+                for one in candidates
+                if not self.is_ejected(one.endpoint_id, now)
+            ]
+            loads = {
+                one.endpoint_id: self.running.get(one.endpoint_id, 0)
+                + self.others.get(one.endpoint_id, 0)
+                for one in candidates
+            }
+            # When all have failed, any may be back.
+            chosen = choose_endpoint(
+                sound or candidates, loads, self.zone, excluded
+            )
+            if isinstance(chosen, Endpoint):
+                endpoint_id = chosen.endpoint_id
+                self.running[endpoint_id] = (
+                    self.running.get(endpoint_id, 0) + 1
+                )
+            return chosen
+
+    def release(self, endpoint_id):
+        """Count a request on an endpoint as ended."""
+        with self.lock:
+            count = self.running.get(endpoint_id, 0) - 1
+            if count > 0:
+                self.running[endpoint_id] = count
+            else:
+                self.running.pop(endpoint_id, None)
+
+    def is_ejected(self, endpoint_id, now):
+        """Return whether an endpoint is left out after failures."""
+        health = self.health.get(endpoint_id)
+        return health is not None and now < health.until
+
+    def note_failure(self, endpoint_id, now):
+        """Leave an endpoint out for a while."""
+        with self.lock:
+            health = self.health.setdefault(endpoint_id, Health())
+            if now < health.until:
+                return
+            seconds = min(
+                MAX_EJECTION_SECONDS,
+                FIRST_EJECTION_SECONDS * 2**health.failures,
+            )
+            health.failures += 1
+            health.until = now + seconds
+
+    def note_success(self, endpoint_id):
+        """Note that an endpoint answers."""
+        with self.lock:
+            self.health.pop(endpoint_id, None)
+
+    def copy_running(self):
+        """Return the requests of this host on each endpoint."""
+        with self.lock:
+            return dict(self.running)
--- /dev/null
+++ b/rhubarbreach/gateway/jobs.py
@@ -0,0 +1,112 @@
+"""Calls on batch jobs, from an entry host to the ledger."""
+
+import time
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach import eventlog
+from rhubarbreach.backlog import commands
+from rhubarbreach.consensus import client
+
+__all__ = ['GROUP', 'Jobs']
+
+LOG = eventlog.Logger('jobs')
+
+# Group that holds the ledger.
+GROUP = 'ledger'
+# Time for a commit through an election of the leader, in seconds.
+SUBMIT_SECONDS = 3.0
+READ_SECONDS = 1.2
+
+
+class Jobs:
+    """Calls on the ledger.
+
+    Parameters
+    ----------
+    link : Link
+        Link to the stores.
+    member : Member
+        Knows the stores and the leader.
+    """
+
+    def __init__(self, link, member):
+        self.member = member
+        self.client = client.Client(link, member.stores)
+
+    def prepare(self):
+        """Ask the stores that are known now, the leader first."""
+        self.client.hosts = self.member.stores
+        leader = self.member.leader_id
+        if leader is not None:
+            self.client.leaders[GROUP] = leader
+
+    def propose(self, command, deadline):
+        """Commit a command; return its reply or a `Refusal`."""
+        self.prepare()
+        reply = self.client.propose(
+            GROUP, commands.FAMILY.encode(command), deadline
+        )
+        return decode_reply(reply)
+
+    def query(self, query, deadline):
+        """Return the reply to a linearizable query, or a `Refusal`."""
+        self.prepare()
+        reply = self.client.query(
+            GROUP, commands.FAMILY.encode(query), deadline
+        )
+        return decode_reply(reply)
+
+    def submit(self, info, account, route, items, path):
+        """Accept a batch job; return the reply of the ledger."""
+        now = clock.monotonic()
+        moment = time.time()
+        command = commands.AddJob(
+            info.request_id,
+            account,
+            route.host,
+            route.path_prefix,
+            moment,
+            moment + route.completion,
+            moment + route.retention,
+            route.max_attempts,
+            route.waiting_tokens,
+            items,
+        )
+        allowed = SUBMIT_SECONDS
+        if info.allowed is not None:
+            allowed = min(allowed, info.allowed)
+        reply = self.propose(command, now + allowed)
+        LOG.info(
+            'event=job_submitted job={} account={} items={} outcome={} '
+            'seconds={:.3f} path={}',
+            info.request_id,
+            account,
+            len(items),
+            type(reply).__name__,
+            clock.monotonic() - now,
+            path,
+        )
+        return reply
+
+    def read_results(self, account, job_id, after):
+        """Return the results of a job from a position on."""
+        query = commands.ReadResults(job_id, account, after)
+        return self.query(query, clock.monotonic() + READ_SECONDS)
+
+    def read_body(self, account, job_id, item_id):
+        """Return the body of an item without a result."""
+        query = commands.ReadBody(job_id, account, item_id)
+        return self.query(query, clock.monotonic() + READ_SECONDS)
+
+    def end(self, account, job_id):
+        """End a job."""
+        command = commands.EndJob(job_id, account)
+        return self.propose(command, clock.monotonic() + SUBMIT_SECONDS)
+
+
+def decode_reply(reply):
+    """Return the reply of the ledger, or the refusal."""
+    if isinstance(reply, codes.Refusal):
+        return reply
+    return commands.FAMILY.decode(reply)
--- a/rhubarbreach/observe/__init__.py
+++ b/rhubarbreach/observe/__init__.py
@@ -1,8 +1,7 @@
 """Logs, metrics and the time line of one process."""
 
 from rhubarbreach.observe import explain
-from rhubarbreach.observe import logs
 from rhubarbreach.observe import metrics
 from rhubarbreach.observe import timeline
 
-__all__ = ['explain', 'logs', 'metrics', 'timeline']
+__all__ = ['explain', 'metrics', 'timeline']
--- a/rhubarbreach/observe/logs.py
+++ b/rhubarbreach/observe/logs.py
@@ -4,6 +4,8 @@
 
 import logbook
 
+from rhubarbreach import eventlog
+
 __all__ = ['LEVELS', 'close_log', 'open_log', 'set_level']
 
 LEVELS = {
@@ -47,9 +49,15 @@
             sys.stderr, level=LEVELS[level], format_string=format_string
         )
     handler.push_application()
+    eventlog.set_sink(forward_event)
     return handler
 
 
+def forward_event(level, channel, text):
+    """Pass a line of the event log on to the log."""
+    logbook.Logger(channel).log(LEVELS[level], '{}', text)
+
+
 def set_level(handler, level):
     """Change the level of an open log.
 
--- a/rhubarbreach/protocol/codec.py
+++ b/rhubarbreach/protocol/codec.py
@@ -7,6 +7,7 @@
 
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import configmessages
+from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import limitmessages
 from rhubarbreach.protocol import logmessages
@@ -15,11 +16,12 @@
 
 __all__ = ['Envelope', 'MAX_MESSAGE_BYTES', 'decode', 'encode']
 
-MAX_MESSAGE_BYTES = 1024 * 1024
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 
 # Importing these modules registers their messages.
 MESSAGE_MODULES = (
     configmessages,
+    fleetmessages,
     hostmessages,
     limitmessages,
     logmessages,
--- /dev/null
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -0,0 +1,108 @@
+"""Messages between entry hosts and the stores that lead them."""
+
+import dataclasses
+
+from rhubarbreach.protocol import messages
+
+__all__ = [
+    'CatalogCopy',
+    'EndpointNews',
+    'EndpointRow',
+    'EndpointsQuery',
+    'Exchange',
+    'ExchangeReply',
+    'StoreNews',
+]
+
+
+@messages.frozen_message
+class EndpointRow:
+    """What an endpoint has announced of itself.
+
+    `born` is the Unix time in milliseconds at which the process started and
+    `sequence` counts its announcements, so that a late one is known as such.
+    `age` is the time in seconds since the announcement arrived.
+    """
+
+    endpoint_id: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    state: str
+    born: int
+    sequence: int
+    age: float = 0.0
+
+
+@messages.frozen_message
+class EndpointNews:
+    """Announcements that the sender has heard from endpoints."""
+
+    rows: tuple[EndpointRow, ...]
+
+
+@messages.frozen_message
+class EndpointsQuery:
+    """Ask a store for all endpoints that it knows, as `EndpointNews`."""
+
+
+@messages.frozen_message
+class StoreNews:
+    """Presence of a store, told to the other stores.
+
+    `joinable` tells that its disk belongs to no member of the group.
+    """
+
+    host_id: str
+    name: str
+    availability_zone: str
+    draining: bool
+
+
+@messages.frozen_message
+class CatalogCopy:
+    """A configuration as the operator sent it; version 0 is none."""
+
+    version: int
+    document: bytes
+
+
+@messages.frozen_message
+class Exchange:
+    """State of an entry host, told to the leader several times a second.
+
+    `running` counts the requests of this host on each endpoint, `wanted` the
+    requests that each client account is expected to send soon.
+    """
+
+    catalog_version: int
+    endpoints_stamp: str
+    running: dict[str, int]
+    wanted: dict[str, float]
+    waiting: int
+
+
+@messages.frozen_message
+class ExchangeReply:
+    """Answer of a store.
+
+    Only a leader answers with more than `leader_id`. `age` is the time in
+    seconds since a majority confirmed the leader. `endpoints` are all
+    endpoints when `endpoints_stamp` differs from the asked one, and
+    `complete` tells that an endpoint that is missing there is gone.
+    `running` counts what runs on each endpoint for other hosts, and
+    `granted` the requests that a client account may send at this host.
+    """
+
+    is_leader: bool
+    leader_id: str | None
+    stores: tuple[str, ...] = ()
+    age: float = 0.0
+    catalog: CatalogCopy | None = None
+    endpoints_stamp: str = ''
+    endpoints: tuple[EndpointRow, ...] | None = None
+    complete: bool = False
+    running: dict[str, int] = dataclasses.field(default_factory=dict)
+    granted: dict[str, float] = dataclasses.field(default_factory=dict)
+    entries: int = 1
--- a/rhubarbreach/protocol/hostmessages.py
+++ b/rhubarbreach/protocol/hostmessages.py
@@ -7,6 +7,8 @@
     'CancelAttempts',
     'HostOrder',
     'HostOrderReply',
+    'LinkProbe',
+    'LinkProbeReply',
     'ServiceCounter',
     'ServiceCounters',
     'StrikeReport',
@@ -62,3 +64,13 @@
     """Whether the order was carried out."""
 
     refusal: codes.Refusal | None
+
+
+@messages.frozen_message
+class LinkProbe:
+    """Ask whether messages in both directions arrive."""
+
+
+@messages.frozen_message
+class LinkProbeReply:
+    """Answer to a `LinkProbe`."""
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -6,20 +6,21 @@
 import secrets
 import threading
 
-import logbook
 import pynng
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import delay as delay_queue
 from rhubarbreach.protocol import framing
+from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import tls
 
 __all__ = ['Link', 'Peer']
 
-LOG = logbook.Logger('link')
+LOG = eventlog.Logger('link')
 
 # A peer that does not read loses messages beyond this queue, so that it
 # cannot exhaust the memory of its sender.
@@ -30,6 +31,14 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
 HANDLER_THREADS = 16
+# A peer that is in use is asked this often whether messages arrive; a peer
+# that does not answer in time is dialled again. Both stay below the shortest
+# time in which hosts have to notice a silent connection, 3 s.
+PROBE_SECONDS = 0.8
+PROBE_TIMEOUT_SECONDS = 1.2
+# A peer that has not answered for this long is forgotten until it is used.
+FORGET_SECONDS = 20.0
+PROBES = (hostmessages.LinkProbe, hostmessages.LinkProbeReply)
 CALL_ID_BITS = 62
 
 
@@ -54,21 +63,43 @@
         self.queue = collections.deque()
         self.ready = threading.Condition()
         self.closed = False
-        self.socket = pynng.Push0(
+        self.tls_files = tls_files
+        self.probe_due = 0.0
+        self.probe_sent = None
+        self.used = False
+        self.silent_since = None
+        self.socket = self.dial()
+        self.thread = threading.Thread(
+            target=self.run, name=f'link-{peer_id}', daemon=True
+        )
+        self.thread.start()
+
+    def dial(self):
+        """Return a socket that connects in the background."""
+        socket = pynng.Push0(
             send_timeout=SEND_TIMEOUT_MS,
             send_buffer_size=SEND_BUFFER_FRAMES,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         scheme = 'tcp'
-        if tls_files is not None:
+        if self.tls_files is not None:
             scheme = 'tls+tcp'
-            self.socket.tls_config = tls.make_client(tls_files, peer_id)
-        self.socket.dial(f'{scheme}://{address}', block=False)
-        self.thread = threading.Thread(
-            target=self.run, name=f'link-{peer_id}', daemon=True
-        )
-        self.thread.start()
+            socket.tls_config = tls.make_client(self.tls_files, self.peer_id)
+        socket.dial(f'{scheme}://{self.address}', block=False)
+        return socket
+
+    def redial(self):
+        """Replace a connection on which the peer no longer answers.
+
+        A connection may go silent without a reset while new ones work.
+        """
+        with self.ready:
+            if self.closed:
+                return
+            self.queue.clear()
+            former, self.socket = self.socket, self.dial()
+        former.close()
 
     def put(self, data):
         """Queue a message; return False when the queue is full."""
@@ -96,7 +127,10 @@
             except pynng.Timeout:
                 self.drop_backlog()
             except pynng.NNGException:
-                return
+                # The socket was closed: by `close`, or by `redial`, which
+                # has put another one in its place.
+                if self.closed:
+                    return
 
     def drop_backlog(self):
         """Drop what is queued for a peer that cannot be reached.
@@ -131,9 +165,21 @@
         Certificates, None for plain TCP on loopback.
     hybrid_clock : HybridClock, optional
         Clock that is advanced by received messages.
+    common_port : int, optional
+        Port of the links of all hosts where a host's id is its address.
+        Peers are then added when they are first used, and are probed.
     """
 
-    def __init__(self, host_id, listen, peers, tls_files, hybrid_clock=None):
+    def __init__(
+        self,
+        host_id,
+        listen,
+        peers,
+        tls_files,
+        hybrid_clock=None,
+        common_port=None,
+    ):
+        self.common_port = common_port
         self.host_id = host_id
         self.listen = listen
         self.tls_files = tls_files
@@ -163,6 +209,11 @@
         self.peers = {}
         for peer_id, address in peers.items():
             self.set_peer(peer_id, address)
+        if common_port is not None:
+            self.register(hostmessages.LinkProbe, self.answer_probe, inline=True)
+            self.register(
+                hostmessages.LinkProbeReply, self.note_probe, inline=True
+            )
         self.thread = threading.Thread(
             target=self.run, name='link-receiver', daemon=True
         )
@@ -262,10 +313,11 @@
         if peer_id == self.host_id:
             self.dispatch(envelope)
             return True
-        with self.lock:
-            peer = self.peers.get(peer_id)
+        peer = self.find_peer(peer_id)
         if peer is None:
             return False
+        if not isinstance(message, PROBES):
+            peer.used = True
         data = codec.encode(envelope)
         if self.fault is None:
             return peer.put(data)
@@ -276,6 +328,58 @@
                 self.delays.call_later(delay, peer.put, data)
         return True
 
+    def find_peer(self, peer_id):
+        """Return a peer, added where its address follows from its id."""
+        with self.lock:
+            peer = self.peers.get(peer_id)
+        if peer is None and self.common_port is not None and not self.closed:
+            self.set_peer(peer_id, f'{peer_id}:{self.common_port}')
+            with self.lock:
+                peer = self.peers.get(peer_id)
+        return peer
+
+    def probe_peers(self, now):
+        """Ask the peers in use whether messages arrive."""
+        with self.lock:
+            peers = list(self.peers.values())
+        for peer in peers:
+            if peer.probe_sent is not None:
+                if now - peer.probe_sent > PROBE_TIMEOUT_SECONDS:
+                    self.renew_peer(peer, now)
+            elif peer.used and now >= peer.probe_due:
+                peer.probe_sent = now
+                self.send(peer.peer_id, hostmessages.LinkProbe())
+                peer.used = False
+
+    def renew_peer(self, peer, now):
+        """Dial a peer again that does not answer, or forget it."""
+        if peer.silent_since is None:
+            peer.silent_since = now
+            LOG.warning('event=peer_silent peer={}', peer.peer_id)
+        peer.probe_sent = None
+        if now - peer.silent_since > FORGET_SECONDS:
+            LOG.info('event=peer_forgotten peer={}', peer.peer_id)
+            self.remove_peer(peer.peer_id)
+            return
+        peer.redial()
+        peer.used = True
+
+    def answer_probe(self, sender_id, _):
+        """Answer a probe."""
+        self.send(sender_id, hostmessages.LinkProbeReply())
+
+    def note_probe(self, sender_id, _):
+        """Note that messages to and from a peer arrive."""
+        with self.lock:
+            peer = self.peers.get(sender_id)
+        if peer is None:
+            return
+        if peer.silent_since is not None:
+            LOG.info('event=peer_answers peer={}', sender_id)
+        peer.silent_since = None
+        peer.probe_sent = None
+        peer.probe_due = clock.monotonic() + PROBE_SECONDS
+
     def run(self):
         """Receive messages until the link is closed."""
         expiry = clock.monotonic()
@@ -283,6 +387,8 @@
             now = clock.monotonic()
             if now >= expiry:
                 self.expire_calls(now)
+                if self.common_port is not None:
+                    self.probe_peers(now)
                 expiry = now + RECEIVE_TIMEOUT_MS / 1000
             try:
                 received = self.socket.recv_msg()
--- a/rhubarbreach/protocol/messages.py
+++ b/rhubarbreach/protocol/messages.py
@@ -15,5 +15,7 @@
 def frozen_message(cls):
     """Make a class a frozen data class and register it for the codec."""
     cls = dataclasses.dataclass(frozen=True, slots=True)(cls)
+    if cls.__name__ in REGISTRY:
+        raise TypeError(f'two messages are named {cls.__name__}')
     REGISTRY[cls.__name__] = cls
     return cls
--- /dev/null
+++ b/rhubarbreach/web/parse.py
@@ -0,0 +1,236 @@
+"""Messages of HTTP/1.1 from bytes, by the parser library."""
+
+import dataclasses
+
+import httptools
+
+from rhubarbreach.web import errors
+
+__all__ = ['Request', 'RequestParser', 'ResponseHead', 'ResponseParser']
+
+# Statuses below are interim answers, which another one follows.
+FIRST_FINAL_STATUS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request; header names are in lower case.
+
+    `target` is the path with its query, as it was sent.
+    """
+
+    method: str
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    keep_alive: bool
+
+    def get(self, name, default=b''):
+        """Return the value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+    @property
+    def path(self):
+        """Path without its query."""
+        return self.target.split(b'?', 1)[0].decode('latin-1')
+
+    @property
+    def query(self):
+        """Query as a dict of plain names and values."""
+        _, _, query = self.target.partition(b'?')
+        pairs = (part.partition(b'=') for part in query.split(b'&'))
+        return {
+            name.decode('latin-1'): value.decode('latin-1')
+            for name, _, value in pairs
+            if name
+        }
+
+
+class RequestParser:
+    """Collects requests from the bytes of one connection.
+
+    Parameters
+    ----------
+    limits : CallerLimits
+        Bounds of header and body.
+    """
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.requests = []
+        self.parser = httptools.HttpRequestParser(self)
+        self.started = False
+        self.head_done = False
+        self.head_bytes = 0
+        self.expects_continue = False
+        self.reset()
+
+    def reset(self):
+        """Get ready for the next request."""
+        self.target = b''
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+
+    def feed(self, data):
+        """Take received bytes.
+
+        Raises
+        ------
+        BadMessageError
+            If they are no request within the limits.
+        """
+        self.started = True
+        if not self.head_done:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise errors.BadMessageError('upgrade') from error
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, errors.BadMessageError):
+                raise cause from error
+            raise errors.BadMessageError(str(error)) from error
+        except httptools.HttpParserError as error:
+            raise errors.BadMessageError(str(error)) from error
+        if not self.head_done and (
+            self.head_bytes > self.limits.max_header_bytes
+        ):
+            raise errors.BadMessageError('header too large', 431)
+
+    def on_message_begin(self):
+        """Start a request."""
+        self.reset()
+        self.started = True
+
+    def on_url(self, url):
+        """Take a part of the target."""
+        self.target += url
+
+    def on_header(self, name, value):
+        """Take a header."""
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Check the header."""
+        self.head_done = True
+        size = sum(len(n) + len(v) + 4 for n, v in self.headers)
+        if size + len(self.target) > self.limits.max_header_bytes:
+            raise errors.BadMessageError('header too large', 431)
+        for name, value in self.headers:
+            if name == b'expect' and value.lower() == b'100-continue':
+                self.expects_continue = True
+
+    def on_body(self, body):
+        """Take a part of the body."""
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.max_body_bytes:
+            raise errors.BadMessageError('body too large', 413)
+        self.body.append(body)
+
+    def on_message_complete(self):
+        """Add the request to those that are whole."""
+        self.requests.append(
+            Request(
+                self.parser.get_method().decode('latin-1'),
+                self.target,
+                tuple(self.headers),
+                b''.join(self.body),
+                self.parser.should_keep_alive(),
+            )
+        )
+        self.started = False
+        self.head_done = False
+        self.head_bytes = 0
+        self.expects_continue = False
+        self.reset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and headers of an answer; names are in lower case."""
+
+    status: int
+    reason: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def get(self, name, default=b''):
+        """Return the value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+
+class ResponseParser:
+    """Reads one answer; bytes behind it belong to no request."""
+
+    def __init__(self):
+        self.parser = httptools.HttpResponseParser(self)
+        self.head = None
+        self.is_whole = False
+        self.parts = []
+        self.headers = []
+        self.reason = b''
+
+    def feed(self, data):
+        """Take received bytes; return the parts of the body in them.
+
+        Raises
+        ------
+        BadMessageError
+            If they are no answer.
+        """
+        if self.is_whole:
+            return []
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise errors.BadMessageError('upgrade') from error
+        except httptools.HttpParserError as error:
+            if not self.is_whole:
+                raise errors.BadMessageError(str(error)) from error
+        parts, self.parts = self.parts, []
+        return parts
+
+    def finish(self):
+        """Take the end of the connection; return if the answer is whole."""
+        if self.head is not None and not self.is_whole:
+            names = [name for name, _ in self.head.headers]
+            self.is_whole = (
+                b'content-length' not in names
+                and b'transfer-encoding' not in names
+            )
+        return self.is_whole
+
+    def on_status(self, status):
+        """Take the reason phrase."""
+        self.reason += status
+
+    def on_header(self, name, value):
+        """Take a header."""
+        if not self.is_whole:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Keep the head of a final answer."""
+        status = self.parser.get_status_code()
+        if self.is_whole or status < FIRST_FINAL_STATUS:
+            self.headers = []
+            self.reason = b''
+            return
+        self.head = ResponseHead(status, self.reason, tuple(self.headers))
+
+    def on_body(self, body):
+        """Take a part of the body."""
+        if not self.is_whole:
+            self.parts.append(body)
+
+    def on_message_complete(self):
+        """Note the end of a final answer."""
+        if self.head is not None:
+            self.is_whole = True
--- /dev/null
+++ b/rhubarbreach/web/server.py
@@ -0,0 +1,247 @@
+"""HTTP server with one task for each connection."""
+
+import concurrent.futures
+import socket
+import threading
+
+from rhubarbreach import clock
+from rhubarbreach import eventlog
+from rhubarbreach import exceptions
+from rhubarbreach.web import errors
+from rhubarbreach.web import parse
+from rhubarbreach.web import sockets
+
+__all__ = ['Connection', 'Server', 'encode_answer']
+
+LOG = eventlog.Logger('web')
+
+BACKLOG = 1024
+MAX_CONNECTIONS = 1024
+# Tasks need little stack; the default of 8 MiB would exhaust small hosts.
+STACK_BYTES = 256 * 1024
+# A caller that does not read a short answer in this time is cut off.
+ANSWER_SECONDS = 5.0
+REASONS = {
+    200: b'OK',
+    202: b'Accepted',
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    409: b'Conflict',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+def encode_answer(status, headers, body, keep_alive, reason=None):
+    """Return the bytes of an answer with a length."""
+    reason = reason or REASONS.get(status, b'Status')
+    lines = [b'HTTP/1.1 %d %s' % (status, reason)]
+    lines.extend(b'%s: %s' % pair for pair in headers)
+    lines.append(b'Content-Length: %d' % len(body))
+    if not keep_alive:
+        lines.append(b'Connection: close')
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
+
+class Connection:
+    """A caller's connection, handled by one task.
+
+    Parameters
+    ----------
+    server : Server
+        Server that accepted it.
+    connection : socket.socket
+        Accepted socket.
+    """
+
+    def __init__(self, server, connection):
+        self.server = server
+        self.socket = connection
+        self.keep_alive = True
+        self.is_idle = False
+
+    def run(self):
+        """Handle requests until either side ends the connection."""
+        try:
+            sockets.prepare(self.socket, notice_silence=False)
+            parser = parse.RequestParser(self.server.get_limits())
+            while self.keep_alive:
+                request = self.read_request(parser)
+                if request is None:
+                    return
+                self.keep_alive = request.keep_alive
+                self.server.handle(self, request)
+        except errors.BadMessageError as error:
+            LOG.info('event=request_unreadable reason={!r}', str(error))
+            self.refuse(error.status)
+        except (errors.ConnectionEndedError, errors.DeadlineError) as error:
+            LOG.info('event=connection_ended reason={!r}', str(error))
+        except Exception:
+            LOG.exception('event=connection_failed')
+        finally:
+            self.server.forget(self)
+            sockets.close_socket(self.socket)
+
+    def read_request(self, parser):
+        """Return the next request, None when the caller is done."""
+        limits = self.server.get_limits()
+        parser.limits = limits
+        deadline = clock.monotonic() + limits.idle_timeout
+        started = parser.started
+        self.is_idle = not started and not parser.requests
+        while not parser.requests:
+            try:
+                data = sockets.receive(self.socket, deadline)
+            except errors.DeadlineError as error:
+                if not parser.started:
+                    return None
+                raise errors.BadMessageError('too slow', 408) from error
+            if not data:
+                return None
+            self.is_idle = False
+            parser.feed(data)
+            if parser.started and not started:
+                started = True
+                deadline = clock.monotonic() + limits.header_timeout
+            if parser.head_done:
+                # A body has as long as an idle caller, for each part.
+                deadline = clock.monotonic() + limits.idle_timeout
+                self.send_continue(parser)
+        self.is_idle = False
+        return parser.requests.pop(0)
+
+    def send_continue(self, parser):
+        """Ask for a body that the caller has announced."""
+        if parser.expects_continue:
+            parser.expects_continue = False
+            self.send(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def refuse(self, status):
+        """Answer what is not a request, and end the connection."""
+        self.keep_alive = False
+        try:
+            self.answer(status)
+        except exceptions.RhubarbreachError as error:
+            LOG.info('event=refusal_unsent reason={!r}', str(error))
+
+    def answer(self, status, headers=(), body=b'', reason=None):
+        """Send a whole answer."""
+        if self.server.draining:
+            self.keep_alive = False
+        self.send(
+            encode_answer(status, headers, body, self.keep_alive, reason)
+        )
+
+    def send(self, data, deadline=None):
+        """Send bytes to the caller."""
+        if deadline is None:
+            deadline = clock.monotonic() + ANSWER_SECONDS
+        sockets.send_all(self.socket, data, deadline)
+
+
+class Server:
+    """Accepts connections and runs a task for each.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port` to listen on.
+    handle : callable
+        Called with the connection and each whole request.
+    get_limits : callable
+        Returns the `CallerLimits` in force.
+    name : str
+        Name of the tasks.
+
+    Raises
+    ------
+    AddressError
+        If the address cannot be listened on.
+    """
+
+    def __init__(self, address, handle, get_limits, name):
+        self.handle = handle
+        self.get_limits = get_limits
+        self.draining = False
+        self.closed = False
+        self.connections = set()
+        self.lock = threading.Lock()
+        host, _, port = address.rpartition(':')
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.listener.bind((host, int(port)))
+            self.listener.listen(BACKLOG)
+        except OSError as error:
+            raise exceptions.AddressError(f'{address}: {error}') from error
+        threading.stack_size(STACK_BYTES)
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            MAX_CONNECTIONS, thread_name_prefix=name
+        )
+        self.thread = threading.Thread(
+            target=self.accept, name=f'{name}-accept', daemon=True
+        )
+        self.thread.start()
+
+    @property
+    def port(self):
+        """Port that is listened on."""
+        return self.listener.getsockname()[1]
+
+    def accept(self):
+        """Accept connections until the server is closed."""
+        while not self.closed:
+            try:
+                accepted, _ = self.listener.accept()
+            except OSError as error:
+                if self.closed:
+                    return
+                LOG.warning('event=accept_failed reason={!r}', str(error))
+                continue
+            connection = Connection(self, accepted)
+            with self.lock:
+                self.connections.add(connection)
+            try:
+                self.executor.submit(connection.run)
+            except RuntimeError:
+                # The executor was shut down by close().
+                accepted.close()
+                return
+
+    def forget(self, connection):
+        """Forget a connection that has ended."""
+        with self.lock:
+            self.connections.discard(connection)
+
+    def count_busy(self):
+        """Return how many connections wait for an answer."""
+        with self.lock:
+            return sum(not one.is_idle for one in self.connections)
+
+    def close_idle(self):
+        """End the connections on which no request is being handled."""
+        with self.lock:
+            idle = [one for one in self.connections if one.is_idle]
+        for connection in idle:
+            try:
+                connection.socket.shutdown(socket.SHUT_RD)
+            except OSError:
+                # The caller has ended it already.
+                pass
+
+    def close(self):
+        """Stop listening and end all connections."""
+        self.closed = True
+        sockets.close_socket(self.listener)
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            sockets.close_socket(connection.socket)
+        self.executor.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/rhubarbreach/web/sockets.py
@@ -0,0 +1,181 @@
+"""Non-blocking sockets with deadlines."""
+
+import select
+import socket
+
+from rhubarbreach import clock
+from rhubarbreach.web import errors
+
+__all__ = [
+    'RECEIVE_BYTES',
+    'close_socket',
+    'connect',
+    'prepare',
+    'receive',
+    'send_all',
+    'shut_down',
+    'wait_readable',
+]
+
+RECEIVE_BYTES = 64 * 1024
+MILLISECONDS_PER_SECOND = 1000
+# A machine that has lost power or is cut off answers nothing. Unanswered
+# bytes end the connection after this long, in milliseconds.
+USER_TIMEOUT_MS = 1500
+# Probes on a connection that only receives, in seconds.
+KEEP_ALIVE_SECONDS = 1
+KEEP_ALIVE_PROBES = 2
+ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+def prepare(connection, notice_silence=True):
+    """Make a socket non-blocking; end it when the peer falls silent."""
+    connection.setblocking(False)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if not notice_silence:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        connection.setsockopt(level, option, value)
+
+
+def connect(address, deadline):
+    """Return a connection to an endpoint.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port`.
+    deadline : float
+        Seconds of `clock.monotonic`.
+
+    Raises
+    ------
+    ConnectError
+        If the endpoint refuses or does not answer before the deadline.
+    """
+    host, _, port = address.rpartition(':')
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        prepare(connection)
+        code = connection.connect_ex((host, int(port)))
+        if code not in (0, 115):
+            raise errors.ConnectError(f'connect: error {code}')
+        events = wait(connection, select.POLLOUT, deadline)
+        code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code or not events:
+            raise errors.ConnectError(
+                f'connect: error {code}' if code else 'connect: no answer'
+            )
+    except (OSError, ValueError) as error:
+        connection.close()
+        raise errors.ConnectError(f'connect: {error}') from error
+    except errors.ConnectError:
+        connection.close()
+        raise
+    return connection
+
+
+def to_milliseconds(deadline):
+    """Return the time until a deadline for `poll`, rounded up."""
+    left = clock.remaining(deadline, clock.monotonic())
+    if left == float('inf'):
+        return None
+    return int(left * MILLISECONDS_PER_SECOND) + 1
+
+
+def wait(connection, events, deadline):
+    """Wait for events of one socket; return them, 0 at the deadline."""
+    poller = select.poll()
+    poller.register(connection, events)
+    ready = poller.poll(to_milliseconds(deadline))
+    return ready[0][1] if ready else 0
+
+
+def wait_readable(connections, deadline):
+    """Wait until one of several sockets can be read or has ended.
+
+    Returns
+    -------
+    list of socket.socket
+        Those that can be read, empty at the deadline.
+    """
+    poller = select.poll()
+    by_descriptor = {}
+    for connection in connections:
+        poller.register(connection, select.POLLIN | select.POLLRDHUP)
+        by_descriptor[connection.fileno()] = connection
+    ready = poller.poll(to_milliseconds(deadline))
+    return [by_descriptor[descriptor] for descriptor, _ in ready]
+
+
+def receive(connection, deadline):
+    """Return received bytes, empty when the peer has ended its side.
+
+    Raises
+    ------
+    ConnectionEndedError
+        If the connection was reset.
+    DeadlineError
+        If nothing came before the deadline.
+    """
+    while True:
+        try:
+            return connection.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise errors.ConnectionEndedError(str(error)) from error
+        if not wait(connection, select.POLLIN, deadline):
+            raise errors.DeadlineError('nothing received in time')
+
+
+def send_all(connection, data, deadline):
+    """Send all of some bytes.
+
+    Raises
+    ------
+    ConnectionEndedError
+        If the connection was closed or reset.
+    DeadlineError
+        If the peer did not read before the deadline.
+    """
+    view = memoryview(data)
+    while view:
+        try:
+            view = view[connection.send(view) :]
+            continue
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise errors.ConnectionEndedError(str(error)) from error
+        events = wait(connection, select.POLLOUT, deadline)
+        if not events:
+            raise errors.DeadlineError('peer does not read')
+        if events & ENDED and not events & select.POLLOUT:
+            raise errors.ConnectionEndedError('connection has ended')
+
+
+def shut_down(connection):
+    """End a connection in both directions without closing the socket.
+
+    Another task may wait on it; its descriptor must not be used again
+    before that task has let go of it.
+    """
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer has ended the connection already.
+        pass
+
+
+def close_socket(connection):
+    """End and close a connection that no other task uses."""
+    shut_down(connection)
+    connection.close()
