--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -26,7 +26,7 @@
 class Entry:
     """An announcement and when it was heard."""
 
-    row: fleetmessages.EndpointRow
+    row: fleetmessages.EndpointNotice
     heard: float
 
 
@@ -49,7 +49,7 @@
 
         Parameters
         ----------
-        row : EndpointRow
+        row : EndpointNotice
             Announcement; `age` tells how long ago it was heard elsewhere.
         now : float
             Seconds of the monotonic clock.
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -7,7 +7,7 @@
 __all__ = [
     'CatalogCopy',
     'EndpointNews',
-    'EndpointRow',
+    'EndpointNotice',
     'EndpointsQuery',
     'Exchange',
     'ExchangeReply',
@@ -16,7 +16,7 @@
 
 
 @messages.frozen_message
-class EndpointRow:
+class EndpointNotice:
     """What an endpoint has announced of itself.
 
     `born` is the Unix time in milliseconds at which the process started and
@@ -39,7 +39,7 @@
 class EndpointNews:
     """Announcements that the sender has heard from endpoints."""
 
-    rows: tuple[EndpointRow, ...]
+    rows: tuple[EndpointNotice, ...]
 
 
 @messages.frozen_message
@@ -101,7 +101,7 @@
     age: float = 0.0
     catalog: CatalogCopy | None = None
     endpoints_stamp: str = ''
-    endpoints: tuple[EndpointRow, ...] | None = None
+    endpoints: tuple[EndpointNotice, ...] | None = None
     complete: bool = False
     running: dict[str, int] = dataclasses.field(default_factory=dict)
     granted: dict[str, float] = dataclasses.field(default_factory=dict)
