Turn callers away once at most, and hold less of small accounts' rates

Change: Retry-After of 0.8 to 1.6 s, a longer queue for a caller that comes back, surplus rate given back at once.

--- a/rhubarbreach/backlog/__init__.py
+++ b/rhubarbreach/backlog/__init__.py
@@ -1,8 +1,4 @@
-"""Batch jobs that are replicated whole and run by the leader."""
+"""Batch jobs that are replicated whole and run by the leader.
 
-from rhubarbreach.backlog import commands
-from rhubarbreach.backlog import ledger
-from rhubarbreach.backlog import plan
-from rhubarbreach.backlog import runner
-
-__all__ = ['commands', 'ledger', 'plan', 'runner']
+The modules are not imported here: an entry host needs the commands only.
+"""
--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -181,6 +181,7 @@
             self.confirmed = max(self.confirmed, sent - reply.age)
         with self.granted:
             self.holder.end_alone()
+            self.holder.hosts = max(1, reply.entries)
             self.holder.add(reply.granted)
             self.granted.notify_all()
         if not self.in_touch and self.is_fresh(clock.monotonic()):
--- a/rhubarbreach/fleet/quota.py
+++ b/rhubarbreach/fleet/quota.py
@@ -15,10 +15,11 @@
 # Seconds of an account's own demand that a host holds ahead, about the time
 # without a leader when one is lost.
 AHEAD_SECONDS = 1.2
-# Requests held ahead in any case.
-AHEAD_REQUESTS = 2.0
-# Weight of the newest interval in the measured demand.
-DEMAND_WEIGHT = 0.5
+# Requests held ahead beside that.
+AHEAD_REQUESTS = 1.0
+# Weight of the newest interval in the measured demand; exchanges come several
+# times a second, and single requests must not look like a demand.
+DEMAND_WEIGHT = 0.15
 # Without its leader a host spends its part of the rate, but keeps no more
 # than this many seconds of it.
 ALONE_SECONDS = 0.5
@@ -117,6 +118,7 @@
     arrived: float = 0.0
     demand: float = 0.0
     refused: float = 0.0
+    burst: float = 0.0
 
 
 class Holder:
@@ -124,6 +126,7 @@
 
     def __init__(self):
         self.accounts = {}
+        self.hosts = 1
         self.measured = None
         self.refilled = None
 
@@ -132,6 +135,7 @@
         if account.rate <= 0:
             return True
         held = self.accounts.setdefault(account.name, Held())
+        held.burst = account.burst
         held.arrived += 1
         if held.tokens >= 1:
             held.tokens -= 1
@@ -152,10 +156,15 @@
                 rate = held.arrived / seconds
                 held.demand += (rate - held.demand) * DEMAND_WEIGHT
                 held.arrived = 0.0
-            target = held.demand * AHEAD_SECONDS + AHEAD_REQUESTS
+            # All hosts together hold no more ahead than the burst; what lies
+            # on a host that needs none would be missing on the others.
+            target = min(
+                held.demand * AHEAD_SECONDS + AHEAD_REQUESTS,
+                held.burst / self.hosts,
+            )
             missing = target + held.refused - held.tokens
             held.refused = 0.0
-            excess = held.tokens - 2 * target
+            excess = held.tokens - target - AHEAD_REQUESTS
             if missing >= 1:
                 wanted[name] = missing
             elif excess >= 1:
--- a/rhubarbreach/fleet/tests/test_quota.py
+++ b/rhubarbreach/fleet/tests/test_quota.py
@@ -38,6 +38,8 @@
     rng = random.Random(seed)
     owner = quota.Owner(TOLERANCE)
     holders = [quota.Holder() for _ in range(HOSTS)]
+    for holder in holders:
+        holder.hosts = HOSTS
     due = [rng.random() * EXCHANGE for _ in holders]
     lost = list(lost)
     waiting = [[] for _ in holders]
@@ -92,6 +94,13 @@
     assert not refused
 
 
+def test_small_account_is_not_refused_on_any_host():
+    # What other hosts hold ahead must not eat up a small burst.
+    small = model.Account('s', ('k',), rate=3.0, burst=3.0)
+    sent, refused = replay(lambda now: 1.5, seconds=60.0, account=small)
+    assert refused <= 0.01 * len(sent)
+
+
 def test_account_far_beyond_its_rate_stays_within_the_bound():
     sent, refused = replay(lambda now: 10 * ACCOUNT.rate)
     assert get_worst(sent, TOLERANCE.window) <= get_bound(ACCOUNT)
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -45,6 +45,14 @@
     assert refusal.retry_after > 0
 
 
+def test_caller_that_comes_back_may_queue_longer(endpoints):
+    # It has no further attempt; a second refusal loses it.
+    full = 8 + view.QUEUE_ALLOWED
+    endpoints.update_others({'e1': full, 'e2': full, 'e3': full}, {})
+    taken = endpoints.take('s', (), 0.0, view.QUEUE_RETURNING)
+    assert isinstance(taken, view.Endpoint)
+
+
 def test_batch_items_do_not_count_as_a_queue(endpoints):
     # They yield at once; a refusal would turn callers away for their sake.
     batch = {'e1': 8, 'e2': 4, 'e3': 2}
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -4,11 +4,13 @@
 fall silent. A request goes where most slots are free, or, where none is, to
 the endpoint with the fewest online requests, as batch items yield at once. A
 few may queue at an endpoint, as long as their turn comes within the latency
-objective; beyond that a request is refused at once, with the time after which
-to come back: served late it would take a slot for next to nothing.
+objective; beyond that a request is refused at once, with a time to come back
+at which the wave has passed for most. One that comes back may queue longer,
+so that it is not turned away twice.
 """
 
 import dataclasses
+import random
 import threading
 
 from rhubarbreach import codes
@@ -20,9 +22,14 @@
 # Requests that may wait at an endpoint beyond its slots. A slot is freed each
 # 90 ms when eight streams of 0.7 s run, and the objective is 300 ms.
 QUEUE_ALLOWED = 2
-# Seconds until a full fleet is worth another try; clients wait a third of
-# their remaining time at most.
-RETRY_AFTER_SECONDS = 0.35
+# The same for a request that was turned away before, or that has begun to be
+# answered; it is late by now, but it would be lost.
+QUEUE_RETURNING = 8
+# Seconds until a full fleet is worth another try, drawn so that callers do
+# not come back together. Waves last 2.4 s; clients wait a third of their
+# remaining time at most, 1.6 s of 5 s.
+MIN_RETRY_AFTER_SECONDS = 0.8
+MAX_RETRY_AFTER_SECONDS = 1.6
 # Load that counts for an endpoint in another availability zone, so that
 # traffic stays inside the zone while loads are equal.
 OTHER_ZONE_LOAD = 0.3
@@ -40,7 +47,9 @@
     is_draining: bool = False
 
 
-def choose_endpoint(candidates, online, batch, zone, excluded=()):
+def choose_endpoint(
+    candidates, online, batch, zone, excluded=(), queue=QUEUE_ALLOWED
+):
     """Return the endpoint with the lowest load for its slots.
 
     Parameters
@@ -53,6 +62,8 @@
         Availability zone of this host.
     excluded : collection of str
         Endpoints that have been tried.
+    queue : int
+        Requests that may wait at an endpoint.
 
     Returns
     -------
@@ -76,18 +87,23 @@
         return codes.Refusal(
             codes.ResultCode.NO_ENDPOINT,
             'no endpoint takes requests',
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=draw_retry_after(),
         )
     _, endpoint, running = best
-    if running >= endpoint.slots + QUEUE_ALLOWED:
+    if running >= endpoint.slots + queue:
         return codes.Refusal(
             codes.ResultCode.QUEUE_FULL,
             'all endpoints are full',
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=draw_retry_after(),
         )
     return endpoint
 
 
+def draw_retry_after():
+    """Return after how many seconds a caller is to come back."""
+    return random.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS)
+
+
 class View:
     """Endpoints, their loads and their health, for all tasks of a host.
 
@@ -136,7 +152,7 @@
             self.others = running
             self.batch = batch
 
-    def take(self, service, excluded, now):
+    def take(self, service, excluded, now, queue=QUEUE_ALLOWED):
         """Choose an endpoint and count a request on it."""
         with self.lock:
             candidates = self.services.get(service, ())
@@ -157,6 +173,7 @@
                 self.batch,
                 self.zone,
                 excluded,
+                queue,
             )
             if isinstance(chosen, Endpoint):
                 endpoint_id = chosen.endpoint_id
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -5,6 +5,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import model as catalogs
+from rhubarbreach.fleet import view as views
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import model
 from rhubarbreach.web import client
@@ -40,6 +41,9 @@
         b'upgrade',
     )
 )
+# A request whose caller has less than this part of the route's time left
+# has been tried before.
+RETURNING_FRACTION = 0.95
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -93,7 +97,9 @@
         excluded = set()
         while True:
             now = clock.monotonic()
-            endpoint = self.app.view.take(service, excluded, now)
+            endpoint = self.app.view.take(
+                service, excluded, now, self.get_queue()
+            )
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_untried(endpoint)
             self.endpoint = endpoint
@@ -122,6 +128,21 @@
                     self.log('cut', reason)
                     return None
 
+    def get_queue(self):
+        """Return how many requests may wait where this one is sent.
+
+        A caller that was turned away comes back with less time than its
+        route allows.
+        """
+        allowed = self.info.allowed
+        returns = (
+            allowed is not None
+            and allowed < self.route.timeout * RETURNING_FRACTION
+        )
+        if returns or self.sent or self.started:
+            return views.QUEUE_RETURNING
+        return views.QUEUE_ALLOWED
+
     def refuse_untried(self, refusal):
         """Return the end of a request for which no endpoint is left."""
         if self.started:
