--- a/Makefile
+++ b/Makefile
@@ -16,16 +16,17 @@
 setup: $(STAMP)
 
 format: $(STAMP)
-	$(VENV)/bin/ruff format rhubarbreach
+	$(VENV)/bin/ruff format rhubarbreach platform
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check rhubarbreach
-	$(VENV)/bin/ruff check rhubarbreach
-	$(VENV)/bin/flake8 rhubarbreach
+	$(VENV)/bin/ruff format --check rhubarbreach platform
+	$(VENV)/bin/ruff check rhubarbreach platform
+	$(VENV)/bin/flake8 rhubarbreach platform
 	$(PY) -m rhubarbreach.commands.importcheck rhubarbreach
+	$(PY) -m rhubarbreach.commands.wordcheck rhubarbreach
 
 test: $(STAMP)
-	$(PY) -m pytest -n $(PYTEST_WORKERS) rhubarbreach
+	$(PY) -m pytest -n $(PYTEST_WORKERS) rhubarbreach platform
 
 demo: $(STAMP)
 	$(PY) -m rhubarbreach demo
--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'AddJob',
+    'AddProgress',
     'AddResults',
     'Body',
     'CatalogReply',
@@ -14,6 +15,7 @@
     'EndJob',
     'FAMILY',
     'Item',
+    'ItemProgress',
     'ItemResult',
     'ItemState',
     'JobNotFound',
@@ -91,6 +93,23 @@
     results: tuple[tuple[str, ItemResult], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemProgress:
+    """Events that an item has made, from number `first` on."""
+
+    job_id: str
+    item_id: str
+    first: int
+    texts: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddProgress:
+    """Keep what items have made, so that another leader goes on there."""
+
+    items: tuple[ItemProgress, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndJob:
     """End a batch job: nothing of it runs any more."""
@@ -180,6 +199,7 @@
     PutCatalog,
     AddJob,
     AddResults,
+    AddProgress,
     EndJob,
     PruneJobs,
     RetireStore,
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -19,7 +19,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Job:
-    """A batch job; `open` holds the items without a result, in order."""
+    """A batch job.
+
+    `open` holds the items without a result, in order, and `made` the events
+    of those that have made some.
+    """
 
     job_id: str
     account: str
@@ -33,6 +37,7 @@
     open: dict[str, commands.Item]
     results: list[commands.ItemResult]
     ended: bool = False
+    made: dict[str, list[bytes]] = dataclasses.field(default_factory=dict)
 
     @property
     def is_closed(self):
@@ -99,6 +104,10 @@
                 for job_id, result in results:
                     self.add_result(job_id, result)
                 return commands.Done()
+            case commands.AddProgress(items=items):
+                for item in items:
+                    self.add_progress(item)
+                return commands.Done()
             case commands.EndJob():
                 return self.end_job(command)
             case commands.PruneJobs(before=before):
@@ -149,9 +158,20 @@
         job = self.jobs.get(job_id)
         if job is None or job.ended:
             return
+        job.made.pop(result.item_id, None)
         if job.open.pop(result.item_id, None) is not None:
             job.results.append(result)
 
+    def add_progress(self, item):
+        """Keep events of an open item that follow those kept before."""
+        job = self.jobs.get(item.job_id)
+        if job is None or item.item_id not in job.open:
+            return
+        made = job.made.setdefault(item.item_id, [])
+        known = len(made)
+        if item.first <= known + 1:
+            made.extend(item.texts[known + 1 - item.first :])
+
     def end_job(self, command):
         """End a job; what is listed stays listed."""
         job = self.jobs.get(command.job_id)
@@ -159,6 +179,7 @@
             return commands.JobNotFound()
         job.ended = True
         job.open = {}
+        job.made = {}
         return commands.Done()
 
     def prune_jobs(self, before):
@@ -214,6 +235,12 @@
             job = self.jobs.get(job_id)
             return job is not None and item_id in job.open
 
+    def get_made(self, job_id, item_id):
+        """Return the events that an open item is known to have made."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            return [] if job is None else list(job.made.get(item_id, ()))
+
     def get_catalog(self):
         """Return version and document of the configuration in force."""
         with self.lock:
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -6,13 +6,12 @@
 import threading
 import time
 
+from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import plan
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
-from rhubarbreach.backlog import commands
-from rhubarbreach.backlog import plan
 from rhubarbreach.fleet import health
-from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
@@ -38,10 +37,10 @@
 OK = 200
 FAILED = 500
 IMPOSSIBLE = 422
-# Interval at which the other stores are told what items have made, in
-# seconds. A new leader repeats this much of each item at most; an item runs
-# for about 5 s.
-TELL_SECONDS = 0.5
+# Interval at which the events that items have made are committed, in seconds.
+# After a loss this much of each item is repeated at most; an item runs for
+# about 5 s.
+KEEP_SECONDS = 0.5
 # Interval of the line in the log that sums the backlog up, in seconds.
 REPORT_SECONDS = 1.0
 
@@ -63,7 +62,7 @@
     attempts: int = 0
     failures: int = 0
     not_before: float = 0.0
-    told: int = 0
+    kept: int = 0
 
 
 class Run:
@@ -100,8 +99,8 @@
     ledger : Ledger
         Replicated state.
     propose : callable
-        Commits a command; takes it and a deadline, returns its reply or a
-        `Refusal`.
+        Commits a command; takes it and a deadline, returns a future of its
+        reply or a `Refusal`.
     dialect : object
         `encode_item(item, account, host, endpoint_id, last_id)` and
         `is_not_run(head)`.
@@ -110,15 +109,10 @@
     list_slots : callable
         Returns the endpoints as a dict of id to `Endpoint` and the requests
         that run on each for entry hosts, as a dict of id to int.
-    tell : callable
-        Sends `ProgressNews` to the other stores.
     """
 
-    def __init__(
-        self, ledger, propose, dialect, find_place, list_slots, tell
-    ):
-        self.tell = tell
-        self.tell_due = 0.0
+    def __init__(self, ledger, propose, dialect, find_place, list_slots):
+        self.keep_due = 0.0
         self.report_due = 0.0
         self.health = health.HealthTable()
         self.ledger = ledger
@@ -152,6 +146,7 @@
         if not is_leading:
             self.cancel_all()
             with self.lock:
+                self.progress.clear()
                 self.results.clear()
         self.wake.set()
 
@@ -189,9 +184,9 @@
         self.cancel_keys(plan.plan_yields(running, slots))
         unplaced = self.start_items(open_items, endpoints, slots, now)
         self.cancel_keys(plan.plan_displacements(running, unplaced))
-        if now >= self.tell_due:
-            self.tell_due = now + TELL_SECONDS
-            self.tell_progress()
+        if now >= self.keep_due:
+            self.keep_due = now + KEEP_SECONDS
+            self.keep_progress(now)
         if now >= self.report_due:
             self.report_due = now + REPORT_SECONDS
             self.report(open_items, slots)
@@ -277,7 +272,8 @@
             run = Run(job, entry, endpoints[endpoint_id], place)
             with self.lock:
                 self.runs[run.key] = run
-                self.progress.setdefault(run.key, Progress())
+                if run.key not in self.progress:
+                    self.progress[run.key] = self.load_progress(run.key)
             self.executor.submit(self.run_item, run)
         started = {item.key for item, _ in starts}
         return [item for item in waiting if item.key not in started]
@@ -299,37 +295,27 @@
             self.counts['completed'],
         )
 
-    def tell_progress(self):
-        """Tell the other stores the events made since the last time."""
+    def keep_progress(self, now):
+        """Commit the events made since the last time, without waiting."""
         items = []
         with self.lock:
             for (job_id, item_id), progress in self.progress.items():
-                texts = tuple(progress.texts[progress.told :])
+                texts = tuple(progress.texts[progress.kept :])
                 if texts:
                     items.append(
-                        fleetmessages.ItemProgress(
-                            job_id, item_id, progress.told + 1, texts
+                        commands.ItemProgress(
+                            job_id, item_id, progress.kept + 1, texts
                         )
                     )
-                    progress.told += len(texts)
+                    progress.kept += len(texts)
         if items:
-            self.tell(fleetmessages.ProgressNews(tuple(items)))
+            command = commands.AddProgress(tuple(items))
+            self.propose(commands.FAMILY.encode(command), now + COMMIT_SECONDS)
 
-    def take_progress(self, news):
-        """Keep the events that another store's runs have made."""
-        if self.is_leading:
-            return
-        with self.lock:
-            for item in news.items:
-                key = (item.job_id, item.item_id)
-                progress = self.progress.setdefault(key, Progress())
-                known = len(progress.texts)
-                if item.first <= known + 1:
-                    progress.texts.extend(item.texts[known + 1 - item.first :])
-                    progress.last_id = len(progress.texts)
-            for key in list(self.progress):
-                if not self.ledger.is_open(*key):
-                    del self.progress[key]
+    def load_progress(self, key):
+        """Return what an item is known to have made under any leader."""
+        texts = self.ledger.get_made(*key)
+        return Progress(texts, len(texts), kept=len(texts))
 
     def count_running(self):
         """Return the items that run on each endpoint."""
@@ -487,9 +473,12 @@
         if not results:
             return
         command = commands.FAMILY.encode(commands.AddResults(tuple(results)))
-        reply = self.propose(command, clock.monotonic() + COMMIT_SECONDS)
+        deadline = clock.monotonic() + COMMIT_SECONDS
+        reply = self.propose(command, deadline).result()
         if isinstance(reply, codes.Refusal):
-            LOG.warning('event=results_not_committed reason={!r}', reply.reason)
+            LOG.warning(
+                'event=results_not_committed reason={!r}', reply.reason
+            )
             return
         for job_id, result in results:
             LOG.info(
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -133,6 +133,21 @@
     assert other.list_open() == ledger.list_open()
 
 
+def test_progress_outlives_its_leader(ledger):
+    apply(ledger, make_job())
+    for first, texts in ((1, (b'a', b'b')), (2, (b'b', b'c')), (9, (b'x',))):
+        # News come twice, overlap, or leave a gap that nothing may fill.
+        news = commands.ItemProgress('j', 'j-0', first, texts)
+        apply(ledger, commands.AddProgress((news,)))
+    other = ledgers.Ledger()
+    other.restore(ledger.snapshot())
+    assert other.get_made('j', 'j-0') == [b'a', b'b', b'c']
+    apply(other, commands.AddResults((('j', complete('j-0')),)))
+    late = commands.ItemProgress('j', 'j-0', 1, (b'a',))
+    apply(other, commands.AddProgress((late,)))
+    assert other.get_made('j', 'j-0') == []
+
+
 def test_old_closed_jobs_are_forgotten(ledger):
     apply(ledger, make_job('j'))
     apply(ledger, make_job('k'))
--- a/rhubarbreach/catalog/index.py
+++ b/rhubarbreach/catalog/index.py
@@ -20,7 +20,9 @@
         self.services = {one.name: one for one in catalog.services}
         self.accounts = {one.name: one for one in catalog.accounts}
         self.keys = {
-            key: account for account in catalog.accounts for key in account.keys
+            key: account
+            for account in catalog.accounts
+            for key in account.keys
         }
         self.hosts = {}
         for route in catalog.routes:
--- a/rhubarbreach/catalog/tests/test_catalog.py
+++ b/rhubarbreach/catalog/tests/test_catalog.py
@@ -94,6 +94,8 @@
             model.Target('c', 10),
         ),
     )
-    drawn = [index.choose_target(split, lambda p=n: p / 100) for n in range(100)]
+    drawn = [
+        index.choose_target(split, lambda p=n: p / 100) for n in range(100)
+    ]
     assert drawn.count('a') == 90
     assert drawn.count('c') == 10
--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -3,10 +3,10 @@
 import threading
 import time
 
+from rhubarbreach.catalog import index as indexes
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
-from rhubarbreach.catalog import index as indexes
 from rhubarbreach.fleet import quota
 from rhubarbreach.protocol import fleetmessages
 
--- a/rhubarbreach/fleet/quota.py
+++ b/rhubarbreach/fleet/quota.py
@@ -95,9 +95,7 @@
         bucket.rate, bucket.burst = account.rate, account.burst
         elapsed = max(0.0, now - bucket.time)
         bucket.time = now
-        bucket.level = min(
-            bucket.burst, bucket.level + elapsed * bucket.rate
-        )
+        bucket.level = min(bucket.burst, bucket.level + elapsed * bucket.rate)
         if wanted < 0:
             bucket.level = min(bucket.burst, bucket.level - wanted)
             return 0.0
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -68,7 +68,9 @@
     endpoints.update_others({'e1': 5, 'e2': 6, 'e3': 6}, {})
     endpoints.take('s', (), 0.0)
     assert not told
-    endpoints.update_others({'e1': 2, 'e2': 2, 'e3': 2}, dict.fromkeys(endpoints.endpoints, 5))
+    endpoints.update_others(
+        {'e1': 2, 'e2': 2, 'e3': 2}, dict.fromkeys(endpoints.endpoints, 5)
+    )
     endpoints.take('s', (), 0.0)
     assert told
 
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -93,7 +93,8 @@
     if running >= endpoint.slots + queue:
         return codes.Refusal(
             codes.ResultCode.QUEUE_FULL,
-            'all endpoints are full',
+            f'all endpoints are full, {endpoint.endpoint_id} runs {running} '
+            f'of {endpoint.slots}',
             retry_after=draw_retry_after(),
         )
     return endpoint
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -1,11 +1,11 @@
 """What an entry host does with a request."""
 
+from rhubarbreach.backlog import commands
+from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
-from rhubarbreach.backlog import commands
-from rhubarbreach.catalog import model as catalogs
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
 
@@ -78,9 +78,7 @@
         try:
             result = self.serve(connection, request, info)
         except exceptions.MessageError as error:
-            result = codes.Refusal(
-                codes.ResultCode.MALFORMED_BODY, str(error)
-            )
+            result = codes.Refusal(codes.ResultCode.MALFORMED_BODY, str(error))
         self.metrics.count('requests_total')
         self.metrics.observe('request_seconds', clock.monotonic() - began)
         if isinstance(result, codes.Refusal):
@@ -92,13 +90,14 @@
         self.metrics.count('refusals_total', code=int(refusal.code))
         LOG.info(
             'event=refused request={} code={} status={} ran={} seconds={:.3f} '
-            'version={} reason={!r}',
+            'version={} age={:.3f} reason={!r}',
             info.request_id,
             int(refusal.code),
             status,
             refusal.ran,
             clock.monotonic() - began,
             0 if self.member.index is None else self.member.index.version,
+            clock.monotonic() - self.member.confirmed,
             refusal.reason,
         )
         headers = []
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -1,10 +1,10 @@
 """The way of one request to endpoints and of the answer to its caller."""
 
+from rhubarbreach.catalog import index as indexes
+from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
-from rhubarbreach.catalog import index as indexes
-from rhubarbreach.catalog import model as catalogs
 from rhubarbreach.fleet import view as views
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import model
@@ -170,19 +170,25 @@
                 self.sent += 1
                 self.app.view.note_failure(endpoint.endpoint_id, now)
                 self.log('broken', reason)
-            case model.Delivered():
+            case model.Delivered(status=status):
                 self.app.view.note_success(endpoint.endpoint_id)
+                self.log('delivered', f'status {status}', 'answered')
             case model.TimedOut():
                 self.sent += 1
                 self.log('timed_out', '')
             case model.CallerGone():
                 self.log('caller_gone', '')
 
-    def log(self, outcome, reason):
-        """Record a decision on the request."""
+    def log(self, outcome, reason, event='attempt'):
+        """Record a decision on the request.
+
+        Answers have an event of their own, so that many of them do not
+        displace the lines of failures.
+        """
         LOG.info(
-            'event=attempt request={} route={} endpoint={} outcome={} '
+            'event={} request={} route={} endpoint={} outcome={} '
             'sent={} declined={} last_event={} seconds={:.3f} reason={!r}',
+            event,
             self.info.request_id,
             self.route.name,
             self.endpoint.endpoint_id if self.endpoint else None,
@@ -207,7 +213,10 @@
             self.last_id,
         )
         data = client.encode_request(
-            self.request.method, self.request.target, headers, self.request.body
+            self.request.method,
+            self.request.target,
+            headers,
+            self.request.body,
         )
         try:
             call = client.Call(
@@ -381,6 +390,4 @@
 
 def filter_headers(head):
     """Return the headers of an answer that its caller gets."""
-    return [
-        pair for pair in head.headers if pair[0] not in CONNECTION_HEADERS
-    ]
+    return [pair for pair in head.headers if pair[0] not in CONNECTION_HEADERS]
--- a/rhubarbreach/gateway/jobs.py
+++ b/rhubarbreach/gateway/jobs.py
@@ -2,11 +2,11 @@
 
 import time
 
+from rhubarbreach.backlog import commands
 from rhubarbreach import clock
 from rhubarbreach import codes
-from rhubarbreach import eventlog
-from rhubarbreach.backlog import commands
 from rhubarbreach.consensus import client
+from rhubarbreach import eventlog
 
 __all__ = ['GROUP', 'Jobs']
 
--- a/rhubarbreach/gateway/tests/test_decide.py
+++ b/rhubarbreach/gateway/tests/test_decide.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from rhubarbreach import codes
 from rhubarbreach.catalog import model as catalogs
+from rhubarbreach import codes
 from rhubarbreach.gateway import app
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import model
@@ -83,9 +83,7 @@
     assert app.get_status(step.refusal) == 504
 
 
-@pytest.mark.parametrize(
-    'outcome', [model.Delivered(200), model.CallerGone()]
-)
+@pytest.mark.parametrize('outcome', [model.Delivered(200), model.CallerGone()])
 def test_nothing_follows_an_end(once, outcome):
     step = decide.decide_next(outcome, once, 1, 0, True, 4.0)
     assert step == decide.Stop()
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -1,20 +1,21 @@
 """A store host: it holds the ledger and hears endpoints and operators."""
 
+import concurrent.futures
 import threading
 import time
 
-from rhubarbreach import clock
-from rhubarbreach import codes
-from rhubarbreach import eventlog
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import validate
+from rhubarbreach import clock
+from rhubarbreach import codes
 from rhubarbreach.consensus import client
 from rhubarbreach.consensus import group as consensus_group
 from rhubarbreach.consensus import groups
 from rhubarbreach.consensus import model as consensus_model
+from rhubarbreach import eventlog
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quota
 from rhubarbreach.fleet import registry as registries
@@ -136,7 +137,6 @@
             dialect,
             self.find_place,
             self.list_slots,
-            self.tell_progress,
         )
         self.link.register(
             fleetmessages.Exchange, self.answer_exchange, inline=True
@@ -150,9 +150,6 @@
         self.link.register(
             fleetmessages.StoreNews, self.take_presence, inline=True
         )
-        self.link.register(
-            fleetmessages.ProgressNews, self.take_progress, inline=True
-        )
         self.thread = threading.Thread(
             target=self.run, name='duties', daemon=True
         )
@@ -350,8 +347,8 @@
     # Batch items.
 
     def propose_locally(self, command, deadline):
-        """Commit a command as the leader, or return the refusal."""
-        return self.group.propose(command, deadline).result()
+        """Return the future of a command that the leader commits."""
+        return self.group.propose(command, deadline)
 
     def find_place(self, job):
         """Return where the items of a job run, None if nowhere."""
@@ -380,15 +377,6 @@
         }
         return endpoints, online
 
-    def tell_progress(self, news):
-        """Tell the other stores what running items have made."""
-        for host_id in self.list_others():
-            self.link.send(host_id, news)
-
-    def take_progress(self, sender_id, message):
-        """Keep what running items have made, in case this store leads."""
-        self.runner.take_progress(message)
-
     # Members of the group.
 
     def list_others(self):
@@ -577,8 +565,15 @@
                 member.host_id not in present
             ):
                 continue
-            if self.group.transfer(member.host_id).result(seconds):
-                LOG.info('event=leadership_handed store={}', member.host_id)
+            future = self.group.transfer(member.host_id)
+            concurrent.futures.wait((future,), seconds)
+            handed = future.done() and future.result()
+            LOG.info(
+                'event=leadership_handed store={} done={}',
+                member.host_id,
+                handed,
+            )
+            if handed:
                 return
 
     def close(self):
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -11,8 +11,6 @@
     'EndpointsQuery',
     'Exchange',
     'ExchangeReply',
-    'ItemProgress',
-    'ProgressNews',
     'StoreNews',
 ]
 
@@ -62,23 +60,6 @@
     draining: bool
 
 
-@messages.frozen_message
-class ItemProgress:
-    """Events that an item has made, from number `first` on."""
-
-    job_id: str
-    item_id: str
-    first: int
-    texts: tuple[bytes, ...]
-
-
-@messages.frozen_message
-class ProgressNews:
-    """Events of running items since the last news of the leader."""
-
-    items: tuple[ItemProgress, ...]
-
-
 @messages.frozen_message
 class CatalogCopy:
     """A configuration as the operator sent it; version 0 is none."""
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -210,7 +210,9 @@
         for peer_id, address in peers.items():
             self.set_peer(peer_id, address)
         if common_port is not None:
-            self.register(hostmessages.LinkProbe, self.answer_probe, inline=True)
+            self.register(
+                hostmessages.LinkProbe, self.answer_probe, inline=True
+            )
             self.register(
                 hostmessages.LinkProbeReply, self.note_probe, inline=True
             )
--- a/rhubarbreach/web/tests/test_web.py
+++ b/rhubarbreach/web/tests/test_web.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from rhubarbreach import clock
 from rhubarbreach.catalog import model
+from rhubarbreach import clock
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
@@ -123,9 +123,7 @@
         connection.sendall(self.data)
         if self.reset:
             linger = b'\1\0\0\0\0\0\0\0'
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, linger
-            )
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         connection.close()
 
 
