Leave announcements unacknowledged at a store that is cut off

Change: a store acknowledges only while it hears its leader, or as leader a majority, and its link answers; six announcements may be missed.

--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -7,8 +7,10 @@
 
 __all__ = ['EndpointState', 'Registry']
 
-# Announcements that may fail in a row before an endpoint counts as gone.
-MISSED_ANNOUNCEMENTS = 4
+# Announcements that may fail in a row before an endpoint counts as gone. An
+# endpoint may announce itself to a store that is cut off or stopped, and hosts
+# notice by themselves when one does not answer.
+MISSED_ANNOUNCEMENTS = 6
 # How long the end of an endpoint is remembered, in seconds, so that a late
 # announcement does not bring it back. Partitions delay them by some seconds.
 TOMBSTONE_SECONDS = 120.0
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -37,6 +37,9 @@
 # comes sooner than this.
 FIRST_ELECTION_SECONDS = 0.25
 SNAPSHOT_ENTRIES = 1000
+# A store that has not heard of its leader for this long, in seconds, is cut
+# off: four heartbeats, and less than an election takes.
+OUT_OF_TOUCH_SECONDS = 0.45
 # Interval of the duties below.
 DUTY_SECONDS = 0.2
 # Stores tell each other of their presence this often.
@@ -176,6 +179,16 @@
         if rows:
             self.link.send(sender_id, fleetmessages.EndpointNews(rows))
 
+    def is_in_touch(self):
+        """Return whether what this store hears reaches the others."""
+        now = clock.monotonic()
+        group = self.group
+        if group.is_leader:
+            return now - group.quorum_contact <= OUT_OF_TOUCH_SECONDS
+        if now - group.state.leader_contact > OUT_OF_TOUCH_SECONDS:
+            return False
+        return not self.link.is_silent(group.leader_id)
+
     def hear_endpoint(self, row):
         """Take an endpoint's announcement; return whether it is news."""
         now = clock.monotonic()
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -366,6 +366,12 @@
         peer.redial()
         peer.used = True
 
+    def is_silent(self, peer_id):
+        """Return whether a peer does not answer probes."""
+        with self.lock:
+            peer = self.peers.get(peer_id)
+        return peer is not None and peer.silent_since is not None
+
     def answer_probe(self, sender_id, _):
         """Answer a probe."""
         self.send(sender_id, hostmessages.LinkProbeReply())
