Let a new leader hear all stores before it changes members

Change: no step in the first 3 s of a leader. Test: the pure decision, and the stores' processes as before.

--- a/rhubarbreach/fleet/steward.py
+++ b/rhubarbreach/fleet/steward.py
@@ -13,6 +13,11 @@
 ]
 
 
+# A new leader has to hear all stores before it takes one for lost, in seconds;
+# they tell of themselves each 0.8 s and may be starting as well.
+SETTLE_SECONDS = 3.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Store:
     """A store host that is in touch with the leader, or was."""
@@ -57,7 +62,7 @@
     return 2 * tolerated + 1
 
 
-def plan_step(own_id, members, stores, voters):
+def plan_step(own_id, members, stores, voters, led):
     """Return the next change, or None.
 
     Parameters
@@ -70,6 +75,8 @@
         Stores that are known, members or not.
     voters : int
         Voters that the group should have.
+    led : float
+        Seconds since the leader began to lead.
 
     Returns
     -------
@@ -77,6 +84,8 @@
         A store is never removed before its successor votes, so that the
         group bears the loss of a store at each step.
     """
+    if led < SETTLE_SECONDS:
+        return None
     known = {store.host_id: store for store in stores}
     voting = [m.host_id for m in members if m.voter]
     learning = [m.host_id for m in members if not m.voter]
--- a/rhubarbreach/fleet/tests/test_steward.py
+++ b/rhubarbreach/fleet/tests/test_steward.py
@@ -21,8 +21,8 @@
     return tuple(member(h) for h in 'abc')
 
 
-def plan(members, stores):
-    return steward.plan_step('a', members, stores, 3)
+def plan(members, stores, led=60.0):
+    return steward.plan_step('a', members, stores, 3, led)
 
 
 def test_settled_group_stays(three):
@@ -34,6 +34,15 @@
     assert plan(three, (store('a'), store('b'), store('c', False))) is None
 
 
+def test_new_leader_waits_until_it_has_heard_all(three):
+    # After a restart of all stores a voter that had not been heard yet was
+    # replaced by a learner.
+    members = (*three, member('d', voter=False))
+    stores = (store('a'), store('b'), store('d'))
+    assert plan(members, stores, 0.4) is None
+    assert plan(members, stores, 4.0) == steward.Promote('d')
+
+
 def test_successor_votes_before_the_lost_store_goes(three):
     stores = (store('a'), store('b'), store('c', False), store('d'))
     assert plan(three, stores) == steward.AddLearner('d')
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -97,6 +97,7 @@
         self.present = {}
         self.index = None
         self.is_leading = False
+        self.leading_since = self.started
         self.draining = False
         self.closed = False
         self.presence_due = 0.0
@@ -438,6 +439,7 @@
             self.group.members,
             self.list_stores(now),
             steward.count_voters(self.settings.tolerated_stores),
+            now - self.leading_since,
         )
         if step is None:
             return
@@ -554,6 +556,7 @@
         if leads == self.is_leading:
             return
         self.is_leading = leads
+        self.leading_since = clock.monotonic()
         LOG.info(
             'event=leadership leading={} term={} applied={}',
             leads,
