--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -36,6 +36,8 @@
     def __init__(self, group):
         self.group = group
         self.snapshot_index = group.store.snapshot.last_index
+        # Size of the commands applied since the last snapshot.
+        self.applied_bytes = 0
         # The next snapshot is not prepared before this one is in use.
         self.publishing = False
         self.thread = threading.Thread(
@@ -119,6 +121,7 @@
             complete(proposal.future, result)
         for read in ready:
             complete(read.future, read.index)
+        self.applied_bytes += sum(len(entry.data) for entry in entries)
         self.take_snapshot(entries[-1])
 
     def apply_entry(self, entry):
@@ -145,9 +148,14 @@
     def take_snapshot(self, last):
         """Hand a snapshot to the task of the group when one is due."""
         group = self.group
+        settings = group.settings
         taken = last.index - self.snapshot_index
-        if taken < group.settings.snapshot_entries or self.publishing:
+        is_large = 0 < settings.snapshot_bytes <= self.applied_bytes
+        if taken < settings.snapshot_entries and not is_large:
             return
+        if self.publishing:
+            return
+        self.applied_bytes = 0
         with group.lock:
             changed, members = group.store.get_members_at(last.index)
         data = group.machine.snapshot()
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -70,7 +70,8 @@
         self.recorder = recorder
         path = pathlib.Path(settings.folder) / settings.group_id
         kept_entries = settings.snapshot_entries // KEPT_FRACTION
-        self.store = stores.Store(path, kept_entries)
+        kept_bytes = settings.snapshot_bytes // KEPT_FRACTION
+        self.store = stores.Store(path, kept_entries, kept_bytes)
         self.lock = threading.RLock()
         self.changed = threading.Condition(self.lock)
         self.committed = threading.Condition(self.lock)
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -55,6 +55,8 @@
         between one and two of them.
     snapshot_entries : int
         Applied entries between two snapshots.
+    snapshot_bytes : int
+        Size of the commands applied between two snapshots, 0 for no bound.
     first_timeout : float or None
         Seconds before the first election after a start, None for
         `election_timeout`. A leader that is alive is heard before.
@@ -72,6 +74,7 @@
     snapshot_entries: int = 20000
     contacts: tuple[str, ...] = ()
     first_timeout: float | None = None
+    snapshot_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -73,6 +73,8 @@
     kept_entries : int
         Entries kept in memory behind a snapshot, so that a replica that is
         a little behind needs no snapshot.
+    kept_bytes : int
+        Bound on the size of these entries, 0 for none.
 
     Raises
     ------
@@ -82,9 +84,10 @@
         If the folder cannot be used.
     """
 
-    def __init__(self, path, kept_entries=0):
+    def __init__(self, path, kept_entries=0, kept_bytes=0):
         self.path = pathlib.Path(path)
         self.kept_entries = kept_entries
+        self.kept_bytes = kept_bytes
         self.folder = folder.DataFolder(path)
         self.store_id = self.folder.store_id
         self.term = 0
@@ -293,7 +296,7 @@
             self.path / PREPARED_NAME, self.path / SNAPSHOT_NAME
         )
         self.snapshot = snapshot
-        first = snapshot.last_index - self.kept_entries
+        first = self.find_kept(snapshot.last_index)
         if first > self.base_index:
             term = self.get_term(first)
             del self.entries[: first - self.base_index]
@@ -305,6 +308,19 @@
         ]
         self.trim_segments()
 
+    def find_kept(self, last):
+        """Return the index behind which entries stay beside a snapshot."""
+        first = max(self.base_index, last - self.kept_entries)
+        if not self.kept_bytes:
+            return first
+        size = 0
+        kept = self.entries[: last - self.base_index]
+        for entry in reversed(kept):
+            size += len(entry.data)
+            if size > self.kept_bytes:
+                return max(first, entry.index)
+        return first
+
     def install_snapshot(self, snapshot):
         """Persist a snapshot of the leader in place of this log."""
         files.replace_file(
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -69,3 +69,21 @@
         three.wait_equal()
         assert three.leader().store.base_index > 0
         cluster.wait_until(lambda: three.get('host-3').store.base_index)
+
+
+def test_large_commands_do_not_stay_in_memory(tmp_path):
+    """Guards against a log of large commands that exhausts the memory."""
+    with cluster.running(tmp_path, snapshot_bytes=100_000) as three:
+        for _ in range(60):
+            three.commit(b'x' * 10_000)
+        three.wait_equal()
+        for group in three.groups():
+            cluster.wait_until(
+                lambda g=group: sum(len(e.data) for e in g.store.entries)
+                < 300_000
+            )
+        lost = three.leader().settings.host_id
+        three.stop(lost)
+        three.start(lost)
+        three.wait_equal()
+        assert len(three.get(lost).machine.commands) == 60
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -36,7 +36,10 @@
 # After a start of all stores nobody leads; after that of one a heartbeat
 # comes sooner than this.
 FIRST_ELECTION_SECONDS = 0.25
-SNAPSHOT_ENTRIES = 1000
+# Commands between two snapshots. They stay in memory until then, and a
+# configuration of some hundred routes has 100 KB.
+SNAPSHOT_ENTRIES = 200
+SNAPSHOT_BYTES = 4 * 1024 * 1024
 # A store that has not heard of its leader for this long, in seconds, is cut
 # off: four heartbeats, and less than an election takes.
 OUT_OF_TOUCH_SECONDS = 0.45
@@ -128,6 +131,7 @@
                     SNAPSHOT_ENTRIES,
                     settings.seeds,
                     FIRST_ELECTION_SECONDS,
+                    SNAPSHOT_BYTES,
                 ),
                 self.link,
                 self.ledger,
