--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -79,8 +79,9 @@
         three.wait_equal()
         for group in three.groups():
             cluster.wait_until(
-                lambda g=group: sum(len(e.data) for e in g.store.entries)
-                < 300_000
+                lambda g=group: (
+                    sum(len(e.data) for e in g.store.entries) < 300_000
+                )
             )
         lost = three.leader().settings.host_id
         three.stop(lost)
