Give each host its own order of endpoints with equal load

A request waited 0.15 s for a grant of its rate, half of its objective. Change: an order of each host's own; 0.07 s for a grant.

--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -26,8 +26,10 @@
 RETRY_SECONDS = 0.05
 # An older configuration is no ground to refuse a caller for good.
 FRESH_SECONDS = 1.0
-# Time that a request may wait for a grant of its account's rate.
-GRANT_SECONDS = 0.15
+# Time that a request may wait for a grant of its account's rate: two exchanges
+# at once, and less than a quarter of the objective of 0.3 s, so that a caller
+# who is refused can still be served in time elsewhere.
+GRANT_SECONDS = 0.07
 
 
 class Member:
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -12,6 +12,7 @@
 import dataclasses
 import random
 import threading
+import zlib
 
 from rhubarbreach import codes
 from rhubarbreach.fleet import health
@@ -47,8 +48,23 @@
     is_draining: bool = False
 
 
+def get_order(host_id, endpoint_id):
+    """Return a number by which a host orders endpoints of equal load.
+
+    Each host has an order of its own. With a common one all hosts would send
+    to the same endpoint until they know of each other's requests.
+    """
+    return zlib.crc32(f'{host_id} {endpoint_id}'.encode())
+
+
 def choose_endpoint(
-    candidates, online, batch, zone, excluded=(), queue=QUEUE_ALLOWED
+    candidates,
+    online,
+    batch,
+    zone,
+    excluded=(),
+    queue=QUEUE_ALLOWED,
+    host_id='',
 ):
     """Return the endpoint with the lowest load for its slots.
 
@@ -64,6 +80,8 @@
         Endpoints that have been tried.
     queue : int
         Requests that may wait at an endpoint.
+    host_id : str
+        This host.
 
     Returns
     -------
@@ -80,7 +98,7 @@
             total = endpoint.slots + running
         distance = OTHER_ZONE_LOAD if endpoint.availability_zone != zone else 0
         load = (total + distance) / max(1, endpoint.slots)
-        key = (load, endpoint.endpoint_id)
+        key = (load, get_order(host_id, endpoint.endpoint_id))
         if best is None or key < best[0]:
             best = (key, endpoint, running)
     if best is None:
@@ -112,10 +130,13 @@
     ----------
     zone : str
         Availability zone of this host.
+    host_id : str
+        This host.
     """
 
-    def __init__(self, zone):
+    def __init__(self, zone, host_id=''):
         self.zone = zone
+        self.host_id = host_id
         # Called when an endpoint runs out of slots.
         self.on_pressure = None
         self.lock = threading.Lock()
@@ -175,6 +196,7 @@
                 self.zone,
                 excluded,
                 queue,
+                self.host_id,
             )
             if isinstance(chosen, Endpoint):
                 endpoint_id = chosen.endpoint_id
