--- /dev/null
+++ b/model/formation-no-compare.pml
@@ -0,0 +1,3 @@
+/* expect: fail; -DNOREDUCE -O3 */
+#define NO_COMPARE
+#include "formation.inc"
--- /dev/null
+++ b/model/formation.pml
@@ -0,0 +1,2 @@
+/* expect: pass; -DNOREDUCE -O3 */
+#include "formation.inc"
