--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from rhubarbreach import codes
 from rhubarbreach.protocol import tagged
 
 __all__ = [
@@ -14,6 +15,7 @@
     'Done',
     'EndJob',
     'FAMILY',
+    'GROUP',
     'Item',
     'ItemProgress',
     'ItemResult',
@@ -27,9 +29,14 @@
     'Results',
     'RetireStore',
     'WaitingFull',
+    'decode_reply',
 ]
 
 
+# Replicated log group that holds the ledger.
+GROUP = 'ledger'
+
+
 class ItemState(enum.StrEnum):
     """How an item ended."""
 
@@ -213,3 +220,10 @@
     Results,
     Body,
 )
+
+
+def decode_reply(reply):
+    """Return the reply of the ledger, or the refusal in its place."""
+    if isinstance(reply, codes.Refusal):
+        return reply
+    return FAMILY.decode(reply)
--- a/rhubarbreach/gateway/jobs.py
+++ b/rhubarbreach/gateway/jobs.py
@@ -4,16 +4,13 @@
 
 from rhubarbreach.backlog import commands
 from rhubarbreach import clock
-from rhubarbreach import codes
 from rhubarbreach.consensus import client
 from rhubarbreach import eventlog
 
-__all__ = ['GROUP', 'Jobs']
+__all__ = ['Jobs']
 
 LOG = eventlog.Logger('jobs')
 
-# Group that holds the ledger.
-GROUP = 'ledger'
 # Time for a commit through an election of the leader, in seconds.
 SUBMIT_SECONDS = 3.0
 READ_SECONDS = 1.2
@@ -39,23 +36,23 @@
         self.client.hosts = self.member.stores
         leader = self.member.leader_id
         if leader is not None:
-            self.client.leaders[GROUP] = leader
+            self.client.leaders[commands.GROUP] = leader
 
     def propose(self, command, deadline):
         """Commit a command; return its reply or a `Refusal`."""
         self.prepare()
         reply = self.client.propose(
-            GROUP, commands.FAMILY.encode(command), deadline
+            commands.GROUP, commands.FAMILY.encode(command), deadline
         )
-        return decode_reply(reply)
+        return commands.decode_reply(reply)
 
     def query(self, query, deadline):
         """Return the reply to a linearizable query, or a `Refusal`."""
         self.prepare()
         reply = self.client.query(
-            GROUP, commands.FAMILY.encode(query), deadline
+            commands.GROUP, commands.FAMILY.encode(query), deadline
         )
-        return decode_reply(reply)
+        return commands.decode_reply(reply)
 
     def submit(self, info, account, route, items, path):
         """Accept a batch job; return the reply of the ledger."""
@@ -103,10 +100,3 @@
         """End a job."""
         command = commands.EndJob(job_id, account)
         return self.propose(command, clock.monotonic() + SUBMIT_SECONDS)
-
-
-def decode_reply(reply):
-    """Return the reply of the ledger, or the refusal."""
-    if isinstance(reply, codes.Refusal):
-        return reply
-    return commands.FAMILY.decode(reply)
