--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -2,21 +2,18 @@
 
 import collections
 import concurrent.futures
-import dataclasses
 import threading
 import time
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import plan
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import health
-from rhubarbreach.web import client
-from rhubarbreach.web import errors
-from rhubarbreach.web import events
 
-__all__ = ['Place', 'Runner']
+__all__ = ['Runner']
 
 LOG = eventlog.Logger('runner')
 
@@ -26,17 +23,10 @@
 PLAN_SECONDS = 0.1
 # Results are collected this long, in seconds, to share one commit.
 COLLECT_SECONDS = 0.05
-CONNECT_SECONDS = 0.3
-# A run without any event for this long is ended and tried elsewhere, in
-# seconds. Engines make an event each 25 ms; a full queue takes about 5 s.
-SILENCE_SECONDS = 8.0
 # Seconds before a failed item runs again, doubled by each failure.
 FIRST_PAUSE_SECONDS = 0.2
 MAX_PAUSE_SECONDS = 3.0
 COMMIT_SECONDS = 3.0
-OK = 200
-FAILED = 500
-IMPOSSIBLE = 422
 # Interval at which the events that items have made are committed, in seconds.
 # After a loss this much of each item is repeated at most; an item runs for
 # about 5 s.
@@ -45,52 +35,6 @@
 REPORT_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where an item runs: its service and its route's host."""
-
-    service: str
-    host: str
-
-
-@dataclasses.dataclass
-class Progress:
-    """What is known of an item beside its state in the ledger."""
-
-    texts: list = dataclasses.field(default_factory=list)
-    last_id: int = 0
-    attempts: int = 0
-    failures: int = 0
-    not_before: float = 0.0
-    kept: int = 0
-
-
-class Run:
-    """A run of an item on an endpoint."""
-
-    def __init__(self, job, item, endpoint, place):
-        self.job = job
-        self.item = item
-        self.endpoint = endpoint
-        self.place = place
-        self.call = None
-        self.cancelled = False
-        self.began = clock.monotonic()
-        self.first = 0
-
-    @property
-    def key(self):
-        """Job and item."""
-        return (self.job.job_id, self.item.item_id)
-
-    def cancel(self):
-        """End the run; its endpoint stops when the connection closes."""
-        self.cancelled = True
-        call = self.call
-        if call is not None:
-            call.interrupt()
-
-
 class Runner:
     """Plans and runs the open items while this store leads.
 
@@ -269,7 +213,7 @@
         starts = plan.plan_starts(waiting, slots)[:room]
         for item, endpoint_id in starts:
             job, entry, place = open_items[item.key]
-            run = Run(job, entry, endpoints[endpoint_id], place)
+            run = execution.Run(job, entry, endpoints[endpoint_id], place)
             with self.lock:
                 self.runs[run.key] = run
                 if run.key not in self.progress:
@@ -315,7 +259,7 @@
     def load_progress(self, key):
         """Return what an item is known to have made under any leader."""
         texts = self.ledger.get_made(*key)
-        return Progress(texts, len(texts), kept=len(texts))
+        return execution.Progress(texts, len(texts), kept=len(texts))
 
     def count_running(self):
         """Return the items that run on each endpoint."""
@@ -329,75 +273,14 @@
     def get_progress(self, key):
         """Return the progress of an item, empty when it has none."""
         with self.lock:
-            return self.progress.get(key) or Progress()
+            return self.progress.get(key) or execution.Progress()
 
     def run_item(self, run):
         """Run an item once and draw the consequences."""
         progress = self.get_progress(run.key)
-        outcome = 'failed'
-        detail = ''
-        try:
-            outcome, detail = self.attempt(run, progress)
-        except (errors.ConnectError, errors.ConnectionEndedError) as error:
-            detail = str(error)
-        except (errors.DeadlineError, errors.BadMessageError) as error:
-            detail = str(error)
-        except Exception as error:
-            LOG.exception('event=run_failed item={}', run.item.item_id)
-            detail = str(error)
-        finally:
-            if run.call is not None:
-                run.call.close()
+        outcome, detail = execution.carry_out(run, progress, self.dialect)
         self.finish(run, progress, outcome, detail)
 
-    def attempt(self, run, progress):
-        """Send an item and collect its events; return outcome, detail."""
-        headers = self.dialect.encode_item(
-            run.item,
-            run.job.account,
-            run.place.host,
-            run.endpoint.endpoint_id,
-            progress.last_id,
-        )
-        data = client.encode_request(
-            'POST', run.item.path.encode('latin-1'), headers, run.item.body
-        )
-        now = clock.monotonic()
-        call = client.Call(
-            run.endpoint.address,
-            data,
-            now + CONNECT_SECONDS,
-            now + SILENCE_SECONDS,
-        )
-        run.call = call
-        run.began = clock.monotonic()
-        run.first = len(progress.texts)
-        splitter = events.Splitter()
-        while not call.is_whole:
-            parts = call.read(clock.monotonic() + SILENCE_SECONDS)
-            if run.cancelled:
-                return 'cancelled', ''
-            if call.head is None or call.head.status != OK:
-                continue
-            for block in splitter.feed(b''.join(parts)):
-                if not take_event(progress, block):
-                    return 'failed', 'events are not in sequence'
-        return self.judge(call.head, splitter)
-
-    def judge(self, head, splitter):
-        """Return outcome and detail of a whole answer."""
-        if head.status == OK:
-            if splitter.rest.strip():
-                return 'failed', 'answer ends within an event'
-            return 'completed', ''
-        if self.dialect.is_not_run(head):
-            return 'not_run', f'status {head.status}'
-        if head.status == IMPOSSIBLE:
-            return 'impossible', f'status {head.status}'
-        if head.status == FAILED:
-            return 'attempted', f'status {head.status}'
-        return 'failed', f'status {head.status}'
-
     def finish(self, run, progress, outcome, detail):
         """Draw the consequences of a run."""
         if run.cancelled:
@@ -502,19 +385,6 @@
         self.executor.shutdown(wait=False, cancel_futures=True)
 
 
-def take_event(progress, block):
-    """Add an event to an item's text; return False if one is missing."""
-    number = events.get_id(block)
-    data = events.get_data(block)
-    if number is None:
-        return True
-    if number != progress.last_id + 1:
-        return False
-    progress.last_id = number
-    progress.texts.append(data or b'')
-    return True
-
-
 def count_slots(endpoints, online, runs, ejected):
     """Return the use of the slots of each endpoint that takes items."""
     batch = collections.Counter(
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -4,6 +4,7 @@
 import time
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
 from rhubarbreach.catalog import index as indexes
@@ -272,7 +273,7 @@
         route = index.find_route(job.host, job.path_prefix)
         if route is None or route.path_prefix != job.path_prefix:
             return None
-        return runners.Place(indexes.choose_target(route), job.host)
+        return execution.Place(indexes.choose_target(route), job.host)
 
     def list_slots(self):
         """Return endpoints by id, and what runs there for entry hosts."""
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -1,6 +1,5 @@
 """Link of one host to its peers over TCP."""
 
-import collections
 import concurrent.futures
 import itertools
 import secrets
@@ -16,20 +15,14 @@
 from rhubarbreach.protocol import delay as delay_queue
 from rhubarbreach.protocol import framing
 from rhubarbreach.protocol import hostmessages
+from rhubarbreach.protocol import peer as peer_task
 from rhubarbreach.protocol import tls
 
-__all__ = ['Link', 'Peer']
+__all__ = ['Link']
 
 LOG = eventlog.Logger('link')
 
-# A peer that does not read loses messages beyond this queue, so that it
-# cannot exhaust the memory of its sender.
-QUEUE_MESSAGES = 4096
-SEND_TIMEOUT_MS = 500
-SEND_BUFFER_FRAMES = 32
 RECEIVE_TIMEOUT_MS = 200
-RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 500
 HANDLER_THREADS = 16
 # A peer that is in use is asked this often whether messages arrive; a peer
 # that does not answer in time is dialled again. Both stay below the shortest
@@ -42,114 +35,6 @@
 CALL_ID_BITS = 62
 
 
-class Peer:
-    """Sender task of one peer.
-
-    Parameters
-    ----------
-    peer_id : str
-        Host id of the peer.
-    address : str
-        `IP:port` of the peer's link.
-    tls_files : TlsFiles or None
-        Certificates, None for plain TCP.
-    """
-
-    def __init__(self, peer_id, address, tls_files):
-        self.peer_id = peer_id
-        self.address = address
-        self.dropped = 0
-        self.sent_bytes = 0
-        self.queue = collections.deque()
-        self.ready = threading.Condition()
-        self.closed = False
-        self.tls_files = tls_files
-        self.probe_due = 0.0
-        self.probe_sent = None
-        self.used = False
-        self.silent_since = None
-        self.socket = self.dial()
-        self.thread = threading.Thread(
-            target=self.run, name=f'link-{peer_id}', daemon=True
-        )
-        self.thread.start()
-
-    def dial(self):
-        """Return a socket that connects in the background."""
-        socket = pynng.Push0(
-            send_timeout=SEND_TIMEOUT_MS,
-            send_buffer_size=SEND_BUFFER_FRAMES,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
-        scheme = 'tcp'
-        if self.tls_files is not None:
-            scheme = 'tls+tcp'
-            socket.tls_config = tls.make_client(self.tls_files, self.peer_id)
-        socket.dial(f'{scheme}://{self.address}', block=False)
-        return socket
-
-    def redial(self):
-        """Replace a connection on which the peer no longer answers.
-
-        A connection may go silent without a reset while new ones work.
-        """
-        with self.ready:
-            if self.closed:
-                return
-            self.queue.clear()
-            former, self.socket = self.socket, self.dial()
-        former.close()
-
-    def put(self, data):
-        """Queue a message; return False when the queue is full."""
-        with self.ready:
-            if self.closed or len(self.queue) >= QUEUE_MESSAGES:
-                self.dropped += 1
-                return False
-            self.queue.append(data)
-            self.ready.notify()
-        return True
-
-    def run(self):
-        """Send queued messages until the peer is closed."""
-        while True:
-            with self.ready:
-                while not self.queue and not self.closed:
-                    self.ready.wait()
-                if self.closed:
-                    return
-                data = self.queue.popleft()
-            try:
-                for frame in framing.split_message(data):
-                    self.socket.send(frame)
-                self.sent_bytes += len(data)
-            except pynng.Timeout:
-                self.drop_backlog()
-            except pynng.NNGException:
-                # The socket was closed: by `close`, or by `redial`, which
-                # has put another one in its place.
-                if self.closed:
-                    return
-
-    def drop_backlog(self):
-        """Drop what is queued for a peer that cannot be reached.
-
-        Messages between hosts are only useful while they are fresh; every
-        sender repeats what still matters.
-        """
-        with self.ready:
-            self.dropped += 1 + len(self.queue)
-            self.queue.clear()
-
-    def close(self):
-        """Stop the sender task."""
-        with self.ready:
-            self.closed = True
-            self.ready.notify()
-        self.socket.close()
-
-
 class Link:
     """Typed messages and calls to peers.
 
@@ -229,7 +114,9 @@
             known = self.peers.get(peer_id)
             if known is not None and known.address == address:
                 return
-            self.peers[peer_id] = Peer(peer_id, address, self.tls_files)
+            self.peers[peer_id] = peer_task.Peer(
+                peer_id, address, self.tls_files
+            )
         if known is not None:
             known.close()
 
