--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -21,8 +21,6 @@
 MAX_RUNNING = 64
 # Seconds between two plans; loads are reported this often.
 PLAN_SECONDS = 0.1
-# Results are collected this long, in seconds, to share one commit.
-COLLECT_SECONDS = 0.05
 # Seconds before a failed item runs again, doubled by each failure.
 FIRST_PAUSE_SECONDS = 0.2
 MAX_PAUSE_SECONDS = 3.0
--- a/rhubarbreach/eventlog.py
+++ b/rhubarbreach/eventlog.py
@@ -128,9 +128,6 @@
             text = text.format(*arguments)
         SINKS['sink'](level, self.channel, text)
 
-    def debug(self, text, *arguments):
-        """Do nothing: debug lines are for the classic log only."""
-
     def info(self, text, *arguments):
         """Record what a process did or came to believe."""
         self.emit('info', text, arguments)
--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -127,7 +127,6 @@
             self.endpoints_stamp,
             self.view.copy_running(),
             wanted,
-            0,
         )
         call = self.link.call(store, message, sent + EXCHANGE_TIMEOUT_SECONDS)
         reply = call.result()
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -79,7 +79,6 @@
             allowed = min(allowed, info.allowed)
         self.deadline = self.began + allowed
         self.started = False
-        self.chunked = False
         self.last_id = info.last_event_id
         self.endpoint = None
         self.sent = 0
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -46,7 +46,6 @@
         self.link = link
         self.group = group
         self.ledger = ledger
-        self.draining = False
         self.present = {}
         self.presence_due = 0.0
         self.step_due = 0.0
@@ -79,7 +78,6 @@
             self.host_id,
             self.settings.name,
             self.settings.availability_zone,
-            self.draining,
         )
         self.present[self.host_id] = (now, message)
         for host_id in self.list_others():
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -331,7 +331,6 @@
     def drain(self, seconds):
         """Hand leadership over before the process ends."""
         self.draining = True
-        self.members.draining = True
         self.runner.lead(False)
         self.members.hand_over(seconds)
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -49,15 +49,11 @@
 
 @messages.frozen_message
 class StoreNews:
-    """Presence of a store, told to the other stores.
-
-    `joinable` tells that its disk belongs to no member of the group.
-    """
+    """Presence of a store, told to the other stores."""
 
     host_id: str
     name: str
     availability_zone: str
-    draining: bool
 
 
 @messages.frozen_message
@@ -80,7 +76,6 @@
     endpoints_stamp: str
     running: dict[str, int]
     wanted: dict[str, float]
-    waiting: int
 
 
 @messages.frozen_message
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -5,14 +5,12 @@
 anything was sent, which is known not to have run.
 """
 
-import json
-
 from rhubarbreach import clock
 from rhubarbreach.web import errors
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
 
-__all__ = ['Call', 'encode_request', 'fetch_json']
+__all__ = ['Call', 'encode_request']
 
 
 def encode_request(method, target, headers, body):
@@ -105,17 +103,3 @@
     def close(self):
         """End the connection; an endpoint stops what it still runs."""
         sockets.close_socket(self.socket)
-
-
-def fetch_json(address, target, seconds):
-    """Return the JSON body of a GET, for tests and tools."""
-    deadline = clock.monotonic() + seconds
-    request = encode_request('GET', target, ((b'Host', b'x'),), b'')
-    call = Call(address, request, deadline, deadline)
-    body = []
-    try:
-        while not call.is_whole:
-            body.extend(call.read(deadline))
-    finally:
-        call.close()
-    return json.loads(b''.join(body))
