--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -5,7 +5,6 @@
 anything was sent, which is known not to have run.
 """
 
-from rhubarbreach import clock
 from rhubarbreach.web import errors
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
