Explain an id from the event logs of all hosts

`rhubarbreach explain` merges logs and prints the lines about an id, about the endpoints it met, and changes of belief around them. Tests of the bounds of the event log.

--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -4,6 +4,7 @@
 
 import fire
 
+from rhubarbreach.commands import explain
 from rhubarbreach.commands import host
 from rhubarbreach.commands import reference
 from rhubarbreach.commands import timeline
@@ -29,7 +30,7 @@
     """Serving system for online and batch inference on one fleet.
 
     serve runs a host, check checks its settings, admin holds the calls of
-    an operator, timeline explains what happened, load sends requests, demo
+    an operator, timeline and explain tell what happened, load sends requests, demo
     and bench start a small deployment on the loopback address.
     """
 
@@ -37,6 +38,7 @@
         self.serve = host.serve
         self.check = host.check
         self.version = host.print_version
+        self.explain = explain.print_explanation
         self.timeline = timeline.print_timeline
         self.reference = reference.print_reference
         self.certificates = write_certificates
--- /dev/null
+++ b/rhubarbreach/observe/tests/test_loglines.py
@@ -0,0 +1,68 @@
+"""From the id of a request to the lines that explain it."""
+
+import pytest
+
+from rhubarbreach import eventlog
+from rhubarbreach.observe import loglines
+
+TEXTS = [
+    '  34.0 store-1 time=12.0 host=s1 level=info '
+    'event=endpoint_silent endpoint=i-1\n',
+    'time=10.0 host=e1 level=info event=attempt request=r1 '
+    "endpoint=i-1 outcome=broken reason='reset, \\'now\\''\n",
+    'time=10.5 host=e1 level=info event=answered request=r2 '
+    "endpoint=i-2 reason=''\n",
+    'time=11.0 host=s2 level=info event=leadership leading=True\n',
+    'time=50.0 host=s2 level=info event=leadership leading=False\n',
+    'time=11.5 host=s1 level=info event=endpoint_state endpoint=i-3\n',
+    'Traceback (most recent call last):\n',
+    'time=oops host=s1 event=broken\n',
+]
+
+
+@pytest.fixture
+def lines():
+    return loglines.merge_lines(TEXTS)
+
+
+def test_lines_are_merged_and_others_left_out(lines):
+    assert [line.time for line in lines] == [10, 10.5, 11, 11.5, 12, 50]
+    assert lines[0].fields['reason'] == "reset, 'now'"
+
+
+def test_id_is_explained_by_its_endpoints_and_by_beliefs(lines):
+    found = loglines.explain_id(lines, 'r1')
+    assert [(line.host, line.event) for line in found] == [
+        ('e1', 'attempt'),
+        ('s2', 'leadership'),
+        ('s1', 'endpoint_silent'),
+    ]
+
+
+def test_unknown_id_has_no_lines(lines):
+    assert loglines.explain_id(lines, 'r9') == []
+
+
+def test_lines_of_the_event_log_are_read(tmp_path):
+    path = tmp_path / 'log'
+    with path.open('wb') as file:
+        writer = eventlog.Writer('h1', file.fileno())
+        writer.put('info', 'x', "event=refused request=r1 reason='a b'")
+        writer.flush()
+    line = loglines.parse_line(path.read_text())
+    assert (line.host, line.event) == ('h1', 'refused')
+    assert line.fields['reason'] == 'a b'
+
+
+def test_repeated_lines_are_bounded_and_counted(tmp_path):
+    # A failure that repeats must not fill the log or stop its process.
+    path = tmp_path / 'log'
+    with path.open('wb') as file:
+        writer = eventlog.Writer('h1', file.fileno())
+        for _ in range(3 * eventlog.EVENT_LINES):
+            writer.put('info', 'x', 'event=refused request=r1')
+        writer.put('info', 'x', 'event=other')
+        writer.flush()
+    events = [loglines.parse_line(t).event for t in path.open()]
+    assert events.count('refused') <= eventlog.EVENT_LINES
+    assert events[-2:] == ['other', 'lines_dropped']
