--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -30,8 +30,8 @@
     """Serving system for online and batch inference on one fleet.
 
     serve runs a host, check checks its settings, admin holds the calls of
-    an operator, timeline and explain tell what happened, load sends requests, demo
-    and bench start a small deployment on the loopback address.
+    an operator, timeline and explain tell what happened, load sends
+    requests, demo and bench start a small deployment on the loopback address.
     """
 
     def __init__(self):
