Let the silent relay of a test pass the greeting and nothing else

The relay passed whatever came in the same read as the transport's greeting, so that its first connection was not silent when both came together. The check and its bound stay; the relay now passes exactly the greeting.

--- a/rhubarbreach/protocol/tests/test_silence.py
+++ b/rhubarbreach/protocol/tests/test_silence.py
@@ -10,6 +10,8 @@
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import messages
 
+# What the transport sends on each new connection before any message.
+GREETING_BYTES = 8
 ADDRESSES = ('127.0.3.1', '127.0.3.2')
 
 
@@ -46,8 +48,10 @@
                 data = source.recv(65536)
                 if not data:
                     return
-                if not silent or passed < 8:
-                    sink.sendall(data)
+                passing = data
+                if silent:
+                    passing = data[: max(0, GREETING_BYTES - passed)]
+                sink.sendall(passing)
                 passed += len(data)
             except OSError:
                 return
