Have batch items run by all stores, planned by the leader

Cause: the leader ran all items itself, at most 64 at once. On the grown deployments 350 items waited while 300 slots were free, and reading 64 streams took the leader half a core, so that exchanges with entry hosts were late. A lost leader also ended all runs.

Change: stores poll the leader with the state of their runs and get orders and cancellations (`backlog.worker`, `backlog.assignments`, `protocol.workmessages`). Lost answers are repaired by the next report. A new leader adopts what runs.

--- /dev/null
+++ b/rhubarbreach/backlog/assignments.py
@@ -0,0 +1,277 @@
+"""Items that run, and the stores that run them, as the leader knows them."""
+
+import collections
+import dataclasses
+
+from rhubarbreach import eventlog
+from rhubarbreach.protocol import workmessages
+
+__all__ = ['Assignment', 'Assignments', 'Ended', 'Place', 'Progress']
+
+LOG = eventlog.Logger('assignments')
+
+# A store that has not reported for this long, in seconds, runs nothing any
+# more: it reports each 0.4 s, and a lost message costs another 0.4 s.
+SILENT_SECONDS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where an item runs: its service and its route's host."""
+
+    service: str
+    host: str
+
+
+@dataclasses.dataclass
+class Progress:
+    """What is known of an item beside its state in the ledger.
+
+    `texts` are the events made so far, `kept` the number of those that are
+    in the ledger, and `not_before` is in seconds of the monotonic clock.
+    """
+
+    texts: list = dataclasses.field(default_factory=list)
+    attempts: int = 0
+    failures: int = 0
+    not_before: float = 0.0
+    kept: int = 0
+
+    def take(self, report):
+        """Add the events of a report; return whether none is missing."""
+        known = len(self.texts)
+        if not report.first or report.first > known + 1:
+            return False
+        self.texts.extend(report.texts[known + 1 - report.first :])
+        return True
+
+
+@dataclasses.dataclass
+class Assignment:
+    """An item that a store runs on an endpoint.
+
+    `began` is in seconds of the monotonic clock.
+    """
+
+    job: object
+    item: object
+    endpoint: object
+    place: Place
+    worker_id: str
+    began: float
+    cancelled: bool = False
+
+    @property
+    def key(self):
+        """Job and item."""
+        return (self.job.job_id, self.item.item_id)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A run that has ended; `made` counts its own events."""
+
+    assignment: Assignment
+    outcome: str
+    detail: str = ''
+    begun: int = 0
+    made: int = 0
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass
+class Worker:
+    """A store that runs items; `heard` is in seconds of the clock."""
+
+    availability_zone: str
+    heard: float
+    takes_orders: bool = True
+
+
+class Assignments:
+    """Runs by item. The caller holds a lock.
+
+    Parameters
+    ----------
+    load_progress : callable
+        Returns the `Progress` of a key that the ledger holds.
+    """
+
+    def __init__(self, load_progress):
+        self.load_progress = load_progress
+        self.runs = {}
+        self.progress = {}
+        self.workers = {}
+
+    def clear(self):
+        """Forget all, when another store leads."""
+        self.runs.clear()
+        self.progress.clear()
+        self.workers.clear()
+
+    def get_progress(self, key):
+        """Return the progress of an item, loaded when it is first used."""
+        if key not in self.progress:
+            self.progress[key] = self.load_progress(key)
+        return self.progress[key]
+
+    def choose_worker(self, zone):
+        """Return the store that runs an item on an endpoint of a zone.
+
+        Stores of the endpoint's zone go first, as events then cross zones
+        once; among them the one with the fewest runs.
+        """
+        counts = collections.Counter(
+            run.worker_id for run in self.runs.values()
+        )
+        return min(
+            (one for one in self.workers if self.workers[one].takes_orders),
+            key=lambda one: (
+                self.workers[one].availability_zone != zone,
+                counts[one],
+                one,
+            ),
+            default=None,
+        )
+
+    def assign(self, job, item, endpoint, place, now):
+        """Assign an item; return the store's id, None when there is none."""
+        worker_id = self.choose_worker(endpoint.availability_zone)
+        if worker_id is None:
+            return None
+        run = Assignment(job, item, endpoint, place, worker_id, now)
+        self.runs[run.key] = run
+        self.get_progress(run.key)
+        return worker_id
+
+    def take_report(self, worker_id, message, open_items, find_endpoint, now):
+        """Take the report of a store.
+
+        Parameters
+        ----------
+        worker_id : str
+            Store that reports.
+        message : WorkReport
+            Its runs.
+        open_items : dict
+            Tuples of job, item and `Place` by key.
+        find_endpoint : callable
+            Returns the `Endpoint` of an id, None if it is not known.
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        WorkOrders, list of Ended
+            Answer to the store, and the runs that have ended.
+        """
+        self.workers[worker_id] = Worker(
+            message.availability_zone, now, message.takes_orders
+        )
+        known = []
+        ended = []
+        cancels = []
+        reported = set()
+        for report in message.runs:
+            key = (report.job_id, report.item_id)
+            run = self.runs.get(key)
+            if run is None:
+                run = self.adopt(
+                    worker_id, report, open_items, find_endpoint, now
+                )
+            if run is None or run.worker_id != worker_id:
+                continue
+            if run.endpoint.endpoint_id != report.endpoint_id:
+                continue
+            reported.add(key)
+            progress = self.get_progress(key)
+            is_whole = progress.take(report)
+            if report.outcome and is_whole:
+                del self.runs[key]
+                made = len(progress.texts) - report.begun
+                ended.append(
+                    Ended(
+                        run,
+                        report.outcome,
+                        report.detail,
+                        report.begun,
+                        made,
+                        report.seconds,
+                    )
+                )
+            elif run.cancelled:
+                cancels.append(key)
+            known.append((*key, len(progress.texts)))
+        orders = self.list_orders(worker_id, reported, ended)
+        reply = workmessages.WorkOrders(
+            True, None, tuple(orders), tuple(known), tuple(cancels)
+        )
+        return reply, ended
+
+    def adopt(self, worker_id, report, open_items, find_endpoint, now):
+        """Return a run that was begun under another leader, or None."""
+        key = (report.job_id, report.item_id)
+        found = open_items.get(key)
+        endpoint = find_endpoint(report.endpoint_id)
+        if found is None or endpoint is None:
+            return None
+        if report.begun > len(self.get_progress(key).texts):
+            # Events between those that are known and the run are lost.
+            return None
+        job, item, place = found
+        run = Assignment(
+            job, item, endpoint, place, worker_id, now - report.seconds
+        )
+        self.runs[key] = run
+        return run
+
+    def list_orders(self, worker_id, reported, ended):
+        """Return the runs that a store has not begun yet.
+
+        An order whose answer was lost is sent again. One that was withdrawn
+        before the store has got it ends here.
+        """
+        orders = []
+        for key, run in list(self.runs.items()):
+            if run.worker_id != worker_id or key in reported:
+                continue
+            if run.cancelled:
+                del self.runs[key]
+                ended.append(Ended(run, 'cancelled'))
+                continue
+            item = run.item
+            orders.append(
+                workmessages.RunOrder(
+                    *key,
+                    run.job.account,
+                    run.place.host,
+                    item.path,
+                    item.headers,
+                    item.body,
+                    run.endpoint.endpoint_id,
+                    run.endpoint.address,
+                    len(self.get_progress(key).texts),
+                )
+            )
+        return orders
+
+    def drop_silent(self, now):
+        """Forget the stores that do not report; return their runs' ends."""
+        silent = [
+            worker_id
+            for worker_id, worker in self.workers.items()
+            if now - worker.heard > SILENT_SECONDS
+        ]
+        ended = []
+        for worker_id in silent:
+            del self.workers[worker_id]
+            lost = [
+                run for run in self.runs.values() if run.worker_id == worker_id
+            ]
+            for run in lost:
+                del self.runs[run.key]
+                ended.append(Ended(run, 'lost'))
+            LOG.warning(
+                'event=worker_silent store={} runs={}', worker_id, len(lost)
+            )
+        return ended
--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -8,7 +8,7 @@
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
 
-__all__ = ['Place', 'Progress', 'Run', 'carry_out']
+__all__ = ['Progress', 'Run', 'carry_out']
 
 LOG = eventlog.Logger('runner')
 
@@ -21,43 +21,33 @@
 IMPOSSIBLE = 422
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where an item runs: its service and its route's host."""
-
-    service: str
-    host: str
-
-
 @dataclasses.dataclass
 class Progress:
-    """What is known of an item beside its state in the ledger."""
+    """Events that an item has made so far."""
 
     texts: list = dataclasses.field(default_factory=list)
     last_id: int = 0
-    attempts: int = 0
-    failures: int = 0
-    not_before: float = 0.0
-    kept: int = 0
 
 
 class Run:
-    """A run of an item on an endpoint."""
+    """A run of an item on an endpoint.
+
+    Parameters
+    ----------
+    order : RunOrder
+        What to run, where, and from which event on.
+    """
 
-    def __init__(self, job, item, endpoint, place):
-        self.job = job
-        self.item = item
-        self.endpoint = endpoint
-        self.place = place
+    def __init__(self, order):
+        self.order = order
         self.call = None
         self.cancelled = False
         self.began = clock.monotonic()
-        self.first = 0
 
     @property
     def key(self):
         """Job and item."""
-        return (self.job.job_id, self.item.item_id)
+        return (self.order.job_id, self.order.item_id)
 
     def cancel(self):
         """End the run; its endpoint stops when the connection closes."""
@@ -75,7 +65,7 @@
     run : Run
         Run to carry out.
     progress : Progress
-        Events made before; those of this run are added.
+        Last event made before; those of this run are added.
     dialect : object
         Encodes the request and reads the head of the answer.
 
@@ -96,7 +86,7 @@
     ) as error:
         return 'failed', str(error)
     except Exception as error:
-        LOG.exception('event=run_failed item={}', run.item.item_id)
+        LOG.exception('event=run_failed item={}', run.order.item_id)
         return 'failed', str(error)
     finally:
         if run.call is not None:
@@ -105,36 +95,37 @@
 
 def attempt(run, progress, dialect):
     """Return outcome and detail of a run."""
+    order = run.order
     headers = dialect.encode_item(
-        run.item,
-        run.job.account,
-        run.place.host,
-        run.endpoint.endpoint_id,
+        order,
+        order.account,
+        order.host,
+        order.endpoint_id,
         progress.last_id,
     )
     data = client.encode_request(
-        'POST', run.item.path.encode('latin-1'), headers, run.item.body
+        'POST', order.path.encode('latin-1'), headers, order.body
     )
     now = clock.monotonic()
     call = client.Call(
-        run.endpoint.address,
+        order.address,
         data,
         now + CONNECT_SECONDS,
         now + SILENCE_SECONDS,
     )
     run.call = call
+    if run.cancelled:
+        return 'cancelled', ''
     run.began = clock.monotonic()
-    run.first = len(progress.texts)
     splitter = events.Splitter()
     while not call.is_whole:
         parts = call.read(clock.monotonic() + SILENCE_SECONDS)
-        if run.cancelled:
+        if call.head is not None and call.head.status == OK:
+            for block in splitter.feed(b''.join(parts)):
+                if not take_event(progress, block):
+                    return 'failed', 'events are not in sequence'
+        if run.cancelled and not call.is_whole:
             return 'cancelled', ''
-        if call.head is None or call.head.status != OK:
-            continue
-        for block in splitter.feed(b''.join(parts)):
-            if not take_event(progress, block):
-                return 'failed', 'events are not in sequence'
     return judge(call.head, splitter, dialect)
 
 
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -1,24 +1,26 @@
-"""The tasks that run batch items on endpoints, at the leader."""
+"""The task of the leader that has batch items run by the stores."""
 
 import collections
-import concurrent.futures
 import threading
 import time
 
+from rhubarbreach.backlog import assignments
 from rhubarbreach.backlog import commands
-from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import plan
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import health
+from rhubarbreach.protocol import workmessages
 
 __all__ = ['Runner']
 
 LOG = eventlog.Logger('runner')
 
-# Items that run at once; the fleet of today has 48 slots.
-MAX_RUNNING = 64
+# A new leader starts items only after this long, in seconds: entry hosts and
+# stores have to find it and tell what runs already. Items that are started
+# on slots in use yield again at once, and are read from the start.
+LEARN_SECONDS = 0.5
 # Seconds between two plans; loads are reported this often.
 PLAN_SECONDS = 0.1
 # Seconds before a failed item runs again, doubled by each failure.
@@ -43,9 +45,8 @@
     propose : callable
         Commits a command; takes it and a deadline, returns a future of its
         reply or a `Refusal`.
-    dialect : object
-        `encode_item(item, account, host, endpoint_id, last_id)` and
-        `is_not_run(head)`.
+    link : Link
+        Link to the stores that run the items.
     find_place : callable
         Returns the `Place` of a job, None when its route is gone.
     list_slots : callable
@@ -53,51 +54,64 @@
         that run on each for entry hosts, as a dict of id to int.
     """
 
-    def __init__(self, ledger, propose, dialect, find_place, list_slots):
+    def __init__(self, ledger, propose, link, find_place, list_slots):
         self.keep_due = 0.0
         self.report_due = 0.0
         self.health = health.HealthTable()
         self.ledger = ledger
         self.propose = propose
-        self.dialect = dialect
+        self.link = link
         self.find_place = find_place
         self.list_slots = list_slots
         self.lock = threading.Lock()
         self.wake = threading.Event()
-        self.runs = {}
-        self.progress = {}
+        self.assignments = assignments.Assignments(self.load_progress)
+        self.open_items = {}
         self.results = []
         self.is_leading = False
+        self.learned = 0.0
         self.closed = False
         self.counts = collections.Counter()
         self.pace = plan.Pace()
-        self.executor = concurrent.futures.ThreadPoolExecutor(
-            MAX_RUNNING, thread_name_prefix='item'
-        )
         self.thread = threading.Thread(
             target=self.run, name='runner', daemon=True
         )
         self.thread.start()
 
     def lead(self, is_leading):
-        """Begin or cease to run items."""
+        """Begin or cease to plan; stores go on with what they run."""
         if is_leading == self.is_leading:
             return
-        self.is_leading = is_leading
         LOG.info('event=runner_changed leading={}', is_leading)
-        if not is_leading:
-            self.cancel_all()
+        if is_leading:
+            self.learned = clock.monotonic() + LEARN_SECONDS
+            self.open_items = self.find_open()
+            self.is_leading = True
+        else:
+            self.is_leading = False
             with self.lock:
-                self.progress.clear()
+                self.assignments.clear()
                 self.results.clear()
         self.wake.set()
 
-    def cancel_all(self):
-        """End all runs."""
+    def take_report(self, worker_id, message):
+        """Return the answer to the report of a store, as the leader."""
         with self.lock:
-            runs = list(self.runs.values())
-        for run in runs:
-            run.cancel()
+            reply, ended = self.assignments.take_report(
+                worker_id,
+                message,
+                self.open_items,
+                self.find_endpoint,
+                clock.monotonic(),
+            )
+        for one in ended:
+            self.finish(one)
+        return reply
+
+    def find_endpoint(self, endpoint_id):
+        """Return an endpoint that is known, or None."""
+        endpoints, _ = self.list_slots()
+        return endpoints.get(endpoint_id)
 
     def run(self):
         """Plan while this store leads; sleep while nothing is open."""
@@ -114,25 +128,34 @@
     def step(self, now):
         """Commit results, cancel, start; return whether items are open."""
         self.commit_results()
-        open_items = self.find_open()
-        self.cancel_closed(open_items)
+        self.open_items = self.find_open()
         endpoints, online = self.list_slots()
         with self.lock:
-            runs = list(self.runs.values())
+            lost = self.assignments.drop_silent(now)
             self.health.keep(endpoints)
             ejected = {e for e in endpoints if self.health.is_ejected(e, now)}
+        for one in lost:
+            self.finish(one)
+        self.cancel_closed(endpoints)
+        runs = self.list_runs()
         slots = count_slots(endpoints, online, runs, ejected)
         running = self.list_running(runs)
         self.cancel_keys(plan.plan_yields(running, slots))
-        unplaced = self.start_items(open_items, endpoints, slots, now)
-        self.cancel_keys(plan.plan_displacements(running, unplaced))
+        if now >= self.learned:
+            unplaced = self.start_items(endpoints, slots, now)
+            self.cancel_keys(plan.plan_displacements(running, unplaced))
         if now >= self.keep_due:
             self.keep_due = now + KEEP_SECONDS
             self.keep_progress(now)
         if now >= self.report_due:
             self.report_due = now + REPORT_SECONDS
-            self.report(open_items, slots)
-        return bool(open_items or runs or self.results)
+            self.report(slots)
+        return bool(self.open_items or runs or self.results)
+
+    def list_runs(self):
+        """Return the runs that are assigned."""
+        with self.lock:
+            return list(self.assignments.runs.values())
 
     def find_open(self):
         """Return the open items by key; give up what cannot be done."""
@@ -150,16 +173,23 @@
                     found[key] = (job, item, place)
         return found
 
-    def cancel_closed(self, open_items):
-        """End the runs of items that need no result any more."""
+    def cancel_closed(self, endpoints):
+        """End the runs of items that need no result, or that must move."""
         with self.lock:
-            runs = list(self.runs.values())
-            for key in list(self.progress):
-                if key not in open_items and key not in self.runs:
-                    del self.progress[key]
-        for run in runs:
-            if run.key not in open_items or run.endpoint.is_draining:
-                run.cancel()
+            progress = self.assignments.progress
+            for key in list(progress):
+                if (
+                    key not in self.open_items
+                    and key not in self.assignments.runs
+                ):
+                    del progress[key]
+            keys = [
+                run.key
+                for run in self.assignments.runs.values()
+                if run.key not in self.open_items
+                or is_draining(endpoints.get(run.endpoint.endpoint_id))
+            ]
+        self.cancel_keys(keys)
 
     def list_running(self, runs):
         """Return the runs that go on, as the plan sees them."""
@@ -168,7 +198,7 @@
         for run in runs:
             if run.cancelled:
                 continue
-            made = len(self.get_progress(run.key).texts)
+            made = self.count_made(run.key)
             running.append(
                 plan.Running(
                     run.key,
@@ -181,53 +211,64 @@
             )
         return running
 
-    def cancel_keys(self, keys):
-        """Cancel runs whose slots others need."""
+    def count_made(self, key):
+        """Return how many events of an item are known."""
         with self.lock:
-            runs = [self.runs[key] for key in keys if key in self.runs]
-        for run in runs:
-            if not run.cancelled:
-                self.counts['yielded'] += 1
-                run.cancel()
+            return len(self.assignments.get_progress(key).texts)
 
-    def start_items(self, open_items, endpoints, slots, now):
-        """Start items on free slots; return those that are left."""
+    def cancel_keys(self, keys):
+        """Cancel runs, at once where their stores can be reached."""
+        by_worker = {}
+        with self.lock:
+            for key in keys:
+                run = self.assignments.runs.get(key)
+                if run is not None and not run.cancelled:
+                    run.cancelled = True
+                    self.counts['yielded'] += 1
+                    by_worker.setdefault(run.worker_id, []).append(key)
+        for worker_id, cancelled in by_worker.items():
+            self.link.send(worker_id, workmessages.RunCancel(tuple(cancelled)))
+
+    def start_items(self, endpoints, slots, now):
+        """Assign items to free slots; return those that are left."""
         moment = time.time()
         waiting = []
+        told = set()
         with self.lock:
             listed = {(job, result.item_id) for job, result in self.results}
-            for key, (job, _, place) in open_items.items():
-                progress = self.progress.get(key)
-                if key in self.runs or key in listed:
+            for key, (job, _, place) in self.open_items.items():
+                if key in self.assignments.runs or key in listed:
                     continue
-                if progress is not None and progress.not_before > now:
+                progress = self.assignments.get_progress(key)
+                if progress.not_before > now:
                     continue
-                made = 0 if progress is None else len(progress.texts)
+                made = len(progress.texts)
                 slack = job.due - moment - self.pace.predict(made)
                 waiting.append(
                     plan.Waiting(key, place.service, job.due, slack, made)
                 )
-        room = MAX_RUNNING - len(self.runs)
-        starts = plan.plan_starts(waiting, slots)[:room]
-        for item, endpoint_id in starts:
-            job, entry, place = open_items[item.key]
-            run = execution.Run(job, entry, endpoints[endpoint_id], place)
-            with self.lock:
-                self.runs[run.key] = run
-                if run.key not in self.progress:
-                    self.progress[run.key] = self.load_progress(run.key)
-            self.executor.submit(self.run_item, run)
-        started = {item.key for item, _ in starts}
+            started = set()
+            for item, endpoint_id in plan.plan_starts(waiting, slots):
+                job, entry, place = self.open_items[item.key]
+                worker_id = self.assignments.assign(
+                    job, entry, endpoints[endpoint_id], place, now
+                )
+                if worker_id is not None:
+                    started.add(item.key)
+                    told.add(worker_id)
+        for worker_id in told:
+            # It asks for its orders.
+            self.link.send(worker_id, workmessages.RunCancel(()))
         return [item for item in waiting if item.key not in started]
 
-    def report(self, open_items, slots):
+    def report(self, slots):
         """Write what waits and what runs to the log."""
         moment = time.time()
         LOG.info(
             'event=backlog open={} late={} running={} online={} slots={} '
             'endpoints={} yielded={} failed={} completed={}',
-            len(open_items),
-            sum(job.due < moment for job, _, _ in open_items.values()),
+            len(self.open_items),
+            sum(job.due < moment for job, _, _ in self.open_items.values()),
             sum(one.batch for one in slots),
             sum(one.online for one in slots),
             sum(one.total for one in slots),
@@ -241,7 +282,10 @@
         """Commit the events made since the last time, without waiting."""
         items = []
         with self.lock:
-            for (job_id, item_id), progress in self.progress.items():
+            for (
+                job_id,
+                item_id,
+            ), progress in self.assignments.progress.items():
                 texts = tuple(progress.texts[progress.kept :])
                 if texts:
                     items.append(
@@ -257,49 +301,39 @@
     def load_progress(self, key):
         """Return what an item is known to have made under any leader."""
         texts = self.ledger.get_made(*key)
-        return execution.Progress(texts, len(texts), kept=len(texts))
+        return assignments.Progress(texts, kept=len(texts))
 
     def count_running(self):
         """Return the items that run on each endpoint."""
-        with self.lock:
-            return dict(
-                collections.Counter(
-                    run.endpoint.endpoint_id for run in self.runs.values()
-                )
+        return dict(
+            collections.Counter(
+                run.endpoint.endpoint_id for run in self.list_runs()
             )
+        )
 
-    def get_progress(self, key):
-        """Return the progress of an item, empty when it has none."""
+    def finish(self, ended):
+        """Draw the consequences of a run that has ended."""
+        run = ended.assignment
+        outcome = ended.outcome
+        now = clock.monotonic()
         with self.lock:
-            return self.progress.get(key) or execution.Progress()
-
-    def run_item(self, run):
-        """Run an item once and draw the consequences."""
-        progress = self.get_progress(run.key)
-        outcome, detail = execution.carry_out(run, progress, self.dialect)
-        self.finish(run, progress, outcome, detail)
-
-    def finish(self, run, progress, outcome, detail):
-        """Draw the consequences of a run."""
-        if run.cancelled:
-            outcome = 'cancelled'
+            progress = self.assignments.get_progress(run.key)
         self.counts[outcome] += 1
-        now = clock.monotonic()
         LOG.info(
-            'event=item_run job={} item={} endpoint={} outcome={} first={} '
-            'made={} seconds={:.3f}',
+            'event=item_run job={} item={} endpoint={} store={} outcome={} '
+            'begun={} made={} seconds={:.3f}',
             run.job.job_id,
             run.item.item_id,
             run.endpoint.endpoint_id,
+            run.worker_id,
             outcome,
-            run.first,
-            len(progress.texts) - run.first,
-            now - run.began,
+            ended.begun,
+            ended.made,
+            ended.seconds,
         )
         self.note_health(run.endpoint.endpoint_id, outcome, now)
         if outcome == 'completed':
-            made = len(progress.texts)
-            self.pace.add(made, made - run.first, now - run.began)
+            self.pace.add(len(progress.texts), ended.made, ended.seconds)
             text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
             self.list_result(
                 run.job,
@@ -308,29 +342,31 @@
                 ),
             )
         elif outcome == 'impossible':
-            self.give_up(run.job, run.item, detail)
-        elif outcome != 'cancelled':
-            progress.failures += 1
-            progress.attempts += outcome == 'attempted'
-            pause = FIRST_PAUSE_SECONDS * 2 ** min(progress.failures - 1, 8)
-            progress.not_before = now + min(MAX_PAUSE_SECONDS, pause)
-            LOG.info(
-                'event=item_failed job={} item={} endpoint={} outcome={} '
-                'attempts={} made={} reason={!r}',
-                run.job.job_id,
-                run.item.item_id,
-                run.endpoint.endpoint_id,
-                outcome,
-                progress.attempts,
-                len(progress.texts),
-                detail,
-            )
-            if progress.attempts >= max(1, run.job.max_attempts):
-                self.give_up(run.job, run.item, detail)
-        with self.lock:
-            self.runs.pop(run.key, None)
+            self.give_up(run.job, run.item, ended.detail)
+        elif outcome not in ('cancelled', 'lost'):
+            self.note_failure(run, progress, ended, now)
         self.wake.set()
 
+    def note_failure(self, run, progress, ended, now):
+        """Let a failed item wait, or give it up."""
+        progress.failures += 1
+        progress.attempts += ended.outcome == 'attempted'
+        pause = FIRST_PAUSE_SECONDS * 2 ** min(progress.failures - 1, 8)
+        progress.not_before = now + min(MAX_PAUSE_SECONDS, pause)
+        LOG.info(
+            'event=item_failed job={} item={} endpoint={} outcome={} '
+            'attempts={} made={} reason={!r}',
+            run.job.job_id,
+            run.item.item_id,
+            run.endpoint.endpoint_id,
+            ended.outcome,
+            progress.attempts,
+            len(progress.texts),
+            ended.detail,
+        )
+        if progress.attempts >= max(1, run.job.max_attempts):
+            self.give_up(run.job, run.item, ended.detail)
+
     def note_health(self, endpoint_id, outcome, now):
         """Leave an endpoint out on which a run has failed."""
         with self.lock:
@@ -387,11 +423,18 @@
             self.results = [r for r in self.results if id(r) not in done]
 
     def close(self):
-        """Stop all runs."""
+        """Stop planning."""
         self.closed = True
-        self.cancel_all()
         self.wake.set()
-        self.executor.shutdown(wait=False, cancel_futures=True)
+
+
+def is_draining(endpoint):
+    """Return whether an endpoint is known to drain.
+
+    One that is not known may have announced itself to another leader; when
+    it is gone its runs fail by themselves.
+    """
+    return endpoint is not None and endpoint.is_draining
 
 
 def count_slots(endpoints, online, runs, ejected):
--- /dev/null
+++ b/rhubarbreach/backlog/tests/conftest.py
@@ -0,0 +1,76 @@
+"""Jobs, items and reports of the tests."""
+
+import types
+
+import pytest
+
+from rhubarbreach.backlog import assignments
+from rhubarbreach.backlog import commands
+from rhubarbreach.fleet import view
+from rhubarbreach.protocol import workmessages
+
+
+@pytest.fixture
+def make_report():
+    """Return a function that makes the report of a store."""
+
+    def make(*runs, zone='z1', takes_orders=True):
+        return workmessages.WorkReport(zone, takes_orders, tuple(runs))
+
+    return make
+
+
+@pytest.fixture
+def make_run():
+    """Return a function that makes the report of a run."""
+
+    def make(item_id, first, *texts, begun=0, outcome='', endpoint='e1'):
+        return workmessages.RunReport(
+            'job', item_id, endpoint, first, texts, begun, 1.0, outcome
+        )
+
+    return make
+
+
+class Bench:
+    """Assignments of a leader with two items and two endpoints."""
+
+    def __init__(self):
+        self.kept = {}
+        self.made = assignments.Assignments(self.load)
+        self.job = types.SimpleNamespace(job_id='job', account='a')
+        self.place = assignments.Place('s', 'h')
+        self.items = {
+            name: commands.Item(name, '/p/', (), b'', 10) for name in 'ab'
+        }
+        self.open_items = {
+            ('job', name): (self.job, item, self.place)
+            for name, item in self.items.items()
+        }
+        self.endpoints = {
+            f'e{n}': view.Endpoint(f'e{n}', 's', f'{n}:1', f'z{n}', 8)
+            for n in (1, 2)
+        }
+
+    def load(self, key):
+        texts = list(self.kept.get(key, ()))
+        return assignments.Progress(texts, kept=len(texts))
+
+    def take(self, worker_id, message, now=0.0):
+        return self.made.take_report(
+            worker_id, message, self.open_items, self.endpoints.get, now
+        )
+
+    def assign(self, name, endpoint='e1', now=0.0):
+        return self.made.assign(
+            self.job,
+            self.items[name],
+            self.endpoints[endpoint],
+            self.place,
+            now,
+        )
+
+
+@pytest.fixture
+def bench():
+    return Bench()
--- /dev/null
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -0,0 +1,137 @@
+"""Runs of items on stores whose messages are lost, late or repeated."""
+
+from rhubarbreach.backlog import assignments
+
+KEY = ('job', 'a')
+
+
+def test_stores_of_the_endpoints_zone_run_its_items(bench, make_report):
+    # Events would cross availability zones twice.
+    bench.take('far', make_report(zone='z2'))
+    bench.take('near', make_report(zone='z1'))
+    assert bench.assign('a', 'e1') == 'near'
+    assert bench.assign('b', 'e2') == 'far'
+
+
+def test_runs_spread_over_the_stores_of_a_zone(bench, make_report):
+    bench.take('one', make_report())
+    bench.take('two', make_report())
+    assert {bench.assign('a'), bench.assign('b')} == {'one', 'two'}
+
+
+def test_store_that_ends_gets_no_orders(bench, make_report):
+    bench.take('one', make_report(takes_orders=False))
+    assert bench.assign('a') is None
+
+
+def test_order_whose_answer_was_lost_is_sent_again(
+    bench, make_report, make_run
+):
+    bench.take('one', make_report())
+    bench.assign('a')
+    for _ in range(2):
+        reply, _ = bench.take('one', make_report())
+        assert [order.item_id for order in reply.orders] == ['a']
+    reply, _ = bench.take('one', make_report(make_run('a', 1)))
+    assert not reply.orders
+
+
+def test_events_that_are_reported_twice_count_once(
+    bench, make_report, make_run
+):
+    # The answer to a report was lost, and the store sends it again.
+    bench.take('one', make_report())
+    bench.assign('a')
+    bench.take('one', make_report(make_run('a', 1, b'1', b'2')))
+    again = make_run('a', 1, b'1', b'2', b'3', outcome='completed')
+    reply, ended = bench.take('one', make_report(again))
+    assert bench.made.progress[KEY].texts == [b'1', b'2', b'3']
+    assert reply.known == (('job', 'a', 3),)
+    assert [(one.outcome, one.made) for one in ended] == [('completed', 3)]
+
+
+def test_end_of_a_run_with_a_gap_is_not_taken(bench, make_report, make_run):
+    # Otherwise a result would lack the events that a former leader had.
+    bench.take('one', make_report())
+    bench.assign('a')
+    late = make_run('a', 5, b'5', outcome='completed')
+    reply, ended = bench.take('one', make_report(late))
+    assert not ended
+    assert reply.known == (('job', 'a', 0),)
+    assert KEY in bench.made.runs
+
+
+def test_new_leader_goes_on_with_runs_of_the_former_one(
+    bench, make_report, make_run
+):
+    # Items were begun anew after each loss of a leader.
+    bench.kept[KEY] = [b'1', b'2']
+    reply, _ = bench.take('one', make_report(make_run('a', 0)))
+    assert reply.known == (('job', 'a', 2),)
+    rest = make_run('a', 3, b'3', outcome='completed')
+    _, ended = bench.take('one', make_report(rest))
+    assert [one.outcome for one in ended] == ['completed']
+    assert bench.made.progress[KEY].texts == [b'1', b'2', b'3']
+
+
+def test_new_leader_ends_runs_whose_first_events_are_lost(
+    bench, make_report, make_run
+):
+    # The run began after event 9, of which the ledger has two.
+    bench.kept[KEY] = [b'1', b'2']
+    reply, _ = bench.take('one', make_report(make_run('a', 0, begun=9)))
+    assert not reply.known
+    assert not bench.made.runs
+
+
+def test_run_of_an_item_that_is_not_open_is_not_known(
+    bench, make_report, make_run
+):
+    # Its job was ended; the store stops what the answer does not name.
+    reply, _ = bench.take('one', make_report(make_run('other', 1)))
+    assert not reply.known
+
+
+def test_item_that_runs_elsewhere_is_not_known_to_a_second_store(
+    bench, make_report, make_run
+):
+    # A store comes back after a cut while another one runs its item.
+    bench.take('one', make_report())
+    bench.assign('a')
+    reply, _ = bench.take('two', make_report(make_run('a', 1, b'1')))
+    assert not reply.known
+    assert bench.made.runs[KEY].worker_id == 'one'
+
+
+def test_cancelled_run_keeps_its_events(bench, make_report, make_run):
+    bench.take('one', make_report())
+    bench.assign('a')
+    bench.take('one', make_report(make_run('a', 1)))
+    bench.made.runs[KEY].cancelled = True
+    reply, ended = bench.take('one', make_report(make_run('a', 1, b'1')))
+    assert reply.cancels == (KEY,)
+    assert not ended
+    last = make_run('a', 2, b'2', outcome='cancelled')
+    _, ended = bench.take('one', make_report(last))
+    assert [one.outcome for one in ended] == ['cancelled']
+    assert bench.made.progress[KEY].texts == [b'1', b'2']
+
+
+def test_order_withdrawn_before_it_arrived_ends(bench, make_report):
+    bench.take('one', make_report())
+    bench.assign('a')
+    bench.made.runs[KEY].cancelled = True
+    reply, ended = bench.take('one', make_report())
+    assert not reply.orders
+    assert [one.outcome for one in ended] == ['cancelled']
+
+
+def test_runs_of_a_silent_store_are_given_to_others(bench, make_report):
+    bench.take('one', make_report(), now=0.0)
+    bench.assign('a', now=0.0)
+    bench.take('two', make_report(), now=1.0)
+    assert not bench.made.drop_silent(1.0)
+    later = assignments.SILENT_SECONDS + 0.1
+    ended = bench.made.drop_silent(later)
+    assert [one.outcome for one in ended] == ['lost']
+    assert bench.assign('a', now=later) == 'two'
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -3,10 +3,11 @@
 import threading
 import time
 
+from rhubarbreach.backlog import assignments
 from rhubarbreach.backlog import commands
-from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
+from rhubarbreach.backlog import worker as workers
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import validate
 from rhubarbreach import clock
@@ -22,6 +23,7 @@
 from rhubarbreach.hosts import members
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
+from rhubarbreach.protocol import workmessages
 
 __all__ = ['StoreHost']
 
@@ -50,6 +52,9 @@
 KEEP_JOBS_SECONDS = 300.0
 PRUNE_SECONDS = 60.0
 PRUNE_COMMIT_SECONDS = 3.0
+# A store that ends gives its runs back to the leader in this time, in
+# seconds: two reports.
+HAND_BACK_SECONDS = 0.3
 NEVER = float('-inf')
 
 
@@ -117,13 +122,23 @@
         self.runner = runners.Runner(
             self.ledger,
             self.group.propose,
-            dialect,
+            self.link,
             self.find_place,
             self.list_slots,
         )
+        self.worker = workers.Worker(
+            self.link,
+            settings.availability_zone,
+            dialect,
+            lambda: self.group.leader_id,
+            self.members.list_others,
+        )
         self.link.register(
             fleetmessages.Exchange, self.answer_exchange, inline=True
         )
+        self.link.register(
+            workmessages.WorkReport, self.answer_report, inline=True
+        )
         self.thread = threading.Thread(
             target=self.run, name='duties', daemon=True
         )
@@ -267,13 +282,22 @@
 
     # Batch items.
 
+    def answer_report(self, sender_id, message):
+        """Answer a store that runs items, as the leader."""
+        if self.runner.is_leading:
+            return self.runner.take_report(sender_id, message)
+        leader_id = self.group.leader_id
+        return workmessages.WorkOrders(
+            False, None if leader_id == self.host_id else leader_id
+        )
+
     def find_place(self, job):
         """Return where the items of a job run, None if nowhere."""
         index = self.get_index()
         route = index.find_route(job.host, job.path_prefix)
         if route is None or route.path_prefix != job.path_prefix:
             return None
-        return execution.Place(indexes.choose_target(route), job.host)
+        return assignments.Place(indexes.choose_target(route), job.host)
 
     def list_slots(self):
         """Return endpoints by id, and what runs there for entry hosts."""
@@ -331,12 +355,14 @@
     def drain(self, seconds):
         """Hand leadership over before the process ends."""
         self.draining = True
+        self.worker.drain(clock.monotonic() + HAND_BACK_SECONDS)
         self.runner.lead(False)
         self.members.hand_over(seconds)
 
     def close(self):
         """Stop all tasks."""
         self.closed = True
+        self.worker.close()
         self.runner.close()
         self.group.close()
         self.link.close()
