Leave out endpoints that fail for several hosts; hand over with a full disk

Cause: a host left an endpoint out only after failures of its own in a row. An endpoint that fails 4 of 10 requests was back after each success, and behind 23 hosts each of them had to meet a dead endpoint by itself.

A leader whose disk is full refused all changes until it had space again. It now hands leadership to another store.

--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -49,11 +49,17 @@
     find_place : callable
         Returns the `Place` of a job, None when its route is gone.
     list_slots : callable
-        Returns the endpoints as a dict of id to `Endpoint` and the requests
-        that run on each for entry hosts, as a dict of id to int.
+        Returns the endpoints as a dict of id to `Endpoint`, the requests
+        that run on each for entry hosts, as a dict of id to int, and the ids
+        of those that fail for several hosts.
+    note_outcome : callable
+        Takes the id of an endpoint and of a store, and the failures and
+        successes that the store has seen there.
     """
 
-    def __init__(self, ledger, propose, link, find_place, list_slots):
+    def __init__(
+        self, ledger, propose, link, find_place, list_slots, note_outcome
+    ):
         self.keep_due = 0.0
         self.report_due = 0.0
         self.health = health.HealthTable()
@@ -62,6 +68,7 @@
         self.link = link
         self.find_place = find_place
         self.list_slots = list_slots
+        self.note_outcome = note_outcome
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.assignments = assignments.Assignments(self.load_progress)
@@ -109,7 +116,7 @@
 
     def find_endpoint(self, endpoint_id):
         """Return an endpoint that is known, or None."""
-        endpoints, _ = self.list_slots()
+        endpoints, _, _ = self.list_slots()
         return endpoints.get(endpoint_id)
 
     def run(self):
@@ -128,11 +135,12 @@
         """Commit results, cancel, start; return whether items are open."""
         self.commit_results()
         self.open_items = self.find_open()
-        endpoints, online = self.list_slots()
+        endpoints, online, suspects = self.list_slots()
         with self.lock:
             lost = self.assignments.drop_silent(now)
             self.health.keep(endpoints)
             ejected = {e for e in endpoints if self.health.is_ejected(e, now)}
+        ejected |= suspects
         for one in lost:
             self.finish(one)
         self.cancel_closed(endpoints)
@@ -323,7 +331,7 @@
             ended.made,
             ended.seconds,
         )
-        self.note_health(run.endpoint.endpoint_id, outcome, now)
+        self.note_health(run, outcome, now)
         if outcome == 'completed':
             self.pace.add(len(progress.texts), ended.made, ended.seconds)
             text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
@@ -359,13 +367,17 @@
         if progress.attempts >= max(1, run.job.max_attempts):
             self.give_up(run.job, run.item, ended.detail)
 
-    def note_health(self, endpoint_id, outcome, now):
+    def note_health(self, run, outcome, now):
         """Leave an endpoint out on which a run has failed."""
-        with self.lock:
-            if outcome == 'failed':
+        endpoint_id = run.endpoint.endpoint_id
+        if outcome == 'failed':
+            with self.lock:
                 self.health.note_failure(endpoint_id, now)
-            elif outcome == 'completed':
+            self.note_outcome(endpoint_id, run.worker_id, 1, 0)
+        elif outcome == 'completed':
+            with self.lock:
                 self.health.note_success(endpoint_id)
+            self.note_outcome(endpoint_id, run.worker_id, 0, 1)
 
     def give_up(self, job, item, reason):
         """List an item as given up."""
--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -142,6 +142,7 @@
             self.endpoints_stamp,
             self.view.copy_running(),
             wanted,
+            self.view.take_outcomes(),
         )
         call = self.link.call(store, message, sent + EXCHANGE_TIMEOUT_SECONDS)
         reply = call.result()
@@ -190,7 +191,7 @@
                 reply.complete,
                 reply.endpoints_stamp,
             )
-        self.view.update_others(reply.running, reply.batch)
+        self.view.update_others(reply.running, reply.batch, reply.suspects)
         self.stores = reply.stores or self.stores
         self.entries = reply.entries
         if self.index is not None:
--- a/rhubarbreach/fleet/steward.py
+++ b/rhubarbreach/fleet/steward.py
@@ -62,7 +62,7 @@
     return 2 * tolerated + 1
 
 
-def plan_step(own_id, members, stores, voters, led):
+def plan_step(own_id, members, stores, voters, led, disk_full=False):
     """Return the next change, or None.
 
     Parameters
@@ -77,6 +77,8 @@
         Voters that the group should have.
     led : float
         Seconds since the leader began to lead.
+    disk_full : bool
+        Whether the leader's disk takes nothing more.
 
     Returns
     -------
@@ -84,12 +86,16 @@
         A store is never removed before its successor votes, so that the
         group bears the loss of a store at each step.
     """
-    if led < SETTLE_SECONDS:
-        return None
     known = {store.host_id: store for store in stores}
     voting = [m.host_id for m in members if m.voter]
     learning = [m.host_id for m in members if not m.voter]
     sound = [h for h in voting if is_sound(known.get(h))]
+    if disk_full:
+        # Nothing can be committed here; a follower with a full disk does no
+        # harm while a majority can write.
+        return next((HandOver(h) for h in sound if h != own_id), None)
+    if led < SETTLE_SECONDS:
+        return None
     for store in stores:
         if is_sound(store) and store.host_id not in voting + learning:
             return AddLearner(store.host_id)
--- a/rhubarbreach/fleet/tests/test_steward.py
+++ b/rhubarbreach/fleet/tests/test_steward.py
@@ -98,3 +98,14 @@
 @pytest.mark.parametrize(('tolerated', 'voters'), [(1, 3), (2, 5)])
 def test_copies_follow_the_losses_to_bear(tolerated, voters):
     assert steward.count_voters(tolerated) == voters
+
+
+def test_leader_with_a_full_disk_hands_over(three):
+    # It refused all changes until its disk had space again.
+    stores = tuple(store(h) for h in 'abc')
+    step = steward.plan_step('a', three, stores, 3, 60.0, disk_full=True)
+    assert step == steward.HandOver('b')
+    step = steward.plan_step('a', three, stores, 3, 0.1, disk_full=True)
+    assert step == steward.HandOver('b')
+    alone = (store('a'), store('b', False), store('c', False))
+    assert steward.plan_step('a', three, alone, 3, 60.0, True) is None
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -23,7 +23,7 @@
 
 
 def test_load_goes_where_slots_are_free(endpoints):
-    endpoints.update_others({'e1': 8, 'e2': 4, 'e3': 5}, {})
+    endpoints.update_others({'e1': 8, 'e2': 6, 'e3': 7}, {})
     assert endpoints.take('s', (), 0.0).endpoint_id == 'e2'
 
 
@@ -125,3 +125,29 @@
     taken = endpoints.take('s', (), 0.0)
     endpoints.release(taken.endpoint_id)
     assert endpoints.copy_running() == {}
+
+
+def test_suspects_get_nothing_while_others_are_there(endpoints):
+    endpoints.update_others({}, {}, ('e1', 'e2'))
+    taken = {endpoints.take('s', (), 0.0).endpoint_id for _ in range(8)}
+    assert taken == {'e3'}
+    endpoints.update_others({}, {}, ('e1', 'e2', 'e3'))
+    assert endpoints.take('s', ('e3',), 0.0).endpoint_id in ('e1', 'e2')
+
+
+def test_outcomes_are_told_once(endpoints):
+    endpoints.note_failure('e1', 0.0)
+    endpoints.note_success('e1')
+    endpoints.note_success('e2')
+    assert endpoints.take_outcomes() == {'e1': (1, 1), 'e2': (0, 1)}
+    assert endpoints.take_outcomes() == {}
+
+
+def test_suspect_serves_what_can_be_repeated_when_others_are_full(endpoints):
+    # In a small fleet a suspect is a large part of the slots; requests that
+    # would wait elsewhere were late for its sake.
+    endpoints.update_others({'e1': 0, 'e2': 8, 'e3': 8}, {}, ('e1',))
+    once = endpoints.take('s', (), 0.0)
+    assert once.endpoint_id in ('e2', 'e3')
+    repeatable = endpoints.take('s', (), 0.0, may_fail=True)
+    assert repeatable.endpoint_id == 'e1'
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -149,6 +149,8 @@
         self.running = {}
         self.others = {}
         self.batch = {}
+        self.suspects = frozenset()
+        self.outcomes = {}
         self.health = health.HealthTable()
 
     def update_endpoints(self, rows, complete):
@@ -172,21 +174,52 @@
             self.services = services
             self.health.keep(endpoints)
 
-    def update_others(self, running, batch):
-        """Replace what runs for other hosts, and the batch items."""
+    def update_others(self, running, batch, suspects=()):
+        """Replace what runs for other hosts, the items and the suspects."""
         with self.lock:
             self.others = running
             self.batch = batch
+            self.suspects = frozenset(suspects)
 
-    def take(self, service, excluded, now, queue=QUEUE_ALLOWED):
-        """Choose an endpoint and count a request on it."""
+    def take(
+        self,
+        service,
+        excluded,
+        now,
+        queue=QUEUE_ALLOWED,
+        may_fail=False,
+    ):
+        """Choose an endpoint and count a request on it.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        excluded : collection of str
+            Endpoints that have been tried.
+        now : float
+            Seconds of the monotonic clock.
+        queue : int
+            Requests that may wait at an endpoint.
+        may_fail : bool
+            Whether the request can be repeated, so that a slot at a suspect
+            is better than a place in a queue.
+
+        Returns
+        -------
+        Endpoint or Refusal
+            See `choose_endpoint`.
+        """
         with self.lock:
             candidates = self.services.get(service, ())
-            sound = [
+            usable = [
                 one
                 for one in candidates
                 if not self.health.is_ejected(one.endpoint_id, now)
             ]
+            sound = [
+                one for one in usable if one.endpoint_id not in self.suspects
+            ]
             online = {
                 one.endpoint_id: self.running.get(one.endpoint_id, 0)
                 + self.others.get(one.endpoint_id, 0)
@@ -194,13 +227,21 @@
             }
             # When all have failed, any may be back.
             chosen = choose_endpoint(
-                sound or candidates,
+                sound or usable or candidates,
                 online,
                 self.batch,
                 self.zone,
                 excluded,
                 queue,
             )
+            if may_fail and len(sound) < len(usable):
+                waits = isinstance(chosen, codes.Refusal) or (
+                    online[chosen.endpoint_id] >= chosen.slots
+                )
+                if waits:
+                    chosen = choose_endpoint(
+                        usable, online, self.batch, self.zone, excluded, queue
+                    )
             if isinstance(chosen, Endpoint):
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
@@ -257,11 +298,27 @@
         """Leave an endpoint out for a while."""
         with self.lock:
             self.health.note_failure(endpoint_id, now)
+            self.count_outcome(endpoint_id, 1, 0)
 
     def note_success(self, endpoint_id):
         """Note that an endpoint answers."""
         with self.lock:
             self.health.note_success(endpoint_id)
+            self.count_outcome(endpoint_id, 0, 1)
+
+    def count_outcome(self, endpoint_id, failures, successes):
+        """Count what other hosts should know of an endpoint."""
+        known = self.outcomes.get(endpoint_id, (0, 0))
+        self.outcomes[endpoint_id] = (
+            known[0] + failures,
+            known[1] + successes,
+        )
+
+    def take_outcomes(self):
+        """Return the failures and successes since the last call."""
+        with self.lock:
+            outcomes, self.outcomes = self.outcomes, {}
+        return outcomes
 
     def copy_running(self):
         """Return the requests of this host on each endpoint."""
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -101,7 +101,7 @@
         while True:
             now = clock.monotonic()
             endpoint = self.app.view.take(
-                service, excluded, now, self.get_queue()
+                service, excluded, now, self.get_queue(), self.may_fail()
             )
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_untried(endpoint)
@@ -283,14 +283,17 @@
                 return model.CallerGone()
         return self.finish(call.head, splitter, body)
 
-    def get_patience(self):
-        """Return the deadline of the endpoint's next bytes."""
-        elsewhere = (
-            self.route.kind is catalogs.RouteKind.STREAM
-            and self.route.is_repeatable
+    def may_fail(self):
+        """Return whether another attempt may follow the next one."""
+        return (
+            self.route.is_repeatable
             and self.sent + 1 < self.route.max_attempts
         )
-        if not elsewhere:
+
+    def get_patience(self):
+        """Return the deadline of the endpoint's next bytes."""
+        is_stream = self.route.kind is catalogs.RouteKind.STREAM
+        if not (is_stream and self.may_fail()):
             return self.deadline
         return min(self.deadline, clock.monotonic() + SILENCE_SECONDS)
 
@@ -322,11 +325,7 @@
             )
         if self.started and head.status not in SUCCESS:
             return model.Broken(f'status {head.status} while resuming')
-        if (
-            head.status >= FIRST_FAILURE
-            and self.route.is_repeatable
-            and self.sent + 1 < self.route.max_attempts
-        ):
+        if head.status >= FIRST_FAILURE and self.may_fail():
             return model.Broken(f'status {head.status}')
         if head.status in SUCCESS and not dialect.is_signed(head):
             return model.Broken('answer is not signed')
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -117,6 +117,7 @@
             self.list_stores(now),
             self.needed,
             led,
+            self.group.state.disk_full,
         )
         if step is None:
             return
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -69,13 +69,17 @@
     """State of an entry host, told to the leader several times a second.
 
     `running` counts the requests of this host on each endpoint, `wanted` the
-    requests that each client account is expected to send soon.
+    requests that each client account is expected to send soon, and `outcomes`
+    the failures and successes on each endpoint since the last message.
     """
 
     catalog_version: int
     endpoints_stamp: str
     running: dict[str, int]
     wanted: dict[str, float]
+    outcomes: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @messages.frozen_message
@@ -88,7 +92,8 @@
     `complete` tells that an endpoint that is missing there is gone.
     `running` counts what runs on each endpoint for other entry hosts,
     `batch` the batch items there, and `granted` the requests that a client
-    account may send at this host.
+    account may send at this host. `suspects` are endpoints that fail for
+    several hosts.
     """
 
     is_leader: bool
@@ -103,3 +108,4 @@
     batch: dict[str, int] = dataclasses.field(default_factory=dict)
     granted: dict[str, float] = dataclasses.field(default_factory=dict)
     entries: int = 1
+    suspects: tuple[str, ...] = ()
