Bound reports of stores, and go on after a lost answer

A store told a new leader all events of its runs in one report, some 600 KB; the report took longer than its time-out, and after a time-out the store began to tell from the start. Unread reports filled the leader's memory.

Ruled out: a gap between what the leader knows and what a store has (its answer names the number, and the next report starts there).

Change: a report holds 64 KB of events, the next one follows at once, and a time-out of the same leader starts nothing anew. Results and the use of endpoints have modules of their own now.

--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -7,8 +7,8 @@
 from rhubarbreach.backlog import assignments
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import plan
+from rhubarbreach.backlog import results
 from rhubarbreach import clock
-from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import health
 from rhubarbreach.protocol import workmessages
@@ -73,7 +73,7 @@
         self.wake = threading.Event()
         self.assignments = assignments.Assignments(self.load_progress)
         self.open_items = {}
-        self.results = []
+        self.results = results.Results(propose, self.wake.set)
         self.is_leading = False
         self.learned = 0.0
         self.closed = False
@@ -97,7 +97,7 @@
             self.is_leading = False
             with self.lock:
                 self.assignments.clear()
-                self.results.clear()
+            self.results.clear()
         self.wake.set()
 
     def take_report(self, worker_id, message):
@@ -133,7 +133,7 @@
 
     def step(self, now):
         """Commit results, cancel, start; return whether items are open."""
-        self.commit_results()
+        self.results.commit(now)
         self.open_items = self.find_open()
         endpoints, online, suspects = self.list_slots()
         with self.lock:
@@ -242,7 +242,7 @@
         waiting = []
         told = set()
         with self.lock:
-            listed = self.list_listed()
+            listed = self.results.list_keys()
             for key, (job, _, place) in self.open_items.items():
                 if key in self.assignments.runs or key in listed:
                     continue
@@ -288,16 +288,12 @@
     def keep_progress(self, now):
         """Commit the events made since the last time, without waiting."""
         with self.lock:
-            listed = self.list_listed()
+            listed = self.results.list_keys()
             items = self.assignments.take_unkept(listed, now)
         if items:
             command = commands.AddProgress(tuple(items))
             self.propose(commands.FAMILY.encode(command), now + COMMIT_SECONDS)
 
-    def list_listed(self):
-        """Return the keys of the results that wait to be committed."""
-        return {(job_id, result.item_id) for job_id, result in self.results}
-
     def load_progress(self, key):
         """Return what an item is known to have made under any leader."""
         texts = self.ledger.get_made(*key)
@@ -335,8 +331,8 @@
         if outcome == 'completed':
             self.pace.add(len(progress.texts), ended.made, ended.seconds)
             text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
-            self.list_result(
-                run.job,
+            self.results.add(
+                run.job.job_id,
                 commands.ItemResult(
                     run.item.item_id, commands.ItemState.COMPLETED, text
                 ),
@@ -381,51 +377,13 @@
 
     def give_up(self, job, item, reason):
         """List an item as given up."""
-        self.list_result(
-            job,
+        self.results.add(
+            job.job_id,
             commands.ItemResult(
                 item.item_id, commands.ItemState.GIVEN_UP, '', reason
             ),
         )
 
-    def list_result(self, job, result):
-        """Queue a result for the next commit."""
-        with self.lock:
-            known = any(
-                job_id == job.job_id and one.item_id == result.item_id
-                for job_id, one in self.results
-            )
-            if not known:
-                self.results.append((job.job_id, result))
-
-    def commit_results(self):
-        """Commit the queued results; keep them when it is not known."""
-        with self.lock:
-            results = list(self.results)
-        if not results:
-            return
-        command = commands.FAMILY.encode(commands.AddResults(tuple(results)))
-        deadline = clock.monotonic() + COMMIT_SECONDS
-        reply = self.propose(command, deadline).result()
-        if isinstance(reply, codes.Refusal):
-            LOG.warning(
-                'event=results_not_committed reason={!r}', reply.reason
-            )
-            return
-        for job_id, result in results:
-            LOG.info(
-                'event=item_listed job={} item={} state={} bytes={} '
-                'reason={!r}',
-                job_id,
-                result.item_id,
-                result.state,
-                len(result.output),
-                result.reason,
-            )
-        with self.lock:
-            done = set(map(id, results))
-            self.results = [r for r in self.results if id(r) not in done]
-
     def close(self):
         """Stop planning."""
         self.closed = True
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -125,6 +125,47 @@
     assert found[0].texts == (b'4',)
 
 
+def test_lost_answer_does_not_start_the_telling_anew(play):
+    # Reports of a megabyte timed out, and each time all began again.
+    made, link, _ = play
+    link.replies.extend([orders(ORDER), orders(known=(('job', 'a', 4),))])
+    wait_for(lambda: any(r.first == 5 for r in get_reports(link)))
+    told = len(link.calls)
+    link.replies.extend([REFUSAL, orders(known=(('job', 'a', 4),))])
+    wait_for(lambda: len(link.calls) >= told + 3)
+    assert all(m.runs[0].first == 5 for _, m in link.calls[told:])
+
+
+def test_report_holds_a_bounded_part_of_many_events(play, monkeypatch):
+    monkeypatch.setattr(worker, 'REPORT_BYTES', 100)
+    made, link, release = play
+    link.replies.extend([orders(ORDER), orders(known=KNOWN)])
+    wait_for(lambda: release.runs)
+    one = made.active['job', 'a']
+    one.progress.texts.extend(b'x' * 60 for _ in range(9))
+    one.progress.last_id = 13
+    release.set()
+    wait_for(lambda: one.outcome)
+    seen = set()
+    for known in range(4, 13):
+        link.replies.append(orders(known=(('job', 'a', known),)))
+        wait_for(lambda known=known: one.known == known)
+        report = made.make_reports(0.0)[0]
+        assert sum(map(len, report.texts)) <= 100
+        assert bool(report.outcome) == (known >= 12)
+        seen.add(report.first)
+    assert seen == set(range(5, 14))
+
+
+def test_event_larger_than_a_report_is_told_alone(play, monkeypatch):
+    monkeypatch.setattr(worker, 'REPORT_BYTES', 100)
+    made, link, release = play
+    link.replies.extend([orders(ORDER), orders(known=KNOWN)])
+    wait_for(lambda: release.runs)
+    made.active['job', 'a'].progress.texts[0] = b'x' * 1000
+    assert len(made.make_reports(0.0)[0].texts) == 1
+
+
 def test_run_that_the_leader_does_not_know_ends(play):
     made, link, release = play
     link.replies.extend([orders(ORDER), orders(known=KNOWN)])
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -34,8 +34,10 @@
 # Without a leader for this long, in seconds, runs end: the leader that can
 # not be reached lets others run the items. An election takes 1 s or less.
 ORPHAN_SECONDS = 2.0
-# Bytes of events in one report; the rest follows in the next one.
-REPORT_BYTES = 512 * 1024
+# Bytes of events in one report; the rest follows at once. A report has to
+# arrive within its time-out: under a new leader a store may have a megabyte to
+# tell, which took longer, so that no report ever arrived.
+REPORT_BYTES = 64 * 1024
 
 
 class Active:
@@ -54,8 +56,16 @@
         self.detail = ''
         self.ended = None
 
-    def report(self, now):
-        """Return the state for the leader."""
+    def report(self, now, room):
+        """Return the state for the leader.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the monotonic clock.
+        room : int
+            Bytes of events that may be told.
+        """
         order = self.run.order
         texts = ()
         outcome = ''
@@ -65,7 +75,7 @@
             # otherwise be missing in a report that says it is over.
             outcome = self.outcome
             first = self.known + 1
-            texts = self.take_texts(max(0, self.known - self.first))
+            texts = self.take_texts(max(0, self.known - self.first), room)
             if self.known + len(texts) < self.progress.last_id:
                 outcome = ''
         end = now if self.ended is None else self.ended
@@ -81,13 +91,21 @@
             self.detail,
         )
 
-    def take_texts(self, position):
-        """Return events from a position on, as many as a report holds."""
+    def is_behind(self, report):
+        """Return whether more is to be told than a report has held."""
+        last = max(report.first - 1, 0) + len(report.texts)
+        return self.outcome != report.outcome or self.known > last
+
+    def take_texts(self, position, room):
+        """Return events from a position on that fit into some bytes.
+
+        An event that is larger than a whole report is told alone.
+        """
         texts = []
-        size = 0
+        is_first = room == REPORT_BYTES
         for text in self.progress.texts[position:]:
-            size += len(text)
-            if texts and size > REPORT_BYTES:
+            room -= len(text)
+            if room < 0 and (texts or not is_first):
                 break
             texts.append(text)
         return tuple(texts)
@@ -120,6 +138,7 @@
         self.wake = threading.Event()
         self.active = {}
         self.leader_id = None
+        self.told_by = None
         self.contact = clock.monotonic()
         self.turn = 0
         self.draining = False
@@ -152,10 +171,9 @@
         if store is None:
             return False
         now = clock.monotonic()
-        if store != self.leader_id:
+        if store != self.told_by:
             self.follow(store)
-        with self.lock:
-            reports = [one.report(now) for one in self.active.values()]
+        reports = self.make_reports(now)
         message = workmessages.WorkReport(
             self.zone, not self.draining, tuple(reports)
         )
@@ -164,10 +182,22 @@
         if isinstance(reply, codes.Refusal) or not reply.is_leader:
             self.lose(reply, clock.monotonic())
             return False
+        self.leader_id = store
         self.contact = clock.monotonic()
         self.take_orders(reports, reply)
         return True
 
+    def make_reports(self, now):
+        """Return the state of all runs, with as many events as fit."""
+        reports = []
+        room = REPORT_BYTES
+        with self.lock:
+            for one in self.active.values():
+                report = one.report(now, room)
+                room -= sum(map(len, report.texts))
+                reports.append(report)
+        return reports
+
     def choose_store(self):
         """Return the leader, or another store at each turn."""
         leader = self.find_leader() or self.leader_id
@@ -181,7 +211,7 @@
 
     def follow(self, store):
         """Let another leader tell what it knows of the runs."""
-        self.leader_id = store
+        self.told_by = store
         with self.lock:
             for one in self.active.values():
                 one.known = None
@@ -191,7 +221,7 @@
         hint = None
         if not isinstance(reply, codes.Refusal):
             hint = reply.leader_id
-        self.follow(hint)
+        self.leader_id = hint
         if now - self.contact > ORPHAN_SECONDS and self.active:
             LOG.warning('event=runs_orphaned count={}', len(self.active))
             self.cancel_all()
@@ -209,8 +239,8 @@
                 if one is None:
                     continue
                 if key in known:
-                    behind = behind or one.known is None
                     one.known = known[key]
+                    behind = behind or one.is_behind(report)
                     last = report.first + len(report.texts) - 1
                     if report.outcome and one.known >= last:
                         del self.active[key]
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -17,11 +17,10 @@
 from rhubarbreach.consensus import groups
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach import eventlog
-from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quota
-from rhubarbreach.fleet import suspicion
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import members
+from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import workmessages
@@ -46,9 +45,6 @@
 OUT_OF_TOUCH_SECONDS = 0.45
 # Interval of the duties below.
 DUTY_SECONDS = 0.2
-# Endpoints that fail for several hosts are told this often, in seconds; hosts
-# ask each 0.15 s.
-SUSPECTS_SECONDS = 0.1
 # Operators resend to another store after a second.
 OPERATOR_SECONDS = 2.0
 READ_SECONDS = 0.9
@@ -83,10 +79,6 @@
         self.decode_catalog = decode_catalog
         self.lock = threading.Lock()
         self.wake = threading.Event()
-        self.loads = loads.Loads()
-        self.suspicion = suspicion.Suspicion()
-        self.suspects = frozenset()
-        self.suspects_due = 0.0
         self.owner = quota.Owner(
             quota.Tolerance(
                 settings.rate_window,
@@ -126,6 +118,7 @@
             self.members.list_others,
             self.wake,
         )
+        self.usage = usage.Usage(self.endpoints.list_by_id)
         self.runner = runners.Runner(
             self.ledger,
             self.group.propose,
@@ -192,13 +185,10 @@
         copy = None
         if version > message.catalog_version:
             copy = fleetmessages.CatalogCopy(version, document)
+        more, others, entries = self.usage.report(sender_id, message, now)
+        if more:
+            self.runner.wake.set()
         with self.lock:
-            if self.loads.report(sender_id, message.running, now):
-                self.runner.wake.set()
-            for endpoint_id, seen in message.outcomes.items():
-                self.suspicion.add(endpoint_id, sender_id, *seen, now)
-            others = self.loads.sum_others(sender_id, now)
-            entries = max(1, self.loads.count_hosts(now))
             granted = self.grant(message.wanted, now)
         stamp = self.endpoints.get_stamp()
         rows = None
@@ -217,7 +207,7 @@
             self.runner.count_running(),
             granted,
             entries,
-            tuple(self.list_suspects(now)),
+            tuple(self.usage.list_suspects(now)),
         )
 
     def grant(self, wanted, now):
@@ -313,33 +303,17 @@
     def list_slots(self):
         """Return endpoints by id, what runs there online, and suspects."""
         now = clock.monotonic()
-        with self.lock:
-            online = self.loads.sum_others(None, now)
-        endpoints = self.endpoints.list_by_id()
-        return endpoints, online, self.list_suspects(now)
+        return (
+            self.endpoints.list_by_id(),
+            self.usage.sum_online(now),
+            self.usage.list_suspects(now),
+        )
 
     def note_outcome(self, endpoint_id, worker_id, failures, successes):
         """Take what a store has seen of an endpoint into account."""
-        now = clock.monotonic()
-        with self.lock:
-            self.suspicion.add(
-                endpoint_id, worker_id, failures, successes, now
-            )
-
-    def list_suspects(self, now):
-        """Return the endpoints that fail for several hosts."""
-        if now < self.suspects_due:
-            return self.suspects
-        self.suspects_due = now + SUSPECTS_SECONDS
-        services = {}
-        for endpoint_id, endpoint in self.endpoints.list_by_id().items():
-            services.setdefault(endpoint.service, []).append(endpoint_id)
-        with self.lock:
-            found = self.suspicion.list_suspects(services, now)
-        if found != self.suspects:
-            LOG.info('event=endpoints_suspect endpoints={}', sorted(found))
-        self.suspects = frozenset(found)
-        return self.suspects
+        self.usage.note_outcome(
+            endpoint_id, worker_id, failures, successes, clock.monotonic()
+        )
 
     # Duties.
 
