--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,11 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 PYTEST_WORKERS ?= 4
+# Seeds of `make soak`, separated by commas.
+SEEDS ?= 1,2,3
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup lint format test demo bench faults slopes check-model check-laws known-red
+.PHONY: setup lint format test demo bench faults slopes check-model check-laws known-red soak
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -37,6 +39,9 @@
 faults: $(STAMP)
 	$(PY) -m rhubarbreach faults
 
+soak: $(STAMP)
+	$(PY) platform/rhubarbreach_platform/tests/soak.py --seeds $(SEEDS)
+
 slopes: $(STAMP)
 	$(PY) -m rhubarbreach slopes
 
