Take no events of a run that another order began

Found in the read of the change: a store numbered events from what the leader knew, also when that was less than where its run had begun. A leader that lost events of its predecessor, whose answer ending the run was lost, and that ordered the item again on the same store and endpoint, would have taken later events for earlier ones. The leader now takes a run that began behind what it knows for none of its own, and a store tells no events that do not follow.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -214,10 +214,15 @@
                 )
             if run is None or run.worker_id != worker_id:
                 continue
-            if run.endpoint.endpoint_id != report.endpoint_id:
+            progress = self.get_progress(key)
+            if (
+                run.endpoint.endpoint_id != report.endpoint_id
+                or report.begun > len(progress.texts)
+            ):
+                # A run of another order; its events do not follow those
+                # that are known.
                 continue
             reported.add(key)
-            progress = self.get_progress(key)
             is_whole = progress.take(report)
             if report.outcome and is_whole:
                 del self.runs[key]
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -84,6 +84,24 @@
     assert not bench.made.runs
 
 
+def test_run_of_a_former_order_is_not_taken_for_the_new_one(
+    bench, make_report, make_run
+):
+    # The answer that ended the run of a former leader was lost, and its item
+    # was ordered again on the same store and endpoint: its events would
+    # have been taken for earlier ones.
+    bench.kept[KEY] = [b'1', b'2']
+    bench.take('one', make_report(make_run('a', 0, begun=9)))
+    bench.assign('a')
+    reply, _ = bench.take('one', make_report(make_run('a', 0, begun=9)))
+    assert not reply.known
+    assert [order.last_id for order in reply.orders] == [2]
+    late = make_run('a', 3, b'10', begun=9, outcome='completed')
+    reply, ended = bench.take('one', make_report(late))
+    assert not ended
+    assert bench.made.progress[KEY].texts == [b'1', b'2']
+
+
 def test_run_of_an_item_that_is_not_open_is_not_known(
     bench, make_report, make_run
 ):
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -166,6 +166,15 @@
     assert len(made.make_reports(0.0)[0].texts) == 1
 
 
+def test_leader_that_lacks_earlier_events_is_told_none(play):
+    # Events from number 3 on would have been told as those from 2 on.
+    made, link, release = play
+    link.replies.extend([orders(ORDER), orders(known=(('job', 'a', 1),))])
+    wait_for(lambda: made.active and made.active['job', 'a'].known == 1)
+    report = made.make_reports(0.0)[0]
+    assert (report.first, report.texts, report.outcome) == (0, (), '')
+
+
 def test_run_that_the_leader_does_not_know_ends(play):
     made, link, release = play
     link.replies.extend([orders(ORDER), orders(known=KNOWN)])
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -20,8 +20,8 @@
 
 LOG = eventlog.Logger('worker')
 
-# Runs at once; a store of the largest deployment has 8 of 360 slots' items
-# on the mean, and twelve stores may shrink to a few.
+# Runs at once: six stores share the 360 slots of the largest deployment, and
+# some of them may be lost.
 MAX_RUNNING = 96
 # Seconds between two reports while items run, and while none does. Results
 # and orders do not wait for it.
@@ -70,12 +70,12 @@
         texts = ()
         outcome = ''
         first = 0
-        if self.known is not None:
+        if self.known is not None and self.known >= self.first:
             # The outcome is read first: events that come after it would
             # otherwise be missing in a report that says it is over.
             outcome = self.outcome
             first = self.known + 1
-            texts = self.take_texts(max(0, self.known - self.first), room)
+            texts = self.take_texts(self.known - self.first, room)
             if self.known + len(texts) < self.progress.last_id:
                 outcome = ''
         end = now if self.ended is None else self.ended
