Join no runs of an item that do not follow each other

A store was cut off while it ran the item, another one ran it on from the events that were known, and when the first store was heard again, with no run assigned, the leader took its run back: it had begun before the known events, some of which the other run had made.

Change: a run is adopted, or taken for the one that was ordered, only if it was asked to go on exactly behind what is known, or was ordered so. Under a new leader a run some of whose events are in the ledger begins anew behind them; without a note of which run made which events it cannot be told from another one.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -58,7 +58,8 @@
 class Assignment:
     """An item that a store runs on an endpoint.
 
-    `began` is in seconds of the monotonic clock.
+    `began` is in seconds of the monotonic clock, and `begun` the number of
+    the event after which the run was asked to go on.
     """
 
     job: object
@@ -67,6 +68,7 @@
     place: Place
     worker_id: str
     began: float
+    begun: int
     cancelled: bool = False
 
     @property
@@ -147,9 +149,11 @@
         worker_id = self.choose_worker(endpoint.availability_zone)
         if worker_id is None:
             return None
-        run = Assignment(job, item, endpoint, place, worker_id, now)
+        progress = self.get_progress((job.job_id, item.item_id))
+        progress.keep_due = now + KEEP_SECONDS
+        begun = len(progress.texts)
+        run = Assignment(job, item, endpoint, place, worker_id, now, begun)
         self.runs[run.key] = run
-        self.get_progress(run.key).keep_due = now + KEEP_SECONDS
         return worker_id
 
     def take_unkept(self, listed, now):
@@ -214,14 +218,14 @@
                 )
             if run is None or run.worker_id != worker_id:
                 continue
-            progress = self.get_progress(key)
             if (
                 run.endpoint.endpoint_id != report.endpoint_id
-                or report.begun > len(progress.texts)
+                or run.begun != report.begun
             ):
-                # A run of another order; its events do not follow those
+                # A run of another order: its events do not follow those
                 # that are known.
                 continue
+            progress = self.get_progress(key)
             reported.add(key)
             is_whole = progress.take(report)
             if report.outcome and is_whole:
@@ -247,18 +251,28 @@
         return reply, ended
 
     def adopt(self, worker_id, report, open_items, find_endpoint, now):
-        """Return a run that was begun under another leader, or None."""
+        """Return a run that was begun under another leader, or None.
+
+        Another run may have made the events that are known behind the one
+        after which this run was asked to go on. A text must not go from that
+        run to this one.
+        """
         key = (report.job_id, report.item_id)
         found = open_items.get(key)
         endpoint = find_endpoint(report.endpoint_id)
         if found is None or endpoint is None:
             return None
-        if report.begun > len(self.get_progress(key).texts):
-            # Events between those that are known and the run are lost.
+        if report.begun != len(self.get_progress(key).texts):
             return None
         job, item, place = found
         run = Assignment(
-            job, item, endpoint, place, worker_id, now - report.seconds
+            job,
+            item,
+            endpoint,
+            place,
+            worker_id,
+            now - report.seconds,
+            report.begun,
         )
         self.runs[key] = run
         return run
@@ -288,7 +302,7 @@
                     item.body,
                     run.endpoint.endpoint_id,
                     run.endpoint.address,
-                    len(self.get_progress(key).texts),
+                    run.begun,
                 )
             )
         return orders
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -66,14 +66,30 @@
 ):
     # Items were begun anew after each loss of a leader.
     bench.kept[KEY] = [b'1', b'2']
-    reply, _ = bench.take('one', make_report(make_run('a', 0)))
+    reply, _ = bench.take('one', make_report(make_run('a', 0, begun=2)))
     assert reply.known == (('job', 'a', 2),)
-    rest = make_run('a', 3, b'3', outcome='completed')
+    rest = make_run('a', 3, b'3', begun=2, outcome='completed')
     _, ended = bench.take('one', make_report(rest))
     assert [one.outcome for one in ended] == ['completed']
     assert bench.made.progress[KEY].texts == [b'1', b'2', b'3']
 
 
+def test_text_does_not_go_on_with_a_run_that_began_before_another(
+    bench, make_report, make_run
+):
+    # Two runs of an item, the second one after event 1 of the first; a new
+    # leader that heard of the first one joined their texts (jssca-cutdesk
+    # hunt-5e34-7).
+    bench.kept[KEY] = [b'1', b'2 of the second run']
+    reply, _ = bench.take('one', make_report(make_run('a', 0)))
+    assert not reply.known
+    bench.assign('a')
+    again = make_run('a', 3, b'3 of the first run', outcome='completed')
+    reply, ended = bench.take('one', make_report(again))
+    assert not ended
+    assert [order.last_id for order in reply.orders] == [2]
+
+
 def test_new_leader_ends_runs_whose_first_events_are_lost(
     bench, make_report, make_run
 ):
