Remove an unused field; look an endpoint up only for runs that are adopted

An assignment's start was stored and read nowhere. The endpoint of a reported run was looked up, with all loads summed, before it was known whether its item is open and its events follow. What is adopted is the same.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -58,8 +58,8 @@
 class Assignment:
     """An item that a store runs on an endpoint.
 
-    `began` is in seconds of the monotonic clock, and `begun` the number of
-    the event after which the run was asked to go on.
+    `begun` is the number of the event after which the run was asked to go
+    on.
     """
 
     job: object
@@ -67,7 +67,6 @@
     endpoint: object
     place: Place
     worker_id: str
-    began: float
     begun: int
     cancelled: bool = False
 
@@ -152,7 +151,7 @@
         progress = self.get_progress((job.job_id, item.item_id))
         progress.keep_due = now + KEEP_SECONDS
         begun = len(progress.texts)
-        run = Assignment(job, item, endpoint, place, worker_id, now, begun)
+        run = Assignment(job, item, endpoint, place, worker_id, begun)
         self.runs[run.key] = run
         return worker_id
 
@@ -213,9 +212,7 @@
             key = (report.job_id, report.item_id)
             run = self.runs.get(key)
             if run is None:
-                run = self.adopt(
-                    worker_id, report, open_items, find_endpoint, now
-                )
+                run = self.adopt(worker_id, report, open_items, find_endpoint)
             if run is None or run.worker_id != worker_id:
                 continue
             if (
@@ -250,7 +247,7 @@
         )
         return reply, ended
 
-    def adopt(self, worker_id, report, open_items, find_endpoint, now):
+    def adopt(self, worker_id, report, open_items, find_endpoint):
         """Return a run that was begun under another leader, or None.
 
         Another run may have made the events that are known behind the one
@@ -259,11 +256,13 @@
         """
         key = (report.job_id, report.item_id)
         found = open_items.get(key)
-        endpoint = find_endpoint(report.endpoint_id)
-        if found is None or endpoint is None:
+        if found is None:
             return None
         if report.begun != len(self.get_progress(key).texts):
             return None
+        endpoint = find_endpoint(report.endpoint_id)
+        if endpoint is None:
+            return None
         job, item, place = found
         run = Assignment(
             job,
@@ -271,7 +270,6 @@
             endpoint,
             place,
             worker_id,
-            now - report.seconds,
             report.begun,
         )
         self.runs[key] = run
