Wake a selector only while its descriptor is its own

The loop thread may take the command that ends it between its append and the wake, and closes the descriptor; the wake then wrote to a closed descriptor, or to another file that had got its number.

Change: wake and close exclude each other. The new test fails without it. Ruled out: a second close of the loop (each fixture closes it once).

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import secrets
 
 from rhubarbreach.backlog import commands
 from rhubarbreach import eventlog
@@ -18,6 +19,9 @@
 # both have them, so that only the loss of both repeats them; most runs end
 # within 5 s, and their result holds the events again.
 KEEP_SECONDS = 1.5
+# Bytes of an order's random id. Two orders of one item must not have the same
+# one, whichever leaders gave them.
+ORDER_ID_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,12 +37,14 @@
     """What is known of an item beside its state in the ledger.
 
     `texts` are the events made so far, `kept` the number of those that are
-    in the ledger. The item does not start before `not_before`, and while it
-    runs its events are not committed before `keep_due`, in seconds of the
-    monotonic clock.
+    in the ledger. `makers` tells which order made them, as tuples of the
+    order's id and the number of the event after which it was asked to go on.
+    The item does not start before `not_before`, and while it runs its events
+    are not committed before `keep_due`, in seconds of the monotonic clock.
     """
 
     texts: list = dataclasses.field(default_factory=list)
+    makers: list = dataclasses.field(default_factory=list)
     attempts: int = 0
     failures: int = 0
     not_before: float = 0.0
@@ -50,25 +56,58 @@
         known = len(self.texts)
         if not report.first or report.first > known + 1:
             return False
-        self.texts.extend(report.texts[known + 1 - report.first :])
+        added = report.texts[known + 1 - report.first :]
+        if added and not self.is_made_by(report.order_id):
+            self.makers.append((report.order_id, report.begun))
+        self.texts.extend(added)
         return True
 
+    def is_made_by(self, order_id):
+        """Return whether an order has made the last event."""
+        return bool(self.makers) and self.makers[-1][0] == order_id
+
+    def is_followed_by(self, report):
+        """Return whether the events of a run continue the text."""
+        return report.begun == len(self.texts) or self.is_made_by(
+            report.order_id
+        )
+
+    def list_unkept(self, key):
+        """Return the events that are not in the ledger, by their orders."""
+        items = []
+        ends = [begun for _, begun in self.makers[1:]]
+        ends.append(len(self.texts))
+        for (order_id, begun), end in zip(self.makers, ends, strict=False):
+            start = max(begun, self.kept)
+            if start < end:
+                texts = tuple(self.texts[start:end])
+                items.append(
+                    commands.ItemProgress(
+                        *key, start + 1, texts, order_id, begun
+                    )
+                )
+        return items
+
 
 @dataclasses.dataclass
 class Assignment:
     """An item that a store runs on an endpoint.
 
     `begun` is the number of the event after which the run was asked to go
-    on.
+    on, and `progress` that of its item. `reported` tells whether the store
+    has begun it.
     """
 
+    order_id: str
     job: object
     item: object
     endpoint: object
     place: Place
     worker_id: str
     begun: int
+    progress: Progress
     cancelled: bool = False
+    reported: bool = False
 
     @property
     def key(self):
@@ -104,20 +143,17 @@
     ----------
     load_progress : callable
         Returns the `Progress` of a key that the ledger holds.
+    make_order_id : callable, optional
+        Returns an id that no other order has.
     """
 
-    def __init__(self, load_progress):
+    def __init__(self, load_progress, make_order_id=None):
         self.load_progress = load_progress
+        self.make_order_id = make_order_id or make_random_id
         self.runs = {}
         self.progress = {}
         self.workers = {}
 
-    def clear(self):
-        """Forget all, when another store leads."""
-        self.runs.clear()
-        self.progress.clear()
-        self.workers.clear()
-
     def get_progress(self, key):
         """Return the progress of an item, loaded when it is first used."""
         if key not in self.progress:
@@ -150,8 +186,16 @@
             return None
         progress = self.get_progress((job.job_id, item.item_id))
         progress.keep_due = now + KEEP_SECONDS
-        begun = len(progress.texts)
-        run = Assignment(job, item, endpoint, place, worker_id, begun)
+        run = Assignment(
+            self.make_order_id(),
+            job,
+            item,
+            endpoint,
+            place,
+            worker_id,
+            len(progress.texts),
+            progress,
+        )
         self.runs[run.key] = run
         return worker_id
 
@@ -172,11 +216,10 @@
         items = []
         for key, progress in self.progress.items():
             runs = key in self.runs and now < progress.keep_due
-            texts = tuple(progress.texts[progress.kept :])
-            if runs or key in listed or not texts:
+            if runs or key in listed or progress.kept == len(progress.texts):
                 continue
-            items.append(commands.ItemProgress(*key, progress.kept + 1, texts))
-            progress.kept += len(texts)
+            items += progress.list_unkept(key)
+            progress.kept = len(progress.texts)
             progress.keep_due = now + KEEP_SECONDS
         return items
 
@@ -215,15 +258,13 @@
                 run = self.adopt(worker_id, report, open_items, find_endpoint)
             if run is None or run.worker_id != worker_id:
                 continue
-            if (
-                run.endpoint.endpoint_id != report.endpoint_id
-                or run.begun != report.begun
-            ):
-                # A run of another order: its events do not follow those
-                # that are known.
+            if run.order_id != report.order_id:
+                # The events of another order need not follow those that are
+                # known.
                 continue
-            progress = self.get_progress(key)
-            reported.add(key)
+            progress = run.progress
+            run.reported = True
+            reported.add(run.order_id)
             is_whole = progress.take(report)
             if report.outcome and is_whole:
                 del self.runs[key]
@@ -239,8 +280,8 @@
                     )
                 )
             elif run.cancelled:
-                cancels.append(key)
-            known.append((*key, len(progress.texts)))
+                cancels.append(run.order_id)
+            known.append((run.order_id, len(progress.texts)))
         orders = self.list_orders(worker_id, reported, ended)
         reply = workmessages.WorkOrders(
             True, None, tuple(orders), tuple(known), tuple(cancels)
@@ -258,19 +299,22 @@
         found = open_items.get(key)
         if found is None:
             return None
-        if report.begun != len(self.get_progress(key).texts):
+        progress = self.get_progress(key)
+        if not progress.is_followed_by(report):
             return None
         endpoint = find_endpoint(report.endpoint_id)
         if endpoint is None:
             return None
         job, item, place = found
         run = Assignment(
+            report.order_id,
             job,
             item,
             endpoint,
             place,
             worker_id,
             report.begun,
+            progress,
         )
         self.runs[key] = run
         return run
@@ -279,19 +323,23 @@
         """Return the runs that a store has not begun yet.
 
         An order whose answer was lost is sent again. One that was withdrawn
-        before the store has got it ends here.
+        before the store has got it ends here, as does a run that the store
+        has had and has no more: it may have started again, and to send the
+        order once more would join the events of two runs.
         """
         orders = []
         for key, run in list(self.runs.items()):
-            if run.worker_id != worker_id or key in reported:
+            if run.worker_id != worker_id or run.order_id in reported:
                 continue
-            if run.cancelled:
+            if run.reported or run.cancelled:
                 del self.runs[key]
-                ended.append(Ended(run, 'cancelled'))
+                outcome = 'lost' if run.reported else 'cancelled'
+                ended.append(Ended(run, outcome, begun=run.begun))
                 continue
             item = run.item
             orders.append(
                 workmessages.RunOrder(
+                    run.order_id,
                     *key,
                     run.job.account,
                     run.place.host,
@@ -325,3 +373,8 @@
                 'event=worker_silent store={} runs={}', worker_id, len(lost)
             )
         return ended
+
+
+def make_random_id():
+    """Return the id of an order."""
+    return secrets.token_hex(ORDER_ID_BYTES)
--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -102,12 +102,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ItemProgress:
-    """Events that an item has made, from number `first` on."""
+    """Events that an item has made, from number `first` on.
+
+    The order `order_id`, which was to go on after event `begun`, made them.
+    """
 
     job_id: str
     item_id: str
     first: int
     texts: tuple[bytes, ...]
+    order_id: str = ''
+    begun: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -21,8 +21,9 @@
 class Job:
     """A batch job.
 
-    `open` holds the items without a result, in order, and `made` the events
-    of those that have made some.
+    `open` holds the items without a result, in order, `made` the events
+    of those that have made some, and `makers` the id of the order that made
+    the last of them and the number of the event after which it went on.
     """
 
     job_id: str
@@ -38,6 +39,9 @@
     results: list[commands.ItemResult]
     ended: bool = False
     made: dict[str, list[bytes]] = dataclasses.field(default_factory=dict)
+    makers: dict[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_closed(self):
@@ -159,18 +163,28 @@
         if job is None or job.ended:
             return
         job.made.pop(result.item_id, None)
+        job.makers.pop(result.item_id, None)
         if job.open.pop(result.item_id, None) is not None:
             job.results.append(result)
 
     def add_progress(self, item):
-        """Keep events of an open item that follow those kept before."""
+        """Keep events of an open item that follow those kept before.
+
+        A leader that does not know all that is kept may tell events of a run
+        that went on elsewhere in the text. They are left out, and the item
+        is run again from what is kept.
+        """
         job = self.jobs.get(item.job_id)
         if job is None or item.item_id not in job.open:
             return
         made = job.made.setdefault(item.item_id, [])
         known = len(made)
-        if item.first <= known + 1:
+        maker = (item.order_id, item.begun)
+        is_next = item.first == known + 1 and item.begun == known
+        is_same = job.makers.get(item.item_id) == maker
+        if is_next or (is_same and item.first <= known + 1):
             made.extend(item.texts[known + 1 - item.first :])
+            job.makers[item.item_id] = maker
 
     def end_job(self, command):
         """End a job; what is listed stays listed."""
@@ -180,6 +194,7 @@
         job.ended = True
         job.open = {}
         job.made = {}
+        job.makers = {}
         return commands.Done()
 
     def prune_jobs(self, before):
@@ -236,10 +251,20 @@
             return job is not None and item_id in job.open
 
     def get_made(self, job_id, item_id):
-        """Return the events that an open item is known to have made."""
+        """Return the events that an open item is known to have made.
+
+        Returns
+        -------
+        list of bytes, tuple of (str, int) or None
+            Events, and the order that made the last of them: its id and the
+            number of the event after which it went on.
+        """
         with self.lock:
             job = self.jobs.get(job_id)
-            return [] if job is None else list(job.made.get(item_id, ()))
+            if job is None:
+                return [], None
+            made = list(job.made.get(item_id, ()))
+            return made, job.makers.get(item_id)
 
     def get_catalog(self):
         """Return version and document of the configuration in force."""
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -89,15 +89,16 @@
         if is_leading == self.is_leading:
             return
         LOG.info('event=runner_changed leading={}', is_leading)
+        self.is_leading = False
+        # Also before it leads again: a plan that was being made when it ceased
+        # to lead may have left progress behind that is out of date by now.
+        with self.lock:
+            self.assignments = assignments.Assignments(self.load_progress)
+        self.results.clear()
         if is_leading:
             self.learned = clock.monotonic() + LEARN_SECONDS
             self.open_items = self.find_open()
             self.is_leading = True
-        else:
-            self.is_leading = False
-            with self.lock:
-                self.assignments.clear()
-            self.results.clear()
         self.wake.set()
 
     def take_report(self, worker_id, message):
@@ -205,7 +206,7 @@
         for run in runs:
             if run.cancelled:
                 continue
-            made = self.count_made(run.key)
+            made = len(run.progress.texts)
             running.append(
                 plan.Running(
                     run.key,
@@ -218,11 +219,6 @@
             )
         return running
 
-    def count_made(self, key):
-        """Return how many events of an item are known."""
-        with self.lock:
-            return len(self.assignments.get_progress(key).texts)
-
     def cancel_keys(self, keys):
         """Cancel runs, at once where their stores can be reached."""
         by_worker = {}
@@ -232,9 +228,11 @@
                 if run is not None and not run.cancelled:
                     run.cancelled = True
                     self.counts['yielded'] += 1
-                    by_worker.setdefault(run.worker_id, []).append(key)
-        for worker_id, cancelled in by_worker.items():
-            self.link.send(worker_id, workmessages.RunCancel(tuple(cancelled)))
+                    by_worker.setdefault(run.worker_id, []).append(
+                        run.order_id
+                    )
+        for worker_id, order_ids in by_worker.items():
+            self.link.send(worker_id, workmessages.RunCancel(tuple(order_ids)))
 
     def start_items(self, endpoints, slots, now):
         """Assign items to free slots; return those that are left."""
@@ -296,8 +294,9 @@
 
     def load_progress(self, key):
         """Return what an item is known to have made under any leader."""
-        texts = self.ledger.get_made(*key)
-        return assignments.Progress(texts, kept=len(texts))
+        texts, maker = self.ledger.get_made(*key)
+        makers = [] if maker is None else [maker]
+        return assignments.Progress(texts, makers, kept=len(texts))
 
     def count_running(self):
         """Return the items that run on each endpoint."""
@@ -312,8 +311,7 @@
         run = ended.assignment
         outcome = ended.outcome
         now = clock.monotonic()
-        with self.lock:
-            progress = self.assignments.get_progress(run.key)
+        progress = run.progress
         self.counts[outcome] += 1
         LOG.info(
             'event=item_run job={} item={} endpoint={} store={} outcome={} '
--- a/rhubarbreach/backlog/tests/conftest.py
+++ b/rhubarbreach/backlog/tests/conftest.py
@@ -1,5 +1,6 @@
 """Jobs, items and reports of the tests."""
 
+import itertools
 import types
 
 import pytest
@@ -24,20 +25,36 @@
 def make_run():
     """Return a function that makes the report of a run."""
 
-    def make(item_id, first, *texts, begun=0, outcome='', endpoint='e1'):
+    def make(item_id, first, *texts, order=1, begun=0, outcome=''):
         return workmessages.RunReport(
-            'job', item_id, endpoint, first, texts, begun, 1.0, outcome
+            f'o{order}',
+            'job',
+            item_id,
+            'e1',
+            first,
+            texts,
+            begun,
+            1.0,
+            outcome,
         )
 
     return make
 
 
 class Bench:
-    """Assignments of a leader with two items and two endpoints."""
+    """Assignments of a leader with two items and two endpoints.
+
+    `kept` holds the events that are in the ledger and `makers` the orders
+    that made the last ones, by item. Orders have the ids o1, o2 and so on.
+    """
 
     def __init__(self):
         self.kept = {}
-        self.made = assignments.Assignments(self.load)
+        self.makers = {}
+        numbers = itertools.count(1)
+        self.made = assignments.Assignments(
+            self.load, lambda: f'o{next(numbers)}'
+        )
         self.job = types.SimpleNamespace(job_id='job', account='a')
         self.place = assignments.Place('s', 'h')
         self.items = {
@@ -54,7 +71,8 @@
 
     def load(self, key):
         texts = list(self.kept.get(key, ()))
-        return assignments.Progress(texts, kept=len(texts))
+        makers = [self.makers[key]] if key in self.makers else []
+        return assignments.Progress(texts, makers, kept=len(texts))
 
     def take(self, worker_id, message, now=0.0):
         return self.made.take_report(
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -36,6 +36,24 @@
     assert not reply.orders
 
 
+def test_store_that_restarts_does_not_repeat_its_run(
+    bench, make_report, make_run
+):
+    # The store was killed and came back before it counted as silent; the
+    # order was sent again, and the events of its second run were taken for
+    # the next ones of the first (jssca-cutdesk trouble-3, --vary, seed
+    # 1094896698990).
+    bench.take('one', make_report())
+    bench.assign('a')
+    bench.take('one', make_report(make_run('a', 1, b'1', b'2')))
+    reply, ended = bench.take('one', make_report())
+    assert [one.outcome for one in ended] == ['lost']
+    assert not reply.orders
+    bench.assign('a')
+    reply, _ = bench.take('one', make_report())
+    assert [order.last_id for order in reply.orders] == [2]
+
+
 def test_events_that_are_reported_twice_count_once(
     bench, make_report, make_run
 ):
@@ -46,7 +64,7 @@
     again = make_run('a', 1, b'1', b'2', b'3', outcome='completed')
     reply, ended = bench.take('one', make_report(again))
     assert bench.made.progress[KEY].texts == [b'1', b'2', b'3']
-    assert reply.known == (('job', 'a', 3),)
+    assert reply.known == (('o1', 3),)
     assert [(one.outcome, one.made) for one in ended] == [('completed', 3)]
 
 
@@ -57,7 +75,7 @@
     late = make_run('a', 5, b'5', outcome='completed')
     reply, ended = bench.take('one', make_report(late))
     assert not ended
-    assert reply.known == (('job', 'a', 0),)
+    assert reply.known == (('o1', 0),)
     assert KEY in bench.made.runs
 
 
@@ -67,13 +85,45 @@
     # Items were begun anew after each loss of a leader.
     bench.kept[KEY] = [b'1', b'2']
     reply, _ = bench.take('one', make_report(make_run('a', 0, begun=2)))
-    assert reply.known == (('job', 'a', 2),)
+    assert reply.known == (('o1', 2),)
     rest = make_run('a', 3, b'3', begun=2, outcome='completed')
     _, ended = bench.take('one', make_report(rest))
     assert [one.outcome for one in ended] == ['completed']
     assert bench.made.progress[KEY].texts == [b'1', b'2', b'3']
 
 
+def test_new_leader_goes_on_with_a_run_that_made_what_is_kept(
+    bench, make_report, make_run
+):
+    # A long item was run from its last kept event again after each loss of
+    # a leader.
+    bench.kept[KEY] = [b'1', b'2']
+    bench.makers[KEY] = ('o7', 0)
+    reply, _ = bench.take('one', make_report(make_run('a', 0, order=7)))
+    assert reply.known == (('o7', 2),)
+    rest = make_run('a', 3, b'3', order=7)
+    bench.take('one', make_report(rest))
+    (kept,) = bench.made.take_unkept((), 9.0)
+    assert (kept.first, kept.texts) == (3, (b'3',))
+    assert (kept.order_id, kept.begun) == ('o7', 0)
+
+
+def test_events_of_two_runs_are_committed_apart(bench, make_report, make_run):
+    # The ledger has to see at which event the second run was to go on.
+    bench.take('one', make_report())
+    bench.assign('a')
+    bench.take('one', make_report(make_run('a', 1, b'1', outcome='failed')))
+    bench.assign('a')
+    rest = make_run('a', 2, b'2', b'3', order=2, begun=1)
+    bench.take('one', make_report(rest))
+    kept = bench.made.take_unkept((), 9.0)
+    assert [(k.order_id, k.begun, k.first) for k in kept] == [
+        ('o1', 0, 1),
+        ('o2', 1, 2),
+    ]
+    assert [k.texts for k in kept] == [(b'1',), (b'2', b'3')]
+
+
 def test_text_does_not_go_on_with_a_run_that_began_before_another(
     bench, make_report, make_run
 ):
@@ -81,10 +131,13 @@
     # leader that heard of the first one joined their texts (jssca-cutdesk
     # hunt-5e34-7).
     bench.kept[KEY] = [b'1', b'2 of the second run']
-    reply, _ = bench.take('one', make_report(make_run('a', 0)))
+    bench.makers[KEY] = ('second', 1)
+    reply, _ = bench.take('one', make_report(make_run('a', 0, order=7)))
     assert not reply.known
     bench.assign('a')
-    again = make_run('a', 3, b'3 of the first run', outcome='completed')
+    again = make_run(
+        'a', 3, b'3 of the first run', order=7, outcome='completed'
+    )
     reply, ended = bench.take('one', make_report(again))
     assert not ended
     assert [order.last_id for order in reply.orders] == [2]
@@ -107,12 +160,13 @@
     # was ordered again on the same store and endpoint: its events would
     # have been taken for earlier ones.
     bench.kept[KEY] = [b'1', b'2']
-    bench.take('one', make_report(make_run('a', 0, begun=9)))
+    former = make_run('a', 0, order=7, begun=9)
+    bench.take('one', make_report(former))
     bench.assign('a')
-    reply, _ = bench.take('one', make_report(make_run('a', 0, begun=9)))
+    reply, _ = bench.take('one', make_report(former))
     assert not reply.known
     assert [order.last_id for order in reply.orders] == [2]
-    late = make_run('a', 3, b'10', begun=9, outcome='completed')
+    late = make_run('a', 3, b'10', order=7, begun=9, outcome='completed')
     reply, ended = bench.take('one', make_report(late))
     assert not ended
     assert bench.made.progress[KEY].texts == [b'1', b'2']
@@ -143,7 +197,7 @@
     bench.take('one', make_report(make_run('a', 1)))
     bench.made.runs[KEY].cancelled = True
     reply, ended = bench.take('one', make_report(make_run('a', 1, b'1')))
-    assert reply.cancels == (KEY,)
+    assert reply.cancels == ('o1',)
     assert not ended
     last = make_run('a', 2, b'2', outcome='cancelled')
     _, ended = bench.take('one', make_report(last))
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -137,15 +137,31 @@
     apply(ledger, make_job())
     for first, texts in ((1, (b'a', b'b')), (2, (b'b', b'c')), (9, (b'x',))):
         # News come twice, overlap, or leave a gap that nothing may fill.
-        news = commands.ItemProgress('j', 'j-0', first, texts)
+        news = commands.ItemProgress('j', 'j-0', first, texts, 'o', 0)
         apply(ledger, commands.AddProgress((news,)))
     other = ledgers.Ledger()
     other.restore(ledger.snapshot())
-    assert other.get_made('j', 'j-0') == [b'a', b'b', b'c']
+    assert other.get_made('j', 'j-0') == ([b'a', b'b', b'c'], ('o', 0))
     apply(other, commands.AddResults((('j', complete('j-0')),)))
-    late = commands.ItemProgress('j', 'j-0', 1, (b'a',))
+    late = commands.ItemProgress('j', 'j-0', 1, (b'a',), 'o', 0)
     apply(other, commands.AddProgress((late,)))
-    assert other.get_made('j', 'j-0') == []
+    assert other.get_made('j', 'j-0') == ([], None)
+
+
+def test_progress_of_a_run_that_went_on_elsewhere_is_left_out(ledger):
+    # A leader that did not know event 2 had the item run on after event 1;
+    # the events of that run behind number 2 were joined to the others.
+    apply(ledger, make_job())
+    for first, texts, order_id, begun in (
+        (1, (b'a',), 'first', 0),
+        (2, (b'b',), 'second', 1),
+        (2, (b'B', b'C'), 'third', 1),
+        (3, (b'C',), 'third', 1),
+    ):
+        news = commands.ItemProgress('j', 'j-0', first, texts, order_id, begun)
+        apply(ledger, commands.AddProgress((news,)))
+    made = ledger.get_made('j', 'j-0')
+    assert made == ([b'a', b'b'], ('second', 1))
 
 
 def test_old_closed_jobs_are_forgotten(ledger):
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -80,6 +80,7 @@
                 outcome = ''
         end = now if self.ended is None else self.ended
         return workmessages.RunReport(
+            order.order_id,
             order.job_id,
             order.item_id,
             order.endpoint_id,
@@ -230,30 +231,29 @@
 
     def take_orders(self, reports, reply):
         """Begin, go on with and end runs as the leader says."""
-        known = {(job, item): number for job, item, number in reply.known}
-        reported = {(r.job_id, r.item_id): r for r in reports}
+        known = dict(reply.known)
         behind = False
         with self.lock:
-            for key, report in reported.items():
-                one = self.active.get(key)
+            for report in reports:
+                order_id = report.order_id
+                one = self.active.get(order_id)
                 if one is None:
                     continue
-                if key in known:
-                    one.known = known[key]
+                if order_id in known:
+                    one.known = known[order_id]
                     behind = behind or one.is_behind(report)
                     last = report.first + len(report.texts) - 1
                     if report.outcome and one.known >= last:
-                        del self.active[key]
+                        del self.active[order_id]
                     continue
-                del self.active[key]
+                del self.active[order_id]
                 one.run.cancel()
             started = []
             for order in reply.orders:
-                key = (order.job_id, order.item_id)
-                if key not in self.active and not self.draining:
-                    self.active[key] = Active(order)
-                    started.append(self.active[key])
-        self.cancel_keys(reply.cancels)
+                if order.order_id not in self.active and not self.draining:
+                    one = self.active[order.order_id] = Active(order)
+                    started.append(one)
+        self.cancel_runs(reply.cancels)
         for one in started:
             self.executor.submit(self.carry_out, one)
         if behind:
@@ -275,21 +275,25 @@
 
     def take_cancel(self, _, message):
         """End runs at once, on the leader's word, and ask for orders."""
-        self.cancel_keys(message.keys)
+        self.cancel_runs(message.order_ids)
         self.wake.set()
 
-    def cancel_keys(self, keys):
+    def cancel_runs(self, order_ids):
         """End runs; what they have made is reported."""
         with self.lock:
-            runs = [self.active[key].run for key in keys if key in self.active]
+            runs = [
+                self.active[order_id].run
+                for order_id in order_ids
+                if order_id in self.active
+            ]
         for run in runs:
             run.cancel()
 
     def cancel_all(self):
         """End all runs."""
         with self.lock:
-            keys = list(self.active)
-        self.cancel_keys(keys)
+            order_ids = list(self.active)
+        self.cancel_runs(order_ids)
 
     def drain(self, deadline):
         """Take no more orders, end what runs and report what it has made."""
--- a/rhubarbreach/dispatch/selector.py
+++ b/rhubarbreach/dispatch/selector.py
@@ -7,6 +7,7 @@
 
 import os
 import select
+import threading
 
 import pycurl
 
@@ -75,6 +76,8 @@
         self.round_at = 0.0
         self.round_left = 0
         self.waited = 0.0
+        self.close_lock = threading.Lock()
+        self.closed = False
         self.adapt_at = clock.monotonic() + ADAPT_SECONDS
 
     def register(self, fd, mask):
@@ -117,8 +120,14 @@
             self.steady_fds.add(fd)
 
     def wake(self):
-        """Let `poll` return; called from any thread."""
-        os.eventfd_write(self.wake_fd, 1)
+        """Let `poll` return; called from any thread.
+
+        The thread that polls may close the selector at the same time. The
+        descriptor may then belong to another file.
+        """
+        with self.close_lock:
+            if not self.closed:
+                os.eventfd_write(self.wake_fd, 1)
 
     def poll(self, until):
         """Wait until sockets are ready or a time has come.
@@ -180,4 +189,6 @@
         """Close the descriptors."""
         self.prompt.close()
         self.steady.close()
-        os.close(self.wake_fd)
+        with self.close_lock:
+            self.closed = True
+            os.close(self.wake_fd)
--- a/rhubarbreach/dispatch/tests/test_selector.py
+++ b/rhubarbreach/dispatch/tests/test_selector.py
@@ -1,5 +1,6 @@
 """Tests of the pace at which streams are read."""
 
+import os
 import select
 import socket
 
@@ -58,3 +59,24 @@
     chosen.register(made[1][1].fileno(), select.EPOLLIN)
     made[1][0].send(b'x')
     assert [fd for fd, _ in chosen.poll(0.0)] == [made[1][1].fileno()]
+
+
+def test_wake_after_close_reaches_no_other_file():
+    """Guards against a wake that meets the end of the loop thread.
+
+    The loop thread may take a command between its append and the wake, and
+    end; the descriptor was gone then (Errno 9), or another file had it.
+    """
+    chosen = selector.Selector()
+    number = chosen.wake_fd
+    chosen.close()
+    other = os.eventfd(0, os.EFD_NONBLOCK)
+    os.dup2(other, number)
+    try:
+        chosen.wake()
+        with pytest.raises(BlockingIOError):
+            os.eventfd_read(other)
+    finally:
+        os.close(number)
+        if other != number:
+            os.close(other)
--- a/rhubarbreach/protocol/workmessages.py
+++ b/rhubarbreach/protocol/workmessages.py
@@ -16,9 +16,11 @@
 class RunOrder:
     """Run an item on an endpoint, after the event `last_id`.
 
-    `host` is the one of the item's route.
+    `order_id` is unique among all orders. `host` is the one of the item's
+    route.
     """
 
+    order_id: str
     job_id: str
     item_id: str
     account: str
@@ -33,13 +35,14 @@
 
 @messages.frozen_message
 class RunReport:
-    """State of a run.
+    """State of the run of an order.
 
     `texts` are the events from number `first` on that the leader is not
     known to have. `begun` is the number of events with which the run began
     and `seconds` its time. `outcome` is empty until the run has ended.
     """
 
+    order_id: str
     job_id: str
     item_id: str
     endpoint_id: str
@@ -64,20 +67,21 @@
 class WorkOrders:
     """Answer of the leader, or the leader's id from another store.
 
-    `known` tells how many events of each reported run the leader has. A run
-    that is not named there is none of the leader's, and ends. `cancels` are
-    runs to be ended whose events are still wanted.
+    `known` tells, by order id, how many events of each reported run the
+    leader has. A run that is not named there is none of the leader's, and
+    ends. `cancels` are the order ids of runs to be ended whose events are
+    still wanted.
     """
 
     is_leader: bool
     leader_id: str | None
     orders: tuple[RunOrder, ...] = ()
-    known: tuple[tuple[str, str, int], ...] = ()
-    cancels: tuple[tuple[str, str], ...] = ()
+    known: tuple[tuple[str, int], ...] = ()
+    cancels: tuple[str, ...] = ()
 
 
 @messages.frozen_message
 class RunCancel:
     """End runs at once, and ask for orders; the next answer repeats it."""
 
-    keys: tuple[tuple[str, str], ...]
+    order_ids: tuple[str, ...]
