--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -55,9 +55,7 @@
     made.close()
 
 
-def test_leader_that_leads_again_knows_what_was_kept_meanwhile(
-    ledger, runner
-):
+def test_leader_that_leads_again_knows_what_was_kept_meanwhile(ledger, runner):
     # A plan that was being made when the lead was lost loaded an item's
     # progress; the next time this store led, the item went on from there.
     runner.lead(True)
