Keep a link's receiver task alive through any fault

The receiver task then ended with an AttributeError. The host heard nothing any more and its calls waited without end, as the same task expires them. The same held for any fault in the probes of peers.

Change: such a message is rejected; other faults are logged, and the task goes on. Both new tests fail without it.

Ruled out: a redial that blocks the task (2,292 redials of stopped peers with full queues, the longest 0.12 s). 3,000 short connections on loopback gave no message without a pipe, so it is rare.

--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -78,6 +78,7 @@
         self.fault = None
         self.delays = delay_queue.DelayQueue()
         self.assembler = framing.Assembler()
+        self.expiry = clock.monotonic()
         self.closed = False
         self.rejected = 0
         self.received_bytes = 0
@@ -277,27 +278,33 @@
 
     def run(self):
         """Receive messages until the link is closed."""
-        expiry = clock.monotonic()
         while not self.closed:
-            now = clock.monotonic()
-            if now >= expiry:
-                self.expire_calls(now)
-                if self.common_port is not None:
-                    self.probe_peers(now)
-                expiry = now + RECEIVE_TIMEOUT_MS / 1000
             try:
-                received = self.socket.recv_msg()
+                self.run_pass(clock.monotonic())
             except pynng.Timeout:
                 continue
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
                 LOG.warning('event=receive_failed error={!r}', str(error))
-                continue
-            self.accept(received)
+            except Exception:
+                # Without this task the host hears nothing, and no call ends.
+                LOG.exception('event=receive_failed')
+
+    def run_pass(self, now):
+        """Carry out what is due and take a message."""
+        if now >= self.expiry:
+            self.expiry = now + RECEIVE_TIMEOUT_MS / 1000
+            self.expire_calls(now)
+            if self.common_port is not None:
+                self.probe_peers(now)
+        self.accept(self.socket.recv_msg())
 
     def accept(self, received):
         """Decode a received message and pass it on, or drop it."""
+        if received.pipe is None:
+            self.reject('connection_gone', f'{len(received.bytes)} bytes')
+            return
         frame = received.bytes
         self.received_bytes += len(frame)
         try:
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -45,6 +45,13 @@
     raise AssertionError('no reply')
 
 
+def wait_until_empty(things):
+    end = clock.monotonic() + 5
+    while things:
+        assert clock.monotonic() < end
+        time.sleep(0.01)
+
+
 def test_call_gets_the_reply_of_the_handler(pair):
     """Guards against replies that miss their call."""
     pair[1].register(membermessages.Probe, answer_probe)
@@ -58,6 +65,49 @@
     assert future.result().ran == codes.Ran.NO
 
 
+class GoneMessage:
+    """A message whose connection was closed before it was taken."""
+
+    bytes = b'x'
+    pipe = None
+
+
+def test_message_of_a_closed_connection_does_not_end_the_link(
+    pair, monkeypatch
+):
+    """Guards against a host that hears nothing any more.
+
+    The receiver task ended with an error, and calls waited without end.
+    """
+    receive = pair[1].socket.recv_msg
+    gone = [GoneMessage()]
+
+    def recv_msg():
+        return gone.pop() if gone else receive()
+
+    monkeypatch.setattr(pair[1].socket, 'recv_msg', recv_msg)
+    wait_until_empty(gone)
+    pair[1].register(membermessages.Probe, answer_probe)
+    reply = call_until_reply(pair[0], 'host-2', membermessages.Probe(4, ()))
+    assert reply == membermessages.ProbeReply(5, ())
+    assert pair[1].rejected == 1
+
+
+def test_fault_of_the_link_does_not_end_it(pair, monkeypatch):
+    """Guards against a receiver task that ends with any error."""
+    faults = [MemoryError()]
+
+    def expire_calls(now):
+        if faults:
+            raise faults.pop()
+
+    monkeypatch.setattr(pair[1], 'expire_calls', expire_calls)
+    wait_until_empty(faults)
+    pair[1].register(membermessages.Probe, answer_probe)
+    reply = call_until_reply(pair[0], 'host-2', membermessages.Probe(4, ()))
+    assert reply == membermessages.ProbeReply(5, ())
+
+
 def test_lost_peer_does_not_block_the_sender(pair):
     """Guards against one dead host that stops the others' senders."""
     pair[1].close()
