Replace a leader whose disk stalls, and find the next one sooner

Cause: while the disk of a leader stalls, the task of its group waits with the group's lock when it writes, and without when it syncs. In the first case answers to entry hosts, which run on the receiver task of the link, waited for the lock, so that the whole host was deaf. In the second the tasks that send to peers went on with heartbeats, so that nobody was elected for as long as the disk stalled, while the leader went on answering. Hosts lost 0.4 s each time another store named the silent leader, and a store that was elected noticed up to 0.2 s later.

Change: a task watches the steps of a group without a lock; a leader whose step has taken 0.4 s asks the best follower to lead, and is silent until the step has ended. Contact and members are read without the lock. A store answers as the leader only while a majority has answered it within 0.6 s, and not in a term that it has not begun to lead in: another one may have led between. A host does not ask a silent store again for 1 s while others answer, and an elected store looks at its leadership each 20 ms until it leads.

--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -18,6 +18,7 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import replicator
 from rhubarbreach.consensus import reporting
+from rhubarbreach.consensus import stalling
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus import voting
@@ -90,6 +91,8 @@
         self.next_tick = now
         self.was_leader = False
         self.replicators = {}
+        self.contact = float('-inf')
+        self.watch = stalling.StallWatch(self)
         self.applier = applying.Applier(self)
         self.thread = threading.Thread(
             target=self.run, name=f'group-{settings.group_id}', daemon=True
@@ -119,8 +122,7 @@
     @property
     def members(self):
         """Members by the latest change in the log."""
-        with self.lock:
-            return self.store.members
+        return self.store.members
 
     @property
     def applied_index(self):
@@ -132,12 +134,10 @@
         """When messages were sent that a majority has answered since.
 
         Seconds of the monotonic clock; minus infinity unless this replica
-        leads and its first entry of the term is committed.
+        leads and its first entry of the term is committed. Those who ask do
+        not wait for a disk, as they would for the lock.
         """
-        with self.lock:
-            if self.state.commit_index < self.state.term_start_index:
-                return float('-inf')
-            return states.get_quorum_contact(self.state, clock.monotonic())
+        return min(self.contact, clock.monotonic())
 
     def propose(self, command, deadline):
         """Append a command to the log.
@@ -239,7 +239,9 @@
         try:
             while not self.closed:
                 events = self.collect()
+                self.watch.begin_step(clock.monotonic())
                 self.step(events)
+                self.watch.end_step()
         except Exception as error:
             self.fail(error, events)
 
@@ -248,6 +250,8 @@
         if self.closed:
             return
         LOG.exception('event=group_failed group={}', self.group_id)
+        self.watch.end_step()
+        self.contact = float('-inf')
         with self.lock:
             self.failure = error
             # Nothing more is applied for sure, so nothing waits for it.
@@ -334,6 +338,10 @@
                 changes.follow_commit(state, now)
             leading.settle_reads(state, now)
             changes.continue_transfer(state, now)
+        self.contact = float('-inf')
+        if state.commit_index >= state.term_start_index:
+            # One voter alone is in touch with a majority at all times.
+            self.contact = states.get_quorum_contact(state, float('inf'))
         if state.is_leader != self.was_leader:
             self.was_leader = state.is_leader
             reporting.record_leadership(self)
@@ -388,6 +396,7 @@
             self.changed.notify_all()
             self.committed.notify_all()
         self.inbox.put(None)
+        self.watch.close()
         if threading.current_thread() is not self.thread:
             self.thread.join()
         self.applier.join()
--- a/rhubarbreach/consensus/replicator.py
+++ b/rhubarbreach/consensus/replicator.py
@@ -44,6 +44,10 @@
         with group.lock:
             while not self.is_over():
                 now = clock.monotonic()
+                if group.watch.handed_over:
+                    # Heartbeats would keep the others from an election.
+                    group.changed.wait(group.settings.heartbeat)
+                    continue
                 if leading.has_work(group.state, self.peer, now):
                     return leading.build_message(group.state, self.peer, now)
                 delay = clock.remaining(self.peer.heartbeat_due, now)
--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -24,6 +24,10 @@
 EXCHANGE_TIMEOUT_SECONDS = 0.4
 # Another store is asked after this pause when one is not the leader.
 RETRY_SECONDS = 0.05
+# A store that has left a message unanswered is not asked again for this long,
+# in seconds, while others are. They may name it as the leader for as long as
+# an election takes.
+SILENT_SECONDS = 1.0
 # An older configuration is no ground to refuse a caller for good.
 FRESH_SECONDS = 1.0
 # Time that a request may wait for a grant of its account's rate: two exchanges
@@ -63,6 +67,7 @@
         self.confirmed = float('-inf')
         self.endpoints_stamp = ''
         self.leader_id = None
+        self.silent_until = {}
         self.turn = 0
         self.entries = 1
         self.holder = quota.Holder()
@@ -156,6 +161,7 @@
             self.lose(store, reply, clock.monotonic())
             return False
         self.leader_id = store
+        self.silent_until.clear()
         self.take_reply(reply, sent)
         return True
 
@@ -163,16 +169,25 @@
         """Return the leader, or another store at each turn."""
         if self.leader_id is not None:
             return self.leader_id
+        now = clock.monotonic()
         stores = tuple(dict.fromkeys((*self.stores, *self.seeds)))
+        awake = tuple(one for one in stores if not self.is_silent(one, now))
+        stores = awake or stores
         self.turn += 1
         return stores[self.turn % len(stores)]
 
+    def is_silent(self, store, now):
+        """Return whether a store has lately left a message unanswered."""
+        return now < self.silent_until.get(store, now)
+
     def lose(self, store, reply, now):
         """Look for another leader."""
         hint = None
-        if not isinstance(reply, codes.Refusal):
+        if isinstance(reply, codes.Refusal):
+            self.silent_until[store] = now + SILENT_SECONDS
+        elif reply.leader_id != store:
             hint = reply.leader_id
-        self.leader_id = hint if hint != store else None
+        self.leader_id = None if self.is_silent(hint, now) else hint
         with self.granted:
             index = self.index
             if index is not None and now < self.valid_until:
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -43,8 +43,14 @@
 # A store that has not heard of its leader for this long, in seconds, is cut
 # off: four heartbeats, and less than an election takes.
 OUT_OF_TOUCH_SECONDS = 0.45
+# A leader that no majority has answered for this long, in seconds, leaves
+# hosts to the next one: its disk may stall, and others elect after one to two
+# election times. Entry hosts send callers elsewhere after 1 s without news.
+LEAD_SECONDS = 0.6
 # Interval of the duties below.
 DUTY_SECONDS = 0.2
+# The same until a store that was elected leads: hosts wait for it.
+CHANGE_SECONDS = 0.02
 # Operators resend to another store after a second.
 OPERATOR_SECONDS = 2.0
 READ_SECONDS = 0.9
@@ -55,7 +61,6 @@
 # A store that ends gives its runs back to the leader in this time, in
 # seconds: two reports.
 HAND_BACK_SECONDS = 0.3
-NEVER = float('-inf')
 
 
 class StoreHost:
@@ -89,6 +94,7 @@
         self.index = None
         self.runner = None
         self.is_leading = False
+        self.leading_term = 0
         self.leading_since = clock.monotonic()
         self.draining = False
         self.closed = False
@@ -161,13 +167,31 @@
             return False
         return not self.link.is_silent(group.leader_id)
 
-    def has_confirmed_lead(self):
-        """Return whether a majority follows and all it committed is here."""
+    def holds_lead(self, now):
+        """Return whether this store leads and has all that is committed.
+
+        It does not when no majority has answered for a while or its disk
+        stalls: others may lead then.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the monotonic clock.
+        """
         group = self.group
         return (
             group.is_leader
-            and group.quorum_contact != NEVER
+            and now - group.quorum_contact <= LEAD_SECONDS
             and group.applied_index >= group.state.term_start_index
+            and not group.watch.handed_over
+        )
+
+    def may_answer(self, now):
+        """Return whether to answer as the leader."""
+        return (
+            self.is_leading
+            and self.group.term == self.leading_term
+            and self.holds_lead(now)
         )
 
     # Entry hosts.
@@ -176,7 +200,7 @@
         """Answer an entry host, as the leader."""
         now = clock.monotonic()
         contact = self.group.quorum_contact
-        if not self.is_leading or not self.has_confirmed_lead():
+        if not self.may_answer(now):
             leader_id = self.group.leader_id
             return fleetmessages.ExchangeReply(
                 False, None if leader_id == self.host_id else leader_id
@@ -285,7 +309,7 @@
 
     def answer_report(self, sender_id, message):
         """Answer a store that runs items, as the leader."""
-        if self.runner.is_leading:
+        if self.may_answer(clock.monotonic()):
             return self.runner.take_report(sender_id, message)
         leader_id = self.group.leader_id
         return workmessages.WorkOrders(
@@ -320,7 +344,8 @@
     def run(self):
         """Carry out the duties until the host closes."""
         while not self.closed:
-            self.wake.wait(DUTY_SECONDS)
+            is_changing = self.group.is_leader != self.is_leading
+            self.wake.wait(CHANGE_SECONDS if is_changing else DUTY_SECONDS)
             self.wake.clear()
             try:
                 self.carry_out(clock.monotonic())
@@ -346,9 +371,16 @@
 
     def follow_leadership(self, now):
         """Begin or end what only the leader does."""
-        leads = not self.draining and self.has_confirmed_lead()
-        if leads == self.is_leading:
+        term = self.group.term
+        leads = not self.draining and self.holds_lead(now)
+        if leads == self.is_leading and (
+            not leads or term == self.leading_term
+        ):
             return
+        if leads and self.is_leading:
+            # Another store may have led between two terms of this one.
+            self.runner.lead(False)
+        self.leading_term = term
         self.is_leading = leads
         self.leading_since = now
         LOG.info(
--- /dev/null
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -0,0 +1,76 @@
+"""Store hosts of the tests, in one process over real links."""
+
+import os
+import socket
+import time
+
+import pytest
+
+from rhubarbreach.hosts import store
+from rhubarbreach.observe import metrics
+from rhubarbreach.settings import role
+
+WAIT_SECONDS = 10.0
+
+
+def wait_until(condition, seconds=WAIT_SECONDS):
+    """Wait until a condition holds, and return what it returned."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.01)
+    raise AssertionError('condition does not hold in time')
+
+
+def find_port(addresses):
+    """Return a port that is free on all addresses."""
+    while True:
+        probes = [socket.socket() for _ in addresses]
+        try:
+            probes[0].bind((addresses[0], 0))
+            port = probes[0].getsockname()[1]
+            for probe, address in zip(probes[1:], addresses[1:], strict=True):
+                probe.bind((address, port))
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+        return port
+
+
+@pytest.fixture
+def stores(tmp_path):
+    """Three stores that have found each other, with a leader."""
+    block = 1 + os.getpid() % 250
+    addresses = [f'127.{block}.7.{n}' for n in (1, 2, 3)]
+    port = find_port(addresses)
+    made = [
+        store.StoreHost(
+            role.RoleSettings(
+                name=f's{n}',
+                address=address,
+                availability_zone=f'z{n}',
+                role='store',
+                link_port=port,
+                seeds=tuple(addresses),
+                founds_group=True,
+                data_folder=str(tmp_path / address),
+            ),
+            bytes.decode,
+            None,
+            metrics.Metrics(),
+        )
+        for n, address in enumerate(addresses)
+    ]
+    wait_until(lambda: find_leader(made))
+    yield made
+    for one in made:
+        one.close()
+
+
+def find_leader(stores):
+    """Return the store that leads, None while there is none."""
+    return next((one for one in stores if one.is_leading), None)
