Hold requests until a host that has just started has a configuration

Cause: when all hosts restart, callers have spent a try on a connection that was refused; entry hosts are up some 0.4 s before a leader is, and each request that came then was refused at once, which was its last try (77 of 114 refusals of a restart, none of which was served later).

Change: in the first 1.5 s of a host a request waits up to 1 s for the first configuration. Later a host without one refuses at once, as before.

Ruled out: a longer Retry-After (it is not the first try of most).

Those held come at once, and a new leader grants only what its predecessor cannot have granted: open.

--- a/rhubarbreach/fleet/member.py
+++ b/rhubarbreach/fleet/member.py
@@ -30,6 +30,12 @@
 SILENT_SECONDS = 1.0
 # An older configuration is no ground to refuse a caller for good.
 FRESH_SECONDS = 1.0
+# Time that a request waits for the first configuration of a host that has just
+# started, and the time after the start in which it does, in seconds. After a
+# restart of all hosts a leader is found within 0.6 s, and most callers have
+# spent their last try by then.
+FIRST_WAIT_SECONDS = 1.0
+FIRST_SECONDS = 1.5
 # Time that a request may wait for a grant of its account's rate: two exchanges
 # at once, and less than a quarter of the objective of 0.3 s, so that a caller
 # who is refused can still be served in time elsewhere.
@@ -64,6 +70,7 @@
         self.decode_catalog = decode_catalog
         self.validity = validity
         self.index = None
+        self.started = clock.monotonic()
         self.confirmed = float('-inf')
         self.endpoints_stamp = ''
         self.leader_id = None
@@ -92,6 +99,28 @@
         """Return whether the configuration was confirmed just now."""
         return now - self.confirmed <= FRESH_SECONDS
 
+    def wait_index(self, now):
+        """Return the configuration, waited for soon after the start.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        Index or None
+            None while no configuration is known.
+        """
+        deadline = min(now + FIRST_WAIT_SECONDS, self.started + FIRST_SECONDS)
+        with self.lock:
+            while self.index is None:
+                left = clock.remaining(deadline, clock.monotonic())
+                if not left:
+                    break
+                self.granted.wait(left)
+        return self.index
+
     def set_seeds(self, seeds):
         """Replace the stores to ask when none of the known ones answers."""
         self.seeds = tuple(seeds)
--- a/rhubarbreach/fleet/tests/test_member.py
+++ b/rhubarbreach/fleet/tests/test_member.py
@@ -1,9 +1,12 @@
 """The way of an entry host to the next leader."""
 
 import concurrent.futures
+import threading
 
 import pytest
 
+from rhubarbreach.catalog import model as catalogs
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import member
 from rhubarbreach.fleet import view
@@ -41,7 +44,13 @@
     """Return a function that makes a member whose task has ended."""
 
     def start(link):
-        made = member.Member(link, view.View('z1'), STORES, bytes.decode, 5.0)
+        made = member.Member(
+            link,
+            view.View('z1'),
+            STORES,
+            lambda _: catalogs.Catalog(1),
+            5.0,
+        )
         made.close()
         made.thread.join(WAIT_SECONDS)
         made.silent_until.clear()
@@ -74,3 +83,24 @@
     for _ in range(6):
         made.exchange()
     assert set(link.asked[3:]) == set(STORES)
+
+
+def test_request_waits_for_the_first_configuration(start_member):
+    # After a restart of all hosts each was refused, most at their last try.
+    made = start_member(FakeLink(STORES, None))
+    made.started = clock.monotonic()
+    copy = fleetmessages.CatalogCopy(1, b'')
+    reply = fleetmessages.ExchangeReply(True, 's1', catalog=copy)
+    timer = threading.Timer(0.1, made.take_reply, (reply, made.started))
+    timer.start()
+    assert made.wait_index(clock.monotonic()) is not None
+    assert clock.monotonic() - made.started < member.FIRST_WAIT_SECONDS
+
+
+def test_host_without_configuration_refuses_at_once_later(start_member):
+    # A caller whom nobody can serve has to hear so early.
+    made = start_member(FakeLink(STORES, None))
+    now = clock.monotonic()
+    made.started = now - member.FIRST_SECONDS
+    assert made.wait_index(now) is None
+    assert clock.monotonic() - now < member.FIRST_WAIT_SECONDS / 2
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -1,5 +1,7 @@
 """What an entry host does with a request."""
 
+import dataclasses
+
 from rhubarbreach.backlog import commands
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
@@ -110,8 +112,12 @@
 
     def serve(self, connection, request, info):
         """Answer a request, or return the refusal."""
-        index = self.member.index
+        began = clock.monotonic()
+        index = self.member.wait_index(began)
         now = clock.monotonic()
+        if info.allowed is not None:
+            allowed = max(0.0, info.allowed - (now - began))
+            info = dataclasses.replace(info, allowed=allowed)
         if index is None:
             return codes.Refusal(
                 codes.ResultCode.CONFIG_STALE, 'no configuration is known'
