--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -3,8 +3,9 @@
 import concurrent.futures
 import threading
 
-
+from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
 from rhubarbreach import eventlog
@@ -14,6 +15,10 @@
 
 LOG = eventlog.Logger('consensus')
 MAX_BATCH_ENTRIES = 1024
+# Snapshots are postponed until the log has this many times the size at which
+# one is due. A state of 20 MB takes some seconds to send to a busy host, in
+# which the log grows by a few megabytes.
+MAX_POSTPONED = 4
 
 
 def complete(future, result):
@@ -153,7 +158,7 @@
         is_large = 0 < settings.snapshot_bytes <= self.applied_bytes
         if taken < settings.snapshot_entries and not is_large:
             return
-        if self.publishing:
+        if self.publishing or self.is_postponed(taken):
             return
         self.applied_bytes = 0
         with group.lock:
@@ -172,6 +177,22 @@
         self.publishing = True
         group.post(self.publish, snapshot)
 
+    def is_postponed(self, taken):
+        """Return whether a peer is to get the present snapshot first.
+
+        With a new one it would have to begin anew, and the entries behind
+        the present one would be gone by the time it has that.
+        """
+        group = self.group
+        settings = group.settings
+        largest = MAX_POSTPONED * settings.snapshot_bytes
+        if taken > MAX_POSTPONED * settings.snapshot_entries:
+            return False
+        if 0 < largest < self.applied_bytes:
+            return False
+        with group.lock:
+            return leading.is_installing(group.state, clock.monotonic())
+
     def publish(self, snapshot):
         """Take a prepared snapshot into use, on the task of the group."""
         try:
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -32,8 +32,9 @@
 # A leader without answers of a quorum for this many election timeouts
 # steps down; the others may have elected another one.
 STEP_DOWN_TIMEOUTS = 2
-# A quarter of the entries between two snapshots stays in memory after one.
-KEPT_FRACTION = 4
+# Half of the entries between two snapshots stay in memory after one, so that a
+# replica that was away for a second or two needs no snapshot.
+KEPT_FRACTION = 2
 MAX_EVENTS = 4096
 MAX_COMMAND_BYTES = 1536 * 1024
 
--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -10,6 +10,7 @@
     'handle_append_reply',
     'handle_install_reply',
     'has_work',
+    'is_installing',
     'settle_reads',
 ]
 
@@ -20,6 +21,8 @@
 ENTRY_OVERHEAD_BYTES = 64
 # Entries sent and not yet answered, per peer.
 WINDOW_ENTRIES = 8192
+# A peer that has answered within this many election timeouts is still there.
+INSTALL_TIMEOUTS = 4
 # Rounds remembered while a peer does not answer.
 MAX_ROUNDS = 256
 
@@ -114,6 +117,15 @@
     )
 
 
+def is_installing(state, now):
+    """Return whether a peer that answers needs the present snapshot."""
+    oldest = now - INSTALL_TIMEOUTS * state.settings.election_timeout
+    return state.is_leader and any(
+        peer.next_index <= state.store.base_index and peer.contact >= oldest
+        for peer in state.peers.values()
+    )
+
+
 def find_peer(state, sender_id, reply, now):
     """Return the peer of a reply that counts in this term, or None."""
     if reply.term > state.store.term:
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -1,6 +1,9 @@
 """Tests of a group of three stores over real links."""
 
+import time
+
 from rhubarbreach import clock
+from rhubarbreach.consensus import leading
 from rhubarbreach.consensus.tests import cluster
 
 
@@ -88,3 +91,45 @@
         three.start(lost)
         three.wait_equal()
         assert len(three.get(lost).machine.commands) == 60
+
+
+def test_replica_gets_a_large_snapshot_while_the_log_grows(
+    tmp_path, monkeypatch
+):
+    """Guards against snapshots that are sent again from the start.
+
+    A new snapshot was taken before the present one had arrived, and the
+    replica never caught up: a store sent 1 GB in 40 s, and ran out of memory.
+    """
+    monkeypatch.setattr(leading, 'CHUNK_BYTES', 2000)
+    with cluster.running(tmp_path, snapshot_entries=40) as three:
+        leader = three.leader()
+        near, away = sorted(
+            (h for h in three.sets if three.get(h) is not leader),
+        )
+        three.stop(away)
+        for _ in range(100):
+            three.commit(b'x' * 1000, host=near)
+        three.start(away)
+        three.set_fault(slow_replies(away))
+        sent = set()
+        end = clock.monotonic() + 6.0
+        while clock.monotonic() < end:
+            three.commit(b'x' * 1000, host=near)
+            peer = leader.state.peers.get(away)
+            if peer is not None and peer.snapshot_offset:
+                sent.add(peer.snapshot_index)
+            time.sleep(0.02)
+            if three.get(away).applied_index > 100:
+                break
+        assert three.get(away).applied_index > 100
+        assert len(sent) <= 2
+
+
+def slow_replies(host):
+    """Return a fault that delays the answers of a host."""
+
+    def delay(sender_id, receiver_id, message):
+        return [0.03 if sender_id == host else 0.0]
+
+    return delay
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -36,10 +36,12 @@
 # After a start of all stores nobody leads; after that of one a heartbeat
 # comes sooner than this.
 FIRST_ELECTION_SECONDS = 0.25
-# Commands between two snapshots. They stay in memory until then, and a
-# configuration of some hundred routes has 100 KB.
-SNAPSHOT_ENTRIES = 200
-SNAPSHOT_BYTES = 4 * 1024 * 1024
+# Commands between two snapshots, of which half stay in memory after one, and
+# their size, as a configuration of some hundred routes has 100 KB. Some 30
+# commands and 1 MB come a second on the largest deployment, and a store is
+# away for about 2 s when it is restarted.
+SNAPSHOT_ENTRIES = 400
+SNAPSHOT_BYTES = 8 * 1024 * 1024
 # A store that has not heard of its leader for this long, in seconds, is cut
 # off: four heartbeats, and less than an election takes.
 OUT_OF_TOUCH_SECONDS = 0.45
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -1,5 +1,6 @@
 """Link of one host to its peers over TCP."""
 
+import collections
 import concurrent.futures
 import itertools
 import secrets
@@ -82,6 +83,8 @@
         self.closed = False
         self.rejected = 0
         self.received_bytes = 0
+        # Bytes queued for peers, by type of message.
+        self.queued_bytes = collections.Counter()
         self.executor = concurrent.futures.ThreadPoolExecutor(
             HANDLER_THREADS, thread_name_prefix='link-handler'
         )
@@ -209,6 +212,7 @@
         if not isinstance(message, PROBES):
             peer.used = True
         data = codec.encode(envelope)
+        self.queued_bytes[type(message).__name__] += len(data)
         if self.fault is None:
             return peer.put(data)
         for delay in self.fault(self.host_id, peer_id, message):
