Send a slow replica no more than it can take

Each rejected message and each answer to a repeated chunk asked for more at once, so that the same entries and chunks were queued again and again.

Change: a peer counts the bytes that it has not answered.

--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -19,8 +19,14 @@
 # Commands may be large, so that a message is also bounded by its bytes.
 MAX_BATCH_BYTES = 512 * 1024
 ENTRY_OVERHEAD_BYTES = 64
-# Entries sent and not yet answered, per peer.
+# Entries sent and not yet answered, per peer, and bytes of log and snapshot. Two
+# messages keep a connection busy; what is queued for a slow host beyond that
+# stays in this one's memory, and is sent again when the host asks for it.
 WINDOW_ENTRIES = 8192
+WINDOW_BYTES = 1024 * 1024
+# A message without an answer for this long, in seconds, counts as lost. A host
+# at a sixth of its speed answers within 1 s.
+LOST_SECONDS = 2.0
 # A peer that has answered within this many election timeouts is still there.
 INSTALL_TIMEOUTS = 4
 # Rounds remembered while a peer does not answer.
@@ -29,13 +35,22 @@
 
 def has_work(state, peer, now):
     """Return whether a message to a peer is due."""
-    if peer.urgent or now >= peer.heartbeat_due:
+    if now >= peer.heartbeat_due:
         return True
+    expire_rounds(peer, now)
     if peer.next_index <= state.store.base_index:
-        return False
+        # One chunk at a time: each answer asks for the next one.
+        return peer.urgent and not peer.unanswered_bytes
+    return peer.urgent or (
+        peer.next_index <= state.store.last_index and has_window(peer)
+    )
+
+
+def has_window(peer):
+    """Return whether more entries may be sent to a peer."""
     return (
-        peer.next_index <= state.store.last_index
-        and peer.next_index - peer.match_index <= WINDOW_ENTRIES
+        peer.next_index - peer.match_index <= WINDOW_ENTRIES
+        and peer.unanswered_bytes < WINDOW_BYTES
     )
 
 
@@ -54,7 +69,7 @@
     """Return entries from the peer's next index on, or a heartbeat."""
     store = state.store
     entries = ()
-    if peer.next_index - peer.match_index <= WINDOW_ENTRIES:
+    if has_window(peer):
         entries = limit_bytes(
             store.get_entries(peer.next_index, MAX_BATCH_ENTRIES)
         )
@@ -68,23 +83,42 @@
         store.get_term(previous),
         entries,
         state.commit_index,
-        start_round(state, peer, now),
+        start_round(state, peer, now, sum(len(e.data) for e in entries)),
     )
 
 
-def start_round(state, peer, now):
-    """Return the id of a new message, whose send time is remembered.
+def start_round(state, peer, now, size):
+    """Return the id of a new message, whose time and size are remembered.
 
     Ids are never used again: a late answer to a message of an earlier term
     would otherwise count as contact in this one.
     """
     round_id = next(state.round_ids)
-    peer.sent[round_id] = now
+    peer.sent[round_id] = (now, size)
+    peer.unanswered_bytes += size
     if len(peer.sent) > MAX_ROUNDS:
-        del peer.sent[next(iter(peer.sent))]
+        end_round(peer, next(iter(peer.sent)))
     return round_id
 
 
+def end_round(peer, round_id):
+    """Forget a message; return when it was sent, None if that is unknown."""
+    if round_id not in peer.sent:
+        return None
+    sent, size = peer.sent.pop(round_id)
+    peer.unanswered_bytes -= size
+    return sent
+
+
+def expire_rounds(peer, now):
+    """Forget the messages that count as lost."""
+    while peer.sent:
+        round_id = next(iter(peer.sent))
+        if now - peer.sent[round_id][0] <= LOST_SECONDS:
+            return
+        end_round(peer, round_id)
+
+
 def limit_bytes(entries):
     """Return the first entries that fit in one message, at least one."""
     total = 0
@@ -113,7 +147,7 @@
         start,
         data,
         start + len(data) >= len(snapshot.data),
-        start_round(state, peer, now),
+        start_round(state, peer, now, len(data)),
     )
 
 
@@ -137,7 +171,7 @@
     # A store under another identity is not the member that was asked.
     if peer is None or peer.store_id != reply.store_id:
         return None
-    sent = peer.sent.pop(reply.round_id, None)
+    sent = end_round(peer, reply.round_id)
     if sent is not None:
         peer.contact = max(peer.contact, sent)
     return peer
@@ -155,6 +189,9 @@
         wanted = max(peer.match_index, reply.match_index) + 1
         peer.next_index = min(peer.next_index, wanted)
         peer.urgent = True
+        # Connections keep the order: what was sent before is lost.
+        for round_id in [one for one in peer.sent if one < reply.round_id]:
+            end_round(peer, round_id)
 
 
 def handle_install_reply(state, sender_id, reply, now):
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -118,8 +118,10 @@
 class Progress:
     """What a leader knows about one peer.
 
-    `sent` maps the id of a round to the monotonic time at which its message
-    was sent; `contact` is the latest such time that the peer has answered.
+    `sent` maps the id of a round that has no answer yet to the monotonic time
+    at which its message was sent, and to the bytes of log or snapshot in it;
+    `unanswered_bytes` is the sum of these. `contact` is the latest time of
+    a message that the peer has answered.
     """
 
     peer_id: str
@@ -128,6 +130,7 @@
     match_index: int = 0
     contact: float = 0.0
     sent: dict = dataclasses.field(default_factory=dict)
+    unanswered_bytes: int = 0
     snapshot_offset: int = 0
     snapshot_index: int = 0
     heartbeat_due: float = 0.0
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -133,3 +133,38 @@
         return [0.03 if sender_id == host else 0.0]
 
     return delay
+
+
+def test_slow_replica_does_not_fill_the_memory_of_its_leader(tmp_path):
+    """Guards against entries that are sent again while they are queued.
+
+    A leader queued 150 MB for a store whose machine was slow.
+    """
+    with cluster.running(tmp_path) as three:
+        leader = three.leader()
+        near, slow = sorted(
+            (h for h in three.sets if three.get(h) is not leader),
+        )
+        three.stop(slow)
+        for _ in range(40):
+            three.commit(b'x' * 100_000, host=near)
+        sent = []
+
+        def delay(sender_id, receiver_id, message):
+            if receiver_id != slow:
+                return [0.0]
+            sent.append(sum(len(e.data) for e in get_entries(message)))
+            return [0.4]
+
+        three.start(slow)
+        three.set_fault(delay)
+        for _ in range(200):
+            three.commit(b'x', host=near)
+            time.sleep(0.005)
+        three.wait_equal()
+        # The log has 4 MB, and a part of it may have been lost on its way.
+        assert sum(sent) <= 10_000_000
+
+
+def get_entries(message):
+    return getattr(message, 'entries', ())
