--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -19,9 +19,9 @@
 # Commands may be large, so that a message is also bounded by its bytes.
 MAX_BATCH_BYTES = 512 * 1024
 ENTRY_OVERHEAD_BYTES = 64
-# Entries sent and not yet answered, per peer, and bytes of log and snapshot. Two
-# messages keep a connection busy; what is queued for a slow host beyond that
-# stays in this one's memory, and is sent again when the host asks for it.
+# Entries sent and not yet answered, per peer, and bytes of log and snapshot.
+# Two messages keep a connection busy; what is queued for a slow host beyond
+# that stays in the sender's memory, and is sent again when the host asks.
 WINDOW_ENTRIES = 8192
 WINDOW_BYTES = 1024 * 1024
 # A message without an answer for this long, in seconds, counts as lost. A host
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -19,6 +19,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import quota
 from rhubarbreach.hosts import endpoints
+from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import fleetmessages
@@ -53,6 +54,8 @@
 DUTY_SECONDS = 0.2
 # The same until a store that was elected leads: hosts wait for it.
 CHANGE_SECONDS = 0.02
+# Metrics are read each 10 s or more seldom.
+GAUGE_SECONDS = 5.0
 # Operators resend to another store after a second.
 OPERATOR_SECONDS = 2.0
 READ_SECONDS = 0.9
@@ -84,6 +87,7 @@
         self.settings = settings
         self.host_id = settings.address
         self.decode_catalog = decode_catalog
+        self.metrics = metrics
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.owner = quota.Owner(
@@ -100,6 +104,7 @@
         self.leading_since = clock.monotonic()
         self.draining = False
         self.closed = False
+        self.gauges_due = self.leading_since
         self.prune_due = self.leading_since + PRUNE_SECONDS
         self.ledger = ledgers.Ledger(self.note_change)
         self.link = links.Link(
@@ -357,6 +362,11 @@
     def carry_out(self, now):
         """Carry out what is due."""
         self.follow_leadership(now)
+        if now >= self.gauges_due:
+            self.gauges_due = now + GAUGE_SECONDS
+            gauges.set_store_gauges(
+                self.metrics, self.group, self.ledger, self.link
+            )
         self.endpoints.expire()
         self.endpoints.send_news()
         self.members.tell_presence(now)
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -8,6 +8,7 @@
 from rhubarbreach import clock
 from rhubarbreach.consensus import stalling
 from rhubarbreach.fleet import member
+from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts.tests import conftest
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import workmessages
@@ -72,3 +73,14 @@
     assert seen == [False, True]
     assert leader.leading_term == leader.group.term
     assert ask(leader).is_leader
+
+
+def test_gauges_show_what_a_store_holds_and_sends(stores):
+    # A store ran out of memory, and no figure told what it held.
+    leader = conftest.find_leader(stores)
+    made = leader.metrics
+    gauges.set_store_gauges(made, leader.group, leader.ledger, leader.link)
+    found = {name for name, _ in made.gauges}
+    assert {'log_bytes', 'log_unanswered_bytes', 'items_open'} <= found
+    sent = made.gauges['link_queued_bytes', (('message', 'AppendEntries'),)]
+    assert sent > 0
