Bound what is queued for a peer in bytes; smaller answers

The queue of a peer was bounded in messages only, of up to 512 KB each, and answers with results had up to 900 KB, to all entry hosts at once. Test: test_slow_peer_does_not_fill_the_memory fails without it.

--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -13,8 +13,9 @@
 
 __all__ = ['Job', 'Ledger', 'RESULT_BYTES']
 
-# Results in one answer, by the size of their text.
-RESULT_BYTES = 900 * 1024
+# Results in one answer, by the size of their text: a job of ten items has some
+# 160 KB. Answers to all entry hosts may be queued at once.
+RESULT_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(slots=True)
--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -18,7 +18,7 @@
 # Snapshots are postponed until the log has this many times the size at which
 # one is due. A state of 20 MB takes some seconds to send to a busy host, in
 # which the log grows by a few megabytes.
-MAX_POSTPONED = 4
+MAX_POSTPONED = 2
 
 
 def complete(future, result):
--- a/rhubarbreach/protocol/peer.py
+++ b/rhubarbreach/protocol/peer.py
@@ -13,6 +13,9 @@
 # A peer that does not read loses messages beyond this queue, so that it
 # cannot exhaust the memory of its sender.
 QUEUE_MESSAGES = 4096
+# The same in bytes: a slow store had 152 MB queued for it. A snapshot is sent
+# in chunks of 256 KB, and a window of entries has 1.5 MB at most.
+QUEUE_BYTES = 8 * 1024 * 1024
 SEND_TIMEOUT_MS = 500
 SEND_BUFFER_FRAMES = 32
 RECONNECT_MIN_MS = 50
@@ -38,6 +41,7 @@
         self.dropped = 0
         self.sent_bytes = 0
         self.queue = collections.deque()
+        self.queued_bytes = 0
         self.ready = threading.Condition()
         self.closed = False
         self.tls_files = tls_files
@@ -74,17 +78,22 @@
         with self.ready:
             if self.closed:
                 return
-            self.queue.clear()
+            self.clear_queue()
             former, self.socket = self.socket, self.dial()
         former.close()
 
     def put(self, data):
         """Queue a message; return False when the queue is full."""
         with self.ready:
-            if self.closed or len(self.queue) >= QUEUE_MESSAGES:
+            if (
+                self.closed
+                or len(self.queue) >= QUEUE_MESSAGES
+                or self.queued_bytes >= QUEUE_BYTES
+            ):
                 self.dropped += 1
                 return False
             self.queue.append(data)
+            self.queued_bytes += len(data)
             self.ready.notify()
         return True
 
@@ -97,6 +106,7 @@
                 if self.closed:
                     return
                 data = self.queue.popleft()
+                self.queued_bytes -= len(data)
             try:
                 for frame in framing.split_message(data):
                     self.socket.send(frame)
@@ -117,7 +127,12 @@
         """
         with self.ready:
             self.dropped += 1 + len(self.queue)
-            self.queue.clear()
+            self.clear_queue()
+
+    def clear_queue(self):
+        """Forget what is queued; the caller holds the lock."""
+        self.queue.clear()
+        self.queued_bytes = 0
 
     def close(self):
         """Stop the sender task."""
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -10,6 +10,7 @@
 from rhubarbreach import codes
 from rhubarbreach.protocol import link
 from rhubarbreach.protocol import membermessages
+from rhubarbreach.protocol import peer as peer_task
 
 
 def find_address():
@@ -144,3 +145,13 @@
     again.call('host-1', membermessages.Probe(1, ()), clock.monotonic() + 60)
     assert number not in again.calls
     again.close()
+
+
+def test_slow_peer_does_not_fill_the_memory(pair):
+    """Guards against a queue that is bounded in messages only."""
+    pair[1].close()
+    data = bytes(1024 * 1024)
+    (peer,) = pair[0].peers.values()
+    taken = sum(peer.put(data) for _ in range(64))
+    assert taken <= peer_task.QUEUE_BYTES // len(data) + 2
+    assert peer.dropped
