--- a/rhubarbreach/consensus/stalling.py
+++ b/rhubarbreach/consensus/stalling.py
@@ -95,7 +95,10 @@
 
 
 def choose_successor(state):
-    """Return the voter that holds most of the log, None without another.
+    """Return the voter that has answered last, None without another.
+
+    One that lacks committed entries is not elected; the others then elect
+    one themselves, as they hear of no leader.
 
     Parameters
     ----------
--- a/rhubarbreach/hosts/tests/conftest.py
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -2,27 +2,14 @@
 
 import os
 import socket
-import time
 
 import pytest
 
+from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.hosts import store
 from rhubarbreach.observe import metrics
 from rhubarbreach.settings import role
 
-WAIT_SECONDS = 10.0
-
-
-def wait_until(condition, seconds=WAIT_SECONDS):
-    """Wait until a condition holds, and return what it returned."""
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        found = condition()
-        if found:
-            return found
-        time.sleep(0.01)
-    raise AssertionError('condition does not hold in time')
-
 
 def find_port(addresses):
     """Return a port that is free on all addresses."""
@@ -65,7 +52,7 @@
         )
         for n, address in enumerate(addresses)
     ]
-    wait_until(lambda: find_leader(made))
+    cluster.wait_until(lambda: find_leader(made))
     yield made
     for one in made:
         one.close()
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -7,6 +7,7 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach import clock
 from rhubarbreach.consensus import stalling
+from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.fleet import member
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts.tests import conftest
@@ -53,8 +54,8 @@
     assert ask(stalled).is_leader
     assert stalled.answer_report('s', REPORT).is_leader
     others = [one for one in stores if one is not stalled]
-    leader = conftest.wait_until(lambda: conftest.find_leader(others))
-    conftest.wait_until(lambda: ask(leader).is_leader)
+    leader = cluster.wait_until(lambda: conftest.find_leader(others))
+    cluster.wait_until(lambda: ask(leader).is_leader)
     assert not ask(stalled).is_leader
     assert not stalled.answer_report('s', REPORT).is_leader
     assert clock.monotonic() - began < 2 * member.FRESH_SECONDS
@@ -69,7 +70,7 @@
         leader, 'leading_term', leader.group.term - 1, raising=False
     )
     assert not ask(leader).is_leader
-    conftest.wait_until(lambda: seen)
+    cluster.wait_until(lambda: seen)
     assert seen == [False, True]
     assert leader.leading_term == leader.group.term
     assert ask(leader).is_leader
