Set the contact of a leader once a step; no work for each request

The contact of a leader is read without the group's lock, and was unset while the next one was computed: for that moment a leader could answer that it is none, or forget its runs. The wait for the first configuration took a lock and copied the call's fields on every request; now only while there is no configuration. The tests' search for a port that is free on several addresses stood twice and now is one function.

--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -339,10 +339,12 @@
                 changes.follow_commit(state, now)
             leading.settle_reads(state, now)
             changes.continue_transfer(state, now)
-        self.contact = float('-inf')
+        contact = float('-inf')
         if state.commit_index >= state.term_start_index:
             # One voter alone is in touch with a majority at all times.
-            self.contact = states.get_quorum_contact(state, float('inf'))
+            contact = states.get_quorum_contact(state, float('inf'))
+        # Set once, as it is read without the lock.
+        self.contact = contact
         if state.is_leader != self.was_leader:
             self.was_leader = state.is_leader
             reporting.record_leadership(self)
--- a/rhubarbreach/consensus/tests/cluster.py
+++ b/rhubarbreach/consensus/tests/cluster.py
@@ -44,6 +44,22 @@
         return f'127.0.0.1:{probe.getsockname()[1]}'
 
 
+def find_port(addresses):
+    """Return a port that is free on some addresses."""
+    for _ in range(50):
+        with socket.socket() as probe:
+            probe.bind((addresses[0], 0))
+            port = probe.getsockname()[1]
+        try:
+            probes = [socket.create_server((a, port)) for a in addresses]
+        except OSError:
+            continue
+        for one in probes:
+            one.close()
+        return port
+    raise OSError('no port is free on all addresses')
+
+
 def wait_until(condition, seconds=WAIT_SECONDS):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -5,6 +5,7 @@
 from rhubarbreach import clock
 from rhubarbreach.consensus import applying
 from rhubarbreach.consensus import leading
+from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus.tests import cluster
 
 
@@ -170,5 +171,29 @@
         assert sum(sent) <= 10_000_000
 
 
+def test_contact_of_a_leader_is_never_unset_between_its_steps(
+    tmp_path, monkeypatch
+):
+    """Guards against a leader that says for a moment that it is none.
+
+    The contact is read without the lock of the group, and was unset while
+    the next one was computed.
+    """
+    with cluster.running(tmp_path) as three:
+        leader = three.leader()
+        compute = states.get_quorum_contact
+        seen = []
+
+        def get_quorum_contact(state, now):
+            if state is leader.state:
+                seen.append(leader.contact)
+            return compute(state, now)
+
+        monkeypatch.setattr(states, 'get_quorum_contact', get_quorum_contact)
+        three.commit(b'x')
+        assert seen
+        assert float('-inf') not in seen
+
+
 def get_entries(message):
     return getattr(message, 'entries', ())
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -112,12 +112,15 @@
 
     def serve(self, connection, request, info):
         """Answer a request, or return the refusal."""
-        began = clock.monotonic()
-        index = self.member.wait_index(began)
         now = clock.monotonic()
-        if info.allowed is not None:
-            allowed = max(0.0, info.allowed - (now - began))
-            info = dataclasses.replace(info, allowed=allowed)
+        index = self.member.index
+        if index is None:
+            began = now
+            index = self.member.wait_index(began)
+            now = clock.monotonic()
+            if info.allowed is not None:
+                allowed = max(0.0, info.allowed - (now - began))
+                info = dataclasses.replace(info, allowed=allowed)
         if index is None:
             return codes.Refusal(
                 codes.ResultCode.CONFIG_STALE, 'no configuration is known'
--- a/rhubarbreach/hosts/tests/conftest.py
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -1,7 +1,6 @@
 """Store hosts of the tests, in one process over real links."""
 
 import os
-import socket
 
 import pytest
 
@@ -11,29 +10,12 @@
 from rhubarbreach.settings import role
 
 
-def find_port(addresses):
-    """Return a port that is free on all addresses."""
-    while True:
-        probes = [socket.socket() for _ in addresses]
-        try:
-            probes[0].bind((addresses[0], 0))
-            port = probes[0].getsockname()[1]
-            for probe, address in zip(probes[1:], addresses[1:], strict=True):
-                probe.bind((address, port))
-        except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
-        return port
-
-
 @pytest.fixture
 def stores(tmp_path):
     """Three stores that have found each other, with a leader."""
     block = 1 + os.getpid() % 250
     addresses = [f'127.{block}.7.{n}' for n in (1, 2, 3)]
-    port = find_port(addresses)
+    port = cluster.find_port(addresses)
     made = [
         store.StoreHost(
             role.RoleSettings(
