Let the machine of a test apply a repeated command once

Cause: the client of a group sends a command again after 0.3 s without a reply and relies on the state machine to apply it once. The list machine of test_large_commands_do_not_stay_in_memory applies every copy, and its commands were equal, so that it counted 61 of 60 on a busy computer.

Change: a new test delays the first reply by 0.6 s and shows two copies in the list machine, one in a machine that ignores applied commands. The large commands now differ, use that machine, and are compared one by one instead of counted.

--- a/rhubarbreach/consensus/tests/cluster.py
+++ b/rhubarbreach/consensus/tests/cluster.py
@@ -38,6 +38,19 @@
         self.commands = data.split(b'\n') if data else []
 
 
+class IdempotentMachine(ListMachine):
+    """State machine that ignores a command it has already applied.
+
+    Clients send a command again if its reply is late, and rely on the machine
+    to apply it once. Commands have to differ.
+    """
+
+    def apply(self, index, command):
+        if command in self.commands:
+            return str(self.commands.index(command) + 1).encode()
+        return super().apply(index, command)
+
+
 def find_address():
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -7,6 +7,7 @@
 from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.protocol import logmessages
 
 
 def test_commands_reach_all_machines_in_one_order(tmp_path):
@@ -78,11 +79,46 @@
         cluster.wait_until(lambda: test_cluster.get('host-3').store.base_index)
 
 
+def test_command_with_a_late_reply_is_applied_once(tmp_path):
+    """Guards against a machine that relies on one attempt per command.
+
+    The client sends a command again after 0.3 s without a reply, although the
+    first copy was committed.
+    """
+    delays = [0.6]
+
+    def delay_first_reply(sender_id, receiver_id, message):
+        if isinstance(message, logmessages.ClusterReply) and delays:
+            return [delays.pop()]
+        return [0.0]
+
+    for machine_type, count in (
+        (cluster.ListMachine, 2),
+        (cluster.IdempotentMachine, 1),
+    ):
+        folder = tmp_path / machine_type.__name__
+        with cluster.running(folder, machine_type=machine_type) as replicas:
+            leader_id = replicas.leader().settings.host_id
+            follower = next(h for h in replicas.links if h != leader_id)
+            delays[:] = [0.6]
+            replicas.set_fault(delay_first_reply)
+            replicas.commit(b'once', host=follower)
+            assert not delays
+            replicas.wait_equal()
+            commands = replicas.get(leader_id).machine.commands
+            assert commands.count(b'once') == count
+
+
 def test_large_commands_do_not_stay_in_memory(tmp_path):
     """Guards against a log of large commands that exhausts the memory."""
-    with cluster.running(tmp_path, snapshot_bytes=100_000) as test_cluster:
-        for _ in range(60):
-            test_cluster.commit(b'x' * 10_000)
+    commands = [b'%d' % n + b'x' * 10_000 for n in range(60)]
+    with cluster.running(
+        tmp_path,
+        snapshot_bytes=100_000,
+        machine_type=cluster.IdempotentMachine,
+    ) as test_cluster:
+        for command in commands:
+            test_cluster.commit(command)
         test_cluster.wait_equal()
         for group in test_cluster.groups():
             cluster.wait_until(
@@ -94,7 +130,7 @@
         test_cluster.stop(leader_id)
         test_cluster.start(leader_id)
         test_cluster.wait_equal()
-        assert len(test_cluster.get(leader_id).machine.commands) == 60
+        assert test_cluster.get(leader_id).machine.commands == commands
 
 
 def test_replica_gets_a_large_snapshot_while_the_log_grows(
