Bound what an endpoint can send that is not an answer

Cause: a response was parsed without limits. An endpoint that sends a header, interim responses, a chunk extension, a trailer or an event without end filled the memory of the host until the deadline of the request, and a run of a batch item had none: it ended only after 8 s without any byte, so that a stalled endpoint that sends a byte now and then held the run and its slot for ever.

Change: 64 KiB may arrive without a byte of the body, an event may have 1 MiB, a buffered body 16 MiB and the output of a run 8 MiB. A run ends 8 s after its last new event instead of its last byte. Trailers are no longer kept.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -13,9 +13,11 @@
 LOG = eventlog.Logger('runner')
 
 CONNECT_TIMEOUT_SECONDS = 0.3
-# Seconds without an event after which a run fails and is retried elsewhere.
-# Engines send an event every 25 ms; waiting in a full queue takes about 5 s.
+# Seconds without a new event after which a run fails and is retried elsewhere.
+# It includes the time that the run waits in the queue of its endpoint.
 IDLE_TIMEOUT_SECONDS = 8.0
+# Limit on the output of one run, which is held in memory until it is reported.
+MAX_OUTPUT_BYTES = 8 * 1024 * 1024
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
 STATUS_UNPROCESSABLE = 422
@@ -119,12 +121,26 @@
         return 'cancelled', ''
     run.started_at = clock.monotonic()
     splitter = events.Splitter()
+    output_bytes = 0
+    last_id = progress.last_id
+    idle_deadline = run.started_at + IDLE_TIMEOUT_SECONDS
     while not call.is_complete:
-        parts = call.read(clock.monotonic() + IDLE_TIMEOUT_SECONDS)
+        # The deadline is also checked here, as an endpoint that keeps sending
+        # bytes without a new event never lets `read` time out.
+        if clock.monotonic() > idle_deadline:
+            return 'failed', f'no event within {IDLE_TIMEOUT_SECONDS} s'
+        parts = call.read(idle_deadline)
         if call.head is not None and call.head.status == STATUS_OK:
-            for block in splitter.feed(b''.join(parts)):
+            data = b''.join(parts)
+            output_bytes += len(data)
+            if output_bytes > MAX_OUTPUT_BYTES:
+                return 'failed', f'output exceeds {MAX_OUTPUT_BYTES} bytes'
+            for block in splitter.feed(data):
                 if not add_event(progress, block):
                     return 'failed', 'events are not in sequence'
+            if progress.last_id > last_id:
+                last_id = progress.last_id
+                idle_deadline = clock.monotonic() + IDLE_TIMEOUT_SECONDS
         if run.cancelled and not call.is_complete:
             return 'cancelled', ''
     return classify_response(call.head, splitter, dialect)
--- /dev/null
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -0,0 +1,144 @@
+"""Tests of runs of batch items on faulty endpoints."""
+
+import itertools
+import socket
+import threading
+import time
+import types
+
+import pytest
+
+from rhubarbreach.backlog import execution
+from rhubarbreach import clock
+from rhubarbreach.web import parse
+
+HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+BLOCK = b'x' * 16_384
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def make_event(number):
+    return chunk(b'id: %d\ndata: t%d\n\n' % (number, number))
+
+
+@pytest.fixture
+def run_against():
+    """Return a function that runs an item on an endpoint that sends bytes.
+
+    `pause` is in seconds and follows each part. `run.sent_bytes` counts the
+    bytes that the endpoint could send.
+    """
+    listeners = []
+
+    def run(parts, pause=0.0):
+        run.sent_bytes = 0
+        listener = socket.create_server(('127.0.0.1', 0))
+        listeners.append(listener)
+
+        def answer():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                try:
+                    for part in parts:
+                        connection.sendall(part)
+                        run.sent_bytes += len(part)
+                        time.sleep(pause)
+                except OSError:
+                    # The run has closed its connection.
+                    pass
+
+        threading.Thread(target=answer, daemon=True).start()
+        order = types.SimpleNamespace(
+            job_id='job',
+            item_id='item',
+            account='a',
+            host='h',
+            endpoint_id='e1',
+            path='/p',
+            body=b'',
+            address=f'127.0.0.1:{listener.getsockname()[1]}',
+        )
+        dialect = types.SimpleNamespace(
+            encode_item=lambda *_: (), is_not_run=lambda _: False
+        )
+        progress = execution.RunProgress()
+        started_at = clock.monotonic()
+        outcome = execution.execute_run(
+            execution.Run(order), progress, dialect
+        )
+        return outcome, progress, clock.monotonic() - started_at
+
+    yield run
+    for listener in listeners:
+        listener.close()
+
+
+def test_complete_run_returns_all_events(run_against):
+    parts = [HEAD, make_event(1), make_event(2), chunk(b'')]
+    outcome, progress, _ = run_against(parts)
+    assert outcome == ('completed', '')
+    assert progress.texts == [b't1', b't2']
+
+
+@pytest.mark.parametrize(
+    'start, endless',
+    [
+        (b'HTTP/1.1 200 OK\r\nA: ', BLOCK),
+        (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n' * 2000),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 500),
+        (HEAD + b'4;a=', BLOCK),
+        (HEAD + make_event(1) + b'0\r\nA: ', BLOCK),
+        (HEAD, chunk(BLOCK)),
+        (HEAD, chunk(b': comment\n\n' * 1000)),
+    ],
+    ids=[
+        'header value',
+        'headers',
+        'interim responses',
+        'chunk extension',
+        'trailer',
+        'event',
+        'comments',
+    ],
+)
+def test_bytes_without_end_are_not_read_to_the_end(
+    run_against, start, endless
+):
+    """Guards against an endpoint that occupies a run and fills the memory."""
+    parts = itertools.chain([start], itertools.repeat(endless, 4000))
+    outcome, progress, _ = run_against(parts)
+    assert outcome[0] == 'failed'
+    assert len(progress.texts) <= 1
+    # The buffers of both sockets hold some megabytes.
+    assert run_against.sent_bytes < 20_000_000
+
+
+def test_run_that_only_receives_comments_ends(run_against, monkeypatch):
+    """Guards against a stalled run that sends a byte now and then."""
+    monkeypatch.setattr(execution, 'IDLE_TIMEOUT_SECONDS', 0.5)
+    parts = [HEAD, make_event(1), *[chunk(b':')] * 40]
+    outcome, progress, seconds = run_against(parts, pause=0.1)
+    assert outcome == ('failed', 'no event within 0.5 s')
+    assert progress.texts == [b't1']
+    assert seconds < 2.0
+
+
+def test_slow_run_is_not_cut(run_against, monkeypatch):
+    """Guards against a limit on the whole run instead of on its pauses."""
+    monkeypatch.setattr(execution, 'IDLE_TIMEOUT_SECONDS', 0.5)
+    parts = [HEAD, *map(make_event, range(1, 9)), chunk(b'')]
+    outcome, progress, seconds = run_against(parts, pause=0.3)
+    assert outcome == ('completed', '')
+    assert len(progress.texts) == 8
+    assert seconds > 2.0
+
+
+def test_framing_limit_allows_large_header():
+    parser = parse.ResponseParser()
+    parser.feed(b'HTTP/1.1 200 OK\r\nA: ' + b'x' * 60_000)
+    assert parser.feed(b'\r\nContent-Length: 2\r\n\r\nok') == [b'ok']
+    assert parser.is_complete
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -27,6 +27,8 @@
 # an event. Engines send an event every 25 ms, and a request queues for at most
 # 0.3 s.
 EVENT_TIMEOUT_SECONDS = 1.2
+# A response that is not a stream is held until it is complete.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
@@ -265,6 +267,7 @@
         """Relay a response as it arrives; return the outcome."""
         splitter = events.Splitter()
         body = []
+        body_bytes = 0
         is_checked = False
         watched = [call.socket, self.connection.socket]
         while not call.is_complete:
@@ -293,6 +296,9 @@
                     return outcome
             if not self.is_stream(call.head):
                 body.extend(parts)
+                body_bytes += sum(map(len, parts))
+                if body_bytes > MAX_BODY_BYTES:
+                    return model.Broken(f'body exceeds {MAX_BODY_BYTES} bytes')
                 continue
             blocks = splitter.feed(b''.join(parts))
             if not self.send_events(call.head, blocks):
--- a/rhubarbreach/web/events.py
+++ b/rhubarbreach/web/events.py
@@ -2,9 +2,13 @@
 
 import re
 
+from rhubarbreach.web import errors
+
 __all__ = ['Splitter', 'get_data', 'get_id']
 
 SEPARATOR = b'\n\n'
+# A stream without a separator in this many bytes is not a stream of events.
+MAX_EVENT_BYTES = 1024 * 1024
 ID_PATTERN = re.compile(rb'(?:^|\n)id: ?(\d+)')
 DATA_PATTERN = re.compile(rb'(?:^|\n)data: ?([^\n]*)')
 
@@ -20,10 +24,20 @@
         self.rest = b''
 
     def feed(self, data):
-        """Return the complete events, each with its separator."""
+        """Return the complete events, each with its separator.
+
+        Raises
+        ------
+        BadMessageError
+            If more than `MAX_EVENT_BYTES` arrive without a separator.
+        """
         data = self.rest + data
         end = data.rfind(SEPARATOR)
         if end < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise errors.BadMessageError(
+                    f'event exceeds {MAX_EVENT_BYTES} bytes'
+                )
             self.rest = data
             return []
         end += len(SEPARATOR)
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -10,6 +10,9 @@
 
 # Responses with a lower status are interim; a final response follows.
 FIRST_FINAL_STATUS = 200
+# Bytes of a response that may arrive without any byte of its body: interim
+# responses, the header, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,6 +192,7 @@
         self.parts = []
         self.headers = []
         self.reason = b''
+        self.framing_bytes = 0
 
     def feed(self, data):
         """Parse received bytes; return the parts of the body in them.
@@ -196,7 +200,8 @@
         Raises
         ------
         BadMessageError
-            If they are not a valid response.
+            If they are not a valid response, or if more than
+            `MAX_FRAMING_BYTES` arrive without a byte of the body.
         """
         if self.is_complete:
             return []
@@ -210,6 +215,12 @@
             if not self.is_complete:
                 raise errors.BadMessageError(str(error)) from error
         parts, self.parts = self.parts, []
+        self.framing_bytes = 0 if parts else self.framing_bytes + len(data)
+        if self.framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
+            raise errors.BadMessageError(
+                f'{self.framing_bytes} bytes received without a byte of the '
+                f'body, the limit is {MAX_FRAMING_BYTES}'
+            )
         return parts
 
     def finish(self):
@@ -231,8 +242,8 @@
         self.reason += status
 
     def on_header(self, name, value):
-        """Add a header."""
-        if not self.is_complete:
+        """Add a header; trailers are ignored."""
+        if self.head is None:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
