Share loads within a zone, and bound the exchange with the leader

Cause: in a load peak on all hosts at once, each chose endpoints by loads that the leader had sent up to 0.15 s before. Queue limits and the timeout between events were figures of one deployment.

Change: entry hosts of a zone report their requests to each other within milliseconds, at most 400 reports a second each. The leader keeps sums that a report changes by its difference, sends counts in the order of the endpoint list, and names the hosts of a zone; exchanges are bounded to 800 a second over all hosts. An endpoint of another zone counts as loaded with what it may have received since its load was known. Queue limits follow the measured run time, the slots and the objective of the route. A stream that may be resumed is given up after three times the objective or longest pause of its route without a new event; comments and single bytes are no progress. The work for suspects no longer grows with the hosts.

With the code before, a stream with pauses of 1.4 s of 1.5 s allowed was cut, and stalled streams of comments or single bytes and endless headers lasted until their deadline or beyond.

--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -30,6 +30,9 @@
 # Seconds between commits of the events of waiting items. For running items it
 # is `assignments.RUNNING_COMMIT_SECONDS`.
 PROGRESS_COMMIT_SECONDS = 0.5
+# Longest time in seconds for which the count of running items is reused. Many
+# entry hosts ask for it between two scheduling steps.
+RUNNING_COUNT_SECONDS = 0.02
 # Seconds between two summaries of the backlog in the log.
 LOG_INTERVAL_SECONDS = 1.0
 
@@ -80,6 +83,8 @@
         self.assignments = assignments.Assignments(self.load_progress)
         self.open_items = {}
         self.results = results.ResultQueue(propose, self.wake.set)
+        self.running_count = {}
+        self.running_count_until = 0.0
         self.is_leading = False
         self.discovery_end = 0.0
         self.closed = False
@@ -322,11 +327,13 @@
 
     def count_running(self):
         """Return the number of running items by endpoint id."""
-        return dict(
-            collections.Counter(
+        now = clock.monotonic()
+        if now >= self.running_count_until:
+            self.running_count = collections.Counter(
                 run.endpoint.endpoint_id for run in self.list_runs()
             )
-        )
+            self.running_count_until = now + RUNNING_COUNT_SECONDS
+        return self.running_count
 
     def handle_end(self, ended):
         """Process an ended run: complete, retry or give up its item."""
--- a/rhubarbreach/catalog/model.py
+++ b/rhubarbreach/catalog/model.py
@@ -72,6 +72,8 @@
     waiting_tokens : int
         Maximum number of waiting tokens in batch items of one account, 0 for
         no limit.
+    longest_pause : float
+        Longest pause between two events with which a stream is in time.
     """
 
     name: str
@@ -88,6 +90,7 @@
     completion: float = 0.0
     retention: float = 0.0
     waiting_tokens: int = 0
+    longest_pause: float = 0.0
 
     @property
     def is_repeatable(self):
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -1,5 +1,6 @@
 """Periodic exchange of an entry host with the leader of the stores."""
 
+import random
 import threading
 import time
 
@@ -7,6 +8,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quota
 from rhubarbreach.protocol import fleetmessages
 
@@ -21,9 +23,17 @@
 # A host that runs out of slots starts an exchange immediately, but not more
 # often than this.
 MIN_EXCHANGE_INTERVAL_SECONDS = 0.02
+# Exchanges of all hosts together that the leader has to handle. In a load peak
+# all hosts request the loads at once, so with more hosts each does so less
+# often. A host then knows a smaller part of the load, but an endpoint also
+# receives few requests of each other host between two exchanges.
+MAX_EXCHANGES_PER_SECOND = 800.0
 EXCHANGE_TIMEOUT_SECONDS = 0.4
 # Pause before the next store is tried when one is not the leader.
 RETRY_INTERVAL_SECONDS = 0.05
+# Relative jitter of the pause after a failed exchange, so that hosts that have
+# lost their leader together do not ask the stores together.
+RETRY_JITTER = 0.3
 # A store that did not answer is skipped for this long while other stores are
 # tried. During an election they may still name it as the leader.
 UNRESPONSIVE_SECONDS = 1.0
@@ -75,6 +85,8 @@
         self.started_at = clock.monotonic()
         self.confirmed_at = float('-inf')
         self.endpoints_stamp = ''
+        self.endpoint_order = ()
+        self.peers_revision = 0
         self.leader_id = None
         self.unresponsive_until = {}
         self.store_index = 0
@@ -155,8 +167,22 @@
             if self.local_quota.consume(account):
                 return True
 
+    @property
+    def min_interval(self):
+        """Shortest time in seconds between two exchanges of this host."""
+        return max(
+            MIN_EXCHANGE_INTERVAL_SECONDS,
+            self.entry_host_count / MAX_EXCHANGES_PER_SECOND,
+        )
+
     def refresh_loads(self):
-        """Start an exchange and wait a short time for the reply."""
+        """Start an exchange and wait a short time for the reply.
+
+        In a large fleet the next exchange begins too late to wait for it.
+        """
+        if self.min_interval > REFRESH_TIMEOUT_SECONDS:
+            self.wake.set()
+            return
         deadline = clock.monotonic() + REFRESH_TIMEOUT_SECONDS
         with self.lock:
             previous = self.reply_count
@@ -169,14 +195,17 @@
     def run(self):
         """Exchange messages with the leader until the client is closed."""
         while not self.closed:
-            pause = RETRY_INTERVAL_SECONDS
+            pause = RETRY_INTERVAL_SECONDS * random.uniform(
+                1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER
+            )
             try:
                 if self.exchange():
                     pause = EXCHANGE_INTERVAL_SECONDS
             except Exception:
                 LOG.exception('event=exchange_failed')
-            time.sleep(MIN_EXCHANGE_INTERVAL_SECONDS)
-            self.wake.wait(pause - MIN_EXCHANGE_INTERVAL_SECONDS)
+            min_interval = self.min_interval
+            time.sleep(min_interval)
+            self.wake.wait(max(0.0, pause - min_interval))
             self.wake.clear()
 
     def exchange(self):
@@ -185,12 +214,15 @@
         sent = clock.monotonic()
         with self.lock:
             wanted = self.local_quota.compute_wanted(sent)
+        running = self.view.copy_running()
         message = fleetmessages.Exchange(
             0 if self.index is None else self.index.version,
             self.endpoints_stamp,
-            self.view.copy_running(),
+            running,
             wanted,
             self.view.pop_outcomes(),
+            self.view.zone,
+            self.peers_revision,
         )
         call = self.link.call(store, message, sent + EXCHANGE_TIMEOUT_SECONDS)
         reply = call.result()
@@ -199,7 +231,7 @@
             return False
         self.leader_id = store
         self.unresponsive_until.clear()
-        self.apply_reply(reply, sent)
+        self.apply_reply(reply, sent, running)
         return True
 
     def choose_store(self):
@@ -242,20 +274,47 @@
             self.has_leader = False
             LOG.warning('event=leader_lost store={}', store)
 
-    def apply_reply(self, reply, sent):
-        """Apply the reply of the leader to a message sent at `sent`."""
+    def apply_reply(self, reply, sent, running):
+        """Apply the reply of the leader to a message.
+
+        Parameters
+        ----------
+        reply : ExchangeReply
+            Reply of the leader.
+        sent : float
+            Time of the message, in seconds of the monotonic clock.
+        running : dict of str to int
+            Requests that the message reported, which the reply includes.
+        """
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
             self.view.update_endpoints(reply.endpoints, reply.complete)
             self.endpoints_stamp = reply.endpoints_stamp
+            self.endpoint_order = tuple(
+                row.endpoint_id for row in reply.endpoints
+            )
             LOG.info(
                 'event=endpoints_updated count={} complete={} stamp={}',
                 len(reply.endpoints),
                 reply.complete,
                 reply.endpoints_stamp,
             )
-        self.view.update_loads(reply.running, reply.batch, reply.suspects)
+        if reply.peers is not None:
+            self.peers_revision = reply.peers_revision
+            self.view.update_peers(
+                p for p in reply.peers if p != self.link.host_id
+            )
+        order = self.endpoint_order
+        self.view.update_loads(
+            dict(zip(order, reply.elsewhere, strict=False)),
+            dict(zip(order, reply.items, strict=False)),
+            reply.suspects,
+            loads.subtract_own(
+                dict(zip(order, reply.nearby, strict=False)), running
+            ),
+            self.min_interval,
+        )
         self.stores = reply.stores or self.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
--- a/rhubarbreach/fleet/suspicion.py
+++ b/rhubarbreach/fleet/suspicion.py
@@ -29,17 +29,26 @@
 
 @dataclasses.dataclass
 class OutcomeCount:
-    """Counts of failures and successes, decayed up to `time` in seconds."""
+    """Outcomes of an endpoint, decayed up to `time` in seconds.
+
+    `failures` is a count for each host that has reported any; `successes` is
+    the sum over all hosts. Most hosts report successes only, so the work for
+    an endpoint does not grow with the number of hosts.
+    """
 
     time: float
-    failures: float = 0.0
     successes: float = 0.0
+    failures: dict = dataclasses.field(default_factory=dict)
 
     def decay(self, now):
-        """Decay the counts to the present."""
+        """Decay the counts to the present, and drop the smallest."""
         factor = 0.5 ** (max(0.0, now - self.time) / HALF_LIFE_SECONDS)
-        self.failures *= factor
         self.successes *= factor
+        self.failures = {
+            host_id: decayed
+            for host_id, count in self.failures.items()
+            if (decayed := count * factor) >= MIN_COUNT
+        }
         self.time = now
 
 
@@ -64,11 +73,12 @@
         now : float
             Seconds of the monotonic clock.
         """
-        hosts = self.counts.setdefault(endpoint_id, {})
-        count = hosts.setdefault(host_id, OutcomeCount(now))
+        count = self.counts.setdefault(endpoint_id, OutcomeCount(now))
         count.decay(now)
-        count.failures += failures
         count.successes += successes
+        if failures:
+            previous = count.failures.get(host_id, 0.0)
+            count.failures[host_id] = previous + failures
 
     def list_suspects(self, services, now):
         """Return the endpoints to avoid.
@@ -106,23 +116,16 @@
 
     def get_suspect_failures(self, endpoint_id, now):
         """Return the failures of an endpoint if it is a suspect, else 0."""
-        hosts = self.counts.get(endpoint_id)
-        if hosts is None:
+        count = self.counts.get(endpoint_id)
+        if count is None:
             return 0.0
-        failing_hosts = 0
-        failures = successes = 0.0
-        for host_id, count in list(hosts.items()):
-            count.decay(now)
-            if count.failures + count.successes < MIN_COUNT:
-                del hosts[host_id]
-                continue
-            failing_hosts += count.failures >= MIN_COUNT
-            failures += count.failures
-            successes += count.successes
+        count.decay(now)
+        failures = sum(count.failures.values())
+        outcomes = failures + count.successes
         if (
-            failing_hosts < MIN_HOSTS
+            len(count.failures) < MIN_HOSTS
             or failures < MIN_FAILURES
-            or failures < MIN_FAILURE_FRACTION * (failures + successes)
+            or failures < MIN_FAILURE_FRACTION * outcomes
         ):
             return 0.0
         return failures
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -23,6 +23,7 @@
     """
 
     def __init__(self, unresponsive, leader):
+        self.host_id = 'entry'
         self.unresponsive = unresponsive
         self.leader = leader
         self.called = []
@@ -94,7 +95,7 @@
     copy = fleetmessages.CatalogCopy(1, b'')
     reply = fleetmessages.ExchangeReply(True, 's1', catalog=copy)
     timer = threading.Timer(
-        0.1, client.apply_reply, (reply, client.started_at)
+        0.1, client.apply_reply, (reply, client.started_at, {})
     )
     timer.start()
     assert client.wait_for_index(clock.monotonic()) is not None
--- a/rhubarbreach/fleet/tests/test_load_peaks.py
+++ b/rhubarbreach/fleet/tests/test_load_peaks.py
@@ -47,6 +47,12 @@
     return host
 
 
+def sum_others(reports, number, now):
+    """Return the loads that a host derives from the reply of the leader."""
+    _, own = reports.reports.get(number, (now, {}))
+    return loads.subtract_own(reports.get_totals(now), own)
+
+
 def simulate_peak(fleet, seed, refreshes):
     """Return the requests that had to queue, and all requests."""
     rng = random.Random(seed)
@@ -73,11 +79,11 @@
             if due[number] <= now:
                 due[number] = now + EXCHANGE_INTERVAL_SECONDS
                 reports.report(number, host.copy_running(), now)
-                host.update_loads(reports.sum_others(number, now), {})
+                host.update_loads(sum_others(reports, number, now), {})
         if rng.random() < fleet.peak * fleet.step:
             number = rng.randrange(fleet.hosts)
             if refreshes and hosts[number].has_high_utilization('s'):
-                others = reports.sum_others(number, now)
+                others = sum_others(reports, number, now)
                 hosts[number].update_loads(others, {})
             chosen = hosts[number].acquire('s', (), now)
             total += 1
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -75,14 +75,14 @@
     endpoints.update_loads({'e1': 9, 'e2': 9, 'e3': 9}, {})
     for tick in range(24):
         endpoints.release(endpoints.acquire('s', (), tick / 10).endpoint_id)
-    assert endpoints.get_queue_limit('s') == view.MAX_QUEUED_RETRIES
+    assert not endpoints.is_overload_sustained('s')
     for tick in range(24, 60):
         endpoints.release(endpoints.acquire('s', (), tick / 10).endpoint_id)
-    assert endpoints.get_queue_limit('s') == view.MAX_QUEUED
+    assert endpoints.is_overload_sustained('s')
     endpoints.update_loads({'e1': 7, 'e2': 9, 'e3': 9}, {})
     for tick in range(60, 70):
         endpoints.release(endpoints.acquire('s', (), tick / 10).endpoint_id)
-    assert endpoints.get_queue_limit('s') == view.MAX_QUEUED_RETRIES
+    assert not endpoints.is_overload_sustained('s')
 
 
 def test_batch_items_do_not_count_as_queued(endpoints):
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -17,20 +17,28 @@
 import random
 import threading
 
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
 from rhubarbreach.fleet import saturation
+from rhubarbreach.fleet import zone_loads
 
 __all__ = ['Endpoint', 'View', 'choose_endpoint']
 
-# Requests that may wait at an endpoint beyond its slots. With eight streams of
-# 0.7 s a slot becomes free every 90 ms, and the latency objective is 300 ms.
+# Requests that may wait at an endpoint beyond its slots, until the run time of
+# requests is known.
 MAX_QUEUED = 2
 # The same for a request that was refused before, unless the overload outlasts
 # a load peak, and for one that was already sent to an endpoint. Such a request
 # is late already, but it would be lost otherwise.
 MAX_QUEUED_RETRIES = 8
+# Time that a request may wait in the queue of an endpoint, relative to its
+# latency objective: a new one, and one that is late already.
+MAX_WAIT_OBJECTIVES = 0.75
+MAX_RETRY_WAIT_OBJECTIVES = 2.5
+# Weight of the newest request in the moving average of run times.
+RUN_TIME_WEIGHT = 0.05
 # Range of the retry time when all endpoints are full. It is drawn at random so
 # that callers do not retry together. Load peaks last 2.4 s, and clients wait
 # at most a third of their remaining time, 1.6 s of 5 s.
@@ -47,7 +55,14 @@
 LOW_UTILIZATION_FRACTION = 0.625
 # Additional load, in slots, of an endpoint in another availability zone, so
 # that traffic stays inside the zone while loads are equal.
-CROSS_ZONE_PENALTY = 0.3
+MIN_ZONE_PENALTY = 0.3
+# The load from other zones is known late. An endpoint there counts as loaded
+# with this multiple of the requests that it can complete in the meantime, as
+# other hosts have sent it new ones.
+STALE_LOAD_FACTOR = 2.0
+# Upper limit of the penalty as a fraction of the slots. Beyond it, requests
+# would queue in one zone while slots are free in another.
+MAX_ZONE_PENALTY_FRACTION = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +77,34 @@
     is_draining: bool = False
 
 
+def compute_zone_penalty(slots, run_seconds, age):
+    """Return the additional load, in slots, of an endpoint of another zone.
+
+    Parameters
+    ----------
+    slots : int
+        Slots of the endpoint.
+    run_seconds : float or None
+        Mean run time of a request, if it is known.
+    age : float
+        Age in seconds of the load that is known for the endpoint.
+    """
+    if not run_seconds:
+        return MIN_ZONE_PENALTY
+    unknown = STALE_LOAD_FACTOR * age * slots / run_seconds
+    limit = MAX_ZONE_PENALTY_FRACTION * slots
+    return max(MIN_ZONE_PENALTY, min(unknown, limit))
+
+
+def compute_queue_limit(slots, run_seconds, max_wait):
+    """Return the requests that may wait at an endpoint beyond its slots.
+
+    With `slots` streams a slot becomes free every `run_seconds / slots`. A
+    request that is behind others then starts within `max_wait` seconds.
+    """
+    return max(1, int(max_wait * slots / run_seconds))
+
+
 def choose_endpoint(
     candidates,
     online,
@@ -69,6 +112,7 @@
     zone,
     excluded=(),
     queue_limit=MAX_QUEUED,
+    zone_penalty=MIN_ZONE_PENALTY,
 ):
     """Return the endpoint with the lowest load relative to its slots.
 
@@ -89,6 +133,8 @@
         Endpoints that have already been tried.
     queue_limit : int
         Requests that may wait at an endpoint.
+    zone_penalty : float
+        Additional load, in slots, of endpoints in other zones.
 
     Returns
     -------
@@ -105,10 +151,9 @@
         if total >= endpoint.slots:
             total = endpoint.slots + running
         total = max(total, endpoint.slots * LOW_UTILIZATION_FRACTION)
-        zone_penalty = (
-            CROSS_ZONE_PENALTY if endpoint.availability_zone != zone else 0
-        )
-        load = (total + zone_penalty) / max(1, endpoint.slots)
+        if endpoint.availability_zone != zone:
+            total += zone_penalty
+        load = total / max(1, endpoint.slots)
         if load < lowest:
             lowest = load
             best = []
@@ -153,11 +198,19 @@
         # Called by `acquire` if the chosen endpoint is highly utilized or no
         # endpoint is available.
         self.on_high_utilization = None
+        # Called with an endpoint's utilization when its number of requests of
+        # this host has changed.
+        self.on_change = None
         self.lock = threading.Lock()
         self.services = {}
         self.endpoints = {}
         self.running = {}
-        self.remote_running = {}
+        # Requests of hosts in other zones, and of the others in this zone.
+        self.elsewhere = {}
+        self.nearby = {}
+        self.load_age = 0.0
+        self.zone_loads = zone_loads.ZoneLoads()
+        self.run_seconds = {}
         self.batch = {}
         self.suspects = frozenset()
         self.outcomes = {}
@@ -185,12 +238,57 @@
             self.services = services
             self.health.keep(endpoints)
 
-    def update_loads(self, running, batch, suspects=()):
-        """Replace the loads caused by other hosts, and the suspects."""
+    def update_loads(
+        self, elsewhere, batch, suspects=(), nearby=None, age=0.0
+    ):
+        """Replace the loads and suspects that the leader has sent.
+
+        Parameters
+        ----------
+        elsewhere, batch : dict of str to int
+            Requests of hosts in other zones, and batch items, by endpoint.
+        suspects : iterable of str
+            Endpoints that fail for several hosts.
+        nearby : dict of str to int, optional
+            Requests of the other hosts in this zone. They are used while not
+            all of these hosts report to this one.
+        age : float
+            Longest age of the loads in seconds.
+        """
+        now = clock.monotonic()
         with self.lock:
-            self.remote_running = running
+            self.elsewhere = elsewhere
             self.batch = batch
             self.suspects = frozenset(suspects)
+            self.load_age = age
+            totals = self.zone_loads.get_totals(now)
+            self.nearby = (nearby or {}) if totals is None else totals
+
+    def update_peers(self, peers):
+        """Replace the other hosts of the zone."""
+        with self.lock:
+            self.zone_loads.set_peers(peers)
+
+    def list_peers(self):
+        """Return the other hosts of the zone."""
+        with self.lock:
+            return tuple(self.zone_loads.peers)
+
+    def report_peer(self, host_id, running, now):
+        """Store the running requests of another host of the zone."""
+        with self.lock:
+            self.zone_loads.report(host_id, running, now)
+            totals = self.zone_loads.get_totals(now)
+            if totals is not None:
+                self.nearby = totals
+
+    def count_online(self, endpoint_id):
+        """Return the requests of all hosts on an endpoint."""
+        return (
+            self.running.get(endpoint_id, 0)
+            + self.elsewhere.get(endpoint_id, 0)
+            + self.nearby.get(endpoint_id, 0)
+        )
 
     def acquire(
         self,
@@ -234,10 +332,13 @@
                 if endpoint.endpoint_id not in self.suspects
             ]
             online = {
-                endpoint.endpoint_id: self.running.get(endpoint.endpoint_id, 0)
-                + self.remote_running.get(endpoint.endpoint_id, 0)
+                endpoint.endpoint_id: self.count_online(endpoint.endpoint_id)
                 for endpoint in candidates
             }
+            slots = max((e.slots for e in candidates), default=1)
+            zone_penalty = compute_zone_penalty(
+                slots, self.run_seconds.get(service), self.load_age
+            )
             self.saturation[service].update(
                 all(
                     online[endpoint.endpoint_id] >= endpoint.slots
@@ -253,6 +354,7 @@
                 self.zone,
                 excluded,
                 queue_limit,
+                zone_penalty,
             )
             if can_retry and len(healthy) < len(available):
                 must_wait = isinstance(chosen, codes.Refusal) or (
@@ -266,34 +368,66 @@
                         self.zone,
                         excluded,
                         queue_limit,
+                        zone_penalty,
                     )
             if isinstance(chosen, Endpoint):
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
                 )
-        if self.on_high_utilization is not None and (
+        is_high = (
             not isinstance(chosen, Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
-        ):
+        )
+        if is_high and self.on_high_utilization is not None:
             self.on_high_utilization()
+        if self.on_change is not None and isinstance(chosen, Endpoint):
+            self.on_change(is_high)
         return chosen
 
-    def get_queue_limit(self, service):
-        """Return the queue limit for a retried request.
+    def choose_queue_limit(self, service, objective, is_late):
+        """Return the queue limit for a request.
 
-        The longer queue is closed in a sustained overload, as retried requests
-        would occupy all of it.
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        objective : float
+            Latency objective in seconds.
+        is_late : bool
+            Whether the request was refused or sent before.
         """
         with self.lock:
-            is_sustained = self.saturation[service].is_sustained()
-        return MAX_QUEUED if is_sustained else MAX_QUEUED_RETRIES
+            run_seconds = self.run_seconds.get(service)
+            endpoints = self.services.get(service, ())
+            slots = min((e.slots for e in endpoints), default=0)
+        if not (run_seconds and slots):
+            return MAX_QUEUED_RETRIES if is_late else MAX_QUEUED
+        objectives = (
+            MAX_RETRY_WAIT_OBJECTIVES if is_late else MAX_WAIT_OBJECTIVES
+        )
+        return compute_queue_limit(slots, run_seconds, objectives * objective)
+
+    def record_run(self, service, seconds):
+        """Add the run time of a completed request to its average."""
+        with self.lock:
+            average = self.run_seconds.get(service, seconds)
+            average += (seconds - average) * RUN_TIME_WEIGHT
+            self.run_seconds[service] = average
+
+    def is_overload_sustained(self, service):
+        """Return whether an overload lasts longer than a load peak.
+
+        The longer queue of retried requests is closed then, as they would
+        occupy all of it.
+        """
+        with self.lock:
+            return self.saturation[service].is_sustained()
 
     def get_utilization(self, endpoint):
         """Return the fraction of an endpoint's slots that is in use."""
         endpoint_id = endpoint.endpoint_id
-        counts = (self.running, self.remote_running, self.batch)
-        used = sum(count.get(endpoint_id, 0) for count in counts)
+        used = self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
         return used / max(1, endpoint.slots)
 
     def has_high_utilization(self, service):
@@ -313,6 +447,12 @@
                 self.running[endpoint_id] = count
             else:
                 self.running.pop(endpoint_id, None)
+            endpoint = self.endpoints.get(endpoint_id)
+        if self.on_change is not None:
+            self.on_change(
+                endpoint is not None
+                and self.get_utilization(endpoint) >= HIGH_UTILIZATION_FRACTION
+            )
 
     def format_load(self, endpoint_id):
         """Return the known load of an endpoint as text for the log.
@@ -320,15 +460,12 @@
         Returns
         -------
         str
-            Requests of this host, of other hosts, and batch items, joined by
-            plus signs.
+            Requests of this host, of the others in its zone, of those in
+            other zones, and batch items, joined by plus signs.
         """
         with self.lock:
-            local, remote, batch = (
-                counts.get(endpoint_id, 0)
-                for counts in (self.running, self.remote_running, self.batch)
-            )
-        return f'{local}+{remote}+{batch}'
+            counts = (self.running, self.nearby, self.elsewhere, self.batch)
+            return '+'.join(str(c.get(endpoint_id, 0)) for c in counts)
 
     def record_failure(self, endpoint_id, now):
         """Count a failure and eject the endpoint for some time."""
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -5,7 +5,6 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach import eventlog
-from rhubarbreach.fleet import view as views
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import model
 from rhubarbreach.web import client
@@ -23,12 +22,16 @@
 # Limits the time for which a caller that does not read occupies a slot of an
 # endpoint.
 CALLER_SEND_TIMEOUT_SECONDS = 2.0
-# A stream that can resume at another endpoint does so after this time without
-# an event. Engines send an event every 25 ms, and a request queues for at most
-# 0.3 s.
-EVENT_TIMEOUT_SECONDS = 1.2
+# A stream that can resume at another endpoint does so after this multiple of
+# the route's latency objective or longest pause without an event.
+EVENT_TIMEOUT_FACTOR = 3.0
+# The same for a route that states neither.
+DEFAULT_EVENT_TIMEOUT_SECONDS = 1.2
 # A response that is not a stream is held until it is complete.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Bytes of a body that have already arrived are read beyond the deadline for
+# this long, as this host itself may have been suspended.
+LATE_READ_SECONDS = 0.25
 SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
@@ -88,6 +91,8 @@
         self.sent = 0
         self.declined = 0
         self.first_event = None
+        self.last_event_at = self.started_at
+        self.first_byte_at = None
         self.load = None
 
     def run(self):
@@ -151,11 +156,11 @@
             timeout is not None
             and timeout < self.route.timeout * RETRY_TIMEOUT_FRACTION
         )
-        if self.sent or self.response_started:
-            return views.MAX_QUEUED_RETRIES
-        if is_retried:
-            return self.app.view.get_queue_limit(service)
-        return views.MAX_QUEUED
+        view = self.app.view
+        is_late = bool(self.sent or self.response_started) or (
+            is_retried and not view.is_overload_sustained(service)
+        )
+        return view.choose_queue_limit(service, self.route.objective, is_late)
 
     def refuse_unplaced(self, refusal):
         """End a request for which no endpoint is left.
@@ -192,6 +197,10 @@
                 self.log('broken', reason)
             case model.Delivered(status=status):
                 self.app.view.record_success(endpoint.endpoint_id)
+                if status in SUCCESS:
+                    self.app.view.record_run(
+                        endpoint.service, now - self.first_byte_at
+                    )
                 self.log('delivered', f'status {status}', 'answered')
             case model.TimedOut():
                 self.sent += 1
@@ -268,17 +277,15 @@
         splitter = events.Splitter()
         body = []
         body_bytes = 0
+        self.last_event_at = clock.monotonic()
+        self.first_byte_at = None
         is_checked = False
         watched = [call.socket, self.connection.socket]
         while not call.is_complete:
             read_deadline = self.get_read_deadline()
             ready = sockets.wait_readable(watched, read_deadline)
-            if not ready and read_deadline < self.deadline:
-                return model.Broken(
-                    f'no event within {EVENT_TIMEOUT_SECONDS} s'
-                )
             if not ready:
-                return model.TimedOut()
+                return self.end_unfinished(read_deadline)
             if self.connection.socket in ready:
                 if self.has_caller_disconnected():
                     return model.CallerGone()
@@ -287,8 +294,13 @@
             if call.socket not in ready:
                 continue
             parts = call.read(self.deadline)
+            now = clock.monotonic()
             if call.head is None:
+                if now >= read_deadline:
+                    return self.end_unfinished(read_deadline)
                 continue
+            if self.first_byte_at is None:
+                self.first_byte_at = now
             if not is_checked:
                 is_checked = True
                 outcome = self.check_head(call.head)
@@ -299,12 +311,25 @@
                 body_bytes += sum(map(len, parts))
                 if body_bytes > MAX_BODY_BYTES:
                     return model.Broken(f'body exceeds {MAX_BODY_BYTES} bytes')
+                if now >= self.deadline + LATE_READ_SECONDS:
+                    return model.TimedOut()
                 continue
             blocks = splitter.feed(b''.join(parts))
+            # Comments keep a connection open, but are no progress.
+            if any(events.get_data(block) is not None for block in blocks):
+                self.last_event_at = now
+            elif now >= read_deadline and not call.is_complete:
+                return self.end_unfinished(read_deadline)
             if not self.send_events(call.head, blocks):
                 return model.CallerGone()
         return self.finish(call.head, splitter, body)
 
+    def end_unfinished(self, read_deadline):
+        """Return the outcome of a response that stopped making progress."""
+        if read_deadline < self.deadline:
+            return model.Broken('no event in time')
+        return model.TimedOut()
+
     def can_retry(self):
         """Return whether the request may be retried after the next attempt."""
         return (
@@ -317,7 +342,11 @@
         is_stream = self.route.kind is catalogs.RouteKind.STREAM
         if not (is_stream and self.can_retry()):
             return self.deadline
-        return min(self.deadline, clock.monotonic() + EVENT_TIMEOUT_SECONDS)
+        timeout = EVENT_TIMEOUT_FACTOR * max(
+            self.route.objective, self.route.longest_pause
+        )
+        timeout = timeout or DEFAULT_EVENT_TIMEOUT_SECONDS
+        return min(self.deadline, self.last_event_at + timeout)
 
     def has_caller_disconnected(self):
         """Return whether the caller has closed its connection."""
--- /dev/null
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -0,0 +1,186 @@
+"""Tests of relayed streams from slow, stalled and faulty endpoints."""
+
+import socket
+import threading
+import time
+import types
+
+import pytest
+
+from rhubarbreach.catalog import model as catalogs
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.fleet import view
+from rhubarbreach.gateway import forward
+from rhubarbreach.gateway import model
+from rhubarbreach.protocol import fleetmessages
+from rhubarbreach.web import parse
+from rhubarbreach.web import sockets
+
+HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+END = b'0\r\n\r\n'
+
+
+def chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def make_event(number):
+    return chunk(b'id: %d\ndata: t%d\n\n' % (number, number))
+
+
+class FakeCaller:
+    """Connection of a caller that collects what it is sent."""
+
+    def __init__(self):
+        self.socket, self.peer = socket.socketpair()
+        self.socket.setblocking(False)
+        self.keep_alive = True
+        self.sent = []
+
+    def send(self, data, deadline):
+        self.sent.append(data)
+
+    def send_response(self, status, headers=(), body=b'', reason=b''):
+        self.sent.append(body)
+
+
+class FakeEndpoint:
+    """Endpoint that answers each connection with the given parts."""
+
+    def __init__(self, parts, pause):
+        self.parts = parts
+        self.pause = pause
+        self.count = 0
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.count += 1
+            threading.Thread(
+                target=self.answer, args=(connection,), daemon=True
+            ).start()
+
+    def answer(self, connection):
+        with connection:
+            connection.recv(65_536)
+            for part in self.parts:
+                try:
+                    connection.sendall(part)
+                except OSError:
+                    return
+                time.sleep(self.pause)
+
+
+@pytest.fixture
+def forward_to():
+    """Return a function that forwards a request to a fake endpoint.
+
+    It returns the refusal or None, the bytes that the caller received, the
+    endpoint, and the time in seconds.
+    """
+    endpoints = []
+
+    def run(parts, pause, timeout=2.0, resumable=False, longest_pause=0.2):
+        endpoint = FakeEndpoint(parts, pause)
+        endpoints.append(endpoint)
+        loads = view.View('z1')
+        notice = fleetmessages.EndpointNotice(
+            'e1', 's', f'127.0.0.1:{endpoint.port}', 'z1', 8, 'ready', 1, 1
+        )
+        loads.update_endpoints((notice,), True)
+        route = catalogs.Route(
+            'r',
+            'h',
+            '/',
+            catalogs.RouteKind.STREAM,
+            timeout,
+            0.1,
+            0,
+            (catalogs.Target('s', 1.0),),
+            max_attempts=2,
+            resumable=resumable,
+            longest_pause=longest_pause,
+        )
+        dialect = types.SimpleNamespace(
+            encode_call=lambda *_: (),
+            get_echoed_id=lambda _: 'id',
+            is_not_run=lambda _: False,
+            is_signed=lambda _: True,
+        )
+        app = types.SimpleNamespace(
+            view=loads,
+            dialect=dialect,
+            leader_client=types.SimpleNamespace(refresh_loads=lambda: None),
+            is_closing=lambda _: False,
+        )
+        caller = FakeCaller()
+        info = model.CallInfo('id', 'h', None, None, None)
+        request = parse.Request('POST', b'/', (), b'', True)
+        started_at = clock.monotonic()
+        refusal = forward.RequestForwarder(
+            app, caller, request, info, route, None
+        ).run()
+        seconds = clock.monotonic() - started_at
+        sockets.close_socket(caller.socket)
+        caller.peer.close()
+        return refusal, b''.join(caller.sent), endpoint, seconds
+
+    yield run
+    for endpoint in endpoints:
+        endpoint.listener.close()
+
+
+def test_slow_stream_with_sound_pauses_is_not_cut(forward_to):
+    """Guards against a timeout made for the pauses of another deployment."""
+    parts = [HEAD, *map(make_event, range(1, 4)), END]
+    refusal, data, endpoint, seconds = forward_to(
+        parts, 1.4, timeout=10.0, resumable=True, longest_pause=1.5
+    )
+    assert refusal is None
+    assert data.endswith(forward.LAST_CHUNK)
+    assert endpoint.count == 1
+    assert seconds > 4.0
+
+
+@pytest.mark.parametrize('trickle', [b': \n', b': comment\n\n', b'x'])
+def test_stalled_stream_that_sends_bytes_is_given_up(forward_to, trickle):
+    """Guards against a stalled stream that a byte now and then keeps open."""
+    parts = [HEAD, make_event(1), *[chunk(trickle)] * 200]
+    refusal, data, _, seconds = forward_to(
+        parts, 0.05, timeout=8.0, resumable=True
+    )
+    assert refusal is None
+    assert b'data: t1' in data
+    assert not data.endswith(forward.LAST_CHUNK)
+    # Three times the longest pause at each of two attempts.
+    assert seconds < 4.0
+
+
+@pytest.mark.parametrize('resumable', [False, True])
+def test_stalled_stream_ends_at_its_deadline(forward_to, resumable):
+    """Guards against a request that outlives its deadline byte by byte."""
+    parts = [HEAD, *[chunk(b'x')] * 200]
+    refusal, _, _, seconds = forward_to(
+        parts, 0.02, timeout=1.0, resumable=resumable
+    )
+    assert refusal.code in (
+        codes.ResultCode.DEADLINE_EXCEEDED,
+        codes.ResultCode.ENDPOINT_FAILED,
+    )
+    assert refusal.ran == codes.Ran.UNKNOWN
+    assert seconds < 1.5
+
+
+def test_endless_header_ends_at_its_limit(forward_to):
+    """Guards against an endpoint that fills the memory of a host."""
+    parts = [b'HTTP/1.1 200 OK\r\nA: ', *[b'x' * 16_384] * 4000]
+    refusal, _, _, seconds = forward_to(parts, 0.0)
+    assert refusal.code == codes.ResultCode.ENDPOINT_FAILED
+    assert seconds < 1.0
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints known to a store, and their replication between stores."""
 
+import dataclasses
 import threading
 
 from rhubarbreach import clock
@@ -17,6 +18,23 @@
 LEARN_ANNOUNCEMENTS = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Table:
+    """Endpoints under a stamp, which identifies their list and its order.
+
+    `rows` holds the last notice of each endpoint in `endpoint_ids`, including
+    those that have left, and `members_index` identifies the members of the
+    group.
+    """
+
+    revision: int
+    is_complete: bool
+    members_index: int
+    stamp: str
+    endpoint_ids: tuple[str, ...]
+    rows: tuple
+
+
 class Endpoints:
     """Endpoint registry of one store, synchronized with the other stores.
 
@@ -44,6 +62,7 @@
         self.lock = threading.Lock()
         self.registry = registries.Registry(interval)
         self.pending_updates = {}
+        self.table = None
         link.register(
             fleetmessages.EndpointNews, self.apply_updates, inline=True
         )
@@ -134,14 +153,37 @@
         learning_seconds = self.interval * LEARN_ANNOUNCEMENTS
         return clock.monotonic() - self.started > learning_seconds
 
-    def get_stamp(self):
-        """Return a version stamp of the endpoints.
+    def read_table(self, members_index):
+        """Return the current `Table`.
+
+        The table is built once for all entry hosts. Its stamp changes whenever
+        they need the endpoints, or the members of the group, again.
 
-        The stamp changes whenever entry hosts need the endpoints again.
+        Parameters
+        ----------
+        members_index : int
+            Log index of the latest change of the members.
         """
+        is_complete = self.is_complete()
         with self.lock:
             revision = self.registry.revision
-        return f'{self.host_id}:{self.started}:{revision}:{self.is_complete()}'
+            table = self.table
+            if table is None or (
+                (revision, is_complete, members_index)
+                != (table.revision, table.is_complete, table.members_index)
+            ):
+                rows = self.registry.list_rows(clock.monotonic(), True)
+                table = Table(
+                    revision,
+                    is_complete,
+                    members_index,
+                    f'{self.host_id}:{self.started}:{revision}:{is_complete}:'
+                    f'{members_index}',
+                    tuple(row.endpoint_id for row in rows),
+                    rows,
+                )
+                self.table = table
+            return table
 
     def list_rows(self, with_gone=False):
         """Return the last notice of each endpoint, with its age."""
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -8,6 +8,7 @@
 from rhubarbreach.fleet import view as views
 from rhubarbreach.gateway import app as apps
 from rhubarbreach.gateway import jobs
+from rhubarbreach.hosts import zone_news
 from rhubarbreach.protocol import link as links
 from rhubarbreach.web import server
 
@@ -59,6 +60,7 @@
             decode_catalog,
             settings.revoke_seconds - REVOKE_MARGIN_SECONDS,
         )
+        self.zone_news = zone_news.ZoneNews(self.link, self.view)
         self.app = apps.App(
             self.leader_client,
             self.view,
@@ -99,6 +101,7 @@
     def close(self):
         """Stop all tasks."""
         self.leader_client.close()
+        self.zone_news.close()
         self.readiness.close()
         self.callers.close()
         self.link.close()
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -217,26 +217,36 @@
         catalog = None
         if version > message.catalog_version:
             catalog = fleetmessages.CatalogCopy(version, document)
-        has_grown, others, entries = self.usage.report(sender_id, message, now)
+        has_grown, entries = self.usage.report(sender_id, message, now)
         if has_grown:
             self.runner.wake.set()
         with self.lock:
             granted = self.grant(message.wanted, now)
-        stamp = self.endpoints.get_stamp()
+        table = self.endpoints.read_table(self.group.store.members_index)
+        stores = ()
         rows = None
-        if stamp != message.endpoints_stamp:
-            rows = self.endpoints.list_rows(with_gone=True)
+        if table.stamp != message.endpoints_stamp:
+            stores = tuple(m.host_id for m in self.group.members)
+            rows = table.rows
+        elsewhere, nearby = self.usage.list_online(
+            message.availability_zone, table.endpoint_ids
+        )
+        peers_revision, peers = self.usage.list_peers(message)
+        batch = self.runner.count_running()
         return fleetmessages.ExchangeReply(
             True,
             self.host_id,
-            tuple(m.host_id for m in self.group.members),
+            stores,
             now - quorum_contact,
             catalog,
-            stamp,
+            table.stamp,
             rows,
             self.endpoints.is_complete(),
-            others,
-            self.runner.count_running(),
+            elsewhere,
+            nearby,
+            tuple(batch.get(e, 0) for e in table.endpoint_ids),
+            peers_revision,
+            peers,
             granted,
             entries,
             tuple(self.usage.list_suspects(now)),
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -27,7 +27,7 @@
     def __init__(self, list_endpoints):
         self.list_endpoints = list_endpoints
         self.lock = threading.Lock()
-        self.loads = loads.Loads()
+        self.loads = loads.LoadsByZone()
         self.suspicion = suspicion.Suspicion()
         self.suspects = frozenset()
         self.next_update = 0.0
@@ -46,17 +46,51 @@
 
         Returns
         -------
-        bool, dict of str to int, int
-            Whether the host has more requests in flight than before, the
-            requests of other hosts on each endpoint, and the number of entry
-            hosts.
+        bool, int
+            Whether the host has more requests in flight than before, and the
+            number of entry hosts.
         """
         with self.lock:
-            has_grown = self.loads.report(host_id, message.running, now)
+            has_grown = self.loads.report(
+                host_id, message.availability_zone, message.running, now
+            )
             for endpoint_id, outcomes in message.outcomes.items():
                 self.suspicion.add(endpoint_id, host_id, *outcomes, now)
-            others = self.loads.sum_others(host_id, now)
-            return has_grown, others, max(1, self.loads.count_hosts(now))
+            return has_grown, max(1, len(self.loads.zone_by_host))
+
+    def list_online(self, zone, endpoint_ids):
+        """Return the online requests on endpoints, in the given order.
+
+        Returns
+        -------
+        tuple of int, tuple of int
+            Requests of the hosts in other zones, and in this one.
+        """
+        with self.lock:
+            totals = self.loads.fleet.totals
+            zone_totals = self.loads.get_zone_totals(zone)
+            nearby = tuple(zone_totals.get(e, 0) for e in endpoint_ids)
+            elsewhere = tuple(
+                max(0, totals.get(endpoint_id, 0) - count)
+                for endpoint_id, count in zip(
+                    endpoint_ids, nearby, strict=True
+                )
+            )
+            return elsewhere, nearby
+
+    def list_peers(self, message):
+        """Return the hosts in the zone of a reporting host, and a revision.
+
+        Returns
+        -------
+        int, tuple of str or None
+            Revision of the list, and the list if the host needs it.
+        """
+        with self.lock:
+            revision = self.loads.revision
+            if revision == message.peers_revision:
+                return revision, None
+            return revision, self.loads.list_hosts(message.availability_zone)
 
     def record_outcome(self, endpoint_id, host_id, failures, successes, now):
         """Record the outcomes that a store has seen on an endpoint."""
@@ -66,7 +100,8 @@
     def sum_online(self, now):
         """Return the number of online requests on each endpoint."""
         with self.lock:
-            return self.loads.sum_others(None, now)
+            self.loads.expire(now)
+            return dict(self.loads.fleet.totals)
 
     def list_suspects(self, now):
         """Return the ids of endpoints that fail for several hosts."""
--- /dev/null
+++ b/rhubarbreach/hosts/zone_news.py
@@ -0,0 +1,77 @@
+"""Exchange of loads between the entry hosts of an availability zone."""
+
+import threading
+import time
+
+from rhubarbreach import clock
+from rhubarbreach import eventlog
+from rhubarbreach.fleet import zone_loads
+from rhubarbreach.protocol import fleetmessages
+
+__all__ = ['ZoneNews']
+
+LOG = eventlog.Logger('zone')
+
+
+class ZoneNews:
+    """Task that reports the load of this host to the others in its zone.
+
+    Parameters
+    ----------
+    link : Link
+        Link to the other hosts.
+    view : View
+        Endpoints and their loads as this host knows them.
+    """
+
+    def __init__(self, link, view):
+        self.link = link
+        self.view = view
+        self.closed = False
+        # Set when the load has changed, and when others must know it at once.
+        self.changed = threading.Event()
+        self.urgent = threading.Event()
+        link.register(fleetmessages.LoadNews, self.apply_news, inline=True)
+        view.on_change = self.notify_change
+        self.thread = threading.Thread(
+            target=self.run, name='zone-news', daemon=True
+        )
+        self.thread.start()
+
+    def notify_change(self, is_urgent):
+        """Schedule a report after a change of the load."""
+        self.changed.set()
+        if is_urgent:
+            self.urgent.set()
+
+    def apply_news(self, sender_id, message):
+        """Store the report of another host."""
+        self.view.report_peer(sender_id, message.running, clock.monotonic())
+
+    def run(self):
+        """Send reports until the task is closed."""
+        while not self.closed:
+            try:
+                self.send_report()
+            except Exception:
+                LOG.exception('event=zone_news_failed')
+            peer_count = len(self.view.list_peers())
+            time.sleep(zone_loads.compute_news_interval(peer_count))
+            if not self.changed.wait(zone_loads.MAX_NEWS_INTERVAL_SECONDS):
+                continue
+            # Changes that are not urgent share a report.
+            self.urgent.wait(zone_loads.IDLE_NEWS_INTERVAL_SECONDS)
+
+    def send_report(self):
+        """Report the running requests of this host to its peers."""
+        self.changed.clear()
+        self.urgent.clear()
+        message = fleetmessages.LoadNews(self.view.copy_running())
+        for host_id in self.view.list_peers():
+            self.link.send(host_id, message)
+
+    def close(self):
+        """Stop the task."""
+        self.closed = True
+        self.changed.set()
+        self.urgent.set()
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -11,6 +11,7 @@
     'EndpointsQuery',
     'Exchange',
     'ExchangeReply',
+    'LoadNews',
     'StoreNews',
 ]
 
@@ -73,7 +74,8 @@
     has. `running` counts the requests of this host on each endpoint,
     `wanted` the requests that each client account is expected to send soon,
     and `outcomes` the failures and successes on each endpoint since the last
-    message.
+    message. `peers_revision` is the version of the list of hosts in the same
+    availability zone that the host has.
     """
 
     catalog_version: int
@@ -83,6 +85,8 @@
     outcomes: dict[str, tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )
+    availability_zone: str = ''
+    peers_revision: int = 0
 
 
 @messages.frozen_message
@@ -91,13 +95,17 @@
 
     A store that is not the leader sets `leader_id` only, if it knows it.
     `age` is the time in seconds since a quorum confirmed the leader.
-    `endpoints` lists all endpoints if `endpoints_stamp` differs from the one
-    in the request; `complete` means that an endpoint missing from the list
-    is gone. `running` counts the requests of other entry hosts on each
-    endpoint and `batch` the batch items there. `granted` is the number of
-    requests that each client account may send to this host. `entries` is the
-    number of entry hosts. `suspects` are endpoints that fail for several
-    hosts.
+    `endpoints` lists all endpoints, and `stores` the members of the group, if
+    `endpoints_stamp` differs from the one in the request; `complete` means
+    that an endpoint missing from the list is gone. `elsewhere` and `nearby`
+    count the requests of the entry hosts in other availability zones and in
+    the zone of the receiver, itself included, and `items` the batch items on
+    each endpoint, in the order of the list with this stamp. `peers` lists the
+    hosts in the zone of the receiver if `peers_revision` differs from the one
+    in the request. `granted` is the
+    number of requests that each client account may send to this host.
+    `entries` is the number of entry hosts. `suspects` are endpoints that fail
+    for several hosts.
     """
 
     is_leader: bool
@@ -108,8 +116,18 @@
     endpoints_stamp: str = ''
     endpoints: tuple[EndpointNotice, ...] | None = None
     complete: bool = False
-    running: dict[str, int] = dataclasses.field(default_factory=dict)
-    batch: dict[str, int] = dataclasses.field(default_factory=dict)
+    elsewhere: tuple[int, ...] = ()
+    nearby: tuple[int, ...] = ()
+    items: tuple[int, ...] = ()
+    peers_revision: int = 0
+    peers: tuple[str, ...] | None = None
     granted: dict[str, float] = dataclasses.field(default_factory=dict)
     entries: int = 1
     suspects: tuple[str, ...] = ()
+
+
+@messages.frozen_message
+class LoadNews:
+    """Requests of an entry host on each endpoint, for others in its zone."""
+
+    running: dict[str, int]
