Send the log only to stores that vote or replace a voter

Cause: all stores are members, and learners received the whole log.

Change: a learner is a standby and gets heartbeats only, until the leader is about to promote it. A standby refuses reads at once and asks the leader about retirements. A store whose disk was lost and that was a voter gets the log at once, as before. The reason of a run that ended without an event no longer depends on where the deadline passed.

Measured: the new tests; a standby holds no entry after 20 commands and all of them after its promotion.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -129,7 +129,10 @@
         # bytes without a new event never lets `read` time out.
         if clock.monotonic() > idle_deadline:
             return 'failed', f'no event within {IDLE_TIMEOUT_SECONDS} s'
-        parts = call.read(idle_deadline)
+        try:
+            parts = call.read(idle_deadline)
+        except errors.DeadlineError:
+            return 'failed', f'no event within {IDLE_TIMEOUT_SECONDS} s'
         if call.head is not None and call.head.status == STATUS_OK:
             data = b''.join(parts)
             output_bytes += len(data)
--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -114,7 +114,7 @@
         for peer in state.peers.values():
             peer.urgent = True
         return
-    if index_only or state.leader_id is None:
+    if index_only or state.leader_id is None or state.is_standby:
         state.deferred_results.append((future, states.make_not_leader(state)))
         return
     request = logmessages.ReadIndexRequest(
@@ -260,6 +260,9 @@
             f'{host_id} is not a learner',
         )
         return
+    if peer.is_standby:
+        peer.is_standby = False
+        peer.urgent = True
     if peer.match_index < state.commit_index:
         refuse(
             state,
--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -50,6 +50,7 @@
         reply = make_reply(state, message, False, 0)
         state.outbox.append((sender_id, reply))
         return
+    state.is_standby = message.is_standby
     store = state.store
     local_term = store.get_term(message.previous_index)
     if message.previous_index > store.base_index and (
--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -58,11 +58,12 @@
     """Announce this store once a second until it belongs to the group.
 
     Before the group is formed, the store announces itself at each tick, since
-    the group serves no requests yet.
+    the group serves no requests yet. A standby does not hold the members, and
+    does not know that it is one of them.
     """
     if is_joined(state) or now < state.hello_due:
         return
-    if state.store.formed or state.store.last_index > 0:
+    if state.store.formed or state.store.last_index > 0 or state.is_standby:
         state.hello_due = now + HELLO_INTERVAL_SECONDS
     send_hellos(state)
 
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -110,6 +110,11 @@
         """Whether this replica leads, as far as it knows."""
         return self.state.is_leader
 
+    @property
+    def is_standby(self):
+        """Whether this replica is a learner that gets no entries."""
+        return self.state.is_standby and not self.state.is_leader
+
     @property
     def leader_id(self):
         """Host of the leader, None if it is not known."""
@@ -364,6 +369,8 @@
         idle = not (state.reads or state.pending or state.is_leader)
         if idle and formation.is_joined(state):
             due = max(due, state.election_deadline)
+        elif idle and state.is_standby:
+            due = max(due, state.hello_due)
         self.next_tick = min(self.next_tick, due)
 
     def tick(self, now):
--- a/rhubarbreach/consensus/leading.py
+++ b/rhubarbreach/consensus/leading.py
@@ -39,6 +39,8 @@
     """Return whether a message to a peer is due."""
     if now >= peer.heartbeat_due:
         return True
+    if peer.is_standby:
+        return False
     expire_rounds(peer, now)
     if peer.next_index <= state.store.base_index:
         # Chunks are sent one at a time: each reply requests the next one.
@@ -60,6 +62,8 @@
     """Return the next message to a peer."""
     peer.urgent = False
     peer.heartbeat_due = now + state.settings.heartbeat
+    if peer.is_standby:
+        return build_standby_heartbeat(state, peer, now)
     if peer.next_index <= state.store.base_index:
         # A chunk is repeated only after the peer has had time to reply.
         peer.heartbeat_due = now + state.settings.election_timeout
@@ -89,6 +93,21 @@
     )
 
 
+def build_standby_heartbeat(state, peer, now):
+    """Return a message that matches any log and carries no entries."""
+    return logmessages.AppendEntries(
+        state.settings.group_id,
+        state.store.term,
+        state.settings.host_id,
+        0,
+        0,
+        (),
+        0,
+        start_round(state, peer, now, 0),
+        True,
+    )
+
+
 def start_round(state, peer, now, size):
     """Record the time and size of a new message and return its id.
 
@@ -159,6 +178,7 @@
     return state.is_leader and any(
         peer.next_index <= state.store.base_index
         and peer.last_contact >= oldest
+        and not peer.is_standby
         for peer in state.peers.values()
     )
 
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -63,6 +63,9 @@
     contacts : tuple of str
         Hosts that may know the group. A store that has lost its disk knows
         no members and announces itself to these hosts.
+    has_standbys : bool
+        Whether a learner gets the log only when it is to become a voter. The
+        cost of the log then depends on the voters and not on the members.
     """
 
     group_id: str
@@ -75,6 +78,7 @@
     contacts: tuple[str, ...] = ()
     first_timeout: float | None = None
     snapshot_bytes: int = 0
+    has_standbys: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +127,8 @@
     time at which it was sent and to its bytes of log or snapshot;
     `unanswered_bytes` is the sum of these bytes. `last_contact` is the send
     time of the latest message that the peer has answered. `urgent` requests a
-    message before the next heartbeat.
+    message before the next heartbeat. `is_standby` is whether the peer is a
+    learner that gets heartbeats only.
     """
 
     peer_id: str
@@ -137,6 +142,7 @@
     snapshot_index: int = 0
     heartbeat_due: float = 0.0
     urgent: bool = True
+    is_standby: bool = False
 
 
 def get_voters(members):
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -68,6 +68,8 @@
         self.transfer_id = None
         self.transfer_deadline = 0.0
         self.transfer_future = None
+        # Whether the leader sends no entries to this replica.
+        self.is_standby = False
         self.hellos = {}
         self.hello_due = now
         self.round_ids = itertools.count(1)
@@ -195,7 +197,10 @@
                 member.store_id,
                 # The first entry of the term is sent immediately.
                 max(state.term_start_index, state.store.base_index + 1),
+                is_standby=state.settings.has_standbys,
             )
+        if member.voter or member.replaces:
+            progress.is_standby = False
         peers[member.host_id] = progress
     state.peers = peers
 
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -2,6 +2,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus import leading
 from rhubarbreach.consensus.tests import cluster
 
 FOUR = (*cluster.HOSTS, 'host-4')
@@ -90,3 +91,71 @@
         if not isinstance(result, codes.Refusal):
             assert leader.machine.commands == [b'one', b'two']
         test_cluster.wait_equal()
+
+
+def count_entries(test_cluster, host):
+    """Return the entries that the log of a host holds."""
+    return test_cluster.get(host).store.last_index
+
+
+def test_learner_gets_no_log_until_it_is_to_vote(tmp_path):
+    """Guards against a log that is sent to every store of a large fleet.
+
+    Of 15 stores five vote; the log was 204 MB of the 240 MB that the leader
+    sent in 35 s, most of it to the ten others.
+    """
+    with cluster.running(tmp_path, has_standbys=True) as test_cluster:
+        test_cluster.start('host-4')
+        change(test_cluster, 'add_learner', 'host-4')
+        for number in range(20):
+            test_cluster.commit(f'{number}'.encode(), host='host-1')
+        standby = test_cluster.get('host-4')
+        cluster.wait_until(lambda: standby.is_standby)
+        assert count_entries(test_cluster, 'host-4') == 0
+        assert standby.leader_id is not None
+        # A read of a standby is refused at once, and a client asks the leader.
+        refusal = standby.read(make_deadline()).result(timeout=1.0)
+        assert refusal.code == codes.ResultCode.NOT_LEADER
+        change(test_cluster, 'promote', 'host-4')
+        test_cluster.wait_joined('host-4')
+        assert not standby.is_standby
+        leader_id = test_cluster.leader().settings.host_id
+        test_cluster.stop(leader_id)
+        others = [host for host in FOUR if host != leader_id]
+        test_cluster.leader(hosts=others)
+        test_cluster.commit(b'last', host='host-4')
+        cluster.wait_until(lambda: b'last' in standby.machine.commands)
+        assert len(standby.machine.commands) >= 21
+
+
+def test_snapshot_is_not_postponed_for_a_standby(tmp_path):
+    """Guards against a log that grows while a learner has no need of it."""
+    with cluster.running(
+        tmp_path, has_standbys=True, snapshot_entries=40
+    ) as test_cluster:
+        test_cluster.start('host-4')
+        change(test_cluster, 'add_learner', 'host-4')
+        for number in range(100):
+            test_cluster.commit(f'{number}'.encode(), host='host-1')
+        leader = test_cluster.leader()
+        cluster.wait_until(lambda: leader.store.base_index > 0)
+        with leader.lock:
+            peer = leader.state.peers['host-4']
+            assert peer.next_index <= leader.store.base_index
+            assert not leading.is_installing(leader.state, clock.monotonic())
+        change(test_cluster, 'promote', 'host-4')
+        test_cluster.wait_joined('host-4')
+        machine = test_cluster.get('host-4').machine
+        cluster.wait_until(lambda: len(machine.commands) >= 100)
+
+
+def test_replaced_voter_is_no_standby(tmp_path):
+    """Guards against a lost copy of the log that is not made again."""
+    with cluster.running(tmp_path, has_standbys=True) as test_cluster:
+        test_cluster.commit(b'one')
+        test_cluster.wait_equal()
+        test_cluster.stop('host-2')
+        cluster.wipe(tmp_path / 'host-2')
+        test_cluster.start('host-2')
+        test_cluster.wait_joined('host-2')
+        test_cluster.wait_equal()
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -154,6 +154,9 @@
         self.link.register(
             workmessages.WorkReport, self.answer_report, inline=True
         )
+        self.link.register(
+            fleetmessages.RetirementCall, self.answer_retirement
+        )
         self.thread = threading.Thread(
             target=self.run, name='duties', daemon=True
         )
@@ -300,6 +303,8 @@
 
     def start_retirement(self, name):
         """Begin to retire a store; return None or a `Refusal`."""
+        if self.group.is_standby:
+            return self.ask_leader(name, True).refusal
         host_id = self.members.find_store(name)
         if isinstance(host_id, codes.Refusal):
             return host_id
@@ -316,6 +321,50 @@
         )
         return reply if isinstance(reply, codes.Refusal) else None
 
+    def is_retired(self, name):
+        """Return whether a store has left the group, or a `Refusal`."""
+        if self.group.is_standby:
+            reply = self.ask_leader(name, False)
+            return reply.refusal or reply.is_retired
+        return self.members.is_retired(name)
+
+    def ask_leader(self, name, starts):
+        """Return the reply of the leader to a call for a retirement.
+
+        A standby knows neither the members nor the stores that retire.
+        """
+        leader_id = self.group.leader_id
+        if leader_id is None:
+            return fleetmessages.RetirementReply(
+                codes.Refusal(
+                    codes.ResultCode.NOT_LEADER, 'no leader is known'
+                )
+            )
+        reply = self.link.call(
+            leader_id,
+            fleetmessages.RetirementCall(name, starts),
+            clock.monotonic() + OPERATOR_TIMEOUT_SECONDS,
+        ).result()
+        if isinstance(reply, codes.Refusal):
+            return fleetmessages.RetirementReply(reply)
+        return reply
+
+    def answer_retirement(self, sender_id, message):
+        """Answer a call for a retirement from a standby."""
+        if not self.group.is_leader:
+            refusal = codes.Refusal(
+                codes.ResultCode.NOT_LEADER, 'this store does not lead'
+            )
+            return fleetmessages.RetirementReply(refusal)
+        if message.starts:
+            return fleetmessages.RetirementReply(
+                self.start_retirement(message.name)
+            )
+        reply = self.members.is_retired(message.name)
+        if isinstance(reply, codes.Refusal):
+            return fleetmessages.RetirementReply(reply)
+        return fleetmessages.RetirementReply(None, reply)
+
     def propose(self, command, seconds):
         """Commit a command through the leader; return the reply."""
         self.client.hosts = (self.host_id, *self.members.list_others())
@@ -457,4 +506,5 @@
         settings.seeds,
         FIRST_ELECTION_TIMEOUT_SECONDS,
         SNAPSHOT_BYTES,
+        True,
     )
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from rhubarbreach import codes
 from rhubarbreach.protocol import messages
 
 __all__ = [
@@ -12,6 +13,8 @@
     'Exchange',
     'ExchangeReply',
     'LoadNews',
+    'RetirementCall',
+    'RetirementReply',
     'StoreNews',
 ]
 
@@ -131,3 +134,22 @@
     """Requests of an entry host on each endpoint, for others in its zone."""
 
     running: dict[str, int]
+
+
+@messages.frozen_message
+class RetirementCall:
+    """Call to start the retirement of the named store, or to read its state.
+
+    A store without the log sends it to the leader.
+    """
+
+    name: str
+    starts: bool
+
+
+@messages.frozen_message
+class RetirementReply:
+    """Answer to `RetirementCall`: a refusal, or the state that was read."""
+
+    refusal: codes.Refusal | None = None
+    is_retired: bool = False
--- a/rhubarbreach/protocol/logmessages.py
+++ b/rhubarbreach/protocol/logmessages.py
@@ -62,7 +62,10 @@
 
 @messages.frozen_message
 class AppendEntries:
-    """Entries to replicate; a heartbeat of the leader if there are none."""
+    """Entries to replicate; a heartbeat of the leader if there are none.
+
+    `is_standby` is whether the receiver is a learner that gets no entries.
+    """
 
     group_id: str
     term: int
@@ -72,6 +75,7 @@
     entries: tuple[LogEntry, ...]
     commit_index: int
     round_id: int
+    is_standby: bool = False
 
 
 @messages.frozen_message
