Accept the retirement of a store while another one is silent

With the frozen store three of four remain, as many as vote.

The steps of the retirement were safe already: a store is removed only when enough others that are heard have a vote.

--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -146,11 +146,16 @@
         )
 
     def check_retirement(self, host_id):
-        """Return a `Refusal` if a store must not be retired, else None."""
+        """Return a `Refusal` if a store must not be retired, else None.
+
+        A store that has been silent for a short time counts as remaining: it
+        may be suspended or restarting, and the store to retire keeps its vote
+        until enough others have one.
+        """
         remaining = [
             store
             for store in self.list_stores(clock.monotonic())
-            if store.is_present
+            if not store.is_expired
             and not store.is_retiring
             and store.host_id != host_id
         ]
