Forget the loads of a leader that is lost

Cause: an entry host kept the loads of the last reply while it had no leader. If it lost the leader in a load peak, endpoints counted as full until there was a leader again, and callers were refused while slots were free.

The hosts of a zone still know each other's loads.

Measured: the new test fails without the change.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -272,6 +272,9 @@
                 self.changed.notify_all()
         if self.has_leader and not self.is_fresh(now):
             self.has_leader = False
+            # The loads of a peak would otherwise count until there is a leader
+            # again, and callers would be refused while slots are free.
+            self.view.drop_leader_loads()
             LOG.warning('event=leader_lost store={}', store)
 
     def apply_reply(self, reply, sent, running):
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -87,6 +87,24 @@
     assert set(link.called[3:]) == set(STORES)
 
 
+def test_loads_of_a_lost_leader_do_not_count(make_client):
+    # Hosts that lost their leader in a load peak refused callers until they
+    # had a leader again, long after the peak.
+    client = make_client(FakeLink(STORES, None))
+    client.has_leader = True
+    client.view.update_peers(('h2',))
+    client.view.report_peer('h2', {'e1': 1}, clock.monotonic())
+    client.view.update_loads({'e1': 20}, {'e1': 3}, ('e2',))
+    client.confirmed_at = clock.monotonic()
+    client.exchange()
+    assert client.view.count_online('e1') == 21
+    client.confirmed_at -= leader_client.FRESH_SECONDS
+    client.exchange()
+    assert client.view.count_online('e1') == 1
+    assert not client.view.batch
+    assert client.view.suspects == {'e2'}
+
+
 def test_request_waits_for_the_first_configuration(make_client):
     # After a restart of all hosts every request was refused, most of them at
     # their last attempt.
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -264,6 +264,10 @@
             totals = self.zone_loads.get_totals(now)
             self.nearby = (nearby or {}) if totals is None else totals
 
+    def drop_leader_loads(self):
+        """Forget the loads that the leader has sent, as they are outdated."""
+        self.update_loads({}, {}, self.suspects)
+
     def update_peers(self, peers):
         """Replace the other hosts of the zone."""
         with self.lock:
