Learn the length of load peaks for Retry-After and sustained overloads

Cause: a refused caller was asked to return after 0.8 to 1.6 s, and an overload counted as sustained after 3.2 s, both made for peaks of 2.4 s.

Change: the length of the peaks of a service is learned. A refused caller is asked to return when the current one is probably over, spread over half of the remaining time. An overload is sustained at twice the usual length.

Measured: replays of peaks of 0.6, 1.2 and 2.4 s in the tests: callers return in the first half of the quiet period.

--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -7,8 +7,8 @@
 slots are in use, the endpoint with the fewest online requests is chosen, as
 batch items are preempted immediately. A few requests may queue at an endpoint,
 as long as they start within the latency objective. Further requests are
-refused immediately, with a retry time after which the load peak is over for
-most callers. A retried request may wait in a longer queue, so that it is not
+refused immediately, with a retry time after which the load peak is probably
+over. A retried request may wait in a longer queue, so that it is not
 refused twice.
 """
 
@@ -39,15 +39,9 @@
 MAX_RETRY_WAIT_OBJECTIVES = 2.5
 # Weight of the newest request in the moving average of run times.
 RUN_TIME_WEIGHT = 0.05
-# Range of the retry time when all endpoints are full. It is drawn at random so
-# that callers do not retry together. Load peaks last 2.4 s, and clients wait
-# at most a third of their remaining time, 1.6 s of 5 s.
-MIN_RETRY_AFTER_SECONDS = 0.8
-MAX_RETRY_AFTER_SECONDS = 1.6
 # From this utilization on, requests of other hosts may fill an endpoint within
-# one exchange interval, as load peaks bring six requests or more in 150 ms. A
-# host then requests the current loads before it chooses an endpoint, and
-# reports its choice immediately.
+# one exchange interval. A host then requests the current loads before it
+# chooses an endpoint, and reports its choice immediately.
 HIGH_UTILIZATION_FRACTION = 0.5
 # Endpoints below this utilization count as equally loaded. Otherwise all hosts
 # would send the requests of a load peak to the few endpoints that were idle,
@@ -163,7 +157,6 @@
         return codes.Refusal(
             codes.ResultCode.NO_ENDPOINT,
             'no endpoint accepts requests',
-            retry_after=draw_retry_after(),
         )
     endpoint = random.choice(best)
     running = online.get(endpoint.endpoint_id, 0)
@@ -172,16 +165,10 @@
             codes.ResultCode.QUEUE_FULL,
             f'all endpoints are full: {endpoint.endpoint_id} has {running} '
             f'online requests for {endpoint.slots} slots',
-            retry_after=draw_retry_after(),
         )
     return endpoint
 
 
-def draw_retry_after():
-    """Return a random time in seconds after which a caller may retry."""
-    return random.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS)
-
-
 class View:
     """Endpoints, their loads and their health, as one host knows them.
 
@@ -379,6 +366,13 @@
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
                 )
+            else:
+                chosen = dataclasses.replace(
+                    chosen,
+                    retry_after=self.saturation[service].draw_retry_after(
+                        now, random.uniform
+                    ),
+                )
         is_high = (
             not isinstance(chosen, Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
