Request tokens without waiting for the next exchange for loads

Cause: exchanges for loads were bounded to 800 a second over all hosts, one every 0.08 s with 66 hosts.

Change: a request that waits for a token starts an exchange immediately, at most every 0.02 s as before; only exchanges for loads are bounded. Without a leader hosts ask the stores at a jittered interval, whoever waits.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -23,10 +23,10 @@
 # A host that runs out of slots starts an exchange immediately, but not more
 # often than this.
 MIN_EXCHANGE_INTERVAL_SECONDS = 0.02
-# Exchanges of all hosts together that the leader has to handle. In a load peak
-# all hosts request the loads at once, so with more hosts each does so less
-# often. A host then knows a smaller part of the load, but an endpoint also
-# receives few requests of each other host between two exchanges.
+# Exchanges for loads that all hosts together may start. In a load peak all of
+# them request the loads at once, so with more hosts each does so less often; an
+# endpoint also receives fewer requests of each host between two exchanges then.
+# Exchanges for tokens are not bounded: there are at most as many as requests.
 MAX_EXCHANGES_PER_SECOND = 800.0
 EXCHANGE_TIMEOUT_SECONDS = 0.4
 # Pause before the next store is tried when one is not the leader.
@@ -95,10 +95,13 @@
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
-        self.wake = threading.Event()
+        # Guards the flags below, with which requests start an exchange.
+        self.schedule = threading.Condition()
+        self.loads_wanted = False
+        self.tokens_wanted = False
         self.closed = False
         self.has_leader = False
-        view.on_high_utilization = self.wake.set
+        view.on_high_utilization = self.request_loads
         self.thread = threading.Thread(
             target=self.run, name='member', daemon=True
         )
@@ -158,7 +161,7 @@
 
     def wait_for_token(self, account):
         """Wait for a grant; return whether a token was consumed."""
-        self.wake.set()
+        self.request_tokens()
         deadline = clock.monotonic() + GRANT_TIMEOUT_SECONDS
         while True:
             remaining = clock.remaining(deadline, clock.monotonic())
@@ -181,12 +184,12 @@
         In a large fleet the next exchange begins too late to wait for it.
         """
         if self.min_interval > REFRESH_TIMEOUT_SECONDS:
-            self.wake.set()
+            self.request_loads()
             return
         deadline = clock.monotonic() + REFRESH_TIMEOUT_SECONDS
         with self.lock:
             previous = self.reply_count
-            self.wake.set()
+            self.request_loads()
             while self.reply_count == previous:
                 remaining = clock.remaining(deadline, clock.monotonic())
                 if not remaining or not self.changed.wait(remaining):
@@ -195,18 +198,57 @@
     def run(self):
         """Exchange messages with the leader until the client is closed."""
         while not self.closed:
-            pause = RETRY_INTERVAL_SECONDS * random.uniform(
-                1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER
-            )
+            succeeded = False
             try:
-                if self.exchange():
-                    pause = EXCHANGE_INTERVAL_SECONDS
+                succeeded = self.exchange()
             except Exception:
                 LOG.exception('event=exchange_failed')
+            if not succeeded:
+                jitter = random.uniform(1.0 - RETRY_JITTER, 1.0 + RETRY_JITTER)
+                time.sleep(RETRY_INTERVAL_SECONDS * jitter)
+                continue
+            ended_at = clock.monotonic()
+            time.sleep(MIN_EXCHANGE_INTERVAL_SECONDS)
             min_interval = self.min_interval
-            time.sleep(min_interval)
-            self.wake.wait(max(0.0, pause - min_interval))
-            self.wake.clear()
+            self.wait_for_schedule(
+                ended_at + min_interval,
+                ended_at + max(EXCHANGE_INTERVAL_SECONDS, min_interval),
+            )
+
+    def request_loads(self):
+        """Start an exchange as soon as the leader has time for it."""
+        with self.schedule:
+            self.loads_wanted = True
+            self.schedule.notify_all()
+
+    def request_tokens(self):
+        """Start an exchange immediately, as a request waits for a token."""
+        with self.schedule:
+            self.tokens_wanted = True
+            self.schedule.notify_all()
+
+    def wait_for_schedule(self, loads_at, latest):
+        """Wait until an exchange is due.
+
+        Parameters
+        ----------
+        loads_at : float
+            Earliest time of an exchange for loads, in seconds of the monotonic
+            clock.
+        latest : float
+            Latest time of any exchange.
+        """
+        with self.schedule:
+            while not (self.closed or self.tokens_wanted):
+                due = latest
+                if self.loads_wanted:
+                    due = min(latest, loads_at)
+                remaining = clock.remaining(due, clock.monotonic())
+                if not remaining:
+                    break
+                self.schedule.wait(remaining)
+            self.loads_wanted = False
+            self.tokens_wanted = False
 
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
@@ -348,4 +390,5 @@
     def close(self):
         """Stop the thread."""
         self.closed = True
-        self.wake.set()
+        with self.schedule:
+            self.schedule.notify_all()
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import threading
+import time
 
 import pytest
 
@@ -87,6 +88,54 @@
     assert set(link.called[3:]) == set(STORES)
 
 
+class GrantingLink(FakeLink):
+    """Link to a leader of a large fleet that grants what is wanted."""
+
+    def __init__(self, entries):
+        super().__init__(('s2',), 's1')
+        self.entries = entries
+
+    def call(self, store, message, deadline):
+        self.called.append(store)
+        reply = fleetmessages.ExchangeReply(
+            True, store, granted=message.wanted, entries=self.entries
+        )
+        future = concurrent.futures.Future()
+        future.set_result(reply)
+        return future
+
+
+def test_request_does_not_wait_for_the_next_regular_exchange():
+    # With 66 hosts an exchange for loads may start every 0.08 s, and requests
+    # that waited 0.07 s for a token were refused on a quiet day.
+    link = GrantingLink(400)
+    client = leader_client.LeaderClient(
+        link, view.View('z1'), STORES, lambda _: catalogs.Catalog(1), 5.0
+    )
+    try:
+        account = catalogs.Account('a', (), rate=10.0, burst=10.0)
+        for _ in range(20):
+            assert client.acquire_token(account)
+    finally:
+        client.close()
+
+
+def test_requests_for_loads_are_bounded_in_a_large_fleet():
+    link = GrantingLink(400)
+    client = leader_client.LeaderClient(
+        link, view.View('z1'), STORES, lambda _: catalogs.Catalog(1), 5.0
+    )
+    try:
+        deadline = clock.monotonic() + 1.5
+        while clock.monotonic() < deadline:
+            client.request_loads()
+            time.sleep(0.005)
+    finally:
+        client.close()
+    # Two a second for each of 400 hosts, besides those that found the leader.
+    assert link.called.count('s1') <= 4
+
+
 def test_loads_of_a_lost_leader_do_not_count(make_client):
     # Hosts that lost their leader in a load peak refused callers until they
     # had a leader again, long after the peak.
