--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -24,8 +24,8 @@
 # often than this.
 MIN_EXCHANGE_INTERVAL_SECONDS = 0.02
 # Exchanges for loads that all hosts together may start. In a load peak all of
-# them request the loads at once, so with more hosts each does so less often; an
-# endpoint also receives fewer requests of each host between two exchanges then.
+# them request the loads at once, so with more hosts each does so less often.
+# Between two exchanges an endpoint receives fewer requests of each host then.
 # Exchanges for tokens are not bounded: there are at most as many as requests.
 MAX_EXCHANGES_PER_SECOND = 800.0
 EXCHANGE_TIMEOUT_SECONDS = 0.4
