Keep a reserve of tokens in each zone while a leader is lost

Cause: many hosts share the burst of a small account, so that none of them keeps a token of it.

Change: the hosts of a zone have a reserve of each account while they have no leader, kept by one of them (rendezvous hash), in proportion to the hosts of the zone. It comes from the slack of the limit: half of it for prefetched tokens as before, 0.3 for the reserves, 0.2 instead of 0.5 for the first grants of a new leader. The rendezvous hash moved out of the package membership, which loads libraries that these programs do not use.

--- a/rhubarbreach/bench/policyhost.py
+++ b/rhubarbreach/bench/policyhost.py
@@ -12,10 +12,10 @@
 from rhubarbreach.limits import slots
 from rhubarbreach.membership import endpoints
 from rhubarbreach.membership import model
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.placement import core
 from rhubarbreach.placement import scheduler
 from rhubarbreach.protocol import membermessages
+from rhubarbreach import rendezvous
 from rhubarbreach.scheduling import work
 from rhubarbreach.settings import model as settings_model
 from rhubarbreach.state import model as state_model
--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -12,6 +12,7 @@
     'codes',
     'clock',
     'eventlog',
+    'rendezvous',
     'version',
     'protocol',
     'settings',
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -10,7 +10,9 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quota
+from rhubarbreach.fleet import zone_quota
 from rhubarbreach.protocol import fleetmessages
+from rhubarbreach import rendezvous
 
 __all__ = ['FRESH_SECONDS', 'LeaderClient']
 
@@ -50,6 +52,11 @@
 # immediate exchanges and is less than a quarter of the latency objective of
 # 0.3 s, so that a refused caller can still be served in time elsewhere.
 GRANT_TIMEOUT_SECONDS = 0.07
+# Time that a request may wait for a token of the reserve of its zone.
+RESERVE_TIMEOUT_SECONDS = 0.04
+# A leader that has not replied for this multiple of the interval of exchanges
+# counts as lost for the reserve.
+LOST_LEADER_INTERVALS = 1.5
 # Time that a request may wait for the loads of other hosts. An exchange takes
 # about 5 ms, and the next one starts at the earliest 20 ms after it.
 REFRESH_TIMEOUT_SECONDS = 0.04
@@ -72,9 +79,13 @@
         Returns the `Catalog` of an operator's document.
     validity : float
         Seconds for which a confirmed configuration may be used.
+    tolerance : Tolerance, optional
+        Bound on how far a limit may be exceeded.
     """
 
-    def __init__(self, link, view, stores, decode_catalog, validity):
+    def __init__(
+        self, link, view, stores, decode_catalog, validity, tolerance=None
+    ):
         self.link = link
         self.view = view
         self.seeds = tuple(stores)
@@ -92,6 +103,8 @@
         self.store_index = 0
         self.entry_host_count = 1
         self.local_quota = quota.LocalQuota()
+        self.reserve = zone_quota.ZoneReserve(tolerance)
+        self.replied_at = float('-inf')
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
@@ -148,16 +161,59 @@
         """Consume a token of an account; return False if its rate is exceeded.
 
         If this host has no token, wait up to `GRANT_TIMEOUT_SECONDS` for a
-        grant.
+        grant, and without a leader ask for a token of the zone's reserve.
         """
         with self.lock:
             if self.local_quota.acquire(account):
                 return True
             self.local_quota.begin_wait(account)
             try:
-                return self.wait_for_token(account)
+                granted = self.wait_for_token(account)
             finally:
                 self.local_quota.end_wait(account)
+        now = clock.monotonic()
+        if granted or not self.is_leader_lost(now):
+            return granted
+        return self.acquire_reserve(account.name, now)
+
+    @property
+    def interval(self):
+        """Longest time in seconds between two exchanges of this host."""
+        return max(EXCHANGE_INTERVAL_SECONDS, self.min_interval)
+
+    def is_leader_lost(self, now):
+        """Return whether the leader has not replied for some exchanges."""
+        return now - self.replied_at > LOST_LEADER_INTERVALS * self.interval
+
+    def acquire_reserve(self, account_id, now):
+        """Consume a token of the zone's reserve; return whether one is left.
+
+        The reserve of an account is kept by one host of the zone.
+        """
+        host_ids = (self.link.host_id, *self.view.list_peers())
+        (keeper_id,) = rendezvous.rank_hosts(account_id, host_ids, 1)
+        message = fleetmessages.ZoneTokenCall(account_id)
+        if keeper_id == self.link.host_id:
+            return self.answer_zone_token(keeper_id, message).granted
+        reply = self.link.call(
+            keeper_id, message, now + RESERVE_TIMEOUT_SECONDS
+        ).result()
+        return isinstance(reply, fleetmessages.ZoneTokenReply) and (
+            reply.granted
+        )
+
+    def answer_zone_token(self, sender_id, message):
+        """Return the reply to a host without a leader that needs a token."""
+        now = clock.monotonic()
+        zone_hosts = 1 + len(self.view.list_peers())
+        with self.lock:
+            granted = self.local_quota.take(message.account) or (
+                self.is_leader_lost(now)
+                and self.reserve.acquire(
+                    message.account, zone_hosts, self.entry_host_count, now
+                )
+            )
+        return fleetmessages.ZoneTokenReply(granted)
 
     def wait_for_token(self, account):
         """Wait for a grant; return whether a token was consumed."""
@@ -209,10 +265,8 @@
                 continue
             ended_at = clock.monotonic()
             time.sleep(MIN_EXCHANGE_INTERVAL_SECONDS)
-            min_interval = self.min_interval
             self.wait_for_schedule(
-                ended_at + min_interval,
-                ended_at + max(EXCHANGE_INTERVAL_SECONDS, min_interval),
+                ended_at + self.min_interval, ended_at + self.interval
             )
 
     def request_loads(self):
@@ -331,6 +385,7 @@
         running : dict of str to int
             Requests that the message reported, which the reply includes.
         """
+        self.replied_at = clock.monotonic()
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
--- a/rhubarbreach/fleet/quota.py
+++ b/rhubarbreach/fleet/quota.py
@@ -10,9 +10,12 @@
 
 __all__ = ['LocalQuota', 'QuotaAllocator', 'Tolerance']
 
-# Fraction of the slack of a limit that a new leader may grant. The rest covers
-# the tokens that hosts have prefetched.
-LEADER_SLACK_FRACTION = 0.5
+# Fractions of the slack of a limit: tokens that hosts have prefetched, those
+# that the zones may spend without a leader, and those that a new leader may
+# grant immediately.
+PREFETCH_SLACK_FRACTION = 0.5
+RESERVE_SLACK_FRACTION = 0.3
+LEADER_SLACK_FRACTION = 0.2
 # A host prefetches the tokens that its own demand for an account needs in this
 # time, which is about the time without a leader during a failover.
 PREFETCH_SECONDS = 1.2
@@ -74,7 +77,7 @@
         Small accounts do not need that reserve, as hosts together prefetch
         at most the burst.
         """
-        spare = self.tolerance.slack * (1.0 - LEADER_SLACK_FRACTION)
+        spare = self.tolerance.slack * PREFETCH_SLACK_FRACTION
         return max(account.burst, spare)
 
     def get_initial_level(self, account):
@@ -174,8 +177,12 @@
 
     def consume(self, account):
         """Consume a token if available; return whether it was."""
-        state = self.accounts[account.name]
-        if state.tokens < 1:
+        return self.take(account.name)
+
+    def take(self, account_id):
+        """Consume a token for another host; return whether there was one."""
+        state = self.accounts.get(account_id)
+        if state is None or state.tokens < 1:
             return False
         state.tokens -= 1
         return True
--- a/rhubarbreach/fleet/tests/test_quota.py
+++ b/rhubarbreach/fleet/tests/test_quota.py
@@ -7,6 +7,7 @@
 from rhubarbreach.catalog import model
 from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import quota
+from rhubarbreach.fleet import zone_quota
 
 TOLERANCE = quota.Tolerance(5.0, 0.1, 20.0)
 ACCOUNT = model.Account('a', ('k',), rate=24.0, burst=24.0)
@@ -37,12 +38,28 @@
     seed=1,
     hosts=HOSTS,
     step=STEP,
+    zones=0,
 ):
     """Return the times of admitted requests and the number of refused ones.
 
     `load` returns the requests a second at a given time. At each time in
-    `failovers` the leader is lost, and a new one follows after a second.
+    `failovers` the leader is lost, and a new one follows after a second. The
+    hosts are in as many zones with a reserve, 0 for none.
     """
+    reserves = [zone_quota.ZoneReserve(TOLERANCE) for _ in range(zones)]
+
+    def acquire_reserve(number):
+        return (
+            bool(reserves)
+            and now < leaderless_until
+            and reserves[number % zones].acquire(
+                account.name,
+                len(range(number % zones, hosts, zones)),
+                hosts,
+                now,
+            )
+        )
+
     rng = random.Random(seed)
     allocator = quota.QuotaAllocator(TOLERANCE)
     local_quotas = [quota.LocalQuota() for _ in range(hosts)]
@@ -78,6 +95,8 @@
                     sent.append(now)
                 elif now < deadline:
                     continue
+                elif acquire_reserve(number):
+                    sent.append(now)
                 else:
                     refused += 1
                 local_quota.end_wait(account)
@@ -171,3 +190,56 @@
         assert count_max_requests(times, TOLERANCE.window) <= get_bound(
             account
         )
+
+
+LARGE_FLEET = {'seconds': 16.0, 'hosts': 66, 'step': 0.02}
+FAILOVERS = (4.0, 6.5, 11.0)
+
+
+def simulate_small_accounts(zones, load):
+    """Return results of accounts of a large fleet that loses its leader."""
+    account = model.Account('s', ('k',), rate=2.0, burst=2.0)
+    return [
+        simulate(
+            lambda now: load,
+            account=account,
+            failovers=FAILOVERS,
+            seed=seed,
+            zones=zones,
+            **LARGE_FLEET,
+        )
+        for seed in range(12)
+    ]
+
+
+def test_zone_reserve_serves_small_accounts_without_a_leader():
+    # No host of a large fleet keeps a token of a small account. While a leader
+    # was lost, each request of such an account was refused.
+    plain, reserved = (
+        sum(refused for _, refused in simulate_small_accounts(zones, 1.25))
+        for zones in (0, 5)
+    )
+    assert reserved <= 0.5 * plain
+
+
+def test_zone_reserves_stay_within_the_bound():
+    account = model.Account('s', ('k',), rate=2.0, burst=2.0)
+    for times, _ in simulate_small_accounts(5, 20.0):
+        assert count_max_requests(times, TOLERANCE.window) <= get_bound(
+            account
+        )
+
+
+def test_reserve_is_shared_in_proportion_to_the_hosts():
+    reserve = zone_quota.ZoneReserve(TOLERANCE)
+    limit = quota.RESERVE_SLACK_FRACTION * TOLERANCE.slack
+    for zones in ((16, 12, 12, 14, 12), (8, 7, 7), (1, 1, 2), (400, 900)):
+        tokens = [reserve.count_tokens(z, sum(zones)) for z in zones]
+        assert sum(tokens) <= limit
+        assert min(tokens) >= 1
+    assert [reserve.acquire('a', 12, 66, 0.0) for _ in range(2)] == [
+        True,
+        False,
+    ]
+    assert not reserve.acquire('a', 12, 66, 9.9)
+    assert reserve.acquire('a', 12, 66, 10.1)
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -5,10 +5,12 @@
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import leader_client as leader_clients
+from rhubarbreach.fleet import quota
 from rhubarbreach.fleet import view as views
 from rhubarbreach.gateway import app as apps
 from rhubarbreach.gateway import jobs
 from rhubarbreach.hosts import zone_news
+from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.web import server
 
@@ -59,6 +61,16 @@
             settings.seeds,
             decode_catalog,
             settings.revoke_seconds - REVOKE_MARGIN_SECONDS,
+            quota.Tolerance(
+                settings.rate_window,
+                settings.rate_overage,
+                settings.rate_slack,
+            ),
+        )
+        self.link.register(
+            fleetmessages.ZoneTokenCall,
+            self.leader_client.answer_zone_token,
+            inline=True,
         )
         self.zone_news = zone_news.ZoneNews(self.link, self.view)
         self.app = apps.App(
--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -7,8 +7,8 @@
 
 from rhubarbreach import clock
 from rhubarbreach.limits import concurrency
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import limitmessages
+from rhubarbreach import rendezvous
 
 __all__ = [
     'HostReport',
--- a/rhubarbreach/limits/owner.py
+++ b/rhubarbreach/limits/owner.py
@@ -8,8 +8,8 @@
 
 from rhubarbreach import clock
 from rhubarbreach.limits import buckets
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import limitmessages
+from rhubarbreach import rendezvous
 from rhubarbreach.state import model
 
 __all__ = [
--- a/rhubarbreach/limits/tests/fleet.py
+++ b/rhubarbreach/limits/tests/fleet.py
@@ -9,8 +9,8 @@
 
 from rhubarbreach.limits import holder
 from rhubarbreach.limits import owner
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import limitmessages
+from rhubarbreach import rendezvous
 from rhubarbreach.state import model
 
 # Seconds of configuration validity after a poll.
--- a/rhubarbreach/limits/tests/test_limiter.py
+++ b/rhubarbreach/limits/tests/test_limiter.py
@@ -10,8 +10,8 @@
 from rhubarbreach import codes
 from rhubarbreach.limits import shares
 from rhubarbreach.limits import shareset
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.protocol import link
+from rhubarbreach import rendezvous
 from rhubarbreach.state import model
 
 NAMES = ('h0', 'h1', 'h2')
--- a/rhubarbreach/membership/__init__.py
+++ b/rhubarbreach/membership/__init__.py
@@ -4,7 +4,6 @@
 from rhubarbreach.membership import hosts
 from rhubarbreach.membership import members
 from rhubarbreach.membership import model
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.membership import swim
 
-__all__ = ['endpoints', 'hosts', 'members', 'model', 'rendezvous', 'swim']
+__all__ = ['endpoints', 'hosts', 'members', 'model', 'swim']
--- a/rhubarbreach/membership/hosts.py
+++ b/rhubarbreach/membership/hosts.py
@@ -9,9 +9,9 @@
 from rhubarbreach import clock
 from rhubarbreach.membership import members
 from rhubarbreach.membership import model
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.membership import swim
 from rhubarbreach.protocol import membermessages
+from rhubarbreach import rendezvous
 
 __all__ = ['Membership']
 
--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -6,10 +6,10 @@
 import threading
 
 from rhubarbreach.limits import slots
-from rhubarbreach.membership import rendezvous
 from rhubarbreach.placement import waiting
 from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import limitmessages
+from rhubarbreach import rendezvous
 
 __all__ = ['Exchange', 'find_home', 'group_by_home']
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -16,6 +16,8 @@
     'RetirementCall',
     'RetirementReply',
     'StoreNews',
+    'ZoneTokenCall',
+    'ZoneTokenReply',
 ]
 
 
@@ -153,3 +155,17 @@
 
     refusal: codes.Refusal | None = None
     is_retired: bool = False
+
+
+@messages.frozen_message
+class ZoneTokenCall:
+    """Call for a token of an account to the host that keeps its reserve."""
+
+    account: str
+
+
+@messages.frozen_message
+class ZoneTokenReply:
+    """Answer to `ZoneTokenCall`: whether the caller may send a request."""
+
+    granted: bool
