Pool the parts of a rate in a zone that has no leader

Each host refilled its own part of a rate: with 66 hosts and two requests a second it earns a token every 33 s.

Change: the keeper of an account earns the parts of all hosts of the zone. A host without others in its zone refills its own tokens as before.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -174,25 +174,30 @@
         now = clock.monotonic()
         if granted or not self.is_leader_lost(now):
             return granted
-        return self.acquire_reserve(account.name, now)
+        return self.acquire_reserve(account, now)
 
     @property
     def interval(self):
         """Longest time in seconds between two exchanges of this host."""
         return max(EXCHANGE_INTERVAL_SECONDS, self.min_interval)
 
+    @property
+    def lost_at(self):
+        """Monotonic time from which on a silent leader counts as lost."""
+        return self.replied_at + LOST_LEADER_INTERVALS * self.interval
+
     def is_leader_lost(self, now):
         """Return whether the leader has not replied for some exchanges."""
-        return now - self.replied_at > LOST_LEADER_INTERVALS * self.interval
+        return now > self.lost_at
 
-    def acquire_reserve(self, account_id, now):
+    def acquire_reserve(self, account, now):
         """Consume a token of the zone's reserve; return whether one is left.
 
         The reserve of an account is kept by one host of the zone.
         """
         host_ids = (self.link.host_id, *self.view.list_peers())
-        (keeper_id,) = rendezvous.rank_hosts(account_id, host_ids, 1)
-        message = fleetmessages.ZoneTokenCall(account_id)
+        (keeper_id,) = rendezvous.rank_hosts(account.name, host_ids, 1)
+        message = fleetmessages.ZoneTokenCall(account.name)
         if keeper_id == self.link.host_id:
             return self.answer_zone_token(keeper_id, message).granted
         reply = self.link.call(
@@ -205,12 +210,22 @@
     def answer_zone_token(self, sender_id, message):
         """Return the reply to a host without a leader that needs a token."""
         now = clock.monotonic()
+        index = self.index
+        account = None
+        if index is not None:
+            account = index.accounts.get(message.account)
+        if account is None or now > self.valid_until:
+            return fleetmessages.ZoneTokenReply(False)
         zone_hosts = 1 + len(self.view.list_peers())
         with self.lock:
-            granted = self.local_quota.take(message.account) or (
+            granted = self.local_quota.take(account.name) or (
                 self.is_leader_lost(now)
                 and self.reserve.acquire(
-                    message.account, zone_hosts, self.entry_host_count, now
+                    account,
+                    zone_hosts,
+                    self.entry_host_count,
+                    self.lost_at,
+                    now,
                 )
             )
         return fleetmessages.ZoneTokenReply(granted)
@@ -351,7 +366,7 @@
         """Choose the next leader candidate after a failed exchange.
 
         While the configuration is valid, tokens are refilled locally at this
-        host's part of each rate.
+        host's part of each rate, unless the hosts of its zone pool them.
         """
         hint = None
         if isinstance(reply, codes.Refusal):
@@ -361,7 +376,11 @@
         self.leader_id = None if self.is_unresponsive(hint, now) else hint
         with self.changed:
             index = self.index
-            if index is not None and now < self.valid_until:
+            if (
+                index is not None
+                and now < self.valid_until
+                and not self.view.list_peers()
+            ):
                 self.local_quota.refill_locally(
                     index.catalog.accounts, self.entry_host_count, now
                 )
