--- a/rhubarbreach/bench/slopes.py
+++ b/rhubarbreach/bench/slopes.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from rhubarbreach.bench import exchangecost
 from rhubarbreach.bench import fits
 from rhubarbreach.bench import slopeparts
 
@@ -55,6 +56,7 @@
         *slopeparts.measure_accounts(),
         *slopeparts.measure_grants(),
         *slopeparts.measure_items(),
+        *exchangecost.measure_exchange(seed),
     ]
     fitted = [fits.fit_series(measured) for measured in series]
     sys.stdout.write(f'seed {seed}\n\n' + format_table(fitted))
