Call the next store while one that is asked for the leader is silent

A leader was elected at 52.08 s, but entry hosts found it between 52.79 and 52.84 s: two of the three stores that they knew started at 52.2 s, and each was waited for until its timeout of 0.4 s.

Change: a host without a leader calls the next store after 0.08 s without a reply, three at most at the same time. A known leader is still the only store that is called. The search is a class of its own.

Measured: the new test finds a leader behind two silent stores within 0.4 s; the code before waits 0.8 s by construction.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -6,8 +6,8 @@
 
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach import clock
-from rhubarbreach import codes
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quota
 from rhubarbreach.fleet import zone_quota
@@ -30,15 +30,11 @@
 # Between two exchanges an endpoint receives fewer requests of each host then.
 # Exchanges for tokens are not bounded: there are at most as many as requests.
 MAX_EXCHANGES_PER_SECOND = 800.0
-EXCHANGE_TIMEOUT_SECONDS = 0.4
 # Pause before the next store is tried when one is not the leader.
 RETRY_INTERVAL_SECONDS = 0.05
 # Relative jitter of the pause after a failed exchange, so that hosts that have
 # lost their leader together do not ask the stores together.
 RETRY_JITTER = 0.3
-# A store that did not answer is skipped for this long while other stores are
-# tried. During an election they may still name it as the leader.
-UNRESPONSIVE_SECONDS = 1.0
 # Callers are refused permanently only by a configuration that was confirmed
 # within this time.
 FRESH_SECONDS = 1.0
@@ -88,8 +84,7 @@
     ):
         self.link = link
         self.view = view
-        self.seeds = tuple(stores)
-        self.stores = tuple(stores)
+        self.search = leader_search.LeaderSearch(link, stores)
         self.decode_catalog = decode_catalog
         self.validity = validity
         self.index = None
@@ -98,9 +93,6 @@
         self.endpoints_stamp = ''
         self.endpoint_order = ()
         self.peers_revision = 0
-        self.leader_id = None
-        self.unresponsive_until = {}
-        self.store_index = 0
         self.entry_host_count = 1
         self.local_quota = quota.LocalQuota()
         self.reserve = zone_quota.ZoneReserve(tolerance)
@@ -120,6 +112,16 @@
         )
         self.thread.start()
 
+    @property
+    def leader_id(self):
+        """Store that leads, as far as this host knows; None if unknown."""
+        return self.search.leader_id
+
+    @property
+    def stores(self):
+        """Stores that the leader has named, or the first ones to contact."""
+        return self.search.stores
+
     @property
     def valid_until(self):
         """Monotonic time until which the configuration may be used."""
@@ -155,7 +157,7 @@
 
     def set_seeds(self, seeds):
         """Replace the stores to contact besides those the leader named."""
-        self.seeds = tuple(seeds)
+        self.search.seeds = tuple(seeds)
 
     def acquire_token(self, account):
         """Consume a token of an account; return False if its rate is exceeded.
@@ -321,7 +323,6 @@
 
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
-        store = self.choose_store()
         sent = clock.monotonic()
         with self.lock:
             wanted = self.local_quota.compute_wanted(sent)
@@ -335,45 +336,19 @@
             self.view.zone,
             self.peers_revision,
         )
-        call = self.link.call(store, message, sent + EXCHANGE_TIMEOUT_SECONDS)
-        reply = call.result()
-        if isinstance(reply, codes.Refusal) or not reply.is_leader:
-            self.handle_failed_exchange(store, reply, clock.monotonic())
+        reply = self.search.call(message)
+        if reply is None:
+            self.handle_failed_exchange(clock.monotonic())
             return False
-        self.leader_id = store
-        self.unresponsive_until.clear()
         self.apply_reply(reply, sent, running)
         return True
 
-    def choose_store(self):
-        """Return the leader if known, else the next store in turn."""
-        if self.leader_id is not None:
-            return self.leader_id
-        now = clock.monotonic()
-        stores = tuple(dict.fromkeys((*self.stores, *self.seeds)))
-        responsive = tuple(
-            s for s in stores if not self.is_unresponsive(s, now)
-        )
-        stores = responsive or stores
-        self.store_index += 1
-        return stores[self.store_index % len(stores)]
-
-    def is_unresponsive(self, store, now):
-        """Return whether a store recently failed to answer a message."""
-        return now < self.unresponsive_until.get(store, now)
-
-    def handle_failed_exchange(self, store, reply, now):
-        """Choose the next leader candidate after a failed exchange.
+    def handle_failed_exchange(self, now):
+        """Continue without a leader after a failed exchange.
 
         While the configuration is valid, tokens are refilled locally at this
         host's part of each rate, unless the hosts of its zone pool them.
         """
-        hint = None
-        if isinstance(reply, codes.Refusal):
-            self.unresponsive_until[store] = now + UNRESPONSIVE_SECONDS
-        elif reply.leader_id != store:
-            hint = reply.leader_id
-        self.leader_id = None if self.is_unresponsive(hint, now) else hint
         with self.changed:
             index = self.index
             if (
@@ -390,7 +365,7 @@
             # The loads of a peak would otherwise count until there is a leader
             # again, and callers would be refused while slots are free.
             self.view.drop_leader_loads()
-            LOG.warning('event=leader_lost store={}', store)
+            LOG.warning('event=leader_lost next={}', self.leader_id)
 
     def apply_reply(self, reply, sent, running):
         """Apply the reply of the leader to a message.
@@ -434,7 +409,7 @@
             ),
             self.min_interval,
         )
-        self.stores = reply.stores or self.stores
+        self.search.stores = reply.stores or self.search.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -10,6 +10,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import view
 from rhubarbreach.protocol import fleetmessages
 
@@ -55,7 +56,7 @@
         )
         stopped.close()
         stopped.thread.join(WAIT_SECONDS)
-        stopped.unresponsive_until.clear()
+        stopped.search.unresponsive_until.clear()
         del link.called[:]
         return stopped
 
@@ -68,7 +69,7 @@
     # its election.
     link = FakeLink(('s1',), None)
     client = make_client(link)
-    client.leader_id = 's1'
+    client.search.leader_id = 's1'
     for _ in range(6):
         client.exchange()
     assert link.called[0] == 's1'
@@ -154,6 +155,56 @@
     assert client.view.suspects == {'e2'}
 
 
+class SilentLink:
+    """Link on which only one store answers; the others never do.
+
+    `called` lists the stores with the time of the call.
+    """
+
+    def __init__(self, leader):
+        self.host_id = 'entry'
+        self.leader = leader
+        self.called = []
+
+    def call(self, store, message, deadline):
+        self.called.append((store, clock.monotonic()))
+        future = concurrent.futures.Future()
+        if store == self.leader:
+            future.set_result(fleetmessages.ExchangeReply(True, store))
+            return future
+        refusal = codes.Refusal(codes.ResultCode.UNAVAILABLE, 'no reply')
+        timer = threading.Timer(
+            deadline - clock.monotonic(), future.set_result, (refusal,)
+        )
+        timer.daemon = True
+        timer.start()
+        return future
+
+
+def test_leader_behind_silent_stores_is_found_soon():
+    # After a restart of all hosts of a large fleet two of the three known
+    # stores were not up yet. Each was waited for until its timeout, and hosts
+    # found the leader 0.7 s after its election.
+    link = SilentLink('s3')
+    search = leader_search.LeaderSearch(link, STORES)
+    search.store_index = -1
+    started_at = clock.monotonic()
+    assert search.call('message').is_leader
+    assert [store for store, _ in link.called] == list(STORES)
+    assert clock.monotonic() - started_at < 0.4
+    assert search.leader_id == 's3'
+
+
+def test_silent_leader_is_the_only_store_that_is_called():
+    # Only one store acts on a report, and most replies just come late.
+    link = SilentLink('s3')
+    search = leader_search.LeaderSearch(link, STORES)
+    search.leader_id = 's1'
+    assert search.call('message') is None
+    assert [store for store, _ in link.called] == ['s1']
+    assert search.leader_id is None
+
+
 def test_request_waits_for_the_first_configuration(make_client):
     # After a restart of all hosts every request was refused, most of them at
     # their last attempt.
