Separate the tokens of an entry host from its exchange

Change: fleet.token_source waits for grants and asks the keeper of a reserve. The refusal tells whether the rate was exceeded or no leader grants tokens.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -9,10 +9,8 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
-from rhubarbreach.fleet import quota
-from rhubarbreach.fleet import zone_quota
+from rhubarbreach.fleet import token_source
 from rhubarbreach.protocol import fleetmessages
-from rhubarbreach import rendezvous
 
 __all__ = ['FRESH_SECONDS', 'LeaderClient']
 
@@ -44,14 +42,8 @@
 # have no attempt left by then.
 STARTUP_WAIT_SECONDS = 1.0
 STARTUP_SECONDS = 1.5
-# Time that a request may wait for a grant of its account's rate. It covers two
-# immediate exchanges and is less than a quarter of the latency objective of
-# 0.3 s, so that a refused caller can still be served in time elsewhere.
-GRANT_TIMEOUT_SECONDS = 0.07
-# Time that a request may wait for a token of the reserve of its zone.
-RESERVE_TIMEOUT_SECONDS = 0.04
 # A leader that has not replied for this multiple of the interval of exchanges
-# counts as lost for the reserve.
+# counts as lost for the tokens of accounts.
 LOST_LEADER_INTERVALS = 1.5
 # Time that a request may wait for the loads of other hosts. An exchange takes
 # about 5 ms, and the next one starts at the earliest 20 ms after it.
@@ -94,9 +86,13 @@
         self.endpoint_order = ()
         self.peers_revision = 0
         self.entry_host_count = 1
-        self.local_quota = quota.LocalQuota()
-        self.reserve = zone_quota.ZoneReserve(tolerance)
-        self.replied_at = float('-inf')
+        self.tokens = token_source.TokenSource(
+            link,
+            view.list_peers,
+            self.find_account,
+            self.request_tokens,
+            tolerance,
+        )
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
@@ -155,94 +151,22 @@
                 self.changed.wait(remaining)
         return self.index
 
+    def find_account(self, name):
+        """Return an account of the configuration while that is valid."""
+        index = self.index
+        if index is None or clock.monotonic() > self.valid_until:
+            return None
+        return index.accounts.get(name)
+
     def set_seeds(self, seeds):
         """Replace the stores to contact besides those the leader named."""
         self.search.seeds = tuple(seeds)
 
-    def acquire_token(self, account):
-        """Consume a token of an account; return False if its rate is exceeded.
-
-        If this host has no token, wait up to `GRANT_TIMEOUT_SECONDS` for a
-        grant, and without a leader ask for a token of the zone's reserve.
-        """
-        with self.lock:
-            if self.local_quota.acquire(account):
-                return True
-            self.local_quota.begin_wait(account)
-            try:
-                granted = self.wait_for_token(account)
-            finally:
-                self.local_quota.end_wait(account)
-        now = clock.monotonic()
-        if granted or not self.is_leader_lost(now):
-            return granted
-        return self.acquire_reserve(account, now)
-
     @property
     def interval(self):
         """Longest time in seconds between two exchanges of this host."""
         return max(EXCHANGE_INTERVAL_SECONDS, self.min_interval)
 
-    @property
-    def lost_at(self):
-        """Monotonic time from which on a silent leader counts as lost."""
-        return self.replied_at + LOST_LEADER_INTERVALS * self.interval
-
-    def is_leader_lost(self, now):
-        """Return whether the leader has not replied for some exchanges."""
-        return now > self.lost_at
-
-    def acquire_reserve(self, account, now):
-        """Consume a token of the zone's reserve; return whether one is left.
-
-        The reserve of an account is kept by one host of the zone.
-        """
-        host_ids = (self.link.host_id, *self.view.list_peers())
-        (keeper_id,) = rendezvous.rank_hosts(account.name, host_ids, 1)
-        message = fleetmessages.ZoneTokenCall(account.name)
-        if keeper_id == self.link.host_id:
-            return self.answer_zone_token(keeper_id, message).granted
-        reply = self.link.call(
-            keeper_id, message, now + RESERVE_TIMEOUT_SECONDS
-        ).result()
-        return isinstance(reply, fleetmessages.ZoneTokenReply) and (
-            reply.granted
-        )
-
-    def answer_zone_token(self, sender_id, message):
-        """Return the reply to a host without a leader that needs a token."""
-        now = clock.monotonic()
-        index = self.index
-        account = None
-        if index is not None:
-            account = index.accounts.get(message.account)
-        if account is None or now > self.valid_until:
-            return fleetmessages.ZoneTokenReply(False)
-        zone_hosts = 1 + len(self.view.list_peers())
-        with self.lock:
-            granted = self.local_quota.take(account.name) or (
-                self.is_leader_lost(now)
-                and self.reserve.acquire(
-                    account,
-                    zone_hosts,
-                    self.entry_host_count,
-                    self.lost_at,
-                    now,
-                )
-            )
-        return fleetmessages.ZoneTokenReply(granted)
-
-    def wait_for_token(self, account):
-        """Wait for a grant; return whether a token was consumed."""
-        self.request_tokens()
-        deadline = clock.monotonic() + GRANT_TIMEOUT_SECONDS
-        while True:
-            remaining = clock.remaining(deadline, clock.monotonic())
-            if not remaining or not self.changed.wait(remaining):
-                return False
-            if self.local_quota.consume(account):
-                return True
-
     @property
     def min_interval(self):
         """Shortest time in seconds between two exchanges of this host."""
@@ -324,8 +248,7 @@
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
-        with self.lock:
-            wanted = self.local_quota.compute_wanted(sent)
+        wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         message = fleetmessages.Exchange(
             0 if self.index is None else self.index.version,
@@ -349,17 +272,9 @@
         While the configuration is valid, tokens are refilled locally at this
         host's part of each rate, unless the hosts of its zone pool them.
         """
-        with self.changed:
-            index = self.index
-            if (
-                index is not None
-                and now < self.valid_until
-                and not self.view.list_peers()
-            ):
-                self.local_quota.refill_locally(
-                    index.catalog.accounts, self.entry_host_count, now
-                )
-                self.changed.notify_all()
+        index = self.index
+        if index is not None and now < self.valid_until:
+            self.tokens.refill_alone(index.catalog.accounts, now)
         if self.has_leader and not self.is_fresh(now):
             self.has_leader = False
             # The loads of a peak would otherwise count until there is a leader
@@ -379,7 +294,6 @@
         running : dict of str to int
             Requests that the message reported, which the reply includes.
         """
-        self.replied_at = clock.monotonic()
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
@@ -413,10 +327,11 @@
         self.entry_host_count = reply.entries
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
+        lost_seconds = LOST_LEADER_INTERVALS * self.interval
+        self.tokens.apply_grants(
+            reply.granted, reply.entries, clock.monotonic() + lost_seconds
+        )
         with self.changed:
-            self.local_quota.stop_local_refill()
-            self.local_quota.hosts = max(1, reply.entries)
-            self.local_quota.add(reply.granted)
             self.reply_count += 1
             self.changed.notify_all()
         if not self.has_leader and self.is_fresh(clock.monotonic()):
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -116,7 +116,7 @@
     try:
         account = catalogs.Account('a', (), rate=10.0, burst=10.0)
         for _ in range(20):
-            assert client.acquire_token(account)
+            assert client.tokens.acquire(account)
     finally:
         client.close()
 
--- a/rhubarbreach/fleet/tests/test_quota.py
+++ b/rhubarbreach/fleet/tests/test_quota.py
@@ -5,8 +5,8 @@
 import pytest
 
 from rhubarbreach.catalog import model
-from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import quota
+from rhubarbreach.fleet import token_source
 from rhubarbreach.fleet import zone_quota
 
 TOLERANCE = quota.Tolerance(5.0, 0.1, 20.0)
@@ -109,7 +109,7 @@
                 else:
                     local_quota.begin_wait(account)
                     waiting[number].append(
-                        now + leader_client.GRANT_TIMEOUT_SECONDS
+                        now + token_source.GRANT_TIMEOUT_SECONDS
                     )
                     due[number] = min(due[number], now + step)
         now += step
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -162,19 +162,28 @@
             return self.serve_submission(
                 connection, request, info, route, name
             )
-        if account is not None and not self.leader_client.acquire_token(
+        if account is not None and not self.leader_client.tokens.acquire(
             account
         ):
-            return codes.Refusal(
-                codes.ResultCode.RATE_EXCEEDED,
-                f'client account {account.name} exceeded its rate of '
-                f'{account.rate:g} requests/s',
-            )
+            return self.refuse_rate(account)
         forwarder = forward.RequestForwarder(
             self, connection, request, info, route, account
         )
         return forwarder.run()
 
+    def refuse_rate(self, account):
+        """Return the refusal of a request without a token."""
+        reason = (
+            f'client account {account.name} exceeded its rate of '
+            f'{account.rate:g} requests/s'
+        )
+        if self.leader_client.tokens.is_leader_lost(clock.monotonic()):
+            reason = (
+                f'no leader grants tokens of client account {account.name}, '
+                'and its reserve in this zone is spent'
+            )
+        return codes.Refusal(codes.ResultCode.RATE_EXCEEDED, reason)
+
     def refuse_unknown(self, code, reason):
         """Return the refusal of an unknown route or key.
 
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -69,7 +69,7 @@
         )
         self.link.register(
             fleetmessages.ZoneTokenCall,
-            self.leader_client.answer_zone_token,
+            self.leader_client.tokens.answer_call,
             inline=True,
         )
         self.zone_news = zone_news.ZoneNews(self.link, self.view)
