Let a test of standbys follow changes of the leader

Its output was not kept, so the cause is by reading: it looked at the leader that it had found first, and a new one counts the standby from the start of its own term.

Measured: it fails without the check of standbys in is_installing.

--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -1,5 +1,7 @@
 """Tests of membership changes and of leadership."""
 
+import itertools
+
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus import leading
@@ -135,18 +137,34 @@
     ) as test_cluster:
         test_cluster.start('host-4')
         change(test_cluster, 'add_learner', 'host-4')
-        for number in range(100):
+        numbers = itertools.count()
+
+        def needs_snapshot():
+            """Return whether the log no longer reaches back to the standby.
+
+            A new leader counts the standby from the start of its own term.
+            """
+            number = next(numbers)
             test_cluster.commit(f'{number}'.encode(), host='host-1')
-        leader = test_cluster.leader()
-        cluster.wait_until(lambda: leader.store.base_index > 0)
-        with leader.lock:
-            peer = leader.state.peers['host-4']
-            assert peer.next_index <= leader.store.base_index
-            assert not leading.is_installing(leader.state, clock.monotonic())
+            leader = test_cluster.leader()
+            with leader.lock:
+                peer = leader.state.peers.get('host-4')
+                now = clock.monotonic()
+                if (
+                    peer is None
+                    or peer.next_index > leader.store.base_index
+                    or peer.last_contact < now - 0.5
+                ):
+                    return False
+                assert peer.is_standby
+                assert not leading.is_installing(leader.state, now)
+            return number >= 100
+
+        cluster.wait_until(needs_snapshot)
         change(test_cluster, 'promote', 'host-4')
         test_cluster.wait_joined('host-4')
         machine = test_cluster.get('host-4').machine
-        cluster.wait_until(lambda: len(machine.commands) >= 100)
+        cluster.wait_until(lambda: len(machine.commands) > 100)
 
 
 def test_replaced_voter_is_no_standby(tmp_path):
