Move the choice of endpoints and the retirements to modules of their own

Change: fleet.choice holds the decisions as functions of their inputs, hosts.retirement the calls of operators.

Measured: the tests of both; no behaviour is meant to change.

--- a/rhubarbreach/backlog/tests/conftest.py
+++ b/rhubarbreach/backlog/tests/conftest.py
@@ -7,7 +7,7 @@
 
 from rhubarbreach.backlog import assignments
 from rhubarbreach.backlog import commands
-from rhubarbreach.fleet import view
+from rhubarbreach.fleet import choice
 from rhubarbreach.protocol import workmessages
 
 
@@ -65,7 +65,7 @@
             for name, item in self.items.items()
         }
         self.endpoints = {
-            f'e{n}': view.Endpoint(f'e{n}', 's', f'{n}:1', f'z{n}', 8)
+            f'e{n}': choice.Endpoint(f'e{n}', 's', f'{n}:1', f'z{n}', 8)
             for n in (1, 2)
         }
 
--- a/rhubarbreach/fleet/tests/test_load_peaks.py
+++ b/rhubarbreach/fleet/tests/test_load_peaks.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import view
 from rhubarbreach.protocol import fleetmessages
@@ -118,7 +119,7 @@
     # All hosts sent the requests of one interval to the few endpoints that
     # were idle at the last exchange, 13 of them within 0.2 s to a single one.
     if fraction is not None:
-        monkeypatch.setattr(view, 'LOW_UTILIZATION_FRACTION', fraction)
+        monkeypatch.setattr(choice, 'LOW_UTILIZATION_FRACTION', fraction)
     queued = get_queued_fraction(LARGE, 2)
     assert queued <= max_queued
     assert fraction is None or queued > 0.08
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rhubarbreach import codes
+from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import view
 from rhubarbreach.protocol import fleetmessages
@@ -52,7 +53,7 @@
 
 
 def test_full_endpoints_refuse_with_a_retry_time(endpoints):
-    full = 8 + view.MAX_QUEUED
+    full = 8 + choice.MAX_QUEUED
     endpoints.update_loads({'e1': full, 'e2': full, 'e3': full}, {})
     refusal = endpoints.acquire('s', (), 0.0)
     assert refusal.code == codes.ResultCode.QUEUE_FULL
@@ -62,10 +63,10 @@
 
 def test_retried_request_may_wait_in_a_longer_queue(endpoints):
     # It has no further attempt, so a second refusal would be final.
-    full = 8 + view.MAX_QUEUED
+    full = 8 + choice.MAX_QUEUED
     endpoints.update_loads({'e1': full, 'e2': full, 'e3': full}, {})
-    chosen = endpoints.acquire('s', (), 0.0, view.MAX_QUEUED_RETRIES)
-    assert isinstance(chosen, view.Endpoint)
+    chosen = endpoints.acquire('s', (), 0.0, choice.MAX_QUEUED_RETRIES)
+    assert isinstance(chosen, choice.Endpoint)
 
 
 def test_retried_requests_queue_no_longer_in_a_sustained_overload(endpoints):
@@ -139,7 +140,7 @@
 def test_failed_endpoints_are_tried_if_all_have_failed(endpoints):
     for endpoint_id in ('e1', 'e2', 'e3'):
         endpoints.record_failure(endpoint_id, 0.0)
-    assert isinstance(endpoints.acquire('s', (), 0.1), view.Endpoint)
+    assert isinstance(endpoints.acquire('s', (), 0.1), choice.Endpoint)
 
 
 def test_released_request_frees_its_slot(endpoints):
--- a/rhubarbreach/fleet/tests/test_zone_loads.py
+++ b/rhubarbreach/fleet/tests/test_zone_loads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rhubarbreach import clock
+from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import view
 from rhubarbreach.fleet import zone_loads
@@ -219,15 +220,15 @@
 def test_queue_limit_follows_run_time_slots_and_objective():
     # A limit made for eight streams of 0.7 s lets requests wait for seconds
     # behind long streams, and refuses short ones while they would be in time.
-    assert view.compute_queue_limit(8, 0.7, 0.225) == 2
-    assert view.compute_queue_limit(64, 0.2, 0.225) == 72
-    assert view.compute_queue_limit(4, 5.0, 0.225) == 1
+    assert choice.compute_queue_limit(8, 0.7, 0.225) == 2
+    assert choice.compute_queue_limit(64, 0.2, 0.225) == 72
+    assert choice.compute_queue_limit(4, 5.0, 0.225) == 1
 
 
 def test_zone_penalty_grows_with_the_age_of_the_loads():
-    assert view.compute_zone_penalty(8, None, 0.1) == view.MIN_ZONE_PENALTY
+    assert choice.compute_zone_penalty(8, None, 0.1) == choice.MIN_ZONE_PENALTY
     young, old, oldest = (
-        view.compute_zone_penalty(8, 0.7, age) for age in (0.02, 0.06, 1.0)
+        choice.compute_zone_penalty(8, 0.7, age) for age in (0.02, 0.06, 1.0)
     )
-    assert view.MIN_ZONE_PENALTY < young < old < oldest
-    assert oldest == 8 * view.MAX_ZONE_PENALTY_FRACTION
+    assert choice.MIN_ZONE_PENALTY < young < old < oldest
+    assert oldest == 8 * choice.MAX_ZONE_PENALTY_FRACTION
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -1,15 +1,8 @@
-"""Load balancing of one entry host over the known endpoints.
-
-The load balancing is designed for load peaks in which all slots are in use for
-seconds while endpoints crash or stop responding.
-
-A request is sent to the endpoint with the lowest load for its slots. If all
-slots are in use, the endpoint with the fewest online requests is chosen, as
-batch items are preempted immediately. A few requests may queue at an endpoint,
-as long as they start within the latency objective. Further requests are
-refused immediately, with a retry time after which the load peak is probably
-over. A retried request may wait in a longer queue, so that it is not
-refused twice.
+"""Endpoints, their loads and their health, as one entry host knows them.
+
+A refused caller is told a time after which the load peak is probably over, and
+may then wait in a longer queue, so that it is not refused twice. See `choice`
+for the decisions.
 """
 
 import collections
@@ -19,154 +12,20 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
 from rhubarbreach.fleet import saturation
 from rhubarbreach.fleet import zone_loads
 
-__all__ = ['Endpoint', 'View', 'choose_endpoint']
-
-# Requests that may wait at an endpoint beyond its slots, until the run time of
-# requests is known.
-MAX_QUEUED = 2
-# The same for a request that was refused before, unless the overload outlasts
-# a load peak, and for one that was already sent to an endpoint. Such a request
-# is late already, but it would be lost otherwise.
-MAX_QUEUED_RETRIES = 8
-# Time that a request may wait in the queue of an endpoint, relative to its
-# latency objective: a new one, and one that is late already.
-MAX_WAIT_OBJECTIVES = 0.75
-MAX_RETRY_WAIT_OBJECTIVES = 2.5
+__all__ = ['View']
+
 # Weight of the newest request in the moving average of run times.
 RUN_TIME_WEIGHT = 0.05
 # From this utilization on, requests of other hosts may fill an endpoint within
 # one exchange interval. A host then requests the current loads before it
 # chooses an endpoint, and reports its choice immediately.
 HIGH_UTILIZATION_FRACTION = 0.5
-# Endpoints below this utilization count as equally loaded. Otherwise all hosts
-# would send the requests of a load peak to the few endpoints that were idle,
-# where some would queue.
-LOW_UTILIZATION_FRACTION = 0.625
-# Additional load, in slots, of an endpoint in another availability zone, so
-# that traffic stays inside the zone while loads are equal.
-MIN_ZONE_PENALTY = 0.3
-# The load from other zones is known late. An endpoint there counts as loaded
-# with this multiple of the requests that it can complete in the meantime, as
-# other hosts have sent it new ones.
-STALE_LOAD_FACTOR = 2.0
-# Upper limit of the penalty as a fraction of the slots. Beyond it, requests
-# would queue in one zone while slots are free in another.
-MAX_ZONE_PENALTY_FRACTION = 0.25
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Endpoint:
-    """An endpoint that runs requests of a service."""
-
-    endpoint_id: str
-    service: str
-    address: str
-    availability_zone: str
-    slots: int
-    is_draining: bool = False
-
-
-def compute_zone_penalty(slots, run_seconds, age):
-    """Return the additional load, in slots, of an endpoint of another zone.
-
-    Parameters
-    ----------
-    slots : int
-        Slots of the endpoint.
-    run_seconds : float or None
-        Mean run time of a request, if it is known.
-    age : float
-        Age in seconds of the load that is known for the endpoint.
-    """
-    if not run_seconds:
-        return MIN_ZONE_PENALTY
-    unknown = STALE_LOAD_FACTOR * age * slots / run_seconds
-    limit = MAX_ZONE_PENALTY_FRACTION * slots
-    return max(MIN_ZONE_PENALTY, min(unknown, limit))
-
-
-def compute_queue_limit(slots, run_seconds, max_wait):
-    """Return the requests that may wait at an endpoint beyond its slots.
-
-    With `slots` streams a slot becomes free every `run_seconds / slots`. A
-    request that is behind others then starts within `max_wait` seconds.
-    """
-    return max(1, int(max_wait * slots / run_seconds))
-
-
-def choose_endpoint(
-    candidates,
-    online,
-    batch,
-    zone,
-    excluded=(),
-    queue_limit=MAX_QUEUED,
-    zone_penalty=MIN_ZONE_PENALTY,
-):
-    """Return the endpoint with the lowest load relative to its slots.
-
-    Loads below `LOW_UTILIZATION_FRACTION` count as equal, and one of the
-    equal endpoints is drawn at random. The loads are about 0.15 s old: if
-    each host chose the lowest one, all hosts would send the requests of that
-    interval to the few endpoints that were idle.
-
-    Parameters
-    ----------
-    candidates : iterable of Endpoint
-        Endpoints of the service.
-    online, batch : dict of str to int
-        Running online requests and batch items of each endpoint.
-    zone : str
-        Availability zone of this host.
-    excluded : collection of str
-        Endpoints that have already been tried.
-    queue_limit : int
-        Requests that may wait at an endpoint.
-    zone_penalty : float
-        Additional load, in slots, of endpoints in other zones.
-
-    Returns
-    -------
-    Endpoint or Refusal
-        NO_ENDPOINT if no endpoint is left, QUEUE_FULL if all are full.
-    """
-    lowest = float('inf')
-    best = []
-    for endpoint in candidates:
-        if endpoint.endpoint_id in excluded:
-            continue
-        running = online.get(endpoint.endpoint_id, 0)
-        total = running + batch.get(endpoint.endpoint_id, 0)
-        if total >= endpoint.slots:
-            total = endpoint.slots + running
-        total = max(total, endpoint.slots * LOW_UTILIZATION_FRACTION)
-        if endpoint.availability_zone != zone:
-            total += zone_penalty
-        load = total / max(1, endpoint.slots)
-        if load < lowest:
-            lowest = load
-            best = []
-        if load == lowest:
-            best.append(endpoint)
-    if not best:
-        return codes.Refusal(
-            codes.ResultCode.NO_ENDPOINT,
-            'no endpoint accepts requests',
-        )
-    endpoint = random.choice(best)
-    running = online.get(endpoint.endpoint_id, 0)
-    if running >= endpoint.slots + queue_limit:
-        return codes.Refusal(
-            codes.ResultCode.QUEUE_FULL,
-            f'all endpoints are full: {endpoint.endpoint_id} has {running} '
-            f'online requests for {endpoint.slots} slots',
-        )
-    return endpoint
 
 
 class View:
@@ -185,8 +44,8 @@
         # Called by `acquire` if the chosen endpoint is highly utilized or no
         # endpoint is available.
         self.on_high_utilization = None
-        # Called with an endpoint's utilization when its number of requests of
-        # this host has changed.
+        # Called when the number of requests of this host on an endpoint has
+        # changed, with whether the endpoint is highly utilized.
         self.on_change = None
         self.lock = threading.Lock()
         self.services = {}
@@ -209,7 +68,7 @@
         with self.lock:
             endpoints = {} if complete else dict(self.endpoints)
             for row in rows:
-                endpoints[row.endpoint_id] = Endpoint(
+                endpoints[row.endpoint_id] = choice.Endpoint(
                     row.endpoint_id,
                     row.service,
                     row.address,
@@ -286,7 +145,7 @@
         service,
         excluded,
         now,
-        queue_limit=MAX_QUEUED,
+        queue_limit=choice.MAX_QUEUED,
         can_retry=False,
     ):
         """Choose an endpoint and count a request on it until `release`.
@@ -308,7 +167,7 @@
         Returns
         -------
         Endpoint or Refusal
-            See `choose_endpoint`.
+            See `choice.choose_endpoint`.
         """
         with self.lock:
             candidates = self.services.get(service, ())
@@ -327,7 +186,7 @@
                 for endpoint in candidates
             }
             slots = max((e.slots for e in candidates), default=1)
-            zone_penalty = compute_zone_penalty(
+            zone_penalty = choice.compute_zone_penalty(
                 slots, self.run_seconds.get(service), self.load_age
             )
             self.saturation[service].update(
@@ -338,7 +197,7 @@
                 now,
             )
             # If all endpoints have failed, any of them may have recovered.
-            chosen = choose_endpoint(
+            chosen = choice.choose_endpoint(
                 healthy or available or candidates,
                 online,
                 self.batch,
@@ -352,7 +211,7 @@
                     online[chosen.endpoint_id] >= chosen.slots
                 )
                 if must_wait:
-                    chosen = choose_endpoint(
+                    chosen = choice.choose_endpoint(
                         available,
                         online,
                         self.batch,
@@ -361,7 +220,7 @@
                         queue_limit,
                         zone_penalty,
                     )
-            if isinstance(chosen, Endpoint):
+            if isinstance(chosen, choice.Endpoint):
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
@@ -374,12 +233,12 @@
                     ),
                 )
         is_high = (
-            not isinstance(chosen, Endpoint)
+            not isinstance(chosen, choice.Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
         )
         if is_high and self.on_high_utilization is not None:
             self.on_high_utilization()
-        if self.on_change is not None and isinstance(chosen, Endpoint):
+        if self.on_change is not None and isinstance(chosen, choice.Endpoint):
             self.on_change(is_high)
         return chosen
 
@@ -400,11 +259,15 @@
             endpoints = self.services.get(service, ())
             slots = min((e.slots for e in endpoints), default=0)
         if not (run_seconds and slots):
-            return MAX_QUEUED_RETRIES if is_late else MAX_QUEUED
+            return choice.MAX_QUEUED_RETRIES if is_late else choice.MAX_QUEUED
         objectives = (
-            MAX_RETRY_WAIT_OBJECTIVES if is_late else MAX_WAIT_OBJECTIVES
+            choice.MAX_RETRY_WAIT_OBJECTIVES
+            if is_late
+            else choice.MAX_WAIT_OBJECTIVES
+        )
+        return choice.compute_queue_limit(
+            slots, run_seconds, objectives * objective
         )
-        return compute_queue_limit(slots, run_seconds, objectives * objective)
 
     def record_run(self, service, seconds):
         """Add the run time of a completed request to its average."""
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -5,8 +5,8 @@
 
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import registry as registries
-from rhubarbreach.fleet import view as views
 from rhubarbreach.protocol import fleetmessages
 
 __all__ = ['Endpoints']
@@ -193,7 +193,7 @@
     def list_by_id(self):
         """Return the endpoints by id, in the form that the runner uses."""
         return {
-            row.endpoint_id: views.Endpoint(
+            row.endpoint_id: choice.Endpoint(
                 row.endpoint_id,
                 row.service,
                 row.address,
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -21,6 +21,7 @@
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
+from rhubarbreach.hosts import retirement
 from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
@@ -125,6 +126,9 @@
         self.members = members.Members(
             settings, self.link, self.group, self.ledger
         )
+        self.retirements = retirement.Retirements(
+            self.link, self.group, self.members, self.propose
+        )
         self.endpoints = endpoints.Endpoints(
             self.host_id,
             settings.announce_interval,
@@ -154,9 +158,6 @@
         self.link.register(
             workmessages.WorkReport, self.answer_report, inline=True
         )
-        self.link.register(
-            fleetmessages.RetirementCall, self.answer_retirement
-        )
         self.thread = threading.Thread(
             target=self.run, name='duties', daemon=True
         )
@@ -301,70 +302,6 @@
         )
         return commands.decode_reply(reply)
 
-    def start_retirement(self, name):
-        """Begin to retire a store; return None or a `Refusal`."""
-        if self.group.is_standby:
-            return self.ask_leader(name, True).refusal
-        host_id = self.members.find_store(name)
-        if isinstance(host_id, codes.Refusal):
-            return host_id
-        refusal = self.members.check_retirement(host_id)
-        if refusal is not None:
-            return refusal
-        reply = self.propose(
-            commands.RetireStore(host_id), OPERATOR_TIMEOUT_SECONDS
-        )
-        LOG.info(
-            'event=store_retiring store={} outcome={}',
-            host_id,
-            type(reply).__name__,
-        )
-        return reply if isinstance(reply, codes.Refusal) else None
-
-    def is_retired(self, name):
-        """Return whether a store has left the group, or a `Refusal`."""
-        if self.group.is_standby:
-            reply = self.ask_leader(name, False)
-            return reply.refusal or reply.is_retired
-        return self.members.is_retired(name)
-
-    def ask_leader(self, name, starts):
-        """Return the reply of the leader to a call for a retirement.
-
-        A standby knows neither the members nor the stores that retire.
-        """
-        leader_id = self.group.leader_id
-        if leader_id is None:
-            return fleetmessages.RetirementReply(
-                codes.Refusal(
-                    codes.ResultCode.NOT_LEADER, 'no leader is known'
-                )
-            )
-        reply = self.link.call(
-            leader_id,
-            fleetmessages.RetirementCall(name, starts),
-            clock.monotonic() + OPERATOR_TIMEOUT_SECONDS,
-        ).result()
-        if isinstance(reply, codes.Refusal):
-            return fleetmessages.RetirementReply(reply)
-        return reply
-
-    def answer_retirement(self, sender_id, message):
-        """Answer a call for a retirement from a standby."""
-        if not self.group.is_leader:
-            refusal = codes.Refusal(
-                codes.ResultCode.NOT_LEADER, 'this store does not lead'
-            )
-            return fleetmessages.RetirementReply(refusal)
-        if message.starts:
-            return fleetmessages.RetirementReply(
-                self.start_retirement(message.name)
-            )
-        reply = self.members.is_retired(message.name)
-        if isinstance(reply, codes.Refusal):
-            return fleetmessages.RetirementReply(reply)
-        return fleetmessages.RetirementReply(None, reply)
-
     def propose(self, command, seconds):
         """Commit a command through the leader; return the reply."""
         self.client.hosts = (self.host_id, *self.members.list_others())
