Bound the queue behind short requests

Cause: found while reading the change. The run time of a request was counted from the first byte of its response. A response that comes at once when it is done has a run time near zero, and the queue limit that follows from it had no end.

Change: the run time of a response that is not a stream is that of the whole attempt, and no more than four requests wait for each slot.

Measured: the new test fails without the change of the run time.

--- a/rhubarbreach/fleet/choice.py
+++ b/rhubarbreach/fleet/choice.py
@@ -26,6 +26,9 @@
 # Requests that may wait at an endpoint beyond its slots, until the run time of
 # requests is known.
 MAX_QUEUED = 2
+# Most requests that may wait for each slot, however short they are. Endpoints
+# decline requests beyond a queue of their own.
+MAX_QUEUED_PER_SLOT = 4
 # The same for a request that was refused before, unless the overload outlasts
 # a load peak, and for one that was already sent to an endpoint. Such a request
 # is late already, but it would be lost otherwise.
@@ -87,7 +90,8 @@
     With `slots` streams a slot becomes free every `run_seconds / slots`. A
     request that is behind others then starts within `max_wait` seconds.
     """
-    return max(1, int(max_wait * slots / run_seconds))
+    limit = int(min(max_wait / run_seconds, MAX_QUEUED_PER_SLOT) * slots)
+    return max(1, limit)
 
 
 def choose_endpoint(
--- a/rhubarbreach/fleet/tests/test_zone_loads.py
+++ b/rhubarbreach/fleet/tests/test_zone_loads.py
@@ -223,6 +223,8 @@
     assert choice.compute_queue_limit(8, 0.7, 0.225) == 2
     assert choice.compute_queue_limit(64, 0.2, 0.225) == 72
     assert choice.compute_queue_limit(4, 5.0, 0.225) == 1
+    # Requests that take no time must not make the queue endless.
+    assert choice.compute_queue_limit(8, 1e-6, 0.225) == 32
 
 
 def test_zone_penalty_grows_with_the_age_of_the_loads():
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -92,7 +92,7 @@
         self.declined = 0
         self.first_event = None
         self.last_event_at = self.started_at
-        self.first_byte_at = None
+        self.run_started_at = self.started_at
         self.load = None
 
     def run(self):
@@ -199,7 +199,7 @@
                 self.app.view.record_success(endpoint.endpoint_id)
                 if status in SUCCESS:
                     self.app.view.record_run(
-                        endpoint.service, now - self.first_byte_at
+                        endpoint.service, now - self.run_started_at
                     )
                 self.log('delivered', f'status {status}', 'answered')
             case model.TimedOut():
@@ -277,8 +277,7 @@
         splitter = events.Splitter()
         body = []
         body_bytes = 0
-        self.last_event_at = clock.monotonic()
-        self.first_byte_at = None
+        self.run_started_at = self.last_event_at = clock.monotonic()
         is_checked = False
         watched = [call.socket, self.connection.socket]
         while not call.is_complete:
@@ -299,10 +298,12 @@
                 if now >= read_deadline:
                     return self.end_unfinished(read_deadline)
                 continue
-            if self.first_byte_at is None:
-                self.first_byte_at = now
             if not is_checked:
                 is_checked = True
+                if self.is_stream(call.head):
+                    # An engine answers with the first event. Other endpoints
+                    # answer when they are done.
+                    self.run_started_at = now
                 outcome = self.check_head(call.head)
                 if outcome is not None:
                     return outcome
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -87,10 +87,19 @@
     """
     endpoints = []
 
-    def run(parts, pause, timeout=2.0, resumable=False, longest_pause=0.2):
+    def run(
+        parts,
+        pause,
+        timeout=2.0,
+        resumable=False,
+        longest_pause=0.2,
+        kind=catalogs.RouteKind.STREAM,
+        on_view=lambda _: None,
+    ):
         endpoint = FakeEndpoint(parts, pause)
         endpoints.append(endpoint)
         loads = view.View('z1')
+        on_view(loads)
         notice = fleetmessages.EndpointNotice(
             'e1', 's', f'127.0.0.1:{endpoint.port}', 'z1', 8, 'ready', 1, 1
         )
@@ -99,7 +108,7 @@
             'r',
             'h',
             '/',
-            catalogs.RouteKind.STREAM,
+            kind,
             timeout,
             0.1,
             0,
@@ -184,3 +193,17 @@
     refusal, _, _, seconds = forward_to(parts, 0.0)
     assert refusal.code == codes.ResultCode.ENDPOINT_FAILED
     assert seconds < 1.0
+
+
+def test_run_time_of_a_response_includes_the_wait_for_it(forward_to):
+    """Guards against an endless queue behind responses that come at once."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+    loads = []
+    refusal, _, _, _ = forward_to(
+        [b'', head],
+        0.3,
+        kind=catalogs.RouteKind.IDEMPOTENT,
+        on_view=loads.append,
+    )
+    assert refusal is None
+    assert loads[0].run_seconds['s'] >= 0.3
