--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -18,7 +18,7 @@
 
 # Interval of exchanges, and so the longest delay until all hosts know of a
 # draining endpoint, a revoked key or the load of endpoints. The shortest bound
-# on any of them is 2 s; load peaks last 2.4 s.
+# on any of them is 2 s.
 EXCHANGE_INTERVAL_SECONDS = 0.15
 # A host that runs out of slots starts an exchange immediately, but not more
 # often than this.
--- a/rhubarbreach/fleet/token_source.py
+++ b/rhubarbreach/fleet/token_source.py
@@ -11,8 +11,7 @@
 __all__ = ['TokenSource']
 
 # Time that a request may wait for a grant of its account's rate. It covers two
-# immediate exchanges and is less than a quarter of the latency objective of
-# 0.3 s, so that a refused caller can still be served in time elsewhere.
+# immediate exchanges, and leaves a refused caller time to be served elsewhere.
 GRANT_TIMEOUT_SECONDS = 0.07
 # Time that a request may wait for a token of the reserve of its zone.
 RESERVE_TIMEOUT_SECONDS = 0.04
