Serve a request that arrives while idle connections are ended

Callers saw: a connection ended without an answer although its request had been read and passed on to an endpoint, at an entry host that was draining (LOST), rarely.

Cause: the thread that drains shut down each connection that was marked idle. The thread of the connection cleared the mark only after it had read the request. A connection that was shut down in between looked as if the caller had left, so the request was dropped. Class of fault: check and act on a state that another thread changes meanwhile.

Change: a connection waits until a request arrives without reading it, and leaves the idle state under the lock under which it is ended. A request that has arrived but is not read yet keeps its connection open.

Evidence: the test, which drains between the arrival and the handling of a request, failed before (the caller was taken for gone). The server of the own interface polls idle connections on the thread that ends them and is not affected.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -66,7 +66,11 @@
         self.server = server
         self.socket = connection
         self.keep_alive = True
+        # Guards the flags below: a request that has been read must not find
+        # its connection ended as idle.
+        self.lock = threading.Lock()
         self.is_idle = False
+        self.is_ended = False
 
     def run(self):
         """Handle requests until either side ends the connection."""
@@ -96,7 +100,8 @@
         parser.limits = limits
         deadline = clock.monotonic() + limits.idle_timeout
         started = parser.started
-        self.is_idle = not started and not parser.requests
+        if not (started or parser.requests or self.wait_while_idle(deadline)):
+            return None
         while not parser.requests:
             try:
                 data = sockets.receive(self.socket, deadline)
@@ -108,7 +113,6 @@
                 ) from error
             if not data:
                 return None
-            self.is_idle = False
             parser.feed(data)
             if parser.started and not started:
                 started = True
@@ -117,9 +121,28 @@
                 # Each part of a body has to arrive within the idle timeout.
                 deadline = clock.monotonic() + limits.idle_timeout
                 self.send_continue(parser)
-        self.is_idle = False
         return parser.requests.pop(0)
 
+    def wait_while_idle(self, deadline):
+        """Wait for a request; return False if the connection ends instead."""
+        self.is_idle = True
+        ready = sockets.wait_readable([self.socket], deadline)
+        with self.lock:
+            self.is_idle = False
+            return bool(ready) and not self.is_ended
+
+    def end_if_idle(self):
+        """End the connection unless a request is in progress or arrives."""
+        with self.lock:
+            if not self.is_idle or sockets.is_readable(self.socket):
+                return
+            self.is_ended = True
+            try:
+                self.socket.shutdown(socket.SHUT_RD)
+            except OSError:
+                # The caller has already closed the connection.
+                pass
+
     def send_continue(self, parser):
         """Send 100 Continue if the caller waits for it."""
         if parser.expects_continue:
@@ -233,17 +256,9 @@
     def close_idle(self):
         """End the connections on which no request is in progress."""
         with self.lock:
-            idle = [
-                connection
-                for connection in self.connections
-                if connection.is_idle
-            ]
-        for connection in idle:
-            try:
-                connection.socket.shutdown(socket.SHUT_RD)
-            except OSError:
-                # The caller has already closed the connection.
-                pass
+            connections = list(self.connections)
+        for connection in connections:
+            connection.end_if_idle()
 
     def close(self):
         """Stop listening and end all connections."""
--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -10,6 +10,7 @@
     'RECEIVE_BYTES',
     'close_socket',
     'connect',
+    'is_readable',
     'prepare',
     'receive',
     'send_all',
@@ -122,6 +123,13 @@
     return [by_descriptor[descriptor] for descriptor, _ in ready]
 
 
+def is_readable(connection):
+    """Return whether bytes have arrived or the peer has closed its side."""
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def receive(connection, deadline):
     """Return received bytes, none if the peer has closed its side.
 
--- a/rhubarbreach/web/tests/test_web.py
+++ b/rhubarbreach/web/tests/test_web.py
@@ -12,6 +12,7 @@
 from rhubarbreach.web import events
 from rhubarbreach.web import parse
 from rhubarbreach.web import server
+from rhubarbreach.web import sockets
 
 LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
 
@@ -108,6 +109,34 @@
     pytest.fail('idle connection was not ended')
 
 
+def test_request_received_while_idle_connections_are_ended_is_served(
+    monkeypatch,
+):
+    # The handler would take its caller for gone and drop the request.
+    receive = sockets.receive
+    callers = []
+
+    def receive_beside_drain(connection, deadline):
+        data = receive(connection, deadline)
+        web_server.close_idle()
+        return data
+
+    def handle(connection, request):
+        now = clock.monotonic()
+        callers.append(sockets.wait_readable([connection.socket], now))
+        connection.send_response(200)
+
+    web_server = server.Server('127.0.0.1:0', handle, lambda: LIMITS, 'test')
+    monkeypatch.setattr(sockets, 'receive', receive_beside_drain)
+    try:
+        with connect(web_server) as caller:
+            caller.sendall(b'GET / HTTP/1.1\r\n\r\n')
+            assert b' 200 ' in caller.recv(4096)
+    finally:
+        web_server.close()
+    assert callers == [[]]
+
+
 class Endpoint:
     """Endpoint that sends fixed bytes and ends or resets the connection."""
 
