Answer requests that an entry host accepts as its drain ends

Callers saw: a connection ended without an answer although its request had been read, in the last moment before a draining entry host exited (LOST).

Cause: the drain ended when no connection was busy, and the host then closed its listener and all connections. A connection that was accepted in between, or on which a request arrived, was closed with the request. The balancer goes on sending connections to a host whose availability zone has no other. Class of fault: check and act on a state that changes meanwhile.

Change: after the time for deregistration the host refuses new connections and waits until the connections that it has accepted have ended. A connection that is refused has sent nothing, so its caller can try again.

Evidence: the test, in which a request arrives after the last look at the connections, failed before (closed without an answer).

--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -103,12 +103,8 @@
         self.callers.draining = True
         while clock.monotonic() < deregister_deadline:
             time.sleep(DRAIN_POLL_SECONDS)
-        while clock.monotonic() < deadline:
-            self.callers.close_idle()
-            if not self.callers.count_busy():
-                return
-            time.sleep(DRAIN_POLL_SECONDS)
-        LOG.warning('event=drain_cut busy={}', self.callers.count_busy())
+        if not self.callers.drain(deadline):
+            LOG.warning('event=drain_cut busy={}', self.callers.count_busy())
 
     def close(self):
         """Stop all tasks."""
--- /dev/null
+++ b/rhubarbreach/hosts/tests/test_entry.py
@@ -0,0 +1,98 @@
+"""Tests of the drain of an entry host."""
+
+import os
+import socket
+import threading
+
+import pytest
+
+from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.hosts import entry
+from rhubarbreach.observe import metrics
+from rhubarbreach.settings import role
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class Caller:
+    """Caller that sends a request on a new connection at a given moment.
+
+    Parameters
+    ----------
+    port : int
+        Port of the entry host.
+    read : threading.Event
+        Set when the host has read a request.
+    """
+
+    def __init__(self, port, read):
+        self.port = port
+        self.read = read
+        self.sockets = []
+
+    def send_after(self, function):
+        """Return a function that sends a request after its first result."""
+
+        def run(*arguments):
+            result = function(*arguments)
+            if not self.sockets:
+                self.send()
+            return result
+
+        return run
+
+    def send(self):
+        """Send a request and wait until it has been read or refused."""
+        try:
+            caller = socket.create_connection(('127.0.0.1', self.port), 5)
+        except OSError:
+            return
+        caller.sendall(REQUEST)
+        self.sockets.append(caller)
+        self.read.wait(5)
+
+
+@pytest.fixture
+def entry_host(monkeypatch):
+    """Return an entry host without stores, whose drain takes no time."""
+    monkeypatch.setattr(entry, 'DEREGISTER_SECONDS', 0.0)
+    address = f'127.{1 + os.getpid() % 250}.8.1'
+    host = entry.EntryHost(
+        role.RoleSettings(
+            name='e1',
+            address=address,
+            availability_zone='z1',
+            role='entry',
+            link_port=cluster.find_port([address]),
+            seeds=(address,),
+            callers='127.0.0.1:0',
+            readiness='127.0.0.1:0',
+        ),
+        bytes.decode,
+        None,
+        metrics.Metrics(),
+    )
+    yield host
+    host.close()
+
+
+@pytest.mark.parametrize('step', ['count_busy', 'close_idle'])
+def test_request_accepted_as_the_drain_ends_is_answered(
+    entry_host, monkeypatch, step
+):
+    read = threading.Event()
+
+    def handle(connection, request):
+        read.set()
+        threading.Event().wait(0.3)
+        connection.send_response(200)
+
+    callers = entry_host.callers
+    monkeypatch.setattr(callers, 'handle', handle)
+    caller = Caller(callers.port, read)
+    function = caller.send_after(getattr(callers, step))
+    monkeypatch.setattr(callers, step, function)
+    entry_host.drain(2.0)
+    entry_host.close()
+    answers = [connection.recv(4096) for connection in caller.sockets]
+    assert all(b' 200 ' in answer for answer in answers)
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import socket
 import threading
+import time
 
 from rhubarbreach import clock
 from rhubarbreach import eventlog
@@ -22,6 +23,7 @@
 STACK_BYTES = 256 * 1024
 # A caller that does not read a short response in this time is disconnected.
 RESPONSE_TIMEOUT_SECONDS = 5.0
+DRAIN_POLL_SECONDS = 0.05
 REASONS = {
     200: b'OK',
     202: b'Accepted',
@@ -196,7 +198,7 @@
         self.handle = handle
         self.get_limits = get_limits
         self.draining = False
-        self.closed = False
+        self.is_listening = True
         self.connections = set()
         self.lock = threading.Lock()
         host, _, port = address.rpartition(':')
@@ -222,12 +224,12 @@
         return self.listener.getsockname()[1]
 
     def accept(self):
-        """Accept connections until the server is closed."""
-        while not self.closed:
+        """Accept connections while the server listens."""
+        while self.is_listening:
             try:
                 client_socket, _ = self.listener.accept()
             except OSError as error:
-                if self.closed:
+                if not self.is_listening:
                     return
                 LOG.warning('event=accept_failed reason={!r}', str(error))
                 continue
@@ -260,10 +262,40 @@
         for connection in connections:
             connection.end_if_idle()
 
+    def stop_listening(self):
+        """Refuse new connections; those accepted before are served."""
+        self.is_listening = False
+        sockets.close_socket(self.listener)
+        self.thread.join()
+
+    def drain(self, deadline):
+        """Refuse new connections and finish the requests of the others.
+
+        The server may be closed without loss of a request once no connection
+        is left. An idle connection may still receive a request.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        bool
+            Whether all connections have ended before the deadline.
+        """
+        self.draining = True
+        self.stop_listening()
+        while self.connections:
+            if clock.monotonic() >= deadline:
+                return False
+            self.close_idle()
+            time.sleep(DRAIN_POLL_SECONDS)
+        return True
+
     def close(self):
         """Stop listening and end all connections."""
-        self.closed = True
-        sockets.close_socket(self.listener)
+        self.stop_listening()
         with self.lock:
             connections = list(self.connections)
         for connection in connections:
