Announce a wiped store to the leader that others name

Cause: only the leader admits a store, and a store with an empty disk announced itself to the seeds of its settings alone. These are three stores; the leader may be a fourth, or one that joined later. Its messages did reach the wiped store, but named the leader to nobody, and the leader drops the replies of an unknown identity. Its presence notices made the wiped store count as a healthy voter, so nothing replaced it.

Change: the announcement also goes to the leader that sends messages here and to the leaders that the replies of other stores name.

--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -13,6 +13,7 @@
     'announce',
     'handle_hello',
     'is_joined',
+    'list_contacts',
     'make_hello',
     'start_formation',
 ]
@@ -68,12 +69,23 @@
     send_hellos(state)
 
 
+def list_contacts(state):
+    """Return the hosts that may know the group, except this one.
+
+    Only the leader admits a store, and it may have joined after the contacts
+    in the settings were chosen. Other stores name it in their announcements.
+    """
+    hosts = set(state.settings.initial) | set(state.settings.contacts)
+    hosts.update(member.host_id for member in state.store.members)
+    hosts.update(hello.leader_id for hello in list(state.hellos.values()))
+    hosts.add(state.leader_id)
+    return hosts - {state.settings.host_id, None}
+
+
 def send_hellos(state):
     """Send the announcement to all hosts that may know the group."""
     hello = make_hello(state)
-    hosts = set(state.settings.initial) | set(state.settings.contacts)
-    hosts.update(member.host_id for member in state.store.members)
-    for host_id in sorted(hosts - {state.settings.host_id}):
+    for host_id in sorted(list_contacts(state)):
         state.outbox.append((host_id, hello))
 
 
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -177,3 +177,30 @@
         test_cluster.start('host-2')
         test_cluster.wait_joined('host-2')
         test_cluster.wait_equal()
+
+
+def test_wiped_voter_that_knows_only_followers_is_replaced(tmp_path):
+    """Guards against a lost copy of the log that is never made again.
+
+    The contacts of a store are the seeds of its settings, and the leader may
+    be a store that joined later.
+    """
+    with cluster.running(
+        tmp_path, initial=cluster.HOSTS, contacts=cluster.HOSTS
+    ) as test_cluster:
+        test_cluster.commit(b'one')
+        test_cluster.start('host-4')
+        change(test_cluster, 'add_learner', 'host-4')
+        change(test_cluster, 'promote', 'host-4')
+        transfer = test_cluster.leader().transfer('host-4')
+        assert transfer.result(timeout=cluster.WAIT_SECONDS)
+        cluster.wait_until(lambda: test_cluster.get('host-4').is_leader)
+        change(test_cluster, 'remove', 'host-1')
+        test_cluster.stop('host-1')
+        test_cluster.stop('host-2')
+        cluster.wipe(tmp_path / 'host-2')
+        # Only the first start of a fleet may form a group.
+        test_cluster.initial = ()
+        test_cluster.start('host-2')
+        test_cluster.wait_joined('host-2')
+        assert test_cluster.leader().settings.host_id == 'host-4'
