--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -232,6 +232,14 @@
         with self.lock:
             return formation.make_hello(self.state)
 
+    def list_contacts(self):
+        """Return the hosts that may know the group, except this one.
+
+        It is read without the group lock, which may be held during a disk
+        write.
+        """
+        return formation.list_contacts(self.state)
+
     def post(self, function, *arguments):
         """Queue a function to run on the group thread, under its lock."""
         self.inbox.put(functools.partial(function, *arguments))
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -204,3 +204,17 @@
         test_cluster.start('host-2')
         test_cluster.wait_joined('host-2')
         assert test_cluster.leader().settings.host_id == 'host-4'
+
+
+def test_new_store_that_knows_only_a_standby_finds_the_leader(tmp_path):
+    """Guards against a store that never joins, as its contacts do not vote."""
+    with cluster.running(tmp_path, has_standbys=True) as test_cluster:
+        test_cluster.start('host-4')
+        change(test_cluster, 'add_learner', 'host-4')
+        cluster.wait_until(lambda: test_cluster.get('host-4').is_standby)
+        test_cluster.initial = ()
+        test_cluster.options['contacts'] = ('host-4',)
+        test_cluster.start('host-5')
+        leader_id = test_cluster.leader().settings.host_id
+        new = test_cluster.get('host-5')
+        cluster.wait_until(lambda: leader_id in new.list_contacts())
--- a/rhubarbreach/hosts/tests/conftest.py
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -10,29 +10,40 @@
 from rhubarbreach.settings import role
 
 
+def start_store(folder, number, address, port, seeds, founds_group):
+    """Return a new store host in an availability zone of its own."""
+    return store.StoreHost(
+        role.RoleSettings(
+            name=f's{number}',
+            address=address,
+            availability_zone=f'z{number}',
+            role='store',
+            link_port=port,
+            seeds=seeds,
+            founds_group=founds_group,
+            data_folder=str(folder / address),
+        ),
+        bytes.decode,
+        None,
+        metrics.Metrics(),
+    )
+
+
+def find_store_addresses():
+    """Return four loopback addresses and a port that is free on all."""
+    block = 1 + os.getpid() % 250
+    addresses = tuple(f'127.{block}.7.{number}' for number in (1, 2, 3, 4))
+    return addresses, cluster.find_port(addresses)
+
+
 @pytest.fixture
 def stores(tmp_path):
     """Return three connected stores, one of which is the leader."""
-    block = 1 + os.getpid() % 250
-    addresses = [f'127.{block}.7.{number}' for number in (1, 2, 3)]
-    port = cluster.find_port(addresses)
+    addresses, port = find_store_addresses()
+    seeds = addresses[:3]
     hosts = [
-        store.StoreHost(
-            role.RoleSettings(
-                name=f's{number}',
-                address=address,
-                availability_zone=f'z{number}',
-                role='store',
-                link_port=port,
-                seeds=tuple(addresses),
-                founds_group=True,
-                data_folder=str(tmp_path / address),
-            ),
-            bytes.decode,
-            None,
-            metrics.Metrics(),
-        )
-        for number, address in enumerate(addresses)
+        start_store(tmp_path, number, address, port, seeds, True)
+        for number, address in enumerate(seeds)
     ]
     cluster.wait_until(lambda: find_leader(hosts))
     yield hosts
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -6,6 +6,7 @@
 
 from rhubarbreach.backlog import commands
 from rhubarbreach import clock
+from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach.consensus import stalling
 from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.fleet import leader_client
@@ -88,3 +89,22 @@
     assert {'log_bytes', 'log_unanswered_bytes', 'items_open'} <= names
     sent = metrics.gauges['link_queued_bytes', (('message', 'AppendEntries'),)]
     assert sent > 0
+
+
+def test_new_store_that_knows_only_followers_is_added(stores, tmp_path):
+    # Guards against a replacement that never joins, as the seeds of its
+    # settings do not lead.
+    leader = conftest.find_leader(stores)
+    follower = next(host for host in stores if host is not leader)
+    block, _, _ = leader.host_id.rpartition('.')
+    address = f'{block}.4'
+    port = leader.settings.link_port
+    seeds = (follower.host_id,)
+    new = conftest.start_store(tmp_path, 3, address, port, seeds, False)
+    try:
+        cluster.wait_until(
+            lambda: consensus_model.find_member(leader.group.members, address)
+        )
+        assert leader.is_leading
+    finally:
+        new.close()
