Sync the removal of each log segment before the next one

What callers would see: a store that never starts again after a loss of power, which with one lost disk at the same moment leaves no majority.

Cause: several segments were removed in order, and their folder was synced once afterwards. After a loss of power each removal is kept or lost by itself: of the segments 1, 2 and 3 the first and the last remained, and the log was refused as damaged (CorruptLogError: segment files are missing).

Change: the folder is synced after each removal, so that at most one is pending and no gap can remain.

--- a/rhubarbreach/storage/segments.py
+++ b/rhubarbreach/storage/segments.py
@@ -250,12 +250,10 @@
         """Delete the segments before a segment."""
         removed = [segment for segment in self.numbers if segment < number]
         for segment in removed:
-            # In order, so that a crash leaves no gap between segments.
+            # One at a time, because a loss of power may keep some of the
+            # removals that are not synced, and leave a gap.
             self.get_path(segment).unlink()
-        self.numbers = [
-            segment for segment in self.numbers if segment >= number
-        ]
-        if removed:
+            self.numbers.remove(segment)
             files.sync_folder(self.folder)
 
     def close(self):
