--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -343,17 +343,19 @@
             self.path / SNAPSHOT_NAME, encode_snapshot(snapshot)
         )
         keeps_suffix = self.get_term(snapshot.last_index) == snapshot.last_term
-        if keeps_suffix:
-            del self.entries[: snapshot.last_index - self.base_index]
-        else:
+        if not keeps_suffix:
+            # First, because a full disk may refuse it. Until then the log
+            # still differs from the snapshot, and a retry drops it.
+            self.drop_segments()
             self.entries = []
+        else:
+            del self.entries[: snapshot.last_index - self.base_index]
         self.snapshot = snapshot
         self.base_index = snapshot.last_index
         self.base_term = snapshot.last_term
         self.synced_index = max(self.synced_index, self.base_index)
         if not keeps_suffix:
             self.synced_index = self.base_index
-            self.drop_segments()
         self.rebuild_members()
         self.trim_segments()
 
--- a/rhubarbreach/consensus/tests/test_store.py
+++ b/rhubarbreach/consensus/tests/test_store.py
@@ -4,6 +4,7 @@
 
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import store as stores
+from rhubarbreach import exceptions
 from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
 
@@ -56,3 +57,30 @@
     store = reopen(store)
     assert [store.get_term(n) for n in range(1, 8)] == [1] * 4 + [3, 3, None]
     store.close()
+
+
+def test_full_disk_during_an_installation_loses_no_later_entry(
+    tmp_path, monkeypatch
+):
+    """Guards against a replaced log that is kept beside its successor.
+
+    The leader sends the snapshot again once the disk has space.
+    """
+    store = stores.Store(tmp_path / 'g')
+    store.append(make_entries(1, 20, 1))
+    store.sync()
+    snapshot = model.Snapshot(10, 2, 0, (), b'')
+
+    def refuse():
+        raise exceptions.DiskFullError('log segment')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store.log, 'roll', refuse)
+        with pytest.raises(exceptions.DiskFullError):
+            store.install_snapshot(snapshot)
+    store.install_snapshot(snapshot)
+    store.append(make_entries(11, 13, 2))
+    store.sync()
+    store = reopen(store)
+    assert (store.last_index, store.last_term) == (13, 2)
+    store.close()
