Test a request that is received as a drain ends

The thread of an idle connection has received a request and does not run until the drain looks at the connections. The test failed before the drain waited for the connections to end (the drain ended while the request was held), and passes since.

--- a/rhubarbreach/hosts/tests/test_entry.py
+++ b/rhubarbreach/hosts/tests/test_entry.py
@@ -10,6 +10,7 @@
 from rhubarbreach.hosts import entry
 from rhubarbreach.observe import metrics
 from rhubarbreach.settings import role
+from rhubarbreach.web import sockets
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -96,3 +97,37 @@
     entry_host.close()
     answers = [connection.recv(4096) for connection in caller.sockets]
     assert all(b' 200 ' in answer for answer in answers)
+
+
+def test_request_read_at_the_end_of_a_drain_is_answered(
+    entry_host, monkeypatch
+):
+    # The thread of an idle connection may have received a request and not run
+    # since.
+    received = threading.Event()
+    resume = threading.Event()
+    receive = sockets.receive
+
+    def receive_and_wait(connection, deadline):
+        data = receive(connection, deadline)
+        received.set()
+        resume.wait(5.0)
+        return data
+
+    def handle(connection, request):
+        connection.send_response(200)
+
+    monkeypatch.setattr(sockets, 'receive', receive_and_wait)
+    callers = entry_host.callers
+    monkeypatch.setattr(callers, 'handle', handle)
+    drain = threading.Thread(target=entry_host.drain, args=(5.0,))
+    with socket.create_connection(('127.0.0.1', callers.port)) as caller:
+        caller.sendall(REQUEST)
+        assert received.wait(5.0)
+        drain.start()
+        drain.join(0.5)
+        is_drained = not drain.is_alive()
+        resume.set()
+        drain.join()
+        assert not is_drained
+        assert caller.recv(1000).startswith(b'HTTP/1.1 200')
