--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -7,6 +7,7 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as store_codec
+from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import logmessages
 
@@ -24,6 +25,8 @@
     'step_down_if_removed',
 ]
 
+LOG = eventlog.Logger('consensus')
+
 # Time limit of a membership change that the leader starts itself.
 INTERNAL_CHANGE_SECONDS = 10.0
 
@@ -314,6 +317,14 @@
     changed = [learner if member is former else member for member in members]
     if not model.get_voters(changed):
         return
+    LOG.info(
+        'event=store_replaced group={} host={} former={} new={} voter={}',
+        state.settings.group_id,
+        host_id,
+        former.store_id,
+        hello.store_id,
+        learner.replaces,
+    )
     future = model.make_future()
     propose_members(state, changed, now + INTERNAL_CHANGE_SECONDS, future, now)
 
@@ -327,6 +338,11 @@
         if not member.replaces or peer is None:
             continue
         if peer.match_index >= state.commit_index:
+            LOG.info(
+                'event=store_restored group={} host={}',
+                state.settings.group_id,
+                member.host_id,
+            )
             deadline = now + INTERNAL_CHANGE_SECONDS
             promote(state, member.host_id, deadline, model.make_future())
             return
