Quarantine parts of prompts that crash endpoints

Callers saw: requests whose prompts share one part crashed each endpoint that began to answer them, one after the other.

Cause: a failure was attributed to its place, the endpoint, and not to what the requests had in common. A digest of whole requests, as the own interface keeps it, would not help, as no two of them are alike.

Change: entry hosts report requests that broke before their first event, and the answers to parts that are suspected. The leader finds the part that is common to crashes of several endpoints and prompts and that no endpoint answers, and commits its quarantine to the ledger. All hosts refuse requests with it at once. Batch items neither count as evidence nor are refused.

--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -23,9 +23,11 @@
     'JobNotFound',
     'PruneJobs',
     'PutCatalog',
+    'QuarantinePart',
     'ReadBody',
     'ReadCatalog',
     'ReadResults',
+    'ReleaseParts',
     'Results',
     'RetireStore',
     'WaitingFull',
@@ -148,6 +150,24 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantinePart:
+    """Command that holds back requests with a part in their prompts.
+
+    `until` is a Unix time in seconds.
+    """
+
+    part: str
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseParts:
+    """Command that ends the quarantine of parts."""
+
+    parts: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadCatalog:
     """Query for the configuration in force."""
@@ -222,6 +242,8 @@
     EndJob,
     PruneJobs,
     RetireStore,
+    QuarantinePart,
+    ReleaseParts,
     ReadCatalog,
     ReadResults,
     ReadBody,
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -16,6 +16,8 @@
 # Bytes of result text in one reply. A job of ten items has about 160 KB, and
 # replies to all entry hosts may be queued at the same time.
 MAX_REPLY_BYTES = 256 * 1024
+# Each entry host holds the quarantined parts in memory.
+MAX_QUARANTINED_PARTS = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +68,8 @@
     document: bytes
     jobs: list[Job]
     retiring: list[str]
+    quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
+    quarantine_revision: int = 0
 
 
 IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
@@ -87,6 +91,9 @@
         self.document = b''
         self.jobs = {}
         self.retiring = set()
+        # Unix time until which requests with a part are held back.
+        self.quarantined = {}
+        self.quarantine_revision = 0
 
     def apply(self, index, command):
         """Apply an encoded command of the log; return the encoded reply."""
@@ -122,6 +129,14 @@
             case commands.RetireStore(host_id=host_id):
                 self.retiring.add(host_id)
                 return commands.Done()
+            case commands.QuarantinePart(part=part, until=until):
+                self.quarantine_part(part, until)
+                return commands.Done()
+            case commands.ReleaseParts(parts=parts):
+                for part in parts:
+                    self.quarantined.pop(part, None)
+                self.quarantine_revision += 1
+                return commands.Done()
         raise TypeError(f'not a command: {type(command).__name__}')
 
     def add_job(self, command):
@@ -205,6 +220,27 @@
             if job.is_closed and job.submitted < before:
                 del self.jobs[job_id]
 
+    def quarantine_part(self, part, until):
+        """Hold a part back; release the earliest one if there are too many."""
+        self.quarantined[part] = until
+        if len(self.quarantined) > MAX_QUARANTINED_PARTS:
+            earliest = min(
+                self.quarantined, key=lambda key: (self.quarantined[key], key)
+            )
+            del self.quarantined[earliest]
+        self.quarantine_revision += 1
+
+    def get_quarantine(self):
+        """Return the revision and the parts of the quarantine.
+
+        Returns
+        -------
+        int, dict of str to float
+            Number of changes, and the Unix time of the end by part.
+        """
+        with self.lock:
+            return self.quarantine_revision, dict(self.quarantined)
+
     def query(self, query):
         """Return the encoded reply to an encoded query."""
         query = commands.FAMILY.decode(query)
@@ -282,6 +318,8 @@
                 self.document,
                 list(self.jobs.values()),
                 sorted(self.retiring),
+                self.quarantined,
+                self.quarantine_revision,
             )
             return msgspec.msgpack.encode(image)
 
@@ -293,6 +331,8 @@
             self.document = image.document
             self.jobs = {job.job_id: job for job in image.jobs}
             self.retiring = set(image.retiring)
+            self.quarantined = dict(image.quarantined)
+            self.quarantine_revision = image.quarantine_revision
         if self.notify is not None:
             self.notify()
 
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -127,14 +127,31 @@
     apply(ledger, make_job())
     apply(ledger, commands.AddResults((('j', complete('j-1')),)))
     apply(ledger, commands.RetireStore('s'))
+    apply(ledger, commands.QuarantinePart('p', 60.0))
     other = ledgers.Ledger()
     other.restore(ledger.snapshot())
     assert other.get_catalog() == (5, b'five')
+    assert other.get_quarantine() == (1, {'p': 60.0})
     assert read(other) == read(ledger)
     assert other.retiring == {'s'}
     assert other.list_open() == ledger.list_open()
 
 
+def test_quarantine_is_bounded(ledger):
+    count = ledgers.MAX_QUARANTINED_PARTS
+    for number in range(count + 1):
+        apply(ledger, commands.QuarantinePart(f'p{number}', float(number)))
+    revision, parts = ledger.get_quarantine()
+    assert revision == count + 1
+    assert len(parts) == count
+    assert 'p0' not in parts
+    apply(ledger, commands.ReleaseParts(('p1', 'unknown')))
+    assert ledger.get_quarantine() == (
+        count + 2,
+        {f'p{number}': float(number) for number in range(2, count + 1)},
+    )
+
+
 def test_snapshot_keeps_progress_until_item_has_result(ledger):
     apply(ledger, make_job())
     for first, texts in ((1, (b'a', b'b')), (2, (b'b', b'c')), (9, (b'x',))):
--- /dev/null
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -0,0 +1,235 @@
+"""Search for prompt parts that crash the endpoints that answer them.
+
+Requests may share parts of their prompts. If one of these parts crashes each
+endpoint that begins to answer it, requests that have nothing else in common
+take down one endpoint after the other. Endpoints also crash for other
+reasons, and each crash breaks sound requests, so that a part is judged by
+several crashes of different endpoints and by the requests of all hosts. A
+request that begins to be answered clears all of its parts.
+"""
+
+import collections
+import dataclasses
+
+__all__ = ['CrashEvidence', 'Incident', 'compute_settle_seconds']
+
+# Breaks of requests at an endpoint within this time belong to one crash.
+INCIDENT_SECONDS = 1.0
+# Crashes of different endpoints, and different prompts, after which a part
+# that is common to them is a culprit.
+MIN_INCIDENTS = 3
+MIN_ENDPOINTS = 2
+MIN_PROMPTS = 2
+# The same for a part that endpoints have answered before the crashes.
+MIN_INCIDENTS_OF_ANSWERED = 5
+# Crashes that are remembered, and for how long.
+RETENTION_SECONDS = 600.0
+MAX_INCIDENTS = 256
+# Parts whose answers the hosts report, those of the newest crashes. Each
+# exchange carries them.
+MAX_SUSPECTS = 64
+# Time in which the reports of a crash arrive, besides two exchanges: one that
+# tells the hosts the suspects, and one in which they report their answers.
+SETTLE_SECONDS = 0.3
+
+
+def compute_settle_seconds(exchange_interval):
+    """Return the time after a crash when all hosts have reported on it.
+
+    Parameters
+    ----------
+    exchange_interval : float
+        Longest time in seconds between two reports of a host.
+    """
+    return SETTLE_SECONDS + 2 * exchange_interval
+
+
+@dataclasses.dataclass
+class Incident:
+    """Crash of an endpoint, and the prompts that it had not answered yet.
+
+    `begun` holds the prompts for which the head of a response had arrived,
+    `waiting` the others. `time` is in seconds of the monotonic clock.
+    """
+
+    endpoint_id: str
+    time: float
+    begun: set = dataclasses.field(default_factory=set)
+    waiting: set = dataclasses.field(default_factory=set)
+
+    @property
+    def prompts(self):
+        """Prompts that may have caused the crash.
+
+        A request that waits for a slot causes none, but not all endpoints
+        send the head before the first event.
+        """
+        return self.begun or self.waiting
+
+    def list_candidates(self):
+        """Return the shared parts by their largest position in a prompt.
+
+        The last part of a prompt is not shared with other requests.
+        """
+        positions = {}
+        for prompt in self.prompts:
+            for position, part in enumerate(prompt[:-1]):
+                positions[part] = max(position, positions.get(part, 0))
+        return positions
+
+
+@dataclasses.dataclass
+class Case:
+    """Crashes that a part may have caused."""
+
+    position: int = 0
+    incident_count: int = 0
+    unexplained_count: int = 0
+    endpoint_ids: set = dataclasses.field(default_factory=set)
+    prompts: set = dataclasses.field(default_factory=set)
+    was_answered: bool = False
+
+    @property
+    def is_proven(self):
+        """Whether the crashes suffice to hold requests with the part back."""
+        min_incidents = (
+            MIN_INCIDENTS_OF_ANSWERED if self.was_answered else MIN_INCIDENTS
+        )
+        return (
+            self.unexplained_count > 0
+            and self.incident_count >= min_incidents
+            and len(self.endpoint_ids) >= MIN_ENDPOINTS
+            and len(self.prompts) >= MIN_PROMPTS
+        )
+
+
+class CrashEvidence:
+    """Crashes of endpoints and answers to suspected parts, of all hosts.
+
+    Callers have to hold a lock.
+    """
+
+    def __init__(self):
+        self.incidents = collections.deque(maxlen=MAX_INCIDENTS)
+        # Time of the last answer to each suspected part.
+        self.answered_at = {}
+
+    def add_crash(self, endpoint_id, prompt, has_head, time):
+        """Add a request that broke before the endpoint answered it.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint that crashed.
+        prompt : tuple of str
+            Parts of the request's prompt.
+        has_head : bool
+            Whether the head of a response had arrived.
+        time : float
+            Time of the break, in seconds of the monotonic clock.
+        """
+        incident = self.find_incident(endpoint_id, time)
+        prompts = incident.begun if has_head else incident.waiting
+        prompts.add(prompt)
+
+    def find_incident(self, endpoint_id, time):
+        """Return the crash of an endpoint at a time, added if it is new."""
+        for incident in reversed(self.incidents):
+            if (
+                incident.endpoint_id == endpoint_id
+                and abs(incident.time - time) <= INCIDENT_SECONDS
+            ):
+                return incident
+        incident = Incident(endpoint_id, time)
+        self.incidents.append(incident)
+        return incident
+
+    def add_answer(self, part, time):
+        """Record that an endpoint answered a request with a part."""
+        self.answered_at[part] = max(time, self.answered_at.get(part, time))
+
+    def expire(self, now):
+        """Forget the oldest crashes, and answers that concern none."""
+        while self.incidents and (
+            now - self.incidents[0].time > RETENTION_SECONDS
+        ):
+            self.incidents.popleft()
+        if not self.answered_at:
+            return
+        candidates = set()
+        for incident in self.incidents:
+            candidates.update(incident.list_candidates())
+        self.answered_at = {
+            part: time
+            for part, time in self.answered_at.items()
+            if part in candidates
+        }
+
+    def list_suspects(self, quarantined):
+        """Return the parts whose answers the hosts have to report.
+
+        Parameters
+        ----------
+        quarantined : collection of str
+            Parts that are known to be culprits.
+        """
+        suspects = {}
+        for incident in reversed(self.incidents):
+            candidates = incident.list_candidates()
+            if not candidates.keys().isdisjoint(quarantined):
+                continue
+            for part in candidates:
+                if not self.is_answered_since(part, incident):
+                    suspects[part] = None
+            if len(suspects) >= MAX_SUSPECTS:
+                break
+        return tuple(suspects)[:MAX_SUSPECTS]
+
+    def is_answered_since(self, part, incident):
+        """Return whether an endpoint answered a part after a crash."""
+        return self.answered_at.get(part, float('-inf')) >= incident.time
+
+    def find_culprit(self, quarantined, latest):
+        """Return the part that explains most crashes, None if unproven.
+
+        Among parts that explain the same crashes, the one that comes last in
+        the prompts is returned, as it affects the fewest requests.
+
+        Parameters
+        ----------
+        quarantined : collection of str
+            Parts that are known to be culprits. The crashes of endpoints that
+            ran requests with them need no other explanation.
+        latest : float
+            Time of the last crash that all hosts have reported, in seconds of
+            the monotonic clock.
+        """
+        cases = collections.defaultdict(Case)
+        for incident in self.incidents:
+            if incident.time <= latest:
+                self.add_incident(cases, incident, quarantined)
+        return max(
+            (part for part, case in cases.items() if case.is_proven),
+            key=lambda part: (
+                cases[part].unexplained_count,
+                cases[part].position,
+            ),
+            default=None,
+        )
+
+    def add_incident(self, cases, incident, quarantined):
+        """Add a crash to the cases of the parts that it may be due to."""
+        candidates = incident.list_candidates()
+        is_explained = not candidates.keys().isdisjoint(quarantined)
+        for part, position in candidates.items():
+            if part in quarantined or self.is_answered_since(part, incident):
+                continue
+            case = cases[part]
+            case.was_answered = part in self.answered_at
+            case.position = max(case.position, position)
+            case.incident_count += 1
+            case.unexplained_count += not is_explained
+            case.endpoint_ids.add(incident.endpoint_id)
+            case.prompts.update(
+                prompt for prompt in incident.prompts if part in prompt
+            )
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -9,10 +9,11 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
+from rhubarbreach.fleet import quarantine
 from rhubarbreach.fleet import token_source
 from rhubarbreach.protocol import fleetmessages
 
-__all__ = ['FRESH_SECONDS', 'LeaderClient']
+__all__ = ['FRESH_SECONDS', 'LeaderClient', 'compute_interval']
 
 LOG = eventlog.Logger('member')
 
@@ -50,6 +51,14 @@
 REFRESH_TIMEOUT_SECONDS = 0.04
 
 
+def compute_interval(entry_host_count):
+    """Return the longest time in seconds between two exchanges of a host."""
+    return max(
+        EXCHANGE_INTERVAL_SECONDS,
+        entry_host_count / MAX_EXCHANGES_PER_SECOND,
+    )
+
+
 class LeaderClient:
     """Configuration, endpoints and rates last received from the leader.
 
@@ -93,6 +102,7 @@
             self.request_tokens,
             tolerance,
         )
+        self.quarantine = quarantine.Quarantine(self.request_loads)
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
@@ -165,7 +175,7 @@
     @property
     def interval(self):
         """Longest time in seconds between two exchanges of this host."""
-        return max(EXCHANGE_INTERVAL_SECONDS, self.min_interval)
+        return compute_interval(self.entry_host_count)
 
     @property
     def min_interval(self):
@@ -250,6 +260,7 @@
         sent = clock.monotonic()
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
+        crashes, answered = self.quarantine.make_report(sent)
         message = fleetmessages.Exchange(
             0 if self.index is None else self.index.version,
             self.endpoints_stamp,
@@ -258,6 +269,9 @@
             self.view.pop_outcomes(),
             self.view.zone,
             self.peers_revision,
+            crashes,
+            answered,
+            self.quarantine.revision,
         )
         reply = self.search.call(message)
         if reply is None:
@@ -323,6 +337,7 @@
             ),
             self.min_interval,
         )
+        self.quarantine.apply_reply(reply, sent, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
--- /dev/null
+++ b/rhubarbreach/fleet/quarantine.py
@@ -0,0 +1,144 @@
+"""Prompt parts that an entry host holds back, and its evidence on others.
+
+See `crash_evidence` for how the leader judges a part.
+"""
+
+import collections
+import dataclasses
+import threading
+
+from rhubarbreach import codes
+from rhubarbreach.protocol import fleetmessages
+
+__all__ = ['Quarantine']
+
+# Crashes are reported again to a new leader for this long.
+CRASH_RETENTION_SECONDS = 60.0
+MAX_CRASHES = 256
+# Parts of which the time of the last answer is remembered.
+MAX_ANSWERED_PARTS = 8192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """Request that broke at an endpoint before it was answered.
+
+    `has_head` is whether the head of a response had arrived, and `time` is in
+    seconds of the monotonic clock.
+    """
+
+    endpoint_id: str
+    prompt: tuple[str, ...]
+    has_head: bool
+    time: float
+
+
+class Quarantine:
+    """Quarantined prompt parts, and what this host has seen of others.
+
+    Parameters
+    ----------
+    on_crash : callable, optional
+        Called without arguments when there is a crash to report.
+    """
+
+    def __init__(self, on_crash=None):
+        self.on_crash = on_crash
+        self.lock = threading.Lock()
+        self.revision = 0
+        # Monotonic time until which each part is held back.
+        self.deadlines = {}
+        self.suspects = frozenset()
+        self.answered_at = collections.OrderedDict()
+        self.crashes = collections.deque(maxlen=MAX_CRASHES)
+        # Crashes before this one are known to the leader named here.
+        self.reported_until = float('-inf')
+        self.leader_id = None
+
+    def find_refusal(self, prompt, now):
+        """Return a refusal if a part of a prompt is quarantined, else None."""
+        deadlines = self.deadlines
+        held_until = max(
+            (deadlines[part] for part in prompt if part in deadlines),
+            default=now,
+        )
+        if held_until <= now:
+            return None
+        return codes.Refusal(
+            codes.ResultCode.QUARANTINED,
+            'endpoints crash on a part of the prompt',
+            retry_after=held_until - now,
+        )
+
+    def record_answer(self, prompt, now):
+        """Record that an endpoint has begun to answer a request."""
+        with self.lock:
+            for part in prompt[:-1]:
+                self.answered_at[part] = now
+                self.answered_at.move_to_end(part)
+            while len(self.answered_at) > MAX_ANSWERED_PARTS:
+                self.answered_at.popitem(last=False)
+
+    def record_crash(self, endpoint_id, prompt, has_head, now):
+        """Record that a request broke before an endpoint answered it."""
+        if not prompt[:-1]:
+            return
+        with self.lock:
+            self.crashes.append(Crash(endpoint_id, prompt, has_head, now))
+        if self.on_crash is not None:
+            self.on_crash()
+
+    def make_report(self, now):
+        """Return the evidence for the next message to the leader.
+
+        Returns
+        -------
+        tuple of CrashNotice, dict of str to float
+            Crashes that the leader does not know, and the seconds since the
+            last answer to each part that it suspects.
+        """
+        with self.lock:
+            while self.crashes and (
+                now - self.crashes[0].time > CRASH_RETENTION_SECONDS
+            ):
+                self.crashes.popleft()
+            crashes = tuple(
+                fleetmessages.CrashNotice(
+                    crash.endpoint_id,
+                    crash.prompt,
+                    crash.has_head,
+                    now - crash.time,
+                )
+                for crash in self.crashes
+                if crash.time > self.reported_until
+            )
+            answered = {
+                part: now - self.answered_at[part]
+                for part in self.suspects
+                if part in self.answered_at
+            }
+        return crashes, answered
+
+    def apply_reply(self, reply, sent_at, now):
+        """Apply the reply of the leader to a report.
+
+        Parameters
+        ----------
+        reply : ExchangeReply
+            Reply of the leader.
+        sent_at, now : float
+            Times of the report and of the reply, in seconds of the monotonic
+            clock.
+        """
+        with self.lock:
+            self.suspects = frozenset(reply.suspect_parts)
+            if reply.quarantined is not None:
+                self.revision = reply.quarantine_revision
+                self.deadlines = {
+                    part: now + seconds
+                    for part, seconds in reply.quarantined.items()
+                }
+            # A new leader has to be told all crashes again.
+            is_same = reply.leader_id == self.leader_id
+            self.leader_id = reply.leader_id
+            self.reported_until = sent_at if is_same else float('-inf')
--- /dev/null
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -0,0 +1,131 @@
+"""Tests of the search for prompt parts that crash endpoints."""
+
+import pytest
+
+from rhubarbreach.fleet import crash_evidence
+
+LATEST = 100.0
+
+
+def make_prompt(number, *parts):
+    """Return a prompt whose last part is its own."""
+    return (*parts, f'own-{number}')
+
+
+@pytest.fixture
+def evidence():
+    """Return evidence without any crash."""
+    return crash_evidence.CrashEvidence()
+
+
+@pytest.fixture
+def crash(evidence):
+    """Return a function that adds crashes of different endpoints."""
+
+    def add(*parts, count=1, start=1, has_head=True):
+        for number in range(start, start + count):
+            prompt = make_prompt(number, *parts)
+            evidence.add_crash(f'e{number}', prompt, has_head, float(number))
+
+    return add
+
+
+def test_requests_with_a_crashing_part_take_down_no_further_endpoint(
+    evidence, crash
+):
+    crash('first', 'bad', count=2)
+    assert evidence.find_culprit((), LATEST) is None
+    crash('first', 'bad', start=3)
+    assert evidence.find_culprit((), LATEST) == 'bad'
+
+
+def test_first_part_of_sound_requests_is_not_held_back(evidence, crash):
+    crash('first', count=3)
+    evidence.add_answer('first', 3.5)
+    assert evidence.find_culprit((), LATEST) is None
+    crash('first', count=3, start=4)
+    evidence.add_answer('first', 5.5)
+    assert evidence.find_culprit((), LATEST) is None
+
+
+def test_part_that_was_answered_before_needs_more_crashes(evidence, crash):
+    evidence.add_answer('first', 0.5)
+    crash('first', count=4)
+    assert evidence.find_culprit((), LATEST) is None
+    crash('first', start=5)
+    assert evidence.find_culprit((), LATEST) == 'first'
+
+
+def test_request_that_is_tried_again_during_crashes_is_not_held_back(
+    evidence,
+):
+    for number in range(1, 9):
+        prompt = make_prompt(1, 'first', 'rare')
+        evidence.add_crash(f'e{number}', prompt, False, float(number))
+    assert evidence.find_culprit((), LATEST) is None
+
+
+def test_endpoint_that_crashes_by_itself_convicts_no_part(evidence):
+    for number in range(1, 9):
+        prompt = make_prompt(number, 'first', 'rare')
+        evidence.add_crash('e1', prompt, True, 10.0 * number)
+    assert evidence.find_culprit((), LATEST) is None
+
+
+def test_waiting_request_is_no_suspect_beside_one_that_has_begun(
+    evidence, crash
+):
+    crash('other', 'rare', count=4, has_head=False)
+    crash('first', 'bad', count=4)
+    assert evidence.find_culprit((), LATEST) == 'bad'
+    assert evidence.find_culprit(('bad',), LATEST) is None
+
+
+def test_endpoints_without_an_early_head_are_judged_too(evidence, crash):
+    crash('first', 'bad', count=3, has_head=False)
+    assert evidence.find_culprit((), LATEST) == 'bad'
+
+
+def test_crash_is_judged_only_after_all_hosts_have_reported(evidence, crash):
+    crash('first', 'bad', count=3)
+    assert evidence.find_culprit((), 2.5) is None
+    assert evidence.find_culprit((), 3.0) == 'bad'
+
+
+def test_breaks_at_one_endpoint_count_as_one_crash(evidence):
+    for number in range(1, 5):
+        prompt = make_prompt(number, 'first', 'bad')
+        evidence.add_crash('e1', prompt, True, 1.0 + number / 10)
+        evidence.add_crash('e2', prompt, True, 1.0 + number / 10)
+    assert len(evidence.incidents) == 2
+    assert evidence.find_culprit((), LATEST) is None
+
+
+def test_companion_part_is_found_at_the_next_crash(evidence, crash):
+    # The part that comes last in the prompts was held back in its place.
+    crash('bad', 'companion', count=3)
+    assert evidence.find_culprit((), LATEST) == 'companion'
+    assert evidence.find_culprit(('companion',), LATEST) is None
+    crash('bad', start=4)
+    assert evidence.find_culprit(('companion',), LATEST) == 'bad'
+
+
+def test_hosts_report_answers_only_while_a_part_is_suspected(evidence, crash):
+    crash('first', 'bad', count=2)
+    assert set(evidence.list_suspects(())) == {'first', 'bad'}
+    evidence.add_answer('first', 2.5)
+    evidence.expire(3.0)
+    assert evidence.list_suspects(()) == ('bad',)
+    assert evidence.list_suspects(('bad',)) == ()
+    crash('first', start=3)
+    assert set(evidence.list_suspects(('bad',))) == {'first'}
+
+
+def test_crashes_are_forgotten(evidence, crash):
+    crash('first', 'bad', count=3)
+    evidence.add_answer('first', 2.0)
+    now = 3.0 + crash_evidence.RETENTION_SECONDS
+    evidence.expire(now)
+    assert len(evidence.incidents) == 1
+    evidence.expire(now + 1.0)
+    assert not (evidence.incidents or evidence.answered_at)
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -162,6 +162,9 @@
             return self.serve_submission(
                 connection, request, info, route, name
             )
+        refusal = self.leader_client.quarantine.find_refusal(info.prompt, now)
+        if refusal is not None:
+            return refusal
         if account is not None and not self.leader_client.tokens.acquire(
             account
         ):
@@ -250,9 +253,12 @@
     """Return the HTTP status of a refusal.
 
     Statuses 429 and 503 assert that the request has not run. If that is not
-    certain, 502 is returned instead.
+    certain, 502 is returned instead. A request with a quarantined part of a
+    prompt may be valid, and its quarantine ends, so it gets no status 4xx.
     """
     status = codes.HTTP_STATUS[refusal.code]
+    if refusal.code == codes.ResultCode.QUARANTINED:
+        status = NOT_RUN_STATUS
     if refusal.ran != codes.Ran.NO and status in (429, NOT_RUN_STATUS):
         return UNKNOWN_STATUS
     return status
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -91,6 +91,7 @@
         self.sent = 0
         self.declined = 0
         self.first_event = None
+        self.is_answered = False
         self.last_event_at = self.started_at
         self.run_started_at = self.started_at
         self.load = None
@@ -105,10 +106,15 @@
         """
         service = indexes.choose_target(self.route)
         excluded = set()
+        quarantine = self.app.leader_client.quarantine
         if self.app.view.has_high_utilization(service):
             self.app.leader_client.refresh_loads()
         while True:
             now = clock.monotonic()
+            # A quarantine may begin while the request is retried.
+            refusal = quarantine.find_refusal(self.info.prompt, now)
+            if refusal is not None:
+                return self.refuse_unplaced(refusal)
             endpoint = self.app.view.acquire(
                 service,
                 excluded,
@@ -264,6 +270,7 @@
         try:
             return self.relay(call)
         except errors.ConnectionEndedError as error:
+            self.record_crash(call)
             return model.Broken(str(error))
         except errors.BadMessageError as error:
             return model.Broken(f'malformed response: {error}')
@@ -319,12 +326,34 @@
             # Comments keep a connection open, but are no progress.
             if any(events.get_data(block) is not None for block in blocks):
                 self.last_event_at = now
+                self.record_answer()
             elif now >= read_deadline and not call.is_complete:
                 return self.end_unfinished(read_deadline)
             if not self.send_events(call.head, blocks):
                 return model.CallerGone()
         return self.finish(call.head, splitter, body)
 
+    def record_crash(self, call):
+        """Report a crash of the endpoint that this request may have caused.
+
+        An endpoint that crashes during an answer crashes for another reason.
+        """
+        if not self.is_answered:
+            self.app.leader_client.quarantine.record_crash(
+                self.endpoint.endpoint_id,
+                self.info.prompt,
+                call.head is not None,
+                clock.monotonic(),
+            )
+
+    def record_answer(self):
+        """Record that an endpoint has begun to answer the request."""
+        if not self.is_answered:
+            self.is_answered = True
+            self.app.leader_client.quarantine.record_answer(
+                self.info.prompt, clock.monotonic()
+            )
+
     def end_unfinished(self, read_deadline):
         """Return the outcome of a response that stopped making progress."""
         if read_deadline < self.deadline:
@@ -423,6 +452,8 @@
 
     def finish(self, head, splitter, body):
         """Send the rest of a complete response; return the outcome."""
+        if head.status in SUCCESS:
+            self.record_answer()
         if not self.is_stream(head):
             if self.app.is_closing(self.connection):
                 self.connection.keep_alive = False
--- a/rhubarbreach/gateway/model.py
+++ b/rhubarbreach/gateway/model.py
@@ -21,6 +21,8 @@
 
     `timeout` is the time in seconds that the caller waits, None if not given.
     `last_event_id` is the event after which a stream is to resume, if any.
+    `prompt` holds the ids of the parts of the prompt. Requests may share all
+    of them but the last.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     key: str | None
     timeout: float | None
     last_event_id: int | None
+    prompt: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -10,6 +10,7 @@
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import quarantine
 from rhubarbreach.fleet import view
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
@@ -126,7 +127,9 @@
         app = types.SimpleNamespace(
             view=loads,
             dialect=dialect,
-            leader_client=types.SimpleNamespace(refresh_loads=lambda: None),
+            leader_client=types.SimpleNamespace(
+                refresh_loads=lambda: None, quarantine=quarantine.Quarantine()
+            ),
             is_closing=lambda _: False,
         )
         caller = FakeCaller()
--- a/rhubarbreach/hosts/gauges.py
+++ b/rhubarbreach/hosts/gauges.py
@@ -15,7 +15,8 @@
         of the snapshot and, on a leader, the bytes sent to each peer that
         are not yet acknowledged.
     ledger : Ledger
-        Replicated state; gives the number of open jobs and items.
+        Replicated state; gives the number of open jobs and items, and of
+        quarantined parts of prompts.
     link : Link
         Link of the store; gives the bytes queued for peers since the start,
         by message type.
@@ -32,5 +33,6 @@
     open_jobs = ledger.list_open()
     metrics.set_gauge('jobs_open', len(open_jobs))
     metrics.set_gauge('items_open', sum(len(items) for _, items in open_jobs))
+    metrics.set_gauge('parts_quarantined', len(ledger.quarantined))
     for message, queued_bytes in link.queued_bytes_total.copy().items():
         metrics.set_gauge('link_queued_bytes', queued_bytes, message=message)
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -21,6 +21,7 @@
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
+from rhubarbreach.hosts import quarantines
 from rhubarbreach.hosts import retirement
 from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import fleetmessages
@@ -137,6 +138,9 @@
             self.wake,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
+        self.quarantines = quarantines.Quarantines(
+            self.ledger, self.group.propose
+        )
         self.runner = runners.Runner(
             self.ledger,
             self.group.propose,
@@ -236,6 +240,10 @@
             message.availability_zone, table.endpoint_ids
         )
         peers_revision, peers = self.usage.list_peers(message)
+        self.quarantines.report(message, now)
+        quarantine_revision, quarantined = self.quarantines.list_quarantined(
+            message.quarantine_revision
+        )
         batch = self.runner.count_running()
         return fleetmessages.ExchangeReply(
             True,
@@ -254,6 +262,9 @@
             granted,
             entries,
             tuple(self.usage.list_suspects(now)),
+            self.quarantines.suspects,
+            quarantine_revision,
+            quarantined,
         )
 
     def grant(self, wanted, now):
@@ -375,6 +386,7 @@
         if not self.is_leading:
             return
         self.members.advance_membership(now, now - self.leading_since)
+        self.quarantines.advance(now, self.usage.count_hosts())
         if now >= self.next_prune:
             self.next_prune = now + PRUNE_INTERVAL_SECONDS
             cutoff = time.time() - JOB_RETENTION_SECONDS
--- /dev/null
+++ b/rhubarbreach/hosts/tests/test_quarantines.py
@@ -0,0 +1,57 @@
+"""Tests of the quarantine of prompt parts over changes of the leader."""
+
+from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.hosts.tests import conftest
+from rhubarbreach.protocol import fleetmessages
+
+
+def send_exchange(store, crashes=()):
+    """Return the reply of a store to an entry host without state."""
+    message = fleetmessages.Exchange(0, '', {}, {}, {}, crashes=crashes)
+    return store.answer_exchange('entry', message)
+
+
+def report_crashes(store):
+    """Report the crashes of three endpoints that answered a part."""
+    crashes = tuple(
+        fleetmessages.CrashNotice(
+            f'e{number}', ('first', 'bad', f'own{number}'), True, 2.0
+        )
+        for number in range(3)
+    )
+    return send_exchange(store, crashes)
+
+
+def test_quarantine_holds_under_the_next_leader_and_for_hosts_that_join(
+    stores,
+):
+    leader = conftest.find_leader(stores)
+    reply = report_crashes(leader)
+    assert set(reply.suspect_parts) == {'first', 'bad'}
+    cluster.wait_until(lambda: send_exchange(leader).quarantined)
+    others = [store for store in stores if store is not leader]
+    leader.drain(2.0)
+    successor = cluster.wait_until(lambda: conftest.find_leader(others))
+    reply = cluster.wait_until(
+        lambda: (
+            (reply := send_exchange(successor)).is_leader
+            and reply.quarantined
+            and reply
+        )
+    )
+    assert set(reply.quarantined) == {'bad'}
+    assert reply.quarantine_revision == 1
+
+
+def test_part_is_released_at_the_end_of_its_quarantine(stores, monkeypatch):
+    monkeypatch.setattr(
+        'rhubarbreach.hosts.quarantines.QUARANTINE_SECONDS', 0.3
+    )
+    leader = conftest.find_leader(stores)
+    report_crashes(leader)
+    ledgers = [store.ledger for store in stores]
+    for ledger in ledgers:
+        cluster.wait_until(lambda held=ledger: held.quarantine_revision >= 1)
+    leader.quarantines.evidence.incidents.clear()
+    for ledger in ledgers:
+        cluster.wait_until(lambda held=ledger: not held.quarantined)
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -56,7 +56,11 @@
             )
             for endpoint_id, outcomes in message.outcomes.items():
                 self.suspicion.add(endpoint_id, host_id, *outcomes, now)
-            return has_grown, max(1, len(self.loads.zone_by_host))
+            return has_grown, self.count_hosts()
+
+    def count_hosts(self):
+        """Return the number of entry hosts, at least 1."""
+        return max(1, len(self.loads.zone_by_host))
 
     def list_online(self, zone, endpoint_ids):
         """Return the online requests on endpoints, in the given order.
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     'CatalogCopy',
+    'CrashNotice',
     'EndpointNews',
     'EndpointNotice',
     'EndpointsQuery',
@@ -71,6 +72,21 @@
     document: bytes
 
 
+@messages.frozen_message
+class CrashNotice:
+    """Request that broke at an endpoint before it was answered.
+
+    `prompt` holds the ids of the parts of its prompt, `has_head` is whether
+    the head of a response had arrived, and `age` is the time in seconds since
+    the break.
+    """
+
+    endpoint_id: str
+    prompt: tuple[str, ...]
+    has_head: bool
+    age: float
+
+
 @messages.frozen_message
 class Exchange:
     """State of an entry host, sent to the leader several times a second.
@@ -80,7 +96,11 @@
     `wanted` the requests that each client account is expected to send soon,
     and `outcomes` the failures and successes on each endpoint since the last
     message. `peers_revision` is the version of the list of hosts in the same
-    availability zone that the host has.
+    availability zone that the host has. `crashes` lists the requests that
+    endpoints may have crashed on, and `answered` the time in seconds
+    since the last answer to each part of a prompt that the leader suspects.
+    `quarantine_revision` is the version of the quarantined parts that the
+    host has.
     """
 
     catalog_version: int
@@ -92,6 +112,9 @@
     )
     availability_zone: str = ''
     peers_revision: int = 0
+    crashes: tuple[CrashNotice, ...] = ()
+    answered: dict[str, float] = dataclasses.field(default_factory=dict)
+    quarantine_revision: int = 0
 
 
 @messages.frozen_message
@@ -110,7 +133,10 @@
     in the request. `granted` is the
     number of requests that each client account may send to this host.
     `entries` is the number of entry hosts. `suspects` are endpoints that fail
-    for several hosts.
+    for several hosts. `suspect_parts` are parts of prompts whose answers the
+    host has to report, and `quarantined` holds the parts to hold back with
+    the remaining time in seconds, if `quarantine_revision` differs from the
+    one in the request.
     """
 
     is_leader: bool
@@ -129,6 +155,9 @@
     granted: dict[str, float] = dataclasses.field(default_factory=dict)
     entries: int = 1
     suspects: tuple[str, ...] = ()
+    suspect_parts: tuple[str, ...] = ()
+    quarantine_revision: int = 0
+    quarantined: dict[str, float] | None = None
 
 
 @messages.frozen_message
