Test results beyond the limit of a command

Callers would see no further results and no item would be placed again until the leader changes: all queued results form one command, `Group.propose` raises for more than 1.5 MB, and the scheduling step ends there each time.

--- a/rhubarbreach/backlog/tests/test_results.py
+++ b/rhubarbreach/backlog/tests/test_results.py
@@ -7,6 +7,8 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import results
 from rhubarbreach import codes
+from rhubarbreach.consensus import group
+from rhubarbreach import exceptions
 
 
 @pytest.fixture
@@ -71,3 +73,31 @@
     proposed[0][1].set_result(commands.Done())
     queue.commit(0.1)
     assert queue.list_keys() == {('job', 'b')}
+
+
+@pytest.mark.parametrize(
+    'big',
+    ['x' * 1_000_000, 'x' * 2_000_000],
+    ids=['together', 'each'],
+)
+def test_results_beyond_command_limit_do_not_block_others(big):
+    # All queued results once formed one command, which no commit accepted.
+    committed = set()
+
+    def propose(command, _):
+        if len(command) > group.MAX_COMMAND_BYTES:
+            raise exceptions.MessageError('command exceeds the limit')
+        results = commands.FAMILY.decode(command).results
+        committed.update(result.item_id for _, result in results)
+        future = concurrent.futures.Future()
+        future.set_result(commands.Done())
+        return future
+
+    queue = results.ResultQueue(propose, lambda: None)
+    queue.add('job', done('a', big))
+    queue.add('job', done('b', big))
+    queue.add('job', done('c'))
+    for number in range(4):
+        queue.commit(number / 10)
+    fitting = {'a', 'b', 'c'} if len(big) < group.MAX_COMMAND_BYTES else {'c'}
+    assert committed == fitting
