Test scheduling after a failed step

An error in one scheduling step makes the thread wait for the next event without a timeout. If none follows, open items are never placed although slots are free.

--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -20,6 +20,14 @@
         pass
 
 
+def wait_for(condition):
+    """Wait up to 5 s until a condition is true; return whether it is."""
+    deadline = time.monotonic() + 5.0
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.01)
+    return condition()
+
+
 @pytest.fixture
 def ledger():
     """Return a ledger with a job of one item."""
@@ -80,3 +88,22 @@
     runner.set_leading(True)
     runner.handle_end(ended)
     assert runner.results.pending[KEY].output == '1\n2'
+
+
+def test_items_are_placed_after_a_failed_step(
+    runner, leader, make_report, monkeypatch
+):
+    # Without a further event, the scheduler slept for ever after an error.
+    monkeypatch.setattr(runners, 'DISCOVERY_SECONDS', 0.0)
+    steps = []
+
+    def list_slots():
+        steps.append(None)
+        if len(steps) == 1:
+            raise RuntimeError('first step')
+        return leader.endpoints, {}, frozenset()
+
+    runner.list_slots = list_slots
+    runner.set_leading(True)
+    runner.handle_report('one', make_report())
+    assert wait_for(lambda: KEY in runner.assignments.runs)
