Test a failed run that is reported twice

A store reports the end of a run again when it did not get the reply. The leader adopts the ended run like one of a former leader, and counts its failure again, so that an item may be given up after fewer than `max_attempts` answers of 500.

--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -251,3 +251,16 @@
     done = make_run('a', 1, b'1', outcome='completed')
     leader.receive('one', make_report(done))
     assert not leader.assignments.take_uncommitted((KEY,), 9.0)
+
+
+def test_failure_in_lost_reply_counts_once(leader, make_report, make_run):
+    # A store reports the end of a run again if it did not get the reply. An
+    # item would be given up before it has failed `max_attempts` times.
+    leader.receive('one', make_report())
+    leader.assign('a')
+    failed = make_report(make_run('a', 1, outcome='attempted'))
+    _, (first,) = leader.receive('one', failed)
+    assert first.outcome == 'attempted'
+    reply, ended = leader.receive('one', failed)
+    assert not ended
+    assert reply.known == (('o1', 0),)
