Test orders beyond the limit of a message

All orders that a store has not reported go into each reply. After many runs ended together, their bodies may exceed the limit of a message of 2 MB. The reply is then never sent, so that the store gets no orders at all.

--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -1,6 +1,9 @@
 """Assignment of items when messages are lost, delayed or repeated."""
 
+import dataclasses
+
 from rhubarbreach.backlog import assignments
+from rhubarbreach.protocol import codec
 
 KEY = ('job', 'a')
 
@@ -264,3 +267,27 @@
     reply, ended = leader.receive('one', failed)
     assert not ended
     assert reply.known == (('o1', 0),)
+
+
+def test_large_items_are_ordered_in_several_replies(
+    leader, make_report, make_run
+):
+    # A reply beyond the limit of a message is never sent, and the store gets
+    # no orders at all.
+    body = b'x' * (codec.MAX_MESSAGE_BYTES * 2 // 3)
+    for name, item in leader.items.items():
+        leader.items[name] = dataclasses.replace(item, body=body)
+    leader.receive('one', make_report())
+    leader.assign('a')
+    leader.assign('b')
+    ordered = []
+    runs = []
+    for _ in range(2):
+        reply, _ = leader.receive('one', make_report(*runs))
+        codec.encode(codec.Envelope('one', 1, True, None, reply))
+        ordered += [order.item_id for order in reply.orders]
+        runs = [
+            make_run(order.item_id, 1, order=order.order_id[1:])
+            for order in reply.orders
+        ]
+    assert ordered == ['a', 'b']
