Test an order whose run cannot start

If no thread can be started, the store keeps the runs of a reply among the active ones and reports them for ever, without an outcome. The leader waits for them and never places their items again.

--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -243,3 +243,19 @@
     last = get_reports(link)[-1]
     assert (last.outcome, store_worker.draining) == ('cancelled', True)
     assert link.calls[-1][1].takes_orders is False
+
+
+def test_run_without_thread_is_not_reported(worker_setup, monkeypatch):
+    # The leader would wait for ever for the end of a run that never starts.
+    store_worker, link, release = worker_setup
+    submit = store_worker.executor.submit
+    failures = [RuntimeError("can't start new thread")]
+
+    def submit_later(*arguments):
+        if failures:
+            raise failures.pop()
+        return submit(*arguments)
+
+    monkeypatch.setattr(store_worker.executor, 'submit', submit_later)
+    link.replies.append(orders(ORDER, known=KNOWN))
+    assert wait_for(lambda: release.runs)
