--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -10,6 +10,7 @@
 
 from rhubarbreach.backlog import execution
 from rhubarbreach import clock
+from rhubarbreach.protocol import codec
 from rhubarbreach.web import parse
 
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -142,3 +143,12 @@
     parser.feed(b'HTTP/1.1 200 OK\r\nA: ' + b'x' * 60_000)
     assert parser.feed(b'\r\nContent-Length: 2\r\n\r\nok') == [b'ok']
     assert parser.is_complete
+
+
+def test_output_beyond_message_limit_ends_the_run(run_against):
+    # An event that fits into no report blocks the reports of all runs.
+    size = codec.MAX_MESSAGE_BYTES + 1
+    event = chunk(b'id: 1\ndata: %s\n\n' % (b'x' * size))
+    outcome, progress, _ = run_against([HEAD, event, chunk(b'')])
+    assert outcome[0] == 'failed'
+    assert not progress.texts
