Test a batch item under which endpoints were lost

A batch item whose endpoints crash by coincidence becomes a suspect. After two losses while it runs alone it is refused as QUARANTINED, which ends the item as failed. Items of jobs do not crash endpoints by themselves, so that it is still owed.

--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -133,3 +133,24 @@
     ]
     online[0].result(WAIT_SECONDS)
     assert preempted == []
+
+
+def test_batch_item_is_not_refused_after_unrelated_endpoint_losses(
+    start_scheduler,
+):
+    # Several endpoints may crash by coincidence while an item runs alone.
+    scheduler = start_scheduler()
+    lost = work.Outcome(work.OutcomeStatus.ENDPOINT_LOST)
+    item = {'lane': work.Lane.BATCH, 'digest': b'x'}
+    for incarnation in (1, 2, 3, 4):
+        for name in ('e1', 'e2'):
+            row = conftest.make_row(name, sequence=incarnation)
+            row = dataclasses.replace(row, incarnation=incarnation)
+            scheduler.registry.announce(row, clock.monotonic())
+        placement = scheduler.submit(
+            conftest.make_work(f'b{incarnation}', **item)
+        ).result(WAIT_SECONDS)
+        assert isinstance(placement, work.Placement)
+        assert placement.alone == (incarnation > 1)
+        scheduler.release(placement, DONE if incarnation == 4 else lost)
+    assert not scheduler.core.suspects.is_suspect(b'x', clock.monotonic())
