Test suspects behind one whose model has no endpoint

Suspects run one at a time, in order. The first waits up to its deadline for an endpoint of its model, meanwhile all others wait although endpoints of their models are free: after a burst of crashes, items are not placed again.

--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -154,3 +154,18 @@
         assert placement.alone == (incarnation > 1)
         scheduler.release(placement, DONE if incarnation == 4 else lost)
     assert not scheduler.core.suspects.is_suspect(b'x', clock.monotonic())
+
+
+def test_suspect_without_endpoint_does_not_block_other_suspects(
+    start_scheduler,
+):
+    # The first suspect waits up to its deadline for an endpoint of its model.
+    scheduler = start_scheduler()
+    now = clock.monotonic()
+    endpoint = scheduler.registry.usable('m', now)[0]
+    scheduler.core.suspects.report_loss(endpoint, [b'x', b'y'], False, now)
+    first = conftest.make_work('b1', work.Lane.BATCH, digest=b'x')
+    scheduler.submit(dataclasses.replace(first, model_id='without endpoint'))
+    second = conftest.make_work('b2', work.Lane.BATCH, digest=b'y')
+    placement = scheduler.submit(second).result(WAIT_SECONDS)
+    assert placement.alone
