Test a batch item whose endpoints crash at each attempt

A call that ends because its endpoints crashed is refused with the same code as one that they answered with an error, and both count towards the `max_attempts` of an item. Three such calls end a sound item as failed. The platform's programs do not use this runner.

--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -9,7 +9,10 @@
 from rhubarbreach.batch.tests import fakes
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.dispatch import attempt
+from rhubarbreach.dispatch import budget
 from rhubarbreach.dispatch import call
+from rhubarbreach.dispatch import decide
 from rhubarbreach.observe import metrics
 from rhubarbreach.settings import model
 from rhubarbreach.state import jobcommands
@@ -283,3 +286,33 @@
     harness.start(executor)
     assert harness.wait_state('job-1').failed == 2
     assert len(executor.executed) == 2
+
+
+def test_item_does_not_fail_because_its_endpoints_crashed(harness):
+    # Crashes are no answers, so they do not count towards `max_attempts`.
+    lost_endpoints = iter(range(4))
+
+    def answer(item_call):
+        if next(lost_endpoints, None) is None:
+            return fakes.answer_ok(item_call)
+        progress = decide.Progress(
+            idempotent=True,
+            attempts=decide.MAX_ATTEMPTS,
+            resumes=0,
+            tokens=0,
+            begun=False,
+            cancelled=False,
+            preempted=False,
+            engine=True,
+            ran=codes.Ran.UNKNOWN,
+            deadline=item_call.deadline,
+        )
+        result = attempt.AttemptResult(attempt.AttemptEnd.BROKEN, sent=True)
+        now = clock.monotonic()
+        retry_budget = budget.RetryBudget(now)
+        return decide.decide_next(progress, result, retry_budget, now).refusal
+
+    harness.submit('job-1', 1)
+    harness.start(fakes.FakeExecutor(answer))
+    status = harness.wait_state('job-1')
+    assert (status.done, status.failed) == (1, 0)
