Commit queued results in commands of bounded size

Callers would see no further results of any job: all queued results formed one command, which `Group.propose` refuses by an error beyond 1.5 MB, and each scheduling step ended there. Cause: a batch without a bound on its bytes. Now a commit takes the results that fit, and one that fits into none stays queued until its item is given up.

--- a/rhubarbreach/backlog/results.py
+++ b/rhubarbreach/backlog/results.py
@@ -12,6 +12,10 @@
 
 # Allows for a slow disk.
 COMMIT_TIMEOUT_SECONDS = 3.0
+# Limits of the results in one commit, with `RESULT_OVERHEAD_BYTES` for the ids
+# of each. The limit of a command in the log is 64 KiB higher.
+MAX_COMMIT_BYTES = 1472 * 1024
+RESULT_OVERHEAD_BYTES = 256
 
 
 class ResultQueue:
@@ -41,9 +45,12 @@
         return bool(self.pending)
 
     def add(self, job_id, result):
-        """Queue a result unless its item already has one queued."""
+        """Queue a result unless its item already has one that fits."""
+        key = (job_id, result.item_id)
         with self.lock:
-            self.pending.setdefault((job_id, result.item_id), result)
+            queued = self.pending.get(key)
+            if queued is None or get_size(queued) > MAX_COMMIT_BYTES:
+                self.pending[key] = result
 
     def list_keys(self):
         """Return the keys of the items with queued results."""
@@ -66,9 +73,7 @@
                 return
             self.handle_reply(future.result(), in_flight)
         with self.lock:
-            results = [
-                (key[0], result) for key, result in self.pending.items()
-            ]
+            results = self.select_results()
             if not results:
                 return
             self.in_flight = tuple(results)
@@ -79,6 +84,21 @@
             future = self.future
         future.add_done_callback(lambda _: self.notify())
 
+    def select_results(self):
+        """Return queued results that fit into a commit, with their jobs.
+
+        A result that does not fit into any commit is skipped, so that it does
+        not block the others.
+        """
+        chosen = []
+        remaining_bytes = MAX_COMMIT_BYTES
+        for (job_id, _), result in self.pending.items():
+            size = get_size(result)
+            if size <= remaining_bytes:
+                remaining_bytes -= size
+                chosen.append((job_id, result))
+        return chosen
+
     def handle_reply(self, reply, in_flight):
         """Remove committed results; keep them if the commit was refused."""
         with self.lock:
@@ -102,3 +122,12 @@
         with self.lock:
             for job_id, result in in_flight:
                 self.pending.pop((job_id, result.item_id), None)
+
+
+def get_size(result):
+    """Return the approximate size of an encoded result in bytes."""
+    return (
+        len(result.output.encode())
+        + len(result.reason.encode())
+        + RESULT_OVERHEAD_BYTES
+    )
