Repeat a scheduling step that failed

After an error in a step the scheduler waited for the next event without a timeout, so that open items were not placed although slots were free. It now repeats the step after the usual interval. The test failed before.

--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -141,6 +141,7 @@
                     busy = self.step(clock.monotonic())
             except Exception:
                 LOG.exception('event=plan_failed')
+                busy = True
             self.wake.wait(PLAN_INTERVAL_SECONDS if busy else None)
             self.wake.clear()
 
