Count the end of a run once if its report is repeated

An item could be given up after fewer than `max_attempts` answers of 500. A store that gets no reply reports the end of a run again, and the leader adopted the ended run as if a former leader had started it. The leader now remembers the ended runs that a store still reports, and only acknowledges them.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -164,6 +164,9 @@
         self.runs = {}
         self.progress = {}
         self.workers = {}
+        # By store, the number of events of the ended runs that it may report
+        # again, by order id.
+        self.ended_orders = {}
 
     def get_progress(self, key):
         """Return the progress of an item; load it on first use."""
@@ -273,7 +276,13 @@
         ended = []
         cancels = []
         reported = set()
+        ended_orders = self.get_ended_orders(worker_id, message)
         for report in message.runs:
+            if report.order_id in ended_orders:
+                # The reply to the report of the end was lost.
+                event_count = ended_orders[report.order_id]
+                known.append((report.order_id, event_count))
+                continue
             key = (report.job_id, report.item_id)
             run = self.runs.get(key)
             if run is None:
@@ -292,6 +301,7 @@
             is_complete = progress.add_report(report)
             if report.outcome and is_complete:
                 del self.runs[key]
+                ended_orders[run.order_id] = len(progress.texts)
                 event_count = len(progress.texts) - report.begun
                 ended.append(
                     EndedRun(
@@ -312,6 +322,19 @@
         )
         return reply, ended
 
+    def get_ended_orders(self, worker_id, message):
+        """Return the ended runs that a store still reports, by order id."""
+        reported = {report.order_id for report in message.runs}
+        ended_orders = {
+            order_id: event_count
+            for order_id, event_count in self.ended_orders.get(
+                worker_id, {}
+            ).items()
+            if order_id in reported
+        }
+        self.ended_orders[worker_id] = ended_orders
+        return ended_orders
+
     def adopt_run(self, worker_id, report, open_items, find_endpoint):
         """Return a run that was started under another leader, or None.
 
@@ -387,6 +410,7 @@
         ended = []
         for worker_id in silent:
             del self.workers[worker_id]
+            self.ended_orders.pop(worker_id, None)
             worker_runs = [
                 run for run in self.runs.values() if run.worker_id == worker_id
             ]
