Bound the orders in one reply to a store

Items of a store were lost and ordered again each time if their bodies together exceeded the limit of a message: the reply was never sent. A reply now has at most 256 KiB of bodies or one item. The test failed before with MessageError.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -19,6 +19,10 @@
 # the store hold them, so that they are repeated only if both are lost. Most
 # runs end within 5 s, and their result contains the events again.
 RUNNING_COMMIT_SECONDS = 1.5
+# Bytes of item bodies in one reply to a store; it gets the other orders with
+# its next reports. A reply beyond the limit of a message is never sent, and a
+# large one does not arrive before the timeout of the report.
+ORDER_BYTES = 256 * 1024
 # Random bytes of an order id. Two orders of one item must have different ids,
 # even if different leaders issued them.
 ORDER_ID_BYTES = 8
@@ -372,9 +376,11 @@
         An order whose reply was lost is sent again. An order that was
         cancelled before the store reported it ends here. So does a run that
         the store no longer reports: the store may have restarted, and sending
-        the order again would join the events of two runs.
+        the order again would join the events of two runs. An item that is
+        larger than `ORDER_BYTES` is ordered alone.
         """
         orders = []
+        remaining_bytes = ORDER_BYTES
         for key, run in list(self.runs.items()):
             if run.worker_id != worker_id or run.order_id in reported:
                 continue
@@ -384,6 +390,9 @@
                 ended.append(EndedRun(run, outcome, begun=run.begun))
                 continue
             item = run.item
+            remaining_bytes -= len(item.body)
+            if remaining_bytes < 0 and orders:
+                continue
             orders.append(
                 workmessages.RunOrder(
                     run.order_id,
