Forget a run that a store cannot start

A store without a thread for a run reported it for ever without an outcome, and so did the other runs of the same reply; their items were never placed again. The store now forgets such a run, and the leader sends its order again. The test failed before.

--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -260,10 +260,24 @@
                     started.append(active_run)
         self.cancel_runs(reply.cancels)
         for active_run in started:
-            self.executor.submit(self.execute_run, active_run)
+            self.start_run(active_run)
         if has_more:
             self.wake.set()
 
+    def start_run(self, active_run):
+        """Start a run; forget it if there is no thread for it.
+
+        The leader then sends the order again.
+        """
+        try:
+            self.executor.submit(self.execute_run, active_run)
+        except RuntimeError as error:
+            LOG.warning('event=run_not_started reason={!r}', str(error))
+            # The executor may have queued the run before the error.
+            active_run.run.cancel()
+            with self.lock:
+                self.active.pop(active_run.run.order.order_id, None)
+
     def execute_run(self, active_run):
         """Execute a run and trigger a report of its outcome."""
         outcome, detail = 'cancelled', ''
