Bound the exponent of the ejection time

After 1025 failures of an endpoint without a success the computation raised an OverflowError, which ended the processing of the report or request.

--- a/rhubarbreach/fleet/health.py
+++ b/rhubarbreach/fleet/health.py
@@ -9,6 +9,7 @@
 # announcements is removed from the registry anyway.
 BASE_EJECTION_SECONDS = 0.5
 MAX_EJECTION_SECONDS = 4.0
+MAX_DOUBLINGS = 8
 
 
 @dataclasses.dataclass
@@ -36,7 +37,8 @@
         if now < health.ejected_until:
             return
         health.ejected_until = now + min(
-            MAX_EJECTION_SECONDS, BASE_EJECTION_SECONDS * 2**health.failures
+            MAX_EJECTION_SECONDS,
+            BASE_EJECTION_SECONDS * 2 ** min(health.failures, MAX_DOUBLINGS),
         )
         health.failures += 1
 
