Pass over suspects whose model has no endpoint

After a burst of crashes, items were not placed again although endpoints were free: suspects run in order, and one whose model had no endpoint blocked all others of its host up to its deadline. The next suspect with an endpoint now runs.

--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -352,25 +352,30 @@
         return []
 
     def place_isolated(self, now):
-        """Place the first crash suspect once its endpoint is empty."""
-        entry = self.isolation.get_first()
-        if entry is None:
-            return []
-        refusal = self.check(entry.work, now)
-        if refusal is not None:
-            self.withdraw(entry.work.work_id)
-            return [decisions.Refused(entry.work, refusal)]
-        candidates = self.list_candidates(entry.work, now)
-        endpoint = self.isolation.reserve_endpoint(
-            candidates, self.load, self.slots, now
-        )
-        if endpoint is None:
-            return []
-        if not self.slots.is_exclusive(endpoint.endpoint_id, now):
+        """Place a crash suspect once its endpoint is empty.
+
+        It is the first one whose model has an endpoint.
+        """
+        if self.isolation.started:
             return []
-        self.isolation.start_first()
-        choice = choose.Choice(endpoint, 'crash suspect runs alone')
-        return [self.start(entry.work, choice, now, is_exclusive=True)]
+        for entry in self.isolation.list_waiting():
+            refusal = self.check(entry.work, now)
+            if refusal is not None:
+                self.withdraw(entry.work.work_id)
+                return [decisions.Refused(entry.work, refusal)]
+            candidates = self.list_candidates(entry.work, now)
+            if not candidates:
+                continue
+            endpoint = self.isolation.reserve_endpoint(
+                candidates, self.load, self.slots, now
+            )
+            if not self.slots.is_exclusive(endpoint.endpoint_id, now):
+                return []
+            self.isolation.start(entry)
+            choice = choose.Choice(endpoint, 'crash suspect runs alone')
+            return [self.start(entry.work, choice, now, is_exclusive=True)]
+        self.isolation.release_endpoint(self.slots)
+        return []
 
     def release(self, placement, outcome, now):
         """Release the slot of a placement and record its outcome.
--- a/rhubarbreach/placement/isolation.py
+++ b/rhubarbreach/placement/isolation.py
@@ -15,19 +15,17 @@
         """Append a suspect."""
         self.entries[entry.work.work_id] = entry
 
-    def get_first(self):
-        """Return the next suspect to run, or None."""
-        if self.started or not self.entries:
-            return None
-        return next(iter(self.entries.values()))
+    def list_waiting(self):
+        """Return the waiting suspects, in order."""
+        return list(self.entries.values())
 
     def reserve_endpoint(self, candidates, load_view, slots, now):
-        """Reserve and return an endpoint for the first suspect.
+        """Reserve and return an endpoint for the next suspect.
 
         Parameters
         ----------
         candidates : list of EndpointInfo
-            Endpoints on which the suspect may run.
+            Endpoints on which the suspect may run, at least one.
         load_view : LoadView
             Estimated loads. The least loaded endpoint is chosen, since it
             becomes free first.
@@ -38,15 +36,13 @@
 
         Returns
         -------
-        EndpointInfo or None
-            The reserved endpoint, or None without candidates.
+        EndpointInfo
+            The reserved endpoint.
         """
         for endpoint in candidates:
             if endpoint.endpoint_id == self.endpoint_id:
                 return endpoint
         self.release_endpoint(slots)
-        if not candidates:
-            return None
         best = min(
             candidates,
             key=lambda candidate: load_view.estimate(candidate, now),
@@ -55,9 +51,9 @@
         slots.request_exclusive(best.endpoint_id, True)
         return best
 
-    def start_first(self):
-        """Remove the first suspect from the queue and keep its endpoint."""
-        del self.entries[next(iter(self.entries))]
+    def start(self, entry):
+        """Remove a suspect from the queue and keep its endpoint."""
+        del self.entries[entry.work.work_id]
         self.started = True
 
     def finish(self, slots):
