Do not count lost endpoints as attempts of a batch item

Three calls whose endpoints crashed ended a sound item as failed, as they were refused with the same code as error answers. They get the code ENDPOINT_LOST now, and the item is released without counting an attempt. Callers of online requests may see the new code with status 502.

--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -232,8 +232,8 @@
     Returns
     -------
     AttemptEnd or ReleasedItem
-        `ReleasedItem` when the item did not run, or was cancelled and may
-        run again.
+        `ReleasedItem` when the item did not run, or was cancelled or lost
+        its endpoint and may run again.
     """
     if isinstance(outcome, codes.Refusal):
         return classify_refusal(item, outcome)
@@ -269,6 +269,9 @@
         return make_attempt_end(item, End.FAILED, refusal)
     if refusal.ran == codes.Ran.NO:
         return ReleasedItem(item, refusal.code not in HOST_CODES)
+    if refusal.code == Code.ENDPOINT_LOST and item.idempotent:
+        # A crash is no answer of the endpoint, so it is not an attempt.
+        return ReleasedItem(item, True)
     if refusal.code == Code.CANCELLED and item.idempotent:
         return ReleasedItem(item, False)
     return make_attempt_end(item, choose_uncertain_end(item), refusal)
--- a/rhubarbreach/dispatch/decide.py
+++ b/rhubarbreach/dispatch/decide.py
@@ -213,6 +213,9 @@
     if progress.begun:
         text = 'the stream broke and could not be resumed'
         return finish(progress, result, 'STREAM_BROKEN', text)
+    if result.end is AttemptEnd.BROKEN:
+        text = 'the connection ended while the endpoint ran the request'
+        return finish(progress, result, 'ENDPOINT_LOST', text)
     text = 'the endpoint failed while it ran the request'
     return finish(progress, result, 'ENDPOINT_FAILED', text)
 
