Test broken and foreign answers that are handled

Endpoints that end a response without a length, answer to another request or fail while a stream is resumed. These tests pass on the code as it stands.

--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -64,7 +64,12 @@
             address=f'127.0.0.1:{listener.getsockname()[1]}',
         )
         dialect = types.SimpleNamespace(
-            encode_item=lambda *_: (), is_not_run=lambda _: False
+            encode_item=lambda *_: (),
+            get_echoed_id=lambda head: (
+                head.get(b'echo', b'item').decode() or None
+            ),
+            is_not_run=lambda head: bool(head.get(b'not-run')),
+            is_signed=lambda head: not head.get(b'unsigned'),
         )
         progress = execution.RunProgress()
         started_at = clock.monotonic()
@@ -152,3 +157,21 @@
     outcome, progress, _ = run_against([HEAD, event, chunk(b'')])
     assert outcome[0] == 'failed'
     assert not progress.texts
+
+
+def test_run_without_length_that_ends_within_an_event_fails(run_against):
+    """Guards against a truncated text that counts as complete."""
+    outcome, progress, _ = run_against(
+        [b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\nid: 2\ndata: t']
+    )
+    assert outcome == ('failed', 'answer ends within an event')
+    assert progress.texts == [b't1']
+
+
+def test_run_without_length_ends_with_its_connection(run_against):
+    """Guards against a complete run that is taken for a broken one."""
+    outcome, progress, _ = run_against(
+        [b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\n']
+    )
+    assert outcome == ('completed', '')
+    assert progress.texts == [b't1']
--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -416,3 +416,63 @@
     assert executor.execute(make_call(stream=False)).body == b'{"e":1}'
     slow.wait_for(slow.cancelled)
     assert sorted(executor.scheduler.statuses()) == ['cancelled', 'completed']
+
+
+@pytest.mark.parametrize('end', ['in an event', 'after an event', 'reset'])
+def test_stream_without_length_or_end_marker_is_resumed(
+    start_endpoint, start_executor, make_call, end
+):
+    """Guards against a stream that was cut off and looks complete."""
+
+    def handle(request):
+        head = fakes.HEAD.format(request.attempt_id).encode()
+        data = fakes.make_sse(request.attempt_id, 0, 3, done=False)
+        if end != 'after an event':
+            data += b'data: {"id": "cut'
+        head = head.replace(b'Transfer-Encoding: chunked\r\n', b'')
+        request.connection.sendall(head + data)
+        if end == 'reset':
+            request.reset_connection()
+        else:
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    good = start_endpoint(lambda request: request.stream(9))
+    sink = ListSink()
+    executor = start_executor(start_endpoint(handle), good)
+    result = executor.execute(make_call(), sink)
+    assert get_tokens(sink.data) == list(range(9))
+    assert sink.data.endswith(b'data: [DONE]\n\n')
+    assert result.refusal is None
+
+
+def test_stream_without_length_is_complete_at_its_end_marker(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a second run of a complete stream."""
+
+    def handle(request):
+        head = fakes.HEAD.format(request.attempt_id).encode()
+        head = head.replace(b'Transfer-Encoding: chunked\r\n', b'')
+        data = fakes.make_sse(request.attempt_id, 0, 3)
+        request.connection.sendall(head + data)
+        request.connection.shutdown(socket.SHUT_RDWR)
+
+    endpoint = start_endpoint(handle)
+    result = start_executor(endpoint).execute(make_call())
+    assert result.tokens == 3
+    assert len(endpoint.requests) == 1
+
+
+def test_repeated_refusal_with_another_id_is_not_believed(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against 'not run' taken from the refusal of another attempt."""
+    endpoint = start_endpoint(
+        lambda request: request.answer(b'{"not_run":true}', 503, 'earlier')
+    )
+    other = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(endpoint, other)
+    call = make_call(stream=False, idempotent=False)
+    refusal = executor.execute(call)
+    assert refusal.ran is codes.Ran.UNKNOWN
+    assert not other.requests
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -20,6 +20,9 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 END = b'0\r\n\r\n'
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
+# SO_LINGER with a time of zero, which resets the connection when it is closed.
+RESET = b'\1\0\0\0\0\0\0\0'
 
 
 def chunk(data):
@@ -37,20 +40,27 @@
         self.socket, self.peer = socket.socketpair()
         self.socket.setblocking(False)
         self.keep_alive = True
+        self.status = None
         self.sent = []
 
     def send(self, data, deadline):
         self.sent.append(data)
 
     def send_response(self, status, headers=(), body=b'', reason=b''):
+        self.status = status
         self.sent.append(body)
 
 
 class FakeEndpoint:
-    """Endpoint that answers each connection with the given parts."""
+    """Endpoint that answers each connection with the given parts.
 
-    def __init__(self, parts, pause):
+    Connections after the first get the parts `later` if these are given.
+    """
+
+    def __init__(self, parts, pause, later=None, unread=False):
         self.parts = parts
+        self.later = parts if later is None else later
+        self.unread = unread
         self.pause = pause
         self.count = 0
         self.listener = socket.create_server(('127.0.0.1', 0))
@@ -63,15 +73,21 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
+            parts = self.later if self.count else self.parts
             self.count += 1
             threading.Thread(
-                target=self.answer, args=(connection,), daemon=True
+                target=self.answer, args=(connection, parts), daemon=True
             ).start()
 
-    def answer(self, connection):
+    def answer(self, connection, parts):
         with connection:
-            connection.recv(65_536)
-            for part in self.parts:
+            connection.recv(1 if self.unread else 65_536)
+            for part in parts:
+                if part is RESET:
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET
+                    )
+                    return
                 try:
                     connection.sendall(part)
                 except OSError:
@@ -96,15 +112,23 @@
         longest_pause=0.2,
         kind=catalogs.RouteKind.STREAM,
         on_view=lambda _: None,
+        later=None,
+        unread=False,
+        body=b'',
+        count=1,
     ):
-        endpoint = FakeEndpoint(parts, pause)
+        endpoint = FakeEndpoint(parts, pause, later, unread)
         endpoints.append(endpoint)
         loads = view.View('z1')
         on_view(loads)
-        notice = fleetmessages.EndpointNotice(
-            'e1', 's', f'127.0.0.1:{endpoint.port}', 'z1', 8, 'ready', 1, 1
+        address = f'127.0.0.1:{endpoint.port}'
+        notices = tuple(
+            fleetmessages.EndpointNotice(
+                f'e{number}', 's', address, 'z1', 8, 'ready', 1, 1
+            )
+            for number in range(1, count + 1)
         )
-        loads.update_endpoints((notice,), True)
+        loads.update_endpoints(notices, True)
         route = catalogs.Route(
             'r',
             'h',
@@ -120,9 +144,11 @@
         )
         dialect = types.SimpleNamespace(
             encode_call=lambda *_: (),
-            get_echoed_id=lambda _: 'id',
-            is_not_run=lambda _: False,
-            is_signed=lambda _: True,
+            get_echoed_id=lambda head: (
+                head.get(b'echo', b'id').decode() or None
+            ),
+            is_not_run=lambda head: bool(head.get(b'not-run')),
+            is_signed=lambda head: not head.get(b'unsigned'),
         )
         app = types.SimpleNamespace(
             view=loads,
@@ -134,12 +160,13 @@
         )
         caller = FakeCaller()
         info = model.CallInfo('id', 'h', None, None, None)
-        request = parse.Request('POST', b'/', (), b'', True)
+        request = parse.Request('POST', b'/', (), body, True)
         started_at = clock.monotonic()
         refusal = forward.RequestForwarder(
             app, caller, request, info, route, None
         ).run()
         seconds = clock.monotonic() - started_at
+        run.caller = caller
         sockets.close_socket(caller.socket)
         caller.peer.close()
         return refusal, b''.join(caller.sent), endpoint, seconds
@@ -210,3 +237,28 @@
     )
     assert refusal is None
     assert loads[0].run_seconds['s'] >= 0.3
+
+
+def test_stream_without_length_ends_with_its_connection(forward_to):
+    """Guards against a complete stream that is taken for a broken one."""
+    parts = [
+        UNFRAMED_HEAD,
+        b'id: 1\ndata: t1\n',
+        b'\nid: 2\nda',
+        b'ta: t2\n\n',
+    ]
+    refusal, data, endpoint, _ = forward_to(
+        parts, 0.02, resumable=True, count=2
+    )
+    assert refusal is None
+    assert data.endswith(forward.LAST_CHUNK)
+    assert data.count(b'data: t') == 2
+    assert endpoint.count == 1
+
+
+def test_reset_stream_without_length_is_incomplete(forward_to):
+    """Guards against a reset that is taken for the end of a stream."""
+    parts = [UNFRAMED_HEAD, b'id: 1\ndata: t1\n\n', b': \n\n', RESET]
+    _, data, _, _ = forward_to(parts, 0.05)
+    assert b'data: t1' in data
+    assert not data.endswith(forward.LAST_CHUNK)
