--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -239,6 +239,31 @@
     assert loads[0].run_seconds['s'] >= 0.3
 
 
+@pytest.mark.parametrize('framing', ['chunked', 'length', 'unframed'])
+@pytest.mark.parametrize('resumable', [False, True])
+def test_stream_that_ends_within_an_event_is_incomplete(
+    forward_to, framing, resumable
+):
+    """Guards against a truncated stream that looks complete."""
+    data = b'id: 1\ndata: t1\n\nid: 2\ndata: t'
+    parts = {
+        'chunked': [HEAD, chunk(data), END],
+        'length': [
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(data),
+            data,
+        ],
+        'unframed': [UNFRAMED_HEAD, data],
+    }[framing]
+    later = [UNFRAMED_HEAD, b'id: 2\ndata: u2\n\n']
+    _, received, endpoint, _ = forward_to(
+        parts, 0.0, resumable=resumable, later=later, count=2
+    )
+    assert received.count(b'data: t') == 1
+    assert received.endswith(forward.LAST_CHUNK) == resumable
+    assert (b'data: u2\n\n' in received) == resumable
+    assert endpoint.count == 1 + resumable
+
+
 def test_stream_without_length_ends_with_its_connection(forward_to):
     """Guards against a complete stream that is taken for a broken one."""
     parts = [
