--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -287,3 +287,16 @@
     _, data, _, _ = forward_to(parts, 0.05)
     assert b'data: t1' in data
     assert not data.endswith(forward.LAST_CHUNK)
+
+
+@pytest.mark.parametrize(
+    'kind', [catalogs.RouteKind.STREAM, catalogs.RouteKind.IDEMPOTENT]
+)
+def test_reset_while_the_request_is_sent_is_no_end(forward_to, kind):
+    """Guards against a reset hidden by the failure to send the rest."""
+    parts = [b'', UNFRAMED_HEAD + b'id: 1\ndata: t1\n\n', RESET]
+    refusal, data, _, _ = forward_to(
+        parts, 0.1, kind=kind, unread=True, body=b'x' * 16_000_000
+    )
+    assert refusal is not None or not data.endswith(forward.LAST_CHUNK)
+    assert kind is catalogs.RouteKind.STREAM or not data
