--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -300,3 +300,41 @@
     )
     assert refusal is not None or not data.endswith(forward.LAST_CHUNK)
     assert kind is catalogs.RouteKind.STREAM or not data
+
+
+ERRORS = {
+    '500': b'HTTP/1.1 500 E\r\n%s\r\n',
+    '503': b'HTTP/1.1 503 E\r\n%s\r\n',
+    'not run': b'HTTP/1.1 503 E\r\nnot-run: 1\r\n%s\r\n',
+    '404': b'HTTP/1.1 404 E\r\n%s\r\n',
+    '400': b'HTTP/1.1 400 E\r\n%s\r\n',
+    '302': b'HTTP/1.1 302 E\r\n%s\r\n',
+    'unsigned': b'HTTP/1.1 200 E\r\nunsigned: 1\r\n%s\r\n',
+    'other id': b'HTTP/1.1 200 E\r\necho: other\r\n%s\r\n',
+    'not a stream': (
+        b'HTTP/1.1 200 E\r\ncontent-type: application/json\r\n%s\r\n'
+    ),
+}
+
+
+@pytest.mark.parametrize('framing', ['chunked', 'length', 'unframed'])
+@pytest.mark.parametrize('error', ERRORS)
+def test_error_while_resuming_stays_out_of_the_stream(
+    forward_to, error, framing
+):
+    """Guards against the text of an error in the middle of a stream."""
+    text = b'error: failed\n\ndetail\n\n'
+    header, body = {
+        'chunked': (b'Transfer-Encoding: chunked\r\n', chunk(text) + END),
+        'length': (b'Content-Length: %d\r\n' % len(text), text),
+        'unframed': (b'', text),
+    }[framing]
+    later = [ERRORS[error] % header + body]
+    refusal, data, endpoint, _ = forward_to(
+        [HEAD + make_event(1)], 0.0, resumable=True, later=later, count=2
+    )
+    assert refusal is None
+    assert endpoint.count == 2
+    assert forward_to.caller.status is None
+    assert not forward_to.caller.keep_alive
+    assert data.endswith(make_event(1))
