--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -338,3 +338,30 @@
     assert forward_to.caller.status is None
     assert not forward_to.caller.keep_alive
     assert data.endswith(make_event(1))
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 503 E\r\necho: other\r\nnot-run: 1\r\n',
+        b'HTTP/1.1 503 E\r\necho: ID\r\nnot-run: 1\r\n',
+        b'HTTP/1.1 503 E\r\necho:\r\nnot-run: 1\r\n',
+        b'HTTP/1.1 421 E\r\necho:\r\nnot-run: 1\r\n',
+        b'HTTP/1.1 100 C\r\necho: id\r\nnot-run: 1\r\n\r\n'
+        b'HTTP/1.1 503 E\r\necho: other\r\nnot-run: 1\r\n',
+        b'HTTP/1.1 200 OK\r\nnot-run: 1\r\n',
+    ],
+    ids=['other id', 'case', 'no id', '421 no id', 'interim', '200'],
+)
+def test_uncertain_refusal_does_not_count_as_not_run(forward_to, head):
+    """Guards against a request that runs twice after a stray refusal."""
+    sound = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+    refusal, _, endpoint, _ = forward_to(
+        [head + b'Content-Length: 0\r\n\r\n' + sound],
+        0.0,
+        kind=catalogs.RouteKind.ONCE,
+        count=2,
+    )
+    assert endpoint.count == 1
+    assert refusal.code == codes.ResultCode.ENDPOINT_FAILED
+    assert refusal.ran == codes.Ran.UNKNOWN
