--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -365,3 +365,12 @@
     assert endpoint.count == 1
     assert refusal.code == codes.ResultCode.ENDPOINT_FAILED
     assert refusal.ran == codes.Ran.UNKNOWN
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_status_that_promises_is_not_passed_on_by_itself(forward_to, status):
+    """Guards against a promise that a request has not run when it may have."""
+    parts = [b'HTTP/1.1 %d E\r\nContent-Length: 0\r\n\r\n' % status]
+    refusal, _, _, _ = forward_to(parts, 0.0, kind=catalogs.RouteKind.ONCE)
+    assert forward_to.caller.status is None
+    assert refusal.ran == codes.Ran.UNKNOWN
