--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -159,6 +159,18 @@
     assert not progress.texts
 
 
+@pytest.mark.parametrize('status', [200, 422, 500, 503])
+def test_response_to_another_item_is_a_failed_run(run_against, status):
+    """Guards against the outcome or the text of another request."""
+    head = b'HTTP/1.1 %d E\r\necho: other\r\n' % status
+    if status == 503:
+        head += b'not-run: 1\r\n'
+    head += b'\r\n'
+    outcome, progress, _ = run_against([head + b'id: 1\ndata: t1\n\n'])
+    assert outcome[0] == 'failed'
+    assert progress.texts == []
+
+
 def test_run_without_length_that_ends_within_an_event_fails(run_against):
     """Guards against a truncated text that counts as complete."""
     outcome, progress, _ = run_against(
