--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -171,6 +171,14 @@
     assert progress.texts == []
 
 
+def test_refusal_without_an_id_is_a_failed_run(run_against):
+    """Guards against a run that is not counted after a stray refusal."""
+    outcome, _, _ = run_against(
+        [b'HTTP/1.1 503 E\r\necho:\r\nnot-run: 1\r\n\r\n']
+    )
+    assert outcome[0] == 'failed'
+
+
 def test_run_without_length_that_ends_within_an_event_fails(run_against):
     """Guards against a truncated text that counts as complete."""
     outcome, progress, _ = run_against(
