--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -179,6 +179,18 @@
     assert outcome[0] == 'failed'
 
 
+def test_unsigned_response_is_a_failed_run(run_against):
+    """Guards against a text that is not from the endpoint."""
+    outcome, progress, _ = run_against(
+        [
+            b'HTTP/1.1 200 OK\r\nunsigned: 1\r\n\r\n',
+            b'id: 1\ndata: t1\n\n',
+        ]
+    )
+    assert outcome[0] == 'failed'
+    assert progress.texts == []
+
+
 def test_run_without_length_that_ends_within_an_event_fails(run_against):
     """Guards against a truncated text that counts as complete."""
     outcome, progress, _ = run_against(
