--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -179,6 +179,12 @@
     assert outcome[0] == 'failed'
 
 
+def test_item_without_events_is_not_complete(run_against):
+    """Guards against an empty result of a run that was cut off."""
+    outcome, _, _ = run_against([b'HTTP/1.1 200 OK\r\n\r\n'])
+    assert outcome[0] == 'failed'
+
+
 def test_unsigned_response_is_a_failed_run(run_against):
     """Guards against a text that is not from the endpoint."""
     outcome, progress, _ = run_against(
