--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -418,6 +418,22 @@
     assert sorted(executor.scheduler.statuses()) == ['cancelled', 'completed']
 
 
+@pytest.mark.parametrize('status', [200, 400, 404, 500])
+def test_error_while_resuming_does_not_end_the_stream(
+    start_endpoint, start_executor, make_call, status
+):
+    """Guards against a broken stream that ends as if it were complete."""
+    bad = start_endpoint(break_stream('dies'))
+    other = start_endpoint(lambda request: request.answer(b'{"e":1}', status))
+    sink = ListSink()
+    result = start_executor(bad, other).execute(make_call(), sink)
+    assert other.requests
+    assert result.refusal is not None
+    assert b'{"e":1}' not in sink.data
+    last = sink.data.split(b'\n\n')[-2]
+    assert last.startswith(b'data: {"error":')
+
+
 @pytest.mark.parametrize('end', ['in an event', 'after an event', 'reset'])
 def test_stream_without_length_or_end_marker_is_resumed(
     start_endpoint, start_executor, make_call, end
