--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -479,6 +479,25 @@
     assert len(endpoint.requests) == 1
 
 
+def test_refusal_repeated_on_a_kept_connection_is_not_believed(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against 'not run' for a request that an endpoint runs."""
+    refusal = b'{"not_run":true}'
+    head = (
+        b'HTTP/1.1 503 X\r\nContent-Type: application/json\r\n'
+        b'Content-Length: %d\r\n\r\n' % len(refusal)
+    )
+    endpoint = start_endpoint(
+        lambda request: request.connection.sendall(head + refusal)
+    )
+    executor = start_executor(endpoint)
+    executor.execute(make_call(stream=False))
+    result = executor.execute(make_call(stream=False, request_id='r2'))
+    assert len({id(item.connection) for item in endpoint.requests}) == 1
+    assert result.ran is codes.Ran.UNKNOWN
+
+
 def test_repeated_refusal_with_another_id_is_not_believed(
     start_endpoint, start_executor, make_call
 ):
