--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -374,3 +374,23 @@
     refusal, _, _, _ = forward_to(parts, 0.0, kind=catalogs.RouteKind.ONCE)
     assert forward_to.caller.status is None
     assert refusal.ran == codes.Ran.UNKNOWN
+
+
+def test_early_refusal_of_a_long_request_is_believed(forward_to):
+    """Guards against an unknown outcome of a request that was refused."""
+    parts = [
+        b'',
+        b'HTTP/1.1 503 E\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n',
+        RESET,
+    ]
+    refusal, _, endpoint, seconds = forward_to(
+        parts,
+        0.1,
+        kind=catalogs.RouteKind.ONCE,
+        unread=True,
+        body=b'x' * 16_000_000,
+        count=2,
+    )
+    assert endpoint.count == 2
+    assert refusal.ran == codes.Ran.NO
+    assert seconds < 1.0
--- a/rhubarbreach/web/tests/test_web.py
+++ b/rhubarbreach/web/tests/test_web.py
@@ -232,3 +232,21 @@
     assert [events.get_id(block) for block in blocks] == [2, 3]
     assert [events.get_data(block) for block in blocks] == [b'b', None]
     assert splitter.rest == b''
+
+
+@pytest.mark.parametrize(
+    'error', [RuntimeError('x'), errors.DeadlineError('x')]
+)
+def test_failure_within_a_response_adds_nothing_to_it(error):
+    # Guards against the head of a refusal in the middle of a stream.
+    def handle(connection, request):
+        connection.send(b'HTTP/1.1 200 OK\r\n\r\nfirst')
+        raise error
+
+    failing = server.Server('127.0.0.1:0', handle, lambda: LIMITS, 'test')
+    try:
+        with connect(failing) as connection:
+            connection.sendall(b'GET / HTTP/1.1\r\n\r\n')
+            assert read_all(connection) == b'HTTP/1.1 200 OK\r\n\r\nfirst'
+    finally:
+        failing.close()
