Treat a stream that ends within an event as broken off

Callers received a part of an event and then the end of the stream, as if it were complete. The rest of the splitter was sent on when the response ended. Such a response now counts as broken: the stream resumes at another endpoint after its last complete event, or the connection of the caller is closed without the last chunk.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -468,6 +468,8 @@
                 self.connection.keep_alive = False
                 return model.CallerGone()
             return model.Delivered(head.status)
+        if splitter.rest.strip():
+            return model.Broken('response ends within an event')
         data = b''
         if not self.response_started:
             data = self.encode_head(head)
