Do not take a reset for the end of a response

An endpoint that reset the connection while it was sent a long request could leave a truncated response that passed as complete. The error of `send` was ignored, as an endpoint may respond early; the socket reports a reset only once, so that `recv` then returned the end of the connection, which completes a response without a length. Such a response is now complete only if the request was sent in full.

--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -56,9 +56,11 @@
 
     def __init__(self, address, data, connect_deadline, deadline):
         self.parser = parse.ResponseParser()
+        self.is_sent = False
         self.socket = sockets.connect(address, connect_deadline)
         try:
             sockets.send_all(self.socket, data, deadline)
+            self.is_sent = True
         except errors.DeadlineError:
             self.close()
             raise
@@ -90,7 +92,9 @@
         """
         data = sockets.receive(self.socket, deadline)
         if not data:
-            if not self.parser.finish():
+            # The error of a failed `send` is not reported again by `recv`, so
+            # that this may be the end of a reset connection.
+            if not self.is_sent or not self.parser.finish():
                 raise errors.ConnectionEndedError(
                     'connection ended before the response was complete'
                 )
