Resume a stream only with a stream of events

The body of a signed 200 of another content type was added to a stream that had begun at another endpoint, and the stream ended as complete. A success counted as a stream whatever its content type. A response of another type is now held and passed on whole, and while a stream is resumed it counts as broken.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -33,6 +33,7 @@
 # this long, as this host itself may have been suspended.
 LATE_READ_SECONDS = 0.25
 SUCCESS = range(200, 300)
+EVENT_STREAM = b'text/event-stream'
 FIRST_SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
 # Hop-by-hop headers and the content length, which are not forwarded.
@@ -389,9 +390,11 @@
 
     def is_stream(self, head):
         """Return whether a response is relayed event by event."""
+        content_type = head.get(b'content-type', EVENT_STREAM)
         return (
             self.route.kind is catalogs.RouteKind.STREAM
             and head.status in SUCCESS
+            and content_type.lower().startswith(EVENT_STREAM)
         )
 
     def check_head(self, head):
@@ -404,7 +407,7 @@
             return model.NotRun(
                 f'status {head.status}', head.status == MISDIRECTED_REQUEST
             )
-        if self.response_started and head.status not in SUCCESS:
+        if self.response_started and not self.is_stream(head):
             return model.Broken(f'status {head.status} while resuming')
         if head.status >= FIRST_SERVER_ERROR and self.can_retry():
             return model.Broken(f'status {head.status}')
