Believe a refusal only with the id of the request

A refusal without an id counted as not run, whichever request it answered, and so did a success with the mark of a refusal. A request that may run only once was then sent to a second endpoint, or refused with a promise that it had not run. Both now count as broken, so that the outcome is unknown. The test failed before for a refusal without an id (503 and 421) and for a status of 200.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -404,6 +404,9 @@
         if echoed is not None and echoed != self.info.request_id:
             return model.Broken('response to another request')
         if dialect.is_not_run(head):
+            is_own = (echoed or '') == self.info.request_id
+            if not is_own or head.status in SUCCESS:
+                return model.Broken(f'uncertain refusal, {head.status}')
             return model.NotRun(
                 f'status {head.status}', head.status == MISDIRECTED_REQUEST
             )
