Do not pass on a promise that no endpoint made

A response with status 408, 429 or 503 that did not state that the request had not run was passed on, and to callers these statuses are just that promise. It now counts as broken, and the caller gets 502 unless another endpoint answers. The test failed before for each of the three statuses.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -36,6 +36,8 @@
 EVENT_STREAM = b'text/event-stream'
 FIRST_SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
+# Statuses that tell callers that a request has not run and never will.
+PROMISES = frozenset((408, MISDIRECTED_REQUEST, 429, 503))
 # Hop-by-hop headers and the content length, which are not forwarded.
 CONNECTION_HEADERS = frozenset(
     (
@@ -410,6 +412,8 @@
             return model.NotRun(
                 f'status {head.status}', head.status == MISDIRECTED_REQUEST
             )
+        if head.status in PROMISES:
+            return model.Broken(f'status {head.status} without a statement')
         if self.response_started and not self.is_stream(head):
             return model.Broken(f'status {head.status} while resuming')
         if head.status >= FIRST_SERVER_ERROR and self.can_retry():
