Check that a response belongs to the item of a run

The text of another request was stored as the text of an item, and the 422 or 500 of another request counted for the item, which could be given up for it. The id that a response echoes was checked for online requests only. A response with another id is now a failed run.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -124,6 +124,7 @@
     output_bytes = 0
     last_id = progress.last_id
     idle_deadline = run.started_at + IDLE_TIMEOUT_SECONDS
+    is_checked = False
     while not call.is_complete:
         # The deadline is also checked here, as an endpoint that keeps sending
         # bytes without a new event never lets `read` time out.
@@ -133,6 +134,11 @@
             parts = call.read(idle_deadline)
         except errors.DeadlineError:
             return 'failed', f'no event within {IDLE_TIMEOUT_SECONDS} s'
+        if call.head is not None and not is_checked:
+            is_checked = True
+            reason = check_head(call.head, order, dialect)
+            if reason is not None:
+                return 'failed', reason
         if call.head is not None and call.head.status == STATUS_OK:
             data = b''.join(parts)
             output_bytes += len(data)
@@ -149,6 +155,14 @@
     return classify_response(call.head, splitter, dialect)
 
 
+def check_head(head, order, dialect):
+    """Return why a response does not count, or None if it does."""
+    echoed = dialect.get_echoed_id(head)
+    if echoed is not None and echoed != order.item_id:
+        return 'response to another request'
+    return None
+
+
 def classify_response(head, splitter, dialect):
     """Return the outcome and detail of a complete response."""
     detail = f'status {head.status}'
