Believe a refusal of an item only with its id

A run ended as not run after a refusal without an id, which may answer another request while the item runs. It is now a failed run, after which the state of the item is unknown. The test failed before.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -160,6 +160,8 @@
     echoed = dialect.get_echoed_id(head)
     if echoed is not None and echoed != order.item_id:
         return 'response to another request'
+    if echoed is None and dialect.is_not_run(head):
+        return 'refusal without an id'
     return None
 
 
