Take the text of an item only from a signed response

The events of a response without the signature of an endpoint were stored as the text of an item. The signature was checked for online requests only.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -162,6 +162,8 @@
         return 'response to another request'
     if echoed is None and dialect.is_not_run(head):
         return 'refusal without an id'
+    if head.status == STATUS_OK and not dialect.is_signed(head):
+        return 'response is not signed'
     return None
 
 
