Do not complete an item without an event

A response without a length that ended before its first event completed an item with an empty text. An item has at least one event, so that this is a failed run. The test failed before.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -152,6 +152,8 @@
                 idle_deadline = clock.monotonic() + IDLE_TIMEOUT_SECONDS
         if run.cancelled and not call.is_complete:
             return 'cancelled', ''
+    if call.head.status == STATUS_OK and not progress.last_id:
+        return 'failed', 'answer has no event'
     return classify_response(call.head, splitter, dialect)
 
 
