Do not end a stream with the response of another kind

A stream had begun and broke off, and the next endpoint answered with 400, 404 or a JSON body. That response counted as the end of the call: callers saw the last chunk after a part of the events, without an error event, and the record of the call held the status of the error. Such a response now counts as a failed attempt, after which the stream resumes elsewhere or ends with an error event.

--- a/rhubarbreach/dispatch/attempt.py
+++ b/rhubarbreach/dispatch/attempt.py
@@ -104,6 +104,8 @@
         Error text for the timeline.
     first_byte : float or None
         Seconds from the start of the attempt to the first byte of the body.
+    relayed : bool
+        Whether the response was a stream whose events were relayed.
     """
 
     end: AttemptEnd
@@ -114,6 +116,7 @@
     not_run: bool = False
     detail: str = ''
     first_byte: float | None = None
+    relayed: bool = False
 
 
 def make_cancel(attempt, now):
--- a/rhubarbreach/dispatch/decide.py
+++ b/rhubarbreach/dispatch/decide.py
@@ -158,6 +158,8 @@
         return retry_elsewhere(
             progress, result, 'endpoint did not run the request', now
         )
+    if progress.begun and not result.relayed:
+        return decide_failed(progress, result, budget, now)
     if is_successful(result):
         return Finish('answered')
     if progress.idempotent and may_retry(progress, budget, now):
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -122,6 +122,7 @@
             status=self.status,
             content_type=self.content_type,
             body=b''.join(self.body),
+            relayed=self.relay is not None,
             sent=self.sent,
             not_run=self.says_not_run(),
             detail=detail,
