Believe a refusal on a reused connection only with its attempt id

An endpoint that wrote an earlier refusal once more on a kept connection made a call count as not run while it ran. A refusal without an attempt id was taken for the one of the current attempt. On connections that may be reused, it now counts as an error of unknown outcome; the emulated endpoints echo the id in their refusals, as the interface says.

--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -106,9 +106,15 @@
         return echoed != self.attempt.attempt_id
 
     def says_not_run(self):
-        """Return whether an error response reports `not_run`."""
+        """Return whether an error response reports `not_run`.
+
+        On a connection that was used before, a report without an attempt id
+        may be about an earlier attempt.
+        """
         if self.status < CLIENT_ERROR:
             return False
+        if self.attempt.reuse and ATTEMPT_HEADER not in self.headers:
+            return False
         try:
             return DECODER.decode(b''.join(self.body)).not_run
         except msgspec.DecodeError:
--- a/rhubarbreach/emulator/endpoint.py
+++ b/rhubarbreach/emulator/endpoint.py
@@ -154,11 +154,15 @@
         attempt_id = request.headers.get('X-Attempt-Id', '')
         if body.get('model') not in self.orders.get_state().models:
             return server.make_json(
-                {'error': 'model not loaded', 'not_run': True}, 404
+                {'error': 'model not loaded', 'not_run': True},
+                404,
+                X_Attempt_Id=attempt_id,
             )
         if self.draining:
             return server.make_json(
-                {'error': 'draining', 'not_run': True}, 503
+                {'error': 'draining', 'not_run': True},
+                503,
+                X_Attempt_Id=attempt_id,
             )
         self.record_run('started', request, data)
         prompt = tokens.get_prompt(body)
--- a/rhubarbreach/emulator/service.py
+++ b/rhubarbreach/emulator/service.py
@@ -72,7 +72,9 @@
                 return server.make_json({'draining': True})
         if self.draining:
             return server.make_json(
-                {'error': 'draining', 'not_run': True}, 503
+                {'error': 'draining', 'not_run': True},
+                503,
+                X_Attempt_Id=request.headers.get('X-Attempt-Id', ''),
             )
         return self.run_call(request)
 
