Split streams whose lines end with CR LF into events

Events of such a stream were held back until it ended, as only two line feeds in a row were recognized; together with the check of the end of a stream they would count as broken off. The test failed before: no event was returned.

--- a/rhubarbreach/web/events.py
+++ b/rhubarbreach/web/events.py
@@ -6,11 +6,11 @@
 
 __all__ = ['Splitter', 'get_data', 'get_id']
 
-SEPARATOR = b'\n\n'
+SEPARATOR = re.compile(rb'(?:\r?\n){2}')
 # A stream without a separator in this many bytes is not a stream of events.
 MAX_EVENT_BYTES = 1024 * 1024
 ID_PATTERN = re.compile(rb'(?:^|\n)id: ?(\d+)')
-DATA_PATTERN = re.compile(rb'(?:^|\n)data: ?([^\n]*)')
+DATA_PATTERN = re.compile(rb'(?:^|\n)data: ?([^\r\n]*)')
 
 
 class Splitter:
@@ -32,18 +32,17 @@
             If more than `MAX_EVENT_BYTES` arrive without a separator.
         """
         data = self.rest + data
-        end = data.rfind(SEPARATOR)
-        if end < 0:
-            if len(data) > MAX_EVENT_BYTES:
-                raise errors.BadMessageError(
-                    f'event exceeds {MAX_EVENT_BYTES} bytes'
-                )
-            self.rest = data
-            return []
-        end += len(SEPARATOR)
-        self.rest = data[end:]
-        blocks = data[:end].split(SEPARATOR)
-        return [block + SEPARATOR for block in blocks[:-1]]
+        blocks = []
+        start = 0
+        for match in SEPARATOR.finditer(data):
+            blocks.append(data[start : match.end()])
+            start = match.end()
+        self.rest = data[start:]
+        if not blocks and len(self.rest) > MAX_EVENT_BYTES:
+            raise errors.BadMessageError(
+                f'event exceeds {MAX_EVENT_BYTES} bytes'
+            )
+        return blocks
 
 
 def get_id(block):
--- a/rhubarbreach/web/tests/test_web.py
+++ b/rhubarbreach/web/tests/test_web.py
@@ -250,3 +250,17 @@
             assert read_all(connection) == b'HTTP/1.1 200 OK\r\n\r\nfirst'
     finally:
         failing.close()
+
+
+def test_stream_with_crlf_is_split_into_complete_events():
+    # Guards against events that are held back until the end of their stream.
+    splitter = events.Splitter()
+    assert splitter.feed(b'id: 1\r\ndata: a\r\n\r') == []
+    blocks = splitter.feed(b'\nid: 2\r\ndata: b\r\n\r\nid: 3')
+    assert blocks == [
+        b'id: 1\r\ndata: a\r\n\r\n',
+        b'id: 2\r\ndata: b\r\n\r\n',
+    ]
+    assert [events.get_id(block) for block in blocks] == [1, 2]
+    assert [events.get_data(block) for block in blocks] == [b'a', b'b']
+    assert splitter.rest == b'id: 3'
