Treat a stream that ends without an event as broken off

Callers saw: an endpoint that crashed before its first event, and whose response has neither a length nor chunks, gave an empty answer that looked complete. The crash did not count as one for the parts of the prompt either.

Cause: the end of the connection completes such a response.

Change: a stream without any event is broken off, and it counts as a crash like one that breaks within its first event.

Evidence: test_crash_before_an_event_of_a_stream_without_length_is_seen failed before in both forms (no refusal; no crash reported).

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -273,7 +273,7 @@
         try:
             return self.relay(call)
         except errors.ConnectionEndedError as error:
-            self.record_crash(call)
+            self.record_crash(call.head is not None)
             return model.Broken(str(error))
         except errors.BadMessageError as error:
             return model.Broken(f'malformed response: {error}')
@@ -336,16 +336,21 @@
                 return model.CallerGone()
         return self.finish(call.head, splitter, body)
 
-    def record_crash(self, call):
+    def record_crash(self, has_head):
         """Report a crash of the endpoint that this request may have caused.
 
         An endpoint that crashes during an answer crashes for another reason.
+
+        Parameters
+        ----------
+        has_head : bool
+            Whether the head of a response had arrived.
         """
         if not self.is_answered:
             self.app.leader_client.quarantine.record_crash(
                 self.endpoint.endpoint_id,
                 self.info.prompt,
-                call.head is not None,
+                has_head,
                 clock.monotonic(),
             )
 
@@ -462,9 +467,9 @@
 
     def finish(self, head, splitter, body):
         """Send the rest of a complete response; return the outcome."""
-        if head.status in SUCCESS:
-            self.record_answer()
         if not self.is_stream(head):
+            if head.status in SUCCESS:
+                self.record_answer()
             if self.app.is_closing(self.connection):
                 self.connection.keep_alive = False
             try:
@@ -479,7 +484,13 @@
                 return model.CallerGone()
             return model.Delivered(head.status)
         if splitter.rest.strip():
+            self.record_crash(True)
             return model.Broken('response ends within an event')
+        if not self.is_answered and self.last_id is None:
+            # The end of the connection may end a response without a length,
+            # also that of an endpoint that crashes.
+            self.record_crash(True)
+            return model.Broken('stream ends without an event')
         data = b''
         if not self.response_started:
             data = self.encode_head(head)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -159,7 +159,7 @@
             is_closing=lambda _: False,
         )
         caller = FakeCaller()
-        info = model.CallInfo('id', 'h', None, None, None)
+        info = model.CallInfo('id', 'h', None, None, None, ('part', 'own'))
         request = parse.Request('POST', b'/', (), body, True)
         started_at = clock.monotonic()
         refusal = forward.RequestForwarder(
@@ -167,6 +167,7 @@
         ).run()
         seconds = clock.monotonic() - started_at
         run.caller = caller
+        run.quarantine = app.leader_client.quarantine
         sockets.close_socket(caller.socket)
         caller.peer.close()
         return refusal, b''.join(caller.sent), endpoint, seconds
@@ -394,3 +395,20 @@
     assert endpoint.count == 2
     assert refusal.ran == codes.Ran.NO
     assert seconds < 1.0
+
+
+@pytest.mark.parametrize('rest', [b'', b'id: 1\ndata: t'])
+def test_crash_before_an_event_of_a_stream_without_length_is_seen(
+    forward_to, rest
+):
+    """Guards against an end of the connection that counts as an answer."""
+    refusal, data, endpoint, _ = forward_to(
+        [b'HTTP/1.1 200 OK\r\n\r\n' + rest], 0.0
+    )
+    assert refusal.code == codes.ResultCode.ENDPOINT_FAILED
+    assert not data
+    assert endpoint.count == 1
+    crashes, _ = forward_to.quarantine.make_report(clock.monotonic())
+    assert [(crash.prompt, crash.has_head) for crash in crashes] == [
+        (('part', 'own'), True)
+    ]
