Let a new leader hear of answers before it judges former crashes

Callers would see: a part that sound requests share is quarantined after a change of the leader, and most requests are refused for an hour.

Cause: hosts report the crashes of the last minute again to a new leader. It judged them by their age at once, before the hosts had reported which of the parts had been answered since. A store that led before also kept the evidence of that time.

Change: a report counts once the hosts have had time to answer it, and a store that begins to lead forgets what it knew.

Evidence: test_new_leader_waits_for_answers_before_it_judges_former_crashes and test_leader_forgets_the_evidence_of_a_former_term, which the former code could not pass.

--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -34,7 +34,7 @@
 
 
 def compute_settle_seconds(exchange_interval):
-    """Return the time after a crash when all hosts have reported on it.
+    """Return the time after a report when all hosts have reported as well.
 
     Parameters
     ----------
@@ -49,11 +49,14 @@
     """Crash of an endpoint, and the prompts that it had not answered yet.
 
     `begun` holds the prompts for which the head of a response had arrived,
-    `waiting` the others. `time` is in seconds of the monotonic clock.
+    `waiting` the others. `time` is the time of the crash, and `reported_at`
+    the one at which the last of the prompts became known, in seconds of the
+    monotonic clock.
     """
 
     endpoint_id: str
     time: float
+    reported_at: float
     begun: set = dataclasses.field(default_factory=set)
     waiting: set = dataclasses.field(default_factory=set)
 
@@ -114,7 +117,7 @@
         # Time of the last answer to each suspected part.
         self.answered_at = {}
 
-    def add_crash(self, endpoint_id, prompt, has_head, time):
+    def add_crash(self, endpoint_id, prompt, has_head, time, now):
         """Add a request that broke before the endpoint answered it.
 
         Parameters
@@ -125,14 +128,17 @@
             Parts of the request's prompt.
         has_head : bool
             Whether the head of a response had arrived.
-        time : float
-            Time of the break, in seconds of the monotonic clock.
+        time, now : float
+            Time of the break and the present one, in seconds of the monotonic
+            clock. A new leader learns of former crashes.
         """
-        incident = self.find_incident(endpoint_id, time)
+        incident = self.find_incident(endpoint_id, time, now)
         prompts = incident.begun if has_head else incident.waiting
-        prompts.add(prompt)
+        if prompt not in prompts:
+            prompts.add(prompt)
+            incident.reported_at = now
 
-    def find_incident(self, endpoint_id, time):
+    def find_incident(self, endpoint_id, time, now):
         """Return the crash of an endpoint at a time, added if it is new."""
         for incident in reversed(self.incidents):
             if (
@@ -140,7 +146,7 @@
                 and abs(incident.time - time) <= INCIDENT_SECONDS
             ):
                 return incident
-        incident = Incident(endpoint_id, time)
+        incident = Incident(endpoint_id, time, now)
         self.incidents.append(incident)
         return incident
 
@@ -201,12 +207,12 @@
             Parts that are known to be culprits. The crashes of endpoints that
             ran requests with them need no other explanation.
         latest : float
-            Time of the last crash that all hosts have reported, in seconds of
-            the monotonic clock.
+            Time of the latest report that counts, in seconds of the monotonic
+            clock. Not all hosts may have reported on what became known later.
         """
         cases = collections.defaultdict(Case)
         for incident in self.incidents:
-            if incident.time <= latest:
+            if incident.reported_at <= latest:
                 self.add_incident(cases, incident, quarantined)
         return max(
             (part for part, case in cases.items() if case.is_proven),
--- a/rhubarbreach/fleet/tests/test_crash_evidence.py
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -25,7 +25,8 @@
     def add(*parts, count=1, start=1, has_head=True):
         for number in range(start, start + count):
             prompt = make_prompt(number, *parts)
-            evidence.add_crash(f'e{number}', prompt, has_head, float(number))
+            time = float(number)
+            evidence.add_crash(f'e{number}', prompt, has_head, time, time)
 
     return add
 
@@ -61,14 +62,16 @@
 ):
     for number in range(1, 9):
         prompt = make_prompt(1, 'first', 'rare')
-        evidence.add_crash(f'e{number}', prompt, False, float(number))
+        time = float(number)
+        evidence.add_crash(f'e{number}', prompt, False, time, time)
     assert evidence.find_culprit((), LATEST) is None
 
 
 def test_endpoint_that_crashes_by_itself_convicts_no_part(evidence):
     for number in range(1, 9):
         prompt = make_prompt(number, 'first', 'rare')
-        evidence.add_crash('e1', prompt, True, 10.0 * number)
+        time = 10.0 * number
+        evidence.add_crash('e1', prompt, True, time, time)
     assert evidence.find_culprit((), LATEST) is None
 
 
@@ -92,11 +95,24 @@
     assert evidence.find_culprit((), 3.0) == 'bad'
 
 
+def test_new_leader_waits_for_answers_before_it_judges_former_crashes(
+    evidence,
+):
+    # The first part of sound requests was answered under another leader.
+    for number in range(1, 6):
+        prompt = make_prompt(number, 'first')
+        evidence.add_crash(f'e{number}', prompt, True, float(number), 50.0)
+    assert evidence.find_culprit((), 49.5) is None
+    evidence.add_answer('first', 30.0)
+    assert evidence.find_culprit((), LATEST) is None
+
+
 def test_breaks_at_one_endpoint_count_as_one_crash(evidence):
     for number in range(1, 5):
         prompt = make_prompt(number, 'first', 'bad')
-        evidence.add_crash('e1', prompt, True, 1.0 + number / 10)
-        evidence.add_crash('e2', prompt, True, 1.0 + number / 10)
+        time = 1.0 + number / 10
+        evidence.add_crash('e1', prompt, True, time, time)
+        evidence.add_crash('e2', prompt, True, time, time)
     assert len(evidence.incidents) == 2
     assert evidence.find_culprit((), LATEST) is None
 
--- a/rhubarbreach/hosts/quarantines.py
+++ b/rhubarbreach/hosts/quarantines.py
@@ -41,6 +41,12 @@
         self.suspects = ()
         self.pending = None
 
+    def reset(self):
+        """Forget the evidence of an earlier time as the leader."""
+        with self.lock:
+            self.evidence = crash_evidence.CrashEvidence()
+            self.suspects = ()
+
     def report(self, message, now):
         """Record the crashes and answers that an entry host has seen."""
         if not (message.crashes or message.answered):
@@ -53,6 +59,7 @@
                     notice.prompt,
                     notice.has_head,
                     now - notice.age,
+                    now,
                 )
             for part, age in message.answered.items():
                 self.evidence.add_answer(part, now - age)
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -418,6 +418,7 @@
         if is_leading:
             with self.lock:
                 self.allocator.reset()
+            self.quarantines.reset()
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
--- a/rhubarbreach/hosts/tests/test_quarantines.py
+++ b/rhubarbreach/hosts/tests/test_quarantines.py
@@ -55,3 +55,13 @@
     leader.quarantines.evidence.incidents.clear()
     for ledger in ledgers:
         cluster.wait_until(lambda held=ledger: not held.quarantined)
+
+
+def test_leader_forgets_the_evidence_of_a_former_term(stores):
+    # Another leader may have learnt that the parts are answered.
+    leader = conftest.find_leader(stores)
+    crash = fleetmessages.CrashNotice('e1', ('first', 'own'), True, 2.0)
+    assert send_exchange(leader, (crash,)).suspect_parts == ('first',)
+    leader.leading_term -= 1
+    cluster.wait_until(lambda: send_exchange(leader).is_leader)
+    assert send_exchange(leader).suspect_parts == ()
