Do not judge parts of prompts while no request is answered

Callers would see: after an outage of all endpoints of a service most requests are refused for an hour, though nothing is wrong with them.

Cause: each endpoint that goes away breaks requests that wait there, and while all are away no answer clears the parts that these share. The first part of many prompts was in the crashes of five endpoints and more.

Change: a part that was answered before, or whose responses had not begun, is judged only once other requests are answered again.

Evidence: test_outage_of_all_endpoints_convicts_no_part_of_sound_requests failed before. Found by review.

--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -22,6 +22,8 @@
 MIN_PROMPTS = 2
 # The same for a part that endpoints have answered before the crashes.
 MIN_INCIDENTS_OF_ANSWERED = 5
+# Time from a crash to a response that shows that endpoints work again.
+RECOVERY_SECONDS = 0.5
 # Crashes that are remembered, and for how long.
 RETENTION_SECONDS = 600.0
 MAX_INCIDENTS = 256
@@ -88,16 +90,33 @@
     position: int = 0
     incident_count: int = 0
     unexplained_count: int = 0
+    begun_count: int = 0
+    latest: float = float('-inf')
     endpoint_ids: set = dataclasses.field(default_factory=set)
     prompts: set = dataclasses.field(default_factory=set)
     was_answered: bool = False
 
-    @property
-    def is_proven(self):
-        """Whether the crashes suffice to hold requests with the part back."""
+    def is_proven(self, completed_at):
+        """Return whether to hold requests with the part back.
+
+        While many endpoints are away, a part of sound requests is not
+        answered either. Unless responses with the part had begun at each
+        crash, other requests have to be answered before it is judged.
+
+        Parameters
+        ----------
+        completed_at : float
+            Time of the last complete response to any request, in seconds of
+            the monotonic clock.
+        """
         min_incidents = (
             MIN_INCIDENTS_OF_ANSWERED if self.was_answered else MIN_INCIDENTS
         )
+        has_begun = not self.was_answered and (
+            self.begun_count >= MIN_INCIDENTS
+        )
+        if not has_begun and completed_at < self.latest + RECOVERY_SECONDS:
+            return False
         return (
             self.unexplained_count > 0
             and self.incident_count >= min_incidents
@@ -116,6 +135,8 @@
         self.incidents = collections.deque(maxlen=MAX_INCIDENTS)
         # Time of the last answer to each suspected part.
         self.answered_at = {}
+        # Time of the last complete response to any request.
+        self.completed_at = float('-inf')
 
     def add_crash(self, endpoint_id, prompt, has_head, time, now):
         """Add a request that broke before the endpoint answered it.
@@ -215,7 +236,11 @@
             if incident.reported_at <= latest:
                 self.add_incident(cases, incident, quarantined)
         return max(
-            (part for part, case in cases.items() if case.is_proven),
+            (
+                part
+                for part, case in cases.items()
+                if case.is_proven(self.completed_at)
+            ),
             key=lambda part: (
                 cases[part].unexplained_count,
                 cases[part].position,
@@ -235,6 +260,8 @@
             case.position = max(case.position, position)
             case.incident_count += 1
             case.unexplained_count += not is_explained
+            case.begun_count += bool(incident.begun)
+            case.latest = max(case.latest, incident.time)
             case.endpoint_ids.add(incident.endpoint_id)
             case.prompts.update(
                 prompt for prompt in incident.prompts if part in prompt
--- a/rhubarbreach/fleet/tests/test_crash_evidence.py
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -43,6 +43,7 @@
 def test_first_part_of_sound_requests_is_not_held_back(evidence, crash):
     crash('first', count=3)
     evidence.add_answer('first', 3.5)
+    evidence.completed_at = LATEST
     assert evidence.find_culprit((), LATEST) is None
     crash('first', count=3, start=4)
     evidence.add_answer('first', 5.5)
@@ -54,12 +55,15 @@
     crash('first', count=4)
     assert evidence.find_culprit((), LATEST) is None
     crash('first', start=5)
+    assert evidence.find_culprit((), LATEST) is None
+    evidence.completed_at = 5.5
     assert evidence.find_culprit((), LATEST) == 'first'
 
 
 def test_request_that_is_tried_again_during_crashes_is_not_held_back(
     evidence,
 ):
+    evidence.completed_at = LATEST
     for number in range(1, 9):
         prompt = make_prompt(1, 'first', 'rare')
         time = float(number)
@@ -78,14 +82,33 @@
 def test_waiting_request_is_no_suspect_beside_one_that_has_begun(
     evidence, crash
 ):
+    evidence.completed_at = LATEST
     crash('other', 'rare', count=4, has_head=False)
     crash('first', 'bad', count=4)
     assert evidence.find_culprit((), LATEST) == 'bad'
     assert evidence.find_culprit(('bad',), LATEST) is None
 
 
+def test_outage_of_all_endpoints_convicts_no_part_of_sound_requests(
+    evidence,
+):
+    # Requests of all kinds waited at each endpoint, and none was answered
+    # until the endpoints were back.
+    for number in range(1, 9):
+        prompt = make_prompt(number, 'first', 'second')
+        evidence.add_crash(f'e{number}', prompt, False, 1.0, 1.0)
+    evidence.completed_at = 1.2
+    assert evidence.find_culprit((), LATEST) is None
+    evidence.add_answer('first', 4.0)
+    evidence.add_answer('second', 4.0)
+    evidence.completed_at = 5.0
+    assert evidence.find_culprit((), LATEST) is None
+
+
 def test_endpoints_without_an_early_head_are_judged_too(evidence, crash):
     crash('first', 'bad', count=3, has_head=False)
+    assert evidence.find_culprit((), LATEST) is None
+    evidence.completed_at = 3.5
     assert evidence.find_culprit((), LATEST) == 'bad'
 
 
@@ -102,6 +125,7 @@
     for number in range(1, 6):
         prompt = make_prompt(number, 'first')
         evidence.add_crash(f'e{number}', prompt, True, float(number), 50.0)
+    evidence.completed_at = LATEST
     assert evidence.find_culprit((), 49.5) is None
     evidence.add_answer('first', 30.0)
     assert evidence.find_culprit((), LATEST) is None
--- a/rhubarbreach/hosts/quarantines.py
+++ b/rhubarbreach/hosts/quarantines.py
@@ -49,6 +49,8 @@
 
     def report(self, message, now):
         """Record the crashes and answers that an entry host has seen."""
+        if any(successes for _, successes in message.outcomes.values()):
+            self.evidence.completed_at = now
         if not (message.crashes or message.answered):
             return
         _, quarantined = self.ledger.get_quarantine()
