--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -149,11 +149,8 @@
         store_codec.decode_members(message.members),
         bytes(state.partial_snapshot.data),
     )
+    # A full disk ends this step without a reply, and the leader retries.
+    state.store.install_snapshot(snapshot)
     state.partial_snapshot = None
-    try:
-        state.store.install_snapshot(snapshot)
-    except exceptions.DiskFullError:
-        state.disk_full = True
-        return
     state.commit_index = max(state.commit_index, snapshot.last_index)
     state.snapshot_to_restore = snapshot
