Let a standby name its leader only if it knows one

What callers would see: nothing. Two standbys without entries and without a leader answered each other's announcements without a pause.

Cause: a standby answered each announcement that named no leader, also with one that named none.

Change: it answers only if it knows the leader.

Evidence: test_standbys_without_a_leader_do_not_answer_each_other failed before.

--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -108,7 +108,8 @@
         if is_joined(state) and (is_outsider or not hello.formed):
             state.outbox.append((sender_id, make_hello(state)))
         return is_outsider
-    if state.is_standby and hello.leader_id is None:
+    knows_leader = state.is_standby and state.leader_id is not None
+    if knows_leader and hello.leader_id is None:
         # A standby knows the leader, though it does not hold the members.
         state.outbox.append((sender_id, make_hello(state)))
     if state.settings.host_id in state.settings.initial:
--- a/rhubarbreach/consensus/tests/test_following.py
+++ b/rhubarbreach/consensus/tests/test_following.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rhubarbreach.consensus import following
+from rhubarbreach.consensus import formation
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
@@ -50,3 +51,11 @@
     assert not acknowledged
     assert install(state)
     assert state.store.last_index == 10
+
+
+def test_standbys_without_a_leader_do_not_answer_each_other(state):
+    """Guards against announcements that two standbys repeat forever."""
+    state.is_standby = True
+    hello = logmessages.StoreHello('g', 'store-2', False, (), 1, None)
+    formation.handle_hello(state, 'host-2', hello)
+    assert not state.outbox
