Let a removed store announce itself to the leader

What callers would see: nothing by itself; one store fewer is at hand for the next loss. A store that was replaced while it was away, and came back with its disk, was never added again if the leader was neither among its seeds nor among the members in its log.

Cause: its log does not hold its removal, so that it took itself for a member and announced nothing. Its presence notices went to the same hosts, which do not name the leader in theirs.

Evidence: test_removed_store_with_an_old_log_finds_the_leader failed before (condition not met within 20 s).

--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -60,9 +60,11 @@
 
     Before the group is formed, the store announces itself at each tick, since
     the group serves no requests yet. A standby does not hold the members, and
-    does not know that it is one of them.
+    does not know that it is one of them. A store that knows no leader may have
+    been removed while it was away, and its log may not name any later member.
     """
-    if is_joined(state) or now < state.hello_due:
+    belongs = is_joined(state) and state.leader_id is not None
+    if belongs or now < state.hello_due:
         return
     if state.store.formed or state.store.last_index > 0 or state.is_standby:
         state.hello_due = now + HELLO_INTERVAL_SECONDS
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -218,3 +218,28 @@
         leader_id = test_cluster.leader().settings.host_id
         new = test_cluster.get('host-5')
         cluster.wait_until(lambda: leader_id in new.list_contacts())
+
+
+def test_removed_store_with_an_old_log_finds_the_leader(tmp_path):
+    """Guards against a store that never joins again with its old disk.
+
+    Its log does not hold its removal, nor the store that leads since.
+    """
+    with cluster.running(
+        tmp_path, initial=cluster.HOSTS, contacts=cluster.HOSTS
+    ) as test_cluster:
+        for host in ('host-4', 'host-5'):
+            test_cluster.start(host)
+            change(test_cluster, 'add_learner', host)
+            change(test_cluster, 'promote', host)
+            if host == 'host-4':
+                test_cluster.commit(b'one')
+                test_cluster.wait_equal()
+                test_cluster.stop('host-4')
+        transfer = test_cluster.leader().transfer('host-5')
+        assert transfer.result(timeout=cluster.WAIT_SECONDS)
+        cluster.wait_until(lambda: test_cluster.get('host-5').is_leader)
+        change(test_cluster, 'remove', 'host-4')
+        test_cluster.start('host-4')
+        leader = test_cluster.get('host-5')
+        cluster.wait_until(lambda: 'host-4' in leader.state.hellos)
