--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -343,21 +343,19 @@
             self.path / SNAPSHOT_NAME, encode_snapshot(snapshot)
         )
         keeps_suffix = self.get_term(snapshot.last_index) == snapshot.last_term
+        # The new segment comes first, because a full disk may refuse it. Until
+        # then nothing has changed in memory, and the leader sends it again.
         if not keeps_suffix:
-            # First, because a full disk may refuse it. Until then the log
-            # still differs from the snapshot, and a retry drops it.
             self.drop_segments()
             self.entries = []
         else:
+            self.log.roll()
             del self.entries[: snapshot.last_index - self.base_index]
         self.snapshot = snapshot
         self.base_index = snapshot.last_index
         self.base_term = snapshot.last_term
-        self.synced_index = max(self.synced_index, self.base_index)
-        if not keeps_suffix:
-            self.synced_index = self.base_index
         self.rebuild_members()
-        self.trim_segments()
+        self.remove_segments()
 
     def drop_segments(self):
         """Delete the whole log, which a snapshot has replaced.
@@ -375,6 +373,10 @@
     def trim_segments(self):
         """Start a new segment and delete segments that are not needed."""
         self.log.roll()
+        self.remove_segments()
+
+    def remove_segments(self):
+        """Delete the segments that are not needed, after the start of one."""
         self.synced_index = self.last_index
         needed = self.log.number
         for number in reversed(self.log.numbers[:-1]):
--- a/rhubarbreach/consensus/tests/test_following.py
+++ b/rhubarbreach/consensus/tests/test_following.py
@@ -1,6 +1,7 @@
 """Tests of a follower without a link and threads."""
 
 import contextlib
+import itertools
 import random
 
 import pytest
@@ -59,3 +60,22 @@
     hello = logmessages.StoreHello('g', 'store-2', False, (), 1, None)
     formation.handle_hello(state, 'host-2', hello)
     assert not state.outbox
+
+
+@pytest.mark.parametrize('refused', [1, 2])
+def test_snapshot_in_effect_is_restored_although_the_disk_is_full(
+    state, monkeypatch, refused
+):
+    """Guards against entries that are applied without their snapshot."""
+    calls = itertools.count(1)
+    roll = state.store.log.roll
+
+    def refuse():
+        if next(calls) == refused:
+            raise exceptions.DiskFullError('new segment')
+        roll()
+
+    monkeypatch.setattr(state.store.log, 'roll', refuse)
+    with contextlib.suppress(exceptions.DiskFullError):
+        install(state)
+    assert bool(state.snapshot_to_restore) == bool(state.store.base_index)
