Add a new store before a new leader has heard from all others

Callers would see: a store that replaces a lost leader has no vote in time, and the next loss of a disk leaves no majority.

Cause: a new leader waits 3 s before any change of the members. The wait is meant for stores that may only be late to announce themselves, but it also put off the addition of a new store, which presumes no loss. From the constants, the new store votes 4.1 to 4.7 s after its start, against a bound of 4.7 s on one deployment.

Change: a store is added as a learner at once.

Evidence: test_new_leader_adds_a_new_store_at_once failed before.

--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -100,11 +100,11 @@
         # This leader cannot append log entries. A follower with a full disk is
         # harmless while a majority can write.
         return next((HandOver(h) for h in healthy if h != own_id), None)
-    if leading_seconds < SETTLE_SECONDS:
-        return None
     for store in stores:
         if is_healthy(store) and store.host_id not in voter_ids + learner_ids:
             return AddLearner(store.host_id)
+    if leading_seconds < SETTLE_SECONDS:
+        return None
     if len(healthy) < voters:
         ready = [h for h in learner_ids if is_healthy(stores_by_id.get(h))]
         if ready:
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -49,6 +49,12 @@
     assert plan(members, stores, 4.0) == reconfiguration.Promote('d')
 
 
+def test_new_leader_adds_a_new_store_at_once(three_voters):
+    # After the loss of a leader, the replacement voted 0.4 s later.
+    stores = tuple(make_store(h) for h in 'abd')
+    assert plan(three_voters, stores, 0.4) == reconfiguration.AddLearner('d')
+
+
 def test_replacement_votes_before_the_lost_store_is_removed(three_voters):
     stores = (
         make_store('a'),
