--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -85,7 +85,14 @@
 
 @dataclasses.dataclass
 class Case:
-    """Crashes that a part may have caused."""
+    """Crashes that a part may have caused.
+
+    Of `incident_count` crashes, `unexplained_count` are not due to a known
+    culprit, and at `begun_count` a response had begun. `latest` is the time
+    of the last one, in seconds of the monotonic clock. `position` is the
+    largest one of the part in a prompt, and `was_answered` is whether an
+    endpoint answered it before the crashes.
+    """
 
     position: int = 0
     incident_count: int = 0
