Judge a part only after the hosts were asked about it

Callers would see: a sound part of prompts is refused after crashes under many different prompts.

Cause: the hosts are asked about a bounded number of parts, but all of them were judged. One about which no host was asked counted as never answered.

Change: a part is judged once the hosts have had time to report its answers.

--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -223,7 +223,7 @@
         """Return whether an endpoint answered a part after a crash."""
         return self.answered_at.get(part, float('-inf')) >= incident.time
 
-    def find_culprit(self, quarantined, latest):
+    def find_culprit(self, quarantined, latest, asked):
         """Return the part that explains most crashes, None if unproven.
 
         Among parts that explain the same crashes, the one that comes last in
@@ -237,6 +237,9 @@
         latest : float
             Time of the latest report that counts, in seconds of the monotonic
             clock. Not all hosts may have reported on what became known later.
+        asked : collection of str
+            Parts whose answers all hosts have had time to report. Another
+            part may be answered without being known to be.
         """
         cases = collections.defaultdict(Case)
         for incident in self.incidents:
@@ -246,7 +249,7 @@
             (
                 part
                 for part, case in cases.items()
-                if case.is_proven(self.completed_at)
+                if part in asked and case.is_proven(self.completed_at)
             ),
             key=lambda part: (
                 cases[part].unexplained_count,
--- a/rhubarbreach/fleet/tests/test_crash_evidence.py
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -12,12 +12,27 @@
     return (*parts, f'own-{number}')
 
 
+class EveryPart:
+    """Collection that contains every part."""
+
+    def __contains__(self, part):
+        return True
+
+
 @pytest.fixture
 def evidence():
     """Return evidence without any crash."""
     return crash_evidence.CrashEvidence()
 
 
+@pytest.fixture
+def find_culprit(evidence):
+    """Return a function that judges parts on which all hosts reported."""
+    return lambda quarantined, latest: evidence.find_culprit(
+        quarantined, latest, EveryPart()
+    )
+
+
 @pytest.fixture
 def crash(evidence):
     """Return a function that adds crashes of different endpoints."""
@@ -32,65 +47,73 @@
 
 
 def test_requests_with_a_crashing_part_take_down_no_further_endpoint(
-    evidence, crash
+    evidence, find_culprit, crash
 ):
     crash('first', 'bad', count=2)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     crash('first', 'bad', start=3)
-    assert evidence.find_culprit((), LATEST) == 'bad'
+    assert find_culprit((), LATEST) == 'bad'
 
 
-def test_first_part_of_sound_requests_is_not_held_back(evidence, crash):
+def test_first_part_of_sound_requests_is_not_held_back(
+    evidence, find_culprit, crash
+):
     crash('first', count=3)
     evidence.add_answer('first', 3.5)
     evidence.completed_at = LATEST
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     crash('first', count=3, start=4)
     evidence.add_answer('first', 5.5)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
-def test_part_that_was_answered_before_needs_more_crashes(evidence, crash):
+def test_part_that_was_answered_before_needs_more_crashes(
+    evidence, find_culprit, crash
+):
     evidence.add_answer('first', 0.5)
     crash('first', count=4)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     crash('first', start=5)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     evidence.completed_at = 5.5
-    assert evidence.find_culprit((), LATEST) == 'first'
+    assert find_culprit((), LATEST) == 'first'
 
 
 def test_request_that_is_tried_again_during_crashes_is_not_held_back(
     evidence,
+    find_culprit,
 ):
     evidence.completed_at = LATEST
     for number in range(1, 9):
         prompt = make_prompt(1, 'first', 'rare')
         time = float(number)
         evidence.add_crash(f'e{number}', prompt, False, time, time)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
-def test_endpoint_that_crashes_by_itself_convicts_no_part(evidence):
+def test_endpoint_that_crashes_by_itself_convicts_no_part(
+    evidence, find_culprit
+):
     for number in range(1, 9):
         prompt = make_prompt(number, 'first', 'rare')
         time = 10.0 * number
         evidence.add_crash('e1', prompt, True, time, time)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
 def test_waiting_request_is_no_suspect_beside_one_that_has_begun(
-    evidence, crash
+    evidence, find_culprit, crash
 ):
     evidence.completed_at = LATEST
     crash('other', 'rare', count=4, has_head=False)
     crash('first', 'bad', count=4)
-    assert evidence.find_culprit((), LATEST) == 'bad'
-    assert evidence.find_culprit(('bad',), LATEST) is None
+    assert find_culprit((), LATEST) == 'bad'
+    assert find_culprit(('bad',), LATEST) is None
 
 
 def test_outage_of_all_endpoints_convicts_no_part_of_sound_requests(
     evidence,
+    find_culprit,
 ):
     # Requests of all kinds waited at each endpoint, and none was answered
     # until the endpoints were back.
@@ -98,56 +121,63 @@
         prompt = make_prompt(number, 'first', 'second')
         evidence.add_crash(f'e{number}', prompt, False, 1.0, 1.0)
     evidence.completed_at = 1.2
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     evidence.add_answer('first', 4.0)
     evidence.add_answer('second', 4.0)
     evidence.completed_at = 5.0
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
-def test_endpoints_without_an_early_head_are_judged_too(evidence, crash):
+def test_endpoints_without_an_early_head_are_judged_too(
+    evidence, find_culprit, crash
+):
     crash('first', 'bad', count=3, has_head=False)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
     evidence.completed_at = 3.5
-    assert evidence.find_culprit((), LATEST) == 'bad'
+    assert find_culprit((), LATEST) == 'bad'
 
 
-def test_crash_is_judged_only_after_all_hosts_have_reported(evidence, crash):
+def test_crash_is_judged_only_after_all_hosts_have_reported(
+    evidence, find_culprit, crash
+):
     crash('first', 'bad', count=3)
-    assert evidence.find_culprit((), 2.5) is None
-    assert evidence.find_culprit((), 3.0) == 'bad'
+    assert find_culprit((), 2.5) is None
+    assert find_culprit((), 3.0) == 'bad'
 
 
 def test_new_leader_waits_for_answers_before_it_judges_former_crashes(
     evidence,
+    find_culprit,
 ):
     # The first part of sound requests was answered under another leader.
     for number in range(1, 6):
         prompt = make_prompt(number, 'first')
         evidence.add_crash(f'e{number}', prompt, True, float(number), 50.0)
     evidence.completed_at = LATEST
-    assert evidence.find_culprit((), 49.5) is None
+    assert find_culprit((), 49.5) is None
     evidence.add_answer('first', 30.0)
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
-def test_breaks_at_one_endpoint_count_as_one_crash(evidence):
+def test_breaks_at_one_endpoint_count_as_one_crash(evidence, find_culprit):
     for number in range(1, 5):
         prompt = make_prompt(number, 'first', 'bad')
         time = 1.0 + number / 10
         evidence.add_crash('e1', prompt, True, time, time)
         evidence.add_crash('e2', prompt, True, time, time)
     assert len(evidence.incidents) == 2
-    assert evidence.find_culprit((), LATEST) is None
+    assert find_culprit((), LATEST) is None
 
 
-def test_companion_part_is_found_at_the_next_crash(evidence, crash):
+def test_companion_part_is_found_at_the_next_crash(
+    evidence, find_culprit, crash
+):
     # The part that comes last in the prompts was held back in its place.
     crash('bad', 'companion', count=3)
-    assert evidence.find_culprit((), LATEST) == 'companion'
-    assert evidence.find_culprit(('companion',), LATEST) is None
+    assert find_culprit((), LATEST) == 'companion'
+    assert find_culprit(('companion',), LATEST) is None
     crash('bad', start=4)
-    assert evidence.find_culprit(('companion',), LATEST) == 'bad'
+    assert find_culprit(('companion',), LATEST) == 'bad'
 
 
 def test_hosts_report_answers_only_while_a_part_is_suspected(evidence, crash):
--- a/rhubarbreach/hosts/quarantines.py
+++ b/rhubarbreach/hosts/quarantines.py
@@ -38,14 +38,27 @@
         self.propose = propose
         self.lock = threading.Lock()
         self.evidence = crash_evidence.CrashEvidence()
-        self.suspects = ()
+        # Monotonic time since when the hosts are asked about each suspect.
+        self.suspected_since = {}
         self.pending = None
 
+    @property
+    def suspects(self):
+        """Parts whose answers the hosts have to report."""
+        return tuple(self.suspected_since)
+
     def reset(self):
         """Forget the evidence of an earlier time as the leader."""
         with self.lock:
             self.evidence = crash_evidence.CrashEvidence()
-            self.suspects = ()
+            self.suspected_since = {}
+
+    def update_suspects(self, quarantined, now):
+        """Determine the suspects again; callers have to hold the lock."""
+        self.suspected_since = {
+            part: self.suspected_since.get(part, now)
+            for part in self.evidence.list_suspects(quarantined)
+        }
 
     def report(self, message, now):
         """Record the crashes and answers that an entry host has seen."""
@@ -66,7 +79,7 @@
             for part, age in message.answered.items():
                 self.evidence.add_answer(part, now - age)
             if message.crashes:
-                self.suspects = self.evidence.list_suspects(quarantined)
+                self.update_suspects(quarantined, now)
 
     def list_quarantined(self, known_revision):
         """Return the revision of the quarantine, and its parts if not known.
@@ -104,8 +117,13 @@
         )
         with self.lock:
             self.evidence.expire(now)
-            self.suspects = self.evidence.list_suspects(quarantined)
-            culprit = self.evidence.find_culprit(quarantined, now - settle)
+            self.update_suspects(quarantined, now)
+            latest = now - settle
+            culprit = self.evidence.find_culprit(
+                quarantined,
+                latest,
+                {p for p, t in self.suspected_since.items() if t <= latest},
+            )
         command = None
         ended = [part for part, end in quarantined.items() if end < unix_time]
         if culprit is not None:
