Bound the prompts in a report of crashes

Callers would see: an entry host without a leader for up to a minute, after crashes under very long prompts.

Cause: the crashes in one exchange had no bound in bytes, and a message beyond its limit cannot be sent.

Change: a report keeps the newest crashes within 64 KiB.

Evidence: test_report_of_long_prompts_fits_into_a_message failed before.

--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -15,6 +15,10 @@
 # Crashes are reported again to a new leader for this long.
 CRASH_RETENTION_SECONDS = 60.0
 MAX_CRASHES = 256
+# Bytes of prompts in one report, which keeps the newest crashes. A message
+# beyond its limit is never sent.
+MAX_REPORT_BYTES = 64 * 1024
+PART_OVERHEAD_BYTES = 8
 # Parts of which the time of the last answer is remembered.
 MAX_ANSWERED_PARTS = 8192
 
@@ -109,8 +113,7 @@
                     crash.has_head,
                     now - crash.time,
                 )
-                for crash in self.crashes
-                if crash.time > self.reported_until
+                for crash in self.select_crashes()
             )
             answered = {
                 part: now - self.answered_at[part]
@@ -119,6 +122,21 @@
             }
         return crashes, answered
 
+    def select_crashes(self):
+        """Return the newest unreported crashes that fit into a report."""
+        chosen = []
+        remaining_bytes = MAX_REPORT_BYTES
+        for crash in reversed(self.crashes):
+            if crash.time <= self.reported_until:
+                continue
+            remaining_bytes -= sum(
+                len(part) + PART_OVERHEAD_BYTES for part in crash.prompt
+            )
+            if remaining_bytes < 0 and chosen:
+                break
+            chosen.append(crash)
+        return chosen[::-1]
+
     def apply_reply(self, reply, sent_at, now):
         """Apply the reply of the leader to a report.
 
--- a/rhubarbreach/fleet/tests/test_quarantine.py
+++ b/rhubarbreach/fleet/tests/test_quarantine.py
@@ -1,9 +1,11 @@
 """Tests of the quarantine and the evidence of an entry host."""
 
+import msgspec
 import pytest
 
 from rhubarbreach import codes
 from rhubarbreach.fleet import quarantine
+from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import fleetmessages
 
 PROMPT = ('first', 'bad', 'own')
@@ -72,3 +74,14 @@
     table.record_crash('e1', ('own',), True, 1.0)
     table.record_crash('e1', (), True, 1.0)
     assert table.make_report(1.0) == ((), {})
+
+
+def test_report_of_long_prompts_fits_into_a_message(table):
+    # The exchanges of the host failed, and it lost its leader.
+    for number in range(256):
+        parts = tuple(f'{part:08x}' for part in range(1000))
+        table.record_crash(f'e{number}', (*parts, f'{number}'), True, 1.0)
+    crashes, _ = table.make_report(1.0)
+    assert crashes[-1].endpoint_id == 'e255'
+    message = fleetmessages.Exchange(0, '', {}, {}, {}, crashes=crashes)
+    assert len(msgspec.msgpack.encode(message)) < codec.MAX_MESSAGE_BYTES
