Report a crash that is recorded during an exchange

Callers would see: a crash is missing from the evidence against a part.

Cause: the crashes that a report had contained were told by their time, which the thread of a request takes before it waits for the lock.

Change: crashes are numbered under the lock.

Evidence: test_crash_that_is_recorded_during_an_exchange_is_reported failed before. Found by review.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -337,7 +337,7 @@
             ),
             self.min_interval,
         )
-        self.quarantine.apply_reply(reply, sent, clock.monotonic())
+        self.quarantine.apply_reply(reply, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -28,9 +28,10 @@
     """Request that broke at an endpoint before it was answered.
 
     `has_head` is whether the head of a response had arrived, and `time` is in
-    seconds of the monotonic clock.
+    seconds of the monotonic clock. `number` counts the crashes.
     """
 
+    number: int
     endpoint_id: str
     prompt: tuple[str, ...]
     has_head: bool
@@ -55,8 +56,11 @@
         self.suspects = frozenset()
         self.answered_at = collections.OrderedDict()
         self.crashes = collections.deque(maxlen=MAX_CRASHES)
-        # Crashes before this one are known to the leader named here.
-        self.reported_until = float('-inf')
+        self.crash_count = 0
+        # Number of the last crash in the latest report, and of the last one
+        # that the leader named here knows.
+        self.sent_number = 0
+        self.known_number = 0
         self.leader_id = None
 
     def find_refusal(self, prompt, now):
@@ -88,7 +92,10 @@
         if not prompt[:-1]:
             return
         with self.lock:
-            self.crashes.append(Crash(endpoint_id, prompt, has_head, now))
+            self.crash_count += 1
+            self.crashes.append(
+                Crash(self.crash_count, endpoint_id, prompt, has_head, now)
+            )
         if self.on_crash is not None:
             self.on_crash()
 
@@ -115,6 +122,7 @@
                 )
                 for crash in self.select_crashes()
             )
+            self.sent_number = self.crash_count
             answered = {
                 part: now - self.answered_at[part]
                 for part in self.suspects
@@ -127,8 +135,8 @@
         chosen = []
         remaining_bytes = MAX_REPORT_BYTES
         for crash in reversed(self.crashes):
-            if crash.time <= self.reported_until:
-                continue
+            if crash.number <= self.known_number:
+                break
             remaining_bytes -= sum(
                 len(part) + PART_OVERHEAD_BYTES for part in crash.prompt
             )
@@ -137,16 +145,15 @@
             chosen.append(crash)
         return chosen[::-1]
 
-    def apply_reply(self, reply, sent_at, now):
-        """Apply the reply of the leader to a report.
+    def apply_reply(self, reply, now):
+        """Apply the reply of the leader to the latest report.
 
         Parameters
         ----------
         reply : ExchangeReply
             Reply of the leader.
-        sent_at, now : float
-            Times of the report and of the reply, in seconds of the monotonic
-            clock.
+        now : float
+            Seconds of the monotonic clock.
         """
         with self.lock:
             self.suspects = frozenset(reply.suspect_parts)
@@ -159,4 +166,4 @@
             # A new leader has to be told all crashes again.
             is_same = reply.leader_id == self.leader_id
             self.leader_id = reply.leader_id
-            self.reported_until = sent_at if is_same else float('-inf')
+            self.known_number = self.sent_number if is_same else 0
