Do not end a resumed stream with a connection that sent no event

Callers would see: a stream that breaks off, and whose next endpoint crashes before its first event, looks complete (ORDER). Where a response is no stream, a part that crashes endpoints counted as answered.

Cause: a response without a length ends with its connection, also when its endpoint crashes.

Change: the end of a connection without an event or a byte of the body is no end of a stream and no answer, unless the response has a length or chunks.

Evidence: test_crash_before_an_event_of_a_resumed_stream_is_no_end and test_crash_before_a_body_without_length_is_no_answer failed before. Found by review.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -97,6 +97,7 @@
         self.is_answered = False
         self.last_event_at = self.started_at
         self.run_started_at = self.started_at
+        self.attempt_started_at = self.started_at
         self.load = None
 
     def run(self):
@@ -288,6 +289,7 @@
         body = []
         body_bytes = 0
         self.run_started_at = self.last_event_at = clock.monotonic()
+        self.attempt_started_at = self.run_started_at
         is_checked = False
         watched = [call.socket, self.connection.socket]
         while not call.is_complete:
@@ -468,7 +470,7 @@
     def finish(self, head, splitter, body):
         """Send the rest of a complete response; return the outcome."""
         if not self.is_stream(head):
-            if head.status in SUCCESS:
+            if head.status in SUCCESS and (any(body) or is_delimited(head)):
                 self.record_answer()
             if self.app.is_closing(self.connection):
                 self.connection.keep_alive = False
@@ -491,6 +493,9 @@
             # also that of an endpoint that crashes.
             self.record_crash(True)
             return model.Broken('stream ends without an event')
+        has_event = self.last_event_at > self.attempt_started_at
+        if not has_event and not is_delimited(head):
+            return model.Broken('resumed stream ends without an event')
         data = b''
         if not self.response_started:
             data = self.encode_head(head)
@@ -501,6 +506,13 @@
         return model.Delivered(head.status)
 
 
+def is_delimited(head):
+    """Return whether a response does not end with its connection."""
+    return any(
+        head.get(name) for name in (b'content-length', b'transfer-encoding')
+    )
+
+
 def filter_headers(head):
     """Return the headers of a response that are sent to the caller."""
     return [pair for pair in head.headers if pair[0] not in CONNECTION_HEADERS]
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -412,3 +412,23 @@
     assert [(crash.prompt, crash.has_head) for crash in crashes] == [
         (('part', 'own'), True)
     ]
+
+
+def test_crash_before_an_event_of_a_resumed_stream_is_no_end(forward_to):
+    """Guards against a resumed stream that looks complete after a crash."""
+    _, data, endpoint, _ = forward_to(
+        [HEAD + make_event(1)],
+        0.0,
+        resumable=True,
+        later=[UNFRAMED_HEAD],
+        count=2,
+    )
+    assert endpoint.count == 2
+    assert not data.endswith(forward.LAST_CHUNK)
+
+
+@pytest.mark.parametrize('kind', [catalogs.RouteKind.IDEMPOTENT])
+def test_crash_before_a_body_without_length_is_no_answer(forward_to, kind):
+    """Guards against a crashing part that counts as answered."""
+    forward_to([UNFRAMED_HEAD], 0.0, kind=kind)
+    assert not forward_to.quarantine.answered_at
