--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -37,7 +37,7 @@
 FIRST_SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
 # Statuses that tell callers that a request has not run and never will.
-PROMISES = frozenset((408, MISDIRECTED_REQUEST, 429, 503))
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_REQUEST, 429, 503))
 # Hop-by-hop headers and the content length, which are not forwarded.
 CONNECTION_HEADERS = frozenset(
     (
@@ -94,7 +94,7 @@
         self.sent = 0
         self.declined = 0
         self.first_event = None
-        self.is_answered = False
+        self.was_answered = False
         self.last_event_at = self.started_at
         self.run_started_at = self.started_at
         self.attempt_started_at = self.started_at
@@ -348,7 +348,7 @@
         has_head : bool
             Whether the head of a response had arrived.
         """
-        if not self.is_answered:
+        if not self.was_answered:
             self.app.leader_client.quarantine.record_crash(
                 self.endpoint.endpoint_id,
                 self.info.prompt,
@@ -358,8 +358,8 @@
 
     def record_answer(self):
         """Record that an endpoint has begun to answer the request."""
-        if not self.is_answered:
-            self.is_answered = True
+        if not self.was_answered:
+            self.was_answered = True
             self.app.leader_client.quarantine.record_answer(
                 self.info.prompt, clock.monotonic()
             )
@@ -419,7 +419,7 @@
             return model.NotRun(
                 f'status {head.status}', head.status == MISDIRECTED_REQUEST
             )
-        if head.status in PROMISES:
+        if head.status in NOT_RUN_STATUSES:
             return model.Broken(f'status {head.status} without a statement')
         if self.response_started and not self.is_stream(head):
             return model.Broken(f'status {head.status} while resuming')
@@ -488,7 +488,7 @@
         if splitter.rest.strip():
             self.record_crash(True)
             return model.Broken('response ends within an event')
-        if not self.is_answered and self.last_id is None:
+        if not self.was_answered and self.last_id is None:
             # The end of the connection may end a response without a length,
             # also that of an endpoint that crashes.
             self.record_crash(True)
--- a/rhubarbreach/hosts/quarantines.py
+++ b/rhubarbreach/hosts/quarantine_manager.py
@@ -13,7 +13,7 @@
 from rhubarbreach.fleet import crash_evidence
 from rhubarbreach.fleet import leader_client
 
-__all__ = ['Quarantines']
+__all__ = ['QuarantineManager']
 
 LOG = eventlog.Logger('quarantine')
 
@@ -21,7 +21,7 @@
 COMMIT_TIMEOUT_SECONDS = 3.0
 
 
-class Quarantines:
+class QuarantineManager:
     """Evidence of all entry hosts, and the quarantine that follows from it.
 
     Parameters
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -21,7 +21,7 @@
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
-from rhubarbreach.hosts import quarantines
+from rhubarbreach.hosts import quarantine_manager
 from rhubarbreach.hosts import retirement
 from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import fleetmessages
@@ -138,7 +138,7 @@
             self.wake,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
-        self.quarantines = quarantines.Quarantines(
+        self.quarantine_manager = quarantine_manager.QuarantineManager(
             self.ledger, self.group.propose
         )
         self.runner = runners.Runner(
@@ -240,9 +240,11 @@
             message.availability_zone, table.endpoint_ids
         )
         peers_revision, peers = self.usage.list_peers(message)
-        self.quarantines.report(message, now)
-        quarantine_revision, quarantined = self.quarantines.list_quarantined(
-            message.quarantine_revision
+        self.quarantine_manager.report(message, now)
+        quarantine_revision, quarantined = (
+            self.quarantine_manager.list_quarantined(
+                message.quarantine_revision
+            )
         )
         batch = self.runner.count_running()
         return fleetmessages.ExchangeReply(
@@ -262,7 +264,7 @@
             granted,
             entries,
             tuple(self.usage.list_suspects(now)),
-            self.quarantines.suspects,
+            self.quarantine_manager.suspects,
             quarantine_revision,
             quarantined,
         )
@@ -386,7 +388,7 @@
         if not self.is_leading:
             return
         self.members.advance_membership(now, now - self.leading_since)
-        self.quarantines.advance(now, self.usage.count_hosts())
+        self.quarantine_manager.advance(now, self.usage.count_hosts())
         if now >= self.next_prune:
             self.next_prune = now + PRUNE_INTERVAL_SECONDS
             cutoff = time.time() - JOB_RETENTION_SECONDS
@@ -418,7 +420,7 @@
         if is_leading:
             with self.lock:
                 self.allocator.reset()
-            self.quarantines.reset()
+            self.quarantine_manager.reset()
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
--- a/rhubarbreach/hosts/tests/test_quarantines.py
+++ b/rhubarbreach/hosts/tests/test_quarantine_manager.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.consensus.tests import cluster
-from rhubarbreach.hosts import quarantines
+from rhubarbreach.hosts import quarantine_manager
 from rhubarbreach.hosts.tests import conftest
 from rhubarbreach.protocol import fleetmessages
 
@@ -49,14 +49,14 @@
 
 def test_part_is_released_at_the_end_of_its_quarantine(stores, monkeypatch):
     monkeypatch.setattr(
-        'rhubarbreach.hosts.quarantines.QUARANTINE_SECONDS', 0.3
+        'rhubarbreach.hosts.quarantine_manager.QUARANTINE_SECONDS', 0.3
     )
     leader = conftest.find_leader(stores)
     report_crashes(leader)
     replicas = [store.ledger for store in stores]
     for ledger in replicas:
         cluster.wait_until(lambda held=ledger: held.quarantine_revision >= 1)
-    leader.quarantines.evidence.incidents.clear()
+    leader.quarantine_manager.evidence.incidents.clear()
     for ledger in replicas:
         cluster.wait_until(lambda held=ledger: not held.quarantined)
 
@@ -80,7 +80,7 @@
 @pytest.fixture
 def quarantine(proposed):
     """Return the quarantine of a leader that commits nothing."""
-    return quarantines.Quarantines(
+    return quarantine_manager.QuarantineManager(
         ledgers.Ledger(), lambda *command: proposed.append(command)
     )
 
