--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -6,6 +6,7 @@
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach.gateway import decide
+from rhubarbreach.gateway import heads
 from rhubarbreach.gateway import model
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
@@ -32,25 +33,7 @@
 # Bytes of a body that have already arrived are read beyond the deadline for
 # this long, as this host itself may have been suspended.
 LATE_READ_SECONDS = 0.25
-SUCCESS = range(200, 300)
-EVENT_STREAM = b'text/event-stream'
 FIRST_SERVER_ERROR = 500
-MISDIRECTED_REQUEST = 421
-# Statuses that tell callers that a request has not run and never will.
-NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_REQUEST, 429, 503))
-# Hop-by-hop headers and the content length, which are not forwarded.
-CONNECTION_HEADERS = frozenset(
-    (
-        b'connection',
-        b'content-length',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
 # A request counts as retried if its caller waits for less than this fraction
 # of the timeout of the route.
 RETRY_TIMEOUT_FRACTION = 0.95
@@ -207,7 +190,7 @@
                 self.log('broken', reason)
             case model.Delivered(status=status):
                 self.app.view.record_success(endpoint.endpoint_id)
-                if status in SUCCESS:
+                if status in heads.SUCCESS:
                     self.app.view.record_run(
                         endpoint.service, now - self.run_started_at
                     )
@@ -399,33 +382,20 @@
 
     def is_stream(self, head):
         """Return whether a response is relayed event by event."""
-        content_type = head.get(b'content-type', EVENT_STREAM)
-        return (
-            self.route.kind is catalogs.RouteKind.STREAM
-            and head.status in SUCCESS
-            and content_type.lower().startswith(EVENT_STREAM)
-        )
+        is_stream = self.route.kind is catalogs.RouteKind.STREAM
+        return is_stream and heads.is_event_stream(head)
 
     def check_head(self, head):
         """Return the outcome if a response must not be relayed, else None."""
         dialect = self.app.dialect
-        echoed = dialect.get_echoed_id(head)
-        if echoed is not None and echoed != self.info.request_id:
-            return model.Broken('response to another request')
-        if dialect.is_not_run(head):
-            is_own = (echoed or '') == self.info.request_id
-            if not is_own or head.status in SUCCESS:
-                return model.Broken(f'uncertain refusal, {head.status}')
-            return model.NotRun(
-                f'status {head.status}', head.status == MISDIRECTED_REQUEST
-            )
-        if head.status in NOT_RUN_STATUSES:
-            return model.Broken(f'status {head.status} without a statement')
+        outcome = heads.check_identity(head, self.info.request_id, dialect)
+        if outcome is not None:
+            return outcome
         if self.response_started and not self.is_stream(head):
             return model.Broken(f'status {head.status} while resuming')
         if head.status >= FIRST_SERVER_ERROR and self.can_retry():
             return model.Broken(f'status {head.status}')
-        if head.status in SUCCESS and not dialect.is_signed(head):
+        if head.status in heads.SUCCESS and not dialect.is_signed(head):
             return model.Broken('response is not signed')
         return None
 
@@ -450,7 +420,7 @@
         """Return the head of a chunked response."""
         self.response_started = True
         lines = [b'HTTP/1.1 %d %s' % (head.status, head.reason)]
-        lines.extend(b'%s: %s' % pair for pair in filter_headers(head))
+        lines.extend(b'%s: %s' % pair for pair in heads.filter_headers(head))
         lines.append(b'Transfer-Encoding: chunked')
         if self.app.is_closing(self.connection):
             self.connection.keep_alive = False
@@ -470,14 +440,15 @@
     def finish(self, head, splitter, body):
         """Send the rest of a complete response; return the outcome."""
         if not self.is_stream(head):
-            if head.status in SUCCESS and (any(body) or is_delimited(head)):
+            has_content = any(body) or heads.is_delimited(head)
+            if head.status in heads.SUCCESS and has_content:
                 self.record_answer()
             if self.app.is_closing(self.connection):
                 self.connection.keep_alive = False
             try:
                 self.connection.send_response(
                     head.status,
-                    filter_headers(head),
+                    heads.filter_headers(head),
                     b''.join(body),
                     head.reason,
                 )
@@ -494,7 +465,7 @@
             self.record_crash(True)
             return model.Broken('stream ends without an event')
         has_event = self.last_event_at > self.attempt_started_at
-        if not has_event and not is_delimited(head):
+        if not has_event and not heads.is_delimited(head):
             return model.Broken('resumed stream ends without an event')
         data = b''
         if not self.response_started:
@@ -504,15 +475,3 @@
         if not self.send(data + LAST_CHUNK):
             return model.CallerGone()
         return model.Delivered(head.status)
-
-
-def is_delimited(head):
-    """Return whether a response does not end with its connection."""
-    return any(
-        head.get(name) for name in (b'content-length', b'transfer-encoding')
-    )
-
-
-def filter_headers(head):
-    """Return the headers of a response that are sent to the caller."""
-    return [pair for pair in head.headers if pair[0] not in CONNECTION_HEADERS]
