Do not deadlock when a signal interrupts the wait of a daemon

Callers would see: a host of the own interface that does not drain or exit after SIGTERM.

Cause: the handler set the event on which the main thread waits, and the main thread may hold its lock when the signal arrives. The same class as in the platform's processes.

Change: the handler only records the signal.

Evidence: test_signal_that_interrupts_the_wait_for_it_does_not_hang failed before (deadlock).

--- a/rhubarbreach/daemon/run.py
+++ b/rhubarbreach/daemon/run.py
@@ -36,9 +36,11 @@
         raise exceptions.DataFolderError(fault.text)
     host = host_module.Host(settings, handler)
     host.start()
+    # The interrupted code may hold the lock of the event.
+    signals = set()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: host.request_drain())
-    while not host.drain_requested.wait(FLUSH_PERIOD_SECONDS):
+        signal.signal(signal_number, lambda number, _: signals.add(number))
+    while not (signals or host.drain_requested.wait(FLUSH_PERIOD_SECONDS)):
         host.recorder.flush()
     host.drain()
     logs.close_log(handler)
