Answer requests when a timeout exceeds what poll() can hold

What callers saw: after a configuration with an idle timeout above 24.8 days (a common way to write "none"), every entry host closed each connection without an answer. With such a timeout of a route, a request was passed on to a sound endpoint, and its connection was closed without an answer.

Cause: the timeout in milliseconds was passed on to poll(), which takes a C int, and raised OverflowError in the thread of the connection.

Change: the argument of poll() is bounded.

Evidence: test_long_idle_timeout_does_not_end_connections (both values) and test_request_on_a_route_with_a_long_timeout_is_answered failed before, with "OverflowError: timeout is too large" in the log of the connection.

--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -189,6 +189,14 @@
     assert seconds > 4.0
 
 
+def test_request_on_a_route_with_a_long_timeout_is_answered(forward_to):
+    """Guards against a timeout that the system call for it cannot hold."""
+    parts = [HEAD, make_event(1), END]
+    refusal, data, _, _ = forward_to(parts, 0.05, timeout=1e10)
+    assert refusal is None
+    assert data.endswith(forward.LAST_CHUNK)
+
+
 @pytest.mark.parametrize('trickle', [b': \n', b': comment\n\n', b'x'])
 def test_stalled_stream_that_sends_bytes_is_given_up(forward_to, trickle):
     """Guards against a stalled stream that a byte now and then keeps open."""
--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -20,6 +20,8 @@
 
 RECEIVE_BYTES = 64 * 1024
 MILLISECONDS_PER_SECOND = 1000
+# Longest timeout of `poll`, whose argument is a C int.
+MAX_POLL_MS = 2**31 - 1
 # A host that has lost power or is partitioned sends no reset. The connection
 # ends if sent bytes are not acknowledged within this time.
 USER_TIMEOUT_MS = 1500
@@ -91,11 +93,13 @@
 
 
 def to_milliseconds(deadline):
-    """Return the time until a deadline for `poll`, rounded up, or None."""
+    """Return the time until a deadline for `poll`, rounded up.
+
+    A deadline further away than `MAX_POLL_MS` counts as reached after that.
+    """
     remaining = clock.remaining(deadline, clock.monotonic())
-    if remaining == float('inf'):
-        return None
-    return int(remaining * MILLISECONDS_PER_SECOND) + 1
+    timeout_ms = remaining * MILLISECONDS_PER_SECOND
+    return int(min(timeout_ms, MAX_POLL_MS - 1)) + 1
 
 
 def wait(connection, events, deadline):
--- /dev/null
+++ b/rhubarbreach/web/tests/test_server.py
@@ -0,0 +1,47 @@
+"""Tests of the server's timeouts, threads and failed handlers."""
+
+import contextlib
+import socket
+
+import pytest
+
+from rhubarbreach.catalog import model
+from rhubarbreach.web import server
+
+LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
+REQUEST = b'GET / HTTP/1.1\r\n\r\n'
+
+
+@pytest.fixture
+def start_server():
+    """Return a function that starts a server with a handler and limits."""
+    with contextlib.ExitStack() as stack:
+
+        def start(handle, limits=LIMITS):
+            started = server.Server(
+                '127.0.0.1:0', handle, lambda: limits, 'test'
+            )
+            stack.callback(started.close)
+            return started
+
+        yield start
+
+
+def answer(connection, _):
+    connection.keep_alive = False
+    connection.send_response(200)
+
+
+@pytest.mark.parametrize('seconds', [1e7, 1e300])
+def test_long_idle_timeout_does_not_end_connections(start_server, seconds):
+    """Guards against a timeout that the system call for it cannot hold."""
+    limits = model.CallerLimits(512, 2048, seconds, seconds)
+    web_server = start_server(answer, limits)
+    address = ('127.0.0.1', web_server.port)
+    with socket.create_connection(address, 5) as caller:
+        caller.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            caller.recv(1)
+        caller.settimeout(5.0)
+        caller.sendall(REQUEST)
+        assert caller.recv(1000).startswith(b'HTTP/1.1 200 ')
