Accept connections again after a lack of threads

What callers saw: nothing listens any more on a host that once could not start a thread for a connection. New connections are established by the system, get no answer, and the drain of the host lasts until its time is over.

Cause: the accept thread took every RuntimeError of the executor for its shutdown and ended for good. The connection stayed in the set that a drain waits for. The listener is closed before the executor is shut down, so that the other reading never applied.

Change: the connection is closed unread, which callers may repeat at another host, and the thread continues.

Evidence: test_server_accepts_connections_after_a_lack_of_threads failed before (no answer to the second connection).

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -238,10 +238,11 @@
                 self.connections.add(connection)
             try:
                 self.executor.submit(connection.run)
-            except RuntimeError:
-                # The executor was shut down by close().
-                client_socket.close()
-                return
+            except RuntimeError as error:
+                # There is no thread for it now.
+                LOG.warning('event=accept_failed reason={!r}', str(error))
+                self.remove_connection(connection)
+                sockets.close_socket(client_socket)
 
     def remove_connection(self, connection):
         """Remove a connection that has ended."""
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import socket
+import threading
 
 import pytest
 
 from rhubarbreach.catalog import model
+from rhubarbreach import clock
 from rhubarbreach.web import server
 
 LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
@@ -27,11 +29,44 @@
         yield start
 
 
+def send(web_server, data=REQUEST):
+    """Send bytes; return all that is received on the connection."""
+    address = ('127.0.0.1', web_server.port)
+    received = b''
+    with socket.create_connection(address, 5) as caller:
+        caller.sendall(data)
+        while part := caller.recv(65536):
+            received += part
+    return received
+
+
 def answer(connection, _):
     connection.keep_alive = False
     connection.send_response(200)
 
 
+def test_server_accepts_connections_after_a_lack_of_threads(
+    start_server, monkeypatch
+):
+    """Guards against a host that takes no connection any more."""
+    web_server = start_server(answer)
+    submit = web_server.executor.submit
+    lacking = threading.Event()
+
+    def submit_later(function):
+        if not lacking.is_set():
+            lacking.set()
+            raise RuntimeError("can't start new thread")
+        return submit(function)
+
+    monkeypatch.setattr(web_server.executor, 'submit', submit_later)
+    with contextlib.suppress(ConnectionResetError):
+        assert send(web_server) == b''
+    assert lacking.is_set()
+    assert send(web_server).startswith(b'HTTP/1.1 200 ')
+    assert web_server.drain(clock.monotonic() + 5.0)
+
+
 @pytest.mark.parametrize('seconds', [1e7, 1e300])
 def test_long_idle_timeout_does_not_end_connections(start_server, seconds):
     """Guards against a timeout that the system call for it cannot hold."""
