Answer a request whose handler fails

What callers saw: an unexpected error in the handling of a request that had been read closed its connection without an answer, also after the request was passed on to a sound endpoint.

Cause: the thread of the connection only logged the error.

Change: it answers 500, which promises nothing about the run, unless a part of the response was sent.

Evidence: test_request_whose_handler_fails_is_answered (both cases) and test_second_request_whose_handler_fails_is_answered failed before (nothing received). test_failure_within_a_response_adds_nothing_to_it still passes.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -73,6 +73,8 @@
         self.lock = threading.Lock()
         self.is_idle = False
         self.is_ended = False
+        # Whether a part of the response to the current request was sent.
+        self.response_started = False
 
     def run(self):
         """Handle requests until either side ends the connection."""
@@ -84,6 +86,7 @@
                 if request is None:
                     return
                 self.keep_alive = request.keep_alive
+                self.response_started = False
                 self.server.handle(self, request)
         except errors.BadMessageError as error:
             LOG.info('event=request_unreadable reason={!r}', str(error))
@@ -92,6 +95,8 @@
             LOG.info('event=connection_ended reason={!r}', str(error))
         except Exception:
             LOG.exception('event=connection_failed')
+            if not self.response_started:
+                self.refuse(500)
         finally:
             self.server.remove_connection(self)
             sockets.close_socket(self.socket)
@@ -169,6 +174,7 @@
 
     def send(self, data, deadline=None):
         """Send bytes to the caller."""
+        self.response_started = True
         if deadline is None:
             deadline = clock.monotonic() + RESPONSE_TIMEOUT_SECONDS
         sockets.send_all(self.socket, data, deadline)
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -45,6 +45,43 @@
     connection.send_response(200)
 
 
+def fail(*_):
+    raise RuntimeError('x')
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        REQUEST,
+        b'POST / HTTP/1.1\r\nExpect: 100-continue\r\n'
+        b'Content-Length: 1\r\n\r\n',
+    ],
+    ids=['request', 'request with an interim response'],
+)
+def test_request_whose_handler_fails_is_answered(start_server, data):
+    """Guards against a request that was read and gets no answer."""
+    web_server = start_server(fail)
+    address = ('127.0.0.1', web_server.port)
+    with socket.create_connection(address, 5) as caller:
+        caller.sendall(data)
+        if b'Expect' in data:
+            assert caller.recv(100).startswith(b'HTTP/1.1 100 ')
+            caller.sendall(b'x')
+        head = caller.recv(1000)
+        assert head.startswith(b'HTTP/1.1 500 ')
+        assert b'Connection: close' in head
+        assert caller.recv(1000) == b''
+
+
+def test_second_request_whose_handler_fails_is_answered(start_server):
+    """Guards against taking the last response for the one that is due."""
+    handlers = [lambda connection, _: connection.send_response(200), fail]
+    web_server = start_server(lambda *arguments: handlers.pop(0)(*arguments))
+    received = send(web_server, REQUEST + REQUEST)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert b'HTTP/1.1 500 ' in received
+
+
 def test_server_accepts_connections_after_a_lack_of_threads(
     start_server, monkeypatch
 ):
