Do not take a cancelled run for a complete one

What callers saw: the result of a batch item is listed as completed with a text that lacks its end, and the rest of the item never runs.

Cause: a run is cancelled, so that its item yields its slot, by a shutdown of its connection, which wakes the reading thread with an end of file. For a response without a length that is also how it ends, and the run counted as complete.

Change: the end of a connection that was interrupted here does not complete a response.

Evidence: test_cancelled_run_is_not_complete failed before for a response without a length (completed after one event); the case with chunks passed.

--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -29,12 +29,13 @@
 def run_against():
     """Return a function that runs an item on an endpoint that sends bytes.
 
-    `pause` is in seconds and follows each part. `run.sent_bytes` counts the
+    `pause` is in seconds and follows each part. The run is cancelled after
+    `cancel_after` seconds if these are given. `run.sent_bytes` counts the
     bytes that the endpoint could send.
     """
     listeners = []
 
-    def run(parts, pause=0.0):
+    def run(parts, pause=0.0, cancel_after=None):
         run.sent_bytes = 0
         listener = socket.create_server(('127.0.0.1', 0))
         listeners.append(listener)
@@ -73,9 +74,10 @@
         )
         progress = execution.RunProgress()
         started_at = clock.monotonic()
-        outcome = execution.execute_run(
-            execution.Run(order), progress, dialect
-        )
+        item_run = execution.Run(order)
+        if cancel_after is not None:
+            threading.Timer(cancel_after, item_run.cancel).start()
+        outcome = execution.execute_run(item_run, progress, dialect)
         return outcome, progress, clock.monotonic() - started_at
 
     yield run
@@ -213,3 +215,18 @@
     )
     assert outcome == ('completed', '')
     assert progress.texts == [b't1']
+
+
+@pytest.mark.parametrize(
+    'parts',
+    [
+        [b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\n'],
+        [HEAD + make_event(1)],
+    ],
+    ids=['without length', 'chunked'],
+)
+def test_cancelled_run_is_not_complete(run_against, parts):
+    """Guards against a text that ends where its item had to yield."""
+    outcome, progress, _ = run_against(parts, pause=1.0, cancel_after=0.3)
+    assert outcome[0] != 'completed'
+    assert progress.texts == [b't1']
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -57,6 +57,7 @@
     def __init__(self, address, data, connect_deadline, deadline):
         self.parser = parse.ResponseParser()
         self.is_sent = False
+        self.is_interrupted = False
         self.socket = sockets.connect(address, connect_deadline)
         try:
             sockets.send_all(self.socket, data, deadline)
@@ -94,7 +95,8 @@
         if not data:
             # The error of a failed `send` is not reported again by `recv`, so
             # that this may be the end of a reset connection.
-            if not self.is_sent or not self.parser.finish():
+            is_ended_here = self.is_interrupted or not self.is_sent
+            if is_ended_here or not self.parser.finish():
                 raise errors.ConnectionEndedError(
                     'connection ended before the response was complete'
                 )
@@ -102,7 +104,11 @@
         return self.parser.feed(data)
 
     def interrupt(self):
-        """Shut down the connection, which wakes the thread waiting on it."""
+        """Shut down the connection, which wakes the thread waiting on it.
+
+        A response that ends with its connection is not complete then.
+        """
+        self.is_interrupted = True
         sockets.shut_down(self.socket)
 
     def close(self):
