Keep batch jobs when the time of day jumps

What callers saw: after the clock of the leader jumped ahead, or when that of the entry host was behind it, open items were given up before their time, so that their bodies answered 404 and their results never came. A larger jump deleted closed jobs with their results.

Cause: the time until which a job is kept is computed from the time of day of the host that accepted it, and was compared with that of the leader alone.

Change: each store also measures by its monotonic clock since when it knows a job. An item is given up, and a closed job deleted, only once both times have passed. After a restart of a store its leadership keeps them for longer, which is allowed.

Evidence: test_item_is_kept_when_the_time_of_day_jumps_ahead failed before (the item was given up at once).

--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+from rhubarbreach.backlog import ages
 from rhubarbreach.backlog import commands
+from rhubarbreach import clock
 
 __all__ = ['Job', 'Ledger', 'MAX_REPLY_BYTES']
 
@@ -94,6 +96,8 @@
         # Unix time until which requests with a part are held back.
         self.quarantined = {}
         self.quarantine_revision = 0
+        # Not a part of the replicated state.
+        self.ages = ages.JobAges()
 
     def apply(self, index, command):
         """Apply an encoded command of the log; return the encoded reply."""
@@ -163,6 +167,7 @@
             {item.item_id: item for item in command.items},
             [],
         )
+        self.ages.add(command.job_id, clock.monotonic())
         return commands.Done()
 
     def sum_waiting_tokens(self, command):
@@ -219,6 +224,45 @@
         for job_id, job in list(self.jobs.items()):
             if job.is_closed and job.submitted < before:
                 del self.jobs[job_id]
+                self.ages.remove(job_id)
+
+    def is_expired(self, job, unix_time, now):
+        """Return whether the open items of a job may be given up.
+
+        Parameters
+        ----------
+        job : Job
+            Job of this ledger.
+        unix_time : float
+            Time of day as Unix time in seconds.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        retention = job.retained_until - job.submitted
+        return (
+            unix_time > job.retained_until
+            and self.ages.get(job.job_id, now) >= retention
+        )
+
+    def find_prune_cutoff(self, retention, unix_time, now):
+        """Return the Unix time before which submitted jobs may be deleted.
+
+        Parameters
+        ----------
+        retention : float
+            Seconds for which closed jobs stay readable.
+        unix_time : float
+            Time of day as Unix time in seconds.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        with self.lock:
+            retained = [
+                job.submitted
+                for job in self.jobs.values()
+                if self.ages.get(job.job_id, now) < retention
+            ]
+        return min([unix_time - retention, *retained])
 
     def quarantine_part(self, part, until):
         """Hold a part back; release the earliest one if there are too many."""
@@ -333,6 +377,7 @@
             self.retiring = set(image.retiring)
             self.quarantined = dict(image.quarantined)
             self.quarantine_revision = image.quarantine_revision
+            self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
 
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -189,13 +189,15 @@
         """Return the open items by key; give up those that cannot run."""
         open_items = {}
         unix_time = time.time()
+        now = clock.monotonic()
         for job, items in self.ledger.list_open():
             destination = self.find_destination(job)
+            is_expired = self.ledger.is_expired(job, unix_time, now)
             for item in items:
                 key = (job.job_id, item.item_id)
                 if destination is None:
                     self.give_up(job, item, 'its route is gone')
-                elif unix_time > job.retained_until:
+                elif is_expired:
                     self.give_up(job, item, 'its time is over')
                 else:
                     open_items[key] = (job, item, destination)
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -391,7 +391,9 @@
         self.quarantine_manager.advance(now, self.usage.count_hosts())
         if now >= self.next_prune:
             self.next_prune = now + PRUNE_INTERVAL_SECONDS
-            cutoff = time.time() - JOB_RETENTION_SECONDS
+            cutoff = self.ledger.find_prune_cutoff(
+                JOB_RETENTION_SECONDS, time.time(), now
+            )
             self.group.propose(
                 commands.FAMILY.encode(commands.PruneJobs(cutoff)),
                 now + PRUNE_TIMEOUT_SECONDS,
