Count the votes of a term while pre-votes are requested

Cause: a candidate whose election timeout passed before the votes arrived returned to the pre-vote and from then on dropped the votes of its term. A vote is durable before it is sent: the candidate and its voter wrote three files in turn, two syncs each. If that takes longer than one to two election timeouts, every election ends like this, for ever.

A trace of the elections shows `start_pre_vote` in role `candidate` each time before the reply of the voter.

Change: pre-votes are counted apart from votes. The vote for a term stays valid until the replica enters another term or follows a leader, so a late one counts. The role decides nothing here: a pre-vote changes no term.

--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -52,6 +52,7 @@
         self.leader_contact = float('-inf')
         self.election_deadline = now
         self.votes = set()
+        self.pre_votes = set()
         self.commit_index = store.snapshot.last_index
         self.applied_index = store.snapshot.last_index
         self.term_start_index = 0
@@ -134,6 +135,7 @@
     state.role = model.Role.FOLLOWER
     state.leader_id = leader_id
     state.votes = set()
+    state.pre_votes = set()
     if was_leader:
         set_election_deadline(state, now)
         clear_leader_state(state)
--- a/rhubarbreach/consensus/tests/test_voting.py
+++ b/rhubarbreach/consensus/tests/test_voting.py
@@ -58,6 +58,66 @@
         assert state.is_leader is leads
 
 
+def make_vote(host_number, term, pre_vote=False):
+    return logmessages.VoteReply(
+        'g', term, True, pre_vote, f'store-{host_number}'
+    )
+
+
+def test_vote_that_arrives_during_the_next_pre_vote_counts(state):
+    """Guards against a group without a leader while its disks are slow.
+
+    A voter replies after its disk has synced the vote.
+    """
+    voting.start_election(state, 0.0, False)
+    voting.start_pre_vote(state, 1.0)
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 1), 1.0)
+    assert state.is_leader
+    assert state.store.term == 1
+
+
+def test_vote_of_an_earlier_term_does_not_count(state):
+    """Guards against two leaders in one term."""
+    voting.start_election(state, 0.0, False)
+    voting.start_pre_vote(state, 1.0)
+    voting.handle_vote_reply(state, 'host-3', make_vote(3, 2, True), 1.0)
+    assert state.store.term == 2
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 1), 1.0)
+    assert not state.is_leader
+
+
+def test_vote_after_the_loss_of_an_election_does_not_count(state):
+    """Guards against a replica that leads a term of another leader."""
+    voting.start_election(state, 0.0, False)
+    states.become_follower(state, 1, 'host-3', 0.5)
+    voting.start_pre_vote(state, 1.0)
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 1), 1.0)
+    assert not state.is_leader
+
+
+def test_pre_vote_does_not_count_as_a_vote(state):
+    """Guards against a leader without durable votes."""
+    voting.start_pre_vote(state, 0.0)
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 0), 0.0)
+    assert state.role == model.Role.PRE_CANDIDATE
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 1, True), 0.0)
+    assert state.role == model.Role.CANDIDATE
+    voting.handle_vote_reply(state, 'host-3', make_vote(3, 1, True), 0.0)
+    assert state.role == model.Role.CANDIDATE
+
+
+def test_leader_that_votes_in_a_new_term_steps_down(state):
+    """Guards against a leader of an ended term."""
+    voting.start_election(state, 0.0, False)
+    voting.handle_vote_reply(state, 'host-2', make_vote(2, 1), 0.0)
+    assert state.is_leader
+    request = logmessages.VoteRequest('g', 2, 'host-3', 'store', 1, 1, False)
+    voting.handle_vote_request(state, 'host-3', request, 1.0)
+    assert state.outbox[-1][1].granted
+    assert state.role == model.Role.FOLLOWER
+    assert (state.store.term, state.store.vote) == (2, 'host-3')
+
+
 def test_pre_vote_is_refused_while_a_leader_is_heard(state):
     """Guards against a host with a bad link that ends the term of a leader."""
     state.leader_contact = 99.9
--- a/rhubarbreach/consensus/voting.py
+++ b/rhubarbreach/consensus/voting.py
@@ -23,7 +23,7 @@
         return
     state.role = model.Role.PRE_CANDIDATE
     state.leader_id = None
-    state.votes = {state.settings.host_id}
+    state.pre_votes = {state.settings.host_id}
     request_votes(state, state.store.term + 1, True, False)
     count_votes(state, now)
 
@@ -37,6 +37,7 @@
     state.role = model.Role.CANDIDATE
     state.leader_id = None
     state.votes = {state.settings.host_id}
+    state.pre_votes = set()
     request_votes(state, state.store.term, False, transfer)
     count_votes(state, now)
 
@@ -61,12 +62,11 @@
 
 def count_votes(state, now):
     """Proceed to the next role if a majority has granted its vote."""
-    if len(state.votes) < model.count_majority(state.store.members):
-        return
-    if state.role == model.Role.PRE_CANDIDATE:
-        start_election(state, now, False)
-    elif state.role == model.Role.CANDIDATE:
+    majority = model.count_majority(state.store.members)
+    if len(state.votes) >= majority:
         states.become_leader(state, now)
+    elif len(state.pre_votes) >= majority:
+        start_election(state, now, False)
 
 
 def handle_vote_request(state, sender_id, request, now):
@@ -131,11 +131,8 @@
     if reply.term > state.store.term and not reply.granted:
         states.become_follower(state, reply.term, None, now)
         return
-    expected = {
-        model.Role.PRE_CANDIDATE: (True, state.store.term + 1),
-        model.Role.CANDIDATE: (False, state.store.term),
-    }.get(state.role)
-    if expected != (reply.pre_vote, reply.term) or not reply.granted:
+    votes = find_votes(state, reply)
+    if not reply.granted or not votes:
         return
     member = model.find_member(state.store.members, sender_id)
     if member is None or not member.voter:
@@ -144,5 +141,24 @@
     # identity, so its vote does not count.
     if member.store_id != reply.store_id:
         return
-    state.votes.add(sender_id)
+    votes.add(sender_id)
     count_votes(state, now)
+
+
+def find_votes(state, reply):
+    """Return the votes of the election that a reply belongs to.
+
+    The votes of a term count until the next one begins, even if they arrive
+    while pre-votes are requested: a voter on a slow disk replies late.
+
+    Returns
+    -------
+    set of str
+        Hosts that have granted their vote, empty if there is no such election.
+    """
+    if state.is_leader:
+        return set()
+    if reply.pre_vote:
+        is_current = reply.term == state.store.term + 1
+        return state.pre_votes if is_current else set()
+    return state.votes if reply.term == state.store.term else set()
