Do not let the time of a disk write end an election

Cause: the vote in a new term was two writes, first the term and then the vote, and the election timeout of a replica ran while its own disk held it. After the write the deadline had passed, and the replica asked for pre-votes in the next term before it had read the messages of the candidate for which it had just voted. All replicas did so in turn.

Change: term and vote are one write, which is as safe as two because the file is replaced atomically and nothing is sent before. The duration of a step of the group is added to its election deadline: in that time nothing was received, so it is no evidence that the leader is silent.

--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -329,6 +329,9 @@
                 self.advance_state(clock.monotonic())
             self.complete_deferred()
         self.send_messages(self.state.after_sync)
+        with self.lock:
+            # Messages of a leader may have been queued during a disk write.
+            states.postpone_election(self.state, clock.monotonic() - now)
 
     def handle_event(self, event, now):
         """Handle a message or call a function.
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -17,6 +17,7 @@
     'is_voter',
     'make_not_leader',
     'make_unknown_outcome',
+    'postpone_election',
     'set_election_deadline',
     'sync_peers',
 ]
@@ -90,6 +91,11 @@
     state.election_deadline = now + delay
 
 
+def postpone_election(state, seconds):
+    """Move the election deadline by a time in which nothing was received."""
+    state.election_deadline += seconds
+
+
 def is_voter(state):
     """Return whether this store is a voter under its identity."""
     member = model.find_member(state.store.members, state.settings.host_id)
--- a/rhubarbreach/consensus/tests/test_slow_disks.py
+++ b/rhubarbreach/consensus/tests/test_slow_disks.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus import voting
+from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
 
 ELECTION_TIMEOUT_SECONDS = 0.3
@@ -16,6 +19,7 @@
 
     def __init__(self):
         self.delay = 0.0
+        self.ended_at = float('-inf')
 
     def make_sync(self, sync):
         """Return a function that syncs a file after the delay."""
@@ -23,6 +27,7 @@
         def sync_slowly(descriptor):
             time.sleep(self.delay)
             sync(descriptor)
+            self.ended_at = time.monotonic()
 
         return sync_slowly
 
@@ -50,3 +55,45 @@
         test_cluster.stop(test_cluster.leader().settings.host_id)
         test_cluster.commit(b'second')
         slow_disk.delay = 0.0
+
+
+def test_election_timeout_does_not_pass_during_a_write(
+    tmp_path, slow_disk, monkeypatch
+):
+    """Guards against candidates that disturb the election they voted in."""
+    path = tmp_path / 'host-1' / 'g'
+    path.mkdir(parents=True)
+    store = stores.Store(path)
+    members = [
+        logmessages.Member(host, store.store_id, True)
+        for host in cluster.HOSTS
+    ]
+    store.save_formation(True, tuple(members))
+    store.close()
+    pre_votes = []
+    start_pre_vote = voting.start_pre_vote
+
+    def record(state, now):
+        pre_votes.append(now)
+        start_pre_vote(state, now)
+
+    monkeypatch.setattr(voting, 'start_pre_vote', record)
+    with cluster.running(
+        tmp_path,
+        ('host-1',),
+        initial=cluster.HOSTS,
+        election_timeout=ELECTION_TIMEOUT_SECONDS,
+    ) as test_cluster:
+        replica = test_cluster.get('host-1')
+        # The write takes longer than the longest election timeout.
+        slow_disk.delay = 2.5 * ELECTION_TIMEOUT_SECONDS
+        request = logmessages.VoteRequest(
+            'g', 9, 'host-2', 'store', 0, 0, False
+        )
+        replica.deliver('host-2', request)
+        cluster.wait_until(lambda: replica.store.vote == 'host-2')
+        written_at = slow_disk.ended_at
+        slow_disk.delay = 0.0
+        cluster.wait_until(lambda: pre_votes and pre_votes[-1] > written_at)
+        first = min(start for start in pre_votes if start > written_at)
+        assert first - written_at >= ELECTION_TIMEOUT_SECONDS
--- a/rhubarbreach/consensus/tests/test_voting.py
+++ b/rhubarbreach/consensus/tests/test_voting.py
@@ -9,6 +9,7 @@
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus import voting
 from rhubarbreach.protocol import logmessages
+from rhubarbreach.storage import files
 
 
 def open_state(folder):
@@ -106,6 +107,23 @@
     assert state.role == model.Role.CANDIDATE
 
 
+def test_vote_in_a_new_term_is_one_write(state, monkeypatch):
+    """Guards against votes that arrive late because of slow disks."""
+    written_names = []
+    replace_file = files.replace_file
+
+    def record(path, data):
+        written_names.append(path.name)
+        replace_file(path, data)
+
+    monkeypatch.setattr(files, 'replace_file', record)
+    assert request_vote(state, 'host-2', 5)
+    assert written_names == [stores.VOTE_NAME]
+    assert (state.store.term, state.store.vote) == (5, 'host-2')
+    assert not request_vote(state, 'host-3', 5)
+    assert written_names == [stores.VOTE_NAME]
+
+
 def test_leader_that_votes_in_a_new_term_steps_down(state):
     """Guards against a leader of an ended term."""
     voting.start_election(state, 0.0, False)
--- a/rhubarbreach/consensus/voting.py
+++ b/rhubarbreach/consensus/voting.py
@@ -75,12 +75,14 @@
     if request.pre_vote:
         granted = would_grant_vote(state, request, now)
     else:
-        if request.term > store.term:
-            states.become_follower(state, request.term, None, now)
+        is_new_term = request.term > store.term
         granted = can_grant_vote(state, request)
         if granted:
-            store.save_vote(store.term, request.candidate_id)
+            # One write for the term and the vote, as a disk may be slow.
+            store.save_vote(request.term, request.candidate_id)
             states.set_election_deadline(state, now)
+        if is_new_term:
+            states.become_follower(state, request.term, None, now)
     reply = logmessages.VoteReply(
         state.settings.group_id,
         request.term if granted and request.pre_vote else store.term,
@@ -119,11 +121,10 @@
 def can_grant_vote(state, request):
     """Return whether this replica may vote for the candidate."""
     store = state.store
-    return (
-        request.term == store.term
-        and store.vote in ('', request.candidate_id)
-        and is_up_to_date(state, request)
+    is_free = request.term > store.term or (
+        request.term == store.term and store.vote in ('', request.candidate_id)
     )
+    return is_free and is_up_to_date(state, request)
 
 
 def handle_vote_reply(state, sender_id, reply, now):
