Lengthen the attempts of a client after each one that ran out of time

What callers saw: `no reply in time` or `command was not committed before its deadline` for as long as a commit takes more than 0.3 s, as on slow disks.

Cause: attempts become longer only after one without a reply, but a leader that cannot commit in time replies too, with a refusal at the deadline of the attempt. That refusal usually came before the link gave up, so that all attempts stayed at 0.3 s.

Change: an attempt counts once its deadline has passed, whoever refuses it.

--- a/rhubarbreach/consensus/client.py
+++ b/rhubarbreach/consensus/client.py
@@ -9,8 +9,8 @@
 __all__ = ['Client', 'propose', 'query']
 
 # A host that does not answer within this time is skipped. Commands carry
-# operation ids, so a retry on another host is safe. Each unanswered attempt
-# lengthens the following ones, to allow for a slow disk.
+# operation ids, so a retry on another host is safe. Each attempt that runs out
+# of time lengthens the following ones, to allow for a slow disk.
 ATTEMPT_SECONDS = 0.3
 MAX_ATTEMPT_SECONDS = 4.0
 # A host that did not answer is not asked as the leader for this long, even if
@@ -68,16 +68,17 @@
             codes.ResultCode.UNAVAILABLE, 'no store host is known'
         )
         attempt_number = 0
-        unanswered = 0
+        expired_count = 0
         while clock.monotonic() < deadline and not self.link.closed:
             host_id = self.choose_host(group_id, attempt_number)
             message = logmessages.ClusterCommand(
                 group_id,
                 command,
-                get_attempt_timeout(unanswered, deadline),
+                get_attempt_timeout(expired_count, deadline),
                 is_read,
             )
-            reply = self.call_host(host_id, message)
+            attempt_deadline = clock.monotonic() + message.timeout
+            reply = self.call_host(host_id, message, attempt_deadline)
             if reply.refusal is None:
                 self.leaders[group_id] = host_id
                 return reply.result
@@ -87,7 +88,8 @@
             if refusal.ran != codes.Ran.NO and not is_read:
                 may_have_run = True
             attempt_number += 1
-            unanswered += self.is_unresponsive(host_id, clock.monotonic())
+            # A leader also answers at the deadline, with a refusal.
+            expired_count += clock.monotonic() >= attempt_deadline
             self.record_failure(group_id, host_id, reply)
         ran = codes.Ran.UNKNOWN if may_have_run else codes.Ran.NO
         return codes.Refusal(
@@ -125,11 +127,9 @@
         self.leaders.pop(group_id, None)
         threading.Event().wait(RETRY_SECONDS)
 
-    def call_host(self, host_id, message):
+    def call_host(self, host_id, message, deadline):
         """Send a command or query to one host and return the reply."""
-        now = clock.monotonic()
-        call = self.link.call(host_id, message, now + message.timeout)
-        reply = call.result()
+        reply = self.link.call(host_id, message, deadline).result()
         if isinstance(reply, codes.Refusal):
             # The link itself refuses a call that got no reply in time.
             self.unresponsive_until[host_id] = (
@@ -139,10 +139,10 @@
         return reply
 
 
-def get_attempt_timeout(unanswered, deadline):
+def get_attempt_timeout(expired_count, deadline):
     """Return the time limit of an attempt, in seconds."""
     remaining_seconds = clock.remaining(deadline, clock.monotonic())
-    longest = min(ATTEMPT_SECONDS * (1 + unanswered), MAX_ATTEMPT_SECONDS)
+    longest = min(ATTEMPT_SECONDS * (1 + expired_count), MAX_ATTEMPT_SECONDS)
     return min(remaining_seconds, longest)
 
 
--- /dev/null
+++ b/rhubarbreach/consensus/tests/test_client.py
@@ -0,0 +1,66 @@
+"""Tests of the client of a group without a link and threads."""
+
+import concurrent.futures
+import types
+
+import pytest
+
+from rhubarbreach import clock
+from rhubarbreach import codes
+from rhubarbreach.consensus import client
+from rhubarbreach.protocol import logmessages
+
+COMMIT_SECONDS = 0.8
+
+
+class SlowLeader:
+    """Link to a leader that commits each command after `COMMIT_SECONDS`.
+
+    The clock advances by the time that a call takes.
+    """
+
+    def __init__(self):
+        self.now = 100.0
+        self.host_id = 'host-1'
+        self.peers = {}
+        self.closed = False
+        self.timeouts = []
+
+    def monotonic(self):
+        return self.now
+
+    def call(self, host_id, message, deadline):
+        self.timeouts.append(message.timeout)
+        reply = logmessages.ClusterReply(b'done', None, self.host_id)
+        if message.timeout < COMMIT_SECONDS:
+            refusal = codes.Refusal(
+                codes.ResultCode.UNAVAILABLE,
+                'command was not committed before its deadline',
+                codes.Ran.NO if message.read else codes.Ran.UNKNOWN,
+            )
+            reply = logmessages.ClusterReply(None, refusal, self.host_id)
+        self.now = min(deadline, self.now + COMMIT_SECONDS)
+        future = concurrent.futures.Future()
+        future.set_result(reply)
+        return future
+
+
+@pytest.fixture
+def slow_leader(monkeypatch):
+    leader = SlowLeader()
+    monkeypatch.setattr(clock, 'monotonic', leader.monotonic)
+    pause = types.SimpleNamespace(wait=lambda seconds: None)
+    monkeypatch.setattr(client.threading, 'Event', lambda: pause)
+    return leader
+
+
+@pytest.mark.parametrize('is_read', [False, True], ids=['propose', 'query'])
+def test_attempts_at_a_slow_leader_become_longer(slow_leader, is_read):
+    """Guards against a command that is sent again and again on a slow disk.
+
+    The leader refuses each attempt at its deadline.
+    """
+    groups_client = client.Client(slow_leader)
+    send = groups_client.query if is_read else groups_client.propose
+    assert send('g', b'x', slow_leader.now + 20.0) == b'done'
+    assert slow_leader.timeouts == pytest.approx([0.3, 0.6, 0.9])
