Play random losses of stores in virtual time

A fleet in virtual time runs the real consensus, store, membership steps and duties of store hosts. Threads, sockets, disks and the clock are replaced. Disks lose what was not synced, at any operation that makes data durable. Random series kill, freeze, cut off, wipe, replace, add and retire stores, and end with a lost disk while all others lose power. Then a leader has to hold all confirmed changes within 10 s. No term may have two leaders, and an entry has to be the same wherever it is applied.

--- /dev/null
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -0,0 +1,24 @@
+"""Tests of random losses of stores against the guarantees of a fleet."""
+
+import pytest
+
+from rhubarbreach.hosts.tests import lossseries
+from rhubarbreach.hosts.tests import virtualfleets
+
+
+def play(patch, seed, overlaps):
+    """Play a series and show its events if a guarantee breaks."""
+    random = virtualfleets.make_random(seed)
+    series = lossseries.Series(random, random.uniform(10.0, 45.0), overlaps)
+    virtualfleets.patch_modules(patch, series.fleet)
+    try:
+        series.run()
+    except BaseException:
+        print('\n'.join([*series.fleet.events, *series.fleet.describe()]))
+        raise
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_confirmed_changes_outlive_losses(monkeypatch, seed):
+    """Guards against a fleet without a leader after tolerated losses."""
+    play(monkeypatch, seed, False)
