Remove a lost voter while another one cannot retire yet

What callers saw: no leader after a loss of power, for good, although one disk at a time had been lost.

Cause: an absent voter was removed only if enough other voters were neither absent nor retiring. With one voter lost and one to retire there were two such voters and no further store, so the lost one stayed: of four voters one was gone, and the next lost disk left two, no majority. A retiring voter still votes, so it counts for the removal of the lost one. Class of fault: one predicate, healthy, for two questions, who may stay and who can vote.

The test of the plan failed before: the plan was None.

--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -105,18 +105,20 @@
             return AddLearner(store.host_id)
     if leading_seconds < SETTLE_SECONDS:
         return None
+    present = [h for h in voter_ids if is_present(stores_by_id.get(h))]
+    if voters <= len(present) < len(voter_ids):
+        # An absent voter is removed first, as it cannot help to form a quorum
+        # if another voter is lost. A retiring one can.
+        return Remove(next(h for h in voter_ids if h not in present))
     if len(healthy) < voters:
         ready = [h for h in learner_ids if is_healthy(stores_by_id.get(h))]
         if ready:
             return Promote(choose_by_zone(ready, healthy, stores_by_id))
-    surplus = [h for h in voter_ids if h not in healthy]
-    if surplus and len(healthy) >= voters and len(voter_ids) > voters:
-        # An absent voter is removed first, as it cannot help to form a quorum
-        # if another voter is lost.
-        surplus.sort(key=lambda h: is_present(stores_by_id.get(h)))
-        if surplus[0] == own_id:
+    retiring = [h for h in present if h not in healthy]
+    if retiring and len(healthy) >= voters:
+        if retiring[0] == own_id:
             return HandOver(next(h for h in healthy if h != own_id))
-        return Remove(surplus[0])
+        return Remove(retiring[0])
     for host_id in learner_ids:
         store = stores_by_id.get(host_id)
         if store is None or store.is_retiring or store.is_expired:
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -101,6 +101,18 @@
     assert plan(members, stores) == reconfiguration.Remove('d')
 
 
+def test_lost_store_is_removed_while_another_one_cannot_retire(three_voters):
+    """Guards against a lost voter that stays while a store is to retire."""
+    members = (*three_voters, make_member('d'))
+    stores = (
+        make_store('a'),
+        make_store('b', retiring=True),
+        make_store('c', False),
+        make_store('d'),
+    )
+    assert plan(members, stores) == reconfiguration.Remove('c')
+
+
 def test_learner_in_another_zone_is_preferred():
     members = (
         make_member('a'),
