Do not let each new leader wait before it replaces a lost voter

What callers saw: four stores up after a loss of power and no leader for good; confirmed changes and accepted work could not be read.

Cause: a leader waited for 3 s from its election to hear from the others before it took a voter for lost, then for a step of 0.4 s, as the successor did not hold the log yet. Each change of the leader in between began the wait anew. A voter that was lost for good was therefore replaced only in a span of calm of about 4.5 s; after an election that took 1 s this is more than the 4.7 s after which the next disk may be lost. One of three voters, or two of four, were left. Class of fault: a deadline that is counted from an event, the election, which may recur, and not from the fact that it stands for.

Change: what the wait stands for is that the leader has heard from the others. All stores hear each other's presence all the time, so the wait counts from the start of the process, or from the time at which a store that was suspended or cut off hears the others again.

--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -13,8 +13,8 @@
 ]
 
 
-# A new leader waits this long to hear from all stores before it considers one
-# lost. Stores announce their presence every 0.8 s and may be starting as well.
+# A leader has to have listened for this long before it considers a store lost.
+# Stores announce their presence every 0.8 s and may be starting as well.
 SETTLE_SECONDS = 3.0
 
 
@@ -67,7 +67,7 @@
 
 
 def plan_step(
-    own_id, members, stores, voters, leading_seconds, disk_full=False
+    own_id, members, stores, voters, listening_seconds, disk_full=False
 ):
     """Return the next membership change, or None.
 
@@ -81,8 +81,9 @@
         Known stores, members or not.
     voters : int
         Desired number of voters.
-    leading_seconds : float
-        Time for which the leader has been leading.
+    listening_seconds : float
+        Time for which the leader has listened to the other stores, as the
+        leader or before.
     disk_full : bool
         Whether the disk of the leader is full.
 
@@ -103,7 +104,7 @@
     for store in stores:
         if is_healthy(store) and store.host_id not in voter_ids + learner_ids:
             return AddLearner(store.host_id)
-    if leading_seconds < SETTLE_SECONDS:
+    if listening_seconds < SETTLE_SECONDS:
         return None
     present = [h for h in voter_ids if is_present(stores_by_id.get(h))]
     if voters <= len(present) < len(voter_ids):
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -21,8 +21,10 @@
     return tuple(make_member(h) for h in 'abc')
 
 
-def plan(members, stores, leading_seconds=60.0):
-    return reconfiguration.plan_step('a', members, stores, 3, leading_seconds)
+def plan(members, stores, listening_seconds=60.0):
+    return reconfiguration.plan_step(
+        'a', members, stores, 3, listening_seconds
+    )
 
 
 def test_healthy_group_is_not_changed(three_voters):
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -15,6 +15,9 @@
 
 # Interval at which each store announces its presence to the others.
 PRESENCE_INTERVAL_SECONDS = 0.8
+# A store that hears no other one for this long was suspended or cut off, and
+# cannot tell yet which of them are absent.
+DEAF_SECONDS = 2 * PRESENCE_INTERVAL_SECONDS
 # A store that has been silent for this long counts as absent. Its vote is
 # lost, and it is replaced once a successor is available.
 ABSENT_SECONDS = 3.0
@@ -48,6 +51,7 @@
         self.group = group
         self.ledger = ledger
         self.presence = {}
+        self.listening_since = clock.monotonic()
         self.next_presence = 0.0
         self.next_step = 0.0
         self.step_future = None
@@ -74,6 +78,7 @@
 
     def announce_presence(self, now):
         """Announce this store to the other stores when it is due."""
+        self.update_listening(now)
         if now < self.next_presence:
             return
         self.next_presence = now + PRESENCE_INTERVAL_SECONDS
@@ -86,6 +91,19 @@
         for host_id in self.list_others():
             self.link.send(host_id, message)
 
+    def update_listening(self, now):
+        """Start to listen anew if no other store has been heard for long."""
+        last_heard = max(
+            (
+                last_contact
+                for host_id, (last_contact, _) in list(self.presence.items())
+                if host_id != self.host_id
+            ),
+            default=now,
+        )
+        if now - last_heard > DEAF_SECONDS:
+            self.listening_since = now
+
     def list_stores(self, now):
         """Return the known stores for `reconfiguration.plan_step`."""
         return tuple(
@@ -99,15 +117,13 @@
             for host_id, (last_contact, message) in list(self.presence.items())
         )
 
-    def advance_membership(self, now, leading_seconds):
+    def advance_membership(self, now):
         """Start the next step of a membership change when it is due.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        leading_seconds : float
-            Seconds since this store became the leader.
         """
         if now < self.next_step:
             return
@@ -119,7 +135,7 @@
             self.group.members,
             self.list_stores(now),
             self.required_voters,
-            leading_seconds,
+            now - self.listening_since,
             self.group.state.disk_full,
         )
         if step is None:
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -104,11 +104,10 @@
         self.runner = None
         self.is_leading = False
         self.leading_term = 0
-        self.leading_since = clock.monotonic()
         self.draining = False
         self.closed = False
-        self.next_gauges = self.leading_since
-        self.next_prune = self.leading_since + PRUNE_INTERVAL_SECONDS
+        self.next_gauges = clock.monotonic()
+        self.next_prune = self.next_gauges + PRUNE_INTERVAL_SECONDS
         self.ledger = ledgers.Ledger(self.notify_runner)
         self.link = links.Link(
             self.host_id,
@@ -387,7 +386,7 @@
         self.members.announce_presence(now)
         if not self.is_leading:
             return
-        self.members.advance_membership(now, now - self.leading_since)
+        self.members.advance_membership(now)
         self.quarantine_manager.advance(now, self.usage.count_hosts())
         if now >= self.next_prune:
             self.next_prune = now + PRUNE_INTERVAL_SECONDS
@@ -412,7 +411,6 @@
             self.runner.set_leading(False)
         self.leading_term = term
         self.is_leading = is_leading
-        self.leading_since = now
         LOG.info(
             'event=leadership leading={} term={} applied={}',
             is_leading,
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -1,13 +1,16 @@
 """Tests of retirements while other stores are silent."""
 
 import types
+from unittest import mock
 
 import pytest
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import reconfiguration
 from rhubarbreach.hosts import members
 from rhubarbreach.protocol import fleetmessages
+from rhubarbreach.protocol import logmessages
 from rhubarbreach.settings import role
 
 STORES = ('s1', 's2', 's3', 's4')
@@ -57,3 +60,35 @@
         hear(fleet, 's3', silence)
     refusal = fleet.check_retirement('s2')
     assert refusal.code == codes.ResultCode.REVISION_CONFLICT
+
+
+def start_leading(fleet):
+    """Return the step of a leader that has just been elected."""
+    fleet.group = mock.MagicMock()
+    fleet.group.members = tuple(
+        logmessages.Member(host_id, host_id, host_id != 's4')
+        for host_id in STORES
+    )
+    fleet.group.state.disk_full = False
+    fleet.group.list_contacts.return_value = set()
+    fleet.link.send = lambda *_: True
+    fleet.announce_presence(clock.monotonic())
+    fleet.advance_membership(clock.monotonic())
+    return fleet.group.promote.called
+
+
+def test_leader_replaces_a_voter_lost_before_its_election(fleet):
+    """Guards against a wait that starts anew with each leader."""
+    fleet.listening_since -= reconfiguration.SETTLE_SECONDS
+    hear(fleet, 's2', members.ABSENT_SECONDS + 0.1)
+    assert start_leading(fleet)
+
+
+def test_leader_that_was_suspended_waits_to_hear_from_the_others(fleet):
+    """Guards against the replacement of stores that were not heard."""
+    fleet.listening_since -= reconfiguration.SETTLE_SECONDS
+    for host_id in STORES:
+        hear(fleet, host_id, members.ABSENT_SECONDS + 0.1)
+    assert not start_leading(fleet)
+    hear(fleet, 's4', 0.0)
+    assert not start_leading(fleet)
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -5,6 +5,10 @@
 from rhubarbreach.hosts.tests import lossseries
 from rhubarbreach.hosts.tests import virtualfleets
 
+# Series in which the leader changed before it had replaced a lost voter, or in
+# which a voter was lost while another one was to retire.
+LOST_VOTERS = (1020, 1116, 1137, 1229, 1282, 1396, 1401)
+
 
 def play(patch, seed, overlaps):
     """Play a series and show its events if a guarantee breaks."""
@@ -18,7 +22,7 @@
         raise
 
 
-@pytest.mark.parametrize('seed', range(20))
+@pytest.mark.parametrize('seed', [*range(20), *LOST_VOTERS])
 def test_confirmed_changes_outlive_losses(monkeypatch, seed):
     """Guards against a fleet without a leader after tolerated losses."""
     play(monkeypatch, seed, False)
