Accept a membership change that has already run

Cause: a change whose entry is not committed before its deadline, or whose leader steps down, ends with ran UNKNOWN, and the entry may still be committed. The caller can only repeat the change, and the repetition was refused as if the first try had had no effect. Promotion and removal had the same fault.

Change: once the members are committed, adding a store that is a member under its identity, promoting a voter and removing a host that is none are done. A host that is a member with another store is refused as before, and so is the removal of the last voter.

Measured: test_membership_change_that_has_run_may_be_repeated drops the replies of the peers until each first try ends with UNKNOWN.

--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -178,7 +178,12 @@
 
 
 def find_change_refusal(state):
-    """Return a refusal if the members cannot be changed now, or None."""
+    """Return a refusal if the members cannot be changed now, or None.
+
+    Without a refusal the members are committed. A change that they already
+    hold then counts as done, because a caller repeats one whose outcome it
+    does not know.
+    """
     if not state.is_leader or state.transfer_id is not None:
         return states.make_not_leader(state)
     if state.commit_index < max(
@@ -233,12 +238,16 @@
         state.deferred_results.append((future, change_refusal))
         return
     members = state.store.members
-    if model.find_member(members, host_id) is not None:
+    former = model.find_member(members, host_id)
+    if former is not None and former.store_id == hello.store_id:
+        state.deferred_results.append((future, None))
+        return
+    if former is not None:
         refuse(
             state,
             future,
             codes.ResultCode.INVALID_CHANGE,
-            f'{host_id} is already a member',
+            f'{host_id} is already a member with another store',
         )
         return
     member = logmessages.Member(host_id, hello.store_id, False)
@@ -254,8 +263,11 @@
         state.deferred_results.append((future, change_refusal))
         return
     member = model.find_member(state.store.members, host_id)
+    if member is not None and member.voter:
+        state.deferred_results.append((future, None))
+        return
     peer = state.peers.get(host_id)
-    if member is None or member.voter or peer is None:
+    if member is None or peer is None:
         refuse(
             state,
             future,
@@ -290,14 +302,15 @@
     members = [
         member for member in state.store.members if member.host_id != host_id
     ]
-    if len(members) == len(state.store.members) or not model.get_voters(
-        members
-    ):
+    if len(members) == len(state.store.members):
+        state.deferred_results.append((future, None))
+        return
+    if not model.get_voters(members):
         refuse(
             state,
             future,
             codes.ResultCode.INVALID_CHANGE,
-            f'{host_id} is not a member or is the last voter',
+            f'{host_id} is the last voter',
         )
         return
     propose_members(state, members, deadline, future, clock.monotonic())
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -206,6 +206,8 @@
     def add_learner(self, host_id, deadline):
         """Add a host that receives the log but does not vote.
 
+        A host that is a member with the same store stays as it is.
+
         Returns
         -------
         concurrent.futures.Future
@@ -214,11 +216,11 @@
         return changes.add_learner(self, host_id, deadline)
 
     def promote(self, host_id, deadline):
-        """Make a learner a voter if it holds the log."""
+        """Make a learner a voter if it holds the log; a voter stays one."""
         return self.post_change(changes.promote, host_id, deadline)
 
     def remove(self, host_id, deadline):
-        """Remove a member."""
+        """Remove a member; a host that is none needs no change."""
         return self.post_change(changes.remove, host_id, deadline)
 
     def post_change(self, function, host_id, deadline):
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -4,8 +4,12 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus import changes
+from rhubarbreach.consensus import client
 from rhubarbreach.consensus import leading
+from rhubarbreach.consensus import model
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.protocol import logmessages
 
 FOUR = (*cluster.HOSTS, 'host-4')
 
@@ -46,6 +50,80 @@
         assert len(test_cluster.get('host-4').machine.commands) == 21
 
 
+def drop_replies(sender_id, receiver_id, message):
+    return [] if isinstance(message, logmessages.AppendReply) else [0.0]
+
+
+def change_without_replies(test_cluster, name, host):
+    """Start a membership change that no peer of the leader acknowledges."""
+
+    def attempt():
+        test_cluster.set_fault(None)
+        leader = test_cluster.leader()
+        peer = leader.state.peers.get(host)
+        if peer is not None and peer.match_index < leader.state.commit_index:
+            return False
+        test_cluster.set_fault(drop_replies)
+        deadline = clock.monotonic() + 0.2
+        result = getattr(leader, name)(host, deadline).result()
+        return getattr(result, 'ran', None) == codes.Ran.UNKNOWN
+
+    cluster.wait_until(attempt)
+    test_cluster.set_fault(None)
+
+
+def test_membership_change_that_has_run_may_be_repeated(tmp_path):
+    """Guards against a refusal, with ran NO, of a change that has run."""
+    with cluster.running(tmp_path) as test_cluster:
+        test_cluster.start('host-4')
+        store_id = test_cluster.get('host-4').store.store_id
+        change_without_replies(test_cluster, 'add_learner', 'host-4')
+        change(test_cluster, 'add_learner', 'host-4')
+        learner = logmessages.Member('host-4', store_id, False)
+        assert test_cluster.find_member('host-4') == learner
+        change_without_replies(test_cluster, 'promote', 'host-4')
+        change(test_cluster, 'promote', 'host-4')
+        voter = logmessages.Member('host-4', store_id, True)
+        assert test_cluster.find_member('host-4') == voter
+        change_without_replies(test_cluster, 'remove', 'host-4')
+        change(test_cluster, 'remove', 'host-4')
+        assert test_cluster.find_member('host-4') is None
+        assert len(test_cluster.leader().members) == 3
+
+
+def test_member_with_another_store_is_not_added(tmp_path):
+    """Guards against a learner that counts under the identity of a voter."""
+    with cluster.running(tmp_path) as test_cluster:
+        hello = logmessages.StoreHello('g', 'other', False, ())
+
+        def find_refusal():
+            leader = test_cluster.leader()
+            leader_id = leader.settings.host_id
+            future = model.make_future()
+            leader.post(
+                changes.finish_add_learner,
+                leader.state,
+                next(host for host in cluster.HOSTS if host != leader_id),
+                hello,
+                make_deadline(),
+                future,
+            )
+            refusal = future.result(timeout=cluster.WAIT_SECONDS)
+            return None if refusal.code in client.RETRIED_CODES else refusal
+
+        refusal = cluster.wait_until(find_refusal)
+        assert refusal.code == codes.ResultCode.INVALID_CHANGE
+        assert refusal.ran == codes.Ran.NO
+
+
+def test_last_voter_is_not_removed(tmp_path):
+    """Guards against a group that can never change again."""
+    with cluster.running(tmp_path, ('host-1',)) as test_cluster:
+        leader = test_cluster.leader()
+        refusal = leader.remove('host-1', make_deadline()).result()
+        assert refusal.code == codes.ResultCode.INVALID_CHANGE
+
+
 def test_transfer_hands_leadership_to_the_peer(tmp_path):
     """Guards against a drain that waits for an election timeout."""
     with cluster.running(tmp_path) as test_cluster:
