Leave the outcome of a command open after an unanswered attempt

What callers saw: a batch job may be answered 503, which promises that no part of it runs, and run later.

Cause: a client that got no answer from one host asks the next one. A refusal of that host which is not retried, for a full disk as an example, was returned as it came: not run. The first attempt may still be committed.

Change: such a refusal says that the outcome is unknown, which is answered with 502.

--- a/rhubarbreach/consensus/client.py
+++ b/rhubarbreach/consensus/client.py
@@ -1,5 +1,6 @@
 """Client that sends commands and queries to a group from any host."""
 
+import dataclasses
 import threading
 
 from rhubarbreach import clock
@@ -83,10 +84,12 @@
                 self.leaders[group_id] = host_id
                 return reply.result
             refusal = reply.refusal
-            if refusal.code not in RETRIED_CODES:
-                return refusal
             if refusal.ran != codes.Ran.NO and not is_read:
                 may_have_run = True
+            if refusal.code not in RETRIED_CODES:
+                if may_have_run and refusal.ran == codes.Ran.NO:
+                    return dataclasses.replace(refusal, ran=codes.Ran.UNKNOWN)
+                return refusal
             attempt_number += 1
             # A leader also answers at the deadline, with a refusal.
             expired_count += clock.monotonic() >= attempt_deadline
