Do not let a new store that is not reached hold up a replacement

Cause: a store that is heard and not yet a member came before everything else in the plan of the leader. It is asked for its identity, with a limit of 3 s, and no other step is taken meanwhile; a store that does not get the question, as its connection is not up yet or is cut off in one direction, was asked again and again. In the same way a learner that could not sync would have been the only one to be promoted. Beside this each step waited for the next interval of 0.4 s, though the one before was done. Class of fault: one queue in which the first entry can block all others, of which some are urgent.

Change: the plan is a list in order of urgency. The voters come first, then new stores, then learners that are gone. The leader takes the first step that was not refused in the last 0.4 s, and takes the next one once it is done. The question to a new store has a limit of 1 s.

--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -67,7 +67,13 @@
 
 
 def plan_step(
-    own_id, members, stores, voters, listening_seconds, disk_full=False
+    own_id,
+    members,
+    stores,
+    voters,
+    listening_seconds,
+    disk_full=False,
+    refused=(),
 ):
     """Return the next membership change, or None.
 
@@ -86,6 +92,9 @@
         leader or before.
     disk_full : bool
         Whether the disk of the leader is full.
+    refused : container of steps
+        Steps that have just been refused. Others go first, so that a store
+        that is heard but cannot be reached does not hold them up.
 
     Returns
     -------
@@ -93,6 +102,17 @@
         A store is never removed before its replacement is a voter, so that
         the group tolerates the loss of a store at each step.
     """
+    steps = list_steps(
+        own_id, members, stores, voters, listening_seconds, disk_full
+    )
+    return next((step for step in steps if step not in refused), None)
+
+
+def list_steps(own_id, members, stores, voters, listening_seconds, disk_full):
+    """Yield the membership changes that are due, the most urgent one first.
+
+    The parameters are those of `plan_step`.
+    """
     stores_by_id = {store.host_id: store for store in stores}
     voter_ids = [m.host_id for m in members if m.voter]
     learner_ids = [m.host_id for m in members if not m.voter]
@@ -100,31 +120,43 @@
     if disk_full:
         # This leader cannot append log entries. A follower with a full disk is
         # harmless while a majority can write.
-        return next((HandOver(h) for h in healthy if h != own_id), None)
+        yield from (HandOver(h) for h in healthy if h != own_id)
+        return
+    ready = [h for h in learner_ids if is_healthy(stores_by_id.get(h))]
+    ready = sort_by_zone(ready, healthy, stores_by_id)
+    has_settled = listening_seconds >= SETTLE_SECONDS
+    if has_settled:
+        yield from list_voter_steps(
+            own_id, voter_ids, ready, stores_by_id, voters
+        )
     for store in stores:
         if is_healthy(store) and store.host_id not in voter_ids + learner_ids:
-            return AddLearner(store.host_id)
-    if listening_seconds < SETTLE_SECONDS:
-        return None
+            yield AddLearner(store.host_id)
+    if has_settled:
+        for host_id in learner_ids:
+            store = stores_by_id.get(host_id)
+            if store is None or store.is_retiring or store.is_expired:
+                yield Remove(host_id)
+
+
+def list_voter_steps(own_id, voter_ids, ready, stores_by_id, voters):
+    """Yield the due changes of the voters, the most urgent one first."""
     present = [h for h in voter_ids if is_present(stores_by_id.get(h))]
+    healthy = [h for h in present if is_healthy(stores_by_id[h])]
     if voters <= len(present) < len(voter_ids):
         # An absent voter is removed first, as it cannot help to form a quorum
         # if another voter is lost. A retiring one can.
-        return Remove(next(h for h in voter_ids if h not in present))
+        yield from (Remove(h) for h in voter_ids if h not in present)
     if len(healthy) < voters:
-        ready = [h for h in learner_ids if is_healthy(stores_by_id.get(h))]
-        if ready:
-            return Promote(choose_by_zone(ready, healthy, stores_by_id))
-    retiring = [h for h in present if h not in healthy]
-    if retiring and len(healthy) >= voters:
-        if retiring[0] == own_id:
-            return HandOver(next(h for h in healthy if h != own_id))
-        return Remove(retiring[0])
-    for host_id in learner_ids:
-        store = stores_by_id.get(host_id)
-        if store is None or store.is_retiring or store.is_expired:
-            return Remove(host_id)
-    return None
+        yield from (Promote(host_id) for host_id in ready)
+        return
+    for host_id in present:
+        if host_id in healthy:
+            continue
+        if host_id == own_id:
+            yield from (HandOver(h) for h in healthy if h != own_id)
+        else:
+            yield Remove(host_id)
 
 
 def is_present(store):
@@ -137,10 +169,10 @@
     return is_present(store) and not store.is_retiring
 
 
-def choose_by_zone(candidates, voter_ids, stores_by_id):
-    """Return a candidate, preferably in a zone that has no voter."""
+def sort_by_zone(candidates, voter_ids, stores_by_id):
+    """Return the candidates, first those in a zone that has no voter."""
     zones = {stores_by_id[h].availability_zone for h in voter_ids}
-    return min(
+    return sorted(
         candidates,
         key=lambda h: (stores_by_id[h].availability_zone in zones, h),
     )
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -115,6 +115,22 @@
     assert plan(members, stores) == reconfiguration.Remove('c')
 
 
+def test_new_store_does_not_hold_up_a_replacement(three_voters):
+    """Guards against a wait for a new store that cannot be reached."""
+    members = (*three_voters, *(make_member(h, False) for h in 'de'))
+    stores = (make_store('c', False), *(make_store(h) for h in 'abdef'))
+    steps = [
+        reconfiguration.Promote('d'),
+        reconfiguration.Promote('e'),
+        reconfiguration.AddLearner('f'),
+        None,
+    ]
+    for count, step in enumerate(steps):
+        assert step == reconfiguration.plan_step(
+            'a', members, stores, 3, 60.0, refused=steps[:count]
+        )
+
+
 def test_learner_in_another_zone_is_preferred():
     members = (
         make_member('a'),
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -23,9 +23,12 @@
 ABSENT_SECONDS = 3.0
 # A learner that has been silent for this long is removed from the group.
 EXPIRY_SECONDS = 15.0
-# Interval of the membership steps of the leader, and timeout of one step.
-STEP_INTERVAL_SECONDS = 0.4
+# Interval after which the leader repeats a membership step that was refused.
+RETRY_INTERVAL_SECONDS = 0.4
 CHANGE_TIMEOUT_SECONDS = 3.0
+# Timeout of the addition of a store, which may be heard but not be reached.
+# The other steps wait for it.
+ADDITION_TIMEOUT_SECONDS = 1.0
 READ_TIMEOUT_SECONDS = 0.9
 
 
@@ -53,8 +56,10 @@
         self.presence = {}
         self.listening_since = clock.monotonic()
         self.next_presence = 0.0
-        self.next_step = 0.0
+        self.step = None
         self.step_future = None
+        # Times until which steps that were refused are not repeated.
+        self.refused = {}
         link.register(
             fleetmessages.StoreNews, self.record_presence, inline=True
         )
@@ -125,11 +130,17 @@
         now : float
             Monotonic time in seconds.
         """
-        if now < self.next_step:
-            return
-        self.next_step = now + STEP_INTERVAL_SECONDS
-        if self.step_future is not None and not self.step_future.done():
-            return
+        if self.step_future is not None:
+            if not self.step_future.done():
+                return
+            if is_refused(self.step_future.result()):
+                self.refused[self.step] = now + RETRY_INTERVAL_SECONDS
+            self.step_future = None
+        self.refused = {
+            step: retry_at
+            for step, retry_at in self.refused.items()
+            if now < retry_at
+        }
         step = reconfiguration.plan_step(
             self.host_id,
             self.group.members,
@@ -137,14 +148,18 @@
             self.required_voters,
             now - self.listening_since,
             self.group.state.disk_full,
+            self.refused,
         )
         if step is None:
             return
         LOG.info('event=member_step step={}', step)
+        self.step = step
         deadline = now + CHANGE_TIMEOUT_SECONDS
         match step:
             case reconfiguration.AddLearner(host_id=host_id):
-                self.step_future = self.group.add_learner(host_id, deadline)
+                self.step_future = self.group.add_learner(
+                    host_id, now + ADDITION_TIMEOUT_SECONDS
+                )
             case reconfiguration.Promote(host_id=host_id):
                 self.step_future = self.group.promote(host_id, deadline)
             case reconfiguration.Remove(host_id=host_id):
@@ -220,3 +235,8 @@
             )
             if transferred:
                 return
+
+
+def is_refused(result):
+    """Return whether a membership step or a transfer has failed."""
+    return result is False or isinstance(result, codes.Refusal)
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -7,6 +7,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus import model
 from rhubarbreach.fleet import reconfiguration
 from rhubarbreach.hosts import members
 from rhubarbreach.protocol import fleetmessages
@@ -77,6 +78,43 @@
     return fleet.group.promote.called
 
 
+def test_steps_follow_each_other_at_once(fleet):
+    """Guards against a lost voter that stays during a pause between steps."""
+    fleet.listening_since -= reconfiguration.SETTLE_SECONDS
+    hear(fleet, 's2', members.ABSENT_SECONDS + 0.1)
+    assert start_leading(fleet)
+    now = clock.monotonic()
+    fleet.group.members = tuple(
+        logmessages.Member(host_id, host_id, True) for host_id in STORES
+    )
+    fleet.step_future = model.make_future()
+    fleet.advance_membership(now)
+    assert not fleet.group.remove.called
+    fleet.step_future.set_result(None)
+    fleet.advance_membership(now)
+    assert fleet.group.remove.called
+
+
+def test_refused_step_is_repeated_after_a_pause(fleet):
+    """Guards against a refused step that holds up the others."""
+    fleet.listening_since -= reconfiguration.SETTLE_SECONDS
+    hear(fleet, 's2', members.ABSENT_SECONDS + 0.1)
+    hear(fleet, 's5', 0.0)
+    assert start_leading(fleet)
+    now = clock.monotonic()
+    for seconds, call in (
+        (0.0, fleet.group.add_learner),
+        (members.RETRY_INTERVAL_SECONDS + 0.1, fleet.group.promote),
+    ):
+        fleet.group.reset_mock()
+        fleet.step_future = model.make_future()
+        fleet.step_future.set_result(
+            codes.Refusal(codes.ResultCode.UNAVAILABLE, 'not synced yet')
+        )
+        fleet.advance_membership(now + seconds)
+        assert call.called
+
+
 def test_leader_replaces_a_voter_lost_before_its_election(fleet):
     """Guards against a wait that starts anew with each leader."""
     fleet.listening_since -= reconfiguration.SETTLE_SECONDS
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -8,6 +8,8 @@
 # Series in which the leader changed before it had replaced a lost voter, or in
 # which a voter was lost while another one was to retire.
 LOST_VOTERS = (1020, 1028, 1118, 1122, 1229, 1292)
+# Series in which the leader waited for a new store that it could not reach.
+UNREACHABLE_STORES = (1248,)
 
 
 def play(patch, seed, overlaps):
@@ -22,7 +24,9 @@
         raise
 
 
-@pytest.mark.parametrize('seed', [*range(20), *LOST_VOTERS])
+@pytest.mark.parametrize(
+    'seed', [*range(20), *LOST_VOTERS, *UNREACHABLE_STORES]
+)
 def test_confirmed_changes_outlive_losses(monkeypatch, seed):
     """Guards against a fleet without a leader after tolerated losses."""
     play(monkeypatch, seed, False)
