Report a group without a leader with the votes that are missing

In the report of a fleet without a leader for 14 s no log told whether the voters were too few, whether a store took itself for no voter, or whether votes were refused. Each replica now logs at its election deadline, once no leader has been known for 3 s: its identity, term and last entry, whether it is a voter, the votes of its last attempt and the voters with their identities. The first case shows as votes of all voters that are left, fewer than half of those listed; the second as is_voter=False; the third as too few votes although the voters listed run.

--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -28,6 +28,7 @@
         states.become_follower(state, term, sender_id, now)
     state.leader_id = sender_id
     state.leader_contact = now
+    state.leader_known_at = now
     states.set_election_deadline(state, now)
     return True
 
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -51,6 +51,8 @@
         self.role = model.Role.FOLLOWER
         self.leader_id = None
         self.leader_contact = float('-inf')
+        # When this replica last followed a leader or led itself.
+        self.leader_known_at = now
         self.election_deadline = now
         self.votes = set()
         self.pre_votes = set()
@@ -143,6 +145,7 @@
     state.votes = set()
     state.pre_votes = set()
     if was_leader:
+        state.leader_known_at = now
         set_election_deadline(state, now)
         clear_leader_state(state)
 
--- a/rhubarbreach/consensus/tests/test_voting.py
+++ b/rhubarbreach/consensus/tests/test_voting.py
@@ -149,3 +149,15 @@
     entry = logmessages.LogEntry(1, 1, model.ENTRY_NOOP, b'')
     state.store.append([entry])
     assert not request_vote(state, 'host-2', 5)
+
+
+def test_missing_leader_is_reported_with_its_votes(state, capfd):
+    """Guards against a group without a leader whose logs show no cause."""
+    seconds = voting.LEADER_MISSING_SECONDS
+    voting.start_pre_vote(state, seconds)
+    voting.start_pre_vote(state, seconds + 0.1)
+    lines = capfd.readouterr().err.splitlines()
+    (line,) = [text for text in lines if 'event=leader_missing' in text]
+    assert "pre_votes=['host-1']" in line
+    assert 'host-2/store-2' in line
+    assert 'is_voter=True' in line
--- a/rhubarbreach/consensus/voting.py
+++ b/rhubarbreach/consensus/voting.py
@@ -2,6 +2,7 @@
 
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
+from rhubarbreach import eventlog
 from rhubarbreach.protocol import logmessages
 
 __all__ = [
@@ -11,6 +12,11 @@
     'start_pre_vote',
 ]
 
+LOG = eventlog.Logger('consensus')
+
+# A group that has had no leader for this long is reported by its replicas.
+LEADER_MISSING_SECONDS = 3.0
+
 
 def start_pre_vote(state, now):
     """Ask whether an election could be won, without changing the term.
@@ -19,6 +25,8 @@
     still reaches the other replicas.
     """
     states.set_election_deadline(state, now)
+    if now - state.leader_known_at > LEADER_MISSING_SECONDS:
+        report_missing_leader(state, now)
     if not states.is_voter(state):
         return
     state.role = model.Role.PRE_CANDIDATE
@@ -28,6 +36,30 @@
     count_votes(state, now)
 
 
+def report_missing_leader(state, now):
+    """Log which votes this replica got and which it needs."""
+    store = state.store
+    LOG.warning(
+        'event=leader_missing group={} seconds={:.3f} store={} is_voter={} '
+        'term={} last={} last_term={} role={} votes={} pre_votes={} '
+        'voters={}',
+        state.settings.group_id,
+        now - state.leader_known_at,
+        store.store_id,
+        states.is_voter(state),
+        store.term,
+        store.last_index,
+        store.last_term,
+        state.role.value,
+        sorted(state.votes),
+        sorted(state.pre_votes),
+        [
+            f'{member.host_id}/{member.store_id}'
+            for member in model.get_voters(store.members)
+        ],
+    )
+
+
 def start_election(state, now, transfer):
     """Vote for this replica in a new term and request the other votes."""
     states.set_election_deadline(state, now)
