Let the machine of the cluster tests recognize repeated operations

Seen: beside load, tests of the groups counted more commands than they had sent: 22 for 21, 12 for 10, 3 for 2, and `one, one, two`.

Cause, in the tests: a client sends a command again after 0.3 s without a reply, and its contract is that the machine recognizes a command by its operation id, as all machines of the product do. The machine of the tests applied each copy.

The former test counted exactly two on a machine that knows no ids, which a second late reply made three.

Measured: with an `apply_entry` that applies each entry twice (trial), both test_commands_reach_all_machines_in_one_order and test_command_with_a_late_reply_is_applied_once fail.

--- a/rhubarbreach/consensus/tests/cluster.py
+++ b/rhubarbreach/consensus/tests/cluster.py
@@ -5,6 +5,9 @@
 import shutil
 import socket
 import time
+import uuid
+
+import msgspec
 
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -16,6 +19,9 @@
 
 HOSTS = ('host-1', 'host-2', 'host-3')
 WAIT_SECONDS = 20
+SEPARATOR = b':'
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(tuple[int, dict[bytes, bytes], list[bytes]])
 
 
 class ListMachine:
@@ -39,16 +45,39 @@
 
 
 class IdempotentMachine(ListMachine):
-    """State machine that ignores a command it has already applied.
+    """State machine that applies each operation once.
 
-    Clients send a command again if its reply is late, and rely on the machine
-    to apply it once. Commands have to differ.
+    A client sends a command again if its reply is late, and relies on the
+    machine to recognize it by its operation id. `misplaced` lists the entries
+    that the group applied again or out of order.
     """
 
+    def __init__(self):
+        super().__init__()
+        self.results = {}
+        self.last_index = 0
+        self.misplaced = []
+
     def apply(self, index, command):
-        if command in self.commands:
-            return str(self.commands.index(command) + 1).encode()
-        return super().apply(index, command)
+        if index <= self.last_index:
+            self.misplaced.append((index, self.last_index))
+        self.last_index = index
+        operation_id, _, content = command.partition(SEPARATOR)
+        if operation_id not in self.results:
+            self.results[operation_id] = super().apply(index, content)
+        return self.results[operation_id]
+
+    def snapshot(self):
+        return ENCODER.encode((self.last_index, self.results, self.commands))
+
+    def restore(self, data):
+        state = DECODER.decode(data)
+        self.last_index, self.results, self.commands = state
+
+
+def make_operation(command):
+    """Return a command with an operation id of its own."""
+    return uuid.uuid4().hex.encode() + SEPARATOR + command
 
 
 def find_address():
@@ -91,7 +120,7 @@
         self.group_ids = group_ids
         self.options = options
         self.initial = options.pop('initial', hosts)
-        self.machine_type = options.pop('machine_type', ListMachine)
+        self.machine_type = options.pop('machine_type', IdempotentMachine)
         self.addresses = {host: find_address() for host in hosts}
         self.links = {}
         self.group_sets = {}
@@ -129,7 +158,10 @@
     def stop(self, host):
         """Stop a host without notice to the others."""
         self.links.pop(host).close()
-        self.group_sets.pop(host).close()
+        group_set = self.group_sets.pop(host)
+        group_set.close()
+        for replica in group_set.groups.values():
+            assert not getattr(replica.machine, 'misplaced', []), host
 
     def get(self, host, group_id='g'):
         return self.group_sets[host].get(group_id)
@@ -160,7 +192,7 @@
         )
 
     def commit(self, command, **options):
-        result = self.propose(command, **options)
+        result = self.propose(make_operation(command), **options)
         assert not isinstance(result, codes.Refusal), result
         return result
 
--- a/rhubarbreach/consensus/tests/test_group.py
+++ b/rhubarbreach/consensus/tests/test_group.py
@@ -19,7 +19,9 @@
             )
         test_cluster.wait_equal('g')
         test_cluster.wait_equal('h')
-        assert len(test_cluster.get('host-1').machine.commands) == 10
+        for group_id, first in (('g', 0), ('h', 1)):
+            commands = test_cluster.get('host-1', group_id).machine.commands
+            assert commands == [b'%d' % n for n in range(first, 20, 2)]
 
 
 def test_read_on_a_follower_sees_what_was_committed(tmp_path):
@@ -80,33 +82,34 @@
 
 
 def test_command_with_a_late_reply_is_applied_once(tmp_path):
-    """Guards against a machine that relies on one attempt per command.
+    """Guards against commands that run again when they are repeated.
 
     The client sends a command again after 0.3 s without a reply, although the
     first copy was committed.
     """
     delays = [0.6]
+    attempts = []
 
     def delay_first_reply(sender_id, receiver_id, message):
+        if isinstance(message, logmessages.ClusterCommand):
+            attempts.append(message.command)
         if isinstance(message, logmessages.ClusterReply) and delays:
             return [delays.pop()]
         return [0.0]
 
-    for machine_type, count in (
-        (cluster.ListMachine, 2),
-        (cluster.IdempotentMachine, 1),
-    ):
-        folder = tmp_path / machine_type.__name__
-        with cluster.running(folder, machine_type=machine_type) as replicas:
-            leader_id = replicas.leader().settings.host_id
-            follower = next(h for h in replicas.links if h != leader_id)
-            delays[:] = [0.6]
-            replicas.set_fault(delay_first_reply)
-            replicas.commit(b'once', host=follower)
-            assert not delays
-            replicas.wait_equal()
-            commands = replicas.get(leader_id).machine.commands
-            assert commands.count(b'once') == count
+    with cluster.running(tmp_path) as replicas:
+        leader = replicas.leader()
+        leader_id = leader.settings.host_id
+        follower = next(h for h in replicas.links if h != leader_id)
+        replicas.set_fault(delay_first_reply)
+        replicas.commit(b'once', host=follower)
+        assert not delays
+        replicas.wait_equal()
+        copies = [e for e in leader.store.entries if e.data in attempts]
+        assert len(set(attempts)) == 1
+        assert 2 <= len(copies) <= len(attempts)
+        for replica in replicas.groups():
+            assert replica.machine.commands == [b'once']
 
 
 def test_large_commands_do_not_stay_in_memory(tmp_path):
@@ -115,7 +118,6 @@
     with cluster.running(
         tmp_path,
         snapshot_bytes=100_000,
-        machine_type=cluster.IdempotentMachine,
     ) as test_cluster:
         for command in commands:
             test_cluster.commit(command)
--- a/rhubarbreach/consensus/tests/test_histories.py
+++ b/rhubarbreach/consensus/tests/test_histories.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from rhubarbreach import codes
 from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.consensus.tests import faults
 from rhubarbreach.consensus.tests import register
@@ -53,7 +54,8 @@
         for worker in workers:
             if worker.error is not None:
                 raise worker.error
-        test_cluster.commit(b'["last", "read", 0]')
+        result = test_cluster.propose(b'["last", "read", 0]')
+        assert not isinstance(result, codes.Refusal), result
     return [operation for worker in workers for operation in worker.history]
 
 
