Step the clock in the tests of the limit on idle runs

Seen: test_slow_run_is_not_cut failed once at load 20, `no event within 0.5 s`.

Cause, in the test: its endpoint slept 0.3 s between two events against a limit of 0.5 s, in real time. A trace of 12 runs of at load 33 shows sleeps of 0.40 and 0.48 s for 0.3 s, with the runner reading each event within a millisecond; an endpoint that sleeps for more than 0.5 s is silent for longer than allowed, and the runner is right to end the run. The failure itself did not occur in these 12 runs.

Change: the three tests of the limit run on a clock that advances to the next arrival or to the deadline of the runner, whichever is earlier, so that they do not depend on the machine. They are stricter: events 0.49 s apart must not end a run, the stalled run must end within 0.8 s in place of 2.0 s, and a new test requires that silence of 0.51 s ends one after 0.5 s.

--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -11,7 +11,9 @@
 from rhubarbreach.backlog import execution
 from rhubarbreach import clock
 from rhubarbreach.protocol import codec
+from rhubarbreach.web import errors
 from rhubarbreach.web import parse
+from rhubarbreach.web import sockets
 
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 BLOCK = b'x' * 16_384
@@ -25,6 +27,81 @@
     return chunk(b'id: %d\ndata: t%d\n\n' % (number, number))
 
 
+class Endpoint:
+    """Endpoint that sends parts at given times of a clock it advances.
+
+    The clock advances when the runner waits for bytes: to the arrival of the
+    next part, or to the deadline of the runner if that is earlier.
+    """
+
+    def __init__(self, parts, pause):
+        self.now = 100.0
+        self.arrivals = [
+            (self.now + number * pause, part)
+            for number, part in enumerate(parts)
+        ]
+
+    def monotonic(self):
+        return self.now
+
+    def receive(self, connection, deadline):
+        arrives_at, part = self.arrivals[0]
+        if arrives_at > deadline:
+            self.now = max(self.now, deadline)
+            raise errors.DeadlineError('nothing received before the deadline')
+        del self.arrivals[0]
+        self.now = max(self.now, arrives_at)
+        return part
+
+
+def execute(listener, cancel_after=None):
+    """Run an item on the endpoint of a listener.
+
+    The run is cancelled after `cancel_after` seconds if these are given.
+    """
+    order = types.SimpleNamespace(
+        job_id='job',
+        item_id='item',
+        account='a',
+        host='h',
+        endpoint_id='e1',
+        path='/p',
+        body=b'',
+        address=f'127.0.0.1:{listener.getsockname()[1]}',
+    )
+    dialect = types.SimpleNamespace(
+        encode_item=lambda *_: (),
+        get_echoed_id=lambda head: head.get(b'echo', b'item').decode() or None,
+        is_not_run=lambda head: bool(head.get(b'not-run')),
+        is_signed=lambda head: not head.get(b'unsigned'),
+    )
+    progress = execution.RunProgress()
+    started_at = clock.monotonic()
+    run = execution.Run(order)
+    if cancel_after is not None:
+        threading.Timer(cancel_after, run.cancel).start()
+    outcome = execution.execute_run(run, progress, dialect)
+    return outcome, progress, clock.monotonic() - started_at
+
+
+@pytest.fixture
+def run_on_stepped_clock(monkeypatch):
+    """Return a function that runs an item on an `Endpoint`.
+
+    `pause` is the time between two parts, in seconds of its clock.
+    """
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def run(parts, pause):
+        endpoint = Endpoint(parts, pause)
+        monkeypatch.setattr(clock, 'monotonic', endpoint.monotonic)
+        monkeypatch.setattr(sockets, 'receive', endpoint.receive)
+        return execute(listener)
+
+    yield run
+    listener.close()
+
+
 @pytest.fixture
 def run_against():
     """Return a function that runs an item on an endpoint that sends bytes.
@@ -54,31 +131,7 @@
                     pass
 
         threading.Thread(target=answer, daemon=True).start()
-        order = types.SimpleNamespace(
-            job_id='job',
-            item_id='item',
-            account='a',
-            host='h',
-            endpoint_id='e1',
-            path='/p',
-            body=b'',
-            address=f'127.0.0.1:{listener.getsockname()[1]}',
-        )
-        dialect = types.SimpleNamespace(
-            encode_item=lambda *_: (),
-            get_echoed_id=lambda head: (
-                head.get(b'echo', b'item').decode() or None
-            ),
-            is_not_run=lambda head: bool(head.get(b'not-run')),
-            is_signed=lambda head: not head.get(b'unsigned'),
-        )
-        progress = execution.RunProgress()
-        started_at = clock.monotonic()
-        item_run = execution.Run(order)
-        if cancel_after is not None:
-            threading.Timer(cancel_after, item_run.cancel).start()
-        outcome = execution.execute_run(item_run, progress, dialect)
-        return outcome, progress, clock.monotonic() - started_at
+        return execute(listener, cancel_after)
 
     yield run
     for listener in listeners:
@@ -125,21 +178,33 @@
     assert run_against.sent_bytes < 20_000_000
 
 
-def test_run_that_only_receives_comments_ends(run_against, monkeypatch):
+def test_run_that_only_receives_comments_ends(
+    run_on_stepped_clock, monkeypatch
+):
     """Guards against a stalled run that sends a byte now and then."""
     monkeypatch.setattr(execution, 'IDLE_TIMEOUT_SECONDS', 0.5)
     parts = [HEAD, make_event(1), *[chunk(b':')] * 40]
-    outcome, progress, seconds = run_against(parts, pause=0.1)
+    outcome, progress, seconds = run_on_stepped_clock(parts, 0.1)
     assert outcome == ('failed', 'no event within 0.5 s')
     assert progress.texts == [b't1']
-    assert seconds < 2.0
+    assert seconds < 0.8
+
+
+def test_silent_run_ends(run_on_stepped_clock, monkeypatch):
+    """Guards against a run that waits for an event for longer than allowed."""
+    monkeypatch.setattr(execution, 'IDLE_TIMEOUT_SECONDS', 0.5)
+    parts = [HEAD, make_event(1), make_event(2), chunk(b'')]
+    outcome, progress, seconds = run_on_stepped_clock(parts, 0.51)
+    assert outcome == ('failed', 'no event within 0.5 s')
+    assert not progress.texts
+    assert seconds == pytest.approx(0.5)
 
 
-def test_slow_run_is_not_cut(run_against, monkeypatch):
+def test_slow_run_is_not_cut(run_on_stepped_clock, monkeypatch):
     """Guards against a limit on the whole run instead of on its pauses."""
     monkeypatch.setattr(execution, 'IDLE_TIMEOUT_SECONDS', 0.5)
     parts = [HEAD, *map(make_event, range(1, 9)), chunk(b'')]
-    outcome, progress, seconds = run_against(parts, pause=0.3)
+    outcome, progress, seconds = run_on_stepped_clock(parts, 0.49)
     assert outcome == ('completed', '')
     assert len(progress.texts) == 8
     assert seconds > 2.0
