Replace a store whose replica has failed

Callers may see no leader after the loss of one more disk.

Cause: a store goes on to announce its presence after its replica has stopped for good at an error, so the leader counts it as a healthy voter and replaces it never.

The process goes on, since its endpoints and batch items do not need the replica; it votes again after a restart.

The test failed before: notices were sent to all three others.

--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -82,9 +82,13 @@
         self.presence[message.host_id] = (clock.monotonic(), message)
 
     def announce_presence(self, now):
-        """Announce this store to the other stores when it is due."""
+        """Announce this store to the other stores when it is due.
+
+        A store whose replica has failed is not announced. It cannot vote, so
+        the leader has to replace it like a lost one.
+        """
         self.update_listening(now)
-        if now < self.next_presence:
+        if now < self.next_presence or self.group.failure is not None:
             return
         self.next_presence = now + PRESENCE_INTERVAL_SECONDS
         message = fleetmessages.StoreNews(
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -32,7 +32,7 @@
     fleet = members.Members(
         settings,
         types.SimpleNamespace(register=lambda *_, **__: None),
-        types.SimpleNamespace(members=()),
+        types.SimpleNamespace(members=(), failure=None),
         types.SimpleNamespace(retiring=set()),
     )
     for host_id in STORES:
@@ -71,6 +71,7 @@
         for host_id in STORES
     )
     fleet.group.state.disk_full = False
+    fleet.group.failure = None
     fleet.group.list_contacts.return_value = set()
     fleet.link.send = lambda *_: True
     fleet.announce_presence(clock.monotonic())
@@ -78,6 +79,19 @@
     return fleet.group.promote.called
 
 
+def test_store_whose_replica_failed_counts_as_lost(fleet):
+    """Guards against a voter that cannot vote and is not replaced."""
+    sent = []
+    fleet.link.send = lambda host_id, _: sent.append(host_id)
+    fleet.group.list_contacts = set
+    fleet.group.failure = OSError()
+    fleet.announce_presence(clock.monotonic())
+    assert not sent
+    fleet.group.failure = None
+    fleet.announce_presence(clock.monotonic())
+    assert sent == ['s2', 's3', 's4']
+
+
 def test_steps_follow_each_other_at_once(fleet):
     """Guards against a lost voter that stays during a pause between steps."""
     fleet.listening_since -= reconfiguration.SETTLE_SECONDS
