Let a running store follow new seeds

Callers may see a fleet that is one store short.

Cause: entry hosts take the seeds of reloaded settings, stores kept those of their start. A store at a new address whose seeds were all gone or down when it started stayed outside the group until its next start.

Change: both kinds of hosts take new seeds, which are the contacts of the replica. The members take their contacts from the replica alone.

The test needs `set_seeds`, which stores did not have.

--- a/rhubarbreach/consensus/formation.py
+++ b/rhubarbreach/consensus/formation.py
@@ -77,7 +77,7 @@
     Only the leader admits a store, and it may have joined after the contacts
     in the settings were chosen. Other stores name it in their announcements.
     """
-    hosts = set(state.settings.initial) | set(state.settings.contacts)
+    hosts = set(state.settings.initial) | set(state.contacts)
     hosts.update(member.host_id for member in state.store.members)
     hosts.update(hello.leader_id for hello in list(state.hellos.values()))
     hosts.add(state.leader_id)
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -234,6 +234,10 @@
         with self.lock:
             return formation.make_hello(self.state)
 
+    def set_contacts(self, host_ids):
+        """Replace the hosts that may know the group."""
+        self.state.contacts = tuple(host_ids)
+
     def list_contacts(self):
         """Return the hosts that may know the group, except this one.
 
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -74,6 +74,7 @@
         self.transfer_future = None
         # Whether the leader sends no entries to this replica.
         self.is_standby = False
+        self.contacts = settings.contacts
         self.hellos = {}
         self.hello_due = now
         self.round_ids = itertools.count(1)
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -90,6 +90,10 @@
             settings.callers, self.app.handle, self.app.get_limits, 'caller'
         )
 
+    def set_seeds(self, seeds):
+        """Replace the stores that this host contacts first."""
+        self.leader_client.set_seeds(seeds)
+
     def answer_readiness(self, connection, request):
         """Answer a readiness probe of the balancer."""
         connection.send_response(200 if self.app.is_ready() else 503)
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -71,8 +71,7 @@
 
     def list_others(self):
         """Return the host ids of the other known stores."""
-        host_ids = set(self.settings.seeds) | set(self.presence)
-        host_ids.update(self.group.list_contacts())
+        host_ids = set(self.presence) | self.group.list_contacts()
         return sorted(host_ids - {self.host_id})
 
     def record_presence(self, sender_id, message):
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -167,6 +167,10 @@
         self.thread.start()
         self.endpoints.query_stores()
 
+    def set_seeds(self, seeds):
+        """Replace the stores that this one contacts first."""
+        self.group.set_contacts(seeds)
+
     def notify_runner(self):
         """Notify the runner that the ledger has changed."""
         if self.runner is not None and self.is_leading:
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -110,6 +110,25 @@
         new.close()
 
 
+def test_new_store_whose_seeds_are_gone_joins_with_new_ones(stores, tmp_path):
+    """Guards against a store that ignores the seeds it gets while running."""
+    leader = conftest.find_leader(stores)
+    block, _, _ = leader.host_id.rpartition('.')
+    address = f'{block}.4'
+    port = leader.settings.link_port
+    new = conftest.start_store(
+        tmp_path, 3, address, port, (f'{block}.9',), False
+    )
+    try:
+        assert leader.host_id not in new.members.list_others()
+        new.set_seeds((leader.host_id,))
+        cluster.wait_until(
+            lambda: consensus_model.find_member(leader.group.members, address)
+        )
+    finally:
+        new.close()
+
+
 def test_failing_duty_does_not_hold_up_the_members(stores, monkeypatch):
     """Guards against lost voters that stay while an update cannot be sent."""
     leader = conftest.find_leader(stores)
