Check the logical time in the test of claims over changes of the leader

Cause, in the test: a runner also ends a claim itself, after the 1.5 s of the test's settings in real time (10 s by default). If one reply to a renewal is 0.5 s late, the client gives up after 0.3 s and does not ask that leader for another second, so that the claim runs out although the leader never changes. The test guards against a new leader that ends claims, and so against logical time that runs ahead.

Change: the runner has the default time of claims, and the test compares the logical time of the group with the real time after each of four changes, where it made two. The check of the executions stays.

--- a/rhubarbreach/batch/tests/test_groups.py
+++ b/rhubarbreach/batch/tests/test_groups.py
@@ -20,6 +20,8 @@
 
 GROUP_IDS = ('jobs-0', 'jobs-1')
 SETTINGS = dataclasses.replace(test_runner.SETTINGS, claim_timeout=1.5)
+LEADER_CHANGES = 4
+MILLISECONDS_PER_SECOND = 1000
 
 
 class Deployment:
@@ -42,13 +44,13 @@
         groups_client = client.Client(self.running.links[host], cluster.HOSTS)
         return store.Store(groups_client, len(GROUP_IDS))
 
-    def start(self, host, executor):
+    def start(self, host, executor, settings=SETTINGS):
         """Start the runner of a host."""
         batch_runner = runner.Runner(
             self.open_store(host),
             executor,
             f'{host}#1',
-            SETTINGS,
+            settings,
             metrics.Metrics(),
         )
         batch_runner.start()
@@ -155,8 +157,44 @@
     assert len(executor.executed) == 2
 
 
+class LogicalTime:
+    """Comparison of the logical time of a group with the real time.
+
+    A tick that is proposed after `started_at` ends before `base` is read, so
+    that all later ticks count time after `started_at`.
+    """
+
+    def __init__(self, deployment, group_id):
+        self.deployment = deployment
+        self.group_id = group_id
+        self.started_at = clock.monotonic()
+        for _ in range(2):
+            self.wait_for_tick()
+        self.base = self.read()
+
+    def read(self):
+        """Return the logical time, in milliseconds."""
+        replicas = self.deployment.running.groups(self.group_id)
+        return max(replica.machine.time for replica in replicas)
+
+    def wait_for_tick(self):
+        """Wait until the logical time has advanced."""
+        previous = self.read()
+        test_runner.wait_for(lambda: self.read() > previous)
+
+    def is_ahead(self):
+        """Return whether more logical than real time has passed."""
+        advance = self.read() - self.base
+        elapsed = clock.monotonic() - self.started_at
+        return advance > elapsed * MILLISECONDS_PER_SECOND
+
+
 def test_claims_outlive_a_change_of_the_leader(deployment):
-    """A new leader must not expire the claims of running items."""
+    """A new leader must not expire the claims of running items.
+
+    Claims end by logical time, which must not advance faster than real time
+    however often the leader changes.
+    """
     first, second, _ = cluster.HOSTS
     gate = threading.Event()
 
@@ -168,15 +206,17 @@
     jobs_store = deployment.open_store(second)
     submit(jobs_store, 'job-a', 20)
     group_id = store.make_group_id(jobs_store.get_group('job-a'))
-    batch_runner = deployment.start(first, executor)
+    batch_runner = deployment.start(first, executor, test_runner.SETTINGS)
     test_runner.wait_for(lambda: len(executor.executed) == 20)
-    for _ in range(2):
+    logical_time = LogicalTime(deployment, group_id)
+    for _ in range(LEADER_CHANGES):
         leader = deployment.running.leader(group_id)
         other = next(h for h in cluster.HOSTS if h != leader.settings.host_id)
         leader.transfer(other)
         test_runner.wait_for(lambda old=leader: not old.is_leader)
         deployment.running.leader(group_id)
-        threading.Event().wait(0.8)
+        logical_time.wait_for_tick()
+        assert not logical_time.is_ahead()
     gate.set()
     assert wait_state(jobs_store, 'job-a', 'completed').done == 20
     assert len(executor.executed) == 20
