Answer the requests that a drain cannot finish

What callers saw: a request that a host had read and that had no response yet when the time of its drain was over was cut without an answer, also when it waited at a sound endpoint.

Cause: at the deadline the connections of all requests were closed alike.

Change: a request whose response has not begun is answered with 504, which promises nothing about its run. Then its connection ends, which also ends its run. Responses that have begun are cut as before.

Evidence: test_request_at_the_end_of_a_drain_is_answered failed before for a waiting request (no 504).

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -73,8 +73,8 @@
         self.lock = threading.Lock()
         self.is_idle = False
         self.is_ended = False
-        # Whether a part of the response to the current request was sent.
-        self.response_started = False
+        # Whether a request was read and no part of its response was sent.
+        self.is_answer_due = False
 
     def run(self):
         """Handle requests until either side ends the connection."""
@@ -86,8 +86,9 @@
                 if request is None:
                     return
                 self.keep_alive = request.keep_alive
-                self.response_started = False
+                self.is_answer_due = True
                 self.server.handle(self, request)
+                self.is_answer_due = False
         except errors.BadMessageError as error:
             LOG.info('event=request_unreadable reason={!r}', str(error))
             self.refuse(error.status)
@@ -95,7 +96,7 @@
             LOG.info('event=connection_ended reason={!r}', str(error))
         except Exception:
             LOG.exception('event=connection_failed')
-            if not self.response_started:
+            if self.is_answer_due:
                 self.refuse(500)
         finally:
             self.server.remove_connection(self)
@@ -150,6 +151,21 @@
                 # The caller has already closed the connection.
                 pass
 
+    def end_unanswered(self):
+        """Answer the request in progress, unless its response has begun."""
+        with self.lock:
+            if not self.is_answer_due:
+                return
+            self.is_ended = True
+        LOG.warning('event=request_unfinished')
+        response = encode_response(504, (), b'', False)
+        try:
+            sockets.send_all(self.socket, response, clock.monotonic())
+        except (errors.ConnectionEndedError, errors.DeadlineError) as error:
+            LOG.info('event=refusal_unsent reason={!r}', str(error))
+        # The handler sees that the connection has ended.
+        sockets.shut_down(self.socket)
+
     def send_continue(self, parser):
         """Send 100 Continue if the caller waits for it."""
         if parser.expects_continue:
@@ -173,8 +189,19 @@
         )
 
     def send(self, data, deadline=None):
-        """Send bytes to the caller."""
-        self.response_started = True
+        """Send bytes to the caller.
+
+        Raises
+        ------
+        ConnectionEndedError
+            If the connection was closed, reset or ended by a drain.
+        DeadlineError
+            If the caller did not read before the deadline.
+        """
+        with self.lock:
+            if self.is_ended:
+                raise errors.ConnectionEndedError('ended by a drain')
+            self.is_answer_due = False
         if deadline is None:
             deadline = clock.monotonic() + RESPONSE_TIMEOUT_SECONDS
         sockets.send_all(self.socket, data, deadline)
@@ -269,6 +296,13 @@
         for connection in connections:
             connection.end_if_idle()
 
+    def end_unanswered(self):
+        """Answer the requests in progress whose responses have not begun."""
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            connection.end_unanswered()
+
     def stop_listening(self):
         """Refuse new connections; those accepted before are served."""
         self.is_listening = False
@@ -279,7 +313,8 @@
         """Refuse new connections and finish the requests of the others.
 
         The server may be closed without loss of a request once no connection
-        is left. An idle connection may still receive a request.
+        is left. An idle connection may still receive a request. At the
+        deadline, requests without a response are answered with 504.
 
         Parameters
         ----------
@@ -295,6 +330,7 @@
         self.stop_listening()
         while self.connections:
             if clock.monotonic() >= deadline:
+                self.end_unanswered()
                 return False
             self.close_idle()
             time.sleep(DRAIN_POLL_SECONDS)
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -8,6 +8,7 @@
 
 from rhubarbreach.catalog import model
 from rhubarbreach import clock
+from rhubarbreach.web import errors
 from rhubarbreach.web import server
 
 LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
@@ -117,3 +118,40 @@
         caller.settimeout(5.0)
         caller.sendall(REQUEST)
         assert caller.recv(1000).startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize('is_begun', [False, True], ids=['waiting', 'begun'])
+def test_request_at_the_end_of_a_drain_is_answered(start_server, is_begun):
+    """Guards against a request that is read and cut without an answer."""
+    begun = threading.Event()
+    resume = threading.Event()
+    failures = []
+
+    def wait(connection, _):
+        if is_begun:
+            connection.send(b'HTTP/1.1 200 OK\r\n\r\nfirst')
+        begun.set()
+        resume.wait(5.0)
+        try:
+            connection.send_response(200)
+        except errors.ConnectionEndedError as error:
+            failures.append(error)
+            raise
+
+    web_server = start_server(wait)
+    address = ('127.0.0.1', web_server.port)
+    with socket.create_connection(address, 5) as caller:
+        caller.sendall(REQUEST)
+        assert begun.wait(5.0)
+        assert not web_server.drain(clock.monotonic() + 0.2)
+        head = caller.recv(1000)
+        if is_begun:
+            assert head == b'HTTP/1.1 200 OK\r\n\r\nfirst'
+        else:
+            assert head.startswith(b'HTTP/1.1 504 ')
+            assert b'Connection: close' in head
+            assert caller.recv(1000) == b''
+            resume.set()
+            assert web_server.drain(clock.monotonic() + 5.0)
+            assert failures
+    resume.set()
