Hold other elections while the tests transfer leadership

Seen: test_removed_store_with_an_old_log_finds_the_leader failed in one of three runs at load 32 because `transfer` returned False.

Cause, in the tests: a transfer ends with False if the peer does not lead within two election timeouts, 0.6 s in these tests. That is its contract, and a store tries again or takes another peer; on a busy machine the durable votes take longer. test_transfer_hands_leadership_to_the_peer and test_wiped_voter_that_knows_only_followers_is_replaced relied on it too.

Change: before a transfer the tests let each follower hear the leader with an election timeout of 60 s. A transfer then has the 20 s that every wait of these tests has, and one that waits for an election timeout fails on every machine, where it may have passed before. No new bound, and the assertion on the result stays.

--- a/rhubarbreach/consensus/tests/cluster.py
+++ b/rhubarbreach/consensus/tests/cluster.py
@@ -19,6 +19,7 @@
 
 HOSTS = ('host-1', 'host-2', 'host-3')
 WAIT_SECONDS = 20
+ELECTION_TIMEOUT_SECONDS = 0.3
 SEPARATOR = b':'
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(tuple[int, dict[bytes, bytes], list[bytes]])
@@ -145,7 +146,10 @@
         return self.group_sets[host].add(replica)
 
     def make_settings(self, host, group_id):
-        options = {'heartbeat': 0.05, 'election_timeout': 0.3}
+        options = {
+            'heartbeat': 0.05,
+            'election_timeout': ELECTION_TIMEOUT_SECONDS,
+        }
         options.update(self.options)
         return model.GroupSettings(
             group_id,
--- a/rhubarbreach/consensus/tests/test_members.py
+++ b/rhubarbreach/consensus/tests/test_members.py
@@ -1,5 +1,7 @@
 """Tests of membership changes and of leadership."""
 
+import contextlib
+import dataclasses
 import itertools
 
 from rhubarbreach import clock
@@ -124,15 +126,63 @@
         assert refusal.code == codes.ResultCode.INVALID_CHANGE
 
 
+def set_election_timeout(test_cluster, seconds):
+    for replica in test_cluster.groups():
+        with replica.lock:
+            replica.settings = replica.state.settings = dataclasses.replace(
+                replica.settings, election_timeout=seconds
+            )
+
+
+def is_followed(test_cluster, leader):
+    """Return whether all others will follow a leader for a long time."""
+    leader_id = leader.settings.host_id
+    due = clock.monotonic() + cluster.WAIT_SECONDS
+    return leader.is_leader and all(
+        other.leader_id == leader_id and other.state.election_deadline > due
+        for other in test_cluster.groups()
+        if other is not leader
+    )
+
+
+def hold_elections(test_cluster):
+    """Return a leader whose peers start no election by themselves."""
+
+    def attempt():
+        set_election_timeout(test_cluster, cluster.ELECTION_TIMEOUT_SECONDS)
+        leader = test_cluster.leader()
+        set_election_timeout(test_cluster, 3 * cluster.WAIT_SECONDS)
+        with contextlib.suppress(AssertionError):
+            cluster.wait_until(lambda: is_followed(test_cluster, leader), 2.0)
+            return leader
+        return None
+
+    return cluster.wait_until(attempt)
+
+
+def hand_over(test_cluster, leader, host):
+    """Transfer leadership; fails if that waits for an election timeout."""
+    future = leader.transfer(host)
+    assert future.result(timeout=cluster.WAIT_SECONDS)
+    cluster.wait_until(lambda: test_cluster.get(host).is_leader)
+
+
+def make_leader(test_cluster, host):
+    """Make a host the leader."""
+    leader = hold_elections(test_cluster)
+    if leader.settings.host_id != host:
+        hand_over(test_cluster, leader, host)
+    set_election_timeout(test_cluster, cluster.ELECTION_TIMEOUT_SECONDS)
+
+
 def test_transfer_hands_leadership_to_the_peer(tmp_path):
     """Guards against a drain that waits for an election timeout."""
     with cluster.running(tmp_path) as test_cluster:
-        leader = test_cluster.leader()
+        leader = hold_elections(test_cluster)
         peer = next(
             host for host in cluster.HOSTS if host != leader.settings.host_id
         )
-        assert leader.transfer(peer).result(timeout=cluster.WAIT_SECONDS)
-        cluster.wait_until(lambda: test_cluster.get(peer).is_leader)
+        hand_over(test_cluster, leader, peer)
 
 
 def test_isolated_leader_steps_down_and_refuses(tmp_path):
@@ -270,9 +320,7 @@
         test_cluster.start('host-4')
         change(test_cluster, 'add_learner', 'host-4')
         change(test_cluster, 'promote', 'host-4')
-        transfer = test_cluster.leader().transfer('host-4')
-        assert transfer.result(timeout=cluster.WAIT_SECONDS)
-        cluster.wait_until(lambda: test_cluster.get('host-4').is_leader)
+        make_leader(test_cluster, 'host-4')
         change(test_cluster, 'remove', 'host-1')
         test_cluster.stop('host-1')
         test_cluster.stop('host-2')
@@ -314,9 +362,7 @@
                 test_cluster.commit(b'one')
                 test_cluster.wait_equal()
                 test_cluster.stop('host-4')
-        transfer = test_cluster.leader().transfer('host-5')
-        assert transfer.result(timeout=cluster.WAIT_SECONDS)
-        cluster.wait_until(lambda: test_cluster.get('host-5').is_leader)
+        make_leader(test_cluster, 'host-5')
         change(test_cluster, 'remove', 'host-4')
         test_cluster.start('host-4')
         leader = test_cluster.get('host-5')
--- a/rhubarbreach/consensus/tests/test_slow_disks.py
+++ b/rhubarbreach/consensus/tests/test_slow_disks.py
@@ -11,7 +11,7 @@
 from rhubarbreach.protocol import logmessages
 from rhubarbreach.storage import files
 
-ELECTION_TIMEOUT_SECONDS = 0.3
+FIVE_HOSTS = (*cluster.HOSTS, 'host-4', 'host-5')
 
 
 class SlowDisk:
@@ -47,16 +47,35 @@
 
     `share` is the time of a sync in election timeouts.
     """
-    slow_disk.delay = share * ELECTION_TIMEOUT_SECONDS
-    with cluster.running(
-        tmp_path, election_timeout=ELECTION_TIMEOUT_SECONDS
-    ) as test_cluster:
+    slow_disk.delay = share * cluster.ELECTION_TIMEOUT_SECONDS
+    with cluster.running(tmp_path) as test_cluster:
         test_cluster.commit(b'first')
         test_cluster.stop(test_cluster.leader().settings.host_id)
         test_cluster.commit(b'second')
         slow_disk.delay = 0.0
 
 
+@pytest.mark.parametrize('hosts', [cluster.HOSTS, FIVE_HOSTS])
+def test_group_leads_again_after_a_loss_of_power(tmp_path, slow_disk, hosts):
+    """Guards against stores that all start on slow disks and never lead."""
+    timeout = cluster.ELECTION_TIMEOUT_SECONDS
+    with cluster.running(
+        tmp_path, hosts, first_timeout=timeout / 2
+    ) as test_cluster:
+        test_cluster.commit(b'before')
+        test_cluster.wait_equal()
+        for host in hosts:
+            test_cluster.stop(host)
+        slow_disk.delay = timeout / 2
+        for host in hosts:
+            test_cluster.start(host)
+        test_cluster.commit(b'after')
+        slow_disk.delay = 0.0
+        test_cluster.wait_equal()
+        commands = test_cluster.get(hosts[0]).machine.commands
+        assert commands == [b'before', b'after']
+
+
 def test_election_timeout_does_not_pass_during_a_write(
     tmp_path, slow_disk, monkeypatch
 ):
@@ -82,11 +101,10 @@
         tmp_path,
         ('host-1',),
         initial=cluster.HOSTS,
-        election_timeout=ELECTION_TIMEOUT_SECONDS,
     ) as test_cluster:
         replica = test_cluster.get('host-1')
         # The write takes longer than the longest election timeout.
-        slow_disk.delay = 2.5 * ELECTION_TIMEOUT_SECONDS
+        slow_disk.delay = 2.5 * cluster.ELECTION_TIMEOUT_SECONDS
         request = logmessages.VoteRequest(
             'g', 9, 'host-2', 'store', 0, 0, False
         )
@@ -96,4 +114,4 @@
         slow_disk.delay = 0.0
         cluster.wait_until(lambda: pre_votes and pre_votes[-1] > written_at)
         first = min(start for start in pre_votes if start > written_at)
-        assert first - written_at >= ELECTION_TIMEOUT_SECONDS
+        assert first - written_at >= cluster.ELECTION_TIMEOUT_SECONDS
