Send the log to a standby before a voter is known to be lost

A leader that has just started has to listen for 3 s. Only then it began to send the log to a standby, was refused the promotion as that had not synced, and repeated it 0.4 s later.

Change: a leader that has not heard from enough voters after two presence intervals sends the log to the learner that it would promote.

The test of the plan needs the new step.

--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -16,6 +16,7 @@
     'append_proposals',
     'continue_transfer',
     'expire_requests',
+    'prepare',
     'promote',
     'promote_replacements',
     'remove',
@@ -256,6 +257,14 @@
     )
 
 
+def prepare(state, host_id):
+    """Send the log to a standby."""
+    peer = state.peers.get(host_id)
+    if peer is not None and peer.is_standby:
+        peer.is_standby = False
+        peer.urgent = True
+
+
 def promote(state, host_id, deadline, future):
     """Make a learner a voter once it has synced the committed entries."""
     change_refusal = find_change_refusal(state)
@@ -275,9 +284,7 @@
             f'{host_id} is not a learner',
         )
         return
-    if peer.is_standby:
-        peer.is_standby = False
-        peer.urgent = True
+    prepare(state, host_id)
     if peer.match_index < state.commit_index:
         refuse(
             state,
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -215,6 +215,10 @@
         """
         return changes.add_learner(self, host_id, deadline)
 
+    def prepare(self, host_id):
+        """Send the log to a learner that may have to vote soon."""
+        self.post(changes.prepare, self.state, host_id)
+
     def promote(self, host_id, deadline):
         """Make a learner a voter if it holds the log; a voter stays one."""
         return self.post_change(changes.promote, host_id, deadline)
--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -5,6 +5,7 @@
 __all__ = [
     'AddLearner',
     'HandOver',
+    'Prepare',
     'Promote',
     'Remove',
     'Store',
@@ -16,6 +17,9 @@
 # A leader has to have listened for this long before it considers a store lost.
 # Stores announce their presence every 0.8 s and may be starting as well.
 SETTLE_SECONDS = 3.0
+# If it has not heard from all voters after this long, two announcements, a
+# learner gets the log, so that it can vote as soon as one of them is lost.
+PREPARE_SECONDS = 1.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +44,13 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepare:
+    """Step that sends the log to a learner, which may have to vote soon."""
+
+    host_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promote:
     """Step that makes a learner a voter."""
@@ -98,7 +109,7 @@
 
     Returns
     -------
-    AddLearner, Promote, Remove, HandOver or None
+    AddLearner, Prepare, Promote, Remove, HandOver or None
         A store is never removed before its replacement is a voter, so that
         the group tolerates the loss of a store at each step.
     """
@@ -137,6 +148,8 @@
             store = stores_by_id.get(host_id)
             if store is None or store.is_retiring or store.is_expired:
                 yield Remove(host_id)
+    elif listening_seconds >= PREPARE_SECONDS and len(healthy) < voters:
+        yield from (Prepare(host_id) for host_id in ready[:1])
 
 
 def list_voter_steps(own_id, voter_ids, ready, stores_by_id, voters):
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -51,6 +51,15 @@
     assert plan(members, stores, 4.0) == reconfiguration.Promote('d')
 
 
+def test_learner_gets_the_log_before_a_voter_is_known_to_be_lost(three_voters):
+    """Guards against a replacement that starts to sync only after the wait."""
+    members = (*three_voters, *(make_member(h, False) for h in 'de'))
+    stores = tuple(make_store(h) for h in 'abde')
+    seconds = reconfiguration.PREPARE_SECONDS
+    assert plan(members, stores, seconds) == reconfiguration.Prepare('d')
+    assert plan(members, (*stores, make_store('c')), seconds) is None
+
+
 def test_new_leader_adds_a_new_store_at_once(three_voters):
     # After the loss of a leader, the replacement voted 0.4 s later.
     stores = tuple(make_store(h) for h in 'abd')
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -163,6 +163,9 @@
                 self.step_future = self.group.add_learner(
                     host_id, now + ADDITION_TIMEOUT_SECONDS
                 )
+            case reconfiguration.Prepare(host_id=host_id):
+                self.group.prepare(host_id)
+                self.refused[step] = now + RETRY_INTERVAL_SECONDS
             case reconfiguration.Promote(host_id=host_id):
                 self.step_future = self.group.promote(host_id, deadline)
             case reconfiguration.Remove(host_id=host_id):
