Let a store that was cut off since its start listen first

A leader elected just after such a cut replaced or removed stores that it had not heard yet. At least the required number of voters stayed, so no loss of the majority is known from it.

The test, by the reviewer, failed before.

--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -107,7 +107,7 @@
                 for host_id, (last_contact, _) in list(self.presence.items())
                 if host_id != self.host_id
             ),
-            default=now,
+            default=self.listening_since,
         )
         if now - last_heard > DEAF_SECONDS:
             self.listening_since = now
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -144,3 +144,25 @@
     assert not start_leading(fleet)
     hear(fleet, 's4', 0.0)
     assert not start_leading(fleet)
+
+
+def test_store_that_was_cut_off_since_its_start_listens_first(
+    fleet, monkeypatch
+):
+    """Guards against the replacement of stores that were not heard yet.
+
+    A store that has heard no other one since its start is as deaf as one that
+    has not heard them for long.
+    """
+    start = clock.monotonic()
+    fleet.presence.clear()
+    fleet.listening_since = start
+    now = start + 4 * reconfiguration.SETTLE_SECONDS
+    monkeypatch.setattr(clock, 'monotonic', lambda: now)
+    fleet.link.send = lambda *_: True
+    fleet.group.list_contacts = set
+    fleet.announce_presence(now - members.PRESENCE_INTERVAL_SECONDS)
+    # The cut ends. Two stores are heard, s3 has not announced itself yet.
+    hear(fleet, 's2', 0.0)
+    hear(fleet, 's4', 0.0)
+    assert not start_leading(fleet)
