--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,11 @@
 PYTEST_WORKERS ?= 4
 # Seeds of `make soak`, separated by commas.
 SEEDS ?= 1,2,3
+# Seeds of `make losses`, first and end.
+LOSS_SEEDS ?= 0:100
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup lint format test demo bench faults slopes check-model check-laws known-red soak
+.PHONY: setup lint format test demo bench faults slopes check-model check-laws known-red soak losses
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -42,6 +44,9 @@
 soak: $(STAMP)
 	$(PY) platform/rhubarbreach_platform/tests/soak.py --seeds $(SEEDS)
 
+losses: $(STAMP)
+	$(PY) -m rhubarbreach.bench.storelosses --seeds $(LOSS_SEEDS)
+
 slopes: $(STAMP)
 	$(PY) -m rhubarbreach slopes
 
--- /dev/null
+++ b/rhubarbreach/bench/storelosses/__init__.py
@@ -0,0 +1,1 @@
+"""Random losses of stores in virtual time, over the real decisions."""
--- a/rhubarbreach/hosts/tests/lossseries.py
+++ b/rhubarbreach/bench/storelosses/lossseries.py
@@ -3,11 +3,11 @@
 import types
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.bench.storelosses import virtualfleets
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
-from rhubarbreach.hosts.tests import virtualfleets
 
-__all__ = ['CATCH_UP_SECONDS', 'Series']
+__all__ = ['CATCH_UP_SECONDS', 'Series', 'make_series', 'play_series']
 
 # Time after the return of a store in which it still counts as lost.
 CATCH_UP_SECONDS = 4.7
@@ -280,3 +280,14 @@
             if other is machine:
                 other.wipe()
             other.start_later(1.0)
+
+
+def make_series(random, overlaps):
+    """Return a `Series` of random length."""
+    return Series(random, random.uniform(10.0, 45.0), overlaps)
+
+
+def play_series(series):
+    """Play a series with the clock and the disks of its fleet."""
+    with virtualfleets.replace_modules(series.fleet):
+        series.run()
--- a/rhubarbreach/hosts/tests/virtualfleets.py
+++ b/rhubarbreach/bench/storelosses/virtualfleets.py
@@ -1,24 +1,25 @@
 """Fleet of store hosts in virtual time, with clients and checks."""
 
 import collections
-import random as randoms
+import contextlib
+from unittest import mock
 import zlib
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.bench.storelosses import virtualdisks
+from rhubarbreach.bench.storelosses import virtualgroups
+from rhubarbreach.bench.storelosses import virtualstores
 from rhubarbreach.bench import virtual
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import replicator
 from rhubarbreach.consensus import store as stores
-from rhubarbreach.hosts.tests import virtualdisks
-from rhubarbreach.hosts.tests import virtualgroups
-from rhubarbreach.hosts.tests import virtualstores
 
 __all__ = [
     'CLIENT_TIMEOUT_SECONDS',
     'Fleet',
-    'make_random',
-    'patch_modules',
+    'replace_modules',
 ]
 
 # A restarted host is reconnected within this time.
@@ -239,17 +240,17 @@
     )
 
 
-def patch_modules(patch, fleet):
-    """Replace the clock, the disks and the threads of a fleet."""
-    patch.setattr('rhubarbreach.clock.monotonic', fleet.loop.monotonic)
+@contextlib.contextmanager
+def replace_modules(fleet):
+    """Replace the clock, the disks and the threads by those of a fleet."""
     disks = fleet.disks
-    patch.setattr(stores, 'files', disks)
-    patch.setattr(stores.folder, 'DataFolder', disks.open_folder)
-    patch.setattr(stores.segments, 'SegmentLog', disks.open_log)
-    patch.setattr(replicator, 'Replicator', virtualgroups.Replicator)
-
-
-def make_random(seed):
-    """Return a random generator; a failing test shows its seed."""
-    print(f'seed={seed}')
-    return randoms.Random(seed)
+    with contextlib.ExitStack() as stack:
+        for module, name, replacement in (
+            (clock, 'monotonic', fleet.loop.monotonic),
+            (stores, 'files', disks),
+            (stores.folder, 'DataFolder', disks.open_folder),
+            (stores.segments, 'SegmentLog', disks.open_log),
+            (replicator, 'Replicator', virtualgroups.Replicator),
+        ):
+            stack.enter_context(mock.patch.object(module, name, replacement))
+        yield
--- a/rhubarbreach/hosts/tests/virtualstores.py
+++ b/rhubarbreach/bench/storelosses/virtualstores.py
@@ -10,11 +10,11 @@
 from unittest import mock
 
 from rhubarbreach.backlog import ledger as ledgers
+from rhubarbreach.bench.storelosses import virtualdisks
+from rhubarbreach.bench.storelosses import virtualgroups
 from rhubarbreach.consensus import groups as group_sets
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import store as store_hosts
-from rhubarbreach.hosts.tests import virtualdisks
-from rhubarbreach.hosts.tests import virtualgroups
 
 __all__ = ['Machine', 'Process']
 
