Resume a response only at its software version

Cause: no process knew the software version of an endpoint. Announcements carry `version`, which was not decoded, so the choice of the next endpoint went by load alone.

The version now travels with the notice of an endpoint to the stores and entry hosts. A response keeps the version of the endpoint that began it, and the next endpoint is chosen among those with this version; if none is left, the response is cut, as callers then can take the stream up. Until its first event a request may still go to any endpoint. The saturation of a service is judged by all its endpoints, as before. The field of the message has a default, so that hosts of earlier builds can be in the same fleet.

--- a/rhubarbreach/fleet/choice.py
+++ b/rhubarbreach/fleet/choice.py
@@ -63,6 +63,7 @@
     availability_zone: str
     slots: int
     is_draining: bool = False
+    software_version: str = ''
 
 
 def compute_zone_penalty(slots, run_seconds, age):
--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -157,5 +157,12 @@
 
 def is_changed(row, stored):
     """Return whether an announcement changes a field that hosts use."""
-    fields = ('service', 'address', 'slots', 'state', 'born')
+    fields = (
+        'service',
+        'address',
+        'slots',
+        'state',
+        'born',
+        'software_version',
+    )
     return any(getattr(row, f) != getattr(stored, f) for f in fields)
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -1,5 +1,7 @@
 """Tests of load balancing with full slots and failing endpoints."""
 
+import dataclasses
+
 import pytest
 
 from rhubarbreach import codes
@@ -173,3 +175,21 @@
     assert once.endpoint_id in ('e2', 'e3')
     repeatable = endpoints.acquire('s', (), 0.0, can_retry=True)
     assert repeatable.endpoint_id == 'e1'
+
+
+def test_stream_is_resumed_only_at_its_software_version():
+    """Guards against a choice by load among endpoints of all versions."""
+    host = view.View('z1')
+    rows = tuple(
+        dataclasses.replace(make_notice(name), software_version=version)
+        for name, version in (('e1', 'v1'), ('e2', 'v2'), ('e3', 'v2'))
+    )
+    host.update_endpoints(rows, True)
+    host.update_loads({'e1': 8}, {})
+    chosen = host.acquire('s', (), 0.0, software_version='v1')
+    assert chosen.endpoint_id == 'e1'
+    host.record_failure('e1', 0.0)
+    chosen = host.acquire('s', (), 0.1, software_version='v1')
+    assert chosen.endpoint_id == 'e1'
+    refusal = host.acquire('s', ('e1',), 0.0, software_version='v1')
+    assert refusal.code == codes.ResultCode.NO_ENDPOINT
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -75,6 +75,7 @@
                     row.availability_zone,
                     row.slots,
                     row.state != registry.EndpointState.READY,
+                    row.software_version,
                 )
             services = {}
             for endpoint in endpoints.values():
@@ -147,6 +148,7 @@
         now,
         queue_limit=choice.MAX_QUEUED,
         can_retry=False,
+        software_version=None,
     ):
         """Choose an endpoint and count a request on it until `release`.
 
@@ -163,6 +165,8 @@
         can_retry : bool
             Whether the request can be retried. A free slot at a suspect is
             then preferred to waiting in a queue.
+        software_version : str, optional
+            Version of the endpoints at which a stream may be resumed.
 
         Returns
         -------
@@ -170,22 +174,17 @@
             See `choice.choose_endpoint`.
         """
         with self.lock:
-            candidates = self.services.get(service, ())
+            endpoints = self.services.get(service, ())
             available = [
                 endpoint
-                for endpoint in candidates
+                for endpoint in endpoints
                 if not self.health.is_ejected(endpoint.endpoint_id, now)
             ]
-            healthy = [
-                endpoint
-                for endpoint in available
-                if endpoint.endpoint_id not in self.suspects
-            ]
             online = {
                 endpoint.endpoint_id: self.count_online(endpoint.endpoint_id)
-                for endpoint in candidates
+                for endpoint in endpoints
             }
-            slots = max((e.slots for e in candidates), default=1)
+            slots = max((e.slots for e in endpoints), default=1)
             zone_penalty = choice.compute_zone_penalty(
                 slots, self.run_seconds.get(service), self.load_age
             )
@@ -196,6 +195,13 @@
                 ),
                 now,
             )
+            candidates = filter_version(endpoints, software_version)
+            available = filter_version(available, software_version)
+            healthy = [
+                endpoint
+                for endpoint in available
+                if endpoint.endpoint_id not in self.suspects
+            ]
             # If all endpoints have failed, any of them may have recovered.
             chosen = choice.choose_endpoint(
                 healthy or available or candidates,
@@ -358,3 +364,14 @@
         """Return the running requests of this host by endpoint."""
         with self.lock:
             return dict(self.running)
+
+
+def filter_version(endpoints, software_version):
+    """Return the endpoints of a software version, or all if it is None."""
+    if software_version is None:
+        return endpoints
+    return [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.software_version == software_version
+    ]
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -73,6 +73,8 @@
         self.deadline = self.started_at + timeout
         self.response_started = False
         self.last_id = info.last_event_id
+        # Version at which the stream began; None before it has.
+        self.software_version = None
         self.endpoint = None
         self.sent = 0
         self.declined = 0
@@ -108,6 +110,7 @@
                 now,
                 self.choose_queue_limit(service),
                 self.can_retry(),
+                self.software_version,
             )
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_unplaced(endpoint)
@@ -419,6 +422,7 @@
     def encode_head(self, head):
         """Return the head of a chunked response."""
         self.response_started = True
+        self.software_version = self.endpoint.software_version
         lines = [b'HTTP/1.1 %d %s' % (head.status, head.reason)]
         lines.extend(b'%s: %s' % pair for pair in heads.filter_headers(head))
         lines.append(b'Transfer-Encoding: chunked')
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -200,6 +200,7 @@
                 row.availability_zone,
                 row.slots,
                 row.state != registries.EndpointState.READY,
+                row.software_version,
             )
             for row in self.list_rows()
         }
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -29,7 +29,8 @@
     `born` is the Unix time in milliseconds at which the process of the
     endpoint started, and `sequence` counts its announcements; both serve to
     reject an announcement that arrives late. `age` is the time in seconds
-    since the announcement arrived.
+    since the announcement arrived. A stream may only be resumed at endpoints
+    with the `software_version` of the one that began it.
     """
 
     endpoint_id: str
@@ -41,6 +42,7 @@
     born: int
     sequence: int
     age: float = 0.0
+    software_version: str = ''
 
 
 @messages.frozen_message
