Let callers take up streams only at their software version

Cause: `Resumes`, the request that brought the first event, was read by nobody, and an entry host cannot know what another one, or it before it was killed, had served.

Entry hosts now record the origin of each resumable stream, its service and software version, at three stores (package streams), when they send the request to an endpoint; the request does not wait for it. The stores keep origins in memory, bounded in time and number, and a store that starts asks the others. A take-up asks all stores and goes on only at an endpoint of that version, at its service if its route still has it. Where no store knows the origin, it is certain only if one version alone has been in service for as long as such a stream may last; the leader keeps these versions in the ledger, so that they outlive a loss of power of all hosts. Otherwise, and if no endpoint of the version is in service, the take-up is refused at once as not run, with 503 on the platform: a status 4xx would deny a proper request. Streams that have begun may wait in the longer queue, as they cannot go elsewhere. The id of a stream is a digest of account and request, of one size whatever the caller sends.

An earlier build of a store does not know the two new commands of the ledger; all stores have to be of this build before a release of endpoints is recorded.

--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -10,6 +10,7 @@
     'AddJob',
     'AddProgress',
     'AddResults',
+    'AddVersions',
     'Body',
     'CatalogReply',
     'Done',
@@ -28,6 +29,7 @@
     'ReadCatalog',
     'ReadResults',
     'ReleaseParts',
+    'RemoveVersions',
     'Results',
     'RetireStore',
     'WaitingFull',
@@ -168,6 +170,23 @@
     parts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddVersions:
+    """Command that records pairs of a service and a software version.
+
+    Endpoints of these versions have come into service.
+    """
+
+    versions: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoveVersions:
+    """Command that forgets versions no stream of which can be resumed."""
+
+    versions: tuple[tuple[str, str], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadCatalog:
     """Query for the configuration in force."""
@@ -244,6 +263,8 @@
     RetireStore,
     QuarantinePart,
     ReleaseParts,
+    AddVersions,
+    RemoveVersions,
     ReadCatalog,
     ReadResults,
     ReadBody,
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -72,6 +72,7 @@
     retiring: list[str]
     quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
     quarantine_revision: int = 0
+    versions: list[tuple[str, str]] = dataclasses.field(default_factory=list)
 
 
 IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
@@ -96,6 +97,8 @@
         # Unix time until which requests with a part are held back.
         self.quarantined = {}
         self.quarantine_revision = 0
+        # Pairs of a service and a software version.
+        self.versions = set()
         # Not a part of the replicated state.
         self.ages = ages.JobAges()
 
@@ -141,6 +144,12 @@
                     self.quarantined.pop(part, None)
                 self.quarantine_revision += 1
                 return commands.Done()
+            case commands.AddVersions(versions=versions):
+                self.versions.update(versions)
+                return commands.Done()
+            case commands.RemoveVersions(versions=versions):
+                self.versions.difference_update(versions)
+                return commands.Done()
         raise TypeError(f'not a command: {type(command).__name__}')
 
     def add_job(self, command):
@@ -285,6 +294,11 @@
         with self.lock:
             return self.quarantine_revision, dict(self.quarantined)
 
+    def get_versions(self):
+        """Return the recorded pairs of a service and a software version."""
+        with self.lock:
+            return set(self.versions)
+
     def query(self, query):
         """Return the encoded reply to an encoded query."""
         query = commands.FAMILY.decode(query)
@@ -364,6 +378,7 @@
                 sorted(self.retiring),
                 self.quarantined,
                 self.quarantine_revision,
+                sorted(self.versions),
             )
             return msgspec.msgpack.encode(image)
 
@@ -377,6 +392,7 @@
             self.retiring = set(image.retiring)
             self.quarantined = dict(image.quarantined)
             self.quarantine_revision = image.quarantine_revision
+            self.versions = set(image.versions)
             self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -185,6 +185,16 @@
     assert committed == ([b'a', b'b'], ('second', 1))
 
 
+def test_service_versions_survive_a_snapshot(ledger):
+    """Guards against a version that is forgotten while streams exist."""
+    versions = (('s', 'v1'), ('s', 'v2'))
+    apply(ledger, commands.AddVersions(versions))
+    apply(ledger, commands.RemoveVersions(versions[:1]))
+    other = ledgers.Ledger()
+    other.restore(ledger.snapshot())
+    assert other.get_versions() == {('s', 'v2')}
+
+
 def test_old_closed_jobs_are_deleted(ledger):
     apply(ledger, make_job('j'))
     apply(ledger, make_job('k'))
--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -23,6 +23,7 @@
     'catalog',
     'web',
     'fleet',
+    'streams',
     'backlog',
     'gateway',
     'hosts',
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -193,3 +193,5 @@
     assert chosen.endpoint_id == 'e1'
     refusal = host.acquire('s', ('e1',), 0.0, software_version='v1')
     assert refusal.code == codes.ResultCode.NO_ENDPOINT
+    assert host.has_version('s', 'v1')
+    assert not host.has_version('s', 'v3')
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -248,6 +248,14 @@
             self.on_change(is_high)
         return chosen
 
+    def has_version(self, service, software_version):
+        """Return whether an endpoint with a software version is ready."""
+        with self.lock:
+            return any(
+                endpoint.software_version == software_version
+                for endpoint in self.services.get(service, ())
+            )
+
     def choose_queue_limit(self, service, objective, is_late):
         """Return the queue limit for a request.
 
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -20,6 +20,11 @@
 RETRY_AFTER_SECONDS = 0.5
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
+# Refusals that are answered with `NOT_RUN_STATUS` in place of a status 4xx.
+TEMPORARY_CODES = (
+    codes.ResultCode.QUARANTINED,
+    codes.ResultCode.NOT_RESUMABLE,
+)
 
 
 class App:
@@ -31,6 +36,8 @@
         Configuration and rates received from the leader.
     view : View
         Endpoints and their loads.
+    origins : OriginRecorder
+        Origins of streams.
     jobs : Jobs
         Client of the batch job ledger.
     dialect : object
@@ -39,9 +46,10 @@
         Counters and latencies.
     """
 
-    def __init__(self, leader_client, view, jobs, dialect, metrics):
+    def __init__(self, leader_client, view, origins, jobs, dialect, metrics):
         self.leader_client = leader_client
         self.view = view
+        self.origins = origins
         self.jobs = jobs
         self.dialect = dialect
         self.metrics = metrics
@@ -255,9 +263,10 @@
     Statuses 429 and 503 assert that the request has not run. If that is not
     certain, 502 is returned instead. A request with a quarantined part of a
     prompt may be valid, and its quarantine ends, so it gets no status 4xx.
+    Neither does a stream that cannot be resumed, which may begin anew.
     """
     status = codes.HTTP_STATUS[refusal.code]
-    if refusal.code == codes.ResultCode.QUARANTINED:
+    if refusal.code in TEMPORARY_CODES:
         status = NOT_RUN_STATUS
     if refusal.ran != codes.Ran.NO and status in (429, NOT_RUN_STATUS):
         return UNKNOWN_STATUS
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -8,6 +8,7 @@
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import heads
 from rhubarbreach.gateway import model
+from rhubarbreach.gateway import resume
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
@@ -94,6 +95,14 @@
             None if no refusal is to be sent.
         """
         service = indexes.choose_target(self.route)
+        if resume.is_take_up(self.route, self.info):
+            origin = resume.find_origin(
+                self.app, self.route, self.info, self.account
+            )
+            if isinstance(origin, codes.Refusal):
+                return origin
+            service = origin.service
+            self.software_version = origin.software_version
         excluded = set()
         quarantine = self.app.leader_client.quarantine
         if self.app.view.has_high_utilization(service):
@@ -116,6 +125,10 @@
                 return self.refuse_unplaced(endpoint)
             self.endpoint = endpoint
             self.load = self.app.view.format_load(endpoint.endpoint_id)
+            if not self.response_started:
+                resume.record_origin(
+                    self.app, self.route, self.info, self.account, endpoint
+                )
             try:
                 outcome = self.attempt(endpoint)
             finally:
@@ -145,7 +158,8 @@
         """Return the queue limit of endpoints for this request.
 
         A retried request is recognized by its time limit, which is shorter
-        than the timeout of the route.
+        than the timeout of the route. A stream that has begun cannot go to
+        endpoints of other software versions.
         """
         timeout = self.info.timeout
         is_retried = (
@@ -153,7 +167,8 @@
             and timeout < self.route.timeout * RETRY_TIMEOUT_FRACTION
         )
         view = self.app.view
-        is_late = bool(self.sent or self.response_started) or (
+        has_begun = self.software_version is not None
+        is_late = bool(self.sent or has_begun) or (
             is_retried and not view.is_overload_sustained(service)
         )
         return view.choose_queue_limit(service, self.route.objective, is_late)
--- a/rhubarbreach/gateway/model.py
+++ b/rhubarbreach/gateway/model.py
@@ -20,7 +20,8 @@
     """Properties of a request taken from its headers.
 
     `timeout` is the time in seconds that the caller waits, None if not given.
-    `last_event_id` is the event after which a stream is to resume, if any.
+    `last_event_id` is the event after which a stream is to resume, if any,
+    and `resumed_request_id` the request that began the stream.
     `prompt` holds the ids of the parts of the prompt. Requests may share all
     of them but the last.
     """
@@ -31,6 +32,7 @@
     timeout: float | None
     last_event_id: int | None
     prompt: tuple[str, ...] = ()
+    resumed_request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rhubarbreach/gateway/resume.py
@@ -0,0 +1,95 @@
+"""Streams that callers take up, and the records that this requires."""
+
+from rhubarbreach.catalog import index as indexes
+from rhubarbreach.catalog import model as catalogs
+from rhubarbreach import codes
+from rhubarbreach import eventlog
+from rhubarbreach.streams import table
+
+__all__ = ['find_origin', 'is_take_up', 'record_origin']
+
+LOG = eventlog.Logger('resume')
+
+# Time for the last retry of a caller beyond the time that it waits.
+TAKE_UP_MARGIN_SECONDS = 5.0
+
+
+def is_take_up(route, info):
+    """Return whether a request takes up a stream after its first event."""
+    return route.kind is catalogs.RouteKind.STREAM and bool(info.last_event_id)
+
+
+def find_origin(app, route, info, account):
+    """Return where a stream that a caller takes up began.
+
+    Parameters
+    ----------
+    app : App
+        Provides the recorded origins and the endpoints.
+    route : Route
+        Route of the request.
+    info : CallInfo
+        Properties of the request.
+    account : Account or None
+        Client account of the request.
+
+    Returns
+    -------
+    Origin or Refusal
+        NOT_RESUMABLE if the origin is unknown, or no endpoint of its software
+        version is in service.
+    """
+    services = tuple(
+        target.service for target in route.targets if target.weight > 0
+    )
+    stream_id = make_stream_id(account, info.resumed_request_id)
+    origin = app.origins.find(stream_id, services)
+    LOG.info(
+        'event=stream_taken_up request={} began={} last_event={} origin={}',
+        info.request_id,
+        info.resumed_request_id,
+        info.last_event_id,
+        origin,
+    )
+    if origin is None:
+        return codes.Refusal(
+            codes.ResultCode.NOT_RESUMABLE,
+            'the software version that began the stream is unknown',
+        )
+    service = origin.service
+    if service not in services:
+        service = indexes.choose_target(route)
+    if not app.view.has_version(service, origin.software_version):
+        return codes.Refusal(
+            codes.ResultCode.NOT_RESUMABLE,
+            f'no endpoint of {service} has the software version '
+            f'{origin.software_version!r} of the stream',
+        )
+    return table.Origin(service, origin.software_version)
+
+
+def record_origin(app, route, info, account, endpoint):
+    """Record the origin of a stream that a request begins at an endpoint.
+
+    A request that takes a stream up records its origin again, as the stream
+    may break off again.
+    """
+    if route.kind is not catalogs.RouteKind.STREAM or not route.resumable:
+        return
+    request_id = info.request_id
+    if is_take_up(route, info):
+        request_id = info.resumed_request_id
+    stream_id = make_stream_id(account, request_id)
+    if not stream_id:
+        return
+    app.origins.record(
+        stream_id,
+        table.Origin(endpoint.service, endpoint.software_version),
+        max(route.timeout, info.timeout or 0.0) + TAKE_UP_MARGIN_SECONDS,
+    )
+
+
+def make_stream_id(account, request_id):
+    """Return the id of the stream that a request of an account begins."""
+    name = '' if account is None else account.name
+    return table.make_stream_id(name, request_id)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -152,6 +152,7 @@
         )
         app = types.SimpleNamespace(
             view=loads,
+            origins=types.SimpleNamespace(record=lambda *_: None),
             dialect=dialect,
             leader_client=types.SimpleNamespace(
                 refresh_loads=lambda: None, quarantine=quarantine.Quarantine()
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -12,6 +12,7 @@
 from rhubarbreach.hosts import zone_news
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
+from rhubarbreach.streams import recorder
 from rhubarbreach.web import server
 
 __all__ = ['EntryHost']
@@ -73,9 +74,13 @@
             inline=True,
         )
         self.zone_news = zone_news.ZoneNews(self.link, self.view)
+        self.origins = recorder.OriginRecorder(
+            self.link, lambda: self.leader_client.stores
+        )
         self.app = apps.App(
             self.leader_client,
             self.view,
+            self.origins,
             jobs.Jobs(self.link, self.leader_client),
             dialect,
             metrics,
@@ -114,6 +119,7 @@
         """Stop all tasks."""
         self.leader_client.close()
         self.zone_news.close()
+        self.origins.close()
         self.readiness.close()
         self.callers.close()
         self.link.close()
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -24,9 +24,11 @@
 from rhubarbreach.hosts import quarantine_manager
 from rhubarbreach.hosts import retirement
 from rhubarbreach.hosts import usage
+from rhubarbreach.hosts import version_history
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import workmessages
+from rhubarbreach.streams import keeper
 
 __all__ = ['StoreHost']
 
@@ -140,6 +142,12 @@
         self.quarantine_manager = quarantine_manager.QuarantineManager(
             self.ledger, self.group.propose
         )
+        self.version_history = version_history.VersionHistory(
+            self.ledger, self.group.propose, self.endpoints.list_rows
+        )
+        self.origins = keeper.OriginKeeper(
+            self.link, self.find_recent_versions
+        )
         self.runner = runners.Runner(
             self.ledger,
             self.group.propose,
@@ -166,6 +174,7 @@
         )
         self.thread.start()
         self.endpoints.query_stores()
+        self.origins.query_stores(self.members.list_others())
 
     def set_seeds(self, seeds):
         """Replace the stores that this one contacts first."""
@@ -272,6 +281,12 @@
             quarantined,
         )
 
+    def find_recent_versions(self, services):
+        """Return the versions of services, or None without leading."""
+        if not self.may_answer(clock.monotonic()):
+            return None
+        return self.version_history.find_versions(services)
+
     def grant(self, wanted, now):
         """Return the tokens granted to a host by client account."""
         index = self.get_index()
@@ -383,6 +398,7 @@
             self.share_endpoints,
             self.update_gauges,
             self.advance_quarantine,
+            self.advance_versions,
             self.prune_jobs,
         ):
             try:
@@ -414,6 +430,11 @@
         if self.is_leading:
             self.quarantine_manager.advance(now, self.usage.count_hosts())
 
+    def advance_versions(self, now):
+        """Record the software versions of endpoints on a leader."""
+        if self.is_leading:
+            self.version_history.advance(now)
+
     def prune_jobs(self, now):
         """Remove old jobs on a leader when it is due."""
         if not self.is_leading or now < self.next_prune:
@@ -450,6 +471,7 @@
             with self.lock:
                 self.allocator.reset()
             self.quarantine_manager.reset()
+            self.version_history.reset()
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
--- a/rhubarbreach/protocol/codec.py
+++ b/rhubarbreach/protocol/codec.py
@@ -13,6 +13,7 @@
 from rhubarbreach.protocol import logmessages
 from rhubarbreach.protocol import membermessages
 from rhubarbreach.protocol import messages
+from rhubarbreach.protocol import streammessages
 from rhubarbreach.protocol import workmessages
 
 __all__ = ['Envelope', 'MAX_MESSAGE_BYTES', 'decode', 'encode']
@@ -27,6 +28,7 @@
     limitmessages,
     logmessages,
     membermessages,
+    streammessages,
     workmessages,
 )
 
