Resume batch items only at their software version

The order of a run names the software version of its endpoint, the progress of an item keeps the version of its events, also in the ledger, and the plan places an item with events only at endpoints of that version. A run under an earlier leader is adopted only at the same version.

The three tests of `get_progress` compare the version as well.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -43,9 +43,11 @@
     `texts` are the events so far, and `committed` is the number of those in
     the ledger. `sources` holds the orders whose runs produced them, as tuples
     of the order id and the number of the event after which the run resumed
-    the item. The item does not start before `not_before`, and while it runs
-    its events are not committed before `commit_due`, both in seconds of the
-    monotonic clock.
+    the item, and `software_version` is that of the endpoints which produced
+    them. The item does not start before `not_before`, and while it runs its
+    events are not committed before `commit_due`. It waits for an endpoint of
+    its software version since `waiting_since`. These times are in seconds of
+    the monotonic clock.
     """
 
     texts: list = dataclasses.field(default_factory=list)
@@ -55,13 +57,25 @@
     not_before: float = 0.0
     committed: int = 0
     commit_due: float = 0.0
+    software_version: str = ''
+    waiting_since: float | None = None
 
-    def add_report(self, report):
-        """Add the events of a report; return whether none is missing."""
+    def add_report(self, report, software_version):
+        """Add the events of a report; return whether none is missing.
+
+        Parameters
+        ----------
+        report : RunReport
+            Report of a run of the item.
+        software_version : str
+            Software version of its endpoint.
+        """
         event_count = len(self.texts)
         if not report.first or report.first > event_count + 1:
             return False
         added = report.texts[event_count + 1 - report.first :]
+        if not self.texts:
+            self.software_version = software_version
         if added and not self.is_from_order(report.order_id):
             self.sources.append((report.order_id, report.begun))
         self.texts.extend(added)
@@ -73,10 +87,21 @@
 
     def is_continued_by(self, report):
         """Return whether the events of a run continue the known ones."""
-        return report.begun == len(self.texts) or self.is_from_order(
-            report.order_id
+        if self.is_from_order(report.order_id):
+            return True
+        is_same_version = report.software_version == self.software_version
+        return report.begun == len(self.texts) and (
+            is_same_version or not self.texts
         )
 
+    def restart(self):
+        """Drop the events, so that the item begins anew."""
+        self.texts = []
+        self.sources = []
+        self.committed = 0
+        self.software_version = ''
+        self.waiting_since = None
+
     def list_uncommitted(self, key):
         """Return the events that are not in the ledger, grouped by order."""
         items = []
@@ -88,7 +113,12 @@
                 texts = tuple(self.texts[start:end])
                 items.append(
                     commands.ItemProgress(
-                        *key, start + 1, texts, order_id, begun
+                        *key,
+                        start + 1,
+                        texts,
+                        order_id,
+                        begun,
+                        self.software_version,
                     )
                 )
         return items
@@ -209,6 +239,7 @@
             return None
         progress = self.get_progress((job.job_id, item.item_id))
         progress.commit_due = now + RUNNING_COMMIT_SECONDS
+        progress.waiting_since = None
         run = Assignment(
             self.make_order_id(),
             job,
@@ -302,7 +333,9 @@
             progress = run.progress
             run.reported = True
             reported.add(run.order_id)
-            is_complete = progress.add_report(report)
+            is_complete = progress.add_report(
+                report, run.endpoint.software_version
+            )
             if report.outcome and is_complete:
                 del self.runs[key]
                 ended_orders[run.order_id] = len(progress.texts)
@@ -356,6 +389,10 @@
         endpoint = find_endpoint(report.endpoint_id)
         if endpoint is None:
             return None
+        # The endpoint may have restarted since.
+        endpoint = dataclasses.replace(
+            endpoint, software_version=report.software_version
+        )
         job, item, destination = open_item
         run = Assignment(
             report.order_id,
@@ -405,6 +442,7 @@
                     run.endpoint.endpoint_id,
                     run.endpoint.address,
                     run.begun,
+                    run.endpoint.software_version,
                 )
             )
         return orders
--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -112,7 +112,7 @@
     """Events of an item, numbered from `first` on.
 
     They come from the run of order `order_id`, which resumed the item after
-    event `begun`.
+    event `begun` at an endpoint with `software_version`.
     """
 
     job_id: str
@@ -121,6 +121,7 @@
     texts: tuple[bytes, ...]
     order_id: str = ''
     begun: int = 0
+    software_version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -29,7 +29,8 @@
     `open` holds the items without a result, in order. `made` holds the
     committed events of open items, and `makers` the source of the last of
     them: the id of the order whose run produced it, and the number of the
-    event after which that run resumed the item.
+    event after which that run resumed the item. `versions` holds the software
+    version of the endpoints that produced them.
     """
 
     job_id: str
@@ -48,6 +49,7 @@
     makers: dict[str, tuple[str, int]] = dataclasses.field(
         default_factory=dict
     )
+    versions: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def is_closed(self):
@@ -195,6 +197,7 @@
             return
         job.made.pop(result.item_id, None)
         job.makers.pop(result.item_id, None)
+        job.versions.pop(result.item_id, None)
         if job.open.pop(result.item_id, None) is not None:
             job.results.append(result)
 
@@ -203,12 +206,19 @@
 
         A leader that does not know all committed events may commit events of
         a run that resumed the item at an earlier one. Such events are
-        ignored, and the item runs again from the last committed event.
+        ignored, and the item runs again from the last committed event. A run
+        of another software version replaces the events if it began anew.
         """
         job = self.jobs.get(item.job_id)
         if job is None or item.item_id not in job.open:
             return
         texts = job.made.setdefault(item.item_id, [])
+        if texts and item.software_version != job.versions.get(
+            item.item_id, ''
+        ):
+            if item.begun or item.first != 1:
+                return
+            texts.clear()
         event_count = len(texts)
         source = (item.order_id, item.begun)
         is_next = item.first == event_count + 1 and item.begun == event_count
@@ -216,6 +226,7 @@
         if is_next or (is_same and item.first <= event_count + 1):
             texts.extend(item.texts[event_count + 1 - item.first :])
             job.makers[item.item_id] = source
+            job.versions[item.item_id] = item.software_version
 
     def end_job(self, command):
         """End a job; its results stay readable."""
@@ -226,6 +237,7 @@
         job.open = {}
         job.made = {}
         job.makers = {}
+        job.versions = {}
         return commands.Done()
 
     def prune_jobs(self, before):
@@ -351,17 +363,21 @@
 
         Returns
         -------
-        list of bytes, tuple of (str, int) or None
-            Events, and the source of the last one: the id of the order whose
-            run produced it, and the number of the event after which that
-            run resumed the item.
+        list of bytes, tuple of (str, int) or None, str
+            Events, the source of the last one, and the software version that
+            produced them. The source is the id of the order whose run
+            produced it, and the number of the event after which that run
+            resumed the item.
         """
         with self.lock:
             job = self.jobs.get(job_id)
             if job is None:
-                return [], None
-            texts = list(job.made.get(item_id, ()))
-            return texts, job.makers.get(item_id)
+                return [], None, ''
+            return (
+                list(job.made.get(item_id, ())),
+                job.makers.get(item_id),
+                job.versions.get(item_id, ''),
+            )
 
     def get_catalog(self):
         """Return the version and document of the configuration in force."""
--- a/rhubarbreach/backlog/plan.py
+++ b/rhubarbreach/backlog/plan.py
@@ -125,6 +125,7 @@
     total: int
     online: int
     batch: int
+    software_version: str = ''
 
     @property
     def free(self):
@@ -149,7 +150,8 @@
 
     `due` is a Unix time in seconds, `slack` the predicted time in seconds
     between the completion and `due` if the item ran now, and `event_count`
-    the number of its events so far.
+    the number of its events so far. An item with events resumes only at an
+    endpoint with its `software_version`.
     """
 
     key: tuple[str, str]
@@ -157,6 +159,7 @@
     due: float
     slack: float
     event_count: int = 0
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,7 +196,10 @@
     free = {endpoint.endpoint_id: endpoint.free for endpoint in slots}
     services = {}
     for endpoint in slots:
-        services.setdefault(endpoint.service, []).append(endpoint.endpoint_id)
+        for version in (None, endpoint.software_version):
+            services.setdefault((endpoint.service, version), []).append(
+                endpoint.endpoint_id
+            )
     starts = []
     ranked = sorted(waiting, key=get_rank)
     unplaced = place_items(ranked, services, free, starts)
@@ -207,7 +213,7 @@
     """Add starts while slots are free; return the unplaced items."""
     unplaced = []
     for item in ranked:
-        candidates = services.get(item.service, ())
+        candidates = services.get((item.service, item.software_version), ())
         best = max(candidates, key=lambda e: (free[e], e), default=None)
         if best is None or free[best] <= 0:
             unplaced.append(item)
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -8,6 +8,7 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import plan
 from rhubarbreach.backlog import results
+from rhubarbreach.backlog import versions
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import health
@@ -271,13 +272,23 @@
                 progress = self.assignments.get_progress(key)
                 if progress.not_before > now:
                     continue
+                service = destination.service
+                if progress.texts and versions.is_stranded(
+                    progress, service, endpoints, slots, now
+                ):
+                    restart_item(key, progress)
                 event_count = len(progress.texts)
                 slack = (
                     job.due - unix_time - self.estimator.predict(event_count)
                 )
                 waiting.append(
                     plan.WaitingItem(
-                        key, destination.service, job.due, slack, event_count
+                        key,
+                        service,
+                        job.due,
+                        slack,
+                        event_count,
+                        progress.software_version if event_count else None,
                     )
                 )
             started = set()
@@ -324,9 +335,14 @@
 
     def load_progress(self, key):
         """Return the progress of an item that the ledger holds."""
-        texts, source = self.ledger.get_progress(*key)
+        texts, source, software_version = self.ledger.get_progress(*key)
         sources = [] if source is None else [source]
-        return assignments.Progress(texts, sources, committed=len(texts))
+        return assignments.Progress(
+            texts,
+            sources,
+            committed=len(texts),
+            software_version=software_version,
+        )
 
     def count_running(self):
         """Return the number of running items by endpoint id."""
@@ -431,6 +447,17 @@
     return endpoint is not None and endpoint.is_draining
 
 
+def restart_item(key, progress):
+    """Drop the events of an item, so that it begins anew."""
+    LOG.info(
+        'event=item_restarted job={} item={} made={} version={!r}',
+        *key,
+        len(progress.texts),
+        progress.software_version,
+    )
+    progress.restart()
+
+
 def count_slots(endpoints, online, runs, ejected):
     """Return the `EndpointSlots` of each endpoint that accepts items."""
     batch = collections.Counter(
@@ -443,6 +470,7 @@
             endpoint.slots,
             online.get(endpoint.endpoint_id, 0),
             batch[endpoint.endpoint_id],
+            endpoint.software_version,
         )
         for endpoint in endpoints.values()
         if not endpoint.is_draining and endpoint.endpoint_id not in ejected
--- a/rhubarbreach/backlog/tests/conftest.py
+++ b/rhubarbreach/backlog/tests/conftest.py
@@ -44,13 +44,15 @@
 class FakeLeader:
     """Assignments of a leader with two items and two endpoints.
 
-    By item key, `committed` holds the events in the ledger, and `sources` the
-    source of the last one. Orders have the ids o1, o2 and so on.
+    By item key, `committed` holds the events in the ledger, `sources` the
+    source of the last one, and `versions` their software version. Orders have
+    the ids o1, o2 and so on.
     """
 
     def __init__(self):
         self.committed = {}
         self.sources = {}
+        self.versions = {}
         numbers = itertools.count(1)
         self.assignments = assignments.Assignments(
             self.load, lambda: f'o{next(numbers)}'
@@ -72,7 +74,12 @@
     def load(self, key):
         texts = list(self.committed.get(key, ()))
         sources = [self.sources[key]] if key in self.sources else []
-        return assignments.Progress(texts, sources, committed=len(texts))
+        return assignments.Progress(
+            texts,
+            sources,
+            committed=len(texts),
+            software_version=self.versions.get(key, ''),
+        )
 
     def receive(self, worker_id, message, now=0.0):
         return self.assignments.handle_report(
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -291,3 +291,18 @@
             for order in reply.orders
         ]
     assert ordered == ['a', 'b']
+
+
+def test_run_of_another_software_version_is_not_adopted(
+    leader, make_report, make_run
+):
+    """Guards against an item that a new leader joins from two versions."""
+    leader.committed[KEY] = [b'1', b'2']
+    leader.versions[KEY] = 'v1'
+    run = make_run('a', 3, b'3', begun=2)
+    later = dataclasses.replace(run, software_version='v2')
+    reply, _ = leader.receive('one', make_report(later))
+    assert not reply.known
+    same = dataclasses.replace(run, software_version='v1')
+    reply, _ = leader.receive('one', make_report(same))
+    assert reply.known == (('o1', 3),)
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -160,11 +160,15 @@
         apply(ledger, commands.AddProgress((progress,)))
     other = ledgers.Ledger()
     other.restore(ledger.snapshot())
-    assert other.get_progress('j', 'j-0') == ([b'a', b'b', b'c'], ('o', 0))
+    assert other.get_progress('j', 'j-0') == (
+        [b'a', b'b', b'c'],
+        ('o', 0),
+        '',
+    )
     apply(other, commands.AddResults((('j', complete('j-0')),)))
     late = commands.ItemProgress('j', 'j-0', 1, (b'a',), 'o', 0)
     apply(other, commands.AddProgress((late,)))
-    assert other.get_progress('j', 'j-0') == ([], None)
+    assert other.get_progress('j', 'j-0') == ([], None, '')
 
 
 def test_progress_of_superseded_run_is_ignored(ledger):
@@ -182,7 +186,27 @@
         )
         apply(ledger, commands.AddProgress((progress,)))
     committed = ledger.get_progress('j', 'j-0')
-    assert committed == ([b'a', b'b'], ('second', 1))
+    assert committed == ([b'a', b'b'], ('second', 1), '')
+
+
+def test_events_of_two_software_versions_are_not_joined(ledger):
+    """Guards against an item that resumes at another software version."""
+    apply(ledger, make_job())
+    for first, texts, order_id, begun, version in (
+        (1, (b'a', b'b'), 'first', 0, 'v1'),
+        (3, (b'C',), 'second', 2, 'v2'),
+        (1, (b'A',), 'third', 0, 'v2'),
+        (3, (b'c',), 'first', 0, 'v1'),
+        (2, (b'B',), 'third', 0, 'v2'),
+    ):
+        progress = commands.ItemProgress(
+            'j', 'j-0', first, texts, order_id, begun, version
+        )
+        apply(ledger, commands.AddProgress((progress,)))
+    other = ledgers.Ledger()
+    other.restore(ledger.snapshot())
+    committed = other.get_progress('j', 'j-0')
+    assert committed == ([b'A', b'B'], ('third', 0), 'v2')
 
 
 def test_service_versions_survive_a_snapshot(ledger):
--- a/rhubarbreach/backlog/tests/test_plan.py
+++ b/rhubarbreach/backlog/tests/test_plan.py
@@ -1,5 +1,7 @@
 """Tests of scheduling, with replays of load peaks of online requests."""
 
+import dataclasses
+
 import pytest
 
 from rhubarbreach.backlog import plan
@@ -189,3 +191,20 @@
     for _ in range(100):
         estimator.add_item(200, 200, 8.0)
     assert estimator.predict(0) == pytest.approx(8.0, rel=0.1)
+
+
+def test_started_item_resumes_only_at_its_software_version():
+    """Guards against an item that resumes at another software version."""
+    endpoints = [
+        dataclasses.replace(slots(endpoint_id=e), software_version=v)
+        for e, v in (('e1', 'v1'), ('e2', 'v2'))
+    ]
+    items = [
+        dataclasses.replace(waiting(name), software_version=version)
+        for name, version in (('a', 'v1'), ('b', 'v2'), ('c', 'v3'))
+    ]
+    starts = plan.plan_starts(items, endpoints)
+    assert {(item.key[1], e) for item, e in starts} == {
+        ('a', 'e1'),
+        ('b', 'e2'),
+    }
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -91,6 +91,7 @@
             max(0.0, end - self.run.started_at),
             outcome,
             self.detail,
+            order.software_version,
         )
 
     def has_unreported(self, report):
--- a/rhubarbreach/protocol/workmessages.py
+++ b/rhubarbreach/protocol/workmessages.py
@@ -17,7 +17,8 @@
     """Order to run an item on an endpoint, resuming after event `last_id`.
 
     `order_id` is unique among all orders. `host` is the host of the item's
-    route. `address` is the address of the endpoint.
+    route. `address` is the address of the endpoint, and `software_version` the
+    version of its software.
     """
 
     order_id: str
@@ -31,6 +32,7 @@
     endpoint_id: str
     address: str
     last_id: int
+    software_version: str = ''
 
 
 @messages.frozen_message
@@ -41,6 +43,7 @@
     leader is known to have; `first` is 0 if no events are reported. `begun`
     is the number of the event after which the run resumed. `seconds` is the
     duration of the run. `outcome` is empty until the run has ended.
+    `software_version` is repeated from the order.
     """
 
     order_id: str
@@ -53,6 +56,7 @@
     seconds: float
     outcome: str = ''
     detail: str = ''
+    software_version: str = ''
 
 
 @messages.frozen_message
