Resume streams of the own interface only at their software version

Endpoints announce `software_version`, which is optional. A run keeps the version of the endpoint that began its stream, and its further work is placed only on endpoints of that version, under both policies. If none is usable, the stream ends at once with the error event of STREAM_BROKEN, as callers know it; endpoints that announce no version count as one.

--- a/rhubarbreach/daemon/announce.py
+++ b/rhubarbreach/daemon/announce.py
@@ -33,6 +33,7 @@
     draining: bool = False
     fencing: bool = False
     load: AnnouncedLoad = AnnouncedLoad()
+    software_version: str = ''
 
 
 class AnnouncementHandler:
@@ -74,6 +75,7 @@
             announcement.load.slots,
             announcement.load.kv_used,
             0.0,
+            announcement.software_version,
         )
         self.registry.announce(row, clock.monotonic())
         return {'announce_to': self.list_addresses(announcement.zone)}
--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -171,6 +171,8 @@
             run.attempts -= 1
         elif run.tokens:
             run.resumes += 1
+        if run.begun and run.software_version is None:
+            run.software_version = placement.endpoint.software_version
         run.preempted = False
         if decision.exclude:
             run.excluded |= {placement.endpoint.endpoint_id}
--- a/rhubarbreach/dispatch/run.py
+++ b/rhubarbreach/dispatch/run.py
@@ -53,6 +53,8 @@
         self.digest = prompt.digest_call(call.path, call.body)
         self.prefix = prompt.list_prefixes(call.body) if call.body else ()
         self.excluded = frozenset()
+        # Version of the endpoint that began the stream.
+        self.software_version = None
         self.attempts = 0
         self.resumes = 0
         self.ran = codes.Ran.NO
@@ -182,6 +184,7 @@
         prefix=run.prefix,
         excluded=run.excluded | excluded,
         weight=call.weight,
+        software_version=run.software_version,
     )
 
 
--- a/rhubarbreach/membership/endpoints.py
+++ b/rhubarbreach/membership/endpoints.py
@@ -301,4 +301,5 @@
         row.fencing,
         load,
         announced_at + EXPIRY_SECONDS,
+        row.software_version,
     )
--- a/rhubarbreach/membership/model.py
+++ b/rhubarbreach/membership/model.py
@@ -80,6 +80,8 @@
         Last reported load.
     expires_at : float
         Monotonic deadline after which it counts as lost.
+    software_version : str
+        Version of its software; streams resume only at the same version.
     """
 
     endpoint_id: str
@@ -92,3 +94,4 @@
     fencing: bool
     load: Load
     expires_at: float
+    software_version: str = ''
--- a/rhubarbreach/placement/baseline.py
+++ b/rhubarbreach/placement/baseline.py
@@ -1,5 +1,7 @@
 """Baseline policy: first-in first-out, round robin and no preemption."""
 
+from rhubarbreach.placement import decisions
+from rhubarbreach.placement import versions
 from rhubarbreach.routing import choose
 from rhubarbreach.scheduling import work
 
@@ -18,7 +20,7 @@
 
     Returns
     -------
-    list of Placed
+    list of Placed or Refused
         Decisions made in this step.
     """
     result = []
@@ -32,6 +34,10 @@
         if entry is None:
             return result
         candidates = core.list_candidates(entry.work, now)
+        if not candidates:
+            refusal = versions.refuse(entry.work)
+            result.append(decisions.Refused(entry.work, refusal))
+            continue
         free = core.filter_free(candidates, entry.work.lane, now)
         core.round_robin_index += 1
         options = free or candidates
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -9,6 +9,7 @@
 from rhubarbreach.placement import expiry
 from rhubarbreach.placement import isolation
 from rhubarbreach.placement import outcomes
+from rhubarbreach.placement import versions
 from rhubarbreach.routing import cache
 from rhubarbreach.routing import choose
 from rhubarbreach.routing import ejection
@@ -103,6 +104,10 @@
                 f'at least {suspects.MAX_STRIKES} endpoints were lost while '
                 'this request ran alone on them',
             )
+        if item.software_version is not None and not versions.list_usable(
+            self.registry, item, now
+        ):
+            return versions.refuse(item)
         return None
 
     def withdraw(self, work_id):
@@ -151,7 +156,7 @@
         Endpoints that the work excludes are returned only if no other healthy
         endpoint is left, and ejected endpoints only if all are ejected.
         """
-        usable = self.registry.usable(item.model_id, now)
+        usable = versions.list_usable(self.registry, item, now)
         healthy = [
             endpoint
             for endpoint in usable
@@ -243,8 +248,11 @@
             if not free:
                 # Only excluded endpoints have a free slot. One of them is used
                 # so that the entry does not block the lane.
-                usable = self.registry.usable(item.model_id, now)
-                free = self.filter_free(usable, item.lane, now)
+                usable = versions.list_usable(self.registry, item, now)
+                free = self.filter_free(usable, item.lane, now) or usable
+            if not free:
+                result.append(decisions.Refused(item, versions.refuse(item)))
+                continue
             choice = self.choose(item, free, now)
             result.append(self.start(item, choice, now))
         return result
--- a/rhubarbreach/protocol/membermessages.py
+++ b/rhubarbreach/protocol/membermessages.py
@@ -81,6 +81,7 @@
     slots: int
     kv_used: float
     age: float
+    software_version: str = ''
 
 
 @messages.frozen_message
--- a/rhubarbreach/scheduling/work.py
+++ b/rhubarbreach/scheduling/work.py
@@ -51,6 +51,8 @@
         Endpoints on which this work has already failed.
     weight : float
         Weight of the client account.
+    software_version : str or None
+        Software version that began the stream that this work resumes.
     """
 
     work_id: str
@@ -63,6 +65,7 @@
     prefix: tuple[bytes, ...] = ()
     excluded: frozenset[str] = frozenset()
     weight: float = 1.0
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
