--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -11,66 +11,22 @@
 
 from rhubarbreach.backlog import ages
 from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import jobs
 from rhubarbreach import clock
 
-__all__ = ['Job', 'Ledger', 'MAX_REPLY_BYTES']
+__all__ = ['Ledger']
 
-# Bytes of result text in one reply. A job of ten items has about 160 KB, and
-# replies to all entry hosts may be queued at the same time.
-MAX_REPLY_BYTES = 256 * 1024
 # Each entry host holds the quarantined parts in memory.
 MAX_QUARANTINED_PARTS = 256
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """Batch job.
-
-    `open` holds the items without a result, in order. `made` holds the
-    committed events of open items, and `makers` the source of the last of
-    them: the id of the order whose run produced it, and the number of the
-    event after which that run resumed the item. `versions` holds the software
-    version of the endpoints that produced them.
-    """
-
-    job_id: str
-    account: str
-    host: str
-    path_prefix: str
-    submitted: float
-    due: float
-    retained_until: float
-    max_attempts: int
-    total: int
-    open: dict[str, commands.Item]
-    results: list[commands.ItemResult]
-    ended: bool = False
-    made: dict[str, list[bytes]] = dataclasses.field(default_factory=dict)
-    makers: dict[str, tuple[str, int]] = dataclasses.field(
-        default_factory=dict
-    )
-    versions: dict[str, str] = dataclasses.field(default_factory=dict)
-
-    @property
-    def is_closed(self):
-        """Whether the job has no items left to run."""
-        return self.ended or not self.open
-
-    @property
-    def waiting_tokens(self):
-        """Tokens of the items without a result."""
-        if self.ended:
-            return 0
-        return sum(item.tokens for item in self.open.values())
-
-
 @dataclasses.dataclass(slots=True)
 class Image:
     """Complete state of a ledger, as stored in a snapshot."""
 
     version: int
     document: bytes
-    jobs: list[Job]
+    jobs: list[jobs.Job]
     retiring: list[str]
     quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
     quarantine_revision: int = 0
@@ -128,7 +84,8 @@
                 return commands.Done()
             case commands.AddProgress(items=items):
                 for item in items:
-                    self.add_progress(item)
+                    if item.job_id in self.jobs:
+                        self.jobs[item.job_id].add_progress(item)
                 return commands.Done()
             case commands.EndJob():
                 return self.end_job(command)
@@ -165,7 +122,7 @@
         waiting = self.sum_waiting_tokens(command)
         if 0 < command.waiting_limit < waiting + tokens:
             return commands.WaitingFull(waiting)
-        self.jobs[command.job_id] = Job(
+        self.jobs[command.job_id] = jobs.Job(
             command.job_id,
             command.account,
             command.host,
@@ -193,51 +150,15 @@
     def add_result(self, job_id, result):
         """Append a result unless its item already has one."""
         job = self.jobs.get(job_id)
-        if job is None or job.ended:
-            return
-        job.made.pop(result.item_id, None)
-        job.makers.pop(result.item_id, None)
-        job.versions.pop(result.item_id, None)
-        if job.open.pop(result.item_id, None) is not None:
-            job.results.append(result)
-
-    def add_progress(self, item):
-        """Append events of an open item that follow the committed ones.
-
-        A leader that does not know all committed events may commit events of
-        a run that resumed the item at an earlier one. Such events are
-        ignored, and the item runs again from the last committed event. A run
-        of another software version replaces the events if it began anew.
-        """
-        job = self.jobs.get(item.job_id)
-        if job is None or item.item_id not in job.open:
-            return
-        texts = job.made.setdefault(item.item_id, [])
-        if texts and item.software_version != job.versions.get(
-            item.item_id, ''
-        ):
-            if item.begun or item.first != 1:
-                return
-            texts.clear()
-        event_count = len(texts)
-        source = (item.order_id, item.begun)
-        is_next = item.first == event_count + 1 and item.begun == event_count
-        is_same = job.makers.get(item.item_id) == source
-        if is_next or (is_same and item.first <= event_count + 1):
-            texts.extend(item.texts[event_count + 1 - item.first :])
-            job.makers[item.item_id] = source
-            job.versions[item.item_id] = item.software_version
+        if job is not None and not job.ended:
+            job.add_result(result)
 
     def end_job(self, command):
         """End a job; its results stay readable."""
         job = self.jobs.get(command.job_id)
         if job is None or job.account != command.account:
             return commands.JobNotFound()
-        job.ended = True
-        job.open = {}
-        job.made = {}
-        job.makers = {}
-        job.versions = {}
+        job.end()
         return commands.Done()
 
     def prune_jobs(self, before):
@@ -327,7 +248,7 @@
                 job = self.find_job(job_id, account)
                 if job is None:
                     return commands.JobNotFound()
-                return commands.Results(job.total, list_results(job, after))
+                return commands.Results(job.total, job.list_results(after))
             case commands.ReadBody(job_id, account, item_id):
                 job = self.find_job(job_id, account)
                 item = None if job is None else job.open.get(item_id)
@@ -412,18 +333,3 @@
             self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
-
-
-def list_results(job, after):
-    """Return the results from a position on that fit into one reply.
-
-    A result larger than the limit is returned alone.
-    """
-    chosen = []
-    size = 0
-    for result in job.results[max(0, after) :]:
-        size += len(result.output)
-        if chosen and size > MAX_REPLY_BYTES:
-            break
-        chosen.append(result)
-    return tuple(chosen)
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import jobs
 from rhubarbreach.backlog import ledger as ledgers
 
 
@@ -116,7 +117,7 @@
 
 def test_reply_is_bounded_and_never_empty(ledger):
     apply(ledger, make_job())
-    big = 'x' * ledgers.MAX_REPLY_BYTES
+    big = 'x' * jobs.MAX_REPLY_BYTES
     results = tuple(('j', complete(f'j-{n}', big)) for n in range(3))
     apply(ledger, commands.AddResults(results))
     assert len(read(ledger).results) == 1
