Let runs of items end while the last endpoint of their version drains

Items resume only at the software version of their events.

A run with events now goes on at a draining endpoint if no other endpoint of its version is ready. The endpoint keeps serving the requests that it has for its drain period; an item that does not end in it begins anew as before. Runs without events, and those that can resume elsewhere, are cancelled as before.

--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -205,7 +205,10 @@
         return open_items
 
     def cancel_unneeded(self, endpoints):
-        """Cancel runs of closed items and runs on draining endpoints."""
+        """Cancel runs of closed items and runs on draining endpoints.
+
+        A run whose events would be lost goes on until its endpoint ends.
+        """
         with self.lock:
             progress = self.assignments.progress
             for key in list(progress):
@@ -218,7 +221,7 @@
                 run.key
                 for run in self.assignments.runs.values()
                 if run.key not in self.open_items
-                or is_draining(endpoints.get(run.endpoint.endpoint_id))
+                or is_to_leave(run, endpoints)
             ]
         self.cancel_runs(keys)
 
@@ -438,6 +441,18 @@
         self.wake.set()
 
 
+def is_to_leave(run, endpoints):
+    """Return whether a run has to resume elsewhere, as its endpoint drains.
+
+    If no other endpoint has its software version, its events would be lost.
+    """
+    if not is_draining(endpoints.get(run.endpoint.endpoint_id)):
+        return False
+    return not run.progress.texts or versions.is_in_service(
+        run.endpoint.software_version, run.destination.service, endpoints
+    )
+
+
 def is_draining(endpoint):
     """Return whether an endpoint is known to drain.
 
--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -1,6 +1,7 @@
 """Scheduling of batch items while the leader changes."""
 
 import concurrent.futures
+import dataclasses
 import time
 
 import pytest
@@ -9,6 +10,7 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
+from rhubarbreach.fleet import choice
 
 KEY = ('job', 'a')
 
@@ -107,3 +109,34 @@
     runner.set_leading(True)
     runner.handle_report('one', make_report())
     assert wait_for(lambda: KEY in runner.assignments.runs)
+
+
+@pytest.mark.parametrize(
+    ('texts', 'others', 'is_cancelled'),
+    [
+        ((b'1',), ('v1', 'v2'), True),
+        ((b'1',), ('v2',), False),
+        ((), ('v2',), True),
+    ],
+)
+def test_run_with_events_goes_on_while_the_last_of_its_version_drains(
+    runner, leader, make_report, make_run, texts, others, is_cancelled
+):
+    """Guards against events dropped although their run could still end."""
+    old = dataclasses.replace(leader.endpoints['e1'], software_version='v1')
+    leader.endpoints['e1'] = old
+    leader.receive('one', make_report())
+    leader.assign('a')
+    leader.receive('one', make_report(make_run('a', 1, *texts)))
+    runner.assignments = leader.assignments
+    runner.open_items = leader.open_items
+    endpoints = {
+        version: choice.Endpoint(
+            version, 's', 'a', 'z', 8, software_version=version
+        )
+        for version in others
+    }
+    endpoints['e1'] = dataclasses.replace(old, is_draining=True)
+    runner.cancel_unneeded(endpoints)
+    (run,) = leader.assignments.runs.values()
+    assert run.cancelled is is_cancelled
--- a/rhubarbreach/backlog/versions.py
+++ b/rhubarbreach/backlog/versions.py
@@ -1,12 +1,30 @@
 """Items that cannot resume at the software version of their events."""
 
-__all__ = ['is_stranded']
+__all__ = ['is_in_service', 'is_stranded']
 
 # Seconds for which an item waits for a slot at an endpoint of its software
 # version while endpoints of other versions have free slots.
 VERSION_WAIT_SECONDS = 3.0
 
 
+def is_in_service(version, service, endpoints):
+    """Return whether an endpoint of a software version takes items.
+
+    Parameters
+    ----------
+    version, service : str
+        Software version, and the service whose endpoints count.
+    endpoints : dict of str to Endpoint
+        Endpoints by id.
+    """
+    return any(
+        endpoint.service == service
+        and endpoint.software_version == version
+        and not endpoint.is_draining
+        for endpoint in endpoints.values()
+    )
+
+
 def is_stranded(progress, service, endpoints, slots, now):
     """Return whether an item that has events has to begin anew.
 
@@ -27,12 +45,7 @@
         Seconds of the monotonic clock.
     """
     version = progress.software_version
-    if not any(
-        endpoint.service == service
-        and endpoint.software_version == version
-        and not endpoint.is_draining
-        for endpoint in endpoints.values()
-    ):
+    if not is_in_service(version, service, endpoints):
         return True
     free = {
         endpoint.software_version
