Raise one error for all data that cannot be decoded or encoded

Hosts caught DecodeError around the decoder, which also raises RecursionError for nested data, and nothing around the encoder, which raises OverflowError for integers out of the range of MessagePack and UnicodeEncodeError for lone surrogates. One such value stopped the task that met it: on the fleet of test_fleet.py, one announcement with slots of 60 digits left both entry hosts not ready, with duty_failed and receive_failed again and again in the stores.

The new module serialization converts all of them to MessageError, which the callers of the codec already handle.

--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -10,6 +10,7 @@
 LAYERS = (
     'exceptions',
     'codes',
+    'serialization',
     'clock',
     'eventlog',
     'rendezvous',
--- a/rhubarbreach/exceptions.py
+++ b/rhubarbreach/exceptions.py
@@ -54,4 +54,4 @@
 
 
 class MessageError(RhubarbreachError):
-    """Raised when a message between hosts cannot be decoded."""
+    """Raised when a message or document cannot be encoded or decoded."""
--- a/rhubarbreach/protocol/codec.py
+++ b/rhubarbreach/protocol/codec.py
@@ -15,6 +15,7 @@
 from rhubarbreach.protocol import messages
 from rhubarbreach.protocol import streammessages
 from rhubarbreach.protocol import workmessages
+from rhubarbreach import serialization
 
 __all__ = ['Envelope', 'MAX_MESSAGE_BYTES', 'decode', 'encode']
 
@@ -95,7 +96,8 @@
     Raises
     ------
     MessageError
-        If the result is larger than `MAX_MESSAGE_BYTES`.
+        If the result is larger than `MAX_MESSAGE_BYTES`, or a field cannot
+        be encoded.
     """
     message = envelope.message
     kind = '' if message is None else type(message).__name__
@@ -105,7 +107,7 @@
         envelope.is_reply,
         envelope.stamp,
         kind,
-        msgspec.Raw(ENCODER.encode(message)),
+        msgspec.Raw(serialization.encode(ENCODER, message)),
     )
     data = ENCODER.encode(wire)
     if len(data) > MAX_MESSAGE_BYTES:
@@ -140,16 +142,14 @@
             f'{MAX_MESSAGE_BYTES} bytes'
         )
     try:
-        wire = ENVELOPE_DECODER.decode(data)
+        wire = serialization.decode(ENVELOPE_DECODER, data)
         message = None
         if wire.kind:
-            message = get_decoder(wire.kind).decode(wire.body)
+            message = serialization.decode(get_decoder(wire.kind), wire.body)
     except KeyError as error:
         raise exceptions.MessageError(
             f'unknown message type {error}'
         ) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise exceptions.MessageError(str(error)) from error
     return Envelope(
         wire.sender_id, wire.call_id, wire.is_reply, wire.stamp, message
     )
--- a/rhubarbreach/protocol/tagged.py
+++ b/rhubarbreach/protocol/tagged.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from rhubarbreach import exceptions
+from rhubarbreach import serialization
 
 __all__ = ['TaggedUnion']
 
@@ -32,8 +33,14 @@
         return cls
 
     def encode(self, value):
-        """Encode a value as MessagePack."""
-        body = msgspec.Raw(ENCODER.encode(value))
+        """Encode a value as MessagePack.
+
+        Raises
+        ------
+        MessageError
+            If a field cannot be encoded.
+        """
+        body = msgspec.Raw(serialization.encode(ENCODER, value))
         return ENCODER.encode((type(value).__name__, body))
 
     def decode(self, data):
@@ -45,9 +52,7 @@
             If the data is malformed or its class is not in the union.
         """
         try:
-            name, body = PAIR_DECODER.decode(data)
-            return self.decoders[name].decode(body)
+            name, body = serialization.decode(PAIR_DECODER, data)
+            return serialization.decode(self.decoders[name], body)
         except KeyError as error:
             raise exceptions.MessageError(f'unknown type {error}') from error
-        except msgspec.DecodeError as error:
-            raise exceptions.MessageError(str(error)) from error
