--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -1,5 +1,6 @@
 """Non-blocking sockets with deadlines."""
 
+import ipaddress
 import select
 import socket
 
@@ -11,6 +12,7 @@
     'close_socket',
     'connect',
     'is_readable',
+    'parse_address',
     'prepare',
     'receive',
     'send_all',
@@ -29,6 +31,8 @@
 # detect a dead peer there.
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 END_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -53,6 +57,32 @@
         connection.setsockopt(level, option, value)
 
 
+def parse_address(address):
+    """Return the IP address and the port of an endpoint.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port`.
+
+    Raises
+    ------
+    ValueError
+        If no connection can be made to the address.
+    """
+    host, _, digits = address.rpartition(':')
+    ip_address = ipaddress.IPv4Address(host)
+    if ip_address.is_unspecified or ip_address.is_multicast:
+        raise ValueError(f'{ip_address} is not the address of a host')
+    is_number = digits.isascii() and digits.isdigit()
+    if not is_number or len(digits) > MAX_PORT_DIGITS:
+        raise ValueError('the port is not a number')
+    port = int(digits)
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f'the port {port} is out of range')
+    return host, port
+
+
 def connect(address, deadline):
     """Return a connection to an endpoint.
 
@@ -68,11 +98,14 @@
     ConnectError
         If the endpoint refuses or does not respond before the deadline.
     """
-    host, _, port = address.rpartition(':')
+    try:
+        host_and_port = parse_address(address)
+    except ValueError as error:
+        raise errors.ConnectError(f'connect: {error}') from error
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         prepare(connection)
-        code = connection.connect_ex((host, int(port)))
+        code = connection.connect_ex(host_and_port)
         if code not in (0, 115):
             raise errors.ConnectError(f'connect: error {code}')
         events = wait(connection, select.POLLOUT, deadline)
@@ -83,7 +116,7 @@
                 if code
                 else 'connect: no response before the deadline'
             )
-    except (OSError, ValueError) as error:
+    except OSError as error:
         connection.close()
         raise errors.ConnectError(f'connect: {error}') from error
     except errors.ConnectError:
