Skip single rows of endpoints that cannot be used

A store of an earlier build may still hold an entry that names no endpoint, and hands it on to other stores and to entry hosts. These used it as it came: negative slots refuse requests as if all endpoints were full, and a port out of range ends requests without an answer.

Readers now skip such a row by itself, with a warning in the log, and use the others. The order of the loads in a reply still counts all rows.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -7,6 +7,7 @@
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import announcements
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quarantine
@@ -311,7 +312,10 @@
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
-            self.view.update_endpoints(reply.endpoints, reply.complete)
+            self.view.update_endpoints(
+                announcements.select_valid(reply.endpoints, time.time()),
+                reply.complete,
+            )
             self.endpoints_stamp = reply.endpoints_stamp
             self.endpoint_order = tuple(
                 row.endpoint_id for row in reply.endpoints
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -232,3 +232,37 @@
     client.started_at = now - leader_client.STARTUP_SECONDS
     assert client.wait_for_index(now) is None
     assert clock.monotonic() - now < leader_client.STARTUP_WAIT_SECONDS / 2
+
+
+def make_reply(**changes):
+    return fleetmessages.ExchangeReply(
+        True,
+        's1',
+        endpoints_stamp='stamp',
+        endpoints=(
+            make_notice('odd', '10.0.0.1:99999'),
+            make_notice('odd2', '10.0.0.2:80', slots=-5),
+            make_notice('sound', '10.0.0.3:80'),
+        ),
+        complete=True,
+        elsewhere=(1, 2, 3),
+        nearby=(0, 0, 0),
+        items=(4, 5, 6),
+        **changes,
+    )
+
+
+def make_notice(endpoint_id, address, slots=8):
+    return fleetmessages.EndpointNotice(
+        endpoint_id, 's', address, 'z1', slots, 'ready', 1, 1
+    )
+
+
+def test_odd_row_of_a_reply_is_skipped_by_itself(make_client):
+    """Guards against a row of an older store that stops the exchange."""
+    client = make_client(FakeLink(('s1',), None))
+    client.apply_reply(make_reply(), clock.monotonic(), {})
+    assert list(client.view.endpoints) == ['sound']
+    assert client.view.elsewhere['sound'] == 3
+    assert client.view.batch['sound'] == 6
+    assert client.endpoints_stamp == 'stamp'
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import threading
+import time
 
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import announcements
 from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import registry as registries
 from rhubarbreach.protocol import fleetmessages
@@ -126,9 +128,10 @@
 
     def apply_updates(self, sender_id, message):
         """Apply announcements that another store has received."""
+        rows = announcements.select_valid(message.rows, time.time())
         now = clock.monotonic()
         with self.lock:
-            for row in message.rows:
+            for row in rows:
                 self.registry.record_announcement(row, now)
 
     def send_updates(self):
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -142,3 +142,24 @@
     monkeypatch.setattr(leader.members, 'advance_membership', calls.append)
     leader.run_due_duties(clock.monotonic())
     cluster.wait_until(lambda: len(calls) >= 4)
+
+
+def test_odd_row_of_another_store_is_skipped_by_itself(stores):
+    """Guards against a row of an older store that no endpoint can have."""
+    rows = tuple(
+        fleetmessages.EndpointNotice(
+            endpoint_id, 's', address, 'z', slots, state, 1, 1
+        )
+        for endpoint_id, address, slots, state in (
+            ('port', '10.0.0.1:99999', 8, 'ready'),
+            ('slots', '10.0.0.2:80', -5, 'ready'),
+            ('state', '10.0.0.3:80', 8, 'resting'),
+            ('', '10.0.0.4:80', 8, 'ready'),
+            ('sound', '10.0.0.5:80', 8, 'ready'),
+            ('gone', '10.0.0.6:80', 8, 'gone'),
+        )
+    )
+    endpoints = stores[0].endpoints
+    endpoints.apply_updates('s', fleetmessages.EndpointNews(rows))
+    known = {row.endpoint_id for row in endpoints.list_rows(with_gone=True)}
+    assert known == {'sound', 'gone'}
