Keep the previous configuration if a stored one cannot be read

A committed configuration is decoded again by each leader and each entry host, with an error class that nobody caught if it is nested (RecursionError, whose limit depends on the calls on the stack of the reader). The leader then answered no exchange at all, and an entry host dropped the whole reply with the endpoints, loads and grants in it: one document took all hosts out of service, again after each start.

A leader without any readable configuration has no destination for items and does not fail.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -7,6 +7,7 @@
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach import exceptions
 from rhubarbreach.fleet import announcements
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
@@ -358,10 +359,21 @@
             LOG.info('event=leader_found store={}', self.leader_id)
 
     def apply_catalog(self, copy):
-        """Apply a configuration if its version is newer."""
+        """Apply a configuration if its version is newer.
+
+        One that cannot be read leaves the previous one in force.
+        """
         if self.index is not None and copy.version <= self.index.version:
             return
-        catalog = self.decode_catalog(copy.document)
+        try:
+            catalog = self.decode_catalog(copy.document)
+        except exceptions.MessageError as error:
+            LOG.error(
+                'event=catalog_unreadable version={} reason={!r}',
+                copy.version,
+                str(error),
+            )
+            return
         self.index = indexes.Index(catalog)
         LOG.info(
             'event=catalog_in_force version={} routes={} accounts={}',
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -9,6 +9,7 @@
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach import exceptions
 from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import view
@@ -266,3 +267,25 @@
     assert client.view.elsewhere['sound'] == 3
     assert client.view.batch['sound'] == 6
     assert client.endpoints_stamp == 'stamp'
+
+
+def test_unreadable_configuration_does_not_stop_the_exchange(make_client):
+    """Guards against a stored document that takes all hosts out of service."""
+
+    def decode(document):
+        if document == b'odd':
+            raise exceptions.MessageError('nested too deeply')
+        return catalogs.Catalog(1)
+
+    client = make_client(FakeLink(('s1',), None))
+    client.decode_catalog = decode
+    now = clock.monotonic()
+    client.apply_reply(
+        make_reply(catalog=fleetmessages.CatalogCopy(1, b'sound')), now, {}
+    )
+    client.apply_reply(
+        make_reply(catalog=fleetmessages.CatalogCopy(2, b'odd')), now, {}
+    )
+    assert list(client.view.endpoints) == ['sound']
+    assert client.index.version == 1
+    assert client.reply_count == 2
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -18,6 +18,7 @@
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import quota
+from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
@@ -91,7 +92,6 @@
     def __init__(self, settings, decode_catalog, dialect, metrics):
         self.settings = settings
         self.host_id = settings.address
-        self.decode_catalog = decode_catalog
         self.metrics = metrics
         self.lock = threading.Lock()
         self.wake = threading.Event()
@@ -102,7 +102,6 @@
                 settings.rate_slack,
             )
         )
-        self.index = None
         self.runner = None
         self.is_leading = False
         self.leading_term = 0
@@ -111,6 +110,9 @@
         self.next_gauges = clock.monotonic()
         self.next_prune = self.next_gauges + PRUNE_INTERVAL_SECONDS
         self.ledger = ledgers.Ledger(self.notify_runner)
+        self.current_index = current_index.CurrentIndex(
+            self.ledger, decode_catalog
+        )
         self.link = links.Link(
             self.host_id,
             f'{self.host_id}:{settings.link_port}',
@@ -289,7 +291,7 @@
 
     def grant(self, wanted, now):
         """Return the tokens granted to a host by client account."""
-        index = self.get_index()
+        index = self.current_index.get()
         if index is None:
             return {}
         return {
@@ -300,13 +302,6 @@
 
     # Operators.
 
-    def get_index(self):
-        """Return the index of the current configuration, or None."""
-        version, document = self.ledger.get_catalog()
-        if version and (self.index is None or self.index.version != version):
-            self.index = indexes.Index(self.decode_catalog(document))
-        return self.index
-
     def put_catalog(self, catalog, document):
         """Commit a configuration; return None or a `Refusal`."""
         fault = validate.find_fault(catalog)
@@ -356,7 +351,9 @@
 
     def find_destination(self, job):
         """Return the `Destination` of the items of a job, or None."""
-        index = self.get_index()
+        index = self.current_index.get()
+        if index is None:
+            return None
         route = index.find_route(job.host, job.path_prefix)
         if route is None or route.path_prefix != job.path_prefix:
             return None
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -1,14 +1,17 @@
 """Tests of store hosts with stalled disks and changes of the leader."""
 
 import threading
+import types
 
 import pytest
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach.consensus import stalling
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach import exceptions
 from rhubarbreach.fleet import leader_client
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts.tests import conftest
@@ -163,3 +166,29 @@
     endpoints.apply_updates('s', fleetmessages.EndpointNews(rows))
     known = {row.endpoint_id for row in endpoints.list_rows(with_gone=True)}
     assert known == {'sound', 'gone'}
+
+
+def test_unreadable_stored_configuration_does_not_stop_a_leader(
+    stores, monkeypatch
+):
+    """Guards against a committed document that leaves all hosts unanswered."""
+
+    def decode(document):
+        if document == b'odd':
+            raise exceptions.MessageError('nested too deeply')
+        return catalogs.Catalog(1, accounts=(catalogs.Account('a', ()),))
+
+    leader = conftest.find_leader(stores)
+    monkeypatch.setattr(leader.current_index, 'decode_catalog', decode)
+    message = fleetmessages.Exchange(0, '', {}, {'a': 1.0}, {})
+    for version, document in ((1, b'sound'), (2, b'odd')):
+        command = commands.PutCatalog(version, document)
+        leader.propose(command, 5.0)
+        cluster.wait_until(
+            lambda: leader.answer_exchange('entry', message).is_leader
+        )
+        assert leader.answer_exchange('entry', message).granted
+        assert leader.current_index.get().version == 1
+    leader.current_index.index = None
+    job = types.SimpleNamespace(host='h', path_prefix='/')
+    assert leader.find_destination(job) is None
