Keep the numbers of a configuration within their ranges

An integer beyond 64 bits was acknowledged only by the decoder: the command that carries it cannot be encoded, so the operator got no answer for a version, and callers none for batch jobs with such a limit.

Integers outside of MessagePack's range are refused with status 400.

--- a/rhubarbreach/catalog/validate.py
+++ b/rhubarbreach/catalog/validate.py
@@ -3,6 +3,7 @@
 import collections
 
 from rhubarbreach import codes
+from rhubarbreach import serialization
 
 __all__ = ['find_fault', 'refuse_invalid']
 
@@ -20,6 +21,18 @@
     str or None
         Description of the first fault.
     """
+    integers = [
+        catalog.version,
+        *(service.slots for service in catalog.services),
+        *(service.max_connections for service in catalog.services),
+        *(route.max_attempts for route in catalog.routes),
+        *(route.waiting_tokens for route in catalog.routes),
+    ]
+    if (
+        min(integers) < serialization.MIN_INTEGER
+        or max(integers) > serialization.MAX_INTEGER
+    ):
+        return 'a number is out of range'
     services = {service.name for service in catalog.services}
     if len(services) < len(catalog.services):
         return 'two services have the same name'
