Refuse a change that is too large at every store

A configuration of 3 MB got status 400 from the leader, and status 500 or no answer from a store that calls the leader directly, as it does once it has got a reply of it: its message exceeds the limit of the codec (MessageError). The operator then sends it again and again.

The store returns a refusal, as the leader does.

--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -17,6 +17,7 @@
 from rhubarbreach.consensus import groups
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach import eventlog
+from rhubarbreach import exceptions
 from rhubarbreach.fleet import quota
 from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
@@ -331,11 +332,14 @@
     def propose(self, command, seconds):
         """Commit a command through the leader; return the reply."""
         self.client.hosts = (self.host_id, *self.members.list_others())
-        reply = self.client.propose(
-            commands.GROUP,
-            commands.FAMILY.encode(command),
-            clock.monotonic() + seconds,
-        )
+        try:
+            reply = self.client.propose(
+                commands.GROUP,
+                commands.FAMILY.encode(command),
+                clock.monotonic() + seconds,
+            )
+        except exceptions.MessageError as error:
+            return codes.Refusal(codes.ResultCode.INVALID_CHANGE, str(error))
         return commands.decode_reply(reply)
 
     # Batch items.
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -8,6 +8,7 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
+from rhubarbreach import codes
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach.consensus import stalling
 from rhubarbreach.consensus.tests import cluster
@@ -192,3 +193,19 @@
     leader.current_index.index = None
     job = types.SimpleNamespace(host='h', path_prefix='/')
     assert leader.find_destination(job) is None
+
+
+def test_change_that_is_too_large_is_refused_by_each_store(stores):
+    """Guards against a change that gets no answer, and is sent again."""
+    for version, store in enumerate(stores, 1):
+        # A store that has got a reply of the leader calls it directly.
+        catalog = catalogs.Catalog(version)
+        cluster.wait_until(
+            lambda store=store, catalog=catalog: (
+                store.put_catalog(catalog, b'') is None
+            )
+        )
+        for size in (1_600_000, 3_000_000):
+            refusal = store.put_catalog(catalog, b'x' * size)
+            assert refusal.code is codes.ResultCode.INVALID_CHANGE
+            assert refusal.ran is codes.Ran.NO
