--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -10,7 +10,7 @@
 DONE = b'data: [DONE]'
 DATA = b'data: '
 SEPARATOR = b'\n\n'
-INDEX = re.compile(rb'"index"\s*:\s*(\d+)')
+INDEX = re.compile(rb'"index"\s*:\s*(\d{1,18})\b')
 
 # A longer event counts as a fault of the stream and ends the attempt.
 MAX_EVENT_BYTES = 1 << 20
--- a/rhubarbreach/web/events.py
+++ b/rhubarbreach/web/events.py
@@ -9,6 +9,8 @@
 SEPARATOR = re.compile(rb'(?:\r?\n){2}')
 # A stream without a separator in this many bytes is not a stream of events.
 MAX_EVENT_BYTES = 1024 * 1024
+# Callers and endpoints keep event ids in integers of 64 bits.
+MAX_ID_DIGITS = 18
 ID_PATTERN = re.compile(rb'(?:^|\n)id: ?(\d+)')
 DATA_PATTERN = re.compile(rb'(?:^|\n)data: ?([^\r\n]*)')
 
@@ -46,9 +48,22 @@
 
 
 def get_id(block):
-    """Return the id of an event, or None."""
+    """Return the id of an event, or None.
+
+    Raises
+    ------
+    BadMessageError
+        If the id has more than `MAX_ID_DIGITS` digits.
+    """
     match = ID_PATTERN.search(block)
-    return int(match.group(1)) if match else None
+    if match is None:
+        return None
+    digits = match.group(1).lstrip(b'0')
+    if len(digits) > MAX_ID_DIGITS:
+        raise errors.BadMessageError(
+            f'event id of more than {MAX_ID_DIGITS} digits'
+        )
+    return int(digits or b'0')
 
 
 def get_data(block):
