Do not deliver a response whose head was cut off

On the own interface, callers got status 200 with an empty body when an endpoint stopped within the head of its response and closed: libcurl takes the end of the connection within a head for the end of the response, from the status line on (CURLE_OK, Content-Length or Transfer-Encoding not yet read). The call counted as completed and was not repeated elsewhere. Content-Length values out of range are ignored by libcurl as well, and a trailer counted as a header if it arrived together with the body.

A response is whole only once libcurl has passed on the blank line after its head, and its length, if there is one, is a number. Otherwise the attempt is broken: its outcome is unknown, and idempotent calls run again elsewhere.

--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -310,6 +310,8 @@
         if curl_code:
             end = AttemptEnd.BROKEN if transfer.sent else AttemptEnd.NOT_SENT
             self.end_early(transfer, end, message)
+        elif not transfer.is_whole():
+            self.end_early(transfer, AttemptEnd.BROKEN, 'incomplete response')
         elif transfer.is_mismatched():
             self.end_early(transfer, AttemptEnd.CROSSED, 'attempt id mismatch')
         elif transfer.relay is not None:
--- /dev/null
+++ b/rhubarbreach/dispatch/tests/test_cut_responses.py
@@ -0,0 +1,94 @@
+"""Tests of responses that an endpoint cuts off."""
+
+import pytest
+
+from rhubarbreach import codes
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    b'X-Attempt-Id: %b\r\nContent-Length: 8\r\n\r\n'
+)
+BODY = b'{"a": 1}'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    b'X-Attempt-Id: %b\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'8\r\n{"a": 1}\r\n0\r\nX-Trailer: 1\r\n\r\n'
+)
+NESTED = b'{"a":' * 5000 + b'0' + b'}' * 5000
+CODES = codes.ResultCode
+
+
+def send_and_close(get_data):
+    """Return a handler that sends bytes and ends the connection."""
+
+    def handle(request):
+        request.connection.sendall(get_data(request.attempt_id.encode()))
+        request.file.close()
+        request.connection.close()
+
+    return handle
+
+
+@pytest.mark.parametrize('template', [HEAD + BODY, CHUNKED])
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
+def test_cut_response_is_not_delivered(
+    start_endpoint, start_executor, make_call, template, interim
+):
+    """Guards against a cut head or body that callers get as a whole one.
+
+    libcurl takes the end of the connection within a head for its end.
+    """
+    length = len(interim + template % (b'0' * 32))
+    for size in (*range(0, length, 5), *range(length - 8, length)):
+        endpoint = start_endpoint(
+            send_and_close(
+                lambda attempt, size=size: (interim + template % attempt)[
+                    : size - length
+                ]
+            ),
+            kind='service',
+        )
+        call = make_call(stream=False, idempotent=False, body=b'{}')
+        result = start_executor(endpoint).execute(call)
+        assert isinstance(result, codes.Refusal), (size, result)
+        assert result.code is CODES.OUTCOME_UNKNOWN
+        assert result.ran is codes.Ran.UNKNOWN
+
+
+def test_cut_response_to_an_idempotent_call_is_repeated(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a caller that gets an empty body as a success."""
+    cut = start_endpoint(
+        send_and_close(lambda attempt: (HEAD % attempt)[:-15]), kind='service'
+    )
+    sound = start_endpoint(lambda request: request.answer(b'{"b": 2}'))
+    executor = start_executor(cut, sound)
+    result = executor.execute(make_call(stream=False))
+    assert (result.status, result.body) == (200, b'{"b": 2}')
+
+
+def test_trailers_do_not_replace_headers(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a trailer that counts as a header of the response."""
+    response = CHUNKED.replace(b'X-Trailer: 1', b'X-Attempt-Id: other')
+    endpoint = start_endpoint(
+        send_and_close(lambda attempt: response % attempt)
+    )
+    result = start_executor(endpoint).execute(make_call(stream=False))
+    assert (result.status, result.body) == (200, BODY)
+
+
+@pytest.mark.parametrize('length', [b'9' * 30, b'-8', b'8, 9', b''])
+def test_response_with_an_odd_length_is_not_delivered(
+    start_endpoint, start_executor, make_call, length
+):
+    """Guards against a body of an unknown length that counts as whole."""
+    head = HEAD.replace(b'Content-Length: 8', b'Content-Length: ' + length)
+    endpoint = start_endpoint(
+        send_and_close(lambda attempt: head % attempt + BODY)
+    )
+    call = make_call(stream=False, idempotent=False, body=b'{}')
+    result = start_executor(endpoint).execute(call)
+    assert isinstance(result, codes.Refusal)
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -14,6 +14,7 @@
 CONNECT_TIMEOUT_MS = 1000
 ATTEMPT_HEADER = 'x-attempt-id'
 EVENT_STREAM = 'text/event-stream'
+MAX_LENGTH_DIGITS = 18
 
 
 CLIENT_ERROR = 400
@@ -48,6 +49,7 @@
         self.future = concurrent.futures.Future()
         self.curl = None
         self.header_lines = []
+        self.is_head_complete = False
         self.status = 0
         self.headers = {}
         self.chunks = []
@@ -69,10 +71,17 @@
         chunks.append(data)
 
     def receive_header(self, line):
-        """Add a header line; a status line discards the previous ones."""
+        """Add a header line; a status line discards the previous ones.
+
+        Trailers, which follow the body, are ignored.
+        """
         if line.startswith(b'HTTP/'):
             self.header_lines.clear()
+            self.is_head_complete = False
+        if self.is_head_complete:
+            return
         self.header_lines.append(line)
+        self.is_head_complete = not line.strip()
 
     def record_sent(self):
         """Record whether bytes of the request were sent."""
@@ -94,6 +103,19 @@
         """Content type of the response."""
         return self.headers.get('content-type', '')
 
+    def is_whole(self):
+        """Return whether a response that libcurl accepts is complete.
+
+        libcurl takes the end of a connection within a head for the end of the
+        response, and ignores a length that is out of range.
+        """
+        length = self.headers.get('content-length', '0')
+        return (
+            self.is_head_complete
+            and length.isdigit()
+            and len(length) <= MAX_LENGTH_DIGITS
+        )
+
     def is_mismatched(self):
         """Return whether the attempt id of the response is wrong or missing.
 
