--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -295,3 +295,17 @@
     outcome, progress, _ = run_against(parts, pause=1.0, cancel_after=0.3)
     assert outcome[0] != 'completed'
     assert progress.texts == [b't1']
+
+
+@pytest.mark.parametrize(
+    'response',
+    [
+        HEAD + make_event(1) + chunk(b''),
+        b'HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 1\ndata: t1\n\n',
+    ],
+)
+def test_cut_response_is_no_complete_run(run_against, response):
+    """Guards against an empty or short result of a cut head or body."""
+    for size in range(len(response)):
+        outcome, _, _ = run_against([response[:size]])
+        assert outcome[0] == 'failed', response[:size]
