Refuse nested bodies, and read nested responses, without an error

On the own interface, a nested completion or announcement got status 500, a nested line raised RecursionError from the parser of uploads, and so did a nested result when it was read. A nested error response of an endpoint left the call waiting until its deadline, as the attempt ended with an exception and its future was never completed. Bodies of 150 and 940 levels were accepted, though steps with more calls on their stacks may fail on them.

Bodies are checked for their depth where they enter, and all decoders raise MessageError only.

--- a/rhubarbreach/batch/api.py
+++ b/rhubarbreach/batch/api.py
@@ -296,7 +296,7 @@
     if stored.content_type.startswith(JSON):
         try:
             json.loads(stored.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             pass
         else:
             return msgspec.Raw(stored.body)
--- a/rhubarbreach/batch/items.py
+++ b/rhubarbreach/batch/items.py
@@ -7,7 +7,9 @@
 
 from rhubarbreach import codes
 from rhubarbreach.dispatch import call
+from rhubarbreach import exceptions
 from rhubarbreach.scheduling import work
+from rhubarbreach import serialization
 from rhubarbreach.state import jobcommands
 
 __all__ = [
@@ -157,8 +159,8 @@
 def parse_fields(body):
     """Return the fields of a body, with defaults if it is malformed."""
     try:
-        return BODY_DECODER.decode(body)
-    except msgspec.DecodeError:
+        return serialization.decode(BODY_DECODER, body)
+    except exceptions.MessageError:
         return BodyFields()
 
 
--- a/rhubarbreach/batch/upload.py
+++ b/rhubarbreach/batch/upload.py
@@ -7,6 +7,8 @@
 
 from rhubarbreach.batch import items
 from rhubarbreach import codes
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
 
 __all__ = ['JobRoute', 'Upload', 'UploadParser', 'read_upload']
 
@@ -110,7 +112,7 @@
             self.parse_line(number, data)
         except LineError as error:
             return codes.Refusal(error.code, f'line {number}: {error}')
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except exceptions.MessageError as error:
             return codes.Refusal(
                 Code.INVALID_JOB_LINE, f'line {number}: {error}'
             )
@@ -120,7 +122,8 @@
         """Validate and add a line, or raise `LineError`."""
         if len(data) > MAX_LINE_BYTES:
             raise LineError(f'the line has more than {MAX_LINE_BYTES} bytes')
-        line = LINE_DECODER.decode(data)
+        serialization.check_depth(data)
+        line = serialization.decode(LINE_DECODER, data)
         if not 0 < len(line.custom_id) <= MAX_CUSTOM_ID_LENGTH:
             raise LineError(
                 f'custom_id must have 1 to {MAX_CUSTOM_ID_LENGTH} characters'
@@ -159,7 +162,7 @@
         """Validate the model of an item and add it to the targets."""
         if self.route.target:
             return
-        fields = items.BODY_DECODER.decode(body)
+        fields = serialization.decode(items.BODY_DECODER, body)
         if fields.stream or fields.resume_from is not None:
             raise LineError(
                 'stream and resume_from are not supported in batch jobs'
--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
+
 __all__ = ['EventRelay', 'Fault', 'make_error_event']
 
 DONE = b'data: [DONE]'
@@ -159,8 +162,8 @@
         if event.startswith(b':'):
             return False
         try:
-            fields = DECODER.decode(event.removeprefix(DATA))
-        except msgspec.DecodeError:
+            fields = serialization.decode(DECODER, event.removeprefix(DATA))
+        except exceptions.MessageError:
             self.dropped_mismatched += 1
             return False
         if fields.error is not None and fields.id in ('', self.attempt_id):
--- a/rhubarbreach/dispatch/prompt.py
+++ b/rhubarbreach/dispatch/prompt.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
+
 __all__ = ['BLOCK_CHARACTERS', 'add_resume', 'digest_call', 'list_prefixes']
 
 DIGEST_BYTES = 16
@@ -59,10 +62,10 @@
         the body holds no prompt.
     """
     try:
-        decoded = DECODER.decode(body)
-    except msgspec.DecodeError:
+        text = join_prompt(serialization.decode(DECODER, body))
+    except (exceptions.MessageError, RecursionError):
         return ()
-    text = join_prompt(decoded)[: BLOCK_CHARACTERS * MAX_BLOCKS]
+    text = text[: BLOCK_CHARACTERS * MAX_BLOCKS]
     digests = []
     chain = hashlib.blake2b(digest_size=PREFIX_BYTES)
     for start in range(0, len(text), BLOCK_CHARACTERS):
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -6,6 +6,8 @@
 import pycurl
 
 from rhubarbreach.dispatch import attempt as attempt_module
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
 
 __all__ = ['MAX_BODY_BYTES', 'Transfer', 'configure_handle']
 
@@ -138,8 +140,8 @@
         if self.attempt.reuse and ATTEMPT_HEADER not in self.headers:
             return False
         try:
-            return DECODER.decode(b''.join(self.body)).not_run
-        except msgspec.DecodeError:
+            return serialization.decode(DECODER, b''.join(self.body)).not_run
+        except exceptions.MessageError:
             return False
 
     def make_result(self, end, detail=''):
--- a/rhubarbreach/entry/completions.py
+++ b/rhubarbreach/entry/completions.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from rhubarbreach.dispatch import errors
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
 
 __all__ = ['CompletionFields', 'decode_completion', 'estimate_cost']
 
@@ -54,12 +56,13 @@
     """
     try:
         body.decode('utf-8')
-        fields = DECODER.decode(body)
+        serialization.check_depth(body)
+        fields = serialization.decode(DECODER, body)
     except UnicodeDecodeError:
         return errors.make_refusal(
             'MALFORMED_BODY', 'the body is not valid UTF-8'
         )
-    except msgspec.DecodeError as error:
+    except exceptions.MessageError as error:
         return errors.make_refusal(
             'MALFORMED_BODY',
             f'the body is not a valid completion request: {error}',
--- a/rhubarbreach/entry/status.py
+++ b/rhubarbreach/entry/status.py
@@ -9,12 +9,15 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.entry import bodies
 from rhubarbreach.entry import refusals
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
 
 __all__ = ['StatusHandlers', 'is_loopback']
 
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 ANNOUNCEMENT_TIMEOUT_SECONDS = 2.0
 TEXT = 'text/plain; charset=utf-8'
+DECODER = msgspec.json.Decoder(dict)
 
 
 def is_loopback(address):
@@ -84,8 +87,8 @@
         if isinstance(body, codes.Refusal):
             return self.application.refuse(request, body)
         try:
-            announcement = msgspec.json.decode(body, type=dict)
-        except msgspec.DecodeError:
+            announcement = serialization.decode(DECODER, body)
+        except exceptions.MessageError:
             refusal = errors.make_refusal(
                 'MALFORMED_BODY', 'the announcement is not a JSON object'
             )
--- a/rhubarbreach/orders/client.py
+++ b/rhubarbreach/orders/client.py
@@ -6,7 +6,9 @@
 import pycurl
 
 from rhubarbreach import codes
+from rhubarbreach import exceptions
 from rhubarbreach.orders import model
+from rhubarbreach import serialization
 
 __all__ = ['ORDER_TIMEOUT_SECONDS', 'read_state', 'send_order']
 
@@ -16,6 +18,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 HTTP_OK = 200
+STATE_DECODER = msgspec.json.Decoder(model.EndpointState)
 HTTP_CONFLICT = 409
 
 
@@ -80,8 +83,8 @@
             codes.Ran.UNKNOWN,
         )
     try:
-        return msgspec.json.decode(body, type=model.EndpointState)
-    except msgspec.DecodeError as error:
+        return serialization.decode(STATE_DECODER, body)
+    except exceptions.MessageError as error:
         return codes.Refusal(
             codes.ResultCode.ENDPOINT_FAILED, str(error), codes.Ran.UNKNOWN
         )
