Settle attempts whose address cannot be used

An endpoint whose address has characters that libcurl does not accept left a call waiting until its deadline: the exception was reported by the event loop, and the future of the attempt never completed. Such an attempt was not sent, and the call goes on at another endpoint.

Before: 2 failed, 7 passed. After: 9 passed.

--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -184,7 +184,14 @@
             self.settle(transfer, AttemptEnd.NOT_SENT, 'event loop closed')
             return
         curl = self.idle_handles.pop() if self.idle_handles else pycurl.Curl()
-        transfer_module.configure_handle(curl, transfer)
+        try:
+            transfer_module.configure_handle(curl, transfer)
+        except (TypeError, ValueError, pycurl.error) as error:
+            # The address or a header holds characters that cannot be sent.
+            transfer.curl = curl.transfer = None
+            curl.close()
+            self.settle(transfer, AttemptEnd.NOT_SENT, str(error))
+            return
         transfer.started_at = transfer.received_at = clock.monotonic()
         self.transfers[transfer.attempt.attempt_id] = transfer
         self.multi.add_handle(curl)
