Validate the announcements of the own interface

A row that cannot be encoded, or that makes a batch too large, ended the thread that sends all endpoints of a host to the other hosts, which count them as lost after 3.5 s.

The decoder checks ranges, patterns and lengths, and a batch that fails no longer ends the batches after it.

--- a/rhubarbreach/daemon/announce.py
+++ b/rhubarbreach/daemon/announce.py
@@ -1,5 +1,8 @@
 """Handling of endpoint announcements that arrive over HTTP."""
 
+import sys
+import typing
+
 import msgspec
 
 from rhubarbreach import clock
@@ -9,31 +12,51 @@
 __all__ = ['AnnouncementHandler']
 
 MAX_ADDRESSES = 4
+MAX_MODELS = 256
+MAX_PORT = 65_535
+MAX_COUNT = 2**63 - 1
+# A host name, an IPv4 address or an IPv6 address in brackets, and a port.
+ADDRESS_PATTERN = r'\A([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}\Z'
+
+Name = typing.Annotated[
+    str, msgspec.Meta(max_length=256, pattern=r'\A[\x21-\x7e]+\Z')
+]
+Version = typing.Annotated[
+    str, msgspec.Meta(max_length=256, pattern=r'\A[\x20-\x7e]*\Z')
+]
+Address = typing.Annotated[
+    str, msgspec.Meta(max_length=256, pattern=ADDRESS_PATTERN)
+]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Fraction = typing.Annotated[float, msgspec.Meta(ge=0.0, le=sys.float_info.max)]
+Models = typing.Annotated[
+    tuple[Name, ...], msgspec.Meta(max_length=MAX_MODELS)
+]
 
 
 class AnnouncedLoad(msgspec.Struct, frozen=True):
     """Load of an endpoint, as stated in its announcement."""
 
-    running: int = 0
-    waiting: int = 0
-    slots: int = 0
-    kv_used: float = 0.0
+    running: Count = 0
+    waiting: Count = 0
+    slots: Count = 0
+    kv_used: Fraction = 0.0
 
 
 class Announcement(msgspec.Struct, frozen=True):
     """Decoded body of an endpoint announcement."""
 
-    endpoint_id: str
-    address: str
-    zone: str
-    kind: str
-    models: tuple[str, ...]
-    incarnation: int
-    sequence: int = 0
+    endpoint_id: Name
+    address: Address
+    zone: Name
+    kind: Name
+    models: Models
+    incarnation: Count
+    sequence: Count = 0
     draining: bool = False
     fencing: bool = False
     load: AnnouncedLoad = AnnouncedLoad()
-    software_version: str = ''
+    software_version: Version = ''
 
 
 class AnnouncementHandler:
@@ -60,6 +83,12 @@
             return codes.Refusal(
                 codes.ResultCode.MALFORMED_BODY, f'announcement: {error}'
             )
+        port = int(announcement.address.rpartition(':')[2])
+        if not 1 <= port <= MAX_PORT:
+            return codes.Refusal(
+                codes.ResultCode.MALFORMED_BODY,
+                f'announcement: the port {port} is out of range',
+            )
         row = membermessages.EndpointRow(
             announcement.endpoint_id,
             announcement.address,
--- a/rhubarbreach/membership/endpoints.py
+++ b/rhubarbreach/membership/endpoints.py
@@ -5,11 +5,14 @@
 import threading
 
 from rhubarbreach import clock
+from rhubarbreach import eventlog
 from rhubarbreach.membership import model
 from rhubarbreach.protocol import membermessages
 
 __all__ = ['EndpointRegistry', 'Record']
 
+LOG = eventlog.Logger('endpoint-registry')
+
 # An endpoint announces itself every second and counts as lost after this
 # time without an announcement.
 EXPIRY_SECONDS = 3.5
@@ -85,7 +88,12 @@
     def run(self):
         """Send batches until closed."""
         while not self.stopped.wait(BATCH_PERIOD_SECONDS):
-            self.tick(clock.monotonic())
+            try:
+                self.tick(clock.monotonic())
+            except Exception:
+                # If this thread ended, the other hosts would lose all
+                # endpoints that announce themselves to this one.
+                LOG.exception('event=batch_failed')
 
     def announce(self, announcement, now):
         """Record an announcement of an endpoint.
--- a/rhubarbreach/membership/tests/test_endpoints.py
+++ b/rhubarbreach/membership/tests/test_endpoints.py
@@ -1,9 +1,13 @@
 """Tests of the endpoint registry of one host."""
 
 import dataclasses
+import threading
+import types
 
 import pytest
 
+from rhubarbreach import clock
+from rhubarbreach import exceptions
 from rhubarbreach.membership import endpoints
 from rhubarbreach.protocol import membermessages
 
@@ -66,3 +70,33 @@
     registry.announce(draining, 10.0)
     registry.announce(dataclasses.replace(ROW, incarnation=6), 10.1)
     assert list_ids(registry, 10.2) == ['engine-1']
+
+
+def test_failed_batch_does_not_end_the_batches():
+    """Guards against one row that stops the announcements of all others."""
+    sent = threading.Event()
+    batches = []
+
+    def send(host_id, batch):
+        batches.append(batch)
+        if len(batches) == 1:
+            raise exceptions.MessageError('a number is out of range')
+        sent.set()
+
+    host = types.SimpleNamespace(host_id='h2', region='r', zone='z')
+    membership = types.SimpleNamespace(
+        host_id='h1', region='r', zone='z', alive=lambda: [host]
+    )
+    link = types.SimpleNamespace(register=lambda *_, **__: None, send=send)
+    registry = endpoints.EndpointRegistry(membership, link)
+    registry.start()
+    try:
+        registry.announce(ROW, clock.monotonic())
+        for sequence in range(2, 200):
+            row = dataclasses.replace(ROW, sequence=sequence)
+            registry.announce(row, clock.monotonic())
+            if sent.wait(0.05):
+                break
+        assert sent.is_set()
+    finally:
+        registry.close()
