Check the depth of JSON before it is decoded

A run of all tests beside other load lost a worker (signal 11) in test_nested_announcement_is_refused. Cause: the decoder of values of any type needs more than 256 KiB of stack for 900 levels, and Python's limit of 1,000 levels is too high for it on a thread with 256 KiB. web.server sets that size for all later threads of its process, which in the tests includes those of the own interface's server. Measured in processes of their own on arm64 with 256 KiB: a list or an object in a field of type object or dict, nested 900, 960 or 2,000 deep, ends the process; 400 levels, skipped fields and Raw fields do not, and the platform's decoders only have those. So no deployed process is known to end by it, but one field of such a type would suffice.

All decoders of JSON from outside check the depth first. Readers of stored documents stay as they are, since they only skip unknown fields.

--- a/rhubarbreach/batch/upload.py
+++ b/rhubarbreach/batch/upload.py
@@ -122,8 +122,7 @@
         """Validate and add a line, or raise `LineError`."""
         if len(data) > MAX_LINE_BYTES:
             raise LineError(f'the line has more than {MAX_LINE_BYTES} bytes')
-        serialization.check_depth(data)
-        line = serialization.decode(LINE_DECODER, data)
+        line = serialization.decode_json(LINE_DECODER, data)
         if not 0 < len(line.custom_id) <= MAX_CUSTOM_ID_LENGTH:
             raise LineError(
                 f'custom_id must have 1 to {MAX_CUSTOM_ID_LENGTH} characters'
--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -162,7 +162,9 @@
         if event.startswith(b':'):
             return False
         try:
-            fields = serialization.decode(DECODER, event.removeprefix(DATA))
+            fields = serialization.decode_json(
+                DECODER, event.removeprefix(DATA)
+            )
         except exceptions.MessageError:
             self.dropped_mismatched += 1
             return False
--- a/rhubarbreach/dispatch/prompt.py
+++ b/rhubarbreach/dispatch/prompt.py
@@ -62,8 +62,8 @@
         the body holds no prompt.
     """
     try:
-        text = join_prompt(serialization.decode(DECODER, body))
-    except (exceptions.MessageError, RecursionError):
+        text = join_prompt(serialization.decode_json(DECODER, body))
+    except exceptions.MessageError:
         return ()
     text = text[: BLOCK_CHARACTERS * MAX_BLOCKS]
     digests = []
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -140,7 +140,9 @@
         if self.attempt.reuse and ATTEMPT_HEADER not in self.headers:
             return False
         try:
-            return serialization.decode(DECODER, b''.join(self.body)).not_run
+            return serialization.decode_json(
+                DECODER, b''.join(self.body)
+            ).not_run
         except exceptions.MessageError:
             return False
 
--- a/rhubarbreach/entry/completions.py
+++ b/rhubarbreach/entry/completions.py
@@ -56,8 +56,7 @@
     """
     try:
         body.decode('utf-8')
-        serialization.check_depth(body)
-        fields = serialization.decode(DECODER, body)
+        fields = serialization.decode_json(DECODER, body)
     except UnicodeDecodeError:
         return errors.make_refusal(
             'MALFORMED_BODY', 'the body is not valid UTF-8'
--- a/rhubarbreach/entry/status.py
+++ b/rhubarbreach/entry/status.py
@@ -87,7 +87,7 @@
         if isinstance(body, codes.Refusal):
             return self.application.refuse(request, body)
         try:
-            announcement = serialization.decode(DECODER, body)
+            announcement = serialization.decode_json(DECODER, body)
         except exceptions.MessageError:
             refusal = errors.make_refusal(
                 'MALFORMED_BODY', 'the announcement is not a JSON object'
--- a/rhubarbreach/orders/client.py
+++ b/rhubarbreach/orders/client.py
@@ -83,7 +83,7 @@
             codes.Ran.UNKNOWN,
         )
     try:
-        return serialization.decode(STATE_DECODER, body)
+        return serialization.decode_json(STATE_DECODER, body)
     except exceptions.MessageError as error:
         return codes.Refusal(
             codes.ResultCode.ENDPOINT_FAILED, str(error), codes.Ran.UNKNOWN
--- a/rhubarbreach/protocol/tests/test_odd_data.py
+++ b/rhubarbreach/protocol/tests/test_odd_data.py
@@ -1,5 +1,8 @@
 """Tests of messages and commands that cannot be decoded or encoded."""
 
+import subprocess
+import sys
+
 import msgspec
 import pytest
 
@@ -43,3 +46,35 @@
     message = fleetmessages.RetirementCall('\ud800', False)
     with pytest.raises(exceptions.MessageError):
         codec.encode(codec.Envelope('s', 0, False, 0, message))
+
+
+DECODE_ON_A_SMALL_STACK = """
+import threading
+import msgspec
+from rhubarbreach import exceptions
+from rhubarbreach import serialization
+from rhubarbreach.web import server
+
+def decode():
+    document = b'{"a":' + b'[' * 960 + b']' * 960 + b'}'
+    try:
+        serialization.decode_json(msgspec.json.Decoder(dict), document)
+    except exceptions.MessageError:
+        print('refused')
+
+threading.stack_size(server.STACK_BYTES)
+thread = threading.Thread(target=decode)
+thread.start()
+thread.join()
+"""
+
+
+def test_nested_document_does_not_end_the_process():
+    """Guards against a stack overflow on a thread of a server."""
+    result = subprocess.run(
+        [sys.executable, '-c', DECODE_ON_A_SMALL_STACK],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (result.returncode, result.stdout) == (0, 'refused\n')
--- a/rhubarbreach/serialization.py
+++ b/rhubarbreach/serialization.py
@@ -17,6 +17,7 @@
     'MIN_INTEGER',
     'check_depth',
     'decode',
+    'decode_json',
     'encode',
 ]
 
@@ -61,6 +62,22 @@
         raise exceptions.MessageError(str(error)) from error
 
 
+def decode_json(decoder, document):
+    """Decode a JSON document that any sender may have written.
+
+    The depth is checked first, as the decoder needs more stack for nested
+    values of any type than the threads of a server have.
+
+    Raises
+    ------
+    MessageError
+        If the document is malformed, nested more deeply than `MAX_DEPTH` or
+        of another type.
+    """
+    check_depth(document)
+    return decode(decoder, document)
+
+
 def check_depth(document):
     """Check that all readers of a JSON document can decode its nesting.
 
