Let the last attempt of a request decide the origin of its stream

Callers could get a stream joined from two software versions after a take-up.

Cause: a request may be sent to endpoints of two versions before its first event, and each attempt recorded an origin without an order. A store that was cut off during the later attempt answered with the earlier origin, and the first answer counted; rows that one store sent another could replace a newer origin.

Change: origins carry the number of the attempt, and the highest one holds.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -76,6 +76,7 @@
         self.last_id = info.last_event_id
         # Version at which the stream began; None before it has.
         self.software_version = None
+        self.origin_revision = 0
         self.endpoint = None
         self.sent = 0
         self.declined = 0
@@ -103,6 +104,7 @@
                 return origin
             service = origin.service
             self.software_version = origin.software_version
+            self.origin_revision = origin.revision
         excluded = set()
         quarantine = self.app.leader_client.quarantine
         if self.app.view.has_high_utilization(service):
@@ -126,9 +128,7 @@
             self.endpoint = endpoint
             self.load = self.app.view.format_load(endpoint.endpoint_id)
             if not self.response_started:
-                resume.record_origin(
-                    self.app, self.route, self.info, self.account, endpoint
-                )
+                self.record_origin(endpoint)
             try:
                 outcome = self.attempt(endpoint)
             finally:
@@ -365,6 +365,19 @@
                 self.info.prompt, clock.monotonic()
             )
 
+    def record_origin(self, endpoint):
+        """Record the endpoint as the origin of the stream."""
+        if self.software_version is None:
+            self.origin_revision += 1
+        resume.record_origin(
+            self.app,
+            self.route,
+            self.info,
+            self.account,
+            endpoint,
+            self.origin_revision,
+        )
+
     def end_unfinished(self, read_deadline):
         """Return the outcome of a response that stopped making progress."""
         if read_deadline < self.deadline:
--- a/rhubarbreach/gateway/resume.py
+++ b/rhubarbreach/gateway/resume.py
@@ -1,5 +1,7 @@
 """Streams that callers take up, and the records that this requires."""
 
+import dataclasses
+
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import codes
@@ -65,14 +67,29 @@
             f'no endpoint of {service} has the software version '
             f'{origin.software_version!r} of the stream',
         )
-    return table.Origin(service, origin.software_version)
+    return dataclasses.replace(origin, service=service)
 
 
-def record_origin(app, route, info, account, endpoint):
+def record_origin(app, route, info, account, endpoint, revision):
     """Record the origin of a stream that a request begins at an endpoint.
 
     A request that takes a stream up records its origin again, as the stream
     may break off again.
+
+    Parameters
+    ----------
+    app : App
+        Records the origin.
+    route : Route
+        Route of the request.
+    info : CallInfo
+        Properties of the request.
+    account : Account or None
+        Client account of the request.
+    endpoint : Endpoint
+        Endpoint to which the request is sent.
+    revision : int
+        Number of the attempt; that of the origin if the stream has begun.
     """
     if route.kind is not catalogs.RouteKind.STREAM or not route.resumable:
         return
@@ -84,7 +101,7 @@
         return
     app.origins.record(
         stream_id,
-        table.Origin(endpoint.service, endpoint.software_version),
+        table.Origin(endpoint.service, endpoint.software_version, revision),
         max(route.timeout, info.timeout or 0.0) + TAKE_UP_MARGIN_SECONDS,
     )
 
--- a/rhubarbreach/gateway/tests/test_resume.py
+++ b/rhubarbreach/gateway/tests/test_resume.py
@@ -110,9 +110,9 @@
 def test_take_up_is_recorded_under_the_request_that_began_the_stream(app):
     """Guards against a second take-up that does not find the origin."""
     endpoint = app.view.acquire('a', (), 0.0, software_version='v2')
-    resume.record_origin(app, make_route('a'), make_info(), None, endpoint)
+    resume.record_origin(app, make_route('a'), make_info(), None, endpoint, 3)
     (stream_id, origin, lifetime), *_ = app.origins.recorded
-    assert (stream_id, origin) == (FIRST, table.Origin('a', 'v2'))
+    assert (stream_id, origin) == (FIRST, table.Origin('a', 'v2', 3))
     assert lifetime > 9.0
 
 
@@ -123,7 +123,7 @@
     assert not resume.is_take_up(route, make_info(last_event_id=None))
     endpoint = app.view.acquire('a', (), 0.0, software_version='v1')
     resume.record_origin(
-        app, route, make_info(last_event_id=0), None, endpoint
+        app, route, make_info(last_event_id=0), None, endpoint, 1
     )
     assert app.origins.recorded[0][:2] == (
         table.make_stream_id('', 'later'),
@@ -135,5 +135,5 @@
     """Guards against records that no caller can use."""
     endpoint = app.view.acquire('a', (), 0.0)
     route = make_route('a', resumable=False)
-    resume.record_origin(app, route, make_info(), None, endpoint)
+    resume.record_origin(app, route, make_info(), None, endpoint, 1)
     assert not app.origins.recorded
--- a/rhubarbreach/protocol/streammessages.py
+++ b/rhubarbreach/protocol/streammessages.py
@@ -10,10 +10,11 @@
     """Origins of streams that have begun or are about to.
 
     A row consists of the id of the stream, its service, the software version
-    of its endpoint, and the time in seconds for which the origin is needed.
+    of its endpoint, the number of the attempt, and the time in seconds for
+    which the origin is needed.
     """
 
-    rows: tuple[tuple[bytes, str, str, float], ...]
+    rows: tuple[tuple[bytes, str, str, int, float], ...]
 
 
 @messages.frozen_message
@@ -37,10 +38,12 @@
     """Answer to `OriginQuery`; `service` is None if the origin is unknown.
 
     The leader also sends the software `versions` of the services that were in
-    service while a stream that began then may still be taken up.
+    service while a stream that began then may still be taken up. A store that
+    was cut off may know an attempt with a lower `revision` only.
     """
 
     service: str | None = None
     software_version: str = ''
     is_leader: bool = False
     versions: tuple[str, ...] = ()
+    revision: int = 1
--- a/rhubarbreach/streams/keeper.py
+++ b/rhubarbreach/streams/keeper.py
@@ -42,8 +42,8 @@
     def apply_news(self, _sender_id, message):
         """Store the origins that another host has sent."""
         now = clock.monotonic()
-        for stream_id, service, software_version, lifetime in message.rows:
-            origin = table.Origin(service, software_version)
+        for stream_id, *fields, lifetime in message.rows:
+            origin = table.Origin(*fields)
             lifetime = min(lifetime, table.MAX_STREAM_SECONDS)
             self.table.add(stream_id, origin, now + lifetime, now)
 
@@ -59,7 +59,9 @@
         origin = self.table.find(message.stream_id, clock.monotonic())
         if origin is not None:
             return streammessages.OriginReply(
-                origin.service, origin.software_version
+                origin.service,
+                origin.software_version,
+                revision=origin.revision,
             )
         versions = self.find_versions(message.services)
         return streammessages.OriginReply(
--- a/rhubarbreach/streams/recorder.py
+++ b/rhubarbreach/streams/recorder.py
@@ -90,14 +90,17 @@
         deadline = clock.monotonic() + QUERY_TIMEOUT_SECONDS
         calls = [
             self.link.call(store, query, deadline)
-            for store in self.list_stores()
+            for store in self.list_responsive_stores()
         ]
-        versions = ()
-        for reply in iterate_replies(calls, deadline):
-            if reply.service is not None:
-                return table.Origin(reply.service, reply.software_version)
-            if reply.is_leader:
-                versions = reply.versions
+        # A store that missed the last attempt may be the first one to reply.
+        replies = list(iterate_replies(calls, deadline))
+        known = [reply for reply in replies if reply.service is not None]
+        if known:
+            reply = max(known, key=lambda reply: reply.revision)
+            return table.Origin(
+                reply.service, reply.software_version, reply.revision
+            )
+        versions = next((r.versions for r in replies if r.is_leader), ())
         if len(versions) == 1:
             return table.Origin(None, versions[0])
         return None
@@ -121,7 +124,13 @@
             return
         message = streammessages.OriginNews(
             tuple(
-                (stream_id, origin.service, origin.software_version, lifetime)
+                (
+                    stream_id,
+                    origin.service,
+                    origin.software_version,
+                    origin.revision,
+                    lifetime,
+                )
                 for stream_id, (origin, lifetime) in pending.items()
             )
         )
@@ -130,12 +139,15 @@
 
     def choose_stores(self):
         """Return the stores that keep the origins of this host."""
-        stores = self.list_stores()
-        responsive = [s for s in stores if not self.link.is_silent(s)]
         return rendezvous.rank_hosts(
-            self.link.host_id, responsive or stores, COPIES
+            self.link.host_id, self.list_responsive_stores(), COPIES
         )
 
+    def list_responsive_stores(self):
+        """Return the stores that answer, or all if none does."""
+        stores = self.list_stores()
+        return [s for s in stores if not self.link.is_silent(s)] or stores
+
     def close(self):
         """Stop sending."""
         self.closed = True
--- a/rhubarbreach/streams/table.py
+++ b/rhubarbreach/streams/table.py
@@ -15,10 +15,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
-    """Service and software version at which a stream began."""
+    """Service and software version at which a stream began.
+
+    A request may be sent to several endpoints before its first event. Each
+    attempt has a higher `revision`, and the last one holds.
+    """
 
     service: str
     software_version: str
+    revision: int = 1
 
 
 def make_stream_id(account, request_id):
@@ -65,7 +70,7 @@
         return len(self.entries)
 
     def add(self, stream_id, origin, expires_at, now):
-        """Add an origin, or replace it.
+        """Add an origin, unless that of a later attempt is known.
 
         Parameters
         ----------
@@ -78,8 +83,10 @@
             time, in seconds of the monotonic clock.
         """
         with self.lock:
-            self.entries.pop(stream_id, None)
-            self.entries[stream_id] = (origin, expires_at)
+            known, known_until = self.entries.pop(stream_id, (origin, now))
+            if now < known_until and known.revision > origin.revision:
+                origin = known
+            self.entries[stream_id] = (origin, max(expires_at, known_until))
             self.remove_oldest(now)
 
     def remove_oldest(self, now):
@@ -108,6 +115,7 @@
                 stream_id,
                 origin.service,
                 origin.software_version,
+                origin.revision,
                 expires_at - now,
             )
             for stream_id, (origin, expires_at) in entries
--- a/rhubarbreach/streams/tests/test_origins.py
+++ b/rhubarbreach/streams/tests/test_origins.py
@@ -7,12 +7,13 @@
 from rhubarbreach import clock
 from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.protocol import link as links
+from rhubarbreach.protocol import streammessages
 from rhubarbreach.streams import keeper
 from rhubarbreach.streams import recorder
 from rhubarbreach.streams import table
 
 OLD = table.Origin('s', 'v1')
-NEW = table.Origin('s', 'v2')
+NEW = table.Origin('s', 'v2', revision=2)
 
 
 class Network:
@@ -186,3 +187,43 @@
     assert len(ids) == 6
     assert {len(stream_id) for stream_id in ids} == {12}
     assert table.make_stream_id('a', '') == b''
+
+
+def test_store_that_missed_the_last_attempt_does_not_answer_first(network):
+    """Guards against a stream that goes on at the version before its own.
+
+    A store that was cut off while a later attempt was recorded still holds the
+    origin of the earlier one.
+    """
+    entry = network.start_entry()
+    entry.record(b'r', OLD, 30.0)
+    cluster.wait_until(lambda: network.count_copies(b'r') == recorder.COPIES)
+    stale = next(a for a in network.stores if network.keepers[a].table)
+    entry.list_stores = lambda: [a for a in network.stores if a != stale]
+    entry.record(b'r', NEW, 30.0)
+    cluster.wait_until(
+        lambda: (
+            sum(
+                kept.table.find(b'r', clock.monotonic()) == NEW
+                for kept in network.keepers.values()
+            )
+            == recorder.COPIES
+        )
+    )
+    network.stop(network.addresses[4])
+    other = network.start_entry()
+    found = {other.find(b'r', ('s',)) for _ in range(40)}
+    assert OLD not in found
+
+
+def test_late_rows_of_another_store_do_not_replace_a_newer_origin(network):
+    """Guards against rows that were sent before the last attempt began."""
+    first, second = (network.keepers[a] for a in network.stores[:2])
+    now = clock.monotonic()
+    first.table.add(b'r', OLD, now + 30.0, now)
+    rows = first.table.list_rows(now)
+    second.apply_news(
+        'entry', streammessages.OriginNews(((b'r', 's', 'v2', 2, 30.0),))
+    )
+    second.apply_news('store', streammessages.OriginNews(tuple(rows)))
+    assert second.table.find(b'r', clock.monotonic()) == NEW
