Let stores that have started learn the origins of entry hosts

Callers could be refused take-ups at all entry hosts but the one that had begun the stream, after all stores had lost power, if two software versions were in service.

Cause: a store that starts asked only the other stores for the origins that they know, and keeps origins in memory.

Change: a store also asks each entry host that it hears for the first time.

Evidence: test_restarted_stores_learn_origins_from_entry_hosts, by the reviewer, failed before.

--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -177,7 +177,7 @@
         )
         self.thread.start()
         self.endpoints.query_stores()
-        self.origins.query_stores(self.members.list_others())
+        self.origins.query_hosts(self.members.list_others())
 
     def set_seeds(self, seeds):
         """Replace the stores that this one contacts first."""
--- a/rhubarbreach/protocol/streammessages.py
+++ b/rhubarbreach/protocol/streammessages.py
@@ -2,7 +2,16 @@
 
 from rhubarbreach.protocol import messages
 
-__all__ = ['OriginNews', 'OriginQuery', 'OriginReply', 'OriginsQuery']
+__all__ = [
+    'OriginNews',
+    'OriginQuery',
+    'OriginReply',
+    'OriginsQuery',
+    'split_news',
+]
+
+# Rows in one message. A row takes about 60 bytes.
+MAX_NEWS_ROWS = 1000
 
 
 @messages.frozen_message
@@ -47,3 +56,9 @@
     is_leader: bool = False
     versions: tuple[str, ...] = ()
     revision: int = 1
+
+
+def split_news(rows):
+    """Yield the messages with some rows, none of them too large."""
+    for start in range(0, len(rows), MAX_NEWS_ROWS):
+        yield OriginNews(tuple(rows[start : start + MAX_NEWS_ROWS]))
--- a/rhubarbreach/streams/keeper.py
+++ b/rhubarbreach/streams/keeper.py
@@ -6,9 +6,6 @@
 
 __all__ = ['OriginKeeper']
 
-# Rows in one message to another store. A row takes about 60 bytes.
-MAX_NEWS_ROWS = 1000
-
 
 class OriginKeeper:
     """Origins of streams that entry hosts record at a store.
@@ -26,6 +23,8 @@
         self.link = link
         self.find_versions = find_versions
         self.table = table.OriginTable()
+        # Hosts that were asked for the origins they know.
+        self.asked = set()
         link.register(streammessages.OriginNews, self.apply_news, inline=True)
         link.register(
             streammessages.OriginsQuery, self.send_origins, inline=True
@@ -34,13 +33,19 @@
             streammessages.OriginQuery, self.answer_query, inline=True
         )
 
-    def query_stores(self, host_ids):
-        """Ask other stores for the origins they know."""
-        for host_id in host_ids:
+    def query_hosts(self, host_ids):
+        """Ask other hosts, once each, for the origins they know."""
+        for host_id in set(host_ids) - self.asked:
+            self.asked.add(host_id)
             self.link.send(host_id, streammessages.OriginsQuery())
 
-    def apply_news(self, _sender_id, message):
-        """Store the origins that another host has sent."""
+    def apply_news(self, sender_id, message):
+        """Store the origins that another host has sent.
+
+        An entry host that is heard for the first time may have recorded
+        others before this store started.
+        """
+        self.query_hosts((sender_id,))
         now = clock.monotonic()
         for stream_id, *fields, lifetime in message.rows:
             origin = table.Origin(*fields)
@@ -49,10 +54,10 @@
 
     def send_origins(self, sender_id, _):
         """Send all known origins to another store."""
-        rows = self.table.list_rows(clock.monotonic())
-        for start in range(0, len(rows), MAX_NEWS_ROWS):
-            part = tuple(rows[start : start + MAX_NEWS_ROWS])
-            self.link.send(sender_id, streammessages.OriginNews(part))
+        for message in streammessages.split_news(
+            self.table.list_rows(clock.monotonic())
+        ):
+            self.link.send(sender_id, message)
 
     def answer_query(self, _sender_id, message):
         """Return the `OriginReply` to the query of an entry host."""
--- a/rhubarbreach/streams/recorder.py
+++ b/rhubarbreach/streams/recorder.py
@@ -47,6 +47,9 @@
             target=self.run, name='origins', daemon=True
         )
         self.thread.start()
+        link.register(
+            streammessages.OriginsQuery, self.send_origins, inline=True
+        )
 
     def record(self, stream_id, origin, lifetime):
         """Record the origin of a stream before its first event.
@@ -137,6 +140,13 @@
         for store in self.choose_stores():
             self.link.send(store, message)
 
+    def send_origins(self, sender_id, _):
+        """Send the recorded origins to a store that has started since."""
+        for message in streammessages.split_news(
+            self.table.list_rows(clock.monotonic())
+        ):
+            self.link.send(sender_id, message)
+
     def choose_stores(self):
         """Return the stores that keep the origins of this host."""
         return rendezvous.rank_hosts(
--- a/rhubarbreach/streams/tests/test_origins.py
+++ b/rhubarbreach/streams/tests/test_origins.py
@@ -104,7 +104,7 @@
     address = next(a for a in network.stores if network.keepers[a].table)
     network.stop(address)
     store = network.start_store(address)
-    store.query_stores(a for a in network.stores if a != address)
+    store.query_hosts(a for a in network.stores if a != address)
     cluster.wait_until(
         lambda: store.table.find(b'r', clock.monotonic()) == OLD
     )
@@ -216,6 +216,21 @@
     assert OLD not in found
 
 
+def test_restarted_stores_learn_origins_from_entry_hosts(network):
+    """Guards against refused streams after a loss of power of all stores."""
+    entry = network.start_entry()
+    entry.record(b'r', OLD, 30.0)
+    cluster.wait_until(lambda: network.count_copies(b'r') == recorder.COPIES)
+    for address in network.stores:
+        network.stop(address)
+    for address in network.stores:
+        store = network.start_store(address)
+        store.query_hosts(a for a in network.stores if a != address)
+    entry.record(b'later', OLD, 30.0)
+    cluster.wait_until(lambda: network.count_copies(b'later') > 0)
+    cluster.wait_until(lambda: network.count_copies(b'r') > 0, 2.0)
+
+
 def test_late_rows_of_another_store_do_not_replace_a_newer_origin(network):
     """Guards against rows that were sent before the last attempt began."""
     first, second = (network.keepers[a] for a in network.stores[:2])
