Remember software versions for as long as streams may last

A stream of a route with a timeout above 115 s could go on at the version after its own.

Cause: origins and versions were forgotten after 120 s whatever the timeout of the route, which has no limit, and a single version that was left then counted as certain.

Change: both are kept for up to an hour. A stream that may last longer and whose origin is unknown is refused.

Evidence: test_long_stream_does_not_go_on_at_the_version_after_its_own, by the reviewer, failed before.

--- a/rhubarbreach/gateway/resume.py
+++ b/rhubarbreach/gateway/resume.py
@@ -46,6 +46,10 @@
     )
     stream_id = make_stream_id(account, info.resumed_request_id)
     origin = app.origins.find(stream_id, services)
+    is_certain = origin is not None and origin.service is not None
+    if not is_certain and get_lifetime(route, info) > table.MAX_STREAM_SECONDS:
+        # Versions that served the stream may have been forgotten.
+        origin = None
     LOG.info(
         'event=stream_taken_up request={} began={} last_event={} origin={}',
         info.request_id,
@@ -102,10 +106,15 @@
     app.origins.record(
         stream_id,
         table.Origin(endpoint.service, endpoint.software_version, revision),
-        max(route.timeout, info.timeout or 0.0) + TAKE_UP_MARGIN_SECONDS,
+        get_lifetime(route, info),
     )
 
 
+def get_lifetime(route, info):
+    """Return the seconds in which the caller may take the stream up."""
+    return max(route.timeout, info.timeout or 0.0) + TAKE_UP_MARGIN_SECONDS
+
+
 def make_stream_id(account, request_id):
     """Return the id of the stream that a request of an account begins."""
     name = '' if account is None else account.name
--- a/rhubarbreach/gateway/tests/test_resume.py
+++ b/rhubarbreach/gateway/tests/test_resume.py
@@ -1,5 +1,6 @@
 """Streams that callers take up after a change of routes or endpoints."""
 
+import dataclasses
 import types
 
 import pytest
@@ -137,3 +138,17 @@
     route = make_route('a', resumable=False)
     resume.record_origin(app, route, make_info(), None, endpoint, 1)
     assert not app.origins.recorded
+
+
+def test_long_stream_of_an_unknown_origin_is_refused(app):
+    """Guards against streams that outlast the memory of versions."""
+    app.origins.find = lambda *_: table.Origin(None, 'v2')
+    info = make_info()
+    assert resume.find_origin(app, make_route('a'), info, None) == (
+        table.Origin('a', 'v2')
+    )
+    route = dataclasses.replace(
+        make_route('a'), timeout=table.MAX_STREAM_SECONDS
+    )
+    refusal = resume.find_origin(app, route, info, None)
+    assert refusal.code is codes.ResultCode.NOT_RESUMABLE
--- a/rhubarbreach/hosts/tests/test_version_history.py
+++ b/rhubarbreach/hosts/tests/test_version_history.py
@@ -6,7 +6,10 @@
 
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ledger as ledgers
+from rhubarbreach import clock
 from rhubarbreach.hosts import version_history
+from rhubarbreach.protocol import streammessages
+from rhubarbreach.streams import keeper
 from rhubarbreach.streams import table
 
 
@@ -61,3 +64,26 @@
     history = version_history.VersionHistory(ledger, None, lambda: rows)
     ledger.apply_command(commands.AddVersions((('s', 'v0'),)))
     assert history.find_versions(('s',)) == ('v0', 'v1')
+
+
+def test_long_stream_does_not_go_on_at_the_version_after_its_own(
+    history, rows, monkeypatch
+):
+    """Guards against routes whose timeout exceeds what is remembered."""
+    now = 0.0
+    monkeypatch.setattr(clock, 'monotonic', lambda: now)
+    link = types.SimpleNamespace(
+        register=lambda *_, **__: None, send=lambda *_: True
+    )
+    store = keeper.OriginKeeper(link, history.find_versions)
+    store.apply_news(
+        'entry', streammessages.OriginNews(((b'r', 's', 'v1', 1, 605.0),))
+    )
+    history.advance(now)
+    rows[0] = types.SimpleNamespace(service='s', software_version='v2')
+    for now in (1.0, 150.0, 300.0):
+        history.advance(now)
+    reply = store.answer_query(
+        'entry', streammessages.OriginQuery(b'r', ('s',))
+    )
+    assert reply.software_version == 'v1' or reply.versions != ('v2',)
--- a/rhubarbreach/streams/table.py
+++ b/rhubarbreach/streams/table.py
@@ -7,7 +7,7 @@
 __all__ = ['MAX_STREAM_SECONDS', 'Origin', 'OriginTable', 'make_stream_id']
 
 # Longest time after the start of a stream in which it may be taken up.
-MAX_STREAM_SECONDS = 120.0
+MAX_STREAM_SECONDS = 3600.0
 # An origin takes about 0.2 KB.
 MAX_ORIGINS = 32_768
 STREAM_ID_BYTES = 12
