Send no requests to an endpoint that has said in a response that it leaves

Cause: nothing read the header. An endpoint counted as draining only by its announcements, which may come late, reach a store that is cut off, or never say so.

Change: a host that relays such a response chooses the endpoint no more and reports its process with the next exchange; a store that runs a batch item does the same. The leader marks the process as draining for all hosts. The state of a process only advances, so that a later announcement cannot make it ready again; a process with a later start is not concerned. A response counts only if it is certain to be from the endpoint that was asked: not one to another request, and not a 421, which comes from another process at the same address. If no other endpoint is left, requests are refused at once.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -443,6 +443,7 @@
                     run.endpoint.address,
                     run.begun,
                     run.endpoint.software_version,
+                    run.endpoint.born,
                 )
             )
         return orders
--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -59,7 +59,7 @@
             call.interrupt()
 
 
-def execute_run(run, progress, dialect):
+def execute_run(run, progress, dialect, record_departure):
     """Send an item to its endpoint and collect the events.
 
     Parameters
@@ -70,6 +70,9 @@
         Number of the last event so far; the events of the run are added.
     dialect : object
         Encodes the request and reads the head of the response.
+    record_departure : callable
+        Called with the id of the endpoint and the start of its process if it
+        says that it is leaving.
 
     Returns
     -------
@@ -80,7 +83,7 @@
         state of the item is unknown.
     """
     try:
-        return attempt_run(run, progress, dialect)
+        return attempt_run(run, progress, dialect, record_departure)
     except (
         errors.ConnectError,
         errors.ConnectionEndedError,
@@ -96,7 +99,7 @@
             run.call.close()
 
 
-def attempt_run(run, progress, dialect):
+def attempt_run(run, progress, dialect, record_departure):
     """Send an item; return the outcome and detail of the run."""
     order = run.order
     headers = dialect.encode_item(
@@ -139,6 +142,8 @@
             reason = check_head(call.head, order, dialect)
             if reason is not None:
                 return 'failed', reason
+            if dialect.is_leaving(call.head):
+                record_departure(order.endpoint_id, order.born)
         if call.head is not None and call.head.status == STATUS_OK:
             data = b''.join(parts)
             output_bytes += len(data)
--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -54,7 +54,7 @@
         return part
 
 
-def execute(listener, cancel_after=None):
+def execute(listener, cancel_after=None, record_departure=None):
     """Run an item on the endpoint of a listener.
 
     The run is cancelled after `cancel_after` seconds if these are given.
@@ -65,6 +65,7 @@
         account='a',
         host='h',
         endpoint_id='e1',
+        born=7,
         path='/p',
         body=b'',
         address=f'127.0.0.1:{listener.getsockname()[1]}',
@@ -74,13 +75,14 @@
         get_echoed_id=lambda head: head.get(b'echo', b'item').decode() or None,
         is_not_run=lambda head: bool(head.get(b'not-run')),
         is_signed=lambda head: not head.get(b'unsigned'),
+        is_leaving=lambda head: bool(head.get(b'leaving')),
     )
     progress = execution.RunProgress()
     started_at = clock.monotonic()
     run = execution.Run(order)
     if cancel_after is not None:
         threading.Timer(cancel_after, run.cancel).start()
-    outcome = execution.execute_run(run, progress, dialect)
+    outcome = execution.execute_run(run, progress, dialect, record_departure)
     return outcome, progress, clock.monotonic() - started_at
 
 
@@ -108,12 +110,14 @@
 
     `pause` is in seconds and follows each part. The run is cancelled after
     `cancel_after` seconds if these are given. `run.sent_bytes` counts the
-    bytes that the endpoint could send.
+    bytes that the endpoint could send, and `run.departures` lists the
+    endpoints that were reported to be leaving.
     """
     listeners = []
 
     def run(parts, pause=0.0, cancel_after=None):
         run.sent_bytes = 0
+        run.departures = []
         listener = socket.create_server(('127.0.0.1', 0))
         listeners.append(listener)
 
@@ -131,7 +135,9 @@
                     pass
 
         threading.Thread(target=answer, daemon=True).start()
-        return execute(listener, cancel_after)
+        return execute(
+            listener, cancel_after, lambda *seen: run.departures.append(seen)
+        )
 
     yield run
     for listener in listeners:
@@ -143,6 +149,15 @@
     outcome, progress, _ = run_against(parts)
     assert outcome == ('completed', '')
     assert progress.texts == [b't1', b't2']
+    assert run_against.departures == []
+
+
+def test_run_reports_an_endpoint_that_says_that_it_is_leaving(run_against):
+    """Guards against items for an endpoint that only its answers announce."""
+    head = HEAD.replace(b'\r\n', b'\r\nLeaving: 1\r\n', 1)
+    outcome, _, _ = run_against([head, make_event(1), chunk(b'')])
+    assert outcome == ('completed', '')
+    assert run_against.departures == [('e1', 7)]
 
 
 @pytest.mark.parametrize(
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -67,7 +67,7 @@
     release = threading.Event()
     release.runs = []
 
-    def execute_run(run, progress, _):
+    def execute_run(run, progress, *_):
         release.runs.append(run)
         for number in (3, 4):
             progress.texts.append(b'%d' % number)
@@ -80,7 +80,12 @@
     link = FakeLink()
     leader = ['one']
     store_worker = worker.Worker(
-        link, 'z1', None, lambda: leader[0], lambda: ['one', 'two']
+        link,
+        'z1',
+        None,
+        lambda: leader[0],
+        lambda: ['one', 'two'],
+        lambda _: None,
     )
     store_worker.test_leader = leader
     yield store_worker, link, release
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -129,14 +129,26 @@
         Returns the host id of the leader, or None if it is unknown.
     list_stores : callable
         Returns the host ids of the other stores.
+    record_departure : callable
+        Called with the id of an endpoint that says that it is leaving, and
+        the start of its process.
     """
 
-    def __init__(self, link, zone, dialect, find_leader, list_stores):
+    def __init__(
+        self,
+        link,
+        zone,
+        dialect,
+        find_leader,
+        list_stores,
+        record_departure,
+    ):
         self.link = link
         self.zone = zone
         self.dialect = dialect
         self.find_leader = find_leader
         self.list_stores = list_stores
+        self.record_departure = record_departure
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.active = {}
@@ -284,7 +296,10 @@
         outcome, detail = 'cancelled', ''
         if not active_run.run.cancelled:
             outcome, detail = execution.execute_run(
-                active_run.run, active_run.progress, self.dialect
+                active_run.run,
+                active_run.progress,
+                self.dialect,
+                self.record_departure,
             )
         if active_run.run.cancelled and outcome != 'completed':
             outcome = 'cancelled'
--- a/rhubarbreach/fleet/choice.py
+++ b/rhubarbreach/fleet/choice.py
@@ -55,7 +55,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
-    """An endpoint that runs requests of a service."""
+    """An endpoint that runs requests of a service.
+
+    `born` is the start of its process, in Unix milliseconds.
+    """
 
     endpoint_id: str
     service: str
@@ -64,6 +67,7 @@
     slots: int
     is_draining: bool = False
     software_version: str = ''
+    born: int = 0
 
 
 def compute_zone_penalty(slots, run_seconds, age):
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -274,6 +274,7 @@
             crashes,
             answered,
             self.quarantine.revision,
+            self.view.copy_departures(),
         )
         reply = self.search.call(message)
         if reply is None:
--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -69,6 +69,8 @@
         received_at = now - row.age
         if entry is not None and not is_newer(row, entry.row):
             return False
+        if entry is not None and is_drained_again(row, entry.row):
+            row = dataclasses.replace(row, state=EndpointState.DRAINING)
         if row.state != EndpointState.GONE and self.is_superseded(row):
             return False
         row = dataclasses.replace(row, age=0.0)
@@ -78,6 +80,31 @@
         self.remove_superseded(row)
         return True
 
+    def start_drain(self, endpoint_id, born):
+        """Mark a process as draining that has said so elsewhere.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint.
+        born : int
+            Start of its process, in Unix milliseconds.
+
+        Returns
+        -------
+        EndpointNotice or None
+            The changed announcement, None if nothing has changed.
+        """
+        entry = self.entries.get(endpoint_id)
+        if entry is None or entry.row.state != EndpointState.READY:
+            return None
+        if born != entry.row.born:
+            return None
+        row = dataclasses.replace(entry.row, state=EndpointState.DRAINING)
+        self.entries[endpoint_id] = dataclasses.replace(entry, row=row)
+        self.revision += 1
+        return row
+
     def leave(self, endpoint_id, now):
         """Mark an endpoint as gone; return its row, or None if unknown."""
         entry = self.entries.get(endpoint_id)
@@ -152,9 +179,25 @@
         return False
     if row.state == EndpointState.GONE:
         return True
+    if (row.state, stored.state) == (
+        EndpointState.DRAINING,
+        EndpointState.READY,
+    ):
+        # A process never returns from a drain, so even a late announcement of
+        # one is true, and one learned from a response has an old number.
+        return True
     return row.sequence > stored.sequence
 
 
+def is_drained_again(row, stored):
+    """Return whether a process that drains announces that it is ready."""
+    return (
+        row.born == stored.born
+        and row.state == EndpointState.READY
+        and stored.state == EndpointState.DRAINING
+    )
+
+
 def is_changed(row, stored):
     """Return whether an announcement changes a field that hosts use."""
     fields = (
--- a/rhubarbreach/fleet/tests/test_registry.py
+++ b/rhubarbreach/fleet/tests/test_registry.py
@@ -33,6 +33,30 @@
     assert get_states(endpoints) == {'e': 'draining'}
 
 
+def test_drain_learned_from_a_response_outlasts_announcements(endpoints):
+    """Guards against new requests for an endpoint that has said it leaves."""
+    endpoints.record_announcement(make_notice(sequence=4), 0.0)
+    row = endpoints.start_drain('e', 1)
+    assert row.state == 'draining'
+    assert endpoints.start_drain('e', 1) is None
+    assert endpoints.record_announcement(make_notice(sequence=5), 1.0)
+    assert get_states(endpoints, 1.0) == {'e': 'draining'}
+    assert endpoints.list_rows(1.0)[0].age == 0.0
+    assert endpoints.record_announcement(make_notice(born=2), 2.0)
+    assert endpoints.start_drain('e', 1) is None
+    assert get_states(endpoints, 2.0) == {'e': 'ready'}
+
+
+def test_drain_reaches_a_store_with_a_later_announcement(endpoints):
+    """Guards against stores that disagree about an endpoint that leaves."""
+    endpoints.record_announcement(make_notice(sequence=4), 0.0)
+    row = endpoints.start_drain('e', 1)
+    other = registry.Registry(INTERVAL)
+    other.record_announcement(make_notice(sequence=5), 0.0)
+    assert other.record_announcement(row, 0.1)
+    assert get_states(other) == {'e': 'draining'}
+
+
 def test_announcement_after_leaving_is_ignored(endpoints):
     endpoints.record_announcement(make_notice(sequence=5), 0.0)
     endpoints.leave('e', 0.1)
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -195,3 +195,17 @@
     assert refusal.code == codes.ResultCode.NO_ENDPOINT
     assert host.has_version('s', 'v1')
     assert not host.has_version('s', 'v3')
+
+
+def test_leaving_endpoint_that_is_forgotten_for_a_time_stays_excluded():
+    """Guards against requests to an endpoint that said it was leaving.
+
+    The leader drops an endpoint that is silent for long, for example while it
+    is cut off from the stores, and may learn of it again.
+    """
+    endpoints = view.View('z1')
+    endpoints.update_endpoints((make_notice('e1'),), True)
+    endpoints.record_departure(endpoints.acquire('s', (), 0.0))
+    endpoints.update_endpoints((), True)
+    endpoints.update_endpoints((make_notice('e1'),), True)
+    assert isinstance(endpoints.acquire('s', (), 0.0), codes.Refusal)
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -13,6 +13,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import choice
+from rhubarbreach.fleet import departures
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
 from rhubarbreach.fleet import saturation
@@ -60,6 +61,7 @@
         self.batch = {}
         self.suspects = frozenset()
         self.outcomes = {}
+        self.departures = departures.Departures()
         self.health = health.HealthTable()
         self.saturation = collections.defaultdict(saturation.Saturation)
 
@@ -76,15 +78,44 @@
                     row.slots,
                     row.state != registry.EndpointState.READY,
                     row.software_version,
+                    row.born,
                 )
-            services = {}
-            for endpoint in endpoints.values():
-                if not endpoint.is_draining:
-                    services.setdefault(endpoint.service, []).append(endpoint)
             self.endpoints = endpoints
-            self.services = services
+            self.group_by_service()
             self.health.keep(endpoints)
 
+    def group_by_service(self):
+        """Group the endpoints that take new requests by their service."""
+        services = {}
+        for endpoint in self.endpoints.values():
+            is_leaving = self.departures.is_leaving(
+                endpoint.endpoint_id, endpoint.born
+            )
+            if not (endpoint.is_draining or is_leaving):
+                services.setdefault(endpoint.service, []).append(endpoint)
+        self.services = services
+
+    def record_departure(self, endpoint):
+        """Choose an endpoint no more, as it has said that it is leaving.
+
+        Returns
+        -------
+        bool
+            Whether it had not said so before.
+        """
+        with self.lock:
+            is_new = self.departures.record(
+                endpoint.endpoint_id, endpoint.born, clock.monotonic()
+            )
+            if is_new:
+                self.group_by_service()
+        return is_new
+
+    def copy_departures(self):
+        """Return the starts of the leaving processes by endpoint."""
+        with self.lock:
+            return self.departures.list_processes()
+
     def update_loads(
         self, elsewhere, batch, suspects=(), nearby=None, age=0.0
     ):
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -378,6 +378,12 @@
             self.origin_revision,
         )
 
+    def record_departure(self):
+        """Send no more requests to the endpoint, and report it."""
+        if self.app.view.record_departure(self.endpoint):
+            self.log('answered', 'the endpoint is leaving', 'departure')
+            self.app.leader_client.request_loads()
+
     def end_unfinished(self, read_deadline):
         """Return the outcome of a response that stopped making progress."""
         if read_deadline < self.deadline:
@@ -420,6 +426,8 @@
         """Return the outcome if a response must not be relayed, else None."""
         dialect = self.app.dialect
         outcome = heads.check_identity(head, self.info.request_id, dialect)
+        if dialect.is_leaving(head) and heads.is_own(head, outcome):
+            self.record_departure()
         if outcome is not None:
             return outcome
         if self.response_started and not self.is_stream(head):
--- a/rhubarbreach/gateway/heads.py
+++ b/rhubarbreach/gateway/heads.py
@@ -9,6 +9,7 @@
     'filter_headers',
     'is_delimited',
     'is_event_stream',
+    'is_own',
 ]
 
 SUCCESS = range(200, 300)
@@ -80,6 +81,21 @@
     return None
 
 
+def is_own(head, outcome):
+    """Return whether a response is from the endpoint that was asked.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Head of the response.
+    outcome : NotRun, Broken or None
+        Outcome of `check_identity`.
+    """
+    return head.status != MISDIRECTED_REQUEST and not isinstance(
+        outcome, model.Broken
+    )
+
+
 def filter_headers(head):
     """Return the headers of a response that are sent to the caller."""
     return [pair for pair in head.headers if pair[0] not in CONNECTION_HEADERS]
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -149,6 +149,7 @@
             ),
             is_not_run=lambda head: bool(head.get(b'not-run')),
             is_signed=lambda head: not head.get(b'unsigned'),
+            is_leaving=lambda head: bool(head.get(b'leaving')),
         )
         app = types.SimpleNamespace(
             view=loads,
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -91,7 +91,10 @@
                 notice, clock.monotonic()
             )
             if is_newer:
-                self.pending_updates[notice.endpoint_id] = notice
+                # The registry may know that this process is draining.
+                entries = self.registry.entries
+                row = entries[notice.endpoint_id].row
+                self.pending_updates[notice.endpoint_id] = row
         if is_newer and (entry is None or entry.row.state != notice.state):
             LOG.info(
                 'event=endpoint_state endpoint={} state={} address={} '
@@ -105,6 +108,28 @@
             )
             self.wake.set()
 
+    def record_departure(self, endpoint_id, born):
+        """Process the statement of an endpoint, in a response, that it leaves.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint.
+        born : int
+            Start time of its process, in Unix milliseconds.
+        """
+        with self.lock:
+            notice = self.registry.start_drain(endpoint_id, born)
+            if notice is None:
+                return
+            self.pending_updates[endpoint_id] = notice
+        LOG.info(
+            'event=endpoint_state endpoint={} state={} source=response',
+            endpoint_id,
+            notice.state,
+        )
+        self.wake.set()
+
     def leave(self, endpoint_id, born):
         """Mark an endpoint as gone after its last message.
 
@@ -204,6 +229,7 @@
                 row.slots,
                 row.state != registries.EndpointState.READY,
                 row.software_version,
+                row.born,
             )
             for row in self.list_rows()
         }
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -165,6 +165,7 @@
             dialect,
             lambda: self.group.leader_id,
             self.members.list_others,
+            self.endpoints.record_departure,
         )
         self.link.register(
             fleetmessages.Exchange, self.answer_exchange, inline=True
@@ -240,6 +241,8 @@
         catalog = None
         if version > message.catalog_version:
             catalog = fleetmessages.CatalogCopy(version, document)
+        for endpoint_id, born in message.departures.items():
+            self.endpoints.record_departure(endpoint_id, born)
         has_grown, entries = self.usage.report(sender_id, message, now)
         if has_grown:
             self.runner.wake.set()
--- /dev/null
+++ b/rhubarbreach/hosts/tests/test_endpoints.py
@@ -0,0 +1,62 @@
+"""Tests of departures that a store learns from responses."""
+
+import threading
+import types
+
+import pytest
+
+from rhubarbreach.hosts import endpoints as host_endpoints
+from rhubarbreach.protocol import fleetmessages
+
+
+class Link:
+    """Link that keeps the messages that were sent."""
+
+    def __init__(self):
+        self.messages = []
+
+    def register(self, *_, **__):
+        pass
+
+    def send(self, _, message):
+        self.messages.append(message)
+
+
+@pytest.fixture
+def store():
+    """Return the endpoints of a store, with its link."""
+    link = Link()
+    endpoints = host_endpoints.Endpoints(
+        'store-1', 1.0, link, lambda: ['store-2'], threading.Event()
+    )
+    return types.SimpleNamespace(endpoints=endpoints, link=link)
+
+
+def make_notice(born, sequence=1):
+    return fleetmessages.EndpointNotice(
+        'e', 's', '127.0.0.1:1', 'z', 8, 'ready', born, sequence
+    )
+
+
+def test_late_response_does_not_drain_the_process_that_started_since(store):
+    """Guards against an endpoint that gets no requests for good.
+
+    The host that relayed the response may have been suspended since.
+    """
+    store.endpoints.record_announcement(make_notice(1))
+    store.endpoints.record_announcement(make_notice(2))
+    store.endpoints.record_departure('e', 1)
+    store.endpoints.record_announcement(make_notice(2, 2))
+    (row,) = store.endpoints.list_rows()
+    assert row.state == 'ready'
+
+
+def test_announcement_does_not_displace_the_news_of_a_departure(store):
+    """Guards against stores that disagree about an endpoint that leaves."""
+    store.endpoints.record_announcement(make_notice(1))
+    store.endpoints.send_updates()
+    store.endpoints.record_departure('e', 1)
+    store.endpoints.record_announcement(make_notice(1, 2))
+    store.endpoints.send_updates()
+    (row,) = store.link.messages[-1].rows
+    assert row.state == 'draining'
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -102,7 +102,8 @@
     endpoints may have crashed on, and `answered` the time in seconds
     since the last answer to each part of a prompt that the leader suspects.
     `quarantine_revision` is the version of the quarantined parts that the
-    host has.
+    host has. `departures` holds the endpoints that have said to this host that
+    they are leaving, with the start of their process.
     """
 
     catalog_version: int
@@ -117,6 +118,7 @@
     crashes: tuple[CrashNotice, ...] = ()
     answered: dict[str, float] = dataclasses.field(default_factory=dict)
     quarantine_revision: int = 0
+    departures: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
--- a/rhubarbreach/protocol/workmessages.py
+++ b/rhubarbreach/protocol/workmessages.py
@@ -17,8 +17,9 @@
     """Order to run an item on an endpoint, resuming after event `last_id`.
 
     `order_id` is unique among all orders. `host` is the host of the item's
-    route. `address` is the address of the endpoint, and `software_version` the
-    version of its software.
+    route. `address` is the address of the endpoint, `software_version` the
+    version of its software, and `born` the start of its process in Unix
+    milliseconds.
     """
 
     order_id: str
@@ -33,6 +34,7 @@
     address: str
     last_id: int
     software_version: str = ''
+    born: int = 0
 
 
 @messages.frozen_message
