Let the entry host receive the last change before the test restarts it

Seen: test_restart_keeps_several_hundred_changes failed once at a load of 23, revision 301 for 302 on the entry host.

Cause, in the test: only the relay was read before all hosts were closed, and the entry host, which is told a moment later, keeps the revision that it has received.

Change: the test waits until the entry host holds revision 302, and then expects the same as before.

--- a/rhubarbreach/operators/tests/test_fleet.py
+++ b/rhubarbreach/operators/tests/test_fleet.py
@@ -68,6 +68,8 @@
         clock.monotonic() + 10
     )
     assert expected.revision == 302
+    entry_view = cluster.hosts['entry'].view
+    assert wait_until(lambda: entry_view.revision == 302)
     for name in (*stores.STORES, 'entry'):
         host = cluster.hosts[name]
         host.close()
