Review case: bodies without end exceed the memory of entry hosts

Half of the endpoints send responses that do not end. Both entry hosts exceed 150 MB about every 6 s, are killed, and cut the requests that run at the sound endpoints.

Cause: `relay` holds up to 16 MiB of each response that is not an event stream, without a bound for the process.

--- a/review/standins.py
+++ b/review/standins.py
@@ -435,6 +435,8 @@
         self.is_logging = False
         self.is_framed = True
         self.is_head_early = False
+        # Bytes a second of an answer without end, 0 for proper answers.
+        self.endless_rate = 0
 
     async def start(self):
         """Listen, and announce the server."""
@@ -584,6 +586,9 @@
             'HTTP/1.1 200 OK', 'Content-Type: text/event-stream', *own,
             f'{SIGNATURE}: sig.{self.replica_id}.{request_id}',
         ]
+        if self.endless_rate:
+            await self.send_endless(writer, own, request_id)
+            return
         lines.append(
             'Transfer-Encoding: chunked' if self.is_framed
             else 'Connection: close'
@@ -609,6 +614,20 @@
         await writer.drain()
 
 
+    async def send_endless(self, writer, own, request_id):
+        """Send an answer whose body does not end until the caller closes."""
+        lines = [
+            'HTTP/1.1 200 OK', 'Content-Type: text/plain', *own,
+            f'{SIGNATURE}: sig.{self.replica_id}.{request_id}',
+        ]
+        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        part = b'x' * (self.endless_rate // 50)
+        while True:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
+
 class ReplicaProcess:
     """A replica in a process of its own, which can be killed.
 
