--- a/review/4/case.py
+++ b/review/4/case.py
@@ -37,7 +37,9 @@
     for attempt in range(2):
         machine = platform.entries[(number + attempt) % len(platform.entries)]
         answer = await standins.call(
-            platform.get_front(machine), 'POST', '/o/x' if is_other else '/q/x',
+            platform.get_front(machine),
+            'POST',
+            '/o/x' if is_other else '/q/x',
             [
                 ('Host', 'h.example'),
                 ('X-Rhubarbreach-Credential', 'key-1'),
@@ -50,7 +52,8 @@
                     f'{"0a" if is_other else "5c"}:100,{number:08x}:250',
                 ),
             ],
-            b'question', 6.0,
+            b'question',
+            6.0,
         )
         status = answer.status if answer.is_complete else None
         if status == 200:
@@ -70,35 +73,53 @@
         platform.start_all()
         watch = asyncio.create_task(platform.watch())
         route = {
-            'host': 'h.example', 'route_type': 'stream', 'timeout_ms': 5000,
-            'target_latency_ms': 300, 'priority': 0, 'max_attempts': 2,
-            'sticky': True, 'resumable': True, 'gap_aim_ms': 400,
+            'host': 'h.example',
+            'route_type': 'stream',
+            'timeout_ms': 5000,
+            'target_latency_ms': 300,
+            'priority': 0,
+            'max_attempts': 2,
+            'sticky': True,
+            'resumable': True,
+            'gap_aim_ms': 400,
         }
         routes = [
             {
-                **route, 'name': 'r-quick', 'path_prefix': '/q/',
+                **route,
+                'name': 'r-quick',
+                'path_prefix': '/q/',
                 'service': 'assist',
             },
             {
-                **route, 'name': 'r-other', 'path_prefix': '/o/',
+                **route,
+                'name': 'r-other',
+                'path_prefix': '/o/',
                 'service': 'other',
             },
         ]
         tenant = {
-            'name': 't1', 'api_keys': ['key-1'], 'priority': 1,
-            'rate_per_s': 0, 'burst': 0,
+            'name': 't1',
+            'api_keys': ['key-1'],
+            'priority': 1,
+            'rate_per_s': 0,
+            'burst': 0,
         }
         services = [
-            standins.make_service('assist'), standins.make_service('other'),
+            standins.make_service('assist'),
+            standins.make_service('other'),
         ]
         await standins.put_configuration(
-            platform, standins.make_configuration(1, routes, services, [tenant])
+            platform,
+            standins.make_configuration(1, routes, services, [tenant]),
         )
         for number in range(1, REPLICAS + 2):
             replica = standins.ReplicaProcess(
-                platform, record, number,
+                platform,
+                record,
+                number,
                 'assist' if number <= REPLICAS else 'other',
-                ZONES[number % 4], first_seconds=0.3,
+                ZONES[number % 4],
+                first_seconds=0.3,
             )
             replicas.append(replica)
             await replica.start()
@@ -113,23 +134,22 @@
         number = 0
         while time.monotonic() - start < END_AT:
             number += 1
-            tasks.append(asyncio.create_task(
-                send(platform, number, outcomes, start)
-            ))
+            tasks.append(
+                asyncio.create_task(send(platform, number, outcomes, start))
+            )
             await asyncio.sleep(1.0 / REQUESTS_PER_SECOND)
         await asyncio.gather(*tasks)
         back_at = await faults
         watch.cancel()
         for second in range(0, int(END_AT), 3):
             counts = collections.Counter(
-                (is_other, status) for at, is_other, status in outcomes
+                (is_other, status)
+                for at, is_other, status in outcomes
                 if second <= at < second + 3
             )
             record.write(f'client: from {second} s {dict(counts)}')
         before = [s for at, _, s in outcomes if at < FINAL_FAULT_AT]
-        after = [
-            s for at, _, s in outcomes if at > back_at + RECOVER_SECONDS
-        ]
+        after = [s for at, _, s in outcomes if at > back_at + RECOVER_SECONDS]
         served = before.count(200) / len(before), after.count(200) / len(after)
         record.write(
             f'client: of the requests before the final fault {served[0]:.2f} '
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -34,7 +34,8 @@
     """Submit a batch job until it is accepted."""
     items = [
         {
-            'id': f'{job_id}-{position}', 'path': '/b/x',
+            'id': f'{job_id}-{position}',
+            'path': '/b/x',
             'headers': {
                 'X-Rhubarbreach-Model': 'm',
                 'X-Rhubarbreach-Token-Usage': '350,309',
@@ -48,14 +49,18 @@
     for attempt in range(10):
         machine = platform.entries[attempt % len(platform.entries)]
         answer = await standins.call(
-            platform.get_front(machine), 'POST', f'/b/{job_id}',
+            platform.get_front(machine),
+            'POST',
+            f'/b/{job_id}',
             [
-                ('Host', 'h.example'), KEY,
+                ('Host', 'h.example'),
+                KEY,
                 ('X-Rhubarbreach-Request-Id', job_id),
                 ('X-Rhubarbreach-Deadline-Ms', '4000'),
                 ('Content-Type', 'application/json'),
             ],
-            body, 5.0,
+            body,
+            5.0,
         )
         platform.record.write(f'client: job {job_id} got {answer.status}')
         if answer.status == 202:
@@ -68,9 +73,12 @@
     """Read the new results of a job; return whether there was an answer."""
     machine = platform.entries[turn % len(platform.entries)]
     answer = await standins.call(
-        platform.get_front(machine), 'GET',
-        f'/lots/{job_id}?after={len(results)}', [('Host', 'h.example'), KEY],
-        b'', 3.0,
+        platform.get_front(machine),
+        'GET',
+        f'/lots/{job_id}?after={len(results)}',
+        [('Host', 'h.example'), KEY],
+        b'',
+        3.0,
     )
     if answer.status == 200:
         for result in json.loads(answer.body)['results']:
@@ -99,12 +107,9 @@
             return False
         failed = [at for at, i, _ in self.ends if i in self.faulty_ids]
         finished = [at for at, i, _ in self.ends if i not in self.faulty_ids]
-        return (
-            now - max(failed, default=0.0) > FAILED_SECONDS
-            and now - max(failed + finished) > max(
-                CALM_SECONDS, UNFINISHED_SECONDS
-            )
-        )
+        return now - max(failed, default=0.0) > FAILED_SECONDS and now - max(
+            failed + finished
+        ) > max(CALM_SECONDS, UNFINISHED_SECONDS)
 
 
 async def main(record):
@@ -118,16 +123,28 @@
         platform.start_all()
         watching = asyncio.create_task(platform.watch())
         route = {
-            'name': 'r-batch', 'host': 'h.example', 'path_prefix': '/b/',
-            'route_type': 'batch', 'timeout_ms': 15000,
-            'target_latency_ms': 400, 'priority': 2, 'service': 'assist',
-            'max_attempts': 3, 'sticky': True, 'resumable': True,
-            'gap_aim_ms': 400, 'completion_target_ms': 18000,
-            'retention_s': 60, 'max_count': 1000000,
+            'name': 'r-batch',
+            'host': 'h.example',
+            'path_prefix': '/b/',
+            'route_type': 'batch',
+            'timeout_ms': 15000,
+            'target_latency_ms': 400,
+            'priority': 2,
+            'service': 'assist',
+            'max_attempts': 3,
+            'sticky': True,
+            'resumable': True,
+            'gap_aim_ms': 400,
+            'completion_target_ms': 18000,
+            'retention_s': 60,
+            'max_count': 1000000,
         }
         tenant = {
-            'name': 't1', 'api_keys': ['key-1'], 'priority': 1,
-            'rate_per_s': 24, 'burst': 24,
+            'name': 't1',
+            'api_keys': ['key-1'],
+            'priority': 1,
+            'rate_per_s': 24,
+            'burst': 24,
         }
         await standins.put_configuration(
             platform,
@@ -139,8 +156,13 @@
         for number in range(1, REPLICAS + 1):
             is_faulty = standins.has_trouble() and number <= FAULTY
             replica = standins.ReplicaProcess(
-                platform, record, number, 'assist', ZONES[number % 4],
-                pause_seconds=0.026, is_logging=True,
+                platform,
+                record,
+                number,
+                'assist',
+                ZONES[number % 4],
+                pause_seconds=0.026,
+                is_logging=True,
                 endless_event_rate=ENDLESS_RATE if is_faulty else 0,
             )
             replica.runs, replica.ends = watch.runs, watch.ends
--- a/review/standins.py
+++ b/review/standins.py
@@ -47,9 +47,7 @@
             for address in addresses:
                 for port in range(base, base + PORTS):
                     probe = socket.socket()
-                    probe.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
-                    )
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     taken.append(probe)
                     probe.bind((address, port))
         except OSError:
@@ -129,13 +127,23 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         subnet = 1 + os.getpid() % 250
         self.stores = [
-            Machine(f'store-{zone}-{n}', 'store', zone,
-                    f'127.{subnet}.1.{n}', memory)
+            Machine(
+                f'store-{zone}-{n}',
+                'store',
+                zone,
+                f'127.{subnet}.1.{n}',
+                memory,
+            )
             for n, (zone, memory) in enumerate(stores, 1)
         ]
         self.entries = [
-            Machine(f'front-{zone}-{n}', 'entry', zone,
-                    f'127.{subnet}.2.{n}', memory)
+            Machine(
+                f'front-{zone}-{n}',
+                'entry',
+                zone,
+                f'127.{subnet}.2.{n}',
+                memory,
+            )
             for n, (zone, memory) in enumerate(entries, 1)
         ]
         self.replica_network = f'127.{subnet}.3'
@@ -192,23 +200,31 @@
             'heartbeat_ms': 1200,
             'fault_tolerance': {'machines': 1, 'zones': 1, 'regions': 0},
             'bounds': {
-                'revoke_ms': 5000, 'grace_s': 8, 'quota_window_s': 5,
-                'quota_overage': 0.1, 'quota_slack': 20,
+                'revoke_ms': 5000,
+                'grace_s': 8,
+                'quota_window_s': 5,
+                'quota_overage': 0.1,
+                'quota_slack': 20,
             },
         }
         path = self.folder / f'{machine.name}.ini'
         path.write_text(render(template, values))
         environment = {
             name: os.environ[name]
-            for name in ('PATH', 'HOME', 'LANG') if name in os.environ
+            for name in ('PATH', 'HOME', 'LANG')
+            if name in os.environ
         }
         environment['RHUBARBREACH_SETTINGS'] = str(path)
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         environment['PYTHONDONTWRITEBYTECODE'] = '1'
         with (self.folder / f'{machine.name}.log').open('ab') as log:
             machine.process = subprocess.Popen(
-                role['run'].split(), cwd=ROOT, env=environment,
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                role['run'].split(),
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         machine.started_before = True
         machine.is_wanted = True
@@ -227,7 +243,10 @@
         number = len(self.stores) + 1
         network = self.stores[0].address.rpartition('.')[0]
         machine = Machine(
-            f'store-{zone}-{number}', 'store', zone, f'{network}.{number}',
+            f'store-{zone}-{number}',
+            'store',
+            zone,
+            f'{network}.{number}',
             memory_mb,
         )
         machine.started_before = True
@@ -347,16 +366,6 @@
         self.body = body
         self.is_complete = is_complete
 
-    @property
-    def event_ids(self):
-        """Ids of the complete events of a stream."""
-        return [
-            int(match)
-            for match in re.findall(
-                rb'(?:^|\n)id: ?(\d+)\n(?:[^\n]+\n)*\n', self.body
-            )
-        ]
-
 
 class Client:
     """Connection of a client for one request after another."""
@@ -468,43 +477,28 @@
         self.is_logging = False
         self.is_framed = True
         self.is_head_early = False
-        # Bytes a second of an answer without end, 0 for proper answers.
-        self.endless_rate = 0
-        # The same for an answer that consists of events.
+        # Bytes a second of an answer of events without end, 0 for proper ones.
         self.endless_event_rate = 0
 
     async def start(self):
         """Listen, and announce the server."""
         self.server = await asyncio.start_server(
-            self.serve, self.address, self.port, backlog=1024,
+            self.serve,
+            self.address,
+            self.port,
+            backlog=1024,
             limit=8 * 1024 * 1024,
         )
         self.beat = asyncio.create_task(self.send_beats())
 
-    async def crash(self):
-        """End at once: all connections are reset."""
-        self.record.write(f'{self.replica_id}: crashes')
-        self.beat.cancel()
-        self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.sleep(0)
-        self.running = 0
-        self.waiting.clear()
-
-    async def restart(self):
-        """Start again as a new process with the same id."""
-        self.born = int(time.time() * 1000)
-        self.sequence = 0
-        await self.start()
-        self.record.write(f'{self.replica_id}: is back')
-
     async def send_beats(self):
         """Announce the server about every 1.2 s, to a store that answers."""
         turn = self.number
         while True:
             for _ in self.controls:
-                if await self.announce(self.controls[turn % len(self.controls)]):
+                if await self.announce(
+                    self.controls[turn % len(self.controls)]
+                ):
                     break
                 turn += 1
             await asyncio.sleep(1.2)
@@ -512,23 +506,28 @@
     async def announce(self, control):
         """Send one heartbeat; return whether it was acknowledged."""
         self.sequence += 1
-        body = json.dumps({
-            'service': self.service,
-            'address': f'{self.address}:{self.port}',
-            'zone': self.zone,
-            'version': self.version,
-            'slots': self.slots,
-            'state': self.state,
-            'cold_remaining_ms': 0,
-            'stage': 'hybrid',
-            'models': [{'name': 'm', 'version': 1, 'adapters': []}],
-            'seq': self.sequence,
-            'born': self.born,
-        }).encode()
+        body = json.dumps(
+            {
+                'service': self.service,
+                'address': f'{self.address}:{self.port}',
+                'zone': self.zone,
+                'version': self.version,
+                'slots': self.slots,
+                'state': self.state,
+                'cold_remaining_ms': 0,
+                'stage': 'hybrid',
+                'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+                'seq': self.sequence,
+                'born': self.born,
+            }
+        ).encode()
         answer = await call(
-            control, 'POST', f'/Instances.Heartbeat/{self.replica_id}',
+            control,
+            'POST',
+            f'/Instances.Heartbeat/{self.replica_id}',
             [('Host', 'control'), ('Content-Type', 'application/json')],
-            body, 1.0,
+            body,
+            1.0,
         )
         return answer.status is not None and 200 <= answer.status < 300
 
@@ -575,8 +574,10 @@
         if self.running >= self.slots:
             if len(self.waiting) >= 3 * self.slots:
                 lines = [
-                    'HTTP/1.1 503 Full', *own,
-                    'X-Rhubarbreach-Not-Executed: 1', 'Content-Length: 0',
+                    'HTTP/1.1 503 Full',
+                    *own,
+                    'X-Rhubarbreach-Not-Executed: 1',
+                    'Content-Length: 0',
                 ]
                 writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
                 await writer.drain()
@@ -617,17 +618,17 @@
         """Send the events of a stream."""
         request_id = head.get('X-Rhubarbreach-Request-Id')
         lines = [
-            'HTTP/1.1 200 OK', 'Content-Type: text/event-stream', *own,
+            'HTTP/1.1 200 OK',
+            'Content-Type: text/event-stream',
+            *own,
             f'{SIGNATURE}: sig.{self.replica_id}.{request_id}',
         ]
         if self.endless_event_rate:
             await self.send_endless_events(head, writer, lines)
             return
-        if self.endless_rate:
-            await self.send_endless(writer, own, request_id)
-            return
         lines.append(
-            'Transfer-Encoding: chunked' if self.is_framed
+            'Transfer-Encoding: chunked'
+            if self.is_framed
             else 'Connection: close'
         )
         if not self.is_head_early:
@@ -650,21 +651,6 @@
             writer.write(b'0\r\n\r\n')
         await writer.drain()
 
-
-    async def send_endless(self, writer, own, request_id):
-        """Send an answer whose body does not end until the caller closes."""
-        lines = [
-            'HTTP/1.1 200 OK', 'Content-Type: text/plain', *own,
-            f'{SIGNATURE}: sig.{self.replica_id}.{request_id}',
-        ]
-        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
-        part = b'x' * (self.endless_rate // 50)
-        while True:
-            writer.write(part)
-            await writer.drain()
-            await asyncio.sleep(0.02)
-
-
     async def send_endless_events(self, head, writer, lines):
         """Send events until the caller closes."""
         lines = [*lines, 'Transfer-Encoding: chunked']
@@ -691,10 +677,15 @@
     def __init__(self, platform, record, number, service, zone, **options):
         self.record = record
         self.replica_id = f'i-{number:04x}'
-        self.arguments = json.dumps({
-            'place': platform.place, 'number': number, 'service': service,
-            'zone': zone, 'options': options,
-        })
+        self.arguments = json.dumps(
+            {
+                'place': platform.place,
+                'number': number,
+                'service': service,
+                'zone': zone,
+                'options': options,
+            }
+        )
         self.process = None
         self.reader = None
         # Tuples of replica id, request id and `Last-Event-Id`.
@@ -705,7 +696,9 @@
     async def start(self):
         """Start the process."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(pathlib.Path(__file__)), self.arguments,
+            sys.executable,
+            str(pathlib.Path(__file__)),
+            self.arguments,
             stdout=asyncio.subprocess.PIPE,
         )
         self.reader = asyncio.create_task(self.read_lines())
@@ -742,8 +735,11 @@
 async def run_replica(arguments):
     """Run a replica until its process ends."""
     replica = Replica(
-        arguments['place'], LineRecord(), arguments['number'],
-        arguments['service'], arguments['zone'],
+        arguments['place'],
+        LineRecord(),
+        arguments['number'],
+        arguments['service'],
+        arguments['zone'],
     )
     for name, value in arguments['options'].items():
         setattr(replica, name, value)
@@ -763,8 +759,10 @@
         'routes': routes,
         'services': services,
         'limits': {
-            'max_header_bytes': 16384, 'max_body_bytes': 4194304,
-            'header_timeout_ms': 3000, 'idle_timeout_ms': 15000,
+            'max_header_bytes': 16384,
+            'max_body_bytes': 4194304,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
         },
         'tenants': tenants,
     }
@@ -773,8 +771,11 @@
 def make_service(name):
     """Return a service as the operator defines it."""
     return {
-        'name': name, 'health_path': '/healthz', 'max_connections': 300,
-        'protocol': 'h1', 'tls': False,
+        'name': name,
+        'health_path': '/healthz',
+        'max_connections': 300,
+        'protocol': 'h1',
+        'tls': False,
         'engine': {'slots': 8, 'kv_capacity_tokens': 147261},
     }
 
@@ -788,9 +789,12 @@
         store = platform.stores[turn % len(platform.stores)]
         turn += 1
         answer = await call(
-            platform.get_control(store), 'POST', '/Config.Put',
+            platform.get_control(store),
+            'POST',
+            '/Config.Put',
             [('Host', 'control'), ('Content-Type', 'application/json')],
-            body, 1.0,
+            body,
+            1.0,
         )
         if answer.status == 200:
             platform.record.write(
@@ -807,8 +811,12 @@
     for machine in platform.entries:
         while True:
             answer = await call(
-                platform.get_ready(machine), 'GET', '/readyz',
-                [('Host', 'ready')], b'', 1.0,
+                platform.get_ready(machine),
+                'GET',
+                '/readyz',
+                [('Host', 'ready')],
+                b'',
+                1.0,
             )
             if answer.status == 200:
                 break
