--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -22,7 +22,7 @@
 MIN_PROMPTS = 2
 # The same for a part that endpoints have answered before the crashes.
 MIN_INCIDENTS_OF_ANSWERED = 5
-# Time from a crash to a response that shows that endpoints work again.
+# Time from a crash to an answer that shows that its service works again.
 RECOVERY_SECONDS = 0.5
 # Crashes that are remembered, and for how long.
 RETENTION_SECONDS = 600.0
@@ -51,12 +51,13 @@
     """Crash of an endpoint, and the prompts that it had not answered yet.
 
     `begun` holds the prompts for which the head of a response had arrived,
-    `waiting` the others. `time` is the time of the crash, and `reported_at`
-    the one at which the last of the prompts became known, in seconds of the
-    monotonic clock.
+    `waiting` the others. `service` is that of the endpoint. `time` is the time
+    of the crash, and `reported_at` the one at which the last of the prompts
+    became known, in seconds of the monotonic clock.
     """
 
     endpoint_id: str
+    service: str
     time: float
     reported_at: float
     begun: set = dataclasses.field(default_factory=set)
@@ -87,48 +88,65 @@
 class Case:
     """Crashes that a part may have caused.
 
-    Of `incident_count` crashes, `unexplained_count` are not due to a known
-    culprit, and at `begun_count` a response had begun. `latest` is the time
-    of the last one, in seconds of the monotonic clock. `position` is the
-    largest one of the part in a prompt, and `was_answered` is whether an
-    endpoint answered it before the crashes.
+    `incidents` holds these crashes, and `unexplained` those among them that
+    are not due to a known culprit. `crashed_at` is the time of the last one by
+    service, in seconds of the monotonic clock. `position` is the largest one
+    of the part in a prompt, and `was_answered` is whether an endpoint answered
+    it before the crashes.
     """
 
+    part: str
     position: int = 0
-    incident_count: int = 0
-    unexplained_count: int = 0
-    begun_count: int = 0
-    latest: float = float('-inf')
-    endpoint_ids: set = dataclasses.field(default_factory=set)
-    prompts: set = dataclasses.field(default_factory=set)
+    incidents: list = dataclasses.field(default_factory=list)
+    unexplained: list = dataclasses.field(default_factory=list)
+    crashed_at: dict = dataclasses.field(default_factory=dict)
     was_answered: bool = False
 
-    def is_proven(self, completed_at):
+    def is_proven(self, service_answered_at):
         """Return whether to hold requests with the part back.
 
         While many endpoints are away, a part of sound requests is not
         answered either. Unless responses with the part had begun at each
-        crash, other requests have to be answered before it is judged.
+        crash, a service has to answer other requests before its crashes count.
+        A service that goes on elsewhere proves nothing.
 
         Parameters
         ----------
-        completed_at : float
-            Time of the last complete response to any request, in seconds of
-            the monotonic clock.
+        service_answered_at : dict of str to float
+            Time of the last answer of each service to any request, in seconds
+            of the monotonic clock.
         """
-        min_incidents = (
-            MIN_INCIDENTS_OF_ANSWERED if self.was_answered else MIN_INCIDENTS
-        )
-        has_begun = not self.was_answered and (
-            self.begun_count >= MIN_INCIDENTS
-        )
-        if not has_begun and completed_at < self.latest + RECOVERY_SECONDS:
-            return False
+        if self.was_answered:
+            min_incidents = MIN_INCIDENTS_OF_ANSWERED
+        else:
+            min_incidents = MIN_INCIDENTS
+            begun = [i for i in self.incidents if i.begun]
+            if len(begun) >= min_incidents and self.is_sufficient(
+                self.incidents, min_incidents
+            ):
+                return True
+        recovered = {
+            service
+            for service, crashed_at in self.crashed_at.items()
+            if service_answered_at.get(service, float('-inf'))
+            >= crashed_at + RECOVERY_SECONDS
+        }
+        counted = [i for i in self.incidents if i.service in recovered]
+        return self.is_sufficient(counted, min_incidents)
+
+    def is_sufficient(self, incidents, min_incidents):
+        """Return whether crashes are enough to judge the part by."""
+        prompts = {
+            prompt
+            for incident in incidents
+            for prompt in incident.prompts
+            if self.part in prompt
+        }
         return (
-            self.unexplained_count > 0
-            and self.incident_count >= min_incidents
-            and len(self.endpoint_ids) >= MIN_ENDPOINTS
-            and len(self.prompts) >= MIN_PROMPTS
+            bool(self.unexplained)
+            and len(incidents) >= min_incidents
+            and len({i.endpoint_id for i in incidents}) >= MIN_ENDPOINTS
+            and len(prompts) >= MIN_PROMPTS
         )
 
 
@@ -142,10 +160,10 @@
         self.incidents = collections.deque(maxlen=MAX_INCIDENTS)
         # Time of the last answer to each suspected part.
         self.answered_at = {}
-        # Time of the last complete response to any request.
-        self.completed_at = float('-inf')
+        # Time of the last answer of each service to any request.
+        self.service_answered_at = {}
 
-    def add_crash(self, endpoint_id, prompt, has_head, time, now):
+    def add_crash(self, endpoint_id, prompt, has_head, time, now, service=''):
         """Add a request that broke before the endpoint answered it.
 
         Parameters
@@ -159,14 +177,16 @@
         time, now : float
             Time of the break and the present one, in seconds of the monotonic
             clock. A new leader learns of former crashes.
+        service : str, optional
+            Service of the endpoint.
         """
-        incident = self.find_incident(endpoint_id, time, now)
+        incident = self.find_incident(endpoint_id, service, time, now)
         prompts = incident.begun if has_head else incident.waiting
         if prompt not in prompts:
             prompts.add(prompt)
             incident.reported_at = now
 
-    def find_incident(self, endpoint_id, time, now):
+    def find_incident(self, endpoint_id, service, time, now):
         """Return the crash of an endpoint at a time, added if it is new."""
         for incident in reversed(self.incidents):
             if (
@@ -174,7 +194,7 @@
                 and abs(incident.time - time) <= INCIDENT_SECONDS
             ):
                 return incident
-        incident = Incident(endpoint_id, time, now)
+        incident = Incident(endpoint_id, service, time, now)
         self.incidents.append(incident)
         return incident
 
@@ -182,12 +202,24 @@
         """Record that an endpoint answered a request with a part."""
         self.answered_at[part] = max(time, self.answered_at.get(part, time))
 
+    def add_service_answer(self, service, time):
+        """Record that an endpoint of a service answered any request."""
+        self.service_answered_at[service] = max(
+            time, self.service_answered_at.get(service, time)
+        )
+
     def expire(self, now):
         """Forget the oldest crashes, and answers that concern none."""
         while self.incidents and (
             now - self.incidents[0].time > RETENTION_SECONDS
         ):
             self.incidents.popleft()
+        services = {incident.service for incident in self.incidents}
+        self.service_answered_at = {
+            service: time
+            for service, time in self.service_answered_at.items()
+            if service in services
+        }
         if not self.answered_at:
             return
         candidates = set()
@@ -241,7 +273,7 @@
             Parts whose answers all hosts have had time to report. Another
             part may be answered without being known to be.
         """
-        cases = collections.defaultdict(Case)
+        cases = {}
         for incident in self.incidents:
             if incident.reported_at <= latest:
                 self.add_incident(cases, incident, quarantined)
@@ -249,10 +281,10 @@
             (
                 part
                 for part, case in cases.items()
-                if part in asked and case.is_proven(self.completed_at)
+                if part in asked and case.is_proven(self.service_answered_at)
             ),
             key=lambda part: (
-                cases[part].unexplained_count,
+                len(cases[part].unexplained),
                 cases[part].position,
             ),
             default=None,
@@ -265,14 +297,12 @@
         for part, position in candidates.items():
             if part in quarantined or self.is_answered_since(part, incident):
                 continue
-            case = cases[part]
+            case = cases.setdefault(part, Case(part))
             case.was_answered = part in self.answered_at
             case.position = max(case.position, position)
-            case.incident_count += 1
-            case.unexplained_count += not is_explained
-            case.begun_count += bool(incident.begun)
-            case.latest = max(case.latest, incident.time)
-            case.endpoint_ids.add(incident.endpoint_id)
-            case.prompts.update(
-                prompt for prompt in incident.prompts if part in prompt
+            case.incidents.append(incident)
+            if not is_explained:
+                case.unexplained.append(incident)
+            case.crashed_at[incident.service] = max(
+                incident.time, case.crashed_at.get(incident.service, 0.0)
             )
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -262,6 +262,7 @@
         sent = clock.monotonic()
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
+        service_answers = self.quarantine.list_service_answers(sent)
         crashes, answered = self.quarantine.make_report(sent)
         message = fleetmessages.Exchange(
             0 if self.index is None else self.index.version,
@@ -275,6 +276,7 @@
             answered,
             self.quarantine.revision,
             self.view.copy_departures(),
+            service_answers,
         )
         reply = self.search.call(message)
         if reply is None:
--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -28,7 +28,8 @@
     """Request that broke at an endpoint before it was answered.
 
     `has_head` is whether the head of a response had arrived, and `time` is in
-    seconds of the monotonic clock. `number` counts the crashes.
+    seconds of the monotonic clock. `number` counts the crashes. `service` is
+    that of the endpoint.
     """
 
     number: int
@@ -36,6 +37,7 @@
     prompt: tuple[str, ...]
     has_head: bool
     time: float
+    service: str
 
 
 class Quarantine:
@@ -55,6 +57,8 @@
         self.deadlines = {}
         self.suspects = frozenset()
         self.answered_at = collections.OrderedDict()
+        # Monotonic time of the last answer of each service.
+        self.service_answered_at = {}
         self.crashes = collections.deque(maxlen=MAX_CRASHES)
         self.crash_count = 0
         # Number of the last crash in the latest report, and of the last one
@@ -78,23 +82,31 @@
             retry_after=held_until - now,
         )
 
-    def record_answer(self, prompt, now):
+    def record_answer(self, prompt, now, service=''):
         """Record that an endpoint has begun to answer a request."""
         with self.lock:
+            self.service_answered_at[service] = now
             for part in prompt[:-1]:
                 self.answered_at[part] = now
                 self.answered_at.move_to_end(part)
             while len(self.answered_at) > MAX_ANSWERED_PARTS:
                 self.answered_at.popitem(last=False)
 
-    def record_crash(self, endpoint_id, prompt, has_head, now):
+    def record_crash(self, endpoint_id, prompt, has_head, now, service=''):
         """Record that a request broke before an endpoint answered it."""
         if not prompt[:-1]:
             return
         with self.lock:
             self.crash_count += 1
             self.crashes.append(
-                Crash(self.crash_count, endpoint_id, prompt, has_head, now)
+                Crash(
+                    self.crash_count,
+                    endpoint_id,
+                    prompt,
+                    has_head,
+                    now,
+                    service,
+                )
             )
         if self.on_crash is not None:
             self.on_crash()
@@ -119,6 +131,7 @@
                     crash.prompt,
                     crash.has_head,
                     now - crash.time,
+                    crash.service,
                 )
                 for crash in self.select_crashes()
             )
@@ -130,6 +143,19 @@
             }
         return crashes, answered
 
+    def list_service_answers(self, now):
+        """Return the seconds since the last answer of each service.
+
+        The leader needs them only while it suspects parts.
+        """
+        with self.lock:
+            if not self.suspects:
+                return {}
+            return {
+                service: now - time
+                for service, time in self.service_answered_at.items()
+            }
+
     def select_crashes(self):
         """Return the newest unreported crashes that fit into a report."""
         chosen = []
--- a/rhubarbreach/fleet/tests/test_crash_evidence.py
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -60,7 +60,7 @@
 ):
     crash('first', count=3)
     evidence.add_answer('first', 3.5)
-    evidence.completed_at = LATEST
+    evidence.add_service_answer('', LATEST)
     assert find_culprit((), LATEST) is None
     crash('first', count=3, start=4)
     evidence.add_answer('first', 5.5)
@@ -75,7 +75,7 @@
     assert find_culprit((), LATEST) is None
     crash('first', start=5)
     assert find_culprit((), LATEST) is None
-    evidence.completed_at = 5.5
+    evidence.add_service_answer('', 5.5)
     assert find_culprit((), LATEST) == 'first'
 
 
@@ -83,7 +83,7 @@
     evidence,
     find_culprit,
 ):
-    evidence.completed_at = LATEST
+    evidence.add_service_answer('', LATEST)
     for number in range(1, 9):
         prompt = make_prompt(1, 'first', 'rare')
         time = float(number)
@@ -104,7 +104,7 @@
 def test_waiting_request_is_no_suspect_beside_one_that_has_begun(
     evidence, find_culprit, crash
 ):
-    evidence.completed_at = LATEST
+    evidence.add_service_answer('', LATEST)
     crash('other', 'rare', count=4, has_head=False)
     crash('first', 'bad', count=4)
     assert find_culprit((), LATEST) == 'bad'
@@ -120,11 +120,11 @@
     for number in range(1, 9):
         prompt = make_prompt(number, 'first', 'second')
         evidence.add_crash(f'e{number}', prompt, False, 1.0, 1.0)
-    evidence.completed_at = 1.2
+    evidence.add_service_answer('', 1.2)
     assert find_culprit((), LATEST) is None
     evidence.add_answer('first', 4.0)
     evidence.add_answer('second', 4.0)
-    evidence.completed_at = 5.0
+    evidence.add_service_answer('', 5.0)
     assert find_culprit((), LATEST) is None
 
 
@@ -133,7 +133,7 @@
 ):
     crash('first', 'bad', count=3, has_head=False)
     assert find_culprit((), LATEST) is None
-    evidence.completed_at = 3.5
+    evidence.add_service_answer('', 3.5)
     assert find_culprit((), LATEST) == 'bad'
 
 
@@ -153,7 +153,7 @@
     for number in range(1, 6):
         prompt = make_prompt(number, 'first')
         evidence.add_crash(f'e{number}', prompt, True, float(number), 50.0)
-    evidence.completed_at = LATEST
+    evidence.add_service_answer('', LATEST)
     assert find_culprit((), 49.5) is None
     evidence.add_answer('first', 30.0)
     assert find_culprit((), LATEST) is None
@@ -199,3 +199,32 @@
     assert len(evidence.incidents) == 1
     evidence.expire(now + 1.0)
     assert not (evidence.incidents or evidence.answered_at)
+
+
+def test_outage_of_a_service_beside_a_working_one_convicts_no_common_part(
+    evidence,
+    find_culprit,
+):
+    # Another service completed responses while all endpoints were away.
+    for number in range(1, 13):
+        prompt = make_prompt(number, 'first')
+        evidence.add_crash(f'e{number}', prompt, True, 1.0, 1.0, 'down')
+    evidence.add_answer('first', 0.5)
+    evidence.add_service_answer('up', 50.0)
+    assert find_culprit((), LATEST) is None
+    # The part that all requests share is answered as soon as any is.
+    evidence.add_answer('first', 60.0)
+    evidence.add_service_answer('down', 60.0)
+    assert find_culprit((), LATEST) is None
+
+
+def test_part_that_crashes_two_services_is_found_while_one_is_down(evidence):
+    # The only endpoint of one service crashes each time it returns.
+    for number in range(1, 7):
+        prompt = make_prompt(number, 'first', 'bad')
+        time = float(number)
+        evidence.add_crash(f'a{number}', prompt, False, time, time, 'up')
+        evidence.add_crash('b1', prompt, False, time, time, 'down')
+    evidence.add_service_answer('up', 7.0)
+    evidence.add_answer('first', 7.0)
+    assert evidence.find_culprit((), LATEST, EveryPart()) == 'bad'
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -355,6 +355,7 @@
                 self.info.prompt,
                 has_head,
                 clock.monotonic(),
+                self.endpoint.service,
             )
 
     def record_answer(self):
@@ -362,7 +363,7 @@
         if not self.was_answered:
             self.was_answered = True
             self.app.leader_client.quarantine.record_answer(
-                self.info.prompt, clock.monotonic()
+                self.info.prompt, clock.monotonic(), self.endpoint.service
             )
 
     def record_origin(self, endpoint):
--- a/rhubarbreach/hosts/quarantine_manager.py
+++ b/rhubarbreach/hosts/quarantine_manager.py
@@ -62,9 +62,9 @@
 
     def report(self, message, now):
         """Record the crashes and answers that an entry host has seen."""
-        if any(successes for _, successes in message.outcomes.values()):
-            self.evidence.completed_at = now
-        if not (message.crashes or message.answered):
+        if not (
+            message.crashes or message.answered or message.service_answers
+        ):
             return
         _, quarantined = self.ledger.get_quarantine()
         with self.lock:
@@ -75,9 +75,12 @@
                     notice.has_head,
                     now - notice.age,
                     now,
+                    notice.service,
                 )
             for part, age in message.answered.items():
                 self.evidence.add_answer(part, now - age)
+            for service, age in message.service_answers.items():
+                self.evidence.add_service_answer(service, now - age)
             if message.crashes:
                 self.update_suspects(quarantined, now)
 
--- a/rhubarbreach/hosts/tests/test_quarantine_manager.py
+++ b/rhubarbreach/hosts/tests/test_quarantine_manager.py
@@ -88,7 +88,13 @@
 def report(quarantine, now, crashes=(), answered=None):
     """Report to a leader what an entry host has seen."""
     message = fleetmessages.Exchange(
-        0, '', {}, {}, {'e': (0, 1)}, crashes=crashes, answered=answered or {}
+        0,
+        '',
+        {},
+        {},
+        crashes=crashes,
+        answered=answered or {},
+        service_answers={'': 0.0},
     )
     quarantine.report(message, now)
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -80,13 +80,14 @@
 
     `prompt` holds the ids of the parts of its prompt, `has_head` is whether
     the head of a response had arrived, and `age` is the time in seconds since
-    the break.
+    the break. `service` is that of the endpoint.
     """
 
     endpoint_id: str
     prompt: tuple[str, ...]
     has_head: bool
     age: float
+    service: str = ''
 
 
 @messages.frozen_message
@@ -103,7 +104,9 @@
     since the last answer to each part of a prompt that the leader suspects.
     `quarantine_revision` is the version of the quarantined parts that the
     host has. `departures` holds the endpoints that have said to this host that
-    they are leaving, with the start of their process.
+    they are leaving, with the start of their process. While the leader
+    suspects parts, `service_answers` holds the time in seconds since the last
+    answer of each service to any request.
     """
 
     catalog_version: int
@@ -119,6 +122,7 @@
     answered: dict[str, float] = dataclasses.field(default_factory=dict)
     quarantine_revision: int = 0
     departures: dict[str, int] = dataclasses.field(default_factory=dict)
+    service_answers: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
