--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -157,11 +157,14 @@
 class QuarantinePart:
     """Command that holds back requests with a part in their prompts.
 
-    `until` is a Unix time in seconds.
+    `until` and `next_trial` are Unix times in seconds, and `trial_number` is
+    the number of requests that were let through to try the part.
     """
 
     part: str
     until: float
+    trial_number: int = 0
+    next_trial: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -31,6 +31,9 @@
     quarantined: dict[str, float] = dataclasses.field(default_factory=dict)
     quarantine_revision: int = 0
     versions: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    trials: dict[str, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
@@ -55,6 +58,9 @@
         # Unix time until which requests with a part are held back.
         self.quarantined = {}
         self.quarantine_revision = 0
+        # Number of trials so far of each quarantined part, and the Unix time
+        # of the next one.
+        self.trials = {}
         # Pairs of a service and a software version.
         self.versions = set()
         # Not a part of the replicated state.
@@ -95,12 +101,13 @@
             case commands.RetireStore(host_id=host_id):
                 self.retiring.add(host_id)
                 return commands.Done()
-            case commands.QuarantinePart(part=part, until=until):
-                self.quarantine_part(part, until)
+            case commands.QuarantinePart():
+                self.quarantine_part(command)
                 return commands.Done()
             case commands.ReleaseParts(parts=parts):
                 for part in parts:
                     self.quarantined.pop(part, None)
+                    self.trials.pop(part, None)
                 self.quarantine_revision += 1
                 return commands.Done()
             case commands.AddVersions(versions=versions):
@@ -206,14 +213,16 @@
             ]
         return min([unix_time - retention, *retained])
 
-    def quarantine_part(self, part, until):
+    def quarantine_part(self, command):
         """Hold a part back; release the earliest one if there are too many."""
-        self.quarantined[part] = until
+        self.quarantined[command.part] = command.until
+        self.trials[command.part] = (command.trial_number, command.next_trial)
         if len(self.quarantined) > MAX_QUARANTINED_PARTS:
             earliest = min(
                 self.quarantined, key=lambda key: (self.quarantined[key], key)
             )
             del self.quarantined[earliest]
+            del self.trials[earliest]
         self.quarantine_revision += 1
 
     def get_quarantine(self):
@@ -227,6 +236,17 @@
         with self.lock:
             return self.quarantine_revision, dict(self.quarantined)
 
+    def get_trials(self):
+        """Return the trials of the quarantined parts.
+
+        Returns
+        -------
+        dict of str to tuple of int and float
+            Number of trials so far, and the Unix time of the next one.
+        """
+        with self.lock:
+            return dict(self.trials)
+
     def get_versions(self):
         """Return the recorded pairs of a service and a software version."""
         with self.lock:
@@ -316,6 +336,7 @@
                 self.quarantined,
                 self.quarantine_revision,
                 sorted(self.versions),
+                self.trials,
             )
             return msgspec.msgpack.encode(image)
 
@@ -330,6 +351,10 @@
             self.quarantined = dict(image.quarantined)
             self.quarantine_revision = image.quarantine_revision
             self.versions = set(image.versions)
+            self.trials = {
+                part: image.trials.get(part, (0, 0.0))
+                for part in image.quarantined
+            }
             self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -263,6 +263,7 @@
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
+        wanted_parts, used_trials = self.quarantine.make_trial_report()
         crashes, answered = self.quarantine.make_report(sent)
         message = fleetmessages.Exchange(
             0 if self.index is None else self.index.version,
@@ -277,6 +278,8 @@
             self.quarantine.revision,
             self.view.copy_departures(),
             service_answers,
+            wanted_parts,
+            used_trials,
         )
         reply = self.search.call(message)
         if reply is None:
--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -8,6 +8,7 @@
 import threading
 
 from rhubarbreach import codes
+from rhubarbreach.fleet import quarantine_trials
 from rhubarbreach.protocol import fleetmessages
 
 __all__ = ['Quarantine']
@@ -55,6 +56,11 @@
         self.revision = 0
         # Monotonic time until which each part is held back.
         self.deadlines = {}
+        # Number and deadline of the granted trial of each part, the number of
+        # the last trial that was used, and parts of requests that came.
+        self.trials = {}
+        self.used_trials = {}
+        self.wanted_parts = set()
         self.suspects = frozenset()
         self.answered_at = collections.OrderedDict()
         # Monotonic time of the last answer of each service.
@@ -68,20 +74,72 @@
         self.leader_id = None
 
     def find_refusal(self, prompt, now):
-        """Return a refusal if a part of a prompt is quarantined, else None."""
-        deadlines = self.deadlines
-        held_until = max(
-            (deadlines[part] for part in prompt if part in deadlines),
-            default=now,
-        )
-        if held_until <= now:
+        """Return a refusal if a part of a prompt is quarantined, else None.
+
+        It is not refused while it may be sent as a trial of its part. Call
+        `begin_trial` before it is sent.
+        """
+        held = self.list_held(prompt, now)
+        if not held:
             return None
+        with self.lock:
+            self.wanted_parts.update(held)
+            if self.find_trial(held, now) is not None:
+                return None
         return codes.Refusal(
             codes.ResultCode.QUARANTINED,
             'endpoints crash on a part of the prompt',
-            retry_after=held_until - now,
+            retry_after=max(held.values()) - now,
         )
 
+    def list_held(self, prompt, now):
+        """Return the quarantined parts of a prompt with their deadlines."""
+        deadlines = self.deadlines
+        return {
+            part: deadlines[part]
+            for part in prompt
+            if deadlines.get(part, now) > now
+        }
+
+    def find_trial(self, held, now):
+        """Return the part that a request may try, or None.
+
+        A request with several quarantined parts would not tell which of them
+        is at fault. Callers have to hold the lock.
+        """
+        if len(held) != 1:
+            return None
+        (part,) = held
+        number, deadline = self.trials.get(part, (0, now))
+        is_open = now < deadline and number > self.used_trials.get(part, 0)
+        return part if is_open else None
+
+    def begin_trial(self, prompt, now):
+        """Use the trial of the quarantined part of a prompt, if it has one.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent.
+        """
+        held = self.list_held(prompt, now)
+        if not held:
+            return True
+        with self.lock:
+            part = self.find_trial(held, now)
+            if part is None:
+                return False
+            self.used_trials[part], _ = self.trials[part]
+        return True
+
+    def return_trial(self, prompt):
+        """Return a trial whose request has reached no endpoint."""
+        with self.lock:
+            for part in prompt:
+                number, _ = self.trials.get(part, (0, 0.0))
+                if number and self.used_trials.get(part) == number:
+                    self.used_trials[part] = number - 1
+
     def record_answer(self, prompt, now, service=''):
         """Record that an endpoint has begun to answer a request."""
         with self.lock:
@@ -111,6 +169,20 @@
         if self.on_crash is not None:
             self.on_crash()
 
+    def make_trial_report(self):
+        """Return what the leader needs to know for trials of parts.
+
+        Returns
+        -------
+        tuple of str, dict of str to int
+            Quarantined parts of requests since the last report, and the number
+            of the last trial of each part that was used.
+        """
+        with self.lock:
+            wanted = tuple(self.wanted_parts)
+            self.wanted_parts.clear()
+            return wanted, dict(self.used_trials)
+
     def make_report(self, now):
         """Return the evidence for the next message to the leader.
 
@@ -118,7 +190,7 @@
         -------
         tuple of CrashNotice, dict of str to float
             Crashes that the leader does not know, and the seconds since the
-            last answer to each part that it suspects.
+            last answer to each part that it suspects or has quarantined.
         """
         with self.lock:
             while self.crashes and (
@@ -138,7 +210,7 @@
             self.sent_number = self.crash_count
             answered = {
                 part: now - self.answered_at[part]
-                for part in self.suspects
+                for part in self.suspects | self.deadlines.keys()
                 if part in self.answered_at
             }
         return crashes, answered
@@ -189,6 +261,16 @@
                     part: now + seconds
                     for part, seconds in reply.quarantined.items()
                 }
+                self.used_trials = {
+                    part: number
+                    for part, number in self.used_trials.items()
+                    if part in self.deadlines
+                }
+            trial_deadline = now + quarantine_trials.GRANT_SECONDS
+            self.trials = {
+                part: (number, trial_deadline)
+                for part, number in reply.trials.items()
+            }
             # A new leader has to be told all crashes again.
             is_same = reply.leader_id == self.leader_id
             self.leader_id = reply.leader_id
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -125,6 +125,10 @@
             )
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_unplaced(endpoint)
+            if not quarantine.begin_trial(self.info.prompt, now):
+                # Another request has used the trial of the part.
+                self.app.view.release(endpoint.endpoint_id)
+                continue
             self.endpoint = endpoint
             self.load = self.app.view.format_load(endpoint.endpoint_id)
             if not self.response_started:
@@ -269,6 +273,7 @@
                 self.deadline,
             )
         except errors.ConnectError as error:
+            self.app.leader_client.quarantine.return_trial(self.info.prompt)
             return model.NotRun(str(error))
         except errors.DeadlineError:
             return model.TimedOut()
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -112,6 +112,7 @@
         longest_pause=0.2,
         kind=catalogs.RouteKind.STREAM,
         on_view=lambda _: None,
+        on_quarantine=lambda _: None,
         later=None,
         unread=False,
         body=b'',
@@ -160,6 +161,7 @@
             ),
             is_closing=lambda _: False,
         )
+        on_quarantine(app.leader_client.quarantine)
         caller = FakeCaller()
         info = model.CallInfo('id', 'h', None, None, None, ('part', 'own'))
         request = parse.Request('POST', b'/', (), body, True)
@@ -442,3 +444,29 @@
     """Guards against a crashing part that counts as answered."""
     forward_to([UNFRAMED_HEAD], 0.0, kind=kind)
     assert not forward_to.quarantine.answered_at
+
+
+def test_trial_of_a_quarantined_part_reaches_one_endpoint(forward_to):
+    """Guards against a crashing part that is retried after its trial."""
+
+    def grant_trial(table):
+        reply = fleetmessages.ExchangeReply(
+            True,
+            's1',
+            quarantine_revision=1,
+            quarantined={'part': 60.0},
+            trials={'part': 1},
+        )
+        table.apply_reply(reply, clock.monotonic())
+
+    refusal, data, endpoint, _ = forward_to(
+        [HEAD, RESET],
+        0.0,
+        resumable=True,
+        on_quarantine=grant_trial,
+        count=2,
+    )
+    assert endpoint.count == 1
+    assert refusal.ran == codes.Ran.UNKNOWN
+    assert not data
+    assert forward_to.quarantine.make_trial_report()[1] == {'part': 1}
--- a/rhubarbreach/hosts/quarantine_manager.py
+++ b/rhubarbreach/hosts/quarantine_manager.py
@@ -12,6 +12,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import crash_evidence
 from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import quarantine_trials
 
 __all__ = ['QuarantineManager']
 
@@ -40,6 +41,11 @@
         self.evidence = crash_evidence.CrashEvidence()
         # Monotonic time since when the hosts are asked about each suspect.
         self.suspected_since = {}
+        # Monotonic time since when this leader knows each quarantined part.
+        self.held_since = {}
+        self.trials = quarantine_trials.TrialTable()
+        # Quarantined parts that an endpoint has answered.
+        self.cleared = set()
         self.pending = None
 
     @property
@@ -52,6 +58,9 @@
         with self.lock:
             self.evidence = crash_evidence.CrashEvidence()
             self.suspected_since = {}
+            self.held_since = {}
+            self.trials = quarantine_trials.TrialTable()
+            self.cleared = set()
 
     def update_suspects(self, quarantined, now):
         """Determine the suspects again; callers have to hold the lock."""
@@ -60,10 +69,14 @@
             for part in self.evidence.list_suspects(quarantined)
         }
 
-    def report(self, message, now):
+    def report(self, host_id, message, now):
         """Record the crashes and answers that an entry host has seen."""
         if not (
-            message.crashes or message.answered or message.service_answers
+            message.crashes
+            or message.answered
+            or message.service_answers
+            or message.wanted_parts
+            or message.used_trials
         ):
             return
         _, quarantined = self.ledger.get_quarantine()
@@ -79,8 +92,13 @@
                 )
             for part, age in message.answered.items():
                 self.evidence.add_answer(part, now - age)
+                if now - age > self.held_since.get(part, now):
+                    self.cleared.add(part)
             for service, age in message.service_answers.items():
                 self.evidence.add_service_answer(service, now - age)
+            self.trials.report(
+                host_id, message.wanted_parts, message.used_trials, now
+            )
             if message.crashes:
                 self.update_suspects(quarantined, now)
 
@@ -100,8 +118,16 @@
             part: max(0.0, until - unix_time) for part, until in parts.items()
         }
 
+    def list_trials(self, host_id, now):
+        """Return the trials that a host may make, as numbers by part."""
+        if not self.trials.trials:
+            return {}
+        numbers = {p: n for p, (n, _) in self.ledger.get_trials().items()}
+        with self.lock:
+            return self.trials.list_grants(host_id, numbers, now)
+
     def advance(self, now, entry_host_count):
-        """Quarantine a culprit and release parts, if there are any.
+        """Quarantine a culprit, try or release parts, if there are any.
 
         Parameters
         ----------
@@ -114,6 +140,7 @@
         if self.pending is not None and not self.pending.done():
             return
         _, quarantined = self.ledger.get_quarantine()
+        trials = self.ledger.get_trials()
         unix_time = time.time()
         settle = crash_evidence.compute_settle_seconds(
             leader_client.compute_interval(entry_host_count)
@@ -127,17 +154,48 @@
                 latest,
                 {p for p, t in self.suspected_since.items() if t <= latest},
             )
-        command = None
+            self.held_since = {
+                part: self.held_since.get(part, now) for part in quarantined
+            }
+            self.cleared &= quarantined.keys()
+            cleared = sorted(self.cleared)
+            self.trials.keep({p: n for p, (n, _) in trials.items()})
+            due = self.trials.find_due(
+                [p for p, (_, at) in trials.items() if at <= unix_time], now
+            )
         ended = [part for part, end in quarantined.items() if end < unix_time]
-        if culprit is not None:
+        command = None
+        if cleared or ended:
+            LOG.info(
+                'event=parts_released cleared={} ended={}', cleared, ended
+            )
+            command = commands.ReleaseParts(tuple({*cleared, *ended}))
+        elif culprit is not None:
             LOG.warning('event=part_quarantined part={}', culprit)
             command = commands.QuarantinePart(
-                culprit, unix_time + QUARANTINE_SECONDS
+                culprit,
+                unix_time + QUARANTINE_SECONDS,
+                0,
+                unix_time + quarantine_trials.compute_pause(0),
             )
-        elif ended:
-            LOG.info('event=parts_released parts={}', ended)
-            command = commands.ReleaseParts(tuple(ended))
+        elif due is not None:
+            command = self.begin_trial(*due, quarantined, trials, now)
         if command is not None:
             self.pending = self.propose(
                 commands.FAMILY.encode(command), now + COMMIT_TIMEOUT_SECONDS
             )
+
+    def begin_trial(self, part, host_id, quarantined, trials, now):
+        """Begin the next trial of a part; return the command to commit."""
+        number = trials[part][0] + 1
+        with self.lock:
+            self.trials.begin(part, host_id, number, now)
+        LOG.info(
+            'event=part_tried part={} host={} trial={}', part, host_id, number
+        )
+        return commands.QuarantinePart(
+            part,
+            quarantined[part],
+            number,
+            time.time() + quarantine_trials.compute_pause(number),
+        )
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -258,7 +258,7 @@
             message.availability_zone, table.endpoint_ids
         )
         peers_revision, peers = self.usage.list_peers(message)
-        self.quarantine_manager.report(message, now)
+        self.quarantine_manager.report(sender_id, message, now)
         quarantine_revision, quarantined = (
             self.quarantine_manager.list_quarantined(
                 message.quarantine_revision
@@ -285,6 +285,7 @@
             self.quarantine_manager.suspects,
             quarantine_revision,
             quarantined,
+            self.quarantine_manager.list_trials(sender_id, now),
         )
 
     def find_recent_versions(self, services):
--- a/rhubarbreach/hosts/tests/test_quarantine_manager.py
+++ b/rhubarbreach/hosts/tests/test_quarantine_manager.py
@@ -1,9 +1,13 @@
 """Tests of the quarantine of prompt parts over changes of the leader."""
 
+import concurrent.futures
+
 import pytest
 
+from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.fleet import quarantine as host_quarantine
 from rhubarbreach.hosts import quarantine_manager
 from rhubarbreach.hosts.tests import conftest
 from rhubarbreach.protocol import fleetmessages
@@ -96,7 +100,7 @@
         answered=answered or {},
         service_answers={'': 0.0},
     )
-    quarantine.report(message, now)
+    quarantine.report('entry', message, now)
 
 
 def test_sound_part_is_not_held_back_by_a_new_leader(quarantine, proposed):
@@ -131,3 +135,143 @@
     report(quarantine, 100.9, answered=dict.fromkeys(quarantine.suspects, 0.0))
     quarantine.advance(101.0, 1)
     assert not proposed
+
+
+class Fleet:
+    """Leader and entry hosts with requests for one quarantined part.
+
+    The leader commits at once, and the clock of the day and the monotonic one
+    show the same time.
+    """
+
+    def __init__(self, monkeypatch):
+        self.now = 100.0
+        monkeypatch.setattr(
+            'rhubarbreach.hosts.quarantine_manager.time.time', lambda: self.now
+        )
+        self.ledger = ledgers.Ledger()
+        self.manager = quarantine_manager.QuarantineManager(
+            self.ledger, self.commit
+        )
+        self.hosts = {}
+        # Times of the requests that reached an endpoint.
+        self.sent = []
+
+    def commit(self, command, _):
+        """Apply a command at once."""
+        future = concurrent.futures.Future()
+        future.set_result(self.ledger.apply(1, command))
+        return future
+
+    def add_host(self, host_id):
+        """Add an entry host."""
+        self.hosts[host_id] = host_quarantine.Quarantine()
+
+    def change_leader(self):
+        """Let another leader continue with the same ledger."""
+        self.manager = quarantine_manager.QuarantineManager(
+            self.ledger, self.commit
+        )
+
+    def run(self, seconds, answers, is_reachable=True):
+        """Let requests with the part come, and answer those that are sent."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.1
+            for host_id, host in self.hosts.items():
+                self.send_request(host, answers, is_reachable)
+                self.exchange(host_id, host)
+            self.manager.advance(self.now, len(self.hosts))
+
+    def send_request(self, host, answers, is_reachable):
+        """Let a request come to a host."""
+        prompt = ('first', f'own-{self.now}')
+        if host.find_refusal(prompt, self.now) is not None:
+            return
+        if not host.begin_trial(prompt, self.now):
+            return
+        if not is_reachable:
+            host.return_trial(prompt)
+        elif answers:
+            self.sent.append(self.now)
+            host.record_answer(prompt, self.now)
+        else:
+            self.sent.append(self.now)
+            host.record_crash(f'e{self.now}', prompt, True, self.now)
+
+    def exchange(self, host_id, host):
+        """Exchange the messages of a host and the leader."""
+        wanted, used = host.make_trial_report()
+        crashes, answered = host.make_report(self.now)
+        message = fleetmessages.Exchange(
+            0,
+            '',
+            {},
+            {},
+            crashes=crashes,
+            answered=answered,
+            wanted_parts=wanted,
+            used_trials=used,
+        )
+        self.manager.report(host_id, message, self.now)
+        revision, quarantined = self.manager.list_quarantined(host.revision)
+        host.apply_reply(
+            fleetmessages.ExchangeReply(
+                True,
+                's1',
+                quarantine_revision=revision,
+                quarantined=quarantined,
+                trials=self.manager.list_trials(host_id, self.now),
+            ),
+            self.now,
+        )
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    """Return two entry hosts whose leader has quarantined a part."""
+    fleet = Fleet(monkeypatch)
+    fleet.add_host('h1')
+    fleet.add_host('h2')
+    fleet.ledger.apply(
+        1,
+        commands.FAMILY.encode(
+            commands.QuarantinePart('first', 3700.0, 0, 104.0)
+        ),
+    )
+    # The hosts learn of the quarantine.
+    for host_id, host in fleet.hosts.items():
+        fleet.exchange(host_id, host)
+    return fleet
+
+
+def test_part_that_was_quarantined_by_mistake_is_served_again(fleet):
+    fleet.run(3.0, answers=True)
+    assert not fleet.sent
+    fleet.run(3.0, answers=True)
+    assert not fleet.ledger.get_quarantine()[1]
+    # Requests at both hosts are sent again.
+    assert len(fleet.sent) > 20
+
+
+def test_trials_of_a_crashing_part_reach_few_endpoints(fleet):
+    fleet.run(60.0, answers=False)
+    assert len(fleet.sent) == 2
+    fleet.change_leader()
+    fleet.run(600.0, answers=False)
+    assert len(fleet.sent) == 3
+
+
+def test_trial_during_a_long_outage_of_all_endpoints_is_not_lost(fleet):
+    fleet.run(20.0, answers=False, is_reachable=False)
+    assert not fleet.sent
+    fleet.run(1.0, answers=True)
+    assert not fleet.ledger.get_quarantine()[1]
+
+
+def test_trial_of_a_host_without_requests_moves_to_another_one(fleet):
+    fleet.run(8.0, answers=False, is_reachable=False)
+    holder = fleet.manager.trials.trials['first'].host_id
+    del fleet.hosts[holder]
+    fleet.run(8.0, answers=True)
+    assert not fleet.ledger.get_quarantine()[1]
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -106,7 +106,9 @@
     host has. `departures` holds the endpoints that have said to this host that
     they are leaving, with the start of their process. While the leader
     suspects parts, `service_answers` holds the time in seconds since the last
-    answer of each service to any request.
+    answer of each service to any request. `wanted_parts` are the quarantined
+    parts of requests that have come since the last message, and `used_trials`
+    is the number of the last trial of each part that the host has made.
     """
 
     catalog_version: int
@@ -123,6 +125,8 @@
     quarantine_revision: int = 0
     departures: dict[str, int] = dataclasses.field(default_factory=dict)
     service_answers: dict[str, float] = dataclasses.field(default_factory=dict)
+    wanted_parts: tuple[str, ...] = ()
+    used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
@@ -144,7 +148,8 @@
     for several hosts. `suspect_parts` are parts of prompts whose answers the
     host has to report, and `quarantined` holds the parts to hold back with
     the remaining time in seconds, if `quarantine_revision` differs from the
-    one in the request.
+    one in the request. `trials` holds the quarantined parts with which the
+    host may send one request each, with the number of the trial.
     """
 
     is_leader: bool
@@ -166,6 +171,7 @@
     suspect_parts: tuple[str, ...] = ()
     quarantine_revision: int = 0
     quarantined: dict[str, float] | None = None
+    trials: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
