--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -5,6 +5,7 @@
 import secrets
 
 from rhubarbreach.backlog import commands
+from rhubarbreach.backlog import results
 from rhubarbreach import eventlog
 from rhubarbreach.protocol import workmessages
 
@@ -26,6 +27,10 @@
 # Random bytes of an order id. Two orders of one item must have different ids,
 # even if different leaders issued them.
 ORDER_ID_BYTES = 8
+# Bytes in a commit besides the text of an event, and besides the events of an
+# item.
+EVENT_OVERHEAD_BYTES = 5
+ITEM_OVERHEAD_BYTES = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,8 +51,9 @@
     the item, and `software_version` is that of the endpoints which produced
     them. The item does not start before `not_before`, and while it runs its
     events are not committed before `commit_due`. It waits for an endpoint of
-    its software version since `waiting_since`. These times are in seconds of
-    the monotonic clock.
+    its software version since `waiting_since`. `oversized_at` holds the
+    endpoints whose output for the item exceeded a result. Times are in seconds
+    of the monotonic clock.
     """
 
     texts: list = dataclasses.field(default_factory=list)
@@ -59,6 +65,12 @@
     commit_due: float = 0.0
     software_version: str = ''
     waiting_since: float | None = None
+    oversized_at: set = dataclasses.field(default_factory=set)
+
+    @property
+    def output_bytes(self):
+        """Size of the output so far, with a separator after each event."""
+        return sum(map(len, self.texts)) + len(self.texts)
 
     def add_report(self, report, software_version):
         """Add the events of a report; return whether none is missing.
@@ -102,15 +114,45 @@
         self.software_version = ''
         self.waiting_since = None
 
-    def list_uncommitted(self, key):
-        """Return the events that are not in the ledger, grouped by order."""
+    def take_uncommitted(self, key, max_bytes):
+        """Return events that are not in the ledger, grouped by order.
+
+        They count as committed then.
+
+        Parameters
+        ----------
+        key : tuple of str
+            Ids of the job and the item.
+        max_bytes : int
+            Bytes of events to return at most; the rest stays uncommitted.
+
+        Returns
+        -------
+        list of ItemProgress, int
+            Events, and their size in bytes.
+        """
+        end = self.committed
+        size = 0
+        while end < len(self.texts):
+            text_bytes = len(self.texts[end]) + EVENT_OVERHEAD_BYTES
+            if size + text_bytes > max_bytes:
+                break
+            size += text_bytes
+            end += 1
+        items = self.list_events(key, end)
+        self.committed = end
+        return items, size
+
+    def list_events(self, key, end):
+        """Return the uncommitted events up to number `end`, by order."""
         items = []
         ends = [begun for _, begun in self.sources[1:]]
         ends.append(len(self.texts))
-        for (order_id, begun), end in zip(self.sources, ends, strict=False):
+        for (order_id, begun), last in zip(self.sources, ends, strict=False):
             start = max(begun, self.committed)
-            if start < end:
-                texts = tuple(self.texts[start:end])
+            stop = min(last, end)
+            if start < stop:
+                texts = tuple(self.texts[start:stop])
                 items.append(
                     commands.ItemProgress(
                         *key,
@@ -266,8 +308,10 @@
         Returns
         -------
         list of ItemProgress
+            Events that fit into one commit.
         """
         items = []
+        remaining_bytes = results.MAX_COMMIT_BYTES
         for key, progress in self.progress.items():
             is_early = key in self.runs and now < progress.commit_due
             if (
@@ -276,8 +320,14 @@
                 or progress.committed == len(progress.texts)
             ):
                 continue
-            items += progress.list_uncommitted(key)
-            progress.committed = len(progress.texts)
+            taken, size = progress.take_uncommitted(
+                key, remaining_bytes - ITEM_OVERHEAD_BYTES
+            )
+            if not taken:
+                # A commit that is full; the events follow in the next one.
+                continue
+            remaining_bytes -= size + ITEM_OVERHEAD_BYTES
+            items += taken
             progress.commit_due = now + RUNNING_COMMIT_SECONDS
         return items
 
@@ -444,6 +494,7 @@
                     run.begun,
                     run.endpoint.software_version,
                     run.endpoint.born,
+                    run.progress.output_bytes,
                 )
             )
         return orders
--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -14,6 +14,7 @@
     'Body',
     'CatalogReply',
     'Done',
+    'DropProgress',
     'EndJob',
     'FAMILY',
     'GROUP',
@@ -131,6 +132,14 @@
     items: tuple[ItemProgress, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropProgress:
+    """Command that drops the events of an open item, which begins anew."""
+
+    job_id: str
+    item_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndJob:
     """Command that ends a batch job and discards its open items."""
@@ -262,6 +271,7 @@
     AddJob,
     AddResults,
     AddProgress,
+    DropProgress,
     EndJob,
     PruneJobs,
     RetireStore,
--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from rhubarbreach.backlog import results
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach.web import client
@@ -16,8 +17,8 @@
 # Seconds without a new event after which a run fails and is retried elsewhere.
 # It includes the time that the run waits in the queue of its endpoint.
 IDLE_TIMEOUT_SECONDS = 8.0
-# Limit on the output of one run, which is held in memory until it is reported.
-MAX_OUTPUT_BYTES = 8 * 1024 * 1024
+# Limit on the bytes of one run, including those that are not output.
+MAX_RUN_BYTES = 8 * 1024 * 1024
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
 STATUS_UNPROCESSABLE = 422
@@ -25,10 +26,20 @@
 
 @dataclasses.dataclass
 class RunProgress:
-    """Events of a run; `last_id` is the number of the item's last event."""
+    """Events of a run; `last_id` is the number of the item's last event.
+
+    `output_bytes` is the size of the item's output so far.
+    """
 
     texts: list = dataclasses.field(default_factory=list)
     last_id: int = 0
+    output_bytes: int = 0
+
+    def add(self, text):
+        """Add the next event."""
+        self.texts.append(text)
+        self.last_id += 1
+        self.output_bytes += len(text) + 1
 
 
 class Run:
@@ -79,8 +90,9 @@
     tuple of str
         Outcome and detail. The outcome is `completed`, `cancelled`,
         `not_run`, `impossible`, `attempted` if the endpoint reported a
-        failure of the item, or `failed` on any other error, after which the
-        state of the item is unknown.
+        failure of the item, `oversized` if the output exceeds what a result
+        may hold, so that none of its events can be used, or `failed` on any
+        other error, after which the state of the item is unknown.
     """
     try:
         return attempt_run(run, progress, dialect, record_departure)
@@ -124,7 +136,7 @@
         return 'cancelled', ''
     run.started_at = clock.monotonic()
     splitter = events.Splitter()
-    output_bytes = 0
+    run_bytes = 0
     last_id = progress.last_id
     idle_deadline = run.started_at + IDLE_TIMEOUT_SECONDS
     is_checked = False
@@ -146,12 +158,17 @@
                 record_departure(order.endpoint_id, order.born)
         if call.head is not None and call.head.status == STATUS_OK:
             data = b''.join(parts)
-            output_bytes += len(data)
-            if output_bytes > MAX_OUTPUT_BYTES:
-                return 'failed', f'output exceeds {MAX_OUTPUT_BYTES} bytes'
+            run_bytes += len(data)
+            if run_bytes > MAX_RUN_BYTES:
+                return 'failed', f'run exceeds {MAX_RUN_BYTES} bytes'
             for block in splitter.feed(data):
                 if not add_event(progress, block):
                     return 'failed', 'events are not in sequence'
+            if progress.output_bytes > results.MAX_OUTPUT_BYTES:
+                return (
+                    'oversized',
+                    f'output exceeds {results.MAX_OUTPUT_BYTES} bytes',
+                )
             if progress.last_id > last_id:
                 last_id = progress.last_id
                 idle_deadline = clock.monotonic() + IDLE_TIMEOUT_SECONDS
@@ -198,6 +215,5 @@
         return True
     if number != progress.last_id + 1:
         return False
-    progress.last_id = number
-    progress.texts.append(data or b'')
+    progress.add(data or b'')
     return True
--- a/rhubarbreach/backlog/jobs.py
+++ b/rhubarbreach/backlog/jobs.py
@@ -82,11 +82,15 @@
             self.makers[item.item_id] = source
             self.versions[item.item_id] = item.software_version
 
+    def drop_progress(self, item_id):
+        """Drop the committed events of an item."""
+        self.made.pop(item_id, None)
+        self.makers.pop(item_id, None)
+        self.versions.pop(item_id, None)
+
     def add_result(self, result):
         """Append a result unless its item already has one."""
-        self.made.pop(result.item_id, None)
-        self.makers.pop(result.item_id, None)
-        self.versions.pop(result.item_id, None)
+        self.drop_progress(result.item_id)
         if self.open.pop(result.item_id, None) is not None:
             self.results.append(result)
 
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -93,6 +93,10 @@
                     if item.job_id in self.jobs:
                         self.jobs[item.job_id].add_progress(item)
                 return commands.Done()
+            case commands.DropProgress(job_id=job_id, item_id=item_id):
+                if job_id in self.jobs:
+                    self.jobs[job_id].drop_progress(item_id)
+                return commands.Done()
             case commands.EndJob():
                 return self.end_job(command)
             case commands.PruneJobs(before=before):
--- a/rhubarbreach/backlog/results.py
+++ b/rhubarbreach/backlog/results.py
@@ -1,12 +1,13 @@
 """Queue of results that are not yet in the ledger."""
 
+import dataclasses
 import threading
 
 from rhubarbreach.backlog import commands
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 
-__all__ = ['ResultQueue']
+__all__ = ['MAX_COMMIT_BYTES', 'MAX_OUTPUT_BYTES', 'ResultQueue']
 
 LOG = eventlog.Logger('results')
 
@@ -16,6 +17,11 @@
 # of each. The limit of a command in the log is 64 KiB higher.
 MAX_COMMIT_BYTES = 1472 * 1024
 RESULT_OVERHEAD_BYTES = 256
+MAX_REASON_CHARACTERS = 256
+# Limit of the output of an item, whose result has to fit into a commit.
+MAX_OUTPUT_BYTES = (
+    MAX_COMMIT_BYTES - RESULT_OVERHEAD_BYTES - 4 * MAX_REASON_CHARACTERS
+)
 
 
 class ResultQueue:
@@ -45,12 +51,22 @@
         return bool(self.pending)
 
     def add(self, job_id, result):
-        """Queue a result unless its item already has one that fits."""
-        key = (job_id, result.item_id)
+        """Queue a result unless its item already has one.
+
+        Returns
+        -------
+        bool
+            False if the result fits into no commit. It would stay in the
+            queue, and its item would never run again.
+        """
+        result = dataclasses.replace(
+            result, reason=result.reason[:MAX_REASON_CHARACTERS]
+        )
+        if get_size(result) > MAX_COMMIT_BYTES:
+            return False
         with self.lock:
-            queued = self.pending.get(key)
-            if queued is None or get_size(queued) > MAX_COMMIT_BYTES:
-                self.pending[key] = result
+            self.pending.setdefault((job_id, result.item_id), result)
+        return True
 
     def list_keys(self):
         """Return the keys of the items with queued results."""
@@ -85,11 +101,7 @@
         future.add_done_callback(lambda _: self.notify())
 
     def select_results(self):
-        """Return queued results that fit into a commit, with their jobs.
-
-        A result that does not fit into any commit is skipped, so that it does
-        not block the others.
-        """
+        """Return queued results that fit into a commit, with their jobs."""
         chosen = []
         remaining_bytes = MAX_COMMIT_BYTES
         for (job_id, _), result in self.pending.items():
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -1,6 +1,7 @@
 """Task of the leader that schedules batch items on the stores."""
 
 import collections
+import dataclasses
 import threading
 import time
 
@@ -376,24 +377,39 @@
             ended.event_count,
             ended.seconds,
         )
-        self.record_health(run, outcome, now)
+        self.record_health(run, ended, now)
         if outcome == 'completed':
             self.estimator.add_item(
                 len(progress.texts), ended.event_count, ended.seconds
             )
-            text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
-            self.results.add(
-                run.job.job_id,
-                commands.ItemResult(
-                    run.item.item_id, commands.ItemState.COMPLETED, text
-                ),
-            )
+            self.complete(run, progress, ended, now)
         elif outcome == 'impossible':
             self.give_up(run.job, run.item, ended.detail)
         elif outcome not in ('cancelled', 'lost'):
             self.handle_failure(run, progress, ended, now)
         self.wake.set()
 
+    def complete(self, run, progress, ended, now):
+        """Queue the result of an item; run it anew if that fits no commit.
+
+        Bytes of the output that are not UTF-8 are replaced by longer ones.
+        """
+        text = b'\n'.join(progress.texts).decode('utf-8', 'replace')
+        result = commands.ItemResult(
+            run.item.item_id, commands.ItemState.COMPLETED, text
+        )
+        if not self.results.add(run.job.job_id, result):
+            self.handle_failure(
+                run,
+                progress,
+                dataclasses.replace(
+                    ended,
+                    outcome='oversized',
+                    detail='result exceeds a commit',
+                ),
+                now,
+            )
+
     def handle_failure(self, run, progress, ended, now):
         """Schedule the retry of a failed item, or give the item up."""
         progress.failures += 1
@@ -411,13 +427,34 @@
             len(progress.texts),
             ended.detail,
         )
+        if ended.outcome == 'oversized':
+            self.drop_events(run, progress)
         if progress.attempts >= max(1, run.job.max_attempts):
             self.give_up(run.job, run.item, ended.detail)
 
-    def record_health(self, run, outcome, now):
-        """Record the success or failure of a run for its endpoint."""
+    def drop_events(self, run, progress):
+        """Drop the events of an item, also those in the ledger.
+
+        They cannot become a result, and may come from a faulty endpoint.
+        """
+        with self.lock:
+            restart_item(run.key, progress)
+            progress.oversized_at.add(run.endpoint.endpoint_id)
+        self.propose(
+            commands.FAMILY.encode(commands.DropProgress(*run.key)),
+            clock.monotonic() + COMMIT_TIMEOUT_SECONDS,
+        )
+
+    def record_health(self, run, ended, now):
+        """Record the success or failure of a run for its endpoint.
+
+        An item whose output is too large at several endpoints is at fault
+        itself.
+        """
         endpoint_id = run.endpoint.endpoint_id
-        if outcome == 'failed':
+        outcome = ended.outcome
+        others = run.progress.oversized_at - {endpoint_id}
+        if outcome == 'failed' or (outcome == 'oversized' and not others):
             with self.lock:
                 self.health.record_failure(endpoint_id, now)
             self.record_outcome(endpoint_id, run.worker_id, 1, 0)
--- a/rhubarbreach/backlog/tests/conftest.py
+++ b/rhubarbreach/backlog/tests/conftest.py
@@ -57,7 +57,9 @@
         self.assignments = assignments.Assignments(
             self.load, lambda: f'o{next(numbers)}'
         )
-        self.job = types.SimpleNamespace(job_id='job', account='a')
+        self.job = types.SimpleNamespace(
+            job_id='job', account='a', max_attempts=3
+        )
         self.destination = assignments.Destination('s', 'h')
         self.items = {
             name: commands.Item(name, '/p/', (), b'', 10) for name in 'ab'
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from rhubarbreach.backlog import assignments
+from rhubarbreach.backlog import commands
+from rhubarbreach.consensus import group
 from rhubarbreach.protocol import codec
 
 KEY = ('job', 'a')
@@ -306,3 +308,21 @@
     same = dataclasses.replace(run, software_version='v1')
     reply, _ = leader.receive('one', make_report(same))
     assert reply.known == (('o1', 3),)
+
+
+def test_events_beyond_a_commit_are_committed_one_after_the_other(
+    leader, make_report, make_run
+):
+    # One command with all of them was refused, and the events were lost.
+    leader.receive('one', make_report())
+    leader.assign('a')
+    texts = [b'x' * 500_000] * 7
+    leader.receive('one', make_report(make_run('a', 1, *texts)))
+    firsts = []
+    now = 9.0
+    while items := leader.assignments.take_uncommitted((), now):
+        command = commands.FAMILY.encode(commands.AddProgress(tuple(items)))
+        assert len(command) <= group.MAX_COMMAND_BYTES
+        firsts += [item.first for item in items]
+        now += 9.0
+    assert firsts == [1, 4, 7]
--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -324,3 +324,14 @@
     for size in range(len(response)):
         outcome, _, _ = run_against([response[:size]])
         assert outcome[0] == 'failed', response[:size]
+
+
+def test_endless_events_are_no_output(run_against):
+    """Guards against an output that fits into no commit."""
+    events = (
+        chunk(b'id: %d\ndata: %s\n\n' % (number, BLOCK))
+        for number in itertools.count(1)
+    )
+    outcome, _, _ = run_against(itertools.chain([HEAD], events))
+    assert outcome[0] == 'oversized'
+    assert run_against.sent_bytes < 20_000_000
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -226,3 +226,15 @@
     apply(ledger, commands.EndJob('j', 'a'))
     apply(ledger, commands.PruneJobs(101.0))
     assert set(ledger.jobs) == {'k'}
+
+
+def test_dropped_events_are_replaced_by_those_of_a_new_run(ledger):
+    # The former events came from a faulty endpoint.
+    apply(ledger, make_job())
+    faulty = commands.ItemProgress('j', 'j-0', 1, (b'x', b'y'), 'o1', 0)
+    apply(ledger, commands.AddProgress((faulty,)))
+    apply(ledger, commands.DropProgress('j', 'j-0'))
+    apply(ledger, commands.DropProgress('unknown', 'j-0'))
+    sound = commands.ItemProgress('j', 'j-0', 1, (b'a',), 'o2', 0)
+    apply(ledger, commands.AddProgress((sound,)))
+    assert ledger.get_progress('j', 'j-0') == ([b'a'], ('o2', 0), '')
--- a/rhubarbreach/backlog/tests/test_results.py
+++ b/rhubarbreach/backlog/tests/test_results.py
@@ -101,3 +101,16 @@
         queue.commit(number / 10)
     fitting = {'a', 'b', 'c'} if len(big) < group.MAX_COMMAND_BYTES else {'c'}
     assert committed == fitting
+
+
+def test_result_beyond_a_commit_is_not_queued(queue):
+    # It stayed in the queue for good, and its item never ran again.
+    assert not queue.add('job', done('b', 'x' * results.MAX_COMMIT_BYTES))
+    assert queue.list_keys() == {('job', 'a')}
+    assert queue.add('job', done('b', 'x' * results.MAX_OUTPUT_BYTES))
+
+
+def test_result_with_a_long_reason_fits_into_a_commit(queue):
+    reason = 'x' * results.MAX_COMMIT_BYTES
+    result = commands.ItemResult('b', commands.ItemState.GIVEN_UP, '', reason)
+    assert queue.add('job', result)
--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -140,3 +140,58 @@
     runner.cancel_unneeded(endpoints)
     (run,) = leader.assignments.runs.values()
     assert run.cancelled is is_cancelled
+
+
+@pytest.fixture
+def end_run(runner, leader, make_report, make_run):
+    """Return a function that ends a run of the item at an endpoint."""
+    runner.assignments = leader.assignments
+    runner.open_items = leader.open_items
+    leader.receive('one', make_report())
+    proposed = []
+
+    def propose(command, _):
+        proposed.append(commands.FAMILY.decode(command))
+        return concurrent.futures.Future()
+
+    runner.propose = propose
+
+    def end(number, *texts, outcome):
+        leader.assign('a', f'e{number}')
+        report = make_run('a', 1, *texts, order=number, outcome=outcome)
+        _, (ended,) = leader.receive('one', make_report(report))
+        runner.handle_end(ended)
+        return proposed
+
+    return end
+
+
+def test_item_whose_output_fits_no_commit_runs_again(runner, end_run):
+    # Its result stayed in the queue, so that the item was never listed.
+    proposed = end_run(1, b'1', b'2', outcome='oversized')
+    progress = runner.assignments.progress[KEY]
+    assert (progress.texts, progress.committed) == ([], 0)
+    assert proposed == [commands.DropProgress(*KEY)]
+    assert not runner.results
+    assert runner.health.is_ejected('e1', time.monotonic())
+
+
+def test_output_that_grows_by_its_decoding_does_not_block_its_item(
+    runner, end_run
+):
+    # Each byte that is not UTF-8 takes three in the result.
+    proposed = end_run(1, b'\xff' * 600_000, outcome='completed')
+    assert proposed == [commands.DropProgress(*KEY)]
+    assert not runner.results
+    assert not runner.assignments.progress[KEY].texts
+
+
+def test_item_with_too_much_output_everywhere_ejects_one_endpoint(
+    runner, end_run
+):
+    # Otherwise one item takes sound endpoints away from all others.
+    end_run(1, outcome='oversized')
+    end_run(2, outcome='oversized')
+    now = time.monotonic()
+    assert runner.health.is_ejected('e1', now)
+    assert not runner.health.is_ejected('e2', now)
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -264,3 +264,16 @@
     monkeypatch.setattr(store_worker.executor, 'submit', submit_later)
     link.replies.append(orders(ORDER, known=KNOWN))
     assert wait_for(lambda: release.runs)
+
+
+def test_run_without_usable_events_reports_its_end():
+    # The leader may already have some of the events.
+    active_run = worker.ActiveRun(ORDER)
+    for text in (b'3', b'4', b'5'):
+        active_run.progress.add(text)
+    active_run.known = 4
+    active_run.drop_events()
+    active_run.outcome = 'oversized'
+    report = active_run.make_report(time.monotonic(), worker.REPORT_BYTES)
+    assert (report.outcome, report.texts) == ('oversized', ())
+    assert not active_run.has_unreported(report)
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -51,7 +51,9 @@
     def __init__(self, order):
         self.run = execution.Run(order)
         self.begun = order.last_id
-        self.progress = execution.RunProgress([], order.last_id)
+        self.progress = execution.RunProgress(
+            [], order.last_id, order.output_bytes
+        )
         self.known = order.last_id
         self.outcome = ''
         self.detail = ''
@@ -94,6 +96,13 @@
             order.software_version,
         )
 
+    def drop_events(self):
+        """Drop the events of the run, as none of them can be used."""
+        order = self.run.order
+        self.progress = execution.RunProgress(
+            [], order.last_id, order.output_bytes
+        )
+
     def has_unreported(self, report):
         """Return whether there is more to report than a report held."""
         last = max(report.first - 1, 0) + len(report.texts)
@@ -303,6 +312,8 @@
             )
         if active_run.run.cancelled and outcome != 'completed':
             outcome = 'cancelled'
+        if outcome == 'oversized':
+            active_run.drop_events()
         active_run.detail = detail
         active_run.ended_at = clock.monotonic()
         active_run.outcome = outcome
--- a/rhubarbreach/protocol/workmessages.py
+++ b/rhubarbreach/protocol/workmessages.py
@@ -19,7 +19,7 @@
     `order_id` is unique among all orders. `host` is the host of the item's
     route. `address` is the address of the endpoint, `software_version` the
     version of its software, and `born` the start of its process in Unix
-    milliseconds.
+    milliseconds. `output_bytes` is the size of the events up to `last_id`.
     """
 
     order_id: str
@@ -35,6 +35,7 @@
     last_id: int
     software_version: str = ''
     born: int = 0
+    output_bytes: int = 0
 
 
 @messages.frozen_message
