--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -5,6 +5,7 @@
 from rhubarbreach.backlog import results
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.web import answers
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
@@ -135,12 +136,12 @@
     if run.cancelled:
         return 'cancelled', ''
     run.started_at = clock.monotonic()
-    splitter = events.Splitter()
+    stream = None
     run_bytes = 0
     last_id = progress.last_id
     idle_deadline = run.started_at + IDLE_TIMEOUT_SECONDS
     is_checked = False
-    while not call.is_complete:
+    while not (call.is_complete or (stream and stream.is_over)):
         # The deadline is also checked here, as an endpoint that keeps sending
         # bytes without a new event never lets `read` time out.
         if clock.monotonic() > idle_deadline:
@@ -156,12 +157,13 @@
                 return 'failed', reason
             if dialect.is_leaving(call.head):
                 record_departure(order.endpoint_id, order.born)
-        if call.head is not None and call.head.status == STATUS_OK:
-            data = b''.join(parts)
-            run_bytes += len(data)
+            if call.head.status == STATUS_OK:
+                stream = answers.EventStream(call.head)
+        if stream is not None:
+            run_bytes += sum(map(len, parts))
             if run_bytes > MAX_RUN_BYTES:
                 return 'failed', f'run exceeds {MAX_RUN_BYTES} bytes'
-            for block in splitter.feed(data):
+            for block in stream.feed(parts):
                 if not add_event(progress, block):
                     return 'failed', 'events are not in sequence'
             if progress.output_bytes > results.MAX_OUTPUT_BYTES:
@@ -174,9 +176,18 @@
                 idle_deadline = clock.monotonic() + IDLE_TIMEOUT_SECONDS
         if run.cancelled and not call.is_complete:
             return 'cancelled', ''
-    if call.head.status == STATUS_OK and not progress.last_id:
-        return 'failed', 'answer has no event'
-    return classify_response(call.head, splitter, dialect)
+    if stream is not None:
+        return classify_end(stream.judge_end(bool(progress.last_id)))
+    return classify_response(call.head, dialect)
+
+
+def classify_end(judgement):
+    """Return the outcome and detail of a stream that has ended."""
+    match judgement.end:
+        case answers.End.COMPLETE:
+            return 'completed', ''
+        case answers.End.BROKEN:
+            return 'failed', judgement.reason
 
 
 def check_head(head, order, dialect):
@@ -191,13 +202,9 @@
     return None
 
 
-def classify_response(head, splitter, dialect):
-    """Return the outcome and detail of a complete response."""
+def classify_response(head, dialect):
+    """Return the outcome and detail of a response that is no stream."""
     detail = f'status {head.status}'
-    if head.status == STATUS_OK:
-        if splitter.rest.strip():
-            return 'failed', 'answer ends within an event'
-        return 'completed', ''
     if dialect.is_not_run(head):
         return 'not_run', detail
     if head.status == STATUS_UNPROCESSABLE:
--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -284,7 +284,7 @@
     outcome, progress, _ = run_against(
         [b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\nid: 2\ndata: t']
     )
-    assert outcome == ('failed', 'answer ends within an event')
+    assert outcome == ('failed', 'response ends within an event')
     assert progress.texts == [b't1']
 
 
@@ -297,6 +297,20 @@
     assert progress.texts == [b't1']
 
 
+@pytest.mark.parametrize('status', [200, 500])
+def test_late_second_answer_is_no_part_of_an_item(run_against, status):
+    """Guards against events of another answer in the text of an item."""
+    outcome, progress, _ = run_against(
+        [
+            b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\n',
+            b'HTTP/1.1 %d E\r\nA: b\r\n\r\nid: 2\ndata: x2\n\n' % status,
+        ],
+        pause=0.05,
+    )
+    assert outcome[0] == 'completed'
+    assert progress.texts == [b't1']
+
+
 @pytest.mark.parametrize(
     'parts',
     [
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -14,6 +14,8 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.dispatch import selector
 from rhubarbreach.dispatch import transfer as transfer_module
+from rhubarbreach.web import answers
+from rhubarbreach.web import errors as web_errors
 
 __all__ = ['Loop']
 
@@ -268,14 +270,10 @@
 
     def collect_body(self, transfer, data):
         """Collect the body of a response that is not a stream."""
-        transfer.body.append(data)
-        transfer.body_bytes += len(data)
-        if transfer.body_bytes > transfer_module.MAX_BODY_BYTES:
-            self.abort(
-                transfer,
-                AttemptEnd.BROKEN,
-                f'body longer than {transfer_module.MAX_BODY_BYTES} bytes',
-            )
+        try:
+            transfer.body.feed([data])
+        except web_errors.BadMessageError as error:
+            self.abort(transfer, AttemptEnd.BROKEN, str(error))
 
     def pause(self, transfer):
         """Pause reading from the endpoint until the caller catches up."""
@@ -314,11 +312,12 @@
         self.release_handle(transfer)
         if transfer.future.done():
             return
+        judgement = transfer.judge_end()
         if curl_code:
             end = AttemptEnd.BROKEN if transfer.sent else AttemptEnd.NOT_SENT
             self.end_early(transfer, end, message)
-        elif not transfer.is_whole():
-            self.end_early(transfer, AttemptEnd.BROKEN, 'incomplete response')
+        elif judgement.end is answers.End.BROKEN:
+            self.end_early(transfer, AttemptEnd.BROKEN, judgement.reason)
         elif transfer.is_mismatched():
             self.end_early(transfer, AttemptEnd.CROSSED, 'attempt id mismatch')
         elif transfer.relay is not None:
--- a/rhubarbreach/dispatch/tests/test_cut_responses.py
+++ b/rhubarbreach/dispatch/tests/test_cut_responses.py
@@ -92,3 +92,19 @@
     call = make_call(stream=False, idempotent=False, body=b'{}')
     result = start_executor(endpoint).execute(call)
     assert isinstance(result, codes.Refusal)
+
+
+def test_late_second_answer_is_not_joined_to_a_body(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a body without a length that holds two answers."""
+    head = HEAD.replace(b'Content-Length: 8\r\n', b'')
+    endpoint = start_endpoint(
+        send_and_close(
+            lambda attempt: head % attempt + BODY + HEAD % attempt + BODY
+        ),
+        kind='service',
+    )
+    call = make_call(stream=False, idempotent=False, body=b'{}')
+    result = start_executor(endpoint).execute(call)
+    assert result.code is CODES.OUTCOME_UNKNOWN
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -8,8 +8,9 @@
 from rhubarbreach.dispatch import attempt as attempt_module
 from rhubarbreach import exceptions
 from rhubarbreach import serialization
+from rhubarbreach.web import answers
 
-__all__ = ['MAX_BODY_BYTES', 'Transfer', 'configure_handle']
+__all__ = ['Transfer', 'configure_handle']
 
 # A longer body of a response that is not a stream ends the attempt as broken.
 MAX_BODY_BYTES = 64 << 20
@@ -55,8 +56,7 @@
         self.status = 0
         self.headers = {}
         self.chunks = []
-        self.body = []
-        self.body_bytes = 0
+        self.body = answers.Body(MAX_BODY_BYTES)
         self.relay = None
         self.paused = False
         self.started_at = now
@@ -118,6 +118,15 @@
             and len(length) <= MAX_LENGTH_DIGITS
         )
 
+    def judge_end(self):
+        """Judge the end of a response that is no stream."""
+        if not self.is_whole():
+            return answers.Judgement(answers.End.BROKEN, 'incomplete response')
+        return self.body.judge_end(
+            'content-length' in self.headers
+            or 'transfer-encoding' in self.headers
+        )
+
     def is_mismatched(self):
         """Return whether the attempt id of the response is wrong or missing.
 
@@ -140,9 +149,7 @@
         if self.attempt.reuse and ATTEMPT_HEADER not in self.headers:
             return False
         try:
-            return serialization.decode_json(
-                DECODER, b''.join(self.body)
-            ).not_run
+            return serialization.decode_json(DECODER, self.body.join()).not_run
         except exceptions.MessageError:
             return False
 
@@ -153,7 +160,7 @@
             end=end,
             status=self.status,
             content_type=self.content_type,
-            body=b''.join(self.body),
+            body=self.body.join(),
             relayed=self.relay is not None,
             sent=self.sent,
             not_run=self.says_not_run(),
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -9,6 +9,7 @@
 from rhubarbreach.gateway import heads
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import resume
+from rhubarbreach.web import answers
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
@@ -29,8 +30,6 @@
 EVENT_TIMEOUT_FACTOR = 3.0
 # The same for a route that states neither.
 DEFAULT_EVENT_TIMEOUT_SECONDS = 1.2
-# A response that is not a stream is held until it is complete.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 # Bytes of a body that have already arrived are read beyond the deadline for
 # this long, as this host itself may have been suspended.
 LATE_READ_SECONDS = 0.25
@@ -291,14 +290,13 @@
 
     def relay(self, call):
         """Relay a response as it arrives; return the outcome."""
-        splitter = events.Splitter()
-        body = []
-        body_bytes = 0
+        body = answers.Body()
+        stream = None
         self.run_started_at = self.last_event_at = clock.monotonic()
         self.attempt_started_at = self.run_started_at
         is_checked = False
         watched = [call.socket, self.connection.socket]
-        while not call.is_complete:
+        while not (call.is_complete or (stream and stream.is_over)):
             read_deadline = self.get_read_deadline()
             ready = sockets.wait_readable(watched, read_deadline)
             if not ready:
@@ -325,15 +323,14 @@
                 outcome = self.check_head(call.head)
                 if outcome is not None:
                     return outcome
-            if not self.is_stream(call.head):
-                body.extend(parts)
-                body_bytes += sum(map(len, parts))
-                if body_bytes > MAX_BODY_BYTES:
-                    return model.Broken(f'body exceeds {MAX_BODY_BYTES} bytes')
+                if self.is_stream(call.head):
+                    stream = answers.EventStream(call.head)
+            if stream is None:
+                body.feed(parts)
                 if now >= self.deadline + LATE_READ_SECONDS:
                     return model.TimedOut()
                 continue
-            blocks = splitter.feed(b''.join(parts))
+            blocks = stream.feed(parts)
             # Comments keep a connection open, but are no progress.
             if any(events.get_data(block) is not None for block in blocks):
                 self.last_event_at = now
@@ -342,7 +339,9 @@
                 return self.end_unfinished(read_deadline)
             if not self.send_events(call.head, blocks):
                 return model.CallerGone()
-        return self.finish(call.head, splitter, body)
+        if stream is None:
+            return self.finish_body(call.head, body)
+        return self.finish_stream(call.head, stream)
 
     def record_crash(self, has_head):
         """Report a crash of the endpoint that this request may have caused.
@@ -483,41 +482,46 @@
             return False
         return True
 
-    def finish(self, head, splitter, body):
-        """Send the rest of a complete response; return the outcome."""
-        if not self.is_stream(head):
-            has_content = any(body) or heads.is_delimited(head)
-            if head.status in heads.SUCCESS and has_content:
-                self.record_answer()
-            if self.app.is_closing(self.connection):
-                self.connection.keep_alive = False
-            try:
-                self.connection.send_response(
-                    head.status,
-                    heads.filter_headers(head),
-                    b''.join(body),
-                    head.reason,
-                )
-            except (errors.ConnectionEndedError, errors.DeadlineError):
-                self.connection.keep_alive = False
-                return model.CallerGone()
-            return model.Delivered(head.status)
-        if splitter.rest.strip():
-            self.record_crash(True)
-            return model.Broken('response ends within an event')
-        if not self.was_answered and self.last_id is None:
+    def finish_body(self, head, body):
+        """Send a complete response that is no stream; return the outcome."""
+        is_delimited = answers.is_delimited(head)
+        judgement = body.judge_end(is_delimited)
+        if judgement.end is answers.End.BROKEN:
+            return model.Broken(judgement.reason)
+        if head.status in heads.SUCCESS and (body.size or is_delimited):
+            self.record_answer()
+        if self.app.is_closing(self.connection):
+            self.connection.keep_alive = False
+        try:
+            self.connection.send_response(
+                head.status,
+                heads.filter_headers(head),
+                body.join(),
+                head.reason,
+            )
+        except (errors.ConnectionEndedError, errors.DeadlineError):
+            self.connection.keep_alive = False
+            return model.CallerGone()
+        return model.Delivered(head.status)
+
+    def finish_stream(self, head, stream):
+        """End the stream of the caller if it is whole; return the outcome."""
+        judgement = stream.judge_end(
+            self.was_answered or self.last_id is not None
+        )
+        if judgement.end is answers.End.BROKEN:
             # The end of the connection may end a response without a length,
             # also that of an endpoint that crashes.
             self.record_crash(True)
-            return model.Broken('stream ends without an event')
+            return model.Broken(judgement.reason)
         has_event = self.last_event_at > self.attempt_started_at
-        if not has_event and not heads.is_delimited(head):
+        if not has_event and not stream.is_delimited:
             return model.Broken('resumed stream ends without an event')
         data = b''
         if not self.response_started:
             data = self.encode_head(head)
-        if splitter.rest:
-            data += b'%x\r\n%s\r\n' % (len(splitter.rest), splitter.rest)
+        if stream.rest:
+            data += b'%x\r\n%s\r\n' % (len(stream.rest), stream.rest)
         if not self.send(data + LAST_CHUNK):
             return model.CallerGone()
         return model.Delivered(head.status)
--- a/rhubarbreach/gateway/heads.py
+++ b/rhubarbreach/gateway/heads.py
@@ -7,7 +7,6 @@
     'SUCCESS',
     'check_identity',
     'filter_headers',
-    'is_delimited',
     'is_event_stream',
     'is_own',
 ]
@@ -40,13 +39,6 @@
     )
 
 
-def is_delimited(head):
-    """Return whether a response does not end with its connection."""
-    return any(
-        head.get(name) for name in (b'content-length', b'transfer-encoding')
-    )
-
-
 def check_identity(head, request_id, dialect):
     """Return the outcome of a response that is not relayed, else None.
 
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -294,6 +294,48 @@
     assert endpoint.count == 1
 
 
+@pytest.mark.parametrize('status', [200, 500])
+@pytest.mark.parametrize('resumable', [False, True])
+def test_late_second_answer_stays_out_of_the_stream(
+    forward_to, status, resumable
+):
+    """Guards against the head of another answer in the text of a stream."""
+    head = b'HTTP/1.1 %d E\r\nContent-Length: 15\r\n\r\n' % status
+    for second in ([head, b'id: 2\ndata: x2\n\n'], [head[:30]]):
+        refusal, data, _, _ = forward_to(
+            [UNFRAMED_HEAD + b'id: 1\ndata: t1\n\n', *second],
+            0.05,
+            resumable=resumable,
+            later=[HEAD, END],
+            count=2,
+        )
+        assert refusal is None
+        assert b'Content' not in data
+        assert b'x2' not in data
+        assert data.endswith(forward.LAST_CHUNK)
+
+
+def test_late_second_answer_is_not_joined_to_a_body(forward_to):
+    """Guards against a body without a length that holds two answers."""
+    answer = b'HTTP/1.1 200 E\r\nContent-Length: 2\r\n\r\nok'
+    refusal, data, _, _ = forward_to(
+        [UNFRAMED_HEAD + b'first', answer],
+        0.05,
+        kind=catalogs.RouteKind.IDEMPOTENT,
+        later=[answer],
+        count=2,
+    )
+    assert refusal is None
+    assert data == b'ok'
+    refusal, data, _, _ = forward_to(
+        [UNFRAMED_HEAD + b'first', answer],
+        0.05,
+        kind=catalogs.RouteKind.ONCE,
+    )
+    assert refusal.ran == codes.Ran.UNKNOWN
+    assert not data
+
+
 def test_reset_stream_without_length_is_incomplete(forward_to):
     """Guards against a reset that is taken for the end of a stream."""
     parts = [UNFRAMED_HEAD, b'id: 1\ndata: t1\n\n', b': \n\n', RESET]
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from rhubarbreach.web import answers
 from rhubarbreach.web import errors
 
 __all__ = ['Request', 'RequestParser', 'ResponseHead', 'ResponseParser']
@@ -230,11 +231,7 @@
         Content-Length and Transfer-Encoding is completed by it.
         """
         if self.head is not None and not self.is_complete:
-            names = [name for name, _ in self.head.headers]
-            self.is_complete = (
-                b'content-length' not in names
-                and b'transfer-encoding' not in names
-            )
+            self.is_complete = not answers.is_delimited(self.head)
         return self.is_complete
 
     def on_status(self, status):
