--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -8,6 +8,7 @@
 from rhubarbreach.backlog import results
 from rhubarbreach import eventlog
 from rhubarbreach.protocol import workmessages
+from rhubarbreach.web import answers
 
 __all__ = ['Assignment', 'Assignments', 'Destination', 'EndedRun', 'Progress']
 
@@ -52,8 +53,10 @@
     them. The item does not start before `not_before`, and while it runs its
     events are not committed before `commit_due`. It waits for an endpoint of
     its software version since `waiting_since`. `oversized_at` holds the
-    endpoints whose output for the item exceeded a result. Times are in seconds
-    of the monotonic clock.
+    endpoints whose output for the item exceeded a result. `unproven_ends`
+    holds the endpoints whose responses ended after the last event, without a
+    length that shows whether they were whole. Times are in seconds of the
+    monotonic clock.
     """
 
     texts: list = dataclasses.field(default_factory=list)
@@ -66,6 +69,7 @@
     software_version: str = ''
     waiting_since: float | None = None
     oversized_at: set = dataclasses.field(default_factory=set)
+    unproven_ends: list = dataclasses.field(default_factory=list)
 
     @property
     def output_bytes(self):
@@ -88,6 +92,8 @@
         added = report.texts[event_count + 1 - report.first :]
         if not self.texts:
             self.software_version = software_version
+        if added:
+            self.unproven_ends = []
         if added and not self.is_from_order(report.order_id):
             self.sources.append((report.order_id, report.begun))
         self.texts.extend(added)
@@ -106,9 +112,21 @@
             is_same_version or not self.texts
         )
 
+    def add_unproven_end(self, endpoint_id):
+        """Record an end after the last event; return whether it is proven.
+
+        The ends of several endpoints agree, or those of the only one.
+        """
+        self.unproven_ends.append(endpoint_id)
+        return (
+            len(set(self.unproven_ends)) >= answers.MIN_AGREEING_ENDS
+            or len(self.unproven_ends) > answers.MIN_AGREEING_ENDS
+        )
+
     def restart(self):
         """Drop the events, so that the item begins anew."""
         self.texts = []
+        self.unproven_ends = []
         self.sources = []
         self.committed = 0
         self.software_version = ''
--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -89,11 +89,12 @@
     Returns
     -------
     tuple of str
-        Outcome and detail. The outcome is `completed`, `cancelled`,
-        `not_run`, `impossible`, `attempted` if the endpoint reported a
-        failure of the item, `oversized` if the output exceeds what a result
-        may hold, so that none of its events can be used, or `failed` on any
-        other error, after which the state of the item is unknown.
+        Outcome and detail. The outcome is `completed`, `unproven` if the
+        response may have been broken off at its end, `cancelled`, `not_run`,
+        `impossible`, `attempted` if the endpoint reported a failure of the
+        item, `oversized` if the output exceeds what a result may hold, so that
+        none of its events can be used, or `failed` on any other error, after
+        which the state of the item is unknown.
     """
     try:
         return attempt_run(run, progress, dialect, record_departure)
@@ -186,6 +187,8 @@
     match judgement.end:
         case answers.End.COMPLETE:
             return 'completed', ''
+        case answers.End.UNPROVEN:
+            return 'unproven', judgement.reason
         case answers.End.BROKEN:
             return 'failed', judgement.reason
 
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -383,6 +383,9 @@
                 len(progress.texts), ended.event_count, ended.seconds
             )
             self.complete(run, progress, ended, now)
+        elif outcome == 'unproven':
+            if progress.add_unproven_end(run.endpoint.endpoint_id):
+                self.complete(run, progress, ended, now)
         elif outcome == 'impossible':
             self.give_up(run.job, run.item, ended.detail)
         elif outcome not in ('cancelled', 'lost'):
@@ -458,7 +461,9 @@
             with self.lock:
                 self.health.record_failure(endpoint_id, now)
             self.record_outcome(endpoint_id, run.worker_id, 1, 0)
-        elif outcome == 'completed':
+        elif outcome == 'completed' or (
+            outcome == 'unproven' and ended.event_count
+        ):
             with self.lock:
                 self.health.record_success(endpoint_id)
             self.record_outcome(endpoint_id, run.worker_id, 0, 1)
--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -289,11 +289,11 @@
 
 
 def test_run_without_length_ends_with_its_connection(run_against):
-    """Guards against a complete run that is taken for a broken one."""
+    """Guards against a run that may be whole and is taken for a broken one."""
     outcome, progress, _ = run_against(
         [b'HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: t1\n\n']
     )
-    assert outcome == ('completed', '')
+    assert outcome == ('unproven', 'response without a length')
     assert progress.texts == [b't1']
 
 
@@ -307,7 +307,7 @@
         ],
         pause=0.05,
     )
-    assert outcome[0] == 'completed'
+    assert outcome[0] == 'unproven'
     assert progress.texts == [b't1']
 
 
--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import itertools
 import time
 
 import pytest
@@ -195,3 +196,58 @@
     now = time.monotonic()
     assert runner.health.is_ejected('e1', now)
     assert not runner.health.is_ejected('e2', now)
+
+
+@pytest.fixture
+def end_unproven_run(runner, leader, make_report, make_run):
+    """Return a function that ends a run without a length at an endpoint.
+
+    It returns whether the item has a result then.
+    """
+    runner.assignments = leader.assignments
+    runner.open_items = leader.open_items
+    leader.receive('one', make_report())
+    orders = itertools.count(1)
+
+    def end(endpoint, *texts):
+        known = len(leader.assignments.get_progress(KEY).texts)
+        leader.assign('a', endpoint)
+        report = make_run(
+            'a',
+            known + 1,
+            *texts,
+            order=next(orders),
+            begun=known,
+            outcome='unproven',
+        )
+        _, (ended,) = leader.receive('one', make_report(report))
+        runner.handle_end(ended)
+        return KEY in runner.results.list_keys()
+
+    return end
+
+
+def test_resumed_item_without_an_event_is_not_complete(
+    leader, end_unproven_run
+):
+    # The endpoint crashed before the first event; the item had yielded.
+    leader.committed[KEY] = [b'1']
+    assert not end_unproven_run('e1')
+    assert not end_unproven_run('e2', b'2')
+    assert end_unproven_run('e1')
+
+
+def test_item_to_which_two_endpoints_add_nothing_is_complete(
+    runner, end_unproven_run
+):
+    # All endpoints may answer without a length.
+    assert not end_unproven_run('e1', b'1', b'2')
+    assert end_unproven_run('e2')
+    assert runner.results.pending[KEY].output == '1\n2'
+    assert not runner.health.entries
+
+
+def test_item_completes_at_the_only_endpoint(end_unproven_run):
+    assert not end_unproven_run('e1', b'1')
+    assert not end_unproven_run('e1')
+    assert end_unproven_run('e1')
--- a/rhubarbreach/gateway/decide.py
+++ b/rhubarbreach/gateway/decide.py
@@ -51,7 +51,7 @@
 
     Parameters
     ----------
-    outcome : Delivered, NotRun, Broken, TimedOut or CallerGone
+    outcome : Delivered, NotRun, Broken, Unproven, TimedOut or CallerGone
         Outcome of the attempt.
     route : Route
         Route of the request.
@@ -72,7 +72,7 @@
         case model.NotRun(reason=reason):
             if declined <= MAX_DECLINED and in_time:
                 return Retry()
-        case model.Broken(reason=reason):
+        case model.Broken(reason=reason) | model.Unproven(reason=reason):
             if route.is_repeatable and sent < route.max_attempts and in_time:
                 return Retry()
         case model.TimedOut():
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -76,6 +76,9 @@
         # Version at which the stream began; None before it has.
         self.software_version = None
         self.origin_revision = 0
+        # Unproven ends of the stream after its last event.
+        self.agreeing_ends = 0
+        self.unproven_endpoint_id = None
         self.endpoint = None
         self.sent = 0
         self.declined = 0
@@ -114,14 +117,7 @@
             refusal = quarantine.find_refusal(self.info.prompt, now)
             if refusal is not None:
                 return self.refuse_unplaced(refusal)
-            endpoint = self.app.view.acquire(
-                service,
-                excluded,
-                now,
-                self.choose_queue_limit(service),
-                self.can_retry(),
-                self.software_version,
-            )
+            endpoint = self.acquire(service, excluded, now)
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_unplaced(endpoint)
             if not quarantine.begin_trial(self.info.prompt, now):
@@ -157,6 +153,28 @@
                     self.log('cut', reason)
                     return None
 
+    def acquire(self, service, excluded, now):
+        """Return an endpoint for the next attempt, or a refusal.
+
+        If there is no other one, an endpoint whose response had an unproven
+        end may tell itself whether it has anything to add.
+        """
+        allowed = [excluded]
+        if self.agreeing_ends:
+            allowed.append(excluded - {self.endpoint.endpoint_id})
+        for endpoint_ids in allowed:
+            endpoint = self.app.view.acquire(
+                service,
+                endpoint_ids,
+                now,
+                self.choose_queue_limit(service),
+                self.can_retry(),
+                self.software_version,
+            )
+            if not isinstance(endpoint, codes.Refusal):
+                break
+        return endpoint
+
     def choose_queue_limit(self, service):
         """Return the queue limit of endpoints for this request.
 
@@ -216,6 +234,9 @@
                         endpoint.service, now - self.run_started_at
                     )
                 self.log('delivered', f'status {status}', 'answered')
+            case model.Unproven(reason=reason):
+                self.sent += 1
+                self.log('unproven', reason)
             case model.TimedOut():
                 self.sent += 1
                 self.log('timed_out', '')
@@ -452,6 +473,7 @@
                 if self.last_id is not None and number <= self.last_id:
                     continue
                 self.last_id = number
+                self.handle_new_event()
             data.append(b'%x\r\n%s\r\n' % (len(block), block))
         if not data:
             return True
@@ -460,6 +482,14 @@
             data.insert(0, self.encode_head(head))
         return self.send(b''.join(data))
 
+    def handle_new_event(self):
+        """Forget unproven ends; the last endpoint broke off its response."""
+        if self.agreeing_ends:
+            self.agreeing_ends = 0
+            self.app.view.record_failure(
+                self.unproven_endpoint_id, clock.monotonic()
+            )
+
     def encode_head(self, head):
         """Return the head of a chunked response."""
         self.response_started = True
@@ -509,14 +539,17 @@
         judgement = stream.judge_end(
             self.was_answered or self.last_id is not None
         )
-        if judgement.end is answers.End.BROKEN:
-            # The end of the connection may end a response without a length,
-            # also that of an endpoint that crashes.
-            self.record_crash(True)
-            return model.Broken(judgement.reason)
-        has_event = self.last_event_at > self.attempt_started_at
-        if not has_event and not stream.is_delimited:
-            return model.Broken('resumed stream ends without an event')
+        match judgement.end:
+            case answers.End.BROKEN:
+                # The end of the connection may end a response without a
+                # length, also that of an endpoint that crashes.
+                self.record_crash(True)
+                return model.Broken(judgement.reason)
+            case answers.End.UNPROVEN if self.needs_proof():
+                self.agreeing_ends += 1
+                self.unproven_endpoint_id = self.endpoint.endpoint_id
+                if self.agreeing_ends < answers.MIN_AGREEING_ENDS:
+                    return model.Unproven(judgement.reason)
         data = b''
         if not self.response_started:
             data = self.encode_head(head)
@@ -525,3 +558,12 @@
         if not self.send(data + LAST_CHUNK):
             return model.CallerGone()
         return model.Delivered(head.status)
+
+    def needs_proof(self):
+        """Return whether an unproven end does not yet complete the stream.
+
+        Without a further attempt the end of a response with events is taken
+        as it is. One without any shows nothing.
+        """
+        has_event = self.last_event_at > self.attempt_started_at
+        return self.last_id is not None and (self.can_retry() or not has_event)
--- a/rhubarbreach/gateway/model.py
+++ b/rhubarbreach/gateway/model.py
@@ -12,6 +12,7 @@
     'JobResultsCall',
     'NotRun',
     'TimedOut',
+    'Unproven',
 ]
 
 
@@ -80,6 +81,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unproven:
+    """Outcome: the stream may be whole, or may have been broken off."""
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
     """Outcome: the deadline of the request has passed."""
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -285,13 +285,46 @@
         b'\nid: 2\nda',
         b'ta: t2\n\n',
     ]
+    refusal, data, endpoint, _ = forward_to(parts, 0.02, count=2)
+    assert refusal is None
+    assert data.endswith(forward.LAST_CHUNK)
+    assert data.count(b'data: t') == 2
+    assert endpoint.count == 1
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize(
+    'later', [[UNFRAMED_HEAD], [HEAD, END]], ids=['unframed', 'chunked']
+)
+def test_stream_to_which_no_endpoint_adds_an_event_is_whole(
+    forward_to, later, count
+):
+    """Guards against a complete stream that is cut off for want of proof."""
     refusal, data, endpoint, _ = forward_to(
-        parts, 0.02, resumable=True, count=2
+        [UNFRAMED_HEAD, b'id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n'],
+        0.02,
+        resumable=True,
+        later=later,
+        count=count,
     )
     assert refusal is None
     assert data.endswith(forward.LAST_CHUNK)
     assert data.count(b'data: t') == 2
-    assert endpoint.count == 1
+    assert endpoint.count == 2
+
+
+def test_stream_without_length_cut_between_events_goes_on(forward_to):
+    """Guards against a crash between two events that ends a stream."""
+    _, data, endpoint, _ = forward_to(
+        [UNFRAMED_HEAD, b'id: 1\ndata: t1\n\n'],
+        0.0,
+        resumable=True,
+        later=[HEAD, make_event(2), END],
+        count=2,
+    )
+    assert endpoint.count == 2
+    assert b'data: t2' in data
+    assert data.endswith(forward.LAST_CHUNK)
 
 
 @pytest.mark.parametrize('status', [200, 500])
--- a/rhubarbreach/web/answers.py
+++ b/rhubarbreach/web/answers.py
@@ -3,8 +3,10 @@
 All paths that read a response use this module: requests of callers, batch
 items and the own interface.
 
-A response without a length ends with its connection, so that bytes of a
-further response look like its body.
+A response without a length ends with its connection, so that a crash looks
+like its end, and bytes of a further response look like its body. Such an end
+is unproven. For a stream another endpoint can tell: it has nothing to add
+after the last event of one that is whole.
 """
 
 import dataclasses
@@ -20,11 +22,14 @@
     'EventStream',
     'Judgement',
     'MAX_BODY_BYTES',
+    'MIN_AGREEING_ENDS',
     'is_delimited',
 ]
 
 # A response that is not a stream is held until it is complete.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Unproven ends after the same event that show that a stream is whole.
+MIN_AGREEING_ENDS = 2
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*\r?\n')
 FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 
@@ -33,6 +38,7 @@
     """What is known of the end of a response."""
 
     COMPLETE = enum.auto()
+    UNPROVEN = enum.auto()
     BROKEN = enum.auto()
 
 
@@ -122,7 +128,9 @@
             return Judgement(End.BROKEN, 'response ends within an event')
         if not self.event_count and not is_resumed:
             return Judgement(End.BROKEN, 'stream ends without an event')
-        return COMPLETE
+        if self.is_delimited:
+            return COMPLETE
+        return Judgement(End.UNPROVEN, 'response without a length')
 
 
 class Body:
