--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -50,10 +50,13 @@
     ----------
     order : RunOrder
         Item, endpoint, and number of the event after which to resume.
+    memory_pool : MemoryPool
+        Bounds the outputs of all runs.
     """
 
-    def __init__(self, order):
+    def __init__(self, order, memory_pool):
         self.order = order
+        self.holding = memory_pool.open(self.interrupt)
         self.call = None
         self.cancelled = False
         self.started_at = clock.monotonic()
@@ -66,6 +69,10 @@
     def cancel(self):
         """Cancel the run; the endpoint stops when the connection closes."""
         self.cancelled = True
+        self.interrupt()
+
+    def interrupt(self):
+        """End the connection to the endpoint."""
         call = self.call
         if call is not None:
             call.interrupt()
@@ -104,11 +111,14 @@
         errors.DeadlineError,
         errors.BadMessageError,
     ) as error:
+        if run.holding.is_ended:
+            return 'failed', 'ended for the memory of this store'
         return 'failed', str(error)
     except Exception as error:
         LOG.exception('event=run_failed item={}', run.order.item_id)
         return 'failed', str(error)
     finally:
+        run.holding.close()
         if run.call is not None:
             run.call.close()
 
@@ -138,6 +148,7 @@
         return 'cancelled', ''
     run.started_at = clock.monotonic()
     stream = None
+    begun_bytes = progress.output_bytes
     run_bytes = 0
     last_id = progress.last_id
     idle_deadline = run.started_at + IDLE_TIMEOUT_SECONDS
@@ -167,6 +178,9 @@
             for block in stream.feed(parts):
                 if not add_event(progress, block):
                     return 'failed', 'events are not in sequence'
+            run.holding.resize(
+                progress.output_bytes - begun_bytes + stream.held_bytes
+            )
             if progress.output_bytes > results.MAX_OUTPUT_BYTES:
                 return (
                     'oversized',
--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -12,6 +12,7 @@
 from rhubarbreach import clock
 from rhubarbreach.protocol import codec
 from rhubarbreach.web import errors
+from rhubarbreach.web import memory
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
 
@@ -79,7 +80,7 @@
     )
     progress = execution.RunProgress()
     started_at = clock.monotonic()
-    run = execution.Run(order)
+    run = execution.Run(order, memory.UNBOUNDED)
     if cancel_after is not None:
         threading.Timer(cancel_after, run.cancel).start()
     outcome = execution.execute_run(run, progress, dialect, record_departure)
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -12,6 +12,7 @@
 from rhubarbreach.backlog import worker
 from rhubarbreach import codes
 from rhubarbreach.protocol import workmessages
+from rhubarbreach.web import memory
 
 ORDER = workmessages.RunOrder(
     'o1', 'job', 'a', 'account', 'h', '/p/', (), b'', 'e1', '127.0.0.1:1', 2
@@ -268,7 +269,7 @@
 
 def test_run_without_usable_events_reports_its_end():
     # The leader may already have some of the events.
-    active_run = worker.ActiveRun(ORDER)
+    active_run = worker.ActiveRun(ORDER, memory.UNBOUNDED)
     for text in (b'3', b'4', b'5'):
         active_run.progress.add(text)
     active_run.known = 4
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -14,6 +14,7 @@
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach.protocol import workmessages
+from rhubarbreach.web import memory
 
 __all__ = ['Worker']
 
@@ -48,8 +49,8 @@
     current leader has sent it.
     """
 
-    def __init__(self, order):
-        self.run = execution.Run(order)
+    def __init__(self, order, memory_pool):
+        self.run = execution.Run(order, memory_pool)
         self.begun = order.last_id
         self.progress = execution.RunProgress(
             [], order.last_id, order.output_bytes
@@ -141,6 +142,8 @@
     record_departure : callable
         Called with the id of an endpoint that says that it is leaving, and
         the start of its process.
+    output_memory : MemoryPool, optional
+        Bounds the outputs of all runs.
     """
 
     def __init__(
@@ -151,7 +154,9 @@
         find_leader,
         list_stores,
         record_departure,
+        output_memory=memory.UNBOUNDED,
     ):
+        self.memory = output_memory
         self.link = link
         self.zone = zone
         self.dialect = dialect
@@ -278,7 +283,8 @@
             started = []
             for order in reply.orders:
                 if order.order_id not in self.active and not self.draining:
-                    active_run = self.active[order.order_id] = ActiveRun(order)
+                    active_run = ActiveRun(order, self.memory)
+                    self.active[order.order_id] = active_run
                     started.append(active_run)
         self.cancel_runs(reply.cancels)
         for active_run in started:
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -16,6 +16,7 @@
 from rhubarbreach.dispatch import transfer as transfer_module
 from rhubarbreach.web import answers
 from rhubarbreach.web import errors as web_errors
+from rhubarbreach.web import memory
 
 __all__ = ['Loop']
 
@@ -35,6 +36,9 @@
 # its connection can be reused.
 LINGER_SECONDS = 1.0
 
+# Bytes of the bodies of all responses that are not streams.
+MAX_HELD_BYTES = 256 << 20
+
 
 class Loop:
     """Event loop thread with a curl multi handle and an epoll selector.
@@ -54,6 +58,7 @@
         self.unprocessed = []
         self.idle_handles = []
         self.timer_at = None
+        self.memory = memory.MemoryPool(MAX_HELD_BYTES)
         self.now = clock.monotonic()
         self.next_timeout_check = self.now
         self.closing = False
@@ -92,12 +97,19 @@
         concurrent.futures.Future
             Completes with an `attempt.AttemptResult`.
         """
-        transfer = transfer_module.Transfer(
-            attempt, self.unprocessed, clock.monotonic()
-        )
+        transfer = self.make_transfer(attempt, clock.monotonic())
         self.call_soon(self.add_transfer, transfer)
         return transfer.future
 
+    def make_transfer(self, attempt, now):
+        """Return the transfer of an attempt."""
+        holding = self.memory.open(
+            lambda: self.cancel_transfer(attempt.attempt_id, AttemptEnd.BROKEN)
+        )
+        return transfer_module.Transfer(
+            attempt, self.unprocessed, now, holding
+        )
+
     def cancel(self, attempt_id, end=AttemptEnd.CANCELLED):
         """Cancel an attempt on this host and on its endpoint."""
         self.call_soon(self.cancel_transfer, attempt_id, end)
@@ -359,9 +371,7 @@
         if self.closing:
             return
         cancel = attempt_module.make_cancel(attempt, self.now)
-        self.add_transfer(
-            transfer_module.Transfer(cancel, self.unprocessed, self.now)
-        )
+        self.add_transfer(self.make_transfer(cancel, self.now))
 
     def release_handle(self, transfer):
         """Detach the curl handle of an attempt; reuse or close the handle."""
@@ -380,6 +390,7 @@
         """Complete the future of an attempt."""
         if not transfer.future.done():
             transfer.future.set_result(transfer.make_result(end, detail))
+        transfer.body.holding.close()
 
     def check_timeouts(self):
         """End expired and stalled attempts, and streams of slow callers."""
--- a/rhubarbreach/dispatch/tests/test_cut_responses.py
+++ b/rhubarbreach/dispatch/tests/test_cut_responses.py
@@ -108,3 +108,18 @@
     call = make_call(stream=False, idempotent=False, body=b'{}')
     result = start_executor(endpoint).execute(call)
     assert result.code is CODES.OUTCOME_UNKNOWN
+
+
+def test_bodies_beyond_the_memory_of_a_host_are_broken_off(
+    start_endpoint, start_executor, make_call, monkeypatch
+):
+    """Guards against bodies that together exceed the memory of a host."""
+    monkeypatch.setattr('rhubarbreach.dispatch.loop.MAX_HELD_BYTES', 1_000_000)
+    large = start_endpoint(lambda request: request.answer(b'1' * 2_000_000))
+    small = start_endpoint(lambda request: request.answer(BODY))
+    call = make_call(stream=False, idempotent=False, body=b'{}')
+    refused = start_executor(large).execute(call)
+    assert refused.code is CODES.OUTCOME_UNKNOWN
+    executor = start_executor(small)
+    assert executor.execute(call).body == BODY
+    assert not executor.loop.memory.used_bytes
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -44,9 +44,11 @@
         itself.
     now : float
         Monotonic seconds.
+    holding : Holding
+        Counts the bytes of the body.
     """
 
-    def __init__(self, attempt, unprocessed, now):
+    def __init__(self, attempt, unprocessed, now, holding):
         self.attempt = attempt
         self.unprocessed = unprocessed
         self.future = concurrent.futures.Future()
@@ -56,7 +58,7 @@
         self.status = 0
         self.headers = {}
         self.chunks = []
-        self.body = answers.Body(MAX_BODY_BYTES)
+        self.body = answers.Body(holding, MAX_BODY_BYTES)
         self.relay = None
         self.paused = False
         self.started_at = now
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -10,6 +10,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
+from rhubarbreach.web import memory
 
 __all__ = ['App']
 
@@ -44,15 +45,27 @@
         Codec of headers and bodies.
     metrics : Metrics
         Counters and latencies.
+    response_memory : MemoryPool
+        Bounds the responses of endpoints that this host holds.
     """
 
-    def __init__(self, leader_client, view, origins, jobs, dialect, metrics):
+    def __init__(
+        self,
+        leader_client,
+        view,
+        origins,
+        jobs,
+        dialect,
+        metrics,
+        response_memory=memory.UNBOUNDED,
+    ):
         self.leader_client = leader_client
         self.view = view
         self.origins = origins
         self.jobs = jobs
         self.dialect = dialect
         self.metrics = metrics
+        self.response_memory = response_memory
         self.draining = False
 
     def get_limits(self):
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -279,16 +279,15 @@
             remaining,
             self.last_id,
         )
-        data = client.encode_request(
-            self.request.method,
-            self.request.target,
-            headers,
-            self.request.body,
-        )
         try:
             call = client.Call(
                 endpoint.address,
-                data,
+                client.encode_request(
+                    self.request.method,
+                    self.request.target,
+                    headers,
+                    self.request.body,
+                ),
                 min(self.deadline, now + CONNECT_TIMEOUT_SECONDS),
                 self.deadline,
             )
@@ -297,9 +296,12 @@
             return model.NotRun(str(error))
         except errors.DeadlineError:
             return model.TimedOut()
+        holding = self.app.response_memory.open(call.interrupt)
         try:
-            return self.relay(call)
+            return self.relay(call, holding)
         except errors.ConnectionEndedError as error:
+            if holding.is_ended:
+                return model.Broken('ended for the memory of this host')
             self.record_crash(call.head is not None)
             return model.Broken(str(error))
         except errors.BadMessageError as error:
@@ -307,11 +309,12 @@
         except errors.DeadlineError:
             return model.TimedOut()
         finally:
+            holding.close()
             call.close()
 
-    def relay(self, call):
+    def relay(self, call, holding):
         """Relay a response as it arrives; return the outcome."""
-        body = answers.Body()
+        body = answers.Body(holding)
         stream = None
         self.run_started_at = self.last_event_at = clock.monotonic()
         self.attempt_started_at = self.run_started_at
@@ -352,6 +355,7 @@
                     return model.TimedOut()
                 continue
             blocks = stream.feed(parts)
+            holding.resize(stream.held_bytes)
             # Comments keep a connection open, but are no progress.
             if any(events.get_data(block) is not None for block in blocks):
                 self.last_event_at = now
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -15,6 +15,7 @@
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
 from rhubarbreach.protocol import fleetmessages
+from rhubarbreach.web import memory
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
 
@@ -113,6 +114,7 @@
         kind=catalogs.RouteKind.STREAM,
         on_view=lambda _: None,
         on_quarantine=lambda _: None,
+        response_memory=memory.UNBOUNDED,
         later=None,
         unread=False,
         body=b'',
@@ -160,6 +162,7 @@
                 refresh_loads=lambda: None, quarantine=quarantine.Quarantine()
             ),
             is_closing=lambda _: False,
+            response_memory=response_memory,
         )
         on_quarantine(app.leader_client.quarantine)
         caller = FakeCaller()
@@ -545,3 +548,49 @@
     assert refusal.ran == codes.Ran.UNKNOWN
     assert not data
     assert forward_to.quarantine.make_trial_report()[1] == {'part': 1}
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [
+        catalogs.RouteKind.IDEMPOTENT,
+        catalogs.RouteKind.ONCE,
+        catalogs.RouteKind.STREAM,
+    ],
+)
+def test_body_without_end_is_broken_off_at_the_memory_of_the_host(
+    forward_to, kind
+):
+    """Guards against bodies that together exceed the memory of a host."""
+    pool = memory.MemoryPool(300_000)
+    head = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
+    refusal, data, _, seconds = forward_to(
+        [head, *[b'x' * 65_536] * 200],
+        0.01,
+        kind=kind,
+        response_memory=pool,
+    )
+    assert refusal.ran == codes.Ran.UNKNOWN
+    assert not data
+    assert seconds < 1.0
+    assert (pool.used_bytes, pool.holdings) == (0, set())
+
+
+def test_response_that_is_ended_for_another_one_is_no_crash(forward_to):
+    """Guards against prompt parts that are blamed for a full host."""
+    pool = memory.MemoryPool(300_000)
+    other = pool.open()
+
+    def fill():
+        while not pool.holdings:
+            time.sleep(0.01)
+        other.resize(290_000)
+
+    threading.Thread(target=fill, daemon=True).start()
+    refusal, _, _, _ = forward_to(
+        [UNFRAMED_HEAD, b'x' * 60_000, b'', b''],
+        0.5,
+        response_memory=pool,
+    )
+    assert refusal.reason == 'ended for the memory of this host'
+    assert forward_to.quarantine.make_report(clock.monotonic())[0] == ()
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -13,6 +13,7 @@
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.streams import recorder
+from rhubarbreach.web import memory
 from rhubarbreach.web import server
 
 __all__ = ['EntryHost']
@@ -29,6 +30,9 @@
 # Part of the drain timeout that is reserved for requests still in flight.
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.1
+# Part of the memory for the requests that are held, and for the responses. A
+# body is copied while it is received and sent on.
+MESSAGE_MEMORY_FRACTION = 0.1
 
 
 class EntryHost:
@@ -77,6 +81,7 @@
         self.origins = recorder.OriginRecorder(
             self.link, lambda: self.leader_client.stores
         )
+        message_bytes = settings.memory_bytes * MESSAGE_MEMORY_FRACTION
         self.app = apps.App(
             self.leader_client,
             self.view,
@@ -84,6 +89,7 @@
             jobs.Jobs(self.link, self.leader_client),
             dialect,
             metrics,
+            memory.MemoryPool(message_bytes),
         )
         self.readiness = server.Server(
             settings.readiness,
@@ -92,7 +98,11 @@
             'ready',
         )
         self.callers = server.Server(
-            settings.callers, self.app.handle, self.app.get_limits, 'caller'
+            settings.callers,
+            self.app.handle,
+            self.app.get_limits,
+            'caller',
+            memory.MemoryPool(message_bytes),
         )
 
     def set_seeds(self, seeds):
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -31,6 +31,7 @@
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import workmessages
 from rhubarbreach.streams import keeper
+from rhubarbreach.web import memory
 
 __all__ = ['StoreHost']
 
@@ -73,6 +74,8 @@
 # Time in which a stopping store returns its runs to the leader. It is enough
 # for two reports.
 WORKER_DRAIN_SECONDS = 0.3
+# Part of the memory for the outputs of running items.
+OUTPUT_MEMORY_FRACTION = 0.1
 
 
 class StoreHost:
@@ -166,6 +169,7 @@
             lambda: self.group.leader_id,
             self.members.list_others,
             self.endpoints.record_departure,
+            memory.MemoryPool(settings.memory_bytes * OUTPUT_MEMORY_FRACTION),
         )
         self.link.register(
             fleetmessages.Exchange, self.answer_exchange, inline=True
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -8,6 +8,7 @@
 __all__ = ['RoleSettings', 'load_role']
 
 ROLES = ('entry', 'store')
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +44,8 @@
         it.
     grace_seconds : float
         Time from SIGTERM until the process ends.
+    memory_bytes : float
+        Memory that the process may use; without a limit it is infinite.
     metrics_port : int
         Port of the metrics, 0 for none.
     rate_window, rate_overage, rate_slack : float
@@ -70,6 +73,7 @@
     rate_window: float = 5.0
     rate_overage: float = 0.1
     rate_slack: float = 20.0
+    memory_bytes: float = float('inf')
 
 
 class OptionReader:
@@ -161,6 +165,9 @@
         rate_slack=reader.read(
             'fleet', 'rate_slack', to_non_negative, 'a number', 20.0
         ),
+        memory_bytes=reader.read(
+            'host', 'memory_mb', to_bytes, 'megabytes', float('inf')
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
@@ -220,6 +227,11 @@
     return number
 
 
+def to_bytes(text):
+    """Return the bytes for a text in megabytes."""
+    return to_positive(text) * BYTES_PER_MEGABYTE
+
+
 def to_seconds(text):
     """Return the seconds for a text in milliseconds."""
     return to_positive(text) / 1000
--- a/rhubarbreach/web/answers.py
+++ b/rhubarbreach/web/answers.py
@@ -107,6 +107,11 @@
         self.is_over = bool(STATUS_LINE.match(self.splitter.rest))
         return blocks
 
+    @property
+    def held_bytes(self):
+        """Bytes of an event that is not yet complete."""
+        return len(self.splitter.rest)
+
     @property
     def rest(self):
         """Bytes after the last event, which are no event."""
@@ -138,11 +143,14 @@
 
     Parameters
     ----------
+    holding : Holding
+        Counts the bytes that are held.
     max_bytes : int, optional
         Limit of its size.
     """
 
-    def __init__(self, max_bytes=MAX_BODY_BYTES):
+    def __init__(self, holding, max_bytes=MAX_BODY_BYTES):
+        self.holding = holding
         self.max_bytes = max_bytes
         self.parts = []
         self.size = 0
@@ -153,19 +161,21 @@
         Raises
         ------
         BadMessageError
-            If the body exceeds its limit.
+            If the body exceeds its limit, or all messages exceed theirs.
         """
-        self.parts.extend(parts)
         self.size += sum(map(len, parts))
         if self.size > self.max_bytes:
-            self.parts.clear()
             raise errors.BadMessageError(
                 f'body exceeds {self.max_bytes} bytes'
             )
+        self.holding.resize(self.size)
+        self.parts.extend(parts)
 
     def join(self):
         """Return the whole body."""
-        return b''.join(self.parts)
+        if len(self.parts) > 1:
+            self.parts = [b''.join(self.parts)]
+        return self.parts[0] if self.parts else b''
 
     def judge_end(self, has_length):
         """Judge the end of the response.
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -79,6 +79,13 @@
         self.body = []
         self.body_bytes = 0
 
+    @property
+    def held_bytes(self):
+        """Bytes of the bodies of the requests that were not taken yet."""
+        return self.body_bytes + sum(
+            len(request.body) for request in self.requests
+        )
+
     def feed(self, data):
         """Parse received bytes.
 
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -9,6 +9,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.web import errors
+from rhubarbreach.web import memory
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
 
@@ -24,6 +25,9 @@
 # A caller that does not read a short response in this time is disconnected.
 RESPONSE_TIMEOUT_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
+SERVICE_UNAVAILABLE = 503
+RETRY_AFTER_SECONDS = 0.5
+DISCARD_SECONDS = 1.0
 REASONS = {
     200: b'OK',
     202: b'Accepted',
@@ -75,6 +79,7 @@
         self.is_ended = False
         # Whether a request was read and no part of its response was sent.
         self.is_answer_due = False
+        self.holding = server.memory.open()
 
     def run(self):
         """Handle requests until either side ends the connection."""
@@ -89,9 +94,11 @@
                 self.is_answer_due = True
                 self.server.handle(self, request)
                 self.is_answer_due = False
+                self.holding.resize(parser.held_bytes)
         except errors.BadMessageError as error:
             LOG.info('event=request_unreadable reason={!r}', str(error))
             self.refuse(error.status)
+            self.discard_rest()
         except (errors.ConnectionEndedError, errors.DeadlineError) as error:
             LOG.info('event=connection_ended reason={!r}', str(error))
         except Exception:
@@ -99,6 +106,7 @@
             if self.is_answer_due:
                 self.refuse(500)
         finally:
+            self.holding.close()
             self.server.remove_connection(self)
             sockets.close_socket(self.socket)
 
@@ -122,6 +130,7 @@
             if not data:
                 return None
             parser.feed(data)
+            self.holding.resize(parser.held_bytes)
             if parser.started and not started:
                 started = True
                 deadline = clock.monotonic() + limits.header_timeout
@@ -175,11 +184,30 @@
     def refuse(self, status):
         """Respond to an invalid request, and end the connection."""
         self.keep_alive = False
+        headers = []
+        if status == SERVICE_UNAVAILABLE:
+            headers.append((b'Retry-After', b'%.2f' % RETRY_AFTER_SECONDS))
         try:
-            self.send_response(status)
+            self.send_response(status, headers)
         except exceptions.RhubarbreachError as error:
             LOG.info('event=refusal_unsent reason={!r}', str(error))
 
+    def discard_rest(self):
+        """Discard the rest of a refused request for a short time.
+
+        The connection would be reset if it were closed with unread bytes, and
+        the caller would not see the refusal.
+        """
+        deadline = clock.monotonic() + DISCARD_SECONDS
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while sockets.receive(self.socket, deadline):
+                if clock.monotonic() >= deadline:
+                    return
+        except (OSError, errors.ConnectionEndedError, errors.DeadlineError):
+            # The caller has closed the connection, or goes on sending.
+            return
+
     def send_response(self, status, headers=(), body=b'', reason=None):
         """Send a whole response."""
         if self.server.draining:
@@ -220,6 +248,8 @@
         Returns the `CallerLimits` in effect.
     name : str
         Prefix of the thread names.
+    request_memory : MemoryPool, optional
+        Bounds the requests that the process holds.
 
     Raises
     ------
@@ -227,7 +257,15 @@
         If the server cannot listen on the address.
     """
 
-    def __init__(self, address, handle, get_limits, name):
+    def __init__(
+        self,
+        address,
+        handle,
+        get_limits,
+        name,
+        request_memory=memory.UNBOUNDED,
+    ):
+        self.memory = request_memory
         self.handle = handle
         self.get_limits = get_limits
         self.draining = False
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -9,6 +9,7 @@
 from rhubarbreach.catalog import model
 from rhubarbreach import clock
 from rhubarbreach.web import errors
+from rhubarbreach.web import memory
 from rhubarbreach.web import server
 
 LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
@@ -20,9 +21,9 @@
     """Return a function that starts a server with a handler and limits."""
     with contextlib.ExitStack() as stack:
 
-        def start(handle, limits=LIMITS):
+        def start(handle, limits=LIMITS, request_memory=memory.UNBOUNDED):
             started = server.Server(
-                '127.0.0.1:0', handle, lambda: limits, 'test'
+                '127.0.0.1:0', handle, lambda: limits, 'test', request_memory
             )
             stack.callback(started.close)
             return started
@@ -155,3 +156,33 @@
             assert web_server.drain(clock.monotonic() + 5.0)
             assert failures
     resume.set()
+
+
+def test_bodies_beyond_the_memory_of_a_host_are_refused(start_server):
+    """Guards against large requests that together exceed the memory."""
+    limits = model.CallerLimits(512, 4_000_000, 2.0, 2.0)
+    pool = memory.MemoryPool(5_000_000)
+    is_released = threading.Event()
+
+    def wait(connection, _):
+        is_released.wait(5.0)
+        connection.send_response(200)
+
+    web_server = start_server(wait, limits, pool)
+    size = 3_000_000
+    request = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
+    request += b'x' * size
+    with socket.create_connection(('127.0.0.1', web_server.port), 5) as held:
+        held.sendall(request)
+        while pool.used_bytes < size:
+            threading.Event().wait(0.01)
+        # The second one is refused although its body was still on the way.
+        refused = send(web_server, request)
+        assert refused.startswith(b'HTTP/1.1 503 ')
+        assert b'\r\nRetry-After: ' in refused
+        is_released.set()
+        assert held.recv(65536).startswith(b'HTTP/1.1 200 ')
+        # The connection is kept open, and holds nothing.
+        held.sendall(REQUEST)
+        assert held.recv(65536).startswith(b'HTTP/1.1 200 ')
+        assert not pool.used_bytes
