--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -19,6 +19,8 @@
 # Default retry time, about the duration of an election, after which a host
 # without a valid configuration has a leader again.
 RETRY_AFTER_SECONDS = 0.5
+# Other hosts take the request at once.
+STOP_RETRY_AFTER_SECONDS = 0.05
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
 # Refusals that are answered with `NOT_RUN_STATUS` in place of a status 4xx.
@@ -67,6 +69,40 @@
         self.metrics = metrics
         self.response_memory = response_memory
         self.draining = False
+        # Monotonic times during a planned stop: from the first on, requests
+        # that may last beyond the second are refused.
+        self.refuse_from = float('inf')
+        self.stop_at = float('inf')
+
+    def begin_drain(self, refuse_from, stop_at):
+        """Begin a planned stop.
+
+        Parameters
+        ----------
+        refuse_from : float
+            Time at which the balancer sends no more connections, in seconds of
+            the monotonic clock. Until then requests are served, as nearly all
+            of them end in time.
+        stop_at : float
+            Time at which the requests in progress are cut.
+        """
+        self.refuse_from = refuse_from
+        self.stop_at = stop_at
+        self.draining = True
+
+    def find_stop_refusal(self, route, info, now):
+        """Return a refusal if a request may outlast this host, else None."""
+        if now < self.refuse_from:
+            return None
+        timeouts = [info.timeout, None if route is None else route.timeout]
+        timeout = min((t for t in timeouts if t is not None), default=0.0)
+        if now + timeout <= self.stop_at:
+            return None
+        return codes.Refusal(
+            codes.ResultCode.DRAINING,
+            'this host stops before the request has to be done',
+            retry_after=STOP_RETRY_AFTER_SECONDS,
+        )
 
     def get_limits(self):
         """Return the limits that apply to requests of callers."""
@@ -160,6 +196,9 @@
                     codes.ResultCode.ROUTE_UNKNOWN,
                     'no route matches the request',
                 )
+        refusal = self.find_stop_refusal(route, info, now)
+        if refusal is not None:
+            return refusal
         account = None
         public = route is not None and route.public
         if index.catalog.has_accounts and not public:
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -118,7 +118,7 @@
         now = clock.monotonic()
         deadline = now + timeout - DRAIN_MARGIN_SECONDS
         deregister_deadline = min(deadline, now + DEREGISTER_SECONDS)
-        self.app.draining = True
+        self.app.begin_drain(deregister_deadline, deadline)
         self.callers.draining = True
         while clock.monotonic() < deregister_deadline:
             time.sleep(DRAIN_POLL_SECONDS)
--- a/rhubarbreach/hosts/tests/test_entry.py
+++ b/rhubarbreach/hosts/tests/test_entry.py
@@ -3,10 +3,15 @@
 import os
 import socket
 import threading
+import types
 
 import pytest
 
+from rhubarbreach.catalog import index as indexes
+from rhubarbreach.catalog import model as catalogs
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.gateway import forward
+from rhubarbreach.gateway import model
 from rhubarbreach.hosts import entry
 from rhubarbreach.observe import metrics
 from rhubarbreach.settings import role
@@ -124,3 +129,95 @@
     entry_host.close()
     (connection,) = caller.sockets
     assert b' 200 ' in connection.recv(4096)
+
+
+@pytest.fixture
+def forwarded(entry_host, monkeypatch):
+    """Return the requests that the host forwards; each takes 0.2 s.
+
+    Its only route is open and has a timeout of 1.5 s.
+    """
+    route = catalogs.Route(
+        'r',
+        'h',
+        '/',
+        catalogs.RouteKind.ONCE,
+        1.5,
+        0.3,
+        0,
+        (catalogs.Target('s', 1.0),),
+        public=True,
+    )
+    catalog = catalogs.Catalog(1, (route,), (), (), catalogs.DEFAULT_LIMITS)
+    entry_host.leader_client.index = indexes.Index(catalog)
+    entry_host.app.dialect = types.SimpleNamespace(
+        decode_call=lambda request: model.CallInfo('id', 'h', None, None, None)
+    )
+    requests = []
+
+    def run(forwarder):
+        requests.append(forwarder)
+        threading.Event().wait(0.2)
+        forwarder.connection.send_response(200)
+
+    monkeypatch.setattr(forward.RequestForwarder, 'run', run)
+    return requests
+
+
+def send_during_drain(entry_host, grace, send_at):
+    """Send the end of a request that has begun before a planned stop.
+
+    Parameters
+    ----------
+    entry_host : EntryHost
+        Host that stops.
+    grace : float
+        Time in seconds from the begin of the drain until it is cut.
+    send_at : float or None
+        Time of the end of the request, None if it never comes.
+
+    Returns
+    -------
+    bytes
+        Start of the answer.
+    """
+    address = ('127.0.0.1', entry_host.callers.port)
+    with socket.create_connection(address, 5) as caller:
+        caller.sendall(
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na'
+        )
+        drain = threading.Thread(target=entry_host.drain, args=(grace,))
+        drain.start()
+        if send_at is not None:
+            threading.Event().wait(send_at)
+            caller.sendall(b'b')
+        answer = caller.recv(4096)
+        drain.join()
+    return answer
+
+
+def test_request_that_may_outlast_a_planned_stop_is_refused(
+    entry_host, forwarded
+):
+    # It was passed on and cut at the end, though it may run once only.
+    answer = send_during_drain(entry_host, 2.0, 0.5)
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: ' in answer
+    assert not forwarded
+
+
+def test_request_that_ends_before_a_planned_stop_is_served(
+    entry_host, forwarded
+):
+    answer = send_during_drain(entry_host, 4.0, 0.5)
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert len(forwarded) == 1
+
+
+def test_request_that_is_not_received_before_a_stop_is_refused(
+    entry_host, forwarded
+):
+    # Its connection was closed without an answer.
+    answer = send_during_drain(entry_host, 1.0, None)
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert not forwarded
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -79,6 +79,8 @@
         self.is_ended = False
         # Whether a request was read and no part of its response was sent.
         self.is_answer_due = False
+        # Whether a part of a request was read.
+        self.is_reading = False
         self.holding = server.memory.open()
 
     def run(self):
@@ -91,7 +93,11 @@
                 if request is None:
                     return
                 self.keep_alive = request.keep_alive
-                self.is_answer_due = True
+                with self.lock:
+                    if self.is_ended:
+                        return
+                    self.is_reading = False
+                    self.is_answer_due = True
                 self.server.handle(self, request)
                 self.is_answer_due = False
                 self.holding.resize(parser.held_bytes)
@@ -130,6 +136,7 @@
             if not data:
                 return None
             parser.feed(data)
+            self.is_reading = parser.started
             self.holding.resize(parser.held_bytes)
             if parser.started and not started:
                 started = True
@@ -161,13 +168,17 @@
                 pass
 
     def end_unanswered(self):
-        """Answer the request in progress, unless its response has begun."""
+        """Answer the request in progress, unless its response has begun.
+
+        One that was read in part has not run and never will.
+        """
         with self.lock:
-            if not self.is_answer_due:
+            if not (self.is_answer_due or self.is_reading):
                 return
             self.is_ended = True
-        LOG.warning('event=request_unfinished')
-        response = encode_response(504, (), b'', False)
+        status = 504 if self.is_answer_due else SERVICE_UNAVAILABLE
+        LOG.warning('event=request_unfinished status={}', status)
+        response = encode_response(status, (), b'', False)
         try:
             sockets.send_all(self.socket, response, clock.monotonic())
         except (errors.ConnectionEndedError, errors.DeadlineError) as error:
