--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -9,6 +9,8 @@
 
 ROLES = ('entry', 'store')
 BYTES_PER_MEGABYTE = 1_000_000
+# Memory of the smallest hosts.
+DEFAULT_MEMORY_BYTES = 150 * BYTES_PER_MEGABYTE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +47,7 @@
     grace_seconds : float
         Time from SIGTERM until the process ends.
     memory_bytes : float
-        Memory that the process may use; without a limit it is infinite.
+        Memory that the process may use.
     metrics_port : int
         Port of the metrics, 0 for none.
     rate_window, rate_overage, rate_slack : float
@@ -73,7 +75,7 @@
     rate_window: float = 5.0
     rate_overage: float = 0.1
     rate_slack: float = 20.0
-    memory_bytes: float = float('inf')
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
 
 
 class OptionReader:
@@ -166,7 +168,7 @@
             'fleet', 'rate_slack', to_non_negative, 'a number', 20.0
         ),
         memory_bytes=reader.read(
-            'host', 'memory_mb', to_bytes, 'megabytes', float('inf')
+            'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
     )
     needed = {
