--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -114,7 +114,11 @@
         while True:
             now = clock.monotonic()
             # A quarantine may begin while the request is retried.
-            refusal = quarantine.find_refusal(self.info.prompt, now)
+            refusal = quarantine.find_refusal(
+                self.info.prompt, now
+            ) or resume.find_stale_refusal(
+                self.app, self.software_version, now
+            )
             if refusal is not None:
                 return self.refuse_unplaced(refusal)
             endpoint = self.acquire(service, excluded, now)
--- a/rhubarbreach/gateway/resume.py
+++ b/rhubarbreach/gateway/resume.py
@@ -8,7 +8,12 @@
 from rhubarbreach import eventlog
 from rhubarbreach.streams import table
 
-__all__ = ['find_origin', 'is_take_up', 'record_origin']
+__all__ = [
+    'find_origin',
+    'find_stale_refusal',
+    'is_take_up',
+    'record_origin',
+]
 
 LOG = eventlog.Logger('resume')
 
@@ -74,6 +79,29 @@
     return dataclasses.replace(origin, service=service)
 
 
+def find_stale_refusal(app, software_version, now):
+    """Return a refusal if a stream cannot go on at a known version, else None.
+
+    A host that was suspended or cut off does not know which endpoints have
+    restarted under their ids with another software version.
+
+    Parameters
+    ----------
+    app : App
+        Knows when the leader last confirmed the endpoints.
+    software_version : str or None
+        Version that began the stream; None before one has.
+    now : float
+        Seconds of the monotonic clock.
+    """
+    if software_version is None or app.leader_client.is_fresh(now):
+        return None
+    return codes.Refusal(
+        codes.ResultCode.NOT_RESUMABLE,
+        'the software versions of the endpoints may be outdated',
+    )
+
+
 def record_origin(app, route, info, account, endpoint, revision):
     """Record the origin of a stream that a request begins at an endpoint.
 
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -115,6 +115,7 @@
         on_view=lambda _: None,
         on_quarantine=lambda _: None,
         response_memory=memory.UNBOUNDED,
+        is_fresh=True,
         later=None,
         unread=False,
         body=b'',
@@ -159,7 +160,9 @@
             origins=types.SimpleNamespace(record=lambda *_: None),
             dialect=dialect,
             leader_client=types.SimpleNamespace(
-                refresh_loads=lambda: None, quarantine=quarantine.Quarantine()
+                refresh_loads=lambda: None,
+                quarantine=quarantine.Quarantine(),
+                is_fresh=lambda _: is_fresh,
             ),
             is_closing=lambda _: False,
             response_memory=response_memory,
@@ -594,3 +597,18 @@
     )
     assert refusal.reason == 'ended for the memory of this host'
     assert forward_to.quarantine.make_report(clock.monotonic())[0] == ()
+
+
+def test_stream_does_not_go_on_while_its_host_is_out_of_step(forward_to):
+    """Guards against an endpoint that has another version since."""
+    _, data, endpoint, _ = forward_to(
+        [HEAD, make_event(1), RESET],
+        0.02,
+        resumable=True,
+        later=[HEAD, make_event(2), END],
+        is_fresh=False,
+        count=2,
+    )
+    assert endpoint.count == 1
+    assert b'data: t1' in data
+    assert not data.endswith(forward.LAST_CHUNK)
--- a/rhubarbreach/gateway/tests/test_resume.py
+++ b/rhubarbreach/gateway/tests/test_resume.py
@@ -152,3 +152,13 @@
     )
     refusal = resume.find_origin(app, route, info, None)
     assert refusal.code is codes.ResultCode.NOT_RESUMABLE
+
+
+def test_take_up_at_a_host_out_of_step_is_refused_as_not_run(app):
+    """Guards against an endpoint that has restarted at another version."""
+    app.leader_client = types.SimpleNamespace(is_fresh=lambda now: now < 1.0)
+    assert resume.find_stale_refusal(app, 'v1', 0.5) is None
+    assert resume.find_stale_refusal(app, None, 5.0) is None
+    refusal = resume.find_stale_refusal(app, 'v1', 5.0)
+    assert refusal.code is codes.ResultCode.NOT_RESUMABLE
+    assert refusal.ran is codes.Ran.NO
