--- a/rhubarbreach/routing/suspects.py
+++ b/rhubarbreach/routing/suspects.py
@@ -8,6 +8,11 @@
 
 # A request is refused after this many endpoints were lost while it ran alone.
 MAX_STRIKES = 2
+# Time after the last strike for which it is refused; then it may run alone
+# once more, as endpoints are also lost for other reasons. Each further strike
+# makes it longer.
+FIRST_REFUSAL_SECONDS = 60.0
+REFUSAL_FACTOR = 8.0
 # Retention period of a suspicion and its strikes.
 RETENTION_SECONDS = 3600.0
 
@@ -18,6 +23,7 @@
 
     strikes: set
     expires_at: float
+    refused_until: float = float('-inf')
 
 
 class Suspects:
@@ -72,7 +78,16 @@
                 report.endpoint_id,
                 report.endpoint_incarnation,
             )
-            record.strikes.add(lost_incarnation)
+            if lost_incarnation not in record.strikes:
+                record.strikes.add(lost_incarnation)
+                self.extend_refusal(record, now)
+
+    def extend_refusal(self, record, now):
+        """Refuse a request for some time after its latest strike."""
+        count = len(record.strikes) - MAX_STRIKES
+        if count >= 0:
+            seconds = FIRST_REFUSAL_SECONDS * REFUSAL_FACTOR**count
+            record.refused_until = now + min(seconds, RETENTION_SECONDS)
 
     def clear(self, digest):
         """Remove the suspicion after a request has completed alone."""
@@ -97,5 +112,5 @@
         """Return whether a request must be refused."""
         return (
             self.is_suspect(digest, now)
-            and len(self.records[digest].strikes) >= MAX_STRIKES
+            and now < self.records[digest].refused_until
         )
--- a/rhubarbreach/routing/tests/test_routing.py
+++ b/rhubarbreach/routing/tests/test_routing.py
@@ -125,3 +125,19 @@
         assert tracker.is_quarantined(b'bad', 1.0) == expected
     tracker.clear(b'good')
     assert not tracker.is_suspect(b'good', 1.0)
+
+
+def test_request_that_was_refused_by_mistake_may_run_again():
+    """Guards against a coincidence that refuses a request for an hour."""
+    tracker = suspects.Suspects()
+    for number in range(suspects.MAX_STRIKES):
+        tracker.report_loss(make_info(f'e{number}'), (b'x',), True, 1.0)
+    later = 2.0 + suspects.FIRST_REFUSAL_SECONDS
+    assert tracker.is_quarantined(b'x', 2.0)
+    assert not tracker.is_quarantined(b'x', later)
+    # It runs alone, and another strike refuses it for longer.
+    assert tracker.is_suspect(b'x', later)
+    tracker.report_loss(make_info('e9'), (b'x',), True, later)
+    assert tracker.is_quarantined(b'x', 2 * later)
+    tracker.clear(b'x')
+    assert not tracker.is_quarantined(b'x', 2 * later)
