--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -57,9 +57,11 @@
         # Monotonic time until which each part is held back.
         self.deadlines = {}
         # Number and deadline of the granted trial of each part, the number of
-        # the last trial that was used, and parts of requests that came.
+        # the last one that was used, and the parts whose trial has not ended.
         self.trials = {}
         self.used_trials = {}
+        self.running_trials = set()
+        # Quarantined parts of requests that came since the last report.
         self.wanted_parts = set()
         self.suspects = frozenset()
         self.answered_at = collections.OrderedDict()
@@ -119,26 +121,35 @@
 
         Returns
         -------
-        bool
-            Whether the request may be sent.
+        bool, str or None
+            Whether the request may be sent, and the part that it tries.
         """
         held = self.list_held(prompt, now)
         if not held:
-            return True
+            return True, None
         with self.lock:
             part = self.find_trial(held, now)
             if part is None:
-                return False
+                return False, None
             self.used_trials[part], _ = self.trials[part]
-        return True
+            self.running_trials.add(part)
+        return True, part
 
-    def return_trial(self, prompt):
-        """Return a trial whose request has reached no endpoint."""
+    def end_trial(self, part, was_sent):
+        """End the trial of a part.
+
+        Parameters
+        ----------
+        part : str
+            Part that was tried.
+        was_sent : bool
+            Whether the request may have reached an endpoint. Otherwise the
+            next request may be the trial.
+        """
         with self.lock:
-            for part in prompt:
-                number, _ = self.trials.get(part, (0, 0.0))
-                if number and self.used_trials.get(part) == number:
-                    self.used_trials[part] = number - 1
+            self.running_trials.discard(part)
+            if not was_sent and part in self.used_trials:
+                self.used_trials[part] -= 1
 
     def record_answer(self, prompt, now, service=''):
         """Record that an endpoint has begun to answer a request."""
@@ -181,7 +192,12 @@
         with self.lock:
             wanted = tuple(self.wanted_parts)
             self.wanted_parts.clear()
-            return wanted, dict(self.used_trials)
+            used = {
+                part: number
+                for part, number in self.used_trials.items()
+                if part not in self.running_trials
+            }
+            return wanted, used
 
     def make_report(self, now):
         """Return the evidence for the next message to the leader.
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -79,6 +79,8 @@
         # Unproven ends of the stream after its last event.
         self.agreeing_ends = 0
         self.unproven_endpoint_id = None
+        # Whether the current attempt may have reached its endpoint.
+        self.is_sent = False
         self.endpoint = None
         self.sent = 0
         self.declined = 0
@@ -124,7 +126,10 @@
             endpoint = self.acquire(service, excluded, now)
             if isinstance(endpoint, codes.Refusal):
                 return self.refuse_unplaced(endpoint)
-            if not quarantine.begin_trial(self.info.prompt, now):
+            may_send, tried_part = quarantine.begin_trial(
+                self.info.prompt, now
+            )
+            if not may_send:
                 # Another request has used the trial of the part.
                 self.app.view.release(endpoint.endpoint_id)
                 continue
@@ -136,6 +141,8 @@
                 outcome = self.attempt(endpoint)
             finally:
                 self.app.view.release(endpoint.endpoint_id)
+                if tried_part is not None:
+                    quarantine.end_trial(tried_part, self.is_sent)
             self.record_outcome(endpoint, outcome)
             excluded.add(endpoint.endpoint_id)
             remaining = self.deadline - clock.monotonic()
@@ -273,6 +280,7 @@
 
     def attempt(self, endpoint):
         """Send the request to an endpoint and relay its response."""
+        self.is_sent = False
         now = clock.monotonic()
         remaining = self.deadline - now
         headers = self.app.dialect.encode_call(
@@ -296,10 +304,11 @@
                 self.deadline,
             )
         except errors.ConnectError as error:
-            self.app.leader_client.quarantine.return_trial(self.info.prompt)
             return model.NotRun(str(error))
         except errors.DeadlineError:
+            self.is_sent = True
             return model.TimedOut()
+        self.is_sent = True
         holding = self.app.response_memory.open(call.interrupt)
         try:
             return self.relay(call, holding)
--- a/rhubarbreach/hosts/tests/test_quarantine_manager.py
+++ b/rhubarbreach/hosts/tests/test_quarantine_manager.py
@@ -188,11 +188,16 @@
         prompt = ('first', f'own-{self.now}')
         if host.find_refusal(prompt, self.now) is not None:
             return
-        if not host.begin_trial(prompt, self.now):
+        may_send, part = host.begin_trial(prompt, self.now)
+        if not may_send:
             return
+        if part is not None:
+            # The leader learns of a trial only when it has ended.
+            assert part not in host.make_trial_report()[1]
+            host.end_trial(part, is_reachable)
         if not is_reachable:
-            host.return_trial(prompt)
-        elif answers:
+            return
+        if answers:
             self.sent.append(self.now)
             host.record_answer(prompt, self.now)
         else:
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -79,7 +79,7 @@
         self.is_ended = False
         # Whether a request was read and no part of its response was sent.
         self.is_answer_due = False
-        # Whether a part of a request was read.
+        # Whether a request was read in part, or not yet handled.
         self.is_reading = False
         self.holding = server.memory.open()
 
@@ -136,7 +136,7 @@
             if not data:
                 return None
             parser.feed(data)
-            self.is_reading = parser.started
+            self.is_reading = parser.started or bool(parser.requests)
             self.holding.resize(parser.held_bytes)
             if parser.started and not started:
                 started = True
