--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -176,14 +176,10 @@
         for endpoint_id in expired:
             LOG.info('event=endpoint_silent endpoint={}', endpoint_id)
 
-    @property
-    def learning_seconds(self):
-        """Time in seconds in which every endpoint announces itself."""
-        return self.interval * LEARN_ANNOUNCEMENTS
-
     def is_complete(self):
         """Return whether every endpoint has had time to announce itself."""
-        return clock.monotonic() - self.started > self.learning_seconds
+        learning_seconds = self.interval * LEARN_ANNOUNCEMENTS
+        return clock.monotonic() - self.started > learning_seconds
 
     def read_table(self, members_index):
         """Return the current `Table`.
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -109,8 +109,6 @@
         self.runner = None
         self.is_leading = False
         self.leading_term = 0
-        # Monotonic time from which this leader has heard of all endpoints.
-        self.versions_known_at = float('inf')
         self.draining = False
         self.closed = False
         self.next_gauges = clock.monotonic()
@@ -295,12 +293,8 @@
         )
 
     def find_recent_versions(self, services):
-        """Return the versions of services, or None if some may be missing.
-
-        A new leader may not have heard of endpoints that have joined since.
-        """
-        now = clock.monotonic()
-        if not self.may_answer(now) or now < self.versions_known_at:
+        """Return the versions of services, or None without leading."""
+        if not self.may_answer(clock.monotonic()):
             return None
         return self.version_history.find_versions(services)
 
@@ -487,7 +481,6 @@
                 self.allocator.reset()
             self.quarantine_manager.reset()
             self.version_history.reset()
-            self.versions_known_at = now + self.endpoints.learning_seconds
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
