Count the outcomes of forwarded requests

Neither a cut response nor a stream that is silent for too long was counted, so that metrics could not tell a silence from a connection that ended. The counter forward_outcomes_total has them by outcome. No logic changes.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -255,11 +255,12 @@
                 self.log('caller_gone', '')
 
     def log(self, outcome, reason, event='attempt'):
-        """Log a decision on the request.
+        """Log and count a decision on the request.
 
         Delivered responses have an event name of their own, so that their
         lines do not displace those of failures.
         """
+        self.app.metrics.count('forward_outcomes_total', outcome=outcome)
         LOG.info(
             'event={} request={} route={} endpoint={} load={} outcome={} '
             'sent={} declined={} last_event={} first_event={} '
@@ -430,6 +431,7 @@
     def end_unfinished(self, read_deadline):
         """Return the outcome of a response that stopped making progress."""
         if read_deadline < self.deadline:
+            self.log('stalled', 'no event in time')
             return model.Broken('no event in time')
         return model.TimedOut()
 
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -14,6 +14,7 @@
 from rhubarbreach.fleet import view
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
+from rhubarbreach.observe import metrics
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.web import memory
 from rhubarbreach.web import parse
@@ -166,6 +167,7 @@
             ),
             is_closing=lambda _: False,
             response_memory=response_memory,
+            metrics=metrics.Metrics(),
         )
         on_quarantine(app.leader_client.quarantine)
         caller = FakeCaller()
@@ -178,6 +180,7 @@
         seconds = clock.monotonic() - started_at
         run.caller = caller
         run.quarantine = app.leader_client.quarantine
+        run.metrics = app.metrics
         sockets.close_socket(caller.socket)
         caller.peer.close()
         return refusal, b''.join(caller.sent), endpoint, seconds
