Keep a silent stream until another endpoint goes on with it

What callers saw: a whole request without an answer or a refusal. A sound endpoint that was silent for a second or so ended the response, before its first event with 502 and after it with a closed connection, where no other endpoint could take it up: there was none, it refused, it broke off, or the host was out of step with the leader.

Cause: the forwarder closed the call of a silent endpoint, counted a failure against it, and only then looked for another endpoint. Silence was taken for loss, and what was going on was given up before anything better had begun.

Change: after the same silence as before, another endpoint is asked to go on after the last event while the first call stays open. The first of the two that sends a new event goes on, and the other call is closed, so that events never mix. Where no endpoint can be asked, the response goes on until its deadline. A silent endpoint is avoided at once, which is taken back when it goes on; it has failed only when another one has gone on in its place. Requests that may run once are never sent to a second endpoint, as before. The forwarder is split into attempts, the response to the caller and the record of outcomes.

test_stalled_stream_that_sends_bytes_is_given_up required that a stalled stream without another endpoint is cut before its deadline. Two tests replace it: the stream is left as early as before where another endpoint goes on, and ends at its deadline where none does.

--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -379,6 +379,16 @@
             self.health.record_failure(endpoint_id, now)
             self.count_outcome(endpoint_id, 1, 0)
 
+    def record_stall(self, endpoint_id, now):
+        """Avoid a silent endpoint for some time; it has not failed yet."""
+        with self.lock:
+            self.health.record_failure(endpoint_id, now)
+
+    def record_recovery(self, endpoint_id):
+        """Choose an endpoint again that was silent and goes on."""
+        with self.lock:
+            self.health.record_success(endpoint_id)
+
     def record_success(self, endpoint_id):
         """Count a success of an endpoint."""
         with self.lock:
--- /dev/null
+++ b/rhubarbreach/gateway/attempt.py
@@ -0,0 +1,94 @@
+"""One attempt of a request: a call to an endpoint and its response."""
+
+from rhubarbreach import clock
+from rhubarbreach.web import answers
+from rhubarbreach.web import client
+from rhubarbreach.web import errors
+
+__all__ = ['Attempt']
+
+
+class Attempt:
+    """Call to an endpoint, and what has been received of its response.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Endpoint that was acquired for the attempt.
+    load : str
+        Load of the endpoint, for the log.
+    tried_part : str or None
+        Quarantined part of the prompt that the attempt tries.
+    """
+
+    def __init__(self, endpoint, load, tried_part):
+        self.endpoint = endpoint
+        self.load = load
+        self.tried_part = tried_part
+        self.call = None
+        self.holding = None
+        self.body = None
+        # Events of the response; None unless it is relayed event by event.
+        self.stream = None
+        # Whether the request may have reached the endpoint.
+        self.is_sent = False
+        self.is_head_checked = False
+        self.has_event = False
+        # Whether it was silent for so long that another endpoint was sought.
+        self.is_stalled = False
+        self.run_started_at = clock.monotonic()
+
+    def open(self, data, connect_deadline, send_deadline, response_memory):
+        """Send the request.
+
+        Parameters
+        ----------
+        data : bytes
+            Encoded request.
+        connect_deadline, send_deadline : float
+            Seconds of the monotonic clock.
+        response_memory : MemoryPool
+            Bounds the responses that this host holds.
+
+        Raises
+        ------
+        ConnectError
+            If no connection was made; nothing was sent.
+        DeadlineError
+            If only a part of the request was sent; it may have run.
+        """
+        try:
+            self.call = client.Call(
+                self.endpoint.address, data, connect_deadline, send_deadline
+            )
+        except errors.DeadlineError:
+            self.is_sent = True
+            raise
+        self.is_sent = True
+        self.holding = response_memory.open(self.call.interrupt)
+        self.body = answers.Body(self.holding)
+        self.run_started_at = clock.monotonic()
+
+    @property
+    def head(self):
+        """Head of the response, None until it is received."""
+        return self.call.head
+
+    @property
+    def is_over(self):
+        """Whether no more bytes of the response are expected."""
+        return self.call.is_complete or (
+            self.stream is not None and self.stream.is_over
+        )
+
+    def feed_events(self, parts):
+        """Return the complete events in the next parts of a stream."""
+        blocks = self.stream.feed(parts)
+        self.holding.resize(self.stream.held_bytes)
+        return blocks
+
+    def close(self):
+        """Close the call; the endpoint stops if it is still running."""
+        if self.call is not None:
+            self.holding.close()
+            self.call.close()
--- a/rhubarbreach/gateway/decide.py
+++ b/rhubarbreach/gateway/decide.py
@@ -10,13 +10,27 @@
 from rhubarbreach import codes
 from rhubarbreach.gateway import model
 
-__all__ = ['Abort', 'Refuse', 'Retry', 'Stop', 'decide_next']
+__all__ = [
+    'MAX_DECLINED',
+    'Abort',
+    'Refuse',
+    'Retry',
+    'Stop',
+    'decide_next',
+    'get_stall_seconds',
+    'is_final',
+]
 
 # Endpoints that may decline a request before it is refused. Each attempt costs
 # a connection, and if more endpoints decline, the whole fleet is full.
 MAX_DECLINED = 3
 # With less time left than this, no endpoint can answer before the deadline.
 MIN_REMAINING_SECONDS = 0.05
+# For a stream that can resume, another endpoint is sought after this multiple
+# of the route's latency objective or longest pause without an event.
+EVENT_TIMEOUT_FACTOR = 3.0
+# The same for a route that states neither.
+DEFAULT_EVENT_TIMEOUT_SECONDS = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +60,19 @@
     """Decision to end the request without further action."""
 
 
+def get_stall_seconds(route):
+    """Return the silence after which a stream of a route has stalled."""
+    seconds = EVENT_TIMEOUT_FACTOR * max(route.objective, route.longest_pause)
+    return seconds or DEFAULT_EVENT_TIMEOUT_SECONDS
+
+
+def is_final(outcome):
+    """Return whether an outcome ends the request whatever else runs."""
+    return isinstance(
+        outcome, model.Delivered | model.CallerGone | model.TimedOut
+    )
+
+
 def decide_next(outcome, route, sent, declined, response_started, remaining):
     """Return the decision after an attempt.
 
--- a/rhubarbreach/gateway/model.py
+++ b/rhubarbreach/gateway/model.py
@@ -11,6 +11,7 @@
     'JobEndCall',
     'JobResultsCall',
     'NotRun',
+    'Superseded',
     'TimedOut',
     'Unproven',
 ]
@@ -88,6 +89,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Outcome: another endpoint goes on with the response."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
     """Outcome: the deadline of the request has passed."""
--- /dev/null
+++ b/rhubarbreach/gateway/outcomes.py
@@ -0,0 +1,124 @@
+"""Record of the attempts of a request: counts, health and log."""
+
+from rhubarbreach import clock
+from rhubarbreach import eventlog
+from rhubarbreach.gateway import heads
+from rhubarbreach.gateway import model
+
+__all__ = ['OutcomeRecorder']
+
+LOG = eventlog.Logger('forward')
+
+
+class OutcomeRecorder:
+    """Recorder of the outcomes of one request.
+
+    Parameters
+    ----------
+    app : App
+        Provides the health of endpoints and the metrics.
+    info : CallInfo
+        Properties of the request.
+    route : Route
+        Route of the request.
+    writer : ResponseWriter
+        Response to the caller.
+    """
+
+    def __init__(self, app, info, route, writer):
+        self.app = app
+        self.info = info
+        self.route = route
+        self.writer = writer
+        self.started_at = clock.monotonic()
+        # Endpoints on which the request may have run, and those that have
+        # declined it, without the attempts that are running.
+        self.sent = 0
+        self.declined = 0
+        # Attempt that was recorded last.
+        self.attempt = None
+
+    def record(self, attempt, outcome):
+        """Count an attempt and update the health of its endpoint."""
+        now = clock.monotonic()
+        view = self.app.view
+        endpoint_id = attempt.endpoint.endpoint_id
+        match outcome:
+            case model.NotRun(reason=reason, endpoint_failed=failed):
+                self.declined += 1
+                if failed:
+                    view.record_failure(endpoint_id, now)
+                self.log('declined', reason, attempt)
+            case model.Broken(reason=reason):
+                self.sent += 1
+                view.record_failure(endpoint_id, now)
+                self.log('broken', reason, attempt)
+            case model.Delivered(status=status):
+                view.record_success(endpoint_id)
+                if status in heads.SUCCESS:
+                    view.record_run(
+                        attempt.endpoint.service, now - attempt.run_started_at
+                    )
+                self.log('delivered', f'status {status}', attempt, 'answered')
+            case model.Unproven(reason=reason):
+                self.sent += 1
+                self.log('unproven', reason, attempt)
+            case model.Superseded():
+                self.sent += 1
+                if attempt.is_stalled:
+                    view.record_failure(endpoint_id, now)
+                self.log('superseded', '', attempt)
+            case model.TimedOut():
+                self.sent += 1
+                self.log('timed_out', '', attempt)
+            case model.CallerGone():
+                self.log('caller_gone', '', attempt)
+
+    def record_stall(self, attempt):
+        """Avoid an endpoint whose silence lets another one be sought."""
+        if attempt.is_stalled:
+            return
+        attempt.is_stalled = True
+        self.app.view.record_stall(
+            attempt.endpoint.endpoint_id, clock.monotonic()
+        )
+        self.log('stalled', 'no event in time', attempt)
+
+    def record_progress(self, attempt):
+        """Take the verdict on a silent endpoint back, as it goes on."""
+        attempt.has_event = True
+        if attempt.is_stalled:
+            attempt.is_stalled = False
+            self.app.view.record_recovery(attempt.endpoint.endpoint_id)
+
+    def log(self, outcome, reason, attempt=None, event='attempt'):
+        """Log and count a decision on the request.
+
+        Delivered responses have an event name of their own, so that their
+        lines do not displace those of failures.
+        """
+        self.attempt = attempt or self.attempt
+        self.app.metrics.count('forward_outcomes_total', outcome=outcome)
+        LOG.info(
+            'event={} request={} route={} endpoint={} load={} outcome={} '
+            'sent={} declined={} last_event={} first_event={} '
+            'seconds={:.3f} reason={!r}',
+            event,
+            self.info.request_id,
+            self.route.name,
+            self.attempt.endpoint.endpoint_id if self.attempt else None,
+            self.attempt.load if self.attempt else None,
+            outcome,
+            self.sent,
+            self.declined,
+            self.writer.last_id,
+            self.format_first_event(),
+            clock.monotonic() - self.started_at,
+            reason,
+        )
+
+    def format_first_event(self):
+        """Return the seconds until the first event was sent, or None."""
+        if self.writer.started_at is None:
+            return None
+        return round(self.writer.started_at - self.started_at, 3)
--- a/rhubarbreach/gateway/tests/test_cut_responses.py
+++ b/rhubarbreach/gateway/tests/test_cut_responses.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import codes
-from rhubarbreach.gateway import forward
+from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward
 
 forward_to = test_forward.forward_to
@@ -50,7 +50,7 @@
         assert refusal is None, size
         assert endpoint.count == 2
         assert data.count(b'data: ') == 2
-        assert data.endswith(forward.LAST_CHUNK)
+        assert data.endswith(responses.LAST_CHUNK)
 
 
 @pytest.mark.parametrize('framing', RESPONSES)
@@ -60,5 +60,5 @@
     head = response.index(b'\r\n\r\n') + 4
     for size in range(head, len(response)):
         refusal, data, _, _ = forward_to([response[:size]], 0.0)
-        assert not data.endswith(forward.LAST_CHUNK), response[head:size]
+        assert not data.endswith(responses.LAST_CHUNK), response[head:size]
         assert refusal is None or not data
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -14,6 +14,7 @@
 from rhubarbreach.fleet import view
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
+from rhubarbreach.gateway import responses
 from rhubarbreach.observe import metrics
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.web import memory
@@ -56,7 +57,8 @@
 class FakeEndpoint:
     """Endpoint that answers each connection with the given parts.
 
-    Connections after the first get the parts `later` if these are given.
+    A part that is a number is a silence of so many seconds. Connections after
+    the first get the parts `later` if these are given.
     """
 
     def __init__(self, parts, pause, later=None, unread=False):
@@ -85,6 +87,9 @@
         with connection:
             connection.recv(1 if self.unread else 65_536)
             for part in parts:
+                if isinstance(part, float):
+                    time.sleep(part)
+                    continue
                 if part is RESET:
                     connection.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, RESET
@@ -121,6 +126,7 @@
         unread=False,
         body=b'',
         count=1,
+        versions=None,
     ):
         endpoint = FakeEndpoint(parts, pause, later, unread)
         endpoints.append(endpoint)
@@ -129,7 +135,15 @@
         address = f'127.0.0.1:{endpoint.port}'
         notices = tuple(
             fleetmessages.EndpointNotice(
-                f'e{number}', 's', address, 'z1', 8, 'ready', 1, 1
+                f'e{number}',
+                's',
+                address,
+                'z1',
+                8,
+                'ready',
+                1,
+                1,
+                software_version=(versions or [''] * count)[number - 1],
             )
             for number in range(1, count + 1)
         )
@@ -158,7 +172,9 @@
         )
         app = types.SimpleNamespace(
             view=loads,
-            origins=types.SimpleNamespace(record=lambda *_: None),
+            origins=types.SimpleNamespace(
+                record=lambda _, origin, __: run.origins.append(origin)
+            ),
             dialect=dialect,
             leader_client=types.SimpleNamespace(
                 refresh_loads=lambda: None,
@@ -170,6 +186,7 @@
             metrics=metrics.Metrics(),
         )
         on_quarantine(app.leader_client.quarantine)
+        run.origins = []
         caller = FakeCaller()
         info = model.CallInfo('id', 'h', None, None, None, ('part', 'own'))
         request = parse.Request('POST', b'/', (), body, True)
@@ -197,7 +214,7 @@
         parts, 1.4, timeout=10.0, resumable=True, longest_pause=1.5
     )
     assert refusal is None
-    assert data.endswith(forward.LAST_CHUNK)
+    assert data.endswith(responses.LAST_CHUNK)
     assert endpoint.count == 1
     assert seconds > 4.0
 
@@ -207,21 +224,43 @@
     parts = [HEAD, make_event(1), END]
     refusal, data, _, _ = forward_to(parts, 0.05, timeout=1e10)
     assert refusal is None
-    assert data.endswith(forward.LAST_CHUNK)
+    assert data.endswith(responses.LAST_CHUNK)
 
 
 @pytest.mark.parametrize('trickle', [b': \n', b': comment\n\n', b'x'])
-def test_stalled_stream_that_sends_bytes_is_given_up(forward_to, trickle):
+def test_stalled_stream_that_sends_bytes_is_left(forward_to, trickle):
     """Guards against a stalled stream that a byte now and then keeps open."""
     parts = [HEAD, make_event(1), *[chunk(trickle)] * 200]
-    refusal, data, _, seconds = forward_to(
-        parts, 0.05, timeout=8.0, resumable=True
+    refusal, data, endpoint, seconds = forward_to(
+        parts,
+        0.05,
+        timeout=8.0,
+        resumable=True,
+        later=[HEAD, make_event(2), END],
+        count=2,
     )
     assert refusal is None
+    assert endpoint.count == 2
+    assert data.count(b'data: t') == 2
+    assert data.endswith(responses.LAST_CHUNK)
+    # Three times the longest pause.
+    assert seconds < 2.0
+
+
+@pytest.mark.parametrize('trickle', [b': \n', b': comment\n\n', b'x'])
+def test_stalled_stream_without_a_takeover_ends_at_its_deadline(
+    forward_to, trickle
+):
+    """Guards against a stalled stream that outlives its request."""
+    parts = [HEAD, make_event(1), *[chunk(trickle)] * 200]
+    refusal, data, endpoint, seconds = forward_to(
+        parts, 0.05, timeout=2.0, resumable=True
+    )
+    assert refusal is None
+    assert endpoint.count == 1
     assert b'data: t1' in data
-    assert not data.endswith(forward.LAST_CHUNK)
-    # Three times the longest pause at each of two attempts.
-    assert seconds < 4.0
+    assert not data.endswith(responses.LAST_CHUNK)
+    assert 2.0 <= seconds < 2.5
 
 
 @pytest.mark.parametrize('resumable', [False, True])
@@ -281,7 +320,7 @@
         parts, 0.0, resumable=resumable, later=later, count=2
     )
     assert received.count(b'data: t') == 1
-    assert received.endswith(forward.LAST_CHUNK) == resumable
+    assert received.endswith(responses.LAST_CHUNK) == resumable
     assert (b'data: u2\n\n' in received) == resumable
     assert endpoint.count == 1 + resumable
 
@@ -296,7 +335,7 @@
     ]
     refusal, data, endpoint, _ = forward_to(parts, 0.02, count=2)
     assert refusal is None
-    assert data.endswith(forward.LAST_CHUNK)
+    assert data.endswith(responses.LAST_CHUNK)
     assert data.count(b'data: t') == 2
     assert endpoint.count == 1
 
@@ -317,7 +356,7 @@
         count=count,
     )
     assert refusal is None
-    assert data.endswith(forward.LAST_CHUNK)
+    assert data.endswith(responses.LAST_CHUNK)
     assert data.count(b'data: t') == 2
     assert endpoint.count == 2
 
@@ -333,7 +372,7 @@
     )
     assert endpoint.count == 2
     assert b'data: t2' in data
-    assert data.endswith(forward.LAST_CHUNK)
+    assert data.endswith(responses.LAST_CHUNK)
 
 
 @pytest.mark.parametrize('status', [200, 500])
@@ -354,7 +393,7 @@
         assert refusal is None
         assert b'Content' not in data
         assert b'x2' not in data
-        assert data.endswith(forward.LAST_CHUNK)
+        assert data.endswith(responses.LAST_CHUNK)
 
 
 def test_late_second_answer_is_not_joined_to_a_body(forward_to):
@@ -383,7 +422,7 @@
     parts = [UNFRAMED_HEAD, b'id: 1\ndata: t1\n\n', b': \n\n', RESET]
     _, data, _, _ = forward_to(parts, 0.05)
     assert b'data: t1' in data
-    assert not data.endswith(forward.LAST_CHUNK)
+    assert not data.endswith(responses.LAST_CHUNK)
 
 
 @pytest.mark.parametrize(
@@ -395,7 +434,7 @@
     refusal, data, _, _ = forward_to(
         parts, 0.1, kind=kind, unread=True, body=b'x' * 16_000_000
     )
-    assert refusal is not None or not data.endswith(forward.LAST_CHUNK)
+    assert refusal is not None or not data.endswith(responses.LAST_CHUNK)
     assert kind is catalogs.RouteKind.STREAM or not data
 
 
@@ -520,7 +559,7 @@
         count=2,
     )
     assert endpoint.count == 2
-    assert not data.endswith(forward.LAST_CHUNK)
+    assert not data.endswith(responses.LAST_CHUNK)
 
 
 @pytest.mark.parametrize('kind', [catalogs.RouteKind.IDEMPOTENT])
@@ -614,4 +653,4 @@
     )
     assert endpoint.count == 1
     assert b'data: t1' in data
-    assert not data.endswith(forward.LAST_CHUNK)
+    assert not data.endswith(responses.LAST_CHUNK)
--- a/rhubarbreach/web/events.py
+++ b/rhubarbreach/web/events.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach.web import errors
 
-__all__ = ['Splitter', 'get_data', 'get_id']
+__all__ = ['Splitter', 'get_data', 'get_id', 'is_event']
 
 SEPARATOR = re.compile(rb'(?:\r?\n){2}')
 # A stream without a separator in this many bytes is not a stream of events.
@@ -70,3 +70,8 @@
     """Return the data of an event, or None."""
     lines = DATA_PATTERN.findall(block)
     return b'\n'.join(lines) if lines else None
+
+
+def is_event(block):
+    """Return whether a block is an event and not only a comment."""
+    return get_data(block) is not None or get_id(block) is not None
