Send a response to a slow caller until its deadline

What callers saw: a response that broke off when the caller did not read for two seconds, though its deadline was further away and its endpoint went on.

Cause: each send to a caller had a limit of 2 s. Silence was taken for loss.

Change: the deadline of the request, which bounds how long it may occupy an endpoint anyway, is the only limit.

--- a/rhubarbreach/gateway/responses.py
+++ b/rhubarbreach/gateway/responses.py
@@ -7,9 +7,6 @@
 
 __all__ = ['LAST_CHUNK', 'ResponseWriter', 'encode_chunk']
 
-# Limits the time for which a caller that does not read occupies a slot of an
-# endpoint.
-CALLER_SEND_TIMEOUT_SECONDS = 2.0
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -31,7 +28,8 @@
     connection : Connection
         Connection of the caller.
     deadline : float
-        Deadline of the request in seconds of the monotonic clock.
+        Deadline of the request in seconds of the monotonic clock. Until then
+        a caller may be slow to read.
     last_id : int or None
         Number of the last event that the caller already has.
     """
@@ -89,9 +87,8 @@
 
     def send(self, data):
         """Send bytes to the caller; return False if it is gone."""
-        send_deadline = clock.monotonic() + CALLER_SEND_TIMEOUT_SECONDS
         try:
-            self.connection.send(data, min(send_deadline, self.deadline))
+            self.connection.send(data, self.deadline)
         except (errors.ConnectionEndedError, errors.DeadlineError):
             self.connection.keep_alive = False
             return False
