--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 PYTEST_WORKERS ?= 4
 # Seeds of `make soak`, separated by commas.
 SEEDS ?= 1,2,3
+SOAK_OPTIONS ?=
 # Seeds of `make losses`, first and end.
 LOSS_SEEDS ?= 0:100
 export PYTHONPATH := $(CURDIR)
@@ -42,7 +43,7 @@
 	$(PY) -m rhubarbreach faults
 
 soak: $(STAMP)
-	$(PY) platform/rhubarbreach_platform/tests/soak.py --seeds $(SEEDS)
+	$(PY) platform/rhubarbreach_platform/tests/soak.py --seeds $(SEEDS) $(SOAK_OPTIONS)
 
 losses: $(STAMP)
 	$(PY) -m rhubarbreach.bench.storelosses --seeds $(LOSS_SEEDS)
