Keep the connection to an endpoint that stands still for 2 s

What callers saw: a request was cut although its endpoint was sound, the more so with a long body: unread bytes fill the window of an endpoint that stands still, and a request that may run only once is then answered with 502.

Cause: the kernel ends a connection as soon as the peer has acknowledged nothing, or left no room, for TCP_USER_TIMEOUT, which was 1.5 s. Nothing better has begun by then, and a sound peer may be silent for longer.

Change: the bound is 3 s. A host that has lost power is still detected, by unacknowledged bytes or by keepalive probes; with TCP_USER_TIMEOUT set, it and not the number of probes ends an idle connection.

Not run: a host whose packets are dropped while it stands still, which loopback can't show; retransmissions back off, so that it may be cut after less than 3 s.

--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -25,12 +25,13 @@
 # Longest timeout of `poll`, whose argument is a C int.
 MAX_POLL_MS = 2**31 - 1
 # A host that has lost power or is partitioned sends no reset. The connection
-# ends if sent bytes are not acknowledged within this time.
-USER_TIMEOUT_MS = 1500
+# ends if the peer acknowledges nothing, or has no room for more bytes, for
+# this time. A sound peer may stand still for up to 2 s and go on.
+USER_TIMEOUT_MS = 3000
 # A connection that only receives has nothing unacknowledged; keepalive probes
-# detect a dead peer there.
+# detect a dead peer there, after `USER_TIMEOUT_MS` as well.
 KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE_PROBES = 3
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 END_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
