Apply the limits in force to kept connections

What callers saw: after a configuration that allows longer bodies, a request on a kept connection still got 413, which is permanent. After one with a longer idle timeout, a kept connection ended that a caller might still use.

Cause: the limits were read before the wait for a request, so that a kept connection used those in force when its previous request ended.

Change: the limits are read when a request begins, and apply until its end. The idle timeout is read again when it expires.

Evidence: test_request_is_judged_by_the_limits_in_force and test_connection_is_kept_for_the_idle_timeout_in_force failed before (413; the connection was closed) and pass.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -118,12 +118,12 @@
 
     def read_request(self, parser):
         """Return the next request, or None if the caller sends none."""
-        limits = self.server.get_limits()
-        parser.limits = limits
-        deadline = clock.monotonic() + limits.idle_timeout
         started = parser.started
-        if not (started or parser.requests or self.wait_while_idle(deadline)):
+        if not (started or parser.requests or self.wait_while_idle()):
             return None
+        # A configuration may have replaced them since the last request.
+        limits = parser.limits = self.server.get_limits()
+        deadline = clock.monotonic() + limits.idle_timeout
         while not parser.requests:
             try:
                 data = sockets.receive(self.socket, deadline)
@@ -147,10 +147,18 @@
                 self.send_continue(parser)
         return parser.requests.pop(0)
 
-    def wait_while_idle(self, deadline):
+    def wait_while_idle(self):
         """Wait for a request; return False if the connection ends instead."""
+        idle_since = clock.monotonic()
         self.is_idle = True
-        ready = sockets.wait_readable([self.socket], deadline)
+        deadline = idle_since
+        ready = []
+        # The timeout may be replaced by a longer one meanwhile.
+        while not ready and deadline < (
+            latest := idle_since + self.server.get_limits().idle_timeout
+        ):
+            deadline = latest
+            ready = sockets.wait_readable([self.socket], deadline)
         with self.lock:
             self.is_idle = False
             return bool(ready) and not self.is_ended
