Answer a request whose handler lost another connection

What callers saw: nothing at all for a request that was read, if its handler let an error of a connection to another host pass. None does today by reading; the server took any such error for the end of the caller's connection.

Change: a request whose answer is still due gets 500, as after other errors.

Evidence: the new tests failed before (no byte of a response) and pass.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -107,6 +107,9 @@
             self.discard_rest()
         except (errors.ConnectionEndedError, errors.DeadlineError) as error:
             LOG.info('event=connection_ended reason={!r}', str(error))
+            if self.is_answer_due:
+                # Another connection, which the handler uses, has ended.
+                self.refuse(500)
         except Exception:
             LOG.exception('event=connection_failed')
             if self.is_answer_due:
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -75,6 +75,21 @@
         assert caller.recv(1000) == b''
 
 
+@pytest.mark.parametrize(
+    'error', [errors.DeadlineError, errors.ConnectionEndedError]
+)
+def test_request_is_answered_after_an_error_of_another_connection(
+    start_server, error
+):
+    """Guards against taking a failed endpoint for a caller that is gone."""
+
+    def fail_elsewhere(*_):
+        raise error('x')
+
+    web_server = start_server(fail_elsewhere)
+    assert send(web_server).startswith(b'HTTP/1.1 500 ')
+
+
 def test_second_request_whose_handler_fails_is_answered(start_server):
     """Guards against taking the last response for the one that is due."""
     handlers = [lambda connection, _: connection.send_response(200), fail]
