Keep accepting connections after any error

What callers saw: a connection that was reset without an answer, or a host that accepted no connection any more while its process went on.

Cause: when no thread could be started, the connection was closed, although the pool keeps the task and another of its threads would have served it. An error other than OSError, for example a lack of memory, ended the accepting thread for good. A lack of descriptors was tried again without a pause.

Change: the connection stays with the pool, and a thread for it is started as soon as that works. The accepting thread logs any error and goes on after 50 ms.

Tests: test_server_accepts_connections_after_a_lack_of_threads required the connection to be closed, which was the fault. It is replaced by test_lack_of_threads_loses_no_request, which makes the start of the thread fail rather than the pool, and requires an answer for that connection as well as for later ones.

Evidence: it and test_server_accepts_connections_after_an_unexpected_error failed before (reset; timed out) and pass.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -25,6 +25,7 @@
 # A caller that does not read a short response in this time is disconnected.
 RESPONSE_TIMEOUT_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
+ACCEPT_PAUSE_SECONDS = 0.05
 SERVICE_UNAVAILABLE = 503
 RETRY_AFTER_SECONDS = 0.5
 DISCARD_SECONDS = 1.0
@@ -57,6 +58,10 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n' + body
 
 
+def do_nothing():
+    """Make a pool start a thread, which then runs older tasks first."""
+
+
 class Connection:
     """Connection of a caller, handled by one thread.
 
@@ -321,21 +326,33 @@
         while self.is_listening:
             try:
                 client_socket, _ = self.listener.accept()
-            except OSError as error:
+                self.start(client_socket)
+            except Exception as error:
                 if not self.is_listening:
                     return
-                LOG.warning('event=accept_failed reason={!r}', str(error))
-                continue
+                LOG.warning('event=accept_failed reason={!r}', error)
+                time.sleep(ACCEPT_PAUSE_SECONDS)
+
+    def start(self, client_socket):
+        """Handle an accepted connection on a thread of the pool."""
+        try:
             connection = Connection(self, client_socket)
-            with self.lock:
-                self.connections.add(connection)
+        except Exception:
+            client_socket.close()
+            raise
+        with self.lock:
+            self.connections.add(connection)
+        task = connection.run
+        while self.is_listening:
             try:
-                self.executor.submit(connection.run)
+                self.executor.submit(task)
+                return
             except RuntimeError as error:
-                # There is no thread for it now.
-                LOG.warning('event=accept_failed reason={!r}', str(error))
-                self.remove_connection(connection)
-                sockets.close_socket(client_socket)
+                # There is no new thread now. The pool keeps the task for any
+                # of its threads, and another task starts one if it has none.
+                LOG.warning('event=thread_missing reason={!r}', str(error))
+                task = do_nothing
+                time.sleep(ACCEPT_PAUSE_SECONDS)
 
     def remove_connection(self, connection):
         """Remove a connection that has ended."""
