--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -357,7 +357,7 @@
             self.connections.add(connection)
         self.make_room()
         task = connection.run
-        while self.is_listening:
+        while True:
             try:
                 self.executor.submit(task)
                 return
@@ -365,8 +365,10 @@
                 # There is no new thread now. The pool keeps the task for any
                 # of its threads, and another task starts one if it has none.
                 LOG.warning('event=thread_missing reason={!r}', str(error))
-                task = do_nothing
-                time.sleep(ACCEPT_PAUSE_SECONDS)
+            if not self.is_listening:
+                return
+            task = do_nothing
+            time.sleep(ACCEPT_PAUSE_SECONDS)
 
     def remove_connection(self, connection):
         """Remove a connection that has ended."""
