Keep the connection of a silent peer until a new one is made

What callers saw: calls between hosts without a reply, up to their deadlines, because a host had stood still for 2 s and gone on: with calls of 30 KB each 10 ms, 53 of 196 while it stood still for 2.0 s; with short ones, 100 of 254 while it stood still for 2.6 s.

Cause: a peer that had not answered a probe for 1.2 s was dialled again, and with the old connection all queued messages were given up, although a host that stands still takes no new connection either. The queue was also dropped when a send had waited for 0.5 s. An error other than one of the transport ended the sender thread for good, and all later messages for that peer stayed queued.

Change: the old connection and the queue stay in use until the new connection is made, or until the peer answers; the old one then lingers for 3 s, to deliver what it holds. A message is dropped 3 s after it was queued. The bounds of the queue (8 MiB and 4096 messages) are as they were. The sender thread logs an unexpected error and goes on.

Evidence: the new test failed before in both cases (the figures above) and passed with the other tests of protocol in three runs, among them the one that a connection which fails silently is replaced within 3 s.

--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -240,6 +240,7 @@
         with self.lock:
             peers = list(self.peers.values())
         for peer in peers:
+            peer.adopt(now)
             if peer.probe_sent is not None:
                 if now - peer.probe_sent > PROBE_TIMEOUT_SECONDS:
                     self.reconnect_peer(peer, now)
@@ -279,6 +280,7 @@
             return
         if peer.silent_since is not None:
             LOG.info('event=peer_answers peer={}', sender_id)
+            peer.keep()
         peer.silent_since = None
         peer.probe_sent = None
         peer.probe_due = clock.monotonic() + PROBE_INTERVAL_SECONDS
--- a/rhubarbreach/protocol/peer.py
+++ b/rhubarbreach/protocol/peer.py
@@ -2,14 +2,19 @@
 
 import collections
 import threading
+import time
 
 import pynng
 
+from rhubarbreach import clock
+from rhubarbreach import eventlog
 from rhubarbreach.protocol import framing
 from rhubarbreach.protocol import tls
 
 __all__ = ['Peer']
 
+LOG = eventlog.Logger('link')
+
 # Messages beyond these limits are dropped, so that a peer that does not read
 # cannot exhaust the memory of the sender.
 MAX_QUEUE_MESSAGES = 4096
@@ -18,6 +23,13 @@
 # has at most 1.5 MB.
 MAX_QUEUE_BYTES = 8 * 1024 * 1024
 SEND_TIMEOUT_MS = 500
+# A message that was not sent within this time is dropped. A sound peer may
+# stand still for up to 2 s. Messages between hosts become obsolete soon, and
+# every sender repeats those that are still needed.
+MESSAGE_EXPIRY_SECONDS = 3.0
+# A connection that was replaced may still deliver what it holds.
+LINGER_SECONDS = 3.0
+FAILURE_PAUSE_SECONDS = 0.05
 SEND_BUFFER_FRAMES = 32
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
@@ -51,6 +63,11 @@
         self.used = False
         self.silent_since = None
         self.socket = self.dial()
+        # Connection that replaces `socket` once it is made, and the one that
+        # was replaced last with the time until which it is kept.
+        self.candidate = None
+        self.replaced = None
+        self.keep_until = 0.0
         self.thread = threading.Thread(
             target=self.run, name=f'link-{peer_id}', daemon=True
         )
@@ -72,17 +89,41 @@
         return socket
 
     def redial(self):
-        """Replace the connection to a peer that no longer answers.
+        """Dial a peer that does not answer once more.
 
         A connection may stop delivering data without a reset, while new
-        connections work.
+        connections work. A peer that stands still accepts none, and the one in
+        use then remains.
         """
         with self.ready:
             if self.closed:
                 return
-            self.clear_queue()
-            previous, self.socket = self.socket, self.dial()
-        previous.close()
+            previous, self.candidate = self.candidate, self.dial()
+        if previous is not None:
+            previous.close()
+
+    def adopt(self, now):
+        """Use the new connection if it is made; end a replaced one in time."""
+        ended = []
+        with self.ready:
+            if self.replaced is not None and now >= self.keep_until:
+                ended.append(self.replaced)
+                self.replaced = None
+            if self.candidate is not None and self.candidate.pipes:
+                if self.replaced is not None:
+                    ended.append(self.replaced)
+                self.replaced, self.socket = self.socket, self.candidate
+                self.candidate = None
+                self.keep_until = now + LINGER_SECONDS
+        for socket in ended:
+            socket.close()
+
+    def keep(self):
+        """Give up dialling; the peer answers."""
+        with self.ready:
+            candidate, self.candidate = self.candidate, None
+        if candidate is not None:
+            candidate.close()
 
     def put(self, data):
         """Queue a message; return False if it is dropped."""
@@ -94,7 +135,8 @@
             ):
                 self.dropped += 1
                 return False
-            self.queue.append(data)
+            expires_at = clock.monotonic() + MESSAGE_EXPIRY_SECONDS
+            self.queue.append((data, expires_at))
             self.queued_bytes += len(data)
             self.ready.notify()
         return True
@@ -107,38 +149,50 @@
                     self.ready.wait()
                 if self.closed:
                     return
-                data = self.queue.popleft()
+                data, expires_at = self.queue.popleft()
                 self.queued_bytes -= len(data)
             try:
-                for frame in framing.split_message(data):
-                    self.socket.send(frame)
-                self.sent_bytes += len(data)
-            except pynng.Timeout:
-                self.drop_queue()
-            except pynng.NNGException:
-                # The socket was closed either by `close`, or by `redial`,
-                # which has replaced it.
-                if self.closed:
-                    return
+                self.send_message(data, expires_at)
+            except Exception:
+                # If this thread ended, the peer would get no message any more.
+                LOG.exception('event=send_failed peer={}', self.peer_id)
+                time.sleep(FAILURE_PAUSE_SECONDS)
 
-    def drop_queue(self):
-        """Drop the message in flight and the queue of an unreachable peer.
+    def send_message(self, data, expires_at):
+        """Send a message, or drop it when it expires.
 
-        Messages between hosts become obsolete soon; every sender repeats those
-        that are still needed.
+        It is sent anew, from its first frame, if another connection replaces
+        the one in use.
         """
-        with self.ready:
-            self.dropped += 1 + len(self.queue)
-            self.clear_queue()
-
-    def clear_queue(self):
-        """Empty the queue; the caller holds the lock."""
-        self.queue.clear()
-        self.queued_bytes = 0
+        frames = framing.split_message(data)
+        socket = None
+        while not self.closed and clock.monotonic() < expires_at:
+            if socket is not self.socket:
+                socket = self.socket
+                rest = collections.deque(frames)
+            try:
+                while rest:
+                    socket.send(rest[0])
+                    rest.popleft()
+            except pynng.Timeout:
+                continue
+            except pynng.NNGException as error:
+                if self.closed:
+                    return
+                if socket is self.socket:
+                    LOG.warning('event=send_failed error={!r}', str(error))
+                    time.sleep(FAILURE_PAUSE_SECONDS)
+                continue
+            self.sent_bytes += len(data)
+            return
+        self.dropped += 1
 
     def close(self):
         """Stop the sender thread and close the connection."""
         with self.ready:
             self.closed = True
             self.ready.notify()
-        self.socket.close()
+            sockets = (self.socket, self.candidate, self.replaced)
+        for socket in sockets:
+            if socket is not None:
+                socket.close()
