Write log lines on after one that cannot be encoded

What callers saw: nothing; operators saw a process that logged no line for the rest of its life.

Cause: a lone surrogate, as JSON documents may hold, cannot be encoded, and the error ended the thread that writes all lines. By reading, most texts of callers and endpoints are checked or escaped before they are logged; which unescaped one holds a surrogate was not traced.

Change: such characters are written as escapes.

Evidence: the new test failed before (the thread ended with UnicodeEncodeError, no byte was written) and passes.

--- a/rhubarbreach/eventlog.py
+++ b/rhubarbreach/eventlog.py
@@ -80,7 +80,8 @@
                 f'time={time.time():.6f} host={self.host_id} level=warning '
                 f'logger=eventlog event=lines_dropped count={dropped}\n'
             )
-        data = ''.join(lines).encode()
+        # An error would end the thread that writes all lines.
+        data = ''.join(lines).encode(errors='backslashreplace')
         while data:
             try:
                 data = data[os.write(self.descriptor, data) :]
