Ask a leader again as soon as it is heard

What callers saw: hosts that were not ready and refused as stale for longer than their leader had stood still, because they did not ask it.

Cause: a leader that had not answered a call for 0.4 s was not asked for 1 s, also when it went on and the other stores still named it.

Change: the verdict ends as soon as a message of that store arrives, of which its late reply is the first. One that stays silent is skipped as before.

--- a/rhubarbreach/fleet/leader_search.py
+++ b/rhubarbreach/fleet/leader_search.py
@@ -19,7 +19,8 @@
 HEDGE_SECONDS = 0.08
 MAX_PARALLEL_CALLS = 3
 # A store that did not answer is skipped for this long while other stores are
-# tried. During an election they may still name it as the leader.
+# tried, unless it is heard. During an election they may still name it as the
+# leader.
 UNRESPONSIVE_SECONDS = 1.0
 
 
@@ -96,8 +97,13 @@
         return [*stores[first:], *stores[:first]][:MAX_PARALLEL_CALLS]
 
     def is_unresponsive(self, store, now):
-        """Return whether a store recently failed to answer a message."""
-        return now < self.unresponsive_until.get(store, now)
+        """Return whether a store recently failed to answer a message.
+
+        One that has stood still and goes on is heard first by its late reply.
+        """
+        until = self.unresponsive_until.get(store, now)
+        failed_at = until - UNRESPONSIVE_SECONDS
+        return now < until and self.link.get_heard_at(store) <= failed_at
 
     def record_reply(self, store, reply, now):
         """Record the reply of a store; return whether the search ends.
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -31,6 +31,9 @@
         self.leader = leader
         self.called = []
 
+    def get_heard_at(self, store):
+        return float('-inf')
+
     def call(self, store, message, deadline):
         self.called.append(store)
         reply = fleetmessages.ExchangeReply(False, self.unresponsive[0])
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -268,6 +268,15 @@
             peer = self.peers.get(peer_id)
         return peer is not None and peer.silent_since is not None
 
+    def get_heard_at(self, peer_id):
+        """Return the monotonic time at which a peer was last heard.
+
+        The result is minus infinity for a peer that was not heard.
+        """
+        with self.lock:
+            peer = self.peers.get(peer_id)
+        return float('-inf') if peer is None else peer.heard_at
+
     def answer_probe(self, sender_id, _):
         """Answer a probe."""
         self.send(sender_id, hostmessages.LinkProbeReply())
@@ -331,6 +340,10 @@
                 self.reject('wrong_certificate', f'{name}')
                 return
         self.hybrid_clock.observe(envelope.stamp)
+        with self.lock:
+            peer = self.peers.get(envelope.sender_id)
+        if peer is not None:
+            peer.heard_at = clock.monotonic()
         self.dispatch(envelope)
 
     def reject(self, reason, detail):
--- a/rhubarbreach/protocol/peer.py
+++ b/rhubarbreach/protocol/peer.py
@@ -62,6 +62,8 @@
         self.probe_sent = None
         self.used = False
         self.silent_since = None
+        # When a message of the peer last arrived.
+        self.heard_at = float('-inf')
         self.socket = self.dial()
         # Connection that replaces `socket` once it is made, and the one that
         # was replaced last with the time until which it is kept.
