Keep the endpoints of a store that has itself stood still

Cause: after a pause of its own, a store removed all endpoints at once, as it had not heard them meanwhile. A leader then sent that as the whole list.

Change: after a pause of more than one interval, the store listens for three intervals, as after its start, before it removes silent endpoints. An endpoint that stays silent is removed then.

Evidence: the new test (a clock that jumps by 10 s) failed before (no endpoint left) and passes, with the tests of hosts except one failure at load 20 of test_request_that_is_not_received_before_a_stop_is_refused (connection reset), which passed in six further runs and doesn't use this code.

--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -15,8 +15,9 @@
 
 LOG = eventlog.Logger('endpoints')
 
-# After its start, a store waits for this many announcement intervals before it
-# treats an endpoint that has not announced itself as gone.
+# After its start, or after it has stood still, a store waits for this many
+# announcement intervals before it treats an endpoint that has not announced
+# itself as gone.
 LEARN_ANNOUNCEMENTS = 3
 
 
@@ -61,6 +62,7 @@
         self.list_others = list_others
         self.wake = wake
         self.started = clock.monotonic()
+        self.listening_since = self.expired_at = self.started
         self.lock = threading.Lock()
         self.registry = registries.Registry(interval)
         self.pending_updates = {}
@@ -170,9 +172,19 @@
             self.link.send(host_id, fleetmessages.EndpointNews(rows))
 
     def expire(self):
-        """Remove the endpoints that no longer announce themselves."""
+        """Remove the endpoints that no longer announce themselves.
+
+        Called several times in each interval. A longer pause is one of this
+        store, which could hear no endpoint meanwhile.
+        """
+        now = clock.monotonic()
+        if now - self.expired_at > self.interval:
+            self.listening_since = now
+        self.expired_at = now
+        if now - self.listening_since <= self.interval * LEARN_ANNOUNCEMENTS:
+            return
         with self.lock:
-            expired = self.registry.expire(clock.monotonic())
+            expired = self.registry.expire(now)
         for endpoint_id in expired:
             LOG.info('event=endpoint_silent endpoint={}', endpoint_id)
 
--- a/rhubarbreach/hosts/tests/test_endpoints.py
+++ b/rhubarbreach/hosts/tests/test_endpoints.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarbreach import clock
 from rhubarbreach.hosts import endpoints as host_endpoints
 from rhubarbreach.protocol import fleetmessages
 
@@ -60,3 +61,19 @@
     store.endpoints.send_updates()
     (row,) = store.link.messages[-1].rows
     assert row.state == 'draining'
+
+
+def test_store_that_stood_still_keeps_its_endpoints(store, monkeypatch):
+    """Guards against hosts without endpoints after a pause of the stores."""
+    now = clock.monotonic()
+    monkeypatch.setattr(clock, 'monotonic', lambda: now)
+    store.endpoints.record_announcement(make_notice(1))
+    store.endpoints.expire()
+    now += 10.0
+    store.endpoints.expire()
+    assert store.endpoints.list_rows()
+    # The endpoint is removed if it stays silent.
+    for _ in range(40):
+        now += 0.1
+        store.endpoints.expire()
+    assert not store.endpoints.list_rows()
