Keep a call at a silent endpoint until another one goes on

What callers saw: a call of the own interface that may be repeated was broken off at an endpoint that was silent before its first byte for half of the time left, or for 10 s after it, and any stream after 10 s. With no other endpoint, or one that refused, broke off or was silent too, the call ended without its answer although the endpoint would have gone on.

Cause: the event loop ended an attempt for silence, and only then another endpoint was looked for.

Change: the event loop marks the endpoint as silent and takes that back with its next bytes. Meanwhile another attempt runs besides, if there is an endpoint for it; the first response, or the first new event of a stream, decides, and the other attempt is cancelled. The relays of the attempts share the delivered events, and one that has lost delivers nothing. Calls that may not be repeated have one attempt, which ends at their deadline.

--- a/rhubarbreach/dispatch/attempt.py
+++ b/rhubarbreach/dispatch/attempt.py
@@ -1,5 +1,6 @@
 """Data classes of an attempt, which is one request to one endpoint."""
 
+import concurrent.futures
 import dataclasses
 import enum
 
@@ -10,6 +11,8 @@
     'AttemptEnd',
     'AttemptResult',
     'CANCEL_PATH',
+    'RunningAttempt',
+    'Silence',
     'make_cancel',
 ]
 
@@ -21,9 +24,10 @@
     """End of an attempt, as seen on this host.
 
     `CROSSED` means that the response belongs to another attempt or lacks the
-    required attempt id, and `STALLED` that the endpoint sent no bytes for too
-    long. `INCOMPLETE` stands for a stream that ended early or had a fault,
-    and `BROKEN` for other failures after bytes of the request were sent.
+    required attempt id, and `STALLED` that the endpoint was silent until
+    another one had begun. `INCOMPLETE` stands for a stream that ended early or
+    had a fault, and `BROKEN` for other failures after bytes of the request
+    were sent.
     `CALLER_SLOW` stands for a caller that does not read its stream.
     """
 
@@ -39,6 +43,34 @@
     CALLER_SLOW = 'caller_slow'
 
 
+class Silence:
+    """Silence of the endpoint of an attempt, which may end at any time.
+
+    Attributes
+    ----------
+    began : concurrent.futures.Future
+        Completes when the endpoint is silent; its result is a future that
+        completes when the endpoint goes on. Replaced then.
+    """
+
+    def __init__(self):
+        self.began = concurrent.futures.Future()
+        self.ended = None
+
+    def begin(self):
+        """Mark the endpoint as silent."""
+        if self.ended is None:
+            self.ended = concurrent.futures.Future()
+            self.began.set_result(self.ended)
+
+    def end(self):
+        """Mark the endpoint as going on."""
+        if self.ended is not None:
+            ended, self.ended = self.ended, None
+            self.began = concurrent.futures.Future()
+            ended.set_result(True)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
     """One request to one endpoint.
@@ -57,8 +89,9 @@
         Body of the request.
     deadline : float
         Monotonic deadline of the call.
-    first_byte_deadline : float
-        Monotonic deadline for the first byte of the response body.
+    silent_at : float
+        Monotonic time from which the endpoint counts as silent if the first
+        byte of the response body has not arrived.
     reuse : bool
         Whether a pooled connection may be used. libcurl resends a request
         on its own when a pooled connection breaks before the first byte of
@@ -67,6 +100,8 @@
         Whether a response with status 200 must carry the attempt id.
     relay : events.EventRelay or None
         Processes the events of a stream.
+    silence : Silence
+        Tells whether the endpoint is silent.
     """
 
     attempt_id: str
@@ -76,10 +111,11 @@
     headers: tuple[str, ...]
     body: bytes
     deadline: float
-    first_byte_deadline: float
+    silent_at: float
     reuse: bool = True
     echo: bool = False
     relay: events.EventRelay | None = None
+    silence: Silence = dataclasses.field(default_factory=Silence)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +155,30 @@
     relayed: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class RunningAttempt:
+    """Attempt that was started.
+
+    Parameters
+    ----------
+    placement : work.Placement
+        Endpoint of the attempt.
+    attempt : Attempt
+        The attempt.
+    future : concurrent.futures.Future
+        Completes with its `AttemptResult`.
+    """
+
+    placement: object
+    attempt: Attempt
+    future: concurrent.futures.Future
+
+    @property
+    def is_silent(self):
+        """Whether the endpoint is silent."""
+        return self.attempt.silence.began.done()
+
+
 def make_cancel(attempt, now):
     """Return the request that asks an endpoint to stop an attempt.
 
@@ -137,5 +197,5 @@
         headers=('Content-Type: application/json',),
         body=b'{"attempt_id":"%b"}' % attempt.attempt_id.encode(),
         deadline=now + CANCEL_TIMEOUT_SECONDS,
-        first_byte_deadline=now + CANCEL_TIMEOUT_SECONDS,
+        silent_at=now + CANCEL_TIMEOUT_SECONDS,
     )
--- a/rhubarbreach/dispatch/events.py
+++ b/rhubarbreach/dispatch/events.py
@@ -1,5 +1,7 @@
 """Server-sent events of a stream: validation, ordering and relaying."""
 
+import concurrent.futures
+import copy
 import enum
 import re
 
@@ -8,7 +10,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach import serialization
 
-__all__ = ['EventRelay', 'Fault', 'make_error_event']
+__all__ = ['Contest', 'EventRelay', 'Fault', 'make_error_event']
 
 DONE = b'data: [DONE]'
 DATA = b'data: '
@@ -58,9 +60,52 @@
     return DATA + msgspec.json.encode({'error': error}) + SEPARATOR
 
 
+class Contest:
+    """Contest of concurrent attempts for the next event of a stream.
+
+    All methods are called on the event loop thread.
+
+    Attributes
+    ----------
+    decided : concurrent.futures.Future
+        Completes with the relay of the attempt that continues the stream.
+    """
+
+    def __init__(self):
+        self.decided = concurrent.futures.Future()
+
+    def fork(self, relay, done):
+        """Complete a future with the relay of another attempt.
+
+        Parameters
+        ----------
+        relay : EventRelay
+            Relay of an attempt that takes part.
+        done : concurrent.futures.Future
+            Completes with None if the contest is decided.
+        """
+        if self.decided.done():
+            done.set_result(None)
+            return
+        relay.contest = self
+        done.set_result(copy.copy(relay))
+
+    def has_lost(self, relay):
+        """Return whether another relay continues the stream."""
+        return self.decided.done() and self.decided.result() is not relay
+
+    def claim(self, relay):
+        """Record that a relay continues the stream."""
+        if not self.decided.done():
+            self.decided.set_result(relay)
+
+
 class EventRelay:
     """Relay for the events of one request across all of its attempts.
 
+    Concurrent attempts have relays that share the delivered events. The first
+    one with a new event continues the stream, and the others deliver nothing.
+
     Only the event loop thread calls `feed`. Events of other attempts and
     tokens that were delivered before are dropped and counted.
 
@@ -88,6 +133,7 @@
         self.pending = b''
         self.prefix = b''
         self.delimiter = b''
+        self.contest = None
 
     def begin(self, attempt_id):
         """Prepare for the events of the next attempt."""
@@ -110,6 +156,8 @@
         now : float
             Monotonic seconds.
         """
+        if self.contest is not None and self.contest.has_lost(self):
+            return
         if self.pending:
             data = self.pending + data
         first_index = self.next_index
@@ -121,6 +169,8 @@
                     self.first_token_at = now
             self.last_token_at = now
         if complete:
+            if self.contest is not None:
+                self.contest.claim(self)
             self.deliver(complete)
 
     def scan(self, data):
--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -210,7 +210,7 @@
         with self.lock:
             self.runs_by_work_id.pop(work.work_id, None)
         self.scheduler.withdraw(work.work_id)
-        future.add_done_callback(self.release_late_placement)
+        future.add_done_callback(self.release_unused)
 
     def await_placement(self, run, work, future):
         """Return the placement, or a refusal on cancellation or deadline."""
@@ -232,8 +232,8 @@
             )
         return future.result()
 
-    def release_late_placement(self, future):
-        """Release a placement that was made after its work was withdrawn."""
+    def release_unused(self, future):
+        """Release the placement of work that was withdrawn."""
         if future.cancelled() or future.exception() is not None:
             return
         placement = future.result()
@@ -243,28 +243,32 @@
 
     def attempt(self, run, placement):
         """Run an attempt and release its placement."""
-        future = self.start(run, placement)
-        result = self.await_result(run, placement, future)
-        self.end_attempt(run, placement, result)
+        running = self.start(run, placement, run.relay)
+        result = self.await_result(run, running)
+        self.end_attempt(run, running, result)
         return result
 
-    def await_result(self, run, placement, future):
+    def await_result(self, run, running):
         """Wait for the event loop to settle an attempt; return the result."""
         remaining_seconds = clock.remaining(
             run.call.deadline, clock.monotonic()
         )
         try:
-            return future.result(remaining_seconds + LOOP_GRACE_SECONDS)
+            return running.future.result(
+                remaining_seconds + LOOP_GRACE_SECONDS
+            )
         except concurrent.futures.TimeoutError:
-            attempt_id = placement.work.work_id
+            attempt_id = running.attempt.attempt_id
             LOG.error('event=attempt_not_settled attempt={}', attempt_id)
             self.loop.cancel(attempt_id)
             return attempt_module.AttemptResult(AttemptEnd.STALLED, sent=True)
 
-    def start(self, run, placement):
+    def start(self, run, placement, relay):
         """Start an attempt that can be cancelled and preempted."""
         now = clock.monotonic()
-        attempt = run_module.make_attempt(run, placement, self.policy, now)
+        attempt = run_module.make_attempt(
+            run, placement, self.policy, now, relay
+        )
         attempt_id = attempt.attempt_id
         run.attempts += 1
         with self.lock:
@@ -273,14 +277,17 @@
         future = self.loop.start(attempt)
         if run.cancelled.done() or run.preempted:
             self.loop.cancel(attempt_id)
-        return future
+        return attempt_module.RunningAttempt(placement, attempt, future)
 
-    def end_attempt(self, run, placement, result):
+    def end_attempt(self, run, running, result):
         """Release the placement of an attempt and record how it ended."""
+        placement = running.placement
         with self.lock:
             run.attempt_ids.discard(placement.work.work_id)
             self.runs_by_work_id.pop(placement.work.work_id, None)
-        self.scheduler.release(placement, run_module.make_outcome(run, result))
+        self.scheduler.release(
+            placement, run_module.make_outcome(running.attempt, result)
+        )
         reason = f'{result.end} {result.status} {result.detail}'.strip()
         self.record(run, 'attempt_ended', reason, placement)
 
--- a/rhubarbreach/dispatch/hedge.py
+++ b/rhubarbreach/dispatch/hedge.py
@@ -1,4 +1,4 @@
-"""Hedged requests: a second attempt of a call whose first one is slow."""
+"""Concurrent attempts of a call whose endpoint is silent or slow."""
 
 import concurrent.futures
 
@@ -6,15 +6,18 @@
 from rhubarbreach import codes
 from rhubarbreach.dispatch import attempt as attempt_module
 from rhubarbreach.dispatch import decide
+from rhubarbreach.dispatch import events
 from rhubarbreach.scheduling import work as work_module
 
 __all__ = ['run_attempt']
 
-FIRST_COMPLETED = concurrent.futures.FIRST_COMPLETED
+AttemptEnd = attempt_module.AttemptEnd
+# Seconds between two searches for an endpoint besides a silent one.
+SEARCH_INTERVAL_SECONDS = 1.0
 
 
 def run_attempt(executor, run, placement):
-    """Run an attempt, and hedge it on another endpoint if it is slow.
+    """Run an attempt, and others besides while its endpoint is silent.
 
     Parameters
     ----------
@@ -30,80 +33,194 @@
     (work.Placement, attempt.AttemptResult)
         Placement and result of the attempt that is used.
     """
-    hedge_after = executor.policy.hedge_after
-    if hedge_after is None or not run.call.idempotent or run.call.stream:
+    if not run.call.idempotent:
         return placement, executor.attempt(run, placement)
-    first = executor.start(run, placement)
-    remaining_seconds = clock.remaining(run.call.deadline, clock.monotonic())
-    concurrent.futures.wait((first,), min(hedge_after, remaining_seconds))
-    second_placement = None
-    if not first.done() and executor.budget.take(clock.monotonic()):
-        second_placement = place_hedge(executor, run, placement, first)
-    if second_placement is None:
-        result = executor.await_result(run, placement, first)
-        executor.end_attempt(run, placement, result)
-        return placement, result
-    run.ran = codes.Ran.UNKNOWN
-    executor.metrics.count('dispatch_call_hedged_total')
-    second = executor.start(run, second_placement)
-    return await_first_success(
-        executor, run, ((placement, first), (second_placement, second))
-    )
+    return Race(executor, run, placement).await_end()
+
 
+class Race:
+    """Attempts of one call that run at the same time.
 
-def place_hedge(executor, run, placement, first):
-    """Return a second placement, or None if there is none in time.
+    An attempt at a silent endpoint goes on until another one has a response
+    or continues its stream.
 
-    The work is withdrawn when the first attempt ends, the call is cancelled
-    or its deadline passes before the work is placed.
+    Parameters
+    ----------
+    executor : executor.Executor
+        Starts and ends attempts.
+    run : run.Run
+        The call and its state.
+    placement : work.Placement
+        Placement of the first attempt.
     """
-    excluded = frozenset((placement.endpoint.endpoint_id,))
-    work, future = executor.submit_work(run, excluded)
-    remaining_seconds = clock.remaining(run.call.deadline, clock.monotonic())
-    concurrent.futures.wait(
-        (future, first, run.cancelled), remaining_seconds, FIRST_COMPLETED
-    )
-    if future.done() and isinstance(future.result(), work_module.Placement):
-        return future.result()
-    executor.withdraw_work(work, future)
-    return None
 
+    def __init__(self, executor, run, placement):
+        self.executor = executor
+        self.run = run
+        self.deadline = run.call.deadline
+        self.contest = events.Contest()
+        self.running = [executor.start(run, placement, run.relay)]
+        self.search_at = clock.monotonic()
+        hedge_after = executor.policy.hedge_after
+        self.hedge_at = None
+        if hedge_after is not None and not run.call.stream:
+            self.hedge_at = self.search_at + hedge_after
+
+    def await_end(self):
+        """Return placement and result of the attempt that is used."""
+        while True:
+            self.wait(self.choose_wait_end())
+            ended = [one for one in self.running if one.future.done()]
+            self.apply_decision()
+            for one in ended:
+                if one in self.running:
+                    result = self.remove(one, one.future.result())
+                    if result is not None:
+                        return one.placement, result
+            now = clock.monotonic()
+            if now < self.deadline:
+                self.search(now)
+            elif not ended:
+                last = self.running[-1]
+                result = self.executor.await_result(self.run, last)
+                result = self.remove(last, result)
+                if result is not None:
+                    return last.placement, result
+
+    def choose_wait_end(self):
+        """Return the time until which to wait for a change."""
+        if self.running[-1].is_silent and has_attempts(self.run):
+            return min(self.deadline, self.search_at)
+        if self.hedge_at is not None:
+            return min(self.deadline, self.hedge_at)
+        return self.deadline
+
+    def wait(self, until, *futures):
+        """Wait for a change of an attempt or one of several futures."""
+        silence = self.running[-1].attempt.silence.began
+        concurrent.futures.wait(
+            (
+                *(one.future for one in self.running),
+                silence.result() if silence.done() else silence,
+                self.contest.decided,
+                *futures,
+            ),
+            clock.remaining(until, clock.monotonic()),
+            concurrent.futures.FIRST_COMPLETED,
+        )
 
-def await_first_success(executor, run, attempts):
-    """Wait for the first usable response and cancel the other attempt.
+    def apply_decision(self):
+        """Cancel all attempts but the one that continues the stream."""
+        if not self.contest.decided.done():
+            return
+        relay = self.contest.decided.result()
+        self.contest = events.Contest()
+        for one in tuple(self.running):
+            if one.attempt.relay is relay:
+                self.run.software_version = (
+                    one.placement.endpoint.software_version
+                )
+            else:
+                self.cancel(one)
+        self.run.relay = relay
+
+    def remove(self, one, result):
+        """Remove an attempt that has ended; return its result if it is used.
+
+        The result is used if there is a response, or if no other attempt
+        runs.
+        """
+        run = self.run
+        self.running.remove(one)
+        self.executor.end_attempt(run, one, result)
+        if not self.running or is_usable(run, result):
+            for other in tuple(self.running):
+                self.cancel(other)
+            run.relay = one.attempt.relay
+            return result
+        run.excluded |= {one.placement.endpoint.endpoint_id}
+        if run.preempted and result.end is AttemptEnd.CANCELLED:
+            run.preempted = False
+            run.attempts -= 1
+        return None
+
+    def cancel(self, one):
+        """Cancel an attempt; its placement is released when it has ended."""
+        self.running.remove(one)
+        end = AttemptEnd.STALLED if one.is_silent else AttemptEnd.CANCELLED
+        self.executor.loop.cancel(one.attempt.attempt_id, end)
+        one.future.add_done_callback(
+            lambda future: self.executor.end_attempt(
+                self.run, one, future.result()
+            )
+        )
 
-    Without a usable response, the result of the first attempt is returned.
-    """
-    remaining_seconds = clock.remaining(run.call.deadline, clock.monotonic())
-    futures = {future: placement for placement, future in attempts}
-    done, _ = concurrent.futures.wait(
-        futures, remaining_seconds, FIRST_COMPLETED
+    def search(self, now):
+        """Start another attempt if the last one is silent or slow."""
+        run = self.run
+        is_slow = self.hedge_at is not None and now >= self.hedge_at
+        is_silent = self.running[-1].is_silent and now >= self.search_at
+        if is_slow:
+            self.hedge_at = None
+        if not (is_slow or is_silent) or not has_attempts(run):
+            return
+        self.search_at = now + SEARCH_INTERVAL_SECONDS
+        last = self.running[-1]
+        if run.begun and run.software_version is None:
+            run.software_version = last.placement.endpoint.software_version
+        excluded = {one.placement.endpoint.endpoint_id for one in self.running}
+        work, future = self.executor.submit_work(run, frozenset(excluded))
+        self.wait(self.deadline, future, run.cancelled)
+        is_needed = (is_slow or last.is_silent) and not run.cancelled.done()
+        relay = run.relay
+        if (
+            not is_needed
+            or any(one.future.done() for one in self.running)
+            or not is_placed_elsewhere(future, excluded)
+            or (relay is not None and (relay := self.fork_relay()) is None)
+            or not (run.tokens or self.executor.budget.take(now))
+        ):
+            self.executor.withdraw_work(work, future)
+            return
+        run.ran = codes.Ran.UNKNOWN
+        run.resumes += bool(run.tokens)
+        self.executor.metrics.count('dispatch_call_hedged_total')
+        self.running.append(self.executor.start(run, future.result(), relay))
+
+    def fork_relay(self):
+        """Return a relay for another attempt, None if one has gone on."""
+        done = concurrent.futures.Future()
+        self.executor.loop.call_soon(
+            self.contest.fork, self.running[-1].attempt.relay, done
+        )
+        concurrent.futures.wait(
+            (done,), clock.remaining(self.deadline, clock.monotonic())
+        )
+        return done.result() if done.done() else None
+
+
+def has_attempts(run):
+    """Return whether a call may have another attempt."""
+    if run.tokens:
+        return run.resumes < decide.MAX_RESUMES
+    return run.attempts < decide.MAX_ATTEMPTS
+
+
+def is_placed_elsewhere(future, endpoint_ids):
+    """Return whether work was placed on an endpoint outside of a set."""
+    if not future.done():
+        return False
+    placement = future.result()
+    return (
+        isinstance(placement, work_module.Placement)
+        and placement.endpoint.endpoint_id not in endpoint_ids
     )
-    usable = [future for future in done if is_usable(future.result())]
-    if not usable and len(done) < len(futures):
-        done, _ = concurrent.futures.wait(futures, remaining_seconds)
-        usable = [future for future in done if is_usable(future.result())]
-    winner = usable[0] if usable else attempts[0][1]
-    for future, placement in futures.items():
-        if future is not winner:
-            cancel_attempt(executor, run, placement, future)
-    placement = futures[winner]
-    result = executor.await_result(run, placement, winner)
-    executor.end_attempt(run, placement, result)
-    return placement, result
-
-
-def is_usable(result):
-    """Return whether an attempt has a response for the caller."""
-    answered = result.end is attempt_module.AttemptEnd.ANSWERED
-    return answered and decide.is_successful(result)
 
 
-def cancel_attempt(executor, run, placement, future):
-    """Cancel an attempt; its placement is released when it has ended."""
-    executor.loop.cancel(placement.work.work_id)
-    future.add_done_callback(
-        lambda done_future: executor.end_attempt(
-            run, placement, done_future.result()
-        )
+def is_usable(run, result):
+    """Return whether an attempt has a response for the caller."""
+    return (
+        result.end is AttemptEnd.ANSWERED
+        and decide.is_successful(result)
+        and (result.relayed or not run.begun)
     )
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -28,9 +28,9 @@
 MAX_IDLE_HANDLES = 256
 MAX_IDLE_CONNECTIONS = 4096
 
-# A response without new bytes for this long counts as stalled. The deadline
-# for its first byte is part of the attempt.
-STREAM_STALL_SECONDS = 10.0
+# An endpoint without new bytes for this long counts as silent. The time of its
+# first byte is part of the attempt.
+STREAM_SILENT_SECONDS = 10.0
 
 # Time after the end marker of a stream for the HTTP response to end, so that
 # its connection can be reused.
@@ -242,6 +242,7 @@
     def process_data(self, transfer, data):
         """Process received bytes of an attempt."""
         transfer.received_at = self.now
+        transfer.attempt.silence.end()
         if transfer.first_byte_at is None:
             self.begin_body(transfer)
         if transfer.curl is None:
@@ -393,7 +394,10 @@
         transfer.body.holding.close()
 
     def check_timeouts(self):
-        """End expired and stalled attempts, and streams of slow callers."""
+        """End expired attempts and slow callers; mark silent endpoints.
+
+        A silent endpoint may go on, so its attempt does not end.
+        """
         now = self.now
         for transfer in tuple(self.transfers.values()):
             if transfer.linger_until is not None:
@@ -402,19 +406,11 @@
             elif now > transfer.attempt.deadline:
                 self.abort(transfer, AttemptEnd.EXPIRED, 'deadline exceeded')
             elif transfer.first_byte_at is None:
-                if now > transfer.attempt.first_byte_deadline:
-                    self.abort(
-                        transfer,
-                        AttemptEnd.STALLED,
-                        f'no first byte in {now - transfer.started_at:.1f} s',
-                    )
+                if now > transfer.attempt.silent_at:
+                    transfer.attempt.silence.begin()
             elif (
                 not transfer.paused
-                and now - transfer.received_at > STREAM_STALL_SECONDS
+                and now - transfer.received_at > STREAM_SILENT_SECONDS
             ):
-                self.abort(
-                    transfer,
-                    AttemptEnd.STALLED,
-                    f'no further bytes for {STREAM_STALL_SECONDS:g} s',
-                )
+                transfer.attempt.silence.begin()
         self.callers.check_stalled(now)
--- a/rhubarbreach/dispatch/run.py
+++ b/rhubarbreach/dispatch/run.py
@@ -32,8 +32,8 @@
     Parameters
     ----------
     first_byte_fraction : float
-        Fraction of the remaining time within which the first byte of an
-        idempotent call must arrive, so that time is left for a retry.
+        Fraction of the remaining time after which an endpoint without a first
+        byte counts as silent, so that time is left for another endpoint.
     hedge_after : float or None
         Seconds after which an idempotent call without a stream is hedged
         on a second endpoint; None disables hedging.
@@ -73,7 +73,7 @@
         return bool(self.relay and self.relay.delivered)
 
 
-def make_attempt(run, placement, policy, now):
+def make_attempt(run, placement, policy, now, relay):
     """Return the attempt for a placement.
 
     Parameters
@@ -86,14 +86,14 @@
         Time limits.
     now : float
         Monotonic seconds.
+    relay : events.EventRelay or None
+        Processes the events of a stream.
     """
     call = run.call
     remaining_seconds = clock.remaining(call.deadline, now)
-    first_byte_deadline = call.deadline
+    silent_at = call.deadline
     if call.idempotent:
-        first_byte_deadline = (
-            now + remaining_seconds * policy.first_byte_fraction
-        )
+        silent_at = now + remaining_seconds * policy.first_byte_fraction
     attempt_id = placement.work.work_id
     headers = (
         f'X-Request-Id: {call.request_id}',
@@ -102,10 +102,10 @@
         *(f'{name}: {value}' for name, value in call.headers),
     )
     body = call.body
-    if run.relay is not None:
-        run.relay.begin(attempt_id)
-        if run.tokens:
-            body = prompt.add_resume(body, run.tokens)
+    if relay is not None:
+        relay.begin(attempt_id)
+        if relay.next_index:
+            body = prompt.add_resume(body, relay.next_index)
     return attempt_module.Attempt(
         attempt_id=attempt_id,
         address=placement.endpoint.address,
@@ -114,10 +114,10 @@
         headers=headers,
         body=body,
         deadline=call.deadline,
-        first_byte_deadline=first_byte_deadline,
+        silent_at=silent_at,
         reuse=call.idempotent,
         echo=placement.endpoint.kind == ENGINE,
-        relay=run.relay,
+        relay=relay,
     )
 
 
@@ -188,9 +188,9 @@
     )
 
 
-def make_outcome(run, result):
+def make_outcome(attempt, result):
     """Return the outcome of an attempt for the scheduler."""
-    relay = run.relay
+    relay = attempt.relay
     tokens = 0
     first_token = result.first_byte
     inter_token = None
--- /dev/null
+++ b/rhubarbreach/dispatch/tests/test_silent_endpoints.py
@@ -0,0 +1,137 @@
+"""Tests of calls whose endpoint is silent for a while and goes on."""
+
+import time
+
+import pytest
+
+from rhubarbreach.dispatch import loop
+from rhubarbreach.dispatch.tests import fakes
+from rhubarbreach.dispatch.tests import test_executor
+
+SILENT_AFTER_SECONDS = 0.2
+SILENCE_SECONDS = 0.8
+# The first byte of a call with a deadline of 20 s is due after 0.2 s.
+FRACTION = 0.01
+TOKENS = list(range(4))
+
+
+@pytest.fixture(autouse=True)
+def early_silence(monkeypatch):
+    """Make an endpoint count as silent early."""
+    monkeypatch.setattr(loop, 'STREAM_SILENT_SECONDS', SILENT_AFTER_SECONDS)
+
+
+def stream_with_silence(first):
+    """Return a handler that is silent after its first `first` tokens."""
+
+    def handle(request):
+        if not first:
+            time.sleep(SILENCE_SECONDS)
+        request.begin()
+        if first:
+            request.send(fakes.make_sse(request.attempt_id, 0, first, False))
+            time.sleep(SILENCE_SECONDS)
+        request.send(fakes.make_sse(request.attempt_id, first, len(TOKENS)))
+        request.end()
+
+    return handle
+
+
+def refuse(request):
+    request.answer(b'{"not_run":true}', 503)
+
+
+def begin_and_reset(request):
+    request.begin()
+    request.reset_connection()
+
+
+@pytest.mark.parametrize('first', [0, 2])
+@pytest.mark.parametrize(
+    'other', [None, refuse, begin_and_reset, lambda request: None]
+)
+def test_stream_of_silent_endpoint_is_not_cut(
+    start_endpoint, start_executor, make_call, first, other
+):
+    """Guards against a silent stream given up though no other goes on."""
+    silent = start_endpoint(stream_with_silence(first))
+    others = [start_endpoint(other)] if other else []
+    executor = start_executor(silent, *others, first_byte_fraction=FRACTION)
+    sink = test_executor.ListSink()
+    result = executor.execute(make_call(), sink)
+    assert test_executor.get_tokens(sink.data) == TOKENS
+    assert sink.data.endswith(b'[DONE]\n\n')
+    assert (result.refusal, result.endpoint_id) == (None, 'e0')
+    assert len(silent.requests) == 1 and not silent.cancelled
+    assert ('e0', 'completed') in [
+        (name, outcome.status.value)
+        for name, outcome in executor.scheduler.released
+    ]
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_response_of_silent_endpoint_is_returned(
+    start_endpoint, start_executor, make_call, idempotent
+):
+    """Guards against a response given up for silence, or a second run."""
+
+    def handle(request):
+        time.sleep(SILENCE_SECONDS)
+        request.answer(b'{}')
+
+    silent = start_endpoint(handle)
+    executor = start_executor(silent, first_byte_fraction=FRACTION)
+    call = make_call(stream=False, idempotent=idempotent)
+    assert executor.execute(call).body == b'{}'
+    assert len(silent.requests) == 1 and not silent.cancelled
+    assert executor.scheduler.statuses() == ['completed']
+
+
+def test_silent_stream_that_may_not_be_repeated_runs_once(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a second run, and against a cut stream."""
+    silent = start_endpoint(stream_with_silence(2))
+    other = start_endpoint(lambda request: request.stream(len(TOKENS)))
+    executor = start_executor(silent, other)
+    result = executor.execute(make_call(idempotent=False))
+    assert test_executor.get_tokens(result.body) == TOKENS
+    assert len(silent.requests) == 1 and not other.requests
+
+
+@pytest.mark.parametrize('first', [0, 2])
+def test_first_new_event_decides_between_two_endpoints(
+    start_endpoint, start_executor, make_call, first
+):
+    """Guards against events of two attempts in one stream."""
+    silent = start_endpoint(stream_with_silence(first))
+    other = start_endpoint(lambda request: request.stream(len(TOKENS), 0.3))
+    executor = start_executor(silent, other, first_byte_fraction=FRACTION)
+    sink = test_executor.ListSink()
+    result = executor.execute(make_call(), sink)
+    assert test_executor.get_tokens(sink.data) == TOKENS
+    assert result.endpoint_id == 'e1' and result.refusal is None
+    silent.wait_for(silent.cancelled)
+    other_id = other.requests[0].attempt_id.encode()
+    assert sink.data.count(other_id) == len(TOKENS) - first
+    assert sorted(executor.scheduler.statuses()) == ['completed', 'failed']
+
+
+def test_endpoint_that_goes_on_first_keeps_its_stream(
+    start_endpoint, start_executor, make_call
+):
+    """Guards against a verdict of silence that is not taken back."""
+
+    def handle(request):
+        time.sleep(2 * SILENCE_SECONDS)
+        request.stream(len(TOKENS))
+
+    silent = start_endpoint(stream_with_silence(2))
+    late = start_endpoint(handle)
+    executor = start_executor(silent, late, first_byte_fraction=FRACTION)
+    sink = test_executor.ListSink()
+    result = executor.execute(make_call(), sink)
+    assert test_executor.get_tokens(sink.data) == TOKENS
+    assert result.endpoint_id == 'e0'
+    late.wait_for(late.cancelled)
+    assert executor.scheduler.released[0][1].status.value == 'completed'
