Keep the run of a silent store that is ahead of its replacement

What callers saw: an item was processed again from its last known event though its first run was further.

Cause: the leader replaced the run of a silent store for good.

Change: if the last known event is that of the reported run, the run that was ordered meanwhile has no event yet. The leader adopts the reported run again, and the store of the other one cancels that with the next reply. Once the replacement has an event, the former run ends as before, so that events of two runs never mix.

Evidence: test_run_of_silent_store_goes_on_if_it_is_ahead failed before, and test_run_of_silent_store_ends_if_another_is_ahead guards the bound; the tests of backlog pass.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -388,10 +388,13 @@
                 continue
             key = (report.job_id, report.item_id)
             run = self.runs.get(key)
-            if run is None:
-                run = self.adopt_run(
+            if run is None or is_behind(run, report):
+                adopted = self.adopt_run(
                     worker_id, report, open_items, find_endpoint
                 )
+                if run is not None and adopted is not None:
+                    ended.append(EndedRun(run, 'cancelled', begun=run.begun))
+                run = adopted or run
             if run is None or run.worker_id != worker_id:
                 continue
             if run.order_id != report.order_id:
@@ -542,6 +545,19 @@
         return ended
 
 
+def is_behind(run, report):
+    """Return whether the reported run of another order is further ahead.
+
+    Its store was silent for a while, and the run of the item that was started
+    meanwhile has no event yet.
+    """
+    return (
+        run.order_id != report.order_id
+        and run.progress.is_from_order(report.order_id)
+        and report.outcome in ('', 'completed')
+    )
+
+
 def make_random_id():
     """Return a random order id."""
     return secrets.token_hex(ORDER_ID_BYTES)
--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -229,6 +229,50 @@
     assert leader.assign('a', now=later) == 'two'
 
 
+def test_run_of_silent_store_goes_on_if_it_is_ahead(
+    leader, make_report, make_run
+):
+    """Guards against a run replaced by one that has not produced an event."""
+    leader.receive('one', make_report(), now=0.0)
+    leader.assign('a', now=0.0)
+    leader.receive('one', make_report(make_run('a', 1, b'1', b'2')))
+    later = assignments.SILENT_SECONDS + 0.1
+    leader.receive('two', make_report(), now=later)
+    leader.assignments.drop_silent_workers(later)
+    assert leader.assign('a', now=later) == 'two'
+    second = make_run('a', 3, order=2, begun=2)
+    leader.receive('two', make_report(second), now=later)
+    rest = make_run('a', 3, b'3', outcome='completed')
+    reply, ended = leader.receive('one', make_report(rest), now=later)
+    assert reply.known == (('o1', 3),)
+    assert [(run.assignment.order_id, run.outcome) for run in ended] == [
+        ('o2', 'cancelled'),
+        ('o1', 'completed'),
+    ]
+    assert leader.assignments.progress[KEY].texts == [b'1', b'2', b'3']
+    reply, _ = leader.receive('two', make_report(second), now=later)
+    assert not reply.known and not reply.orders
+
+
+def test_run_of_silent_store_ends_if_another_is_ahead(
+    leader, make_report, make_run
+):
+    """Guards against events of two runs in one result."""
+    leader.receive('one', make_report(), now=0.0)
+    leader.assign('a', now=0.0)
+    leader.receive('one', make_report(make_run('a', 1, b'1', b'2')))
+    later = assignments.SILENT_SECONDS + 0.1
+    leader.receive('two', make_report(), now=later)
+    leader.assignments.drop_silent_workers(later)
+    leader.assign('a', now=later)
+    ahead = make_run('a', 3, b'3 of the second run', order=2, begun=2)
+    leader.receive('two', make_report(ahead), now=later)
+    rest = make_run('a', 3, b'3', b'4', outcome='completed')
+    reply, ended = leader.receive('one', make_report(rest), now=later)
+    assert not reply.known and not ended
+    assert leader.assignments.runs[KEY].worker_id == 'two'
+
+
 def test_events_of_waiting_items_are_committed_at_once(
     leader, make_report, make_run
 ):
