Keep accepting requests after an error of the accept thread

What callers saw: nothing, which is the fault. After one thread that could not be started, or one error while a connection was registered, the thread that accepts and polls all connections of the own interface ended, and the process went on without it: connections were neither answered nor refused.

Cause: no exception was handled in the loop of the thread.

Change: an error is counted and logged, and the loop goes on after a pause. A request that found no thread stays in the queue of the pool; the loop asks for a thread again until one starts. A connection that cannot be registered is closed and no longer counts as open.

Evidence: test_request_without_thread_is_served_later and test_error_while_polling_does_not_end_the_server failed before and pass now; the tests of entry pass three times in a row.

--- a/rhubarbreach/entry/server.py
+++ b/rhubarbreach/entry/server.py
@@ -22,6 +22,8 @@
 MAX_ACCEPTS_PER_POLL = 64
 IDLE_TIMEOUT_SECONDS = 75.0
 POLL_TIMEOUT_SECONDS = 0.5
+# Pause after an error that may occur again at once.
+ERROR_PAUSE_SECONDS = 0.05
 
 
 class Server:
@@ -73,6 +75,7 @@
         self.running_requests = 0
         self.requests_done = threading.Condition(self.lock)
         self.closing = False
+        self.lacks_thread = False
         self.thread = threading.Thread(
             target=self.run, name='entry-accept', daemon=True
         )
@@ -115,16 +118,14 @@
     def run(self):
         """Accept connections and poll idle ones until closed."""
         while not self.closing:
-            for fd, _ in self.epoll.poll(POLL_TIMEOUT_SECONDS):
-                if fd == self.socket.fileno():
-                    self.accept()
-                elif fd == self.wake_fd:
-                    os.eventfd_read(self.wake_fd)
-                elif fd in self.idle:
-                    self.submit(self.remove_idle(fd))
-            while self.reusable:
-                self.add_idle(self.reusable.popleft())
-            self.close_expired()
+            try:
+                self.poll()
+            except Exception as error:
+                self.metrics.count('entry_faults_total')
+                LOG.error(
+                    'event=poll_failed {}', errors.describe_exception(error)
+                )
+                time.sleep(ERROR_PAUSE_SECONDS)
         # Requests that have already arrived are still served.
         for fd, _ in self.epoll.poll(0):
             if fd in self.idle:
@@ -132,6 +133,21 @@
         for fd in tuple(self.idle):
             self.close_handler(self.remove_idle(fd))
 
+    def poll(self):
+        """Accept new connections and serve those with a request."""
+        for fd, _ in self.epoll.poll(POLL_TIMEOUT_SECONDS):
+            if fd == self.socket.fileno():
+                self.accept()
+            elif fd == self.wake_fd:
+                os.eventfd_read(self.wake_fd)
+            elif fd in self.idle:
+                self.submit(self.remove_idle(fd))
+        while self.reusable:
+            self.add_idle(self.reusable.popleft())
+        self.close_expired()
+        if self.lacks_thread:
+            self.start_task(int)
+
     def accept(self):
         """Accept pending connections."""
         for _ in range(MAX_ACCEPTS_PER_POLL):
@@ -148,7 +164,11 @@
             handler = connection_module.ConnectionHandler(
                 connection, address, self
             )
-            self.add_idle(handler)
+            try:
+                self.add_idle(handler)
+            except Exception:
+                self.close_handler(handler)
+                raise
 
     def refuse(self, connection):
         """Refuse a connection above the limit."""
@@ -162,8 +182,8 @@
 
     def add_idle(self, handler):
         """Start polling a connection for its next request."""
-        self.idle[handler.fd] = handler
         self.epoll.register(handler.fd, select.EPOLLIN | select.EPOLLRDHUP)
+        self.idle[handler.fd] = handler
 
     def remove_idle(self, fd):
         """Stop polling a connection; return its handler."""
@@ -174,7 +194,22 @@
         """Submit a connection with a pending request to the thread pool."""
         with self.lock:
             self.running_requests += 1
-        self.pool.submit(self.serve, handler)
+        self.start_task(self.serve, handler)
+
+    def start_task(self, function, *arguments):
+        """Queue a task of the thread pool.
+
+        Without a thread for it, the task stays queued until one is free or can
+        be started.
+        """
+        try:
+            self.pool.submit(function, *arguments)
+            self.lacks_thread = False
+        except RuntimeError as error:
+            self.lacks_thread = True
+            LOG.error(
+                'event=thread_not_started {}', errors.describe_exception(error)
+            )
 
     def serve(self, handler):
         """Serve the requests that have arrived; runs on a pool thread."""
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -210,3 +210,38 @@
         response = read_all(second)
     assert b'503' in response and b'QUEUE_FULL' in response
     assert b'"not_run":true' in response and b'X-Request-Id' in response
+
+
+def test_request_without_thread_is_served_later(start_entry, monkeypatch):
+    """Guards against a host that accepts nothing after a failed start."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    failures = [RuntimeError("can't start new thread")]
+    start = threading.Thread.start
+
+    def start_later(thread):
+        if failures and thread.name.startswith('entry-request'):
+            raise failures.pop()
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, 'start', start_later)
+    assert entry.chat(stream=False)[0] == 200
+    assert not failures
+    assert entry.chat(stream=False)[0] == 200
+
+
+def test_error_while_polling_does_not_end_the_server(start_entry, monkeypatch):
+    """Guards against a host that accepts nothing after one error."""
+    entry = start_entry(lambda request: request.answer(b'{}'))
+    failures = [OSError('no space for another descriptor')]
+    add_idle = entry.server.add_idle
+
+    def add_later(handler):
+        if failures:
+            raise failures.pop()
+        add_idle(handler)
+
+    monkeypatch.setattr(entry.server, 'add_idle', add_later)
+    with open_raw(entry) as raw:
+        assert raw.recv(1) == b''
+    assert not entry.server.open_connections
+    assert entry.chat(stream=False)[0] == 200
