Keep the threads of the scheduler after an error

What callers saw: after one error while strikes or slot reports were sent, the thread for it ended and the process went on. No work was placed any more, or the slots leased to the host expired.

Cause: Scheduler.step sent strikes outside of its handlers, and Exchange.run had none.

Change: the error is logged, and the next step follows.

Evidence: both cases of test_error_does_not_end_a_thread failed before; the tests of placement pass.

--- a/rhubarbreach/placement/exchange.py
+++ b/rhubarbreach/placement/exchange.py
@@ -5,6 +5,8 @@
 
 import threading
 
+import logbook
+
 from rhubarbreach.limits import slots
 from rhubarbreach.placement import waiting
 from rhubarbreach.protocol import hostmessages
@@ -13,6 +15,8 @@
 
 __all__ = ['Exchange', 'find_home', 'group_by_home']
 
+LOG = logbook.Logger('scheduler')
+
 # Time to wait for the reply of a home host.
 REPLY_TIMEOUT_SECONDS = 0.5
 # Interval of the service counters that are sent to each host.
@@ -100,7 +104,11 @@
     def run(self):
         """Report to the home hosts until the exchange is closed."""
         while True:
-            self.report(self.scheduler.monotonic())
+            try:
+                self.report(self.scheduler.monotonic())
+            except Exception:
+                # Without this thread, the slots of this host would expire.
+                LOG.exception('event=report_failed')
             if self.stopped.wait(slots.REPORT_PERIOD_SECONDS):
                 return
 
--- a/rhubarbreach/placement/scheduler.py
+++ b/rhubarbreach/placement/scheduler.py
@@ -188,7 +188,10 @@
                 self.execute(decision)
             except Exception:
                 LOG.exception('event=decision_failed')
-        self.exchange.send_strikes()
+        try:
+            self.exchange.send_strikes()
+        except Exception:
+            LOG.exception('event=strikes_failed')
 
     def decide(self):
         """Return the decisions of one step."""
--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+import pytest
+
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.placement.tests import conftest
@@ -169,3 +171,29 @@
     second = conftest.make_work('b2', work.Lane.BATCH, digest=b'y')
     placement = scheduler.submit(second).result(WAIT_SECONDS)
     assert placement.alone
+
+
+@pytest.mark.parametrize(
+    'place', ['core.pop_reports', 'registry.list_all'], ids=str
+)
+def test_error_does_not_end_a_thread(start_scheduler, monkeypatch, place):
+    """No work would be placed, or the slots of the host would expire."""
+    scheduler = start_scheduler()
+    scheduler.submit(conftest.make_work('first')).result(WAIT_SECONDS)
+    name, method = place.split('.')
+    part = getattr(scheduler, name)
+    function = getattr(part, method)
+    failures = [RuntimeError('no memory')]
+    called = threading.Event()
+
+    def call_later(*arguments):
+        if failures:
+            raise failures.pop()
+        called.set()
+        return function(*arguments)
+
+    monkeypatch.setattr(part, method, call_later)
+    scheduler.wake()
+    assert called.wait(WAIT_SECONDS)
+    placed = scheduler.submit(conftest.make_work('second'))
+    assert placed.result(WAIT_SECONDS).work.work_id == 'second'
