Keep probing the other hosts after an error

What callers saw: after one error while probes were sent or a listener was called, the membership thread ended, and the host took lost hosts for live.

Cause: Membership.run had no handler, and an error of one listener kept the others from being called.

Change: errors are logged, the next probe follows, and each listener is called.

Evidence: test_error_does_not_end_the_probes failed before; the tests of membership pass.

--- a/rhubarbreach/membership/hosts.py
+++ b/rhubarbreach/membership/hosts.py
@@ -147,9 +147,14 @@
     def run(self):
         """Probe until closed."""
         while not self.stopped.wait(TICK_SECONDS):
-            with self.lock:
-                self.detector.tick(clock.monotonic())
-            self.flush()
+            try:
+                with self.lock:
+                    self.detector.tick(clock.monotonic())
+                self.flush()
+            except Exception:
+                # Without this thread, the other hosts would count as live
+                # for ever.
+                LOG.exception('event=probe_failed')
 
     def receive(self, sender_id, message):
         """Handle a message of the failure detector."""
@@ -178,7 +183,10 @@
             self.link.send(host_id, message)
         if snapshot != before:
             for listener in listeners:
-                listener(snapshot)
+                try:
+                    listener(snapshot)
+                except Exception:
+                    LOG.exception('event=listener_failed')
 
     def rebuild(self):
         """Rebuild the snapshot that `alive` returns."""
--- a/rhubarbreach/membership/tests/test_hosts.py
+++ b/rhubarbreach/membership/tests/test_hosts.py
@@ -117,3 +117,27 @@
             for fleet_host in fleet_hosts
         )
     )
+
+
+def test_error_does_not_end_the_probes(fleet_hosts, monkeypatch):
+    """Guards against a host that takes lost hosts for live after one error."""
+    assert wait_for(
+        lambda: all(sees_hosts(fleet_host, 3) for fleet_host in fleet_hosts)
+    )
+    detector = fleet_hosts[0].hosts.detector
+    failures = [RuntimeError('no memory')]
+    tick = detector.tick
+
+    def tick_later(now):
+        if failures:
+            raise failures.pop()
+        tick(now)
+
+    monkeypatch.setattr(detector, 'tick', tick_later)
+    assert wait_for(lambda: not failures)
+    seen = []
+    fleet_hosts[0].hosts.subscribe(lambda hosts: 1 / 0)
+    fleet_hosts[0].hosts.subscribe(seen.append)
+    fleet_hosts[1].close()
+    assert wait_for(lambda: sees_hosts(fleet_hosts[0], 2))
+    assert wait_for(lambda: seen)
