Release batch items for which no thread can be started

What callers saw: items of a claim stayed without a result as long as the host ran. It renewed the claim, and no other host could run them.

Cause: if no thread can be started, ThreadPoolExecutor.submit raises after it has queued the call. The runner then had no future for the item and for those after it in the claim, although the call could still run.

Change: Executor.submit withdraws the queued call and returns a refusal that says not run, so that the runner releases the item and pauses its claims.

Evidence: test_call_without_thread_is_refused_and_never_runs failed before; the tests of dispatch, entry and batch pass.

--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -90,8 +90,33 @@
             self.remove_run(run)
 
     def submit(self, call, sink=None):
-        """Run a call on a thread of the executor and return its future."""
-        return self.pool.submit(self.execute, call, sink)
+        """Run a call on a thread of the executor and return its future.
+
+        Without a thread, the future completes with a refusal.
+        """
+        future = concurrent.futures.Future()
+        try:
+            self.pool.submit(self.run_submitted, future, call, sink)
+        except RuntimeError as error:
+            LOG.error('event=call_not_started reason={!r}', str(error))
+            # The pool may have queued the call before the error.
+            if future.cancel():
+                future = concurrent.futures.Future()
+                future.set_result(
+                    errors.make_refusal('QUEUE_FULL', 'no thread is free')
+                )
+        return future
+
+    def run_submitted(self, future, call, sink):
+        """Run a call and complete its future."""
+        if not future.set_running_or_notify_cancel():
+            return
+        try:
+            result = self.execute(call, sink)
+        except BaseException as error:
+            future.set_exception(error)
+        else:
+            future.set_result(result)
 
     def cancel(self, request_id):
         """Cancel a call and return whether it was running."""
--- a/rhubarbreach/dispatch/tests/test_executor.py
+++ b/rhubarbreach/dispatch/tests/test_executor.py
@@ -511,3 +511,27 @@
     refusal = executor.execute(call)
     assert refusal.ran is codes.Ran.UNKNOWN
     assert not other.requests
+
+
+def test_call_without_thread_is_refused_and_never_runs(
+    start_endpoint, start_executor, make_call, monkeypatch
+):
+    """Guards against a batch item that is claimed for ever, or runs twice.
+
+    The thread pool keeps a call in its queue if no thread can be started.
+    """
+    endpoint = start_endpoint(lambda request: request.answer(b'{}'))
+    executor = start_executor(endpoint)
+    failures = [RuntimeError("can't start new thread")]
+    start = threading.Thread.start
+
+    def start_later(thread):
+        if failures and thread.name.startswith('dispatch-call'):
+            raise failures.pop()
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, 'start', start_later)
+    refused = executor.submit(make_call(stream=False)).result(20)
+    assert (refused.code, refused.ran) == (CODES.QUEUE_FULL, codes.Ran.NO)
+    assert executor.submit(make_call(stream=False)).result(20).status == 200
+    assert len(endpoint.requests) == 1
