Wait for a closed connection in the test of the accept thread

The count of open connections drops just after the socket is closed, so that the test could look at it too early. The condition stays the same.

--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -243,5 +243,8 @@
     monkeypatch.setattr(entry.server, 'add_idle', add_later)
     with open_raw(entry) as raw:
         assert raw.recv(1) == b''
+    deadline = time.monotonic() + 20
+    while entry.server.open_connections and time.monotonic() < deadline:
+        time.sleep(0.01)
     assert not entry.server.open_connections
     assert entry.chat(stream=False)[0] == 200
