Keep a recorded stream for a caller that pauses

What callers saw: a stream that is recorded, as every stream that may not be repeated, was cut as soon as its caller had read nothing while 64 KiB arrived.

Cause: the endpoint of a recorded call is not paused for its caller, so the watermark at which it would pause counted as a caller that is too slow.

Change: up to 4 MiB are held for the caller. One that reads nothing for 10 s is cut off as before.

Evidence: test_recorded_stream_reaches_a_caller_that_pauses (1 s) failed before and passes now; the tests of entry and dispatch pass twice in a row.

--- a/rhubarbreach/entry/streams.py
+++ b/rhubarbreach/entry/streams.py
@@ -12,6 +12,8 @@
 LOG = logbook.Logger('entry')
 FLUSH_TIMEOUT_SECONDS = 30.0
 UNWATCH_TIMEOUT_SECONDS = 10.0
+# Bytes held for a caller that pauses while its recorded call continues.
+MAX_HELD_BYTES = 4 << 20
 
 
 class DetachedSink:
@@ -30,7 +32,7 @@
 
     def write(self, data):
         """Send to the caller unless it is gone or too slow."""
-        if self.caller_sink.congested:
+        if self.caller_sink.buffered_bytes > MAX_HELD_BYTES:
             self.caller_sink.slow = True
             self.caller_sink.abort()
         self.caller_sink.write(data)
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -133,6 +133,51 @@
     slow.close()
 
 
+@pytest.fixture
+def slow_client():
+    """Return a function that makes a client with a small receive buffer."""
+    clients = []
+
+    def connect(entry):
+        client = entry.connect()
+        client.sock = socket.socket()
+        client.sock.settimeout(20)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.sock.connect(('127.0.0.1', entry.server.port))
+        clients.append(client)
+        return client
+
+    yield connect
+    for client in clients:
+        client.close()
+
+
+def test_recorded_stream_reaches_a_caller_that_pauses(
+    start_entry, slow_client
+):
+    """Guards against a stream cut as its caller reads nothing for a moment."""
+
+    def handle(request):
+        request.begin()
+        for index in range(500):
+            event = fakes.make_event(request.attempt_id, index)
+            request.send(event.replace(b'"t', b'"' + BIG + b't'))
+        request.send(b'data: [DONE]\n\n')
+        request.end()
+
+    entry = start_entry(handle)
+    client = slow_client(entry)
+    client.request(
+        'POST',
+        '/v1/chat/completions',
+        BODY,
+        {'Authorization': 'Bearer k1', 'Idempotency-Key': 's1'},
+    )
+    time.sleep(1)
+    body = client.getresponse().read()
+    assert body.count(b'data: ') == 501 and body.endswith(b'[DONE]\n\n')
+
+
 def test_drain_finishes_running_requests(start_entry):
     """Guards against a shutdown that interrupts a running request."""
     entry = start_entry(lambda request: request.stream(40, 0.01))
