Send a response for as long as its caller reads it

What callers saw: a response that is not a stream was cut after 10 s though the caller was still reading it.

Cause: sendall applies the timeout of the socket to the whole response, not to the time without progress.

Change: each send has the timeout, as events of streams have.

Evidence: test_response_reaches_a_caller_that_reads_slowly failed before and passes now; the tests of entry and dispatch pass twice in a row.

--- a/rhubarbreach/entry/connection.py
+++ b/rhubarbreach/entry/connection.py
@@ -13,6 +13,7 @@
 
 # Time limit for receiving the head of a request after its first byte.
 HEAD_TIMEOUT_SECONDS = 10.0
+# A caller that reads nothing for this long is cut off.
 WRITE_TIMEOUT_SECONDS = 10.0
 
 VERSIONS = ('HTTP/1.0', 'HTTP/1.1')
@@ -230,7 +231,10 @@
         if data:
             self.wfile = io.BytesIO()
             self.connection.settimeout(WRITE_TIMEOUT_SECONDS)
-            self.connection.sendall(data)
+            # `sendall` would limit the time of the whole response.
+            view = memoryview(data)
+            while view:
+                view = view[self.connection.send(view) :]
 
     def log_request(self, code='-', size='-'):
         """Log nothing; the timeline and the metrics record each request."""
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -11,6 +11,7 @@
 
 from rhubarbreach.dispatch import sink
 from rhubarbreach.dispatch.tests import fakes
+from rhubarbreach.entry import connection
 from rhubarbreach.entry import refusals
 
 HEAD = (
@@ -178,6 +179,30 @@
     assert body.count(b'data: ') == 501 and body.endswith(b'[DONE]\n\n')
 
 
+def test_response_reaches_a_caller_that_reads_slowly(
+    start_entry, slow_client, monkeypatch
+):
+    """Guards against a response cut while its caller still reads it."""
+    monkeypatch.setattr(connection, 'WRITE_TIMEOUT_SECONDS', 0.5)
+    body = b'"' + b'x' * (8 << 20) + b'"'
+    entry = start_entry(lambda request: request.answer(body))
+    client = slow_client(entry)
+    client.request(
+        'POST',
+        '/v1/chat/completions',
+        BODY.replace(b'true', b'false'),
+        {'Authorization': 'Bearer k1'},
+    )
+    response = client.getresponse()
+    received = b''
+    while len(received) < len(body):
+        part = response.read(1 << 19)
+        assert part
+        received += part
+        time.sleep(0.1)
+    assert received == body
+
+
 def test_drain_finishes_running_requests(start_entry):
     """Guards against a shutdown that interrupts a running request."""
     entry = start_entry(lambda request: request.stream(40, 0.01))
