Let the batch runner go on once threads can be started

What callers saw: jobs that no host worked on. If no thread could be started for the first exchanges with the groups, these stayed marked as in progress, nothing else was submitted, and the process went on without its pool.

Cause: ThreadPoolExecutor.submit queues a task before it fails to start the thread for it. Runner.submit_task took any RuntimeError for the end of the pool.

Change: the failure is logged, and each step asks for a thread until the queue is served.

Evidence: test_runner_goes_on_once_threads_can_be_started failed before; the tests of batch pass.

--- a/rhubarbreach/batch/runner.py
+++ b/rhubarbreach/batch/runner.py
@@ -74,6 +74,7 @@
         self.wake = threading.Event()
         self.draining = False
         self.closed = False
+        self.lacks_thread = False
         self.pool = concurrent.futures.ThreadPoolExecutor(
             MAX_WORKERS, thread_name_prefix='batch'
         )
@@ -97,6 +98,8 @@
 
     def step(self, now):
         """Cancel items of expired claims and start due exchanges."""
+        if self.lacks_thread:
+            self.submit_task(int)
         self.retry_cancellations()
         expired = self.claims.remove_expired(now)
         if expired:
@@ -111,7 +114,11 @@
             self.claim_due(now)
 
     def submit_task(self, function, *arguments):
-        """Run a function on the pool and log its exceptions."""
+        """Run a function on the pool and log its exceptions.
+
+        Without a thread for it, the function stays queued until one is free or
+        can be started.
+        """
 
         def run_task():
             try:
@@ -122,9 +129,12 @@
 
         try:
             self.pool.submit(run_task)
-        except RuntimeError:
-            # The pool was shut down by close().
-            return
+            self.lacks_thread = False
+        except RuntimeError as error:
+            # The pool may also have been shut down by close().
+            self.lacks_thread = not self.closed
+            if self.lacks_thread:
+                LOG.error('event=thread_not_started reason={!r}', str(error))
 
     def claim_due(self, now):
         """Claim from the groups whose backoff has passed."""
--- a/rhubarbreach/batch/tests/test_runner.py
+++ b/rhubarbreach/batch/tests/test_runner.py
@@ -316,3 +316,20 @@
     harness.start(fakes.FakeExecutor(answer))
     status = harness.wait_state('job-1')
     assert (status.done, status.failed) == (1, 0)
+
+
+def test_runner_goes_on_once_threads_can_be_started(harness, monkeypatch):
+    """Guards against a runner whose exchanges wait for a thread for ever."""
+    failures = [RuntimeError("can't start new thread")] * 2 * GROUPS
+    start = threading.Thread.start
+
+    def start_later(thread):
+        if failures and thread.name.startswith('batch_'):
+            raise failures.pop()
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, 'start', start_later)
+    harness.submit('job', 4)
+    harness.start(fakes.FakeExecutor())
+    assert harness.wait_state('job').done == 4
+    assert not failures
