Do not count an unused placement against its endpoint

What callers saw: an endpoint that had refused nothing counted as lost on the host until its next announcement, and as failed once, when a call was cancelled or expired at the moment of its placement. The search for a second endpoint made that frequent if there is only one.

Cause: the placement was released with the outcome NOT_RUN, which stands for an endpoint that refuses work.

--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -258,12 +258,15 @@
         return future.result()
 
     def release_unused(self, future):
-        """Release the placement of work that was withdrawn."""
+        """Release the placement of work that was withdrawn.
+
+        Its endpoint has refused nothing, so it does not count as not run.
+        """
         if future.cancelled() or future.exception() is not None:
             return
         placement = future.result()
         if isinstance(placement, work_module.Placement):
-            outcome = work_module.Outcome(work_module.OutcomeStatus.NOT_RUN)
+            outcome = work_module.Outcome(work_module.OutcomeStatus.CANCELLED)
             self.scheduler.release(placement, outcome)
 
     def attempt(self, run, placement):
--- a/rhubarbreach/dispatch/tests/test_silent_endpoints.py
+++ b/rhubarbreach/dispatch/tests/test_silent_endpoints.py
@@ -1,12 +1,19 @@
 """Tests of calls whose endpoint is silent for a while and goes on."""
 
+import dataclasses
+import random
 import time
 
 import pytest
 
+from rhubarbreach import clock
 from rhubarbreach.dispatch import loop
 from rhubarbreach.dispatch.tests import fakes
 from rhubarbreach.dispatch.tests import test_executor
+from rhubarbreach.membership import endpoints
+from rhubarbreach.placement import scheduler
+from rhubarbreach.placement.tests import conftest
+from rhubarbreach.settings import model
 
 SILENT_AFTER_SECONDS = 0.2
 SILENCE_SECONDS = 0.8
@@ -135,3 +142,45 @@
     assert result.endpoint_id == 'e0'
     late.wait_for(late.cancelled)
     assert executor.scheduler.released[0][1].status.value == 'completed'
+
+
+@pytest.fixture
+def make_scheduler():
+    """Return a function that starts the scheduler of a fake endpoint."""
+    started = []
+
+    def make(endpoint):
+        registry = endpoints.EndpointRegistry()
+        row = dataclasses.replace(
+            conftest.make_row('e0'), address=f'127.0.0.1:{endpoint.port}'
+        )
+        registry.announce(row, clock.monotonic())
+        policy = model.PolicySettings('full', 2)
+        started.append(
+            scheduler.Scheduler(
+                'h1', 'z1', registry, policy, random=random.Random(1)
+            )
+        )
+        started[-1].start()
+        return started[-1]
+
+    yield make
+    for one in started:
+        one.close()
+
+
+def test_search_besides_the_only_endpoint_does_not_count_against_it(
+    start_endpoint, start_executor, make_call, make_scheduler
+):
+    """Guards against a sound endpoint that counts as lost.
+
+    The scheduler places work on an excluded endpoint if there is no other.
+    """
+    silent = start_endpoint(stream_with_silence(2))
+    executor = start_executor(silent, first_byte_fraction=FRACTION)
+    executor.scheduler = make_scheduler(silent)
+    result = executor.execute(make_call(model_id='m', account_id='a'))
+    assert test_executor.get_tokens(result.body) == TOKENS
+    assert len(silent.requests) == 1
+    registry = executor.scheduler.registry
+    assert registry.usable('m', clock.monotonic())
