Search only other endpoints for a second attempt of a call

What callers saw: nothing yet; found by reading. While the endpoint of an online call is silent, a second one is searched. The scheduler falls back on excluded endpoints if there is no other, and took a slot there back from a batch item, which was so given up for a placement that is not used.

Cause: an endpoint that failed and one on which the call still runs were both only excluded.

Change: work names the endpoints in use, which are never chosen for it.

Evidence: both cases of test_second_attempt_takes_no_slot_where_the_first_one_runs failed before; the tests of dispatch, placement, scheduling and entry pass.

--- a/rhubarbreach/dispatch/executor.py
+++ b/rhubarbreach/dispatch/executor.py
@@ -220,10 +220,10 @@
                 self.runs_by_work_id.pop(work.work_id, None)
         return placement
 
-    def submit_work(self, run, excluded=frozenset()):
+    def submit_work(self, run, in_use=frozenset()):
         """Submit the work of a call and return it with its future."""
         work_id = os.urandom(ATTEMPT_ID_BYTES).hex()
-        work = run_module.make_work(run, work_id, excluded)
+        work = run_module.make_work(run, work_id, in_use)
         # The run is registered first, since the scheduler may place and
         # preempt the work before `submit` returns.
         with self.lock:
--- a/rhubarbreach/dispatch/hedge.py
+++ b/rhubarbreach/dispatch/hedge.py
@@ -168,15 +168,17 @@
         last = self.running[-1]
         if run.begun and run.software_version is None:
             run.software_version = last.placement.endpoint.software_version
-        excluded = {one.placement.endpoint.endpoint_id for one in self.running}
-        work, future = self.executor.submit_work(run, frozenset(excluded))
+        in_use = frozenset(
+            one.placement.endpoint.endpoint_id for one in self.running
+        )
+        work, future = self.executor.submit_work(run, in_use)
         self.wait(self.deadline, future, run.cancelled)
         is_needed = (is_slow or last.is_silent) and not run.cancelled.done()
         relay = run.relay
         if (
             not is_needed
             or any(one.future.done() for one in self.running)
-            or not is_placed_elsewhere(future, excluded)
+            or not is_placed_elsewhere(future, in_use)
             or (relay is not None and (relay := self.fork_relay()) is None)
             or not (run.tokens or self.executor.budget.take(now))
         ):
--- a/rhubarbreach/dispatch/run.py
+++ b/rhubarbreach/dispatch/run.py
@@ -160,7 +160,7 @@
         )
 
 
-def make_work(run, work_id, excluded=frozenset()):
+def make_work(run, work_id, in_use=frozenset()):
     """Return the work for the next attempt of a call.
 
     Parameters
@@ -169,8 +169,8 @@
         The call and its state.
     work_id : str
         New id, which is also the attempt id.
-    excluded : frozenset of str
-        Endpoints to exclude in addition to those that failed the call.
+    in_use : frozenset of str
+        Endpoints on which the call still runs.
     """
     call = run.call
     return work_module.Work(
@@ -182,9 +182,10 @@
         deadline=call.deadline,
         digest=run.digest,
         prefix=run.prefix,
-        excluded=run.excluded | excluded,
+        excluded=run.excluded | in_use,
         weight=call.weight,
         software_version=run.software_version,
+        in_use=in_use,
     )
 
 
--- a/rhubarbreach/placement/core.py
+++ b/rhubarbreach/placement/core.py
@@ -104,9 +104,8 @@
                 f'at least {suspects.MAX_STRIKES} endpoints were lost while '
                 'this request ran alone on them',
             )
-        if item.software_version is not None and not versions.list_usable(
-            self.registry, item, now
-        ):
+        is_bound = item.software_version is not None or item.in_use
+        if is_bound and not versions.list_usable(self.registry, item, now):
             return versions.refuse(item)
         return None
 
--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -197,3 +197,18 @@
     assert called.wait(WAIT_SECONDS)
     placed = scheduler.submit(conftest.make_work('second'))
     assert placed.result(WAIT_SECONDS).work.work_id == 'second'
+
+
+@pytest.mark.parametrize('lane', list(work.Lane))
+def test_second_attempt_takes_no_slot_where_the_first_one_runs(
+    start_scheduler, lane
+):
+    """A batch item must not yield to a search that finds no other endpoint."""
+    scheduler = start_scheduler()
+    preempted = []
+    scheduler.set_preempt(preempted.append)
+    assert fill_with_batch(scheduler, 8)
+    item = conftest.make_work('second', lane, in_use=frozenset(('e1', 'e2')))
+    refused = scheduler.submit(item).result(WAIT_SECONDS)
+    assert refused.code == codes.ResultCode.NO_ENDPOINT
+    assert not preempted
--- a/rhubarbreach/placement/versions.py
+++ b/rhubarbreach/placement/versions.py
@@ -1,4 +1,4 @@
-"""Endpoints by the software version of the stream that work resumes."""
+"""Endpoints that may run work, by software version and other attempts."""
 
 from rhubarbreach import codes
 
@@ -14,7 +14,7 @@
         Registry of announced endpoints.
     item : Work
         Work to place. A stream resumes only at the software version that
-        began it.
+        began it, and an endpoint runs only one attempt of a call.
     now : float
         Monotonic seconds.
 
@@ -23,17 +23,23 @@
     tuple of EndpointInfo
     """
     usable = registry.usable(item.model_id, now)
-    if item.software_version is None:
+    if item.software_version is None and not item.in_use:
         return usable
     return tuple(
         endpoint
         for endpoint in usable
-        if endpoint.software_version == item.software_version
+        if item.software_version in (None, endpoint.software_version)
+        and endpoint.endpoint_id not in item.in_use
     )
 
 
 def refuse(item):
     """Return the refusal of work for which no endpoint is usable."""
+    if item.in_use:
+        return codes.Refusal(
+            codes.ResultCode.NO_ENDPOINT,
+            f'no other endpoint of {item.model_id} may run the call',
+        )
     return codes.Refusal(
         codes.ResultCode.STREAM_BROKEN,
         f'no endpoint of {item.model_id} has the software version '
--- a/rhubarbreach/scheduling/work.py
+++ b/rhubarbreach/scheduling/work.py
@@ -53,6 +53,9 @@
         Weight of the client account.
     software_version : str or None
         Software version that began the stream that this work resumes.
+    in_use : frozenset of str
+        Endpoints on which the same call still runs. Unlike an excluded
+        endpoint, none of them is used if there is no other.
     """
 
     work_id: str
@@ -66,6 +69,7 @@
     excluded: frozenset[str] = frozenset()
     weight: float = 1.0
     software_version: str | None = None
+    in_use: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
