Keep batch items while the home host of an endpoint is silent

What callers saw: items of jobs began anew. When the home host of an endpoint was silent for more than 1 s, each host preempted all batch items that it ran there, and nothing else took their slots.

Cause: a lease of slots that had expired counted as one of no slots.

Change: without a lease no item starts, and those that run go on. The next lease tells whether others need the slots, and the excess is then preempted. While a host is cut off from the home host, its items may so run beside those of hosts that lease the slots again, as its online requests did before.

Evidence: test_batch_items_go_on_while_the_home_host_is_silent failed before; the tests of limits and placement pass twice in a row.

--- a/rhubarbreach/limits/slots.py
+++ b/rhubarbreach/limits/slots.py
@@ -186,13 +186,19 @@
                 use.inter_tokens.append(inter_token)
 
     def count_excess(self, endpoint_id, now):
-        """Return the number of batch requests that exceed the slots."""
+        """Return the number of batch requests that exceed the slots.
+
+        Without a lease there is none: the home host may only be silent, and
+        its next lease tells whether others need the slots.
+        """
         with self.lock:
             use = self.get_use(endpoint_id)
             if self.fixed_slots:
                 return 0
-            if use.wants_exclusive or now >= use.expires_at:
+            if use.wants_exclusive:
                 return use.batch
+            if now >= use.expires_at:
+                return 0
             total = use.online_leased + use.batch_leased
             return min(use.batch, max(0, use.count() - total))
 
--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.limits import home
 from rhubarbreach.placement.tests import conftest
 from rhubarbreach.scheduling import work
 
@@ -212,3 +213,22 @@
     refused = scheduler.submit(item).result(WAIT_SECONDS)
     assert refused.code == codes.ResultCode.NO_ENDPOINT
     assert not preempted
+
+
+def test_batch_items_go_on_while_the_home_host_is_silent(start_scheduler):
+    """An item must not be given up for a lease that is renewed late."""
+    scheduler = start_scheduler()
+    preempted = []
+    scheduler.set_preempt(preempted.append)
+    assert fill_with_batch(scheduler, 8)
+    scheduler.exchange.close()
+    time.sleep(1.5 * home.LEASE_DURATION_SECONDS)
+    assert not preempted
+    now = clock.monotonic()
+    assert not any(
+        scheduler.slots.has_free(name, work.Lane.BATCH, now)
+        for name in ('e1', 'e2')
+    )
+    scheduler.exchange.report(now)
+    scheduler.step()
+    assert not preempted
