Keep batch items when the home host of an endpoint changes

What callers saw: items of jobs began anew after each change of the home host of an endpoint, such as the loss or the silence of a host.

Cause: a new home host leases no slots to batch work until the leases of its predecessor have ended, so that a host preempted the items that it ran under such a lease.

Change: items that run keep their slots, unless requests exceed the limit. None starts before, as required by test_batch_gets_nothing_before_former_leases_end.

Evidence: test_new_home_host_leaves_running_batch_items_alone failed before; the tests of limits and placement pass twice in a row.

--- a/rhubarbreach/limits/home.py
+++ b/rhubarbreach/limits/home.py
@@ -111,7 +111,7 @@
     now : float
         Monotonic time in seconds at which the host became the home host.
         Until the leases of the former home host have ended, only online
-        demand is served.
+        demand is served, and batch items that run keep their slots.
     settings : LimitSettings
         Bounds of the adaptive concurrency limit.
     """
@@ -189,7 +189,8 @@
         if now < self.started_at + LEASE_DURATION_SECONDS * (
             1 + clock.MAX_DRIFT
         ):
-            return Slots(max(1, online[host_id]), 0, running_elsewhere)
+            kept = self.shrink_batch(host_id, uses, limit, 0)
+            return Slots(max(1, online[host_id]), kept, running_elsewhere)
         reserved_elsewhere = self.count_reserved_elsewhere(host_id, uses)
         peak = self.update_peak(sum(online.values()), now)
         batch = self.divide_batch(limit - round(peak), uses)[host_id]
--- a/rhubarbreach/limits/tests/test_home.py
+++ b/rhubarbreach/limits/tests/test_home.py
@@ -45,6 +45,15 @@
     assert allocator.handle_report('h', make_use(wanted=9), START).batch > 0
 
 
+def test_new_home_host_leaves_running_batch_items_alone(allocator):
+    """Batch items must not end because another host leases the slots."""
+    slots = allocator.handle_report('a', make_use(batch=10, wanted=3), 0.5)
+    assert slots.batch == 10
+    allocator.handle_report('b', make_use(online=9), 0.6)
+    slots = allocator.handle_report('a', make_use(batch=10, wanted=3), 0.7)
+    assert slots.batch == 7
+
+
 def test_online_takes_slots_back_only_beyond_the_limit(allocator):
     """Running batch items must be kept while the limit allows it."""
     allocator.handle_report('a', make_use(batch=10), START)
