Let a replica recover when its disk works again

Callers saw: after the disks of three stores had been full one after another, changes were refused or stayed unanswered for good, while all processes ran.

Cause: Group.run ended with any error but a full disk at a write. A sync, a rename, a removal or an error of the device ended the replica until its process was started anew, and nothing ended the process. Two such stores of three left no majority.

Change: after an error of the disk the replica sends nothing that the step has collected, becomes a follower, refuses commands and drops messages. It tries again after 0.1 s, then up to 1 s, until the disk works. Pages of a failed sync may be gone although a later one succeeds, so the log returns to its last synced offset and the entries after it are written again before anything is acknowledged. A vote that was being replaced may be durable, so it counts and is written again.

--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -44,9 +44,11 @@
         self.snapshot_index = group.store.snapshot.last_index
         # Total size of the commands applied since the last snapshot.
         self.applied_bytes = 0
-        # True while a prepared snapshot waits to be published. The next one
-        # is not prepared before that.
-        self.publishing = False
+        # Prepared snapshot that waits to be published. The next one is not
+        # prepared before that.
+        self.prepared = None
+        # Error that has ended the thread.
+        self.failure = None
         self.thread = threading.Thread(
             target=self.run, name=f'apply-{group.group_id}', daemon=True
         )
@@ -72,7 +74,13 @@
                     complete_future(read.future, read.index)
         except Exception as error:
             LOG.exception('event=apply_failed group={}', self.group.group_id)
-            self.group.post(raise_error, error)
+            self.failure = error
+            self.group.post(self.check)
+
+    def check(self):
+        """Raise the error that has ended the thread, if any."""
+        if self.failure is not None:
+            raise exceptions.ReplicaError('apply thread') from self.failure
 
     def wait_for_work(self):
         """Wait for a snapshot to restore, or for due entries and reads."""
@@ -163,7 +171,7 @@
         is_large = 0 < settings.snapshot_bytes <= self.applied_bytes
         if entry_count < settings.snapshot_entries and not is_large:
             return
-        if self.publishing or self.is_postponed(entry_count):
+        if self.prepared or self.is_postponed(entry_count):
             return
         self.applied_bytes = 0
         with group.lock:
@@ -175,12 +183,16 @@
         )
         try:
             group.store.prepare_snapshot(snapshot)
-        except exceptions.DiskFullError:
+        except (exceptions.DiskFullError, OSError) as error:
             # The log stays longer; the next snapshot trims it.
-            LOG.warning('event=snapshot_refused group={}', group.group_id)
+            LOG.warning(
+                'event=snapshot_refused group={} error={!r}',
+                group.group_id,
+                str(error),
+            )
             return
-        self.publishing = True
-        group.post(self.publish, snapshot)
+        self.prepared = snapshot
+        group.post(self.publish)
 
     def is_postponed(self, entry_count):
         """Return whether a peer has to receive the current snapshot first.
@@ -198,12 +210,14 @@
         with group.lock:
             return leading.is_installing(group.state, clock.monotonic())
 
-    def publish(self, snapshot):
+    def publish(self):
         """Publish a prepared snapshot, on the group thread."""
+        if self.prepared is None:
+            return
         try:
-            self.group.store.publish_snapshot(snapshot)
+            self.group.store.publish_snapshot(self.prepared)
         finally:
-            self.publishing = False
+            self.prepared = None
 
 
 def has_work(state):
@@ -222,11 +236,6 @@
     return read.index_only or read.index <= state.applied_index
 
 
-def raise_error(error):
-    """Raise an error on the group thread."""
-    raise error
-
-
 def pop_ready_reads(state):
     """Remove and return the reads that may complete."""
     ready = [read for read in state.reads if is_ready(state, read)]
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -35,6 +35,10 @@
 # Half of the entries of a snapshot interval stay in memory after the snapshot,
 # so that a replica that was offline for a second or two needs no snapshot.
 TRAILING_LOG_DIVISOR = 2
+# A replica whose disk fails tries to use it again after a delay that doubles
+# with each failure, until the disk has worked for a while.
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 1.0
 MAX_EVENTS = 4096
 MAX_COMMAND_BYTES = 1536 * 1024
 
@@ -79,7 +83,12 @@
         self.committed = threading.Condition(self.lock)
         self.inbox = queue.SimpleQueue()
         self.closed = False
+        # Error for which this replica does not take part; it lasts until the
+        # disk works again, and to the end of the process if `has_ended`.
         self.failure = None
+        self.has_ended = False
+        self.retry_seconds = MIN_RETRY_SECONDS
+        self.recovered_at = float('-inf')
         now = clock.monotonic()
         self.state = states.State(settings, self.store, random.Random(), now)
         try:
@@ -259,41 +268,112 @@
         self.inbox.put((sender_id, message))
 
     def run(self):
-        """Handle events until the group is closed or its disk fails."""
+        """Handle events until the group is closed or fails for good."""
         events = []
         try:
             while not self.closed:
                 events = self.collect_events()
                 self.stall_detector.begin_step(clock.monotonic())
-                self.step(events)
+                try:
+                    self.step(events)
+                except (OSError, exceptions.DiskFullError) as error:
+                    self.recover(error, events)
                 self.stall_detector.end_step()
         except Exception as error:
             self.fail(error, events)
 
-    def fail(self, error, events):
-        """Stop participating in the group.
+    def recover(self, error, events):
+        """Refuse all events until the disk works again.
+
+        Nothing that the failed step has collected is sent, because its writes
+        may not be durable.
 
-        After an error it is unknown which state is durable.
+        Parameters
+        ----------
+        error : OSError or DiskFullError
+            Error of the disk.
+        events : list
+            Events of the failed step, which may have run.
         """
         if self.closed:
             return
-        LOG.exception('event=group_failed group={}', self.group_id)
+        LOG.warning(
+            'event=disk_failed group={} error={!r}', self.group_id, str(error)
+        )
+        self.withdraw(error, events)
+        now = clock.monotonic()
+        if now - self.recovered_at > MAX_RETRY_SECONDS:
+            self.retry_seconds = MIN_RETRY_SECONDS
+        while not self.closed:
+            self.refuse_until(clock.monotonic() + self.retry_seconds)
+            self.retry_seconds = min(2 * self.retry_seconds, MAX_RETRY_SECONDS)
+            try:
+                with self.lock:
+                    self.store.recover()
+            except (OSError, exceptions.DiskFullError) as repeated:
+                self.failure = repeated
+                continue
+            break
+        self.recovered_at = clock.monotonic()
+        with self.lock:
+            self.failure = None
+            states.set_election_deadline(self.state, self.recovered_at)
+            self.advance_state(self.recovered_at)
+            self.schedule_tick(self.recovered_at)
+        self.post(self.applier.publish)
+        LOG.info('event=disk_recovered group={}', self.group_id)
+
+    def withdraw(self, error, events):
+        """Stop to take part in the group after an error."""
         self.stall_detector.end_step()
         self.last_quorum_contact = float('-inf')
         with self.lock:
+            now = clock.monotonic()
             self.failure = error
-            # No further entry is certain to be applied, so no request may
-            # wait for one.
-            self.state.commit_index = self.state.applied_index
-            states.become_follower(
-                self.state, self.store.term, None, clock.monotonic()
-            )
+            self.state.outbox.clear()
+            self.state.after_sync.clear()
+            states.become_follower(self.state, self.store.term, None, now)
+            self.advance_state(now)
             self.changed.notify_all()
         self.complete_deferred()
-        reason = f'group has failed: {error}'
+        refusal = states.make_unknown_outcome(f'replica has failed: {error}')
         for event in events:
-            handling.refuse_event(event, states.make_unknown_outcome(reason))
-        refusal = codes.Refusal(codes.ResultCode.UNAVAILABLE, reason)
+            handling.refuse_event(event, refusal)
+
+    def refuse_until(self, deadline):
+        """Refuse commands and drop messages until a deadline or the end."""
+        refusal = codes.Refusal(
+            codes.ResultCode.UNAVAILABLE, f'disk has failed: {self.failure}'
+        )
+        while not self.closed:
+            delay = clock.remaining(deadline, clock.monotonic())
+            if not delay:
+                return
+            try:
+                event = self.inbox.get(timeout=delay)
+            except queue.Empty:
+                return
+            handling.refuse_event(event, refusal)
+            with self.lock:
+                changes.expire_requests(self.state, clock.monotonic())
+            self.complete_deferred()
+            self.applier.check()
+
+    def fail(self, error, events):
+        """Stop for good; the process has to end."""
+        if self.closed:
+            return
+        LOG.exception('event=group_failed group={}', self.group_id)
+        self.has_ended = True
+        with self.lock:
+            # No further entry is certain to be applied, so no request may
+            # wait for one.
+            self.state.commit_index = self.state.applied_index
+            states.clear_leader_state(self.state)
+        self.withdraw(error, events)
+        refusal = codes.Refusal(
+            codes.ResultCode.UNAVAILABLE, f'group has failed: {error}'
+        )
         while not self.closed:
             handling.refuse_event(self.inbox.get(), refusal)
 
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -246,9 +246,46 @@
         """Persist the term and vote before they take effect."""
         if (term, vote) == (self.term, self.vote):
             return
-        files.replace_file(self.path / VOTE_NAME, ENCODER.encode((term, vote)))
+        self.write_vote(term, vote)
         self.term, self.vote = term, vote
 
+    def recover(self):
+        """Make the files agree with this object after an error of the disk.
+
+        Entries that were not synced are written again, because a later sync
+        may not cover them. A vote whose file was replaced may be durable
+        although the folder was not synced, so it counts.
+
+        Raises
+        ------
+        OSError, DiskFullError
+            If the disk still fails; nothing may be acknowledged.
+        CorruptLogError
+            If a file cannot be decoded.
+        """
+        self.log.rewind()
+        first = max(self.synced_index, self.base_index) + 1
+        entries = self.entries[first - self.base_index - 1 :]
+        if entries:
+            self.write_entries(entries)
+        self.log.sync()
+        self.synced_index = self.last_index
+        data = files.read_file(self.path / VOTE_NAME)
+        if data is not None:
+            stored = VOTE_DECODER.decode(data)
+            self.term, self.vote = max(stored, (self.term, self.vote))
+            self.write_vote(self.term, self.vote)
+        data = files.read_file(self.path / FORMATION_NAME)
+        if data is not None:
+            formation = FORMATION_DECODER.decode(data)
+            if not self.formed:
+                self.formed, self.initial_members = formation
+            self.save_formation(self.formed, self.initial_members)
+
+    def write_vote(self, term, vote):
+        """Replace the file of the term and vote."""
+        files.replace_file(self.path / VOTE_NAME, ENCODER.encode((term, vote)))
+
     def save_formation(self, formed, members):
         """Persist the identities of the initial voters."""
         files.replace_file(
@@ -264,10 +301,7 @@
         DiskFullError
             If the disk is full; nothing has changed.
         """
-        payload = ENCODER.encode(
-            [(e.index, e.term, e.kind, e.data) for e in entries]
-        )
-        number = self.log.append(payload)
+        self.write_entries(entries)
         first = entries[0].index
         if first <= self.last_index:
             del self.entries[first - self.base_index - 1 :]
@@ -275,15 +309,22 @@
             while self.member_changes and self.member_changes[-1][0] >= first:
                 self.member_changes.pop()
         self.entries.extend(entries)
-        self.segment_last_indexes[number] = max(
-            self.segment_last_indexes.get(number, 0), entries[-1].index
-        )
         for entry in entries:
             if entry.kind == model.ENTRY_MEMBERS:
                 self.member_changes.append(
                     (entry.index, decode_members(entry.data))
                 )
 
+    def write_entries(self, entries):
+        """Append a record with entries to the log."""
+        payload = ENCODER.encode(
+            [(e.index, e.term, e.kind, e.data) for e in entries]
+        )
+        number = self.log.append(payload)
+        self.segment_last_indexes[number] = max(
+            self.segment_last_indexes.get(number, 0), entries[-1].index
+        )
+
     @property
     def is_synced(self):
         """Whether all entries are durable."""
--- /dev/null
+++ b/rhubarbreach/consensus/tests/disks.py
@@ -0,0 +1,84 @@
+"""Disks of the hosts of a cluster that refuse operations."""
+
+import errno
+import os
+import pathlib
+
+from rhubarbreach.storage import files
+from rhubarbreach.storage import segments
+
+OPERATIONS = ('write', 'sync', 'folder', 'rename', 'unlink')
+ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)
+
+
+class Disks:
+    """Disks that fail operations, and lose unsynced pages if a sync fails.
+
+    Parameters
+    ----------
+    patch : pytest.MonkeyPatch
+        Patch of the functions that write, sync, rename and remove.
+    """
+
+    def __init__(self, patch):
+        # Operation that fails and its error by host.
+        self.faults = {}
+        # Size at the last sync by segment.
+        self.synced = {}
+        write_all = segments.SegmentLog.write_all
+
+        def write(log, data):
+            self.check(log.folder, 'write')
+            write_all(log, data)
+
+        patch.setattr(segments.SegmentLog, 'write_all', write)
+        patch.setattr(os, 'fsync', self.wrap_sync(os.fsync))
+        patch.setattr(files, 'sync_data', self.wrap_sync(files.sync_data))
+        patch.setattr(os, 'replace', self.wrap('rename', os.replace))
+        unlink = self.wrap('unlink', pathlib.Path.unlink)
+        patch.setattr(pathlib.Path, 'unlink', unlink)
+
+    def fail(self, host, operation, number=errno.ENOSPC):
+        """Make an operation fail on a host until `heal`."""
+        self.faults[host] = (operation, number)
+
+    def heal(self, host):
+        """End the fault of a host."""
+        self.faults.pop(host, None)
+
+    def check(self, path, operation):
+        """Raise if an operation fails on the host of a path."""
+        for host, (failing, number) in list(self.faults.items()):
+            if host in pathlib.Path(path).parts and operation == failing:
+                raise OSError(number, os.strerror(number))
+
+    def wrap(self, operation, function):
+        """Return a function on paths that may fail."""
+
+        def run(path, *arguments, **options):
+            self.check(path, operation)
+            return function(path, *arguments, **options)
+
+        return run
+
+    def wrap_sync(self, sync):
+        """Return a sync that may fail, and then drops what it covers."""
+
+        def run(descriptor):
+            path = pathlib.Path(os.readlink(f'/proc/self/fd/{descriptor}'))
+            if path.is_dir():
+                self.check(path, 'folder')
+                return sync(descriptor)
+            size = os.fstat(descriptor).st_size
+            try:
+                self.check(path, 'sync')
+            except OSError:
+                if path.suffix == segments.SUFFIX:
+                    start = min(self.synced.get(path, 0), size)
+                    os.pwrite(descriptor, bytes(size - start), start)
+                raise
+            sync(descriptor)
+            self.synced[path] = size
+            return None
+
+        return run
--- /dev/null
+++ b/rhubarbreach/consensus/tests/test_failing_disks.py
@@ -0,0 +1,97 @@
+"""Tests of groups whose disks refuse writes, syncs, renames and removals."""
+
+import pytest
+
+from rhubarbreach import codes
+from rhubarbreach.consensus import model
+from rhubarbreach.consensus import store as stores
+from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus.tests import disks as disk_faults
+from rhubarbreach.protocol import logmessages
+
+
+@pytest.fixture
+def disks(monkeypatch):
+    return disk_faults.Disks(monkeypatch)
+
+
+@pytest.mark.parametrize('operation', disk_faults.OPERATIONS)
+def test_disks_that_fail_one_after_another(tmp_path, disks, operation):
+    """Guards against replicas that stay away after their disk has failed."""
+    with cluster.running(tmp_path, snapshot_entries=10) as test_cluster:
+        test_cluster.commit(b'first')
+        for host in cluster.HOSTS:
+            disks.fail(host, operation)
+            for _ in range(15):
+                test_cluster.propose(
+                    cluster.make_operation(b'during'), seconds=0.1
+                )
+            disks.heal(host)
+            test_cluster.commit(b'after', seconds=8)
+        cluster.wait_until(
+            lambda: not any(g.failure for g in test_cluster.groups())
+        )
+        test_cluster.commit(b'last', seconds=8)
+        test_cluster.wait_equal()
+
+
+def make_entries(first, last, term):
+    return [
+        logmessages.LogEntry(index, term, model.ENTRY_COMMAND, b'x')
+        for index in range(first, last + 1)
+    ]
+
+
+@pytest.fixture
+def store(tmp_path, disks):
+    """Store with three synced entries and two that a failed sync has lost."""
+    opened = stores.Store(tmp_path / 'host-1' / 'g')
+    opened.save_vote(1, 'host-1')
+    opened.append(make_entries(1, 3, 1))
+    opened.sync()
+    opened.synced_index = 3
+    opened.append(make_entries(4, 5, 1))
+    disks.fail('host-1', 'sync')
+    with pytest.raises(OSError):
+        opened.sync()
+    disks.heal('host-1')
+    yield opened
+    opened.close()
+
+
+def test_entries_of_a_failed_sync_are_written_again(store):
+    """Guards against entries that a later sync does not cover."""
+    store.recover()
+    store.append(make_entries(6, 6, 1))
+    store.sync()
+    store.close()
+    reopened = stores.Store(store.path)
+    reopened.close()
+    assert [entry.index for entry in reopened.entries] == [1, 2, 3, 4, 5, 6]
+
+
+def test_vote_whose_folder_was_not_synced_counts(store, disks):
+    """Guards against a second vote in a term in which one may be durable."""
+    store.recover()
+    disks.fail('host-1', 'folder')
+    with pytest.raises(OSError):
+        store.save_vote(2, 'host-2')
+    disks.heal('host-1')
+    store.recover()
+    assert (store.term, store.vote) == (2, 'host-2')
+
+
+def test_command_during_a_failure_is_refused_as_not_run(tmp_path, disks):
+    """Guards against callers that wait for a replica whose disk fails."""
+    with cluster.running(tmp_path) as test_cluster:
+        test_cluster.commit(b'first')
+        replica = test_cluster.leader()
+        host = replica.settings.host_id
+        disks.fail(host, 'sync')
+        test_cluster.propose(cluster.make_operation(b'lost'), seconds=0.2)
+        cluster.wait_until(lambda: replica.failure)
+        deadline = cluster.clock.monotonic() + cluster.WAIT_SECONDS
+        refusal = replica.propose(b'refused', deadline).result(5)
+        assert refusal.ran == codes.Ran.NO
+        disks.heal(host)
+        cluster.wait_until(lambda: not replica.failure)
--- a/rhubarbreach/exceptions.py
+++ b/rhubarbreach/exceptions.py
@@ -10,6 +10,7 @@
     'DataFolderError',
     'DiskFullError',
     'MessageError',
+    'ReplicaError',
     'RhubarbreachError',
     'SettingsError',
 ]
@@ -49,6 +50,10 @@
     """
 
 
+class ReplicaError(RhubarbreachError):
+    """Raised when a replica has ended and its process has to start anew."""
+
+
 class DiskFullError(RhubarbreachError):
     """Raised when a file cannot grow because the file system is full."""
 
--- a/rhubarbreach/storage/segments.py
+++ b/rhubarbreach/storage/segments.py
@@ -233,13 +233,37 @@
         ------
         OSError
             If the disk fails. It is then unknown which records are durable,
-            and the log must be opened again before further use.
+            and the log must be rewound before further use.
         """
         end = self.offset
         files.sync_data(self.file.fileno())
         self.synced = end
         self.sync_count += 1
 
+    def rewind(self):
+        """Drop all records that are not certain to be durable.
+
+        A later sync does not cover the pages that a failed one has dropped.
+        The caller appends the lost records again.
+
+        Raises
+        ------
+        OSError
+            If the disk still fails; the log must be rewound again.
+        """
+        self.remove_after(self.number)
+        self.file.truncate(self.synced)
+        self.file.seek(self.synced)
+        os.fsync(self.file.fileno())
+        self.offset = self.synced
+
+    def remove_after(self, number):
+        """Delete the segments that were created without effect."""
+        for path in self.folder.glob(f'*{SUFFIX}'):
+            if int(path.stem) > number:
+                path.unlink()
+        files.sync_folder(self.folder)
+
     def roll(self):
         """Sync the segment and start the next one."""
         if not self.is_synced:
