Take the mark of a full disk back when a write succeeds

Callers saw: a change met a group whose leader hands its leadership on although its disk has room.

Cause: the mark disk_full was taken back by the next proposal, or by entries of a leader, but not by the first entry of a new leader. A leader without commands kept it for good; with two marks leadership could go back and forth.

Change: the first entry of a term takes the mark back. A leader that still has it after a second appends an empty entry, which takes it back or sets it anew.

Leadership that goes back and forth was not run.

--- a/rhubarbreach/consensus/changes.py
+++ b/rhubarbreach/consensus/changes.py
@@ -14,6 +14,7 @@
 __all__ = [
     'add_learner',
     'append_proposals',
+    'check_disk',
     'continue_transfer',
     'expire_requests',
     'prepare',
@@ -66,7 +67,7 @@
     try:
         store.append(entries)
     except exceptions.DiskFullError as error:
-        state.disk_full = True
+        states.mark_disk_full(state, now)
         for proposal in accepted:
             refuse(
                 state,
@@ -80,6 +81,24 @@
         state.pending[entry.index] = (entry.term, proposal)
 
 
+def check_disk(state, now):
+    """Append an empty entry if the disk was full, to learn if it still is.
+
+    A leader without new commands would otherwise hand its leadership on
+    although its disk has room again.
+    """
+    if not state.disk_full or now < state.disk_check_due:
+        return
+    if state.transfer_id is None:
+        proposal = model.Proposal(
+            model.ENTRY_NOOP,
+            b'',
+            now + INTERNAL_CHANGE_SECONDS,
+            model.make_future(),
+        )
+        append_proposals(state, [proposal], now)
+
+
 def expire_requests(state, now):
     """Complete proposals and reads that have reached their deadline."""
     refusal = states.make_unknown_outcome(
--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -65,7 +65,7 @@
         append_missing(state, message.entries)
     except exceptions.DiskFullError:
         # Without a reply the leader retries with its next heartbeat.
-        state.disk_full = True
+        states.mark_disk_full(state, now)
         return
     match = message.previous_index + len(message.entries)
     state.commit_index = max(
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -435,7 +435,7 @@
             else:
                 event()
         except exceptions.DiskFullError as error:
-            self.state.disk_full = True
+            states.mark_disk_full(self.state, now)
             LOG.warning(
                 'event=disk_full group={} file={!r}',
                 self.group_id,
@@ -481,6 +481,7 @@
         formation.announce(state, now)
         if state.is_leader:
             changes.promote_replacements(state, now)
+            changes.check_disk(state, now)
             timeout = self.settings.election_timeout * STEP_DOWN_TIMEOUTS
             contact = max(
                 states.get_quorum_contact(state, now), state.leader_since
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -17,11 +17,16 @@
     'is_voter',
     'make_not_leader',
     'make_unknown_outcome',
+    'mark_disk_full',
     'postpone_election',
     'set_election_deadline',
     'sync_peers',
 ]
 
+# A leader whose disk was full checks it after this time. It has handed its
+# leadership on by then if another store is present.
+DISK_CHECK_SECONDS = 1.0
+
 
 class State:
     """State of one replica, changed only under the lock of its group.
@@ -68,7 +73,10 @@
         self.deferred_results = []
         self.partial_snapshot = None
         self.snapshot_to_restore = None
+        # Whether the last write found the disk full, and when a leader checks
+        # it anew.
         self.disk_full = False
+        self.disk_check_due = now
         self.transfer_id = None
         self.transfer_deadline = 0.0
         self.transfer_future = None
@@ -124,6 +132,12 @@
     )
 
 
+def mark_disk_full(state, now):
+    """Record that the disk is full; a leader checks it after a while."""
+    state.disk_full = True
+    state.disk_check_due = now + DISK_CHECK_SECONDS
+
+
 def become_follower(state, term, leader_id, now):
     """Follow a leader, or wait for one, in a term.
 
@@ -188,6 +202,7 @@
         kind = model.ENTRY_MEMBERS
         data = store_codec.encode_members(store.members)
     store.append([logmessages.LogEntry(index, store.term, kind, data)])
+    state.disk_full = False
     state.term_start_index = index
     state.role = model.Role.LEADER
     state.leader_id = state.settings.host_id
--- a/rhubarbreach/consensus/tests/test_failing_disks.py
+++ b/rhubarbreach/consensus/tests/test_failing_disks.py
@@ -95,3 +95,34 @@
         assert refusal.ran == codes.Ran.NO
         disks.heal(host)
         cluster.wait_until(lambda: not replica.failure)
+
+
+def find_follower(test_cluster):
+    leader = test_cluster.leader()
+    return next(g for g in test_cluster.groups() if g is not leader)
+
+
+def test_mark_of_a_full_disk_ends_when_a_follower_leads(tmp_path):
+    """Guards against leadership that goes back and forth without need."""
+    with cluster.running(tmp_path) as test_cluster:
+        test_cluster.commit(b'first')
+        follower = find_follower(test_cluster)
+        with follower.lock:
+            follower.state.disk_full = True
+            follower.state.disk_check_due = float('inf')
+        test_cluster.leader().transfer(follower.settings.host_id)
+        cluster.wait_until(lambda: follower.is_leader)
+        assert not follower.state.disk_full
+
+
+def test_leader_finds_out_that_its_disk_has_room(tmp_path, disks):
+    """Guards against a mark of a full disk that only a command ends."""
+    with cluster.running(tmp_path, heartbeat=0.02) as test_cluster:
+        test_cluster.commit(b'first')
+        leader = test_cluster.leader()
+        disks.fail(leader.settings.host_id, 'write')
+        test_cluster.propose(cluster.make_operation(b'refused'), seconds=0.1)
+        assert leader.state.disk_full
+        disks.heal(leader.settings.host_id)
+        cluster.wait_until(lambda: not leader.state.disk_full, 3)
+        assert leader.is_leader
