--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -150,8 +150,12 @@
         store_codec.decode_members(message.members),
         bytes(state.partial_snapshot.data),
     )
-    # A full disk ends this step without a reply, and the leader retries.
-    state.store.install_snapshot(snapshot)
-    state.partial_snapshot = None
-    state.commit_index = max(state.commit_index, snapshot.last_index)
-    state.snapshot_to_restore = snapshot
+    # An error of the disk ends this step without a reply, and the leader
+    # retries. The snapshot may be in effect by then.
+    try:
+        state.store.install_snapshot(snapshot)
+    finally:
+        if state.store.snapshot is snapshot:
+            state.partial_snapshot = None
+            state.commit_index = max(state.commit_index, snapshot.last_index)
+            state.snapshot_to_restore = snapshot
--- a/rhubarbreach/consensus/tests/disks.py
+++ b/rhubarbreach/consensus/tests/disks.py
@@ -25,6 +25,9 @@
         self.faults = {}
         # Size at the last sync by segment.
         self.synced = {}
+        # Number of the next operations, of which one may fail.
+        self.count = 0
+        self.failing_count = None
         write_all = segments.SegmentLog.write_all
 
         def write(log, data):
@@ -48,6 +51,9 @@
 
     def check(self, path, operation):
         """Raise if an operation fails on the host of a path."""
+        self.count += 1
+        if self.count == self.failing_count:
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
         for host, (failing, number) in list(self.faults.items()):
             if host in pathlib.Path(path).parts and operation == failing:
                 raise OSError(number, os.strerror(number))
--- a/rhubarbreach/consensus/tests/test_failing_disks.py
+++ b/rhubarbreach/consensus/tests/test_failing_disks.py
@@ -1,12 +1,17 @@
 """Tests of groups whose disks refuse writes, syncs, renames and removals."""
 
+import random
+
 import pytest
 
 from rhubarbreach import codes
+from rhubarbreach.consensus import following
 from rhubarbreach.consensus import model
+from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
 from rhubarbreach.consensus.tests import cluster
 from rhubarbreach.consensus.tests import disks as disk_faults
+from rhubarbreach import exceptions
 from rhubarbreach.protocol import logmessages
 
 
@@ -126,3 +131,83 @@
         disks.heal(leader.settings.host_id)
         cluster.wait_until(lambda: not leader.state.disk_full, 3)
         assert leader.is_leader
+
+
+def change_store(state, last, term):
+    """Yield the steps of a follower; each may be repeated if it fails."""
+    store = state.store
+    yield lambda: store.save_vote(2, 'host-2')
+    yield lambda: append_synced(store, store.last_index + 1, 4, 1)
+    yield lambda: publish(store, 2)
+    yield lambda: append_synced(store, store.last_index + 1, 9, 1)
+    yield lambda: install(state, last, term)
+    yield lambda: append_synced(store, store.last_index + 1, 14, 2)
+    yield lambda: publish(store, last + 1)
+
+
+def append_synced(store, first, last, term):
+    if first <= last:
+        store.append(make_entries(first, last, term))
+    store.sync()
+    store.synced_index = store.last_index
+
+
+def publish(store, last):
+    snapshot = model.Snapshot(last, store.get_term(last), 0, (), b'state')
+    store.prepare_snapshot(snapshot)
+    store.publish_snapshot(snapshot)
+
+
+def install(state, last, term):
+    message = logmessages.InstallSnapshot(
+        'g',
+        2,
+        'host-2',
+        last,
+        term,
+        stores.encode_members(()),
+        0,
+        b'data',
+        True,
+    )
+    following.handle_install(state, 'host-2', message, 0.0)
+
+
+def run_step(step, state, disks, last):
+    """Run a step until it succeeds, as a group with a failing disk does."""
+    try:
+        step()
+    except (OSError, exceptions.DiskFullError):
+        disks.failing_count = None
+        is_installed = state.store.base_index >= last
+        assert is_installed == (state.snapshot_to_restore is not None)
+        state.store.recover()
+        step()
+
+
+@pytest.mark.parametrize('last', [6, 9, 12])
+@pytest.mark.parametrize('term', [1, 2])
+def test_files_agree_with_memory_after_each_failure(
+    tmp_path, disks, last, term
+):
+    """Guards against a store that opens with other content than it had."""
+    for failing_count in range(1, 200):
+        folder = tmp_path / f'{failing_count}'
+        settings = model.GroupSettings('g', 'host-1', str(folder))
+        store = stores.Store(folder)
+        state = states.State(settings, store, random.Random(1), 0.0)
+        disks.count, disks.failing_count = 0, failing_count
+        for step in change_store(state, last, term):
+            run_step(step, state, disks, last)
+        store.close()
+        is_complete, disks.failing_count = disks.failing_count, None
+        reopened = stores.Store(folder)
+        reopened.close()
+        assert (reopened.term, reopened.vote) == (2, 'host-2')
+        assert reopened.last_index == store.last_index, failing_count
+        assert reopened.snapshot == store.snapshot, failing_count
+        kept = store.entries[reopened.base_index - store.base_index :]
+        assert reopened.entries == kept, failing_count
+        if is_complete:
+            return
+    raise AssertionError('not all operations were reached')
