Do not write on beside a segment that may exist

What operators would see: a store that does not open after a loss of power or a kill, because its log is damaged.

Cause: if the disk was full when the folder of a new segment was synced, the log went on in the segment before it, and the empty segment remained. Only the last segment may end with a torn record; the one before it then counted as damaged.

Change: only a segment that was not created leaves the log as it was. An error after that makes the log rewind, which removes the segment.

Evidence: the new test was seen failing before and passes.

--- a/rhubarbreach/storage/segments.py
+++ b/rhubarbreach/storage/segments.py
@@ -163,14 +163,27 @@
         self.synced = self.offset
 
     def start_segment(self, number):
-        """Create an empty segment and append to it from now on."""
+        """Create an empty segment and append to it from now on.
+
+        Raises
+        ------
+        DiskFullError
+            If the file system is full; nothing has changed.
+        OSError
+            If the disk fails. It is then unknown whether the segment exists,
+            and the log must be rewound before further use.
+        """
         try:
             file = open(self.get_path(number), 'w+b', buffering=0)
-            files.sync_folder(self.folder)
         except OSError as error:
             if files.is_disk_full(error):
                 raise exceptions.DiskFullError('new segment') from error
             raise
+        try:
+            files.sync_folder(self.folder)
+        except OSError:
+            file.close()
+            raise
         if self.file is not None:
             self.file.close()
         self.file = file
--- a/rhubarbreach/storage/tests/test_segments.py
+++ b/rhubarbreach/storage/tests/test_segments.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rhubarbreach import exceptions
+from rhubarbreach.storage import files
 from rhubarbreach.storage import segments
 
 
@@ -91,3 +92,24 @@
     log.close()
     assert len(log.numbers) > 2
     assert read_log(tmp_path) == expected
+
+
+def test_segment_whose_name_was_not_synced_is_removed(tmp_path, monkeypatch):
+    """Guards against a torn tail that counts as damage to a full segment."""
+    log = segments.SegmentLog(tmp_path)
+    log.append(b'kept')
+    log.sync()
+
+    def refuse(folder):
+        raise OSError(errno.ENOSPC, 'no space')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(files, 'sync_folder', refuse)
+        with pytest.raises(OSError):
+            log.roll()
+    log.rewind()
+    log.append(b'torn')
+    log.close()
+    path = log.get_path(log.number)
+    path.write_bytes(path.read_bytes()[:-1])
+    assert read_log(tmp_path) == [b'kept']
