Write records again that may not be synced when a log opens

What callers would see: an accepted change that is lost, after a failed sync, a kill of the process and a loss of power.

Cause: the pages of a failed sync may stay readable without being written ever. A store that is opened again read such records, synced the file, which did not cover them, and counted them as durable.

Change: each record names the offset up to which the log was synced before it. When a log opens, what follows the last such offset is written again before the sync.

Evidence: the new test was seen failing before and passes. No file system was made to drop pages.

--- a/rhubarbreach/storage/segments.py
+++ b/rhubarbreach/storage/segments.py
@@ -74,8 +74,9 @@
 
     Returns
     -------
-    tuple of list of bytes and int
-        Payloads, and the offset at which the last record ends.
+    tuple of list of bytes, int and int
+        Payloads, the offset at which the last record ends, and the one up to
+        which the segment is known to be synced.
 
     Raises
     ------
@@ -85,6 +86,7 @@
     content = path.read_bytes()
     payloads = []
     offset = 0
+    synced = 0
     while offset < len(content):
         record = decode_record(content, offset)
         if record is None:
@@ -93,9 +95,9 @@
                     f'{path.name}: damaged record at offset {offset}'
                 )
             break
-        payloads.append(record[0])
-        offset = record[2]
-    return payloads, offset
+        payload, synced, offset = record
+        payloads.append(payload)
+    return payloads, offset, synced
 
 
 class SegmentLog:
@@ -149,7 +151,9 @@
         """Read all segments and open the last one."""
         for number in self.numbers:
             is_last = number == self.numbers[-1]
-            payloads, end = read_segment(self.get_path(number), is_last)
+            payloads, end, synced = read_segment(
+                self.get_path(number), is_last
+            )
             self.payloads.extend((number, payload) for payload in payloads)
             self.offset = end
         if not self.numbers:
@@ -158,7 +162,12 @@
         path = self.get_path(self.numbers[-1])
         self.file = open(path, 'r+b', buffering=0)
         self.file.truncate(self.offset)
-        self.file.seek(self.offset)
+        # A failed sync of the process before may have left records that can
+        # be read, but that no later sync covers unless they are written again.
+        self.file.seek(synced)
+        tail = self.file.read(self.offset - synced)
+        self.file.seek(synced)
+        self.write_all(tail)
         os.fsync(self.file.fileno())
         self.synced = self.offset
 
--- a/rhubarbreach/storage/tests/test_segments.py
+++ b/rhubarbreach/storage/tests/test_segments.py
@@ -113,3 +113,27 @@
     path = log.get_path(log.number)
     path.write_bytes(path.read_bytes()[:-1])
     assert read_log(tmp_path) == [b'kept']
+
+
+def test_records_that_may_not_be_synced_are_written_again(
+    tmp_path, monkeypatch
+):
+    """Guards against records that only the page cache holds after a kill."""
+    path = write_log(tmp_path, 2)
+    synced = path.stat().st_size
+    log = segments.SegmentLog(tmp_path)
+    for _ in range(2):
+        log.append(b'not synced')
+    log.close()
+    content = path.read_bytes()
+    written = []
+    write_all = segments.SegmentLog.write_all
+
+    def record(opened, data):
+        written.append((opened.file.tell(), data))
+        write_all(opened, data)
+
+    monkeypatch.setattr(segments.SegmentLog, 'write_all', record)
+    segments.SegmentLog(tmp_path).close()
+    assert written == [(synced, content[synced:])]
+    assert path.read_bytes() == content
