End the process of a replica that has ended

Cause: a replica that contradicts its leader or ends with another error than one of its disk stayed out for good, but its process went on, so nothing started it anew.

A log that is damaged makes the next start fail, as before.

--- a/rhubarbreach/commands/host.py
+++ b/rhubarbreach/commands/host.py
@@ -53,6 +53,7 @@
         exceptions.CorruptLogError,
         exceptions.DataFolderError,
         exceptions.DiskFullError,
+        exceptions.ReplicaError,
     ) as error:
         sys.stderr.write(f'{config}: section [data]: {error}\n')
         sys.exit(EXIT_DATA)
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -376,6 +376,11 @@
         """Request a drain, which the main thread carries out."""
         self.drain_requested.set()
 
+    @property
+    def has_ended(self):
+        """Whether a replica has ended, so that the process has to end."""
+        return self.stores is not None and self.stores.has_ended
+
     def set_log_level(self, level):
         """Change the log level until the next start."""
         if self.log_handler is not None:
--- a/rhubarbreach/daemon/run.py
+++ b/rhubarbreach/daemon/run.py
@@ -26,6 +26,8 @@
         If the host cannot listen on an address.
     DataFolderError, CorruptLogError
         If the data folder cannot be used.
+    ReplicaError
+        If a replica has ended, after the host was drained.
     """
     handler = logs.open_log(
         settings.host.host_id, settings.log.level, settings.log.file
@@ -42,5 +44,9 @@
         signal.signal(signal_number, lambda number, _: signals.add(number))
     while not (signals or host.drain_requested.wait(FLUSH_PERIOD_SECONDS)):
         host.recorder.flush()
+        if host.has_ended:
+            break
     host.drain()
     logs.close_log(handler)
+    if host.has_ended:
+        raise exceptions.ReplicaError('a replica has ended')
--- a/rhubarbreach/daemon/stores.py
+++ b/rhubarbreach/daemon/stores.py
@@ -44,6 +44,11 @@
         """Return the replicas of this host."""
         return tuple(self.group_set.groups.values())
 
+    @property
+    def has_ended(self):
+        """Whether a replica has ended, so that the process has to end."""
+        return any(group.has_ended for group in self.get_groups())
+
     def close(self):
         """Stop the ticker and all groups."""
         self.ticker.close()
--- a/rhubarbreach/daemon/tests/test_run.py
+++ b/rhubarbreach/daemon/tests/test_run.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rhubarbreach.daemon import run
+from rhubarbreach import exceptions
 
 
 class DrainRequest:
@@ -40,6 +41,7 @@
         recorder=types.SimpleNamespace(flush=lambda: None),
         drain=drained.set,
         drained=drained,
+        has_ended=False,
     )
     monkeypatch.setattr(run.logs, 'open_log', lambda *_: None)
     monkeypatch.setattr(run.logs, 'close_log', lambda _: None)
@@ -52,10 +54,27 @@
         signal.signal(number, handler)
 
 
-def test_signal_that_interrupts_the_wait_for_it_does_not_hang(host):
-    settings = types.SimpleNamespace(
+@pytest.fixture
+def settings():
+    return types.SimpleNamespace(
         host=types.SimpleNamespace(host_id='h'),
         log=types.SimpleNamespace(level='info', file=''),
     )
+
+
+def test_signal_that_interrupts_the_wait_for_it_does_not_hang(host, settings):
     run.run_host(settings)
     assert host.drained.is_set()
+
+
+def test_process_ends_with_its_replica(host, settings):
+    """Guards against a process that goes on without its replica."""
+
+    def wait(_):
+        assert not host.has_ended
+        host.has_ended = True
+
+    host.drain_requested = types.SimpleNamespace(wait=wait)
+    with pytest.raises(exceptions.ReplicaError):
+        run.run_host(settings)
+    assert host.drained.is_set()
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -91,9 +91,14 @@
         Encodes batch items for endpoints.
     metrics : Metrics
         Counters and latencies.
+    end_process : callable, optional
+        Called when the replica has ended for good.
     """
 
-    def __init__(self, settings, decode_catalog, dialect, metrics):
+    def __init__(
+        self, settings, decode_catalog, dialect, metrics, end_process=None
+    ):
+        self.end_process = end_process
         self.settings = settings
         self.host_id = settings.address
         self.metrics = metrics
@@ -401,6 +406,7 @@
     def run_due_duties(self, now):
         """Run the duties that are due; one that fails holds up no other."""
         for duty in (
+            self.check_replica,
             self.update_leadership,
             self.members.announce_presence,
             self.advance_membership,
@@ -415,6 +421,11 @@
             except Exception:
                 LOG.exception('event=duty_failed duty={}', duty.__name__)
 
+    def check_replica(self, _):
+        """End the process if the replica has ended for good."""
+        if self.group.has_ended and self.end_process and not self.draining:
+            self.end_process()
+
     def advance_membership(self, now):
         """Start the next membership change of a leader."""
         if self.is_leading:
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -209,3 +209,16 @@
             refusal = store.put_catalog(catalog, b'x' * size)
             assert refusal.code is codes.ResultCode.INVALID_CHANGE
             assert refusal.ran is codes.Ran.NO
+
+
+def test_process_is_ended_when_its_replica_has_ended(stores):
+    """Guards against a store that goes on without its replica."""
+    host = stores[0]
+    ended = threading.Event()
+    host.end_process = ended.set
+
+    def fail():
+        raise exceptions.CorruptLogError('damaged')
+
+    host.group.post(fail)
+    assert ended.wait(5.0)
