Do not read an attempt that another one has superseded

What callers saw: a stream that was cut although two endpoints went on with it.

Cause: both endpoints ended their silence before the sockets were polled. The first to be read closed the other one, which was read next and whose end raised ValueError.

Change: only attempts that still run are read.

Evidence: test_two_endpoints_that_go_on_at_once_do_not_end_the_stream fails before with that error, and passes.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -352,13 +352,13 @@
                 # The caller has sent its next request, which is read later.
                 self.is_caller_watched = False
             for attempt in list(self.attempts):
-                if attempt.call.socket not in ready:
+                # The one before may have superseded it.
+                is_running = attempt in self.attempts
+                if not is_running or attempt.call.socket not in ready:
                     continue
                 outcome = self.call_step(self.read, attempt)
                 if outcome is not None:
                     return self.end_attempt(attempt, outcome)
-                if attempt not in self.attempts:
-                    break
             if not ready and clock.monotonic() >= self.deadline:
                 return self.end_attempt(self.attempts[-1], model.TimedOut())
             if self.is_takeover_due():
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -144,6 +144,33 @@
     assert data.endswith(responses.LAST_CHUNK)
 
 
+def test_two_endpoints_that_go_on_at_once_do_not_end_the_stream(
+    forward_to, monkeypatch
+):
+    """Guards against reading an attempt that another one has superseded."""
+    wait_readable = sockets.wait_readable
+
+    def wait_for_all(watched, deadline):
+        if len(watched) == 3:
+            # Both endpoints have sent events before the sockets are polled.
+            time.sleep(0.8)
+        return wait_readable(watched, deadline)
+
+    monkeypatch.setattr(sockets, 'wait_readable', wait_for_all)
+    refusal, data, endpoint, _ = forward_to(
+        [HEAD, *make_events(1, 1), 1.0, *make_events(2, 3), END],
+        0.0,
+        timeout=5.0,
+        resumable=True,
+        later=respond(2, 0.1),
+        count=2,
+    )
+    assert refusal is None
+    assert endpoint.count == 2
+    assert list_ids(data) == [1, 2, 3]
+    assert data.endswith(responses.LAST_CHUNK)
+
+
 def test_silent_request_that_may_run_once_is_sent_once(forward_to):
     """Guards against a second run of a request that may run only once."""
     refusal, data, endpoint, _ = forward_to(
