Keep the timeline from stopping what it records

What callers would see: a replica that ends although its own disk has room.

Cause: an error of the timeline file, such as a full disk, was raised in the thread that recorded an event. The group thread records each change of the leadership, and took it for an error of its store.

Change: events that cannot be written stay in memory only.

--- a/rhubarbreach/observe/timeline.py
+++ b/rhubarbreach/observe/timeline.py
@@ -1,6 +1,7 @@
 """Recording of timeline events with hybrid logical clock stamps."""
 
 import collections
+import contextlib
 import dataclasses
 import pathlib
 import threading
@@ -91,22 +92,29 @@
             return
         line = msgspec.json.encode(event) + b'\n'
         with self.lock:
-            self.file.write(line)
+            with contextlib.suppress(OSError):
+                self.file.write(line)
             self.unflushed_events += 1
             if self.unflushed_events >= FLUSH_EVENTS:
                 self.flush()
 
     def flush(self):
-        """Pass buffered events to the operating system."""
+        """Pass buffered events to the operating system.
+
+        What a full disk refuses stays buffered or is lost: the timeline
+        stops nothing that it reports on.
+        """
         if self.file is not None:
-            self.file.flush()
+            with contextlib.suppress(OSError):
+                self.file.flush()
             self.unflushed_events = 0
 
     def close(self):
         """Flush and close the file."""
         with self.lock:
             if self.file is not None:
-                self.file.close()
+                with contextlib.suppress(OSError):
+                    self.file.close()
                 self.file = None
 
 
