End a replica together with each of its threads

What callers would see: a store that leads and sends one peer nothing, or that applies nothing, while its process runs.

Cause: an error ended a replication thread without a trace in its replica. The error of an apply thread was an event, which a recovery of the disk could drop. Requests were not expired during a recovery without events.

Change: an error that ends a thread is kept and ends the replica, and with it the process. A recovery checks it and expires requests.

--- a/rhubarbreach/bench/storelosses/virtualgroups.py
+++ b/rhubarbreach/bench/storelosses/virtualgroups.py
@@ -123,7 +123,6 @@
         self.applier.snapshot_index = self.store.snapshot.last_index
         self.applier.applied_bytes = 0
         self.applier.prepared = None
-        self.applier.failure = None
         self.step_due = float('inf')
         self.wake()
 
--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -47,8 +47,6 @@
         # Prepared snapshot that waits to be published. The next one is not
         # prepared before that.
         self.prepared = None
-        # Error that has ended the thread.
-        self.failure = None
         self.thread = threading.Thread(
             target=self.run, name=f'apply-{group.group_id}', daemon=True
         )
@@ -74,13 +72,7 @@
                     complete_future(read.future, read.index)
         except Exception as error:
             LOG.exception('event=apply_failed group={}', self.group.group_id)
-            self.failure = error
-            self.group.post(self.check)
-
-    def check(self):
-        """Raise the error that has ended the thread, if any."""
-        if self.failure is not None:
-            raise exceptions.ReplicaError('apply thread') from self.failure
+            self.group.end(error)
 
     def wait_for_work(self):
         """Wait for a snapshot to restore, or for due entries and reads."""
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -1,6 +1,7 @@
 """One replica of a replicated log group."""
 
 import concurrent.futures
+import contextlib
 import functools
 import pathlib
 import queue
@@ -87,6 +88,7 @@
         # disk works again, and to the end of the process if `has_ended`.
         self.failure = None
         self.has_ended = False
+        self.thread_failure = None
         self.retry_seconds = MIN_RETRY_SECONDS
         self.recovered_at = float('-inf')
         now = clock.monotonic()
@@ -313,7 +315,11 @@
             except (OSError, exceptions.DiskFullError) as repeated:
                 self.failure = repeated
                 continue
-            break
+            self.resume()
+            return
+
+    def resume(self):
+        """Take part in the group again, as a follower."""
         self.recovered_at = clock.monotonic()
         with self.lock:
             self.failure = None
@@ -345,19 +351,16 @@
         refusal = codes.Refusal(
             codes.ResultCode.UNAVAILABLE, f'disk has failed: {self.failure}'
         )
-        while not self.closed:
+        while not self.closed and clock.monotonic() < deadline:
             delay = clock.remaining(deadline, clock.monotonic())
-            if not delay:
-                return
-            try:
+            event = None
+            with contextlib.suppress(queue.Empty):
                 event = self.inbox.get(timeout=delay)
-            except queue.Empty:
-                return
             handling.refuse_event(event, refusal)
             with self.lock:
                 changes.expire_requests(self.state, clock.monotonic())
             self.complete_deferred()
-            self.applier.check()
+            self.check_threads()
 
     def fail(self, error, events):
         """Stop for good; the process has to end."""
@@ -377,6 +380,18 @@
         while not self.closed:
             handling.refuse_event(self.inbox.get(), refusal)
 
+    def end(self, error):
+        """End this replica after an error that has ended another thread."""
+        self.thread_failure = error
+        self.post(self.check_threads)
+
+    def check_threads(self):
+        """Raise if another thread has ended with an error."""
+        if self.thread_failure is not None:
+            raise exceptions.ReplicaError(
+                f'a thread has ended: {self.thread_failure!r}'
+            ) from self.thread_failure
+
     def collect_events(self):
         """Return the queued events, or none if the next tick is due first."""
         delay = clock.remaining(self.next_tick, clock.monotonic())
--- a/rhubarbreach/consensus/replicator.py
+++ b/rhubarbreach/consensus/replicator.py
@@ -4,9 +4,12 @@
 
 from rhubarbreach import clock
 from rhubarbreach.consensus import leading
+from rhubarbreach import eventlog
 
 __all__ = ['Replicator', 'update_replicators']
 
+LOG = eventlog.Logger('consensus')
+
 
 class Replicator:
     """Thread that sends entries, chunks and heartbeats to one peer.
@@ -32,11 +35,15 @@
 
     def run(self):
         """Send until the group closes or the peer is replaced."""
-        while True:
-            message = self.wait_for_message()
-            if message is None:
-                return
-            self.group.link.send(self.peer.peer_id, message)
+        try:
+            while True:
+                message = self.wait_for_message()
+                if message is None:
+                    return
+                self.group.link.send(self.peer.peer_id, message)
+        except Exception as error:
+            LOG.exception('event=replication_failed')
+            self.group.end(error)
 
     def wait_for_message(self):
         """Wait for the next message and return it, None at the end."""
--- a/rhubarbreach/consensus/tests/disks.py
+++ b/rhubarbreach/consensus/tests/disks.py
@@ -25,6 +25,8 @@
         self.faults = {}
         # Size at the last sync by segment.
         self.synced = {}
+        # Former content of the files whose change of name is not synced.
+        self.former = {}
         # Number of the next operations, of which one may fail.
         self.count = 0
         self.failing_count = None
@@ -37,9 +39,20 @@
         patch.setattr(segments.SegmentLog, 'write_all', write)
         patch.setattr(os, 'fsync', self.wrap_sync(os.fsync))
         patch.setattr(files, 'sync_data', self.wrap_sync(files.sync_data))
-        patch.setattr(os, 'replace', self.wrap('rename', os.replace))
-        unlink = self.wrap('unlink', pathlib.Path.unlink)
-        patch.setattr(pathlib.Path, 'unlink', unlink)
+        replace, unlink = os.replace, pathlib.Path.unlink
+
+        def rename(source, target):
+            self.check(target, 'rename')
+            self.keep(target)
+            replace(source, target)
+
+        def remove(path, **options):
+            self.check(path, 'unlink')
+            self.keep(path)
+            unlink(path, **options)
+
+        patch.setattr(os, 'replace', rename)
+        patch.setattr(pathlib.Path, 'unlink', remove)
 
     def fail(self, host, operation, number=errno.ENOSPC):
         """Make an operation fail on a host until `heal`."""
@@ -58,14 +71,23 @@
             if host in pathlib.Path(path).parts and operation == failing:
                 raise OSError(number, os.strerror(number))
 
-    def wrap(self, operation, function):
-        """Return a function on paths that may fail."""
-
-        def run(path, *arguments, **options):
-            self.check(path, operation)
-            return function(path, *arguments, **options)
-
-        return run
+    def keep(self, path):
+        """Keep the content of a file that is replaced or removed."""
+        path = pathlib.Path(path)
+        if path.exists():
+            self.former.setdefault(path, path.read_bytes())
+
+    def lose_power(self, host, random):
+        """Drop what is not synced on a host whose process has ended."""
+        for path, size in self.synced.items():
+            if host in path.parts and path.exists():
+                end = random.randint(size, max(size, path.stat().st_size))
+                os.truncate(path, end)
+        for path in list(self.former):
+            if host in path.parts:
+                content = self.former.pop(path)
+                if random.random() < 0.5:
+                    path.write_bytes(content)
 
     def wrap_sync(self, sync):
         """Return a sync that may fail, and then drops what it covers."""
@@ -74,7 +96,11 @@
             path = pathlib.Path(os.readlink(f'/proc/self/fd/{descriptor}'))
             if path.is_dir():
                 self.check(path, 'folder')
-                return sync(descriptor)
+                sync(descriptor)
+                for changed in list(self.former):
+                    if changed.parent == path:
+                        self.former.pop(changed, None)
+                return
             size = os.fstat(descriptor).st_size
             try:
                 self.check(path, 'sync')
@@ -84,7 +110,7 @@
                     os.pwrite(descriptor, bytes(size - start), start)
                 raise
             sync(descriptor)
-            self.synced[path] = size
-            return None
+            if path.suffix == segments.SUFFIX:
+                self.synced[path] = size
 
         return run
--- a/rhubarbreach/consensus/tests/test_failing_disks.py
+++ b/rhubarbreach/consensus/tests/test_failing_disks.py
@@ -5,7 +5,9 @@
 import pytest
 
 from rhubarbreach import codes
+from rhubarbreach.consensus import applying
 from rhubarbreach.consensus import following
+from rhubarbreach.consensus import leading
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
@@ -211,3 +213,23 @@
         if is_complete:
             return
     raise AssertionError('not all operations were reached')
+
+
+@pytest.mark.parametrize(
+    ('module', 'name'),
+    [(applying.Applier, 'apply'), (leading, 'build_message')],
+)
+def test_replica_ends_with_each_of_its_threads(
+    tmp_path, monkeypatch, module, name
+):
+    """Guards against a replica that goes on without one of its threads."""
+
+    def fail(*_):
+        raise MemoryError
+
+    with cluster.running(tmp_path) as test_cluster:
+        test_cluster.commit(b'first')
+        leader = test_cluster.leader()
+        monkeypatch.setattr(module, name, fail)
+        test_cluster.propose(cluster.make_operation(b'second'), seconds=0.2)
+        cluster.wait_until(lambda: leader.has_ended, 5)
