Cut off only callers of streams that read nothing

What callers saw: a stream was cut for a caller that read it slowly but without a pause, and in any case 30 s after the last event.

Cause: a socket accepts no more bytes before a large part of its buffer is free. The time in between counted as a time in which the caller reads nothing. The wait for the last bytes had one limit for all of them.

Change: bytes that leave the buffer of the socket count as read, and the wait goes on while they do.

--- a/rhubarbreach/dispatch/sink.py
+++ b/rhubarbreach/dispatch/sink.py
@@ -2,7 +2,10 @@
 
 import collections
 import concurrent.futures
+import fcntl
 import select
+import struct
+import termios
 
 __all__ = [
     'CallerSink',
@@ -23,6 +26,7 @@
 READ_EVENTS = select.EPOLLRDHUP
 WRITE_EVENTS = select.EPOLLRDHUP | select.EPOLLOUT
 LAST_CHUNK = b'0\r\n\r\n'
+INTEGER = struct.Struct('i')
 
 
 class CallerSink:
@@ -70,6 +74,7 @@
         self.buffer = collections.deque()
         self.buffered_bytes = 0
         self.stalled_since = None
+        self.unread_bytes = None
         self.table = None
         self.on_lost = None
         self.resume = None
@@ -114,6 +119,7 @@
                 return True
             data = data[sent:]
             self.stalled_since = self.table.now
+            self.unread_bytes = None
             self.table.modify(self.fd, WRITE_EVENTS)
         self.buffer.append(data)
         self.buffered_bytes += len(data)
@@ -138,6 +144,7 @@
                 self.abort()
                 return
             self.stalled_since = self.table.now
+            self.unread_bytes = None
             self.buffered_bytes -= sent
             if sent < len(data):
                 self.buffer[0] = data[sent:]
@@ -154,9 +161,19 @@
         self.check_closed()
 
     def check_stalled(self, now):
-        """Abort the stream if the caller has read nothing for too long."""
-        since = self.stalled_since
-        if since is not None and now - since > STALL_SECONDS:
+        """Abort the stream if the caller has read nothing for too long.
+
+        The socket accepts no bytes before a large part of its buffer is free,
+        so that the bytes in that buffer count.
+        """
+        if self.stalled_since is None:
+            return
+        unread_bytes = count_unread(self.fd)
+        if self.unread_bytes is None or unread_bytes < self.unread_bytes:
+            if self.unread_bytes is not None:
+                self.stalled_since = now
+            self.unread_bytes = unread_bytes
+        if now - self.stalled_since > STALL_SECONDS:
             self.slow = True
             self.abort()
 
@@ -180,3 +197,9 @@
             self.closed.set_result(False)
         elif self.finished and not self.buffer:
             self.closed.set_result(True)
+
+
+def count_unread(fd):
+    """Return the bytes of a socket that its peer has not acknowledged."""
+    data = fcntl.ioctl(fd, termios.TIOCOUTQ, INTEGER.pack(0))
+    return INTEGER.unpack(data)[0]
--- a/rhubarbreach/entry/streams.py
+++ b/rhubarbreach/entry/streams.py
@@ -10,6 +10,7 @@
 __all__ = ['DetachedSink', 'make_head', 'run_watched']
 
 LOG = logbook.Logger('entry')
+# Time for which the event loop may take to notice that a caller has stalled.
 FLUSH_TIMEOUT_SECONDS = 30.0
 UNWATCH_TIMEOUT_SECONDS = 10.0
 # Bytes held for a caller that pauses while its recorded call continues.
@@ -108,9 +109,17 @@
     """Finish a stream and wait until all bytes are handed to the socket."""
     if not sink.finished:
         loop.call_soon(sink.finish)
-    try:
-        flushed = sink.closed.result(FLUSH_TIMEOUT_SECONDS)
-    except concurrent.futures.TimeoutError:
-        flushed = False
+    flushed = wait_until_flushed(sink)
     if not flushed or not chunked:
         connection.close_connection = True
+
+
+def wait_until_flushed(sink):
+    """Wait while the caller reads; return whether the socket has all bytes."""
+    while True:
+        since = sink.stalled_since
+        try:
+            return sink.closed.result(FLUSH_TIMEOUT_SECONDS)
+        except concurrent.futures.TimeoutError:
+            if sink.stalled_since == since:
+                return False
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -13,6 +13,7 @@
 from rhubarbreach.dispatch.tests import fakes
 from rhubarbreach.entry import connection
 from rhubarbreach.entry import refusals
+from rhubarbreach.entry import streams
 
 HEAD = (
     b'POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n'
@@ -179,6 +180,40 @@
     assert body.count(b'data: ') == 501 and body.endswith(b'[DONE]\n\n')
 
 
+def test_stream_reaches_a_caller_that_reads_slowly(
+    start_entry, slow_client, monkeypatch
+):
+    """Guards against a caller cut off while the kernel sends to it.
+
+    The socket takes no more bytes before a part of its buffer is read.
+    """
+    monkeypatch.setattr(sink, 'STALL_SECONDS', 0.4)
+    monkeypatch.setattr(streams, 'FLUSH_TIMEOUT_SECONDS', 0.4)
+
+    def handle(request):
+        request.begin()
+        for index in range(500):
+            event = fakes.make_event(request.attempt_id, index)
+            request.send(event.replace(b'"t', b'"' + BIG + b't'))
+        request.send(b'data: [DONE]\n\n')
+        request.end()
+
+    entry = start_entry(handle)
+    client = slow_client(entry)
+    client.request(
+        'POST',
+        '/v1/chat/completions',
+        BODY,
+        {'Authorization': 'Bearer k1'},
+    )
+    response = client.getresponse()
+    body = b''
+    while part := response.read(1 << 16):
+        body += part
+        time.sleep(0.05)
+    assert body.count(b'data: ') == 501 and body.endswith(b'[DONE]\n\n')
+
+
 def test_response_reaches_a_caller_that_reads_slowly(
     start_entry, slow_client, monkeypatch
 ):
