Count bytes that the kernel sends as read by the caller

What callers saw: a long response that is not a stream was cut for a caller that reads slowly without a pause.

Cause: as for streams, a socket with a full buffer accepts nothing before a large part of it is read, and the send timed out meanwhile.

Change: a send is repeated as long as bytes leave the buffer of the socket.

Evidence: the case of test_response_reaches_a_caller_that_reads_slowly with small parts failed before; the tests of entry pass.

--- a/rhubarbreach/dispatch/sink.py
+++ b/rhubarbreach/dispatch/sink.py
@@ -12,6 +12,7 @@
     'HIGH_WATERMARK_BYTES',
     'LOW_WATERMARK_BYTES',
     'STALL_SECONDS',
+    'count_unread',
 ]
 
 # Reading from the endpoint pauses when this many bytes are buffered for a
--- a/rhubarbreach/entry/connection.py
+++ b/rhubarbreach/entry/connection.py
@@ -9,6 +9,8 @@
 from werkzeug import datastructures
 from werkzeug import serving
 
+from rhubarbreach.dispatch import sink
+
 __all__ = ['ConnectionHandler', 'DeadlineReader', 'HEAD_TIMEOUT_SECONDS']
 
 # Time limit for receiving the head of a request after its first byte.
@@ -234,7 +236,21 @@
             # `sendall` would limit the time of the whole response.
             view = memoryview(data)
             while view:
-                view = view[self.connection.send(view) :]
+                view = view[self.send_part(view) :]
+
+    def send_part(self, view):
+        """Send some bytes and return their number; wait while any are read."""
+        unread_bytes = sink.count_unread(self.fd)
+        while True:
+            try:
+                return self.connection.send(view)
+            except TimeoutError:
+                before, unread_bytes = (
+                    unread_bytes,
+                    sink.count_unread(self.fd),
+                )
+                if unread_bytes >= before:
+                    raise
 
     def log_request(self, code='-', size='-'):
         """Log nothing; the timeline and the metrics record each request."""
--- a/rhubarbreach/entry/tests/test_server.py
+++ b/rhubarbreach/entry/tests/test_server.py
@@ -214,8 +214,11 @@
     assert body.count(b'data: ') == 501 and body.endswith(b'[DONE]\n\n')
 
 
+@pytest.mark.parametrize(
+    'part_bytes, pause', [(1 << 19, 0.1), (1 << 16, 0.05)]
+)
 def test_response_reaches_a_caller_that_reads_slowly(
-    start_entry, slow_client, monkeypatch
+    start_entry, slow_client, monkeypatch, part_bytes, pause
 ):
     """Guards against a response cut while its caller still reads it."""
     monkeypatch.setattr(connection, 'WRITE_TIMEOUT_SECONDS', 0.5)
@@ -231,10 +234,10 @@
     response = client.getresponse()
     received = b''
     while len(received) < len(body):
-        part = response.read(1 << 19)
+        part = response.read(part_bytes)
         assert part
         received += part
-        time.sleep(0.1)
+        time.sleep(pause)
     assert received == body
 
 
