Let the planner outlive an unexpected error

What callers saw: a host of the daemon that went on without one of its tasks: no scaling actions were requested any more.

Cause: an unexpected error ended the thread of the planner for good. The other tasks already log it and go on.

Change: the planner does so too, after its usual pause.

--- a/rhubarbreach/orders/planner.py
+++ b/rhubarbreach/orders/planner.py
@@ -66,8 +66,11 @@
     def run(self):
         """Plan until closed."""
         while not self.closed.wait(PLANNING_PERIOD_SECONDS):
-            if self.is_planner():
-                self.plan_once()
+            try:
+                if self.is_planner():
+                    self.plan_once()
+            except Exception:
+                LOG.exception('event=plan_failed')
 
     def plan_once(self):
         """Update the average demand and execute the resulting actions."""
