Deliver the answer to a caller that has sent another request

What callers saw: an answer that was reset, if its connection was to end after it, as on a host that stops or has no leader, and the caller had sent its next request meanwhile.

Cause: a socket that is closed with unread bytes resets the connection, and the part of the answer that was still to be sent is lost.

Change: such bytes are read and dropped for up to 1 s before the connection closes, as after a refusal.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -110,6 +110,9 @@
                 self.is_answer_due = False
                 self.is_kept = True
                 self.holding.resize(parser.held_bytes)
+            if sockets.is_readable(self.socket):
+                # The caller has sent another request.
+                self.discard_rest()
         except errors.BadMessageError as error:
             LOG.info('event=request_unreadable reason={!r}', str(error))
             self.refuse(error.status)
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 import types
 
 import pytest
@@ -162,6 +163,34 @@
     assert send(web_server).startswith(b'HTTP/1.1 200 ')
 
 
+def test_answer_is_delivered_before_a_connection_with_a_next_request_ends(
+    start_server,
+):
+    """Guards against resetting a connection whose caller still reads."""
+    body = bytes(4 * 1024 * 1024)
+    begun = threading.Event()
+    released = threading.Event()
+
+    def answer_last(connection, _):
+        begun.set()
+        released.wait(5.0)
+        connection.keep_alive = False
+        connection.send_response(200, (), body)
+
+    web_server = start_server(answer_last)
+    with socket.create_connection(('127.0.0.1', web_server.port), 5) as caller:
+        caller.sendall(REQUEST)
+        assert begun.wait(5.0)
+        caller.sendall(REQUEST)
+        released.set()
+        received = b''
+        while part := caller.recv(65536):
+            # The caller is slower than the server.
+            time.sleep(0.002)
+            received += part
+    assert received.endswith(body)
+
+
 def test_idle_connections_make_room_for_new_ones(start_server, monkeypatch):
     """Guards against a request that waits for idle connections to end."""
     monkeypatch.setattr(server, 'MAX_CONNECTIONS', 2)
