Let a blocked sender look for a new connection sooner

The sender of a silent peer is no longer interrupted when its connection is replaced, and looked for the new one each 0.5 s; by reading, a connection that fails silently under load could then be in use for nearly 3 s, the bound. It looks each 0.2 s now.

--- a/rhubarbreach/protocol/peer.py
+++ b/rhubarbreach/protocol/peer.py
@@ -22,7 +22,8 @@
 # store. A snapshot is sent in chunks of 256 KB, and a window of log entries
 # has at most 1.5 MB.
 MAX_QUEUE_BYTES = 8 * 1024 * 1024
-SEND_TIMEOUT_MS = 500
+# Interval at which a sender that is blocked looks for a new connection.
+SEND_TIMEOUT_MS = 200
 # A message that was not sent within this time is dropped. A sound peer may
 # stand still for up to 2 s. Messages between hosts become obsolete soon, and
 # every sender repeats those that are still needed.
