--- a/rhubarbreach/bench/storelosses/virtualgroups.py
+++ b/rhubarbreach/bench/storelosses/virtualgroups.py
@@ -106,6 +106,8 @@
         self.inbox = Inbox(self.wake)
         self.closed = False
         self.failure = None
+        self.has_ended = False
+        self.thread_failure = None
         now = process.now
         self.state = states.State(
             settings, self.store, process.machine.random, now
--- a/rhubarbreach/consensus/tests/test_random_disks.py
+++ b/rhubarbreach/consensus/tests/test_random_disks.py
@@ -108,7 +108,8 @@
     random = cluster.make_random(seed)
     disks = disk_faults.Disks(monkeypatch)
     election = Election(monkeypatch)
-    with cluster.running(tmp_path, snapshot_entries=15) as test_cluster:
+    entries = random.choice((15, 3000))
+    with cluster.running(tmp_path, snapshot_entries=entries) as test_cluster:
         test_cluster.commit(b'first')
         writer = Writer(test_cluster)
         try:
