Judge only endpoints as silent that were silent for long

What callers saw: nothing yet. The review read that a search for another endpoint, which also begins when one breaks off, marked all running attempts as stalled, an endpoint that was asked some milliseconds ago too. On routes of three attempts or more a sound one was avoided and counted as failed.

Cause: one deadline for the request stood for the silence of each endpoint.

Change: each attempt has its own deadline.

Evidence: test_endpoint_that_was_just_asked_is_not_silent fails before (two endpoints with a failure instead of one), and passes.

--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -34,7 +34,9 @@
         self.is_sent = False
         self.is_head_checked = False
         self.has_event = False
-        # Whether it was silent for so long that another endpoint was sought.
+        # Time from which its silence lets another endpoint be sought, and
+        # whether that has happened.
+        self.silent_at = float('inf')
         self.is_stalled = False
         self.run_started_at = clock.monotonic()
 
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -262,8 +262,10 @@
         Refusal, outcome of the attempt or None
             None if the attempt has begun.
         """
-        for silent in self.attempts:
-            self.recorder.record_stall(silent)
+        now = clock.monotonic()
+        for other in self.attempts:
+            if now >= other.silent_at:
+                self.recorder.record_stall(other)
         attempt = self.place(service)
         if isinstance(attempt, codes.Refusal):
             return attempt
@@ -274,7 +276,7 @@
         outcome = self.send_request(attempt)
         if outcome is not None:
             return self.end_attempt(attempt, outcome)
-        self.postpone_takeover()
+        self.postpone_takeover(attempt)
         return None
 
     def send_request(self, attempt):
@@ -419,14 +421,14 @@
     def record_progress(self, attempt):
         """Record that an endpoint has sent an event."""
         self.recorder.record_progress(attempt)
-        self.postpone_takeover()
+        self.postpone_takeover(attempt)
         self.record_answer(attempt)
 
-    def postpone_takeover(self):
-        """Seek another endpoint only after a further silence."""
-        self.takeover_at = clock.monotonic() + decide.get_stall_seconds(
-            self.route
-        )
+    def postpone_takeover(self, attempt):
+        """Seek another endpoint only after a further silence of this one."""
+        stall_seconds = decide.get_stall_seconds(self.route)
+        attempt.silent_at = clock.monotonic() + stall_seconds
+        self.takeover_at = attempt.silent_at
 
     def is_takeover_due(self):
         """Return whether another endpoint is to be asked to go on."""
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -58,12 +58,14 @@
     """Endpoint that answers each connection with the given parts.
 
     A part that is a number is a silence of so many seconds. Connections after
-    the first get the parts `later` if these are given.
+    the first get the parts `later` if these are given, and those after the
+    second the parts `last`.
     """
 
     def __init__(self, parts, pause, later=None, unread=False):
         self.parts = parts
         self.later = parts if later is None else later
+        self.last = None
         self.unread = unread
         self.pause = pause
         self.count = 0
@@ -78,6 +80,8 @@
             except OSError:
                 return
             parts = self.later if self.count else self.parts
+            if self.count > 1 and self.last is not None:
+                parts = self.last
             self.count += 1
             threading.Thread(
                 target=self.answer, args=(connection, parts), daemon=True
@@ -127,8 +131,11 @@
         body=b'',
         count=1,
         versions=None,
+        max_attempts=2,
+        last=None,
     ):
         endpoint = FakeEndpoint(parts, pause, later, unread)
+        endpoint.last = last
         endpoints.append(endpoint)
         loads = view.View('z1')
         on_view(loads)
@@ -157,7 +164,7 @@
             0.1,
             0,
             (catalogs.Target('s', 1.0),),
-            max_attempts=2,
+            max_attempts=max_attempts,
             resumable=resumable,
             longest_pause=longest_pause,
         )
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -122,6 +122,28 @@
     assert count('forward_outcomes_total', outcome='stalled') == 1
 
 
+def test_endpoint_that_was_just_asked_is_not_silent(forward_to):
+    """Guards against a verdict on an endpoint that had no time to answer."""
+    loads = []
+    _, data, endpoint, _ = forward_to(
+        [HEAD, *make_events(1, 1), 0.7],
+        0.0,
+        timeout=5.0,
+        resumable=True,
+        # It is asked when the first one is silent, which then breaks off.
+        later=[0.3, *respond(2)],
+        last=respond(2),
+        count=3,
+        max_attempts=3,
+        on_view=loads.append,
+    )
+    assert endpoint.count == 3
+    assert list_ids(data) == [1, 2, 3]
+    assert sorted(f for f, _ in loads[0].outcomes.values()) == [0, 1]
+    count = forward_to.metrics.get_count
+    assert count('forward_outcomes_total', outcome='stalled') == 1
+
+
 @pytest.mark.parametrize('delay', [0.0, 0.02, 0.05, 0.1, 0.2, 0.4])
 def test_events_of_two_endpoints_never_mix(forward_to, delay):
     """Guards against a stream whose two endpoints both go on."""
