Write entries again that a failed installation has replaced

Callers saw: a store that could not be opened after its process was started anew, with CorruptLogError, or that had lost synced entries.

If the removal of their segments failed, the replica went on with the former entries in memory, and the recovery did not write them again, as they counted as synced.

Change: from the empty record on, the former entries count as not synced, so that the recovery writes them after it.

--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -407,6 +407,8 @@
         """
         self.log.roll()
         self.log.append(ENCODER.encode([]))
+        # If a later step fails, the entries have to be written again.
+        self.synced_index = self.base_index
         self.log.sync()
         self.log.remove_before(self.log.number)
         self.segment_last_indexes = {}
--- a/rhubarbreach/consensus/tests/test_failing_disks.py
+++ b/rhubarbreach/consensus/tests/test_failing_disks.py
@@ -187,6 +187,32 @@
         step()
 
 
+@pytest.mark.parametrize('operation', ['unlink', 'folder'])
+def test_older_snapshot_after_a_failed_installation(store, disks, operation):
+    """Guards against a store that cannot be opened after both."""
+    store.recover()
+    prepared = model.Snapshot(2, 1, 0, (), b'older')
+    store.prepare_snapshot(prepared)
+    remove_before = store.log.remove_before
+
+    def remove(number):
+        store.log.remove_before = remove_before
+        disks.fail('host-1', operation)
+        remove_before(number)
+
+    store.log.remove_before = remove
+    with pytest.raises(OSError):
+        store.install_snapshot(model.Snapshot(9, 2, 0, (), b'newer'))
+    disks.heal('host-1')
+    store.recover()
+    store.publish_snapshot(prepared)
+    append_synced(store, 6, 6, 2)
+    store.close()
+    reopened = stores.Store(store.path)
+    reopened.close()
+    assert [entry.index for entry in reopened.entries] == [3, 4, 5, 6]
+
+
 @pytest.mark.parametrize('last', [6, 9, 12])
 @pytest.mark.parametrize('term', [1, 2])
 def test_files_agree_with_memory_after_each_failure(
