Let a stream wait for its leader before it is cut

What callers saw: a stream that was cut because its endpoint broke off while the leader of the stores was silent for over a second.

Cause: a host that is out of step with the leader may not choose another endpoint, whose software version it does not know for certain. The refusal ended the stream at once, though the host is in step again with the next reply.

Change: a stream of which the caller has a part waits for that until its deadline. Requests without a response are refused at once as before.

Evidence: test_silence_of_the_leader_cuts_no_stream fails before (cut after 0.002 s), and passes.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -6,6 +6,8 @@
 endpoints never mix.
 """
 
+import time
+
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
@@ -33,6 +35,8 @@
 TAKEOVER_SEND_SECONDS = 0.15
 # Pause before another endpoint is sought again for a stream that is silent.
 TAKEOVER_RETRY_SECONDS = 0.25
+# Interval at which a stream that waits for the leader looks for it.
+LEADER_POLL_SECONDS = 0.05
 # Bytes of a body that have already arrived are read beyond the deadline for
 # this long, as this host itself may have been suspended.
 LATE_READ_SECONDS = 0.25
@@ -139,6 +143,10 @@
                         clock.monotonic() + TAKEOVER_RETRY_SECONDS
                     )
                     continue
+                case codes.Refusal() if self.can_wait_for_leader():
+                    if not self.wait_for_leader():
+                        return None
+                    continue
                 case codes.Refusal():
                     return self.refuse_unplaced(outcome)
             if self.attempts and not decide.is_final(outcome):
@@ -234,6 +242,30 @@
         )
         return view.choose_queue_limit(service, self.route.objective, is_late)
 
+    def can_wait_for_leader(self):
+        """Return whether a stream may go on once the leader is heard again.
+
+        The caller has a part of it, so that a refusal would cut it.
+        """
+        now = clock.monotonic()
+        return (
+            self.writer.is_started
+            and self.deadline - now > decide.MIN_REMAINING_SECONDS
+            and resume.find_stale_refusal(self.app, self.software_version, now)
+            is not None
+        )
+
+    def wait_for_leader(self):
+        """Wait a little; return False if the caller is gone meanwhile."""
+        caller = self.connection.socket
+        until = clock.monotonic() + LEADER_POLL_SECONDS
+        if self.is_caller_watched and sockets.wait_readable([caller], until):
+            if self.has_caller_disconnected():
+                return False
+            self.is_caller_watched = False
+        time.sleep(clock.remaining(until, clock.monotonic()))
+        return True
+
     def refuse_unplaced(self, refusal):
         """End a request for which no endpoint is left.
 
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -186,7 +186,9 @@
             leader_client=types.SimpleNamespace(
                 refresh_loads=lambda: None,
                 quarantine=quarantine.Quarantine(),
-                is_fresh=lambda _: is_fresh,
+                is_fresh=is_fresh
+                if callable(is_fresh)
+                else lambda _: is_fresh,
             ),
             is_closing=lambda _: False,
             response_memory=response_memory,
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -220,6 +220,29 @@
     assert 1.5 <= seconds < 2.0
 
 
+@pytest.mark.parametrize('silent_for', [0.5, 5.0])
+def test_silence_of_the_leader_cuts_no_stream(forward_to, silent_for):
+    """Guards against a stream that is cut before its host is in step again.
+
+    Its endpoint breaks off meanwhile, and another one may go on.
+    """
+    in_step_at = clock.monotonic() + silent_for
+    _, data, endpoint, seconds = forward_to(
+        [HEAD, *make_events(1, 1), forwarding.RESET],
+        0.0,
+        timeout=2.0,
+        resumable=True,
+        later=respond(2),
+        count=2,
+        is_fresh=lambda now: now >= in_step_at,
+    )
+    is_heard = silent_for < 2.0
+    assert endpoint.count == 1 + is_heard
+    assert list_ids(data) == ([1, 2, 3] if is_heard else [1])
+    assert data.endswith(responses.LAST_CHUNK) == is_heard
+    assert abs(seconds - min(silent_for, 2.0)) < 0.4
+
+
 @pytest.mark.parametrize('takes_over', [False, True])
 def test_origin_is_the_endpoint_that_goes_on(forward_to, takes_over):
     """Guards against a stream taken up at a version that did not begin it."""
