Send a whole response until the deadline of its request

What callers saw: a large body that was cut after 5 s although its caller read steadily, and its deadline was further away.

Cause: the limit on a caller that does not read a short response held for the whole of a long one.

Change: the response of an endpoint is sent until the deadline of its request, or for 5 s if that is later.

Evidence: test_whole_response_reaches_a_caller_that_reads_slowly fails without the deadline (3.9 of 16 MB with a limit of 0.3 s), and passes.

--- a/rhubarbreach/gateway/responses.py
+++ b/rhubarbreach/gateway/responses.py
@@ -4,6 +4,7 @@
 from rhubarbreach.gateway import heads
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
+from rhubarbreach.web import server
 
 __all__ = ['LAST_CHUNK', 'ResponseWriter', 'encode_chunk']
 
@@ -104,9 +105,17 @@
         """
         if self.app.is_closing(self.connection):
             self.connection.keep_alive = False
+        # A response that arrives late still has some time to be sent.
+        deadline = max(
+            self.deadline, clock.monotonic() + server.RESPONSE_TIMEOUT_SECONDS
+        )
         try:
             self.connection.send_response(
-                head.status, heads.filter_headers(head), body, head.reason
+                head.status,
+                heads.filter_headers(head),
+                body,
+                head.reason,
+                deadline,
             )
         except (errors.ConnectionEndedError, errors.DeadlineError):
             self.connection.keep_alive = False
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -49,7 +49,9 @@
     def send(self, data, deadline):
         self.sent.append(data)
 
-    def send_response(self, status, headers=(), body=b'', reason=b''):
+    def send_response(
+        self, status, headers=(), body=b'', reason=b'', deadline=None
+    ):
         self.status = status
         self.sent.append(body)
 
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward as forwarding
+from rhubarbreach.web import server
 from rhubarbreach.web import sockets
 
 forward_to = forwarding.forward_to
@@ -322,3 +324,31 @@
     sockets.shut_down(ours)
     reader.join(5.0)
     assert b''.join(received).endswith(responses.LAST_CHUNK)
+
+
+def test_whole_response_reaches_a_caller_that_reads_slowly(monkeypatch):
+    """Guards against a body cut before the deadline of its request."""
+    monkeypatch.setattr(server, 'RESPONSE_TIMEOUT_SECONDS', 0.3)
+    head = types.SimpleNamespace(status=200, reason=b'OK', headers=())
+    body = b'x' * 16_000_000
+
+    def handle(connection, _):
+        writer = responses.ResponseWriter(
+            types.SimpleNamespace(is_closing=lambda _: True),
+            connection,
+            clock.monotonic() + 5.0,
+        )
+        writer.send_whole(head, body)
+
+    web_server = server.Server(
+        '127.0.0.1:0', handle, lambda: catalogs.DEFAULT_LIMITS, 'test'
+    )
+    address = ('127.0.0.1', web_server.port)
+    size = 0
+    with socket.create_connection(address, 5) as caller:
+        caller.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        time.sleep(0.8)
+        while data := caller.recv(1_000_000):
+            size += len(data)
+    web_server.close()
+    assert size > len(body)
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -251,17 +251,28 @@
             # The caller has closed the connection, or goes on sending.
             return
 
-    def send_response(self, status, headers=(), body=b'', reason=None):
-        """Send a whole response."""
+    def send_response(
+        self, status, headers=(), body=b'', reason=None, deadline=None
+    ):
+        """Send a whole response; see `send` for the deadline."""
         if self.server.draining:
             self.keep_alive = False
         self.send(
-            encode_response(status, headers, body, self.keep_alive, reason)
+            encode_response(status, headers, body, self.keep_alive, reason),
+            deadline,
         )
 
     def send(self, data, deadline=None):
         """Send bytes to the caller.
 
+        Parameters
+        ----------
+        data : bytes
+            Bytes to send.
+        deadline : float, optional
+            Seconds of the monotonic clock; by default
+            `RESPONSE_TIMEOUT_SECONDS` from now.
+
         Raises
         ------
         ConnectionEndedError
