Serve connections that were made before a stop

What callers saw: a connection that was reset, with its request unread, when its host began a planned stop.

Cause: closing the listener resets connections that the kernel has made and the host has not accepted yet.

Change: the listener is closed when no connection waits to be accepted, or after 1 s.

Evidence: test_connection_made_before_a_stop_is_served fails before (reset), and passes.

--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -26,6 +26,9 @@
 RESPONSE_TIMEOUT_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
 ACCEPT_PAUSE_SECONDS = 0.05
+# Time in which connections that were made before a stop are accepted.
+ACCEPT_SECONDS = 1.0
+ACCEPT_POLL_SECONDS = 0.002
 SERVICE_UNAVAILABLE = 503
 RETRY_AFTER_SECONDS = 0.5
 DISCARD_SECONDS = 1.0
@@ -427,7 +430,14 @@
             connection.end_unanswered()
 
     def stop_listening(self):
-        """Refuse new connections; those accepted before are served."""
+        """Refuse new connections; those made before are served."""
+        # Closing the listener resets those that are not accepted yet.
+        accept_until = clock.monotonic() + ACCEPT_SECONDS
+        while self.is_listening and sockets.is_readable(self.listener):
+            if clock.monotonic() >= accept_until:
+                LOG.warning('event=connections_not_accepted')
+                break
+            time.sleep(ACCEPT_POLL_SECONDS)
         self.is_listening = False
         sockets.close_socket(self.listener)
         self.thread.join()
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -215,6 +215,31 @@
             assert caller.recv(1000).startswith(b'HTTP/1.1 200 ')
 
 
+def test_connection_made_before_a_stop_is_served(start_server, monkeypatch):
+    """Guards against a connection that is reset before it is accepted."""
+    web_server = start_server(answer)
+    address = ('127.0.0.1', web_server.port)
+    start = web_server.start
+    begun = threading.Event()
+
+    def start_slowly(client_socket):
+        begun.set()
+        threading.Event().wait(0.3)
+        start(client_socket)
+
+    monkeypatch.setattr(web_server, 'start', start_slowly)
+    with contextlib.ExitStack() as stack:
+        callers = []
+        for _ in range(2):
+            caller = stack.enter_context(socket.create_connection(address, 5))
+            caller.sendall(REQUEST)
+            assert begun.wait(5.0)
+            callers.append(caller)
+        assert web_server.drain(clock.monotonic() + 5.0)
+        for caller in callers:
+            assert caller.recv(1000).startswith(b'HTTP/1.1 200 ')
+
+
 @pytest.mark.parametrize('seconds', [1e7, 1e300])
 def test_long_idle_timeout_does_not_end_connections(start_server, seconds):
     """Guards against a timeout that the system call for it cannot hold."""
