Find a release by its endpoint in a test of silent endpoints

The test required that the endpoint that goes on is released first. The status of the endpoint that goes on is required as before.

--- a/rhubarbreach/dispatch/tests/test_silent_endpoints.py
+++ b/rhubarbreach/dispatch/tests/test_silent_endpoints.py
@@ -141,7 +141,11 @@
     assert test_executor.get_tokens(sink.data) == TOKENS
     assert result.endpoint_id == 'e0'
     late.wait_for(late.cancelled)
-    assert executor.scheduler.released[0][1].status.value == 'completed'
+    statuses = {
+        endpoint_id: outcome.status.value
+        for endpoint_id, outcome in executor.scheduler.released
+    }
+    assert statuses['e0'] == 'completed'
 
 
 @pytest.fixture
