Keep the evacuated zones in the ledger

An operator could not take a zone out of service: whatever the leader knew was lost with it. A command names the revision on which it is based, so that one that arrives late changes nothing. Exchange and ExchangeReply carry the revision and the zones.

--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -15,7 +15,9 @@
     'CatalogReply',
     'Done',
     'DropProgress',
+    'EndEvacuation',
     'EndJob',
+    'EvacuationReply',
     'FAMILY',
     'GROUP',
     'Item',
@@ -28,11 +30,14 @@
     'QuarantinePart',
     'ReadBody',
     'ReadCatalog',
+    'ReadEvacuation',
     'ReadResults',
     'ReleaseParts',
     'RemoveVersions',
     'Results',
     'RetireStore',
+    'StartEvacuation',
+    'Superseded',
     'WaitingFull',
     'decode_reply',
 ]
@@ -204,6 +209,33 @@
     versions: tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartEvacuation:
+    """Command that evacuates an availability zone.
+
+    It has no effect if the zone has changed since the revision `expected`, so
+    that a command that arrives late does not undo a later one.
+    """
+
+    zone: str
+    expected: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndEvacuation:
+    """Command that withdraws an evacuation; see `StartEvacuation`."""
+
+    zone: str
+    expected: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadEvacuation:
+    """Query for the state of an availability zone."""
+
+    zone: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadCatalog:
     """Query for the configuration in force."""
@@ -232,6 +264,19 @@
     """Reply to a command that has been applied, now or earlier."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationReply:
+    """State of a zone; `revision` is that of its last change, 0 for none."""
+
+    is_evacuated: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Reply to a command without effect, as the zone has changed since."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CatalogReply:
     """Configuration in force; version 0 means none."""
@@ -283,10 +328,15 @@
     ReleaseParts,
     AddVersions,
     RemoveVersions,
+    StartEvacuation,
+    EndEvacuation,
+    ReadEvacuation,
     ReadCatalog,
     ReadResults,
     ReadBody,
     Done,
+    EvacuationReply,
+    Superseded,
     CatalogReply,
     WaitingFull,
     JobNotFound,
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -34,6 +34,10 @@
     trials: dict[str, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
+    evacuations: dict[str, tuple[bool, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    evacuation_revision: int = 0
 
 
 IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
@@ -63,6 +67,10 @@
         self.trials = {}
         # Pairs of a service and a software version.
         self.versions = set()
+        # Whether each zone that ever was evacuated is so now, and the
+        # revision of its last change.
+        self.evacuations = {}
+        self.evacuation_revision = 0
         # Not a part of the replicated state.
         self.ages = ages.JobAges()
 
@@ -120,6 +128,10 @@
             case commands.RemoveVersions(versions=versions):
                 self.versions.difference_update(versions)
                 return commands.Done()
+            case commands.StartEvacuation(zone=zone, expected=expected):
+                return self.set_evacuated(zone, True, expected)
+            case commands.EndEvacuation(zone=zone, expected=expected):
+                return self.set_evacuated(zone, False, expected)
         raise TypeError(f'not a command: {type(command).__name__}')
 
     def add_job(self, command):
@@ -251,6 +263,32 @@
         with self.lock:
             return dict(self.trials)
 
+    def set_evacuated(self, zone, is_evacuated, expected):
+        """Evacuate a zone or end that, unless it has changed since."""
+        current, revision = self.evacuations.get(zone, (False, 0))
+        if revision and current == is_evacuated:
+            return commands.Done()
+        if revision != expected:
+            return commands.Superseded()
+        self.evacuation_revision += 1
+        self.evacuations[zone] = (is_evacuated, self.evacuation_revision)
+        return commands.Done()
+
+    def get_evacuated(self):
+        """Return the revision of the evacuations and the evacuated zones.
+
+        Returns
+        -------
+        int, frozenset of str
+            Number of changes, and names of availability zones.
+        """
+        with self.lock:
+            return self.evacuation_revision, frozenset(
+                zone
+                for zone, (is_evacuated, _) in self.evacuations.items()
+                if is_evacuated
+            )
+
     def get_versions(self):
         """Return the recorded pairs of a service and a software version."""
         with self.lock:
@@ -268,6 +306,10 @@
         match query:
             case commands.ReadCatalog():
                 return commands.CatalogReply(self.version, self.document)
+            case commands.ReadEvacuation(zone):
+                return commands.EvacuationReply(
+                    *self.evacuations.get(zone, (False, 0))
+                )
             case commands.ReadResults(job_id, account, after):
                 job = self.find_job(job_id, account)
                 if job is None:
@@ -357,6 +399,8 @@
                 self.quarantine_revision,
                 sorted(self.versions),
                 self.trials,
+                self.evacuations,
+                self.evacuation_revision,
             )
             return msgspec.msgpack.encode(image)
 
@@ -375,6 +419,8 @@
                 part: image.trials.get(part, (0, 0.0))
                 for part in image.quarantined
             }
+            self.evacuations = dict(image.evacuations)
+            self.evacuation_revision = image.evacuation_revision
             self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -109,6 +109,8 @@
     answer of each service to any request. `wanted_parts` are the quarantined
     parts of requests that have come since the last message, and `used_trials`
     is the number of the last trial of each part that the host has made.
+    `evacuation_revision` is the version of the evacuated zones that the host
+    has.
     """
 
     catalog_version: int
@@ -127,6 +129,7 @@
     service_answers: dict[str, float] = dataclasses.field(default_factory=dict)
     wanted_parts: tuple[str, ...] = ()
     used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    evacuation_revision: int = 0
 
 
 @messages.frozen_message
@@ -149,7 +152,9 @@
     host has to report, and `quarantined` holds the parts to hold back with
     the remaining time in seconds, if `quarantine_revision` differs from the
     one in the request. `trials` holds the quarantined parts with which the
-    host may send one request each, with the number of the trial.
+    host may send one request each, with the number of the trial. `evacuated`
+    holds the zones to whose endpoints nothing is sent, if
+    `evacuation_revision` differs from the one in the request.
     """
 
     is_leader: bool
@@ -172,6 +177,8 @@
     quarantine_revision: int = 0
     quarantined: dict[str, float] | None = None
     trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    evacuation_revision: int = 0
+    evacuated: tuple[str, ...] | None = None
 
 
 @messages.frozen_message
