Send nothing to the endpoints of evacuated zones

Entry hosts leave out the endpoints of the zones that the leader names, for first attempts, retries, continuations, proofs and trials alike. A host that has stood still knows only what it knew before; it waits for its first exchange and refuses as not run without one. The zone is checked again between the connection and the first byte, as the process may have stood still there. Streams that run in the zone go on, and count as on an endpoint in service when their end is judged.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -9,6 +9,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import announcements
+from rhubarbreach.fleet import evacuations
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quarantine
@@ -51,6 +52,10 @@
 # Time that a request may wait for the loads of other hosts. An exchange takes
 # about 5 ms, and the next one starts at the earliest 20 ms after it.
 REFRESH_TIMEOUT_SECONDS = 0.04
+# Time that a request waits for the first exchange of a host that has stood
+# still, and the pause between two checks.
+CONTACT_WAIT_SECONDS = 1.0
+CONTACT_POLL_SECONDS = 0.02
 
 
 def compute_interval(entry_host_count):
@@ -105,6 +110,8 @@
             tolerance,
         )
         self.quarantine = quarantine.Quarantine(self.request_loads)
+        self.evacuations = evacuations.Evacuations()
+        self.guard = evacuations.ContactGuard(self.started_at)
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
@@ -163,6 +170,28 @@
                 self.changed.wait(remaining)
         return self.index
 
+    def wait_for_contact(self):
+        """Wait for an exchange if this host has stood still.
+
+        Returns
+        -------
+        bool
+            Whether requests may be sent by what this host knows.
+        """
+        deadline = clock.monotonic() + CONTACT_WAIT_SECONDS
+        while not self.guard.may_send(clock.monotonic()):
+            if clock.monotonic() >= deadline:
+                return False
+            time.sleep(CONTACT_POLL_SECONDS)
+        return True
+
+    def may_send_to(self, endpoint):
+        """Return whether a request may be sent to a chosen endpoint now."""
+        return (
+            self.guard.may_send(clock.monotonic())
+            and endpoint.availability_zone not in self.evacuations.zones
+        )
+
     def find_account(self, name):
         """Return an account of the configuration while that is valid."""
         index = self.index
@@ -260,6 +289,7 @@
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
+        self.guard.begin_exchange(sent)
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
@@ -280,6 +310,7 @@
             service_answers,
             wanted_parts,
             used_trials,
+            self.evacuations.revision,
         )
         reply = self.search.call(message)
         if reply is None:
@@ -316,6 +347,7 @@
         running : dict of str to int
             Requests that the message reported, which the reply includes.
         """
+        self.apply_evacuations(reply)
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
@@ -349,6 +381,7 @@
             self.min_interval,
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
+        self.guard.end_exchange(sent)
         self.search.stores = reply.stores or self.search.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
@@ -364,6 +397,21 @@
             self.has_leader = True
             LOG.info('event=leader_found store={}', self.leader_id)
 
+    def apply_evacuations(self, reply):
+        """Apply the evacuated zones, before anything else of a reply."""
+        previous = self.evacuations
+        current = previous.update(reply.evacuation_revision, reply.evacuated)
+        if current is previous:
+            return
+        self.evacuations = current
+        self.view.set_evacuated_zones(current.zones)
+        LOG.info(
+            'event=evacuations_in_force revision={} zones={} restored={}',
+            current.revision,
+            sorted(current.zones),
+            sorted(evacuations.find_restored(previous, current)),
+        )
+
     def apply_catalog(self, copy):
         """Apply a configuration if its version is newer.
 
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -51,6 +51,7 @@
         self.lock = threading.Lock()
         self.services = {}
         self.endpoints = {}
+        self.evacuated_zones = frozenset()
         self.running = {}
         # Requests of hosts in other zones, and of the others in this zone.
         self.elsewhere = {}
@@ -85,16 +86,29 @@
             self.health.keep(endpoints)
 
     def group_by_service(self):
-        """Group the endpoints that take new requests by their service."""
+        """Group the endpoints that take new requests by their service.
+
+        Those of evacuated zones take none.
+        """
         services = {}
         for endpoint in self.endpoints.values():
-            is_leaving = self.departures.is_leaving(
-                endpoint.endpoint_id, endpoint.born
-            )
-            if not (endpoint.is_draining or is_leaving):
+            is_evacuated = endpoint.availability_zone in self.evacuated_zones
+            if not (is_evacuated or self.is_leaving(endpoint)):
                 services.setdefault(endpoint.service, []).append(endpoint)
         self.services = services
 
+    def is_leaving(self, endpoint):
+        """Return whether an endpoint drains, or has said that it leaves."""
+        return endpoint.is_draining or self.departures.is_leaving(
+            endpoint.endpoint_id, endpoint.born
+        )
+
+    def set_evacuated_zones(self, zones):
+        """Replace the zones to whose endpoints nothing is sent."""
+        with self.lock:
+            self.evacuated_zones = frozenset(zones)
+            self.group_by_service()
+
     def record_departure(self, endpoint):
         """Choose an endpoint no more, as it has said that it is leaving.
 
@@ -317,13 +331,16 @@
         return endpoint in self.services.get(endpoint.service, ())
 
     def is_endpoint_in_service(self, endpoint):
-        """Return whether an endpoint takes new requests, restarted or not.
+        """Return whether an endpoint is not leaving, restarted or not.
 
         A process may have sent a response before its start was known here.
+        The endpoints of an evacuated zone go on with what they run.
         """
-        return any(
-            known.endpoint_id == endpoint.endpoint_id
-            for known in self.services.get(endpoint.service, ())
+        known = self.endpoints.get(endpoint.endpoint_id)
+        return (
+            known is not None
+            and known.service == endpoint.service
+            and not self.is_leaving(known)
         )
 
     def has_left(self, endpoint):
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -40,7 +40,14 @@
         self.is_stalled = False
         self.run_started_at = clock.monotonic()
 
-    def open(self, data, connect_deadline, send_deadline, response_memory):
+    def open(
+        self,
+        data,
+        connect_deadline,
+        send_deadline,
+        response_memory,
+        may_send=None,
+    ):
         """Send the request.
 
         Parameters
@@ -51,17 +58,23 @@
             Seconds of the monotonic clock.
         response_memory : MemoryPool
             Bounds the responses that this host holds.
+        may_send : callable, optional
+            See `web.client.Call`.
 
         Raises
         ------
         ConnectError
-            If no connection was made; nothing was sent.
+            If no connection was made or may be used; nothing was sent.
         DeadlineError
             If only a part of the request was sent; it may have run.
         """
         try:
             self.call = client.Call(
-                self.endpoint.address, data, connect_deadline, send_deadline
+                self.endpoint.address,
+                data,
+                connect_deadline,
+                send_deadline,
+                may_send,
             )
         except errors.DeadlineError:
             self.is_sent = True
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -273,6 +273,7 @@
                 min(self.deadline, now + CONNECT_TIMEOUT_SECONDS),
                 send_deadline,
                 self.app.response_memory,
+                lambda: self.app.leader_client.may_send_to(attempt.endpoint),
             )
         except errors.ConnectError as error:
             return model.NotRun(str(error))
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -94,6 +94,11 @@
         """
         quarantine = self.app.leader_client.quarantine
         while True:
+            if not self.app.leader_client.wait_for_contact():
+                return codes.Refusal(
+                    codes.ResultCode.NO_ENDPOINT,
+                    'this host has stood still and reaches no leader',
+                )
             now = clock.monotonic()
             # A quarantine may begin while the request is retried.
             refusal = quarantine.find_refusal(prompt, now)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -210,6 +210,8 @@
             leader_client=types.SimpleNamespace(
                 refresh_loads=on_refresh,
                 request_loads=lambda: None,
+                wait_for_contact=lambda: True,
+                may_send_to=lambda _: True,
                 quarantine=quarantine.Quarantine(),
                 is_fresh=is_fresh
                 if callable(is_fresh)
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -45,20 +45,28 @@
         Encoded request.
     connect_deadline, deadline : float
         Seconds of `clock.monotonic`.
+    may_send : callable, optional
+        Returns whether the request may still be sent. It is called once the
+        connection is made, as the process may have stood still meanwhile.
 
     Raises
     ------
     ConnectError
-        If no connection was made; nothing was sent.
+        If no connection was made or may be used; nothing was sent.
     DeadlineError
         If only a part of the request was sent; it may have run.
     """
 
-    def __init__(self, address, data, connect_deadline, deadline):
+    def __init__(
+        self, address, data, connect_deadline, deadline, may_send=None
+    ):
         self.parser = parse.ResponseParser()
         self.is_sent = False
         self.is_interrupted = False
         self.socket = sockets.connect(address, connect_deadline)
+        if may_send is not None and not may_send():
+            self.close()
+            raise errors.ConnectError('the request may no longer be sent')
         try:
             sockets.send_all(self.socket, data, deadline)
             self.is_sent = True
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -223,6 +223,15 @@
         # The handler sees that the connection has ended.
         sockets.shut_down(self.socket)
 
+    def is_caller_there(self):
+        """Return whether the caller has not ended its sending half."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def send_continue(self, parser):
         """Send 100 Continue if the caller waits for it."""
         if parser.expects_continue:
