Run no items on endpoints of evacuated zones

The runner treats these endpoints as draining: items that can resume elsewhere are stopped, others go on. An order that its store has not reported yet is cancelled at any draining endpoint, as it could be sent again after the evacuation. A store begins a run within 2 s after the report whose answer held the order; a store that had stood still began it however late.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -53,10 +53,13 @@
         Item, endpoint, and number of the event after which to resume.
     memory_pool : MemoryPool
         Bounds the outputs of all runs.
+    begin_until : float
+        Until when the item may be sent, in seconds of the monotonic clock.
     """
 
-    def __init__(self, order, memory_pool):
+    def __init__(self, order, memory_pool, begin_until=float('inf')):
         self.order = order
+        self.begin_until = begin_until
         self.holding = memory_pool.open(self.interrupt)
         self.call = None
         self.stream = None
@@ -74,6 +77,12 @@
         """Whether the response holds a part of one more event."""
         return self.stream is not None and bool(self.stream.rest.strip())
 
+    def may_begin(self):
+        """Return whether the item may still be sent; else cancel the run."""
+        if clock.monotonic() > self.begin_until:
+            self.cancelled = True
+        return not self.cancelled
+
     def cancel(self):
         """Cancel the run; the endpoint stops when the connection closes."""
         self.cancelled = True
@@ -153,6 +162,7 @@
         data,
         now + CONNECT_TIMEOUT_SECONDS,
         now + IDLE_TIMEOUT_SECONDS,
+        run.may_begin,
     )
     run.call = call
     if run.cancelled:
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -285,7 +285,8 @@
     def cancel_unneeded(self, endpoints):
         """Cancel runs of closed items and runs on draining endpoints.
 
-        A run whose events would be lost goes on until its endpoint ends.
+        A run whose events would be lost goes on until its endpoint ends. One
+        that its store has not reported may not have begun, and does not.
         """
         with self.lock:
             progress = self.assignments.progress
@@ -636,7 +637,7 @@
     """
     if not is_draining(endpoints.get(run.endpoint.endpoint_id)):
         return False
-    return not run.progress.texts or versions.is_in_service(
+    return not (run.reported and run.progress.texts) or versions.is_in_service(
         run.endpoint.software_version, run.destination.service, endpoints
     )
 
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -34,6 +34,10 @@
 # Seconds without contact to a leader after which no run starts: its item may
 # have ended or run elsewhere. An election takes at most 1 s.
 LEADER_TIMEOUT_SECONDS = 2.0
+# Seconds within which an order begins after the report that it answers.
+# A store that has stood still must not begin a run that the leader has given
+# up or an operator has excluded since.
+ORDER_SECONDS = 2.0
 # Bytes of events in one report; the rest follows immediately. After a change
 # of the leader a store may have to report a megabyte. A single report of that
 # size would exceed the timeout each time and never arrive.
@@ -46,10 +50,11 @@
     `begun` is the number of the event after which the run resumes the item.
     `known` is the number of events that the leader has, or None until the
     current leader has sent it. `started` is whether a thread executes the run.
+    The run may begin until `begin_until`.
     """
 
-    def __init__(self, order, memory_pool):
-        self.run = execution.Run(order, memory_pool)
+    def __init__(self, order, memory_pool, begin_until=float('inf')):
+        self.run = execution.Run(order, memory_pool, begin_until)
         self.begun = order.last_id
         self.progress = execution.RunProgress(
             [], order.last_id, order.output_bytes
@@ -220,7 +225,7 @@
             return False
         self.leader_id = store
         self.last_contact = clock.monotonic()
-        self.apply_reply(reports, reply)
+        self.apply_reply(reports, reply, now + ORDER_SECONDS)
         return True
 
     def make_reports(self, now):
@@ -275,8 +280,18 @@
         if waiting:
             LOG.warning('event=runs_orphaned count={}', len(waiting))
 
-    def apply_reply(self, reports, reply):
-        """Start, continue and end runs as the leader's reply requests."""
+    def apply_reply(self, reports, reply, begin_until):
+        """Start, continue and end runs as the leader's reply requests.
+
+        Parameters
+        ----------
+        reports : list of RunReport
+            Reports that the leader has answered.
+        reply : WorkOrders
+            Its reply.
+        begin_until : float
+            Until when its orders may begin, in seconds of the monotonic clock.
+        """
         known_counts = dict(reply.known)
         has_more = False
         with self.lock:
@@ -297,7 +312,7 @@
             started = []
             for order in reply.orders:
                 if order.order_id not in self.active and not self.draining:
-                    active_run = ActiveRun(order, self.memory)
+                    active_run = ActiveRun(order, self.memory, begin_until)
                     self.active[order.order_id] = active_run
                     started.append(active_run)
         self.cancel_runs(reply.cancels)
