Evacuate zones by calls at a store

Any store takes the calls to start and end the evacuation of a zone. It reads the state of the zone, checks that its caller has not given up, and commits the change on the basis of what it has read. The zones are those of the setting [fleet] zones, or of the known hosts and endpoints.

--- a/rhubarbreach/hosts/gauges.py
+++ b/rhubarbreach/hosts/gauges.py
@@ -15,8 +15,8 @@
         of the snapshot and, on a leader, the bytes sent to each peer that
         are not yet acknowledged.
     ledger : Ledger
-        Replicated state; gives the number of open jobs and items, and of
-        quarantined parts of prompts.
+        Replicated state; gives the number of open jobs and items, of
+        quarantined parts of prompts, and of evacuated zones.
     link : Link
         Link of the store; gives the bytes queued for peers since the start,
         by message type.
@@ -34,5 +34,7 @@
     metrics.set_gauge('jobs_open', len(open_jobs))
     metrics.set_gauge('items_open', sum(len(items) for _, items in open_jobs))
     metrics.set_gauge('parts_quarantined', len(ledger.quarantined))
+    _, zones = ledger.get_evacuated()
+    metrics.set_gauge('zones_evacuated', len(zones))
     for message, queued_bytes in link.queued_bytes_total.copy().items():
         metrics.set_gauge('link_queued_bytes', queued_bytes, message=message)
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -74,6 +74,13 @@
         host_ids = set(self.presence) | self.group.list_contacts()
         return sorted(host_ids - {self.host_id})
 
+    def list_zones(self):
+        """Return the availability zones of the stores that were heard."""
+        return {
+            message.availability_zone
+            for _, message in list(self.presence.values())
+        }
+
     def record_presence(self, sender_id, message):
         """Record the presence announcement of a store."""
         if message.host_id not in self.presence:
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -18,9 +18,11 @@
 from rhubarbreach.consensus import model as consensus_model
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
+from rhubarbreach.fleet import evacuations
 from rhubarbreach.fleet import quota
 from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
+from rhubarbreach.hosts import evacuation
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import quarantine_manager
@@ -150,6 +152,9 @@
             self.wake,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
+        self.evacuations = evacuation.EvacuationCalls(
+            self.query, self.propose, self.find_zones
+        )
         self.quarantine_manager = quarantine_manager.QuarantineManager(
             self.ledger, self.group.propose
         )
@@ -275,6 +280,9 @@
             )
         )
         batch = self.runner.count_running()
+        evacuation_revision, evacuated = self.ledger.get_evacuated()
+        if evacuation_revision == message.evacuation_revision:
+            evacuated = None
         return fleetmessages.ExchangeReply(
             True,
             self.host_id,
@@ -296,6 +304,8 @@
             quarantine_revision,
             quarantined,
             self.quarantine_manager.list_trials(sender_id, now),
+            evacuation_revision,
+            None if evacuated is None else tuple(sorted(evacuated)),
         )
 
     def find_recent_versions(self, services):
@@ -335,14 +345,45 @@
 
     def read_catalog(self):
         """Return the newest `CatalogReply`, or a `Refusal`."""
+        return self.query(
+            commands.ReadCatalog(), clock.monotonic() + READ_TIMEOUT_SECONDS
+        )
+
+    def query(self, query, deadline):
+        """Return the reply of the ledger to a query, by a linearizable read.
+
+        Parameters
+        ----------
+        query : object
+            Query of `commands.FAMILY`.
+        deadline : float
+            Seconds of the monotonic clock.
+        """
         self.client.hosts = (self.host_id, *self.members.list_others())
         reply = self.client.query(
-            commands.GROUP,
-            commands.FAMILY.encode(commands.ReadCatalog()),
-            clock.monotonic() + READ_TIMEOUT_SECONDS,
+            commands.GROUP, commands.FAMILY.encode(query), deadline
         )
         return commands.decode_reply(reply)
 
+    def find_zones(self):
+        """Return the known zones, and whether there are no others.
+
+        Returns
+        -------
+        frozenset of str, bool
+            Zones of the settings, or else those of hosts and endpoints.
+        """
+        if self.settings.zones:
+            return frozenset(self.settings.zones), True
+        return frozenset(
+            (
+                self.settings.availability_zone,
+                *self.members.list_zones(),
+                *self.usage.list_zones(),
+                *(e.availability_zone for e in self.endpoints.list_rows()),
+            )
+        ), self.endpoints.is_complete()
+
     def propose(self, command, seconds):
         """Commit a command through the leader; return the reply."""
         self.client.hosts = (self.host_id, *self.members.list_others())
@@ -378,10 +419,14 @@
         return assignments.Destination(indexes.choose_target(route), job.host)
 
     def list_slots(self):
-        """Return endpoints by id, their online requests, and the suspects."""
+        """Return endpoints by id, their online requests, and the suspects.
+
+        Endpoints in evacuated zones count as draining.
+        """
         now = clock.monotonic()
+        _, zones = self.ledger.get_evacuated()
         return (
-            self.endpoints.list_by_id(),
+            evacuations.exclude_zones(self.endpoints.list_by_id(), zones),
             self.usage.sum_online(now),
             self.usage.list_suspects(now),
         )
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -62,6 +62,11 @@
         """Return the number of entry hosts, at least 1."""
         return max(1, len(self.loads.zone_by_host))
 
+    def list_zones(self):
+        """Return the availability zones of the entry hosts that report."""
+        with self.lock:
+            return set(self.loads.zone_by_host.values())
+
     def list_online(self, zone, endpoint_ids):
         """Return the online requests on endpoints, in the given order.
 
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -2,6 +2,7 @@
 
 import configparser
 import dataclasses
+import re
 
 from rhubarbreach import exceptions
 
@@ -9,6 +10,7 @@
 
 ROLES = ('entry', 'store')
 BYTES_PER_MEGABYTE = 1_000_000
+NAME = re.compile(r'[\w.-]+')
 # Memory of the smallest hosts.
 DEFAULT_MEMORY_BYTES = 150 * BYTES_PER_MEGABYTE
 
@@ -50,6 +52,9 @@
         Memory that the process may use.
     metrics_port : int
         Port of the metrics, 0 for none.
+    zones : tuple of str
+        Availability zones that operators may name. If empty, those of the
+        known hosts and endpoints.
     rate_window, rate_overage, rate_slack : float
         Tolerance of the rate limits of client accounts. In `rate_window`
         seconds an account may exceed the requests that its limit allows by
@@ -76,6 +81,7 @@
     rate_overage: float = 0.1
     rate_slack: float = 20.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    zones: tuple[str, ...] = ()
 
 
 class OptionReader:
@@ -170,6 +176,7 @@
         memory_bytes=reader.read(
             'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
+        zones=reader.read('fleet', 'zones', to_names, 'zone names', ()),
     )
     needed = {
         'entry': ('callers', 'readiness'),
@@ -255,6 +262,14 @@
     return text
 
 
+def to_names(text):
+    """Return the names of a comma-separated list."""
+    names = tuple(part.strip() for part in text.split(','))
+    if not all(map(NAME.fullmatch, names)):
+        raise ValueError
+    return names
+
+
 def to_hosts(text):
     """Return the hosts of a comma-separated list of `host:port`."""
     hosts = [part.strip().rpartition(':')[0] for part in text.split(',')]
