--- a/rhubarbreach/commands/wordcheck.py
+++ b/rhubarbreach/commands/wordcheck.py
@@ -9,8 +9,8 @@
 # Headers, calls and fields of the platform that only its adapter may use.
 PLATFORM_WORDS = re.compile(
     r'[Xx]-[Rr]hubarbreach|Instances\.|Config\.(?:Put|Get)'
-    r'|Retire\.(?:Start|Get)|Evacuations\.|heartbeat_addr|dead_letter'
-    r'|route_type|traffic_split|max_count|next_page_token|cold_remaining|tenant'
+    r'|Retire\.(?:Start|Get)|Evacuations\.|heartbeat_addr'
+    r'|dead_letter|route_type|traffic_split|max_count|next_page_token|cold_remaining|tenant'
     r'|RHUBARBREACH_SETTINGS'
 )
 # This module defines the words; generated code is not checked.
