Test the parts of evacuations

Items: orders that are sent again or carried out late. Stores: repeated, late and racing calls. The check of words names the calls of the platform.

--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -1,5 +1,6 @@
 """Replicated state of the configuration and the batch jobs."""
 
+import msgspec
 import pytest
 
 from rhubarbreach.backlog import commands
@@ -263,3 +264,35 @@
     apply(other, commands.AddProgress((more,)))
     assert other.get_end('j', 'j-0') == (3, None)
     assert other.get_progress('j', 'j-0')[0] == [b'a', b'b', b'c']
+
+
+def test_evacuations_survive_a_snapshot(ledger):
+    """Guards against zones that open when a store restores its state."""
+    apply(ledger, commands.StartEvacuation('z1', 0))
+    apply(ledger, commands.StartEvacuation('z2', 0))
+    apply(ledger, commands.EndEvacuation('z2', 2))
+    restored = ledgers.Ledger()
+    restored.restore(ledger.snapshot())
+    assert restored.get_evacuated() == (3, {'z1'})
+    state = query(restored, commands.ReadEvacuation('z2'))
+    assert state == commands.EvacuationReply(False, 3)
+
+
+def test_late_command_on_a_zone_changes_nothing(ledger):
+    """Guards against a late command that undoes an acknowledged one."""
+    apply(ledger, commands.StartEvacuation('z1', 0))
+    apply(ledger, commands.EndEvacuation('z1', 1))
+    apply(ledger, commands.StartEvacuation('z1', 2))
+    late = apply(ledger, commands.EndEvacuation('z1', 1))
+    assert late == commands.Superseded()
+    # A change of another zone is no reason to refuse.
+    assert apply(ledger, commands.StartEvacuation('z2', 0)) == commands.Done()
+    assert ledger.get_evacuated() == (4, {'z1', 'z2'})
+
+
+def test_snapshot_without_evacuations_is_restored(ledger):
+    """Guards against a store that cannot start after an update."""
+    data = msgspec.msgpack.decode(ledger.snapshot())
+    del data['evacuations'], data['evacuation_revision']
+    ledger.restore(msgspec.msgpack.encode(data))
+    assert ledger.get_evacuated() == (0, frozenset())
--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -144,6 +144,28 @@
     assert run.cancelled is is_cancelled
 
 
+def test_order_that_may_not_have_begun_is_cancelled_at_a_draining_endpoint(
+    runner, leader, make_report
+):
+    """Guards against an order that is sent again to an evacuated zone.
+
+    The item has events and cannot resume elsewhere, so that its run would go
+    on if it had begun.
+    """
+    old = dataclasses.replace(leader.endpoints['e1'], software_version='v1')
+    leader.endpoints['e1'] = old
+    leader.committed[KEY] = (b'1',)
+    leader.receive('one', make_report())
+    leader.assign('a')
+    runner.assignments = leader.assignments
+    runner.open_items = leader.open_items
+    runner.cancel_unneeded({'e1': dataclasses.replace(old, is_draining=True)})
+    (run,) = leader.assignments.runs.values()
+    assert run.cancelled
+    reply, _ = leader.receive('one', make_report())
+    assert not reply.orders
+
+
 @pytest.fixture
 def end_run(runner, leader, make_report, make_run):
     """Return a function that ends a run of the item at an endpoint."""
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -10,6 +10,7 @@
 
 from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import worker
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.protocol import workmessages
 from rhubarbreach.web import memory
@@ -301,3 +302,24 @@
     report = active_run.make_report(time.monotonic(), worker.REPORT_BYTES)
     assert (report.outcome, report.texts) == ('oversized', ())
     assert not active_run.has_unreported(report)
+
+
+def test_order_to_a_store_that_stood_still_is_not_carried_out():
+    """Guards against items sent to a zone that was evacuated meanwhile."""
+    now = clock.monotonic()
+    late = worker.ActiveRun(ORDER, memory.UNBOUNDED, now - 0.1)
+    assert not late.run.may_begin()
+    assert late.run.cancelled
+    prompt = worker.ActiveRun(ORDER, memory.UNBOUNDED, now + DEADLINE_SECONDS)
+    assert prompt.run.may_begin()
+    assert not prompt.run.cancelled
+
+
+def test_order_has_to_begin_soon_after_its_report(worker_setup):
+    """Guards against a run that begins long after the leader ordered it."""
+    _, link, release = worker_setup
+    before = clock.monotonic()
+    link.replies.extend([orders(ORDER), orders(known=KNOWN)])
+    (run,) = wait_for(lambda: release.runs)
+    assert before < run.begin_until
+    assert run.begin_until < clock.monotonic() + worker.ORDER_SECONDS
--- a/rhubarbreach/commands/wordcheck.py
+++ b/rhubarbreach/commands/wordcheck.py
@@ -9,9 +9,9 @@
 # Headers, calls and fields of the platform that only its adapter may use.
 PLATFORM_WORDS = re.compile(
     r'[Xx]-[Rr]hubarbreach|Instances\.|Config\.(?:Put|Get)'
-    r'|Retire\.(?:Start|Get)|Evacuations\.|heartbeat_addr'
-    r'|dead_letter|route_type|traffic_split|max_count|next_page_token|cold_remaining|tenant'
-    r'|RHUBARBREACH_SETTINGS'
+    r'|Retire\.(?:Start|Get)|Evacuations\.(?:Start|End)|heartbeat_addr'
+    r'|dead_letter|route_type|traffic_split|max_count|next_page_token'
+    r'|cold_remaining|tenant|RHUBARBREACH_SETTINGS'
 )
 # This module defines the words; generated code is not checked.
 EXCLUDED_SUFFIXES = ('wordcheck.py', '_pb2.py', '_pb2_grpc.py')
--- a/rhubarbreach/settings/tests/test_role.py
+++ b/rhubarbreach/settings/tests/test_role.py
@@ -24,6 +24,7 @@
 data_folder =
 [fleet]
 revoke_ms = 4000
+zones = z1, z2
 [new_section]
 x = y
 """
@@ -46,6 +47,7 @@
     assert settings.link_port == 7000
     assert settings.founds_group is True
     assert settings.announce_interval == 1.2
+    assert settings.zones == ('z1', 'z2')
 
 
 @pytest.mark.parametrize(
@@ -58,6 +60,8 @@
         ('callers = 10.0.0.1:80', 'callers = 80', 'callers'),
         ('callers = 10.0.0.1:80', '', 'callers'),
         ('founds_group = true', 'founds_group = perhaps', 'founds_group'),
+        ('zones = z1, z2', 'zones = {{zones}}', 'zones'),
+        ('zones = z1, z2', 'zones = a,,b', 'zones'),
         ('revoke_ms = 4000', 'revoke_ms = 0', 'revoke_ms'),
         ('role = entry', 'role = store', 'control'),
         ('[host]', 'host', 'host.ini'),
--- a/rhubarbreach/web/tests/test_silent_peers.py
+++ b/rhubarbreach/web/tests/test_silent_peers.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import pytest
+
 from rhubarbreach import clock
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
@@ -52,3 +54,20 @@
         call.close()
     assert call.is_sent
     assert call.is_complete
+
+
+def test_request_that_may_no_longer_be_sent_is_not_sent():
+    """Guards against a process that stands still before it sends."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        now = clock.monotonic()
+        with pytest.raises(errors.ConnectError):
+            client.Call(
+                f'127.0.0.1:{listener.getsockname()[1]}',
+                b'GET / HTTP/1.1\r\n\r\n',
+                now + 1.0,
+                now + 1.0,
+                lambda: False,
+            )
+        connection, _ = listener.accept()
+        with connection:
+            assert connection.recv(1024) == b''
