Test crowds of untrusted callers on real processes

They run apart from the other tests (marker crowd, a second line of make test) and one at a time on a machine (a file lock).

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(PY) -m rhubarbreach.commands.wordcheck rhubarbreach
 
 test: $(STAMP)
-	$(PY) -m pytest -n $(PYTEST_WORKERS) rhubarbreach platform
+	$(PY) -m pytest -n $(PYTEST_WORKERS) -m 'not crowd' rhubarbreach platform
+	$(PY) -m pytest -m crowd rhubarbreach platform
 
 demo: $(STAMP)
 	$(PY) -m rhubarbreach demo
