--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -358,6 +358,10 @@
         # The connection is kept open, and holds nothing.
         held.sendall(REQUEST)
         assert held.recv(65536).startswith(b'HTTP/1.1 200 ')
+        # The bytes of a request are returned after its answer is sent.
+        deadline = clock.monotonic() + 5.0
+        while pool.used_bytes and clock.monotonic() < deadline:
+            threading.Event().wait(0.01)
         assert not pool.used_bytes
 
 
