Hold back hosts that stood still only where zones are evacuated

A host that wakes asked the leader before its next request on every deployment, also where zones are never evacuated.

--- a/rhubarbreach/fleet/evacuations.py
+++ b/rhubarbreach/fleet/evacuations.py
@@ -54,9 +54,13 @@
     ----------
     now : float
         Seconds of the monotonic clock.
+    is_enabled : bool
+        Whether zones of this deployment are evacuated. Otherwise a host that
+        has stood still goes on at once.
     """
 
-    def __init__(self, now):
+    def __init__(self, now, is_enabled=True):
+        self.is_enabled = is_enabled
         self.exchanged_at = now
         # Until when the host waits for the stores after it has stood still.
         self.resumes_at = float('-inf')
@@ -78,7 +82,7 @@
 
     def may_send(self, now):
         """Return whether what the host knows may be used."""
-        return (
+        return not self.is_enabled or (
             now - self.exchanged_at <= STANDSTILL_SECONDS
             and now >= self.resumes_at
         )
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -85,10 +85,19 @@
         Seconds for which a confirmed configuration may be used.
     tolerance : Tolerance, optional
         Bound on how far a limit may be exceeded.
+    evacuates_zones : bool
+        Whether zones of this deployment are evacuated.
     """
 
     def __init__(
-        self, link, view, stores, decode_catalog, validity, tolerance=None
+        self,
+        link,
+        view,
+        stores,
+        decode_catalog,
+        validity,
+        tolerance=None,
+        evacuates_zones=False,
     ):
         self.link = link
         self.view = view
@@ -111,7 +120,7 @@
         )
         self.quarantine = quarantine.Quarantine(self.request_loads)
         self.evacuations = evacuations.Evacuations()
-        self.guard = evacuations.ContactGuard(self.started_at)
+        self.guard = evacuations.ContactGuard(self.started_at, evacuates_zones)
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -71,6 +71,7 @@
                 settings.rate_overage,
                 settings.rate_slack,
             ),
+            settings.evacuate_seconds > 0,
         )
         self.link.register(
             fleetmessages.ZoneTokenCall,
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -55,6 +55,9 @@
     zones : tuple of str
         Availability zones that operators may name. If empty, those of the
         known hosts and endpoints.
+    evacuate_seconds : float
+        Time after which no host sends anything to an evacuated zone, 0 if
+        zones are not evacuated.
     rate_window, rate_overage, rate_slack : float
         Tolerance of the rate limits of client accounts. In `rate_window`
         seconds an account may exceed the requests that its limit allows by
@@ -82,6 +85,7 @@
     rate_slack: float = 20.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     zones: tuple[str, ...] = ()
+    evacuate_seconds: float = 0.0
 
 
 class OptionReader:
@@ -177,6 +181,9 @@
             'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
         zones=reader.read('fleet', 'zones', to_names, 'zone names', ()),
+        evacuate_seconds=reader.read(
+            'fleet', 'evacuate_ms', to_seconds, 'milliseconds', 0.0
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -120,9 +120,7 @@
         """Memory of the requests that were not taken yet."""
         if not self.requests:
             return self.cost
-        return self.cost + sum(
-            request.held_bytes for request in self.requests
-        )
+        return self.cost + sum(request.held_bytes for request in self.requests)
 
     def feed(self, data):
         """Parse received bytes.
