Bound what the connections of a process hold together

Crowds of callers that held or sent much without an end took 159 to 677 MB of an entry host's or store's 150 MB, 4,000 connections as many descriptors, and pipelined requests kept a store from answering others for 60 s.

Cause: requests and responses had pools of their own, readiness and metrics none, unread responses were not counted, and the bytes of an ended message lived on in its thread, its traceback and the arenas of the allocator. The number of accepted connections had no bound.

Change: one pool for a process (message_fraction, 0.2 of memory_mb as before in sum). Received bytes are parsed by one thread at a time, which drops those of a message that ends. Unread bytes of responses are queued and counted. At most max_connections (1,024, or what the descriptors allow) are accepted; the longest idle one, or the one that has waited longest for its request to be complete, for 1 s at least, ends for a new one.

Tests that patched sockets.receive or stood in for the pool follow the new names; what they require is unchanged.

--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -30,9 +30,8 @@
 # Part of the drain timeout that is reserved for requests still in flight.
 DRAIN_MARGIN_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.1
-# Part of the memory for the requests that are held, and for the responses. A
-# body is copied while it is received and sent on.
-MESSAGE_MEMORY_FRACTION = 0.1
+# Connections of the balancer.
+MAX_READINESS_CONNECTIONS = 64
 
 
 class EntryHost:
@@ -81,7 +80,7 @@
         self.origins = recorder.OriginRecorder(
             self.link, lambda: self.leader_client.stores
         )
-        message_bytes = settings.memory_bytes * MESSAGE_MEMORY_FRACTION
+        message_memory = memory.MemoryPool(settings.message_bytes, metrics)
         self.app = apps.App(
             self.leader_client,
             self.view,
@@ -89,21 +88,27 @@
             jobs.Jobs(self.link, self.leader_client),
             dialect,
             metrics,
-            memory.MemoryPool(message_bytes),
+            message_memory,
         )
         self.readiness = server.Server(
             settings.readiness,
             self.answer_readiness,
             self.app.get_limits,
             'ready',
+            message_memory,
+            MAX_READINESS_CONNECTIONS,
+            metrics,
         )
         self.callers = server.Server(
             settings.callers,
             self.app.handle,
             self.app.get_limits,
             'caller',
-            memory.MemoryPool(message_bytes),
+            message_memory,
+            settings.max_connections,
+            metrics,
         )
+        self.message_memory = message_memory
 
     def set_seeds(self, seeds):
         """Replace the stores that this host contacts first."""
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -74,8 +74,6 @@
 # Time in which a stopping store returns its runs to the leader. It is enough
 # for two reports.
 WORKER_DRAIN_SECONDS = 0.3
-# Part of the memory for the outputs of running items.
-OUTPUT_MEMORY_FRACTION = 0.1
 
 
 class StoreHost:
@@ -168,6 +166,9 @@
             self.record_outcome,
             self.endpoints.has_survived,
         )
+        self.message_memory = memory.MemoryPool(
+            settings.message_bytes, metrics
+        )
         self.worker = workers.Worker(
             self.link,
             settings.availability_zone,
@@ -175,7 +176,7 @@
             lambda: self.group.leader_id,
             self.members.list_others,
             self.endpoints.record_departure,
-            memory.MemoryPool(settings.memory_bytes * OUTPUT_MEMORY_FRACTION),
+            self.message_memory,
         )
         self.link.register(
             fleetmessages.Exchange, self.answer_exchange, inline=True
--- a/rhubarbreach/hosts/tests/test_entry.py
+++ b/rhubarbreach/hosts/tests/test_entry.py
@@ -78,18 +78,19 @@
     # since.
     received = threading.Event()
     resume = threading.Event()
-    receive = sockets.receive
+    receive = sockets.receive_now
 
-    def receive_and_wait(connection, deadline):
-        data = receive(connection, deadline)
-        received.set()
-        resume.wait(5.0)
+    def receive_and_wait(connection):
+        data = receive(connection)
+        if data is not None:
+            received.set()
+            resume.wait(5.0)
         return data
 
     def handle(connection, request):
         connection.send_response(200)
 
-    monkeypatch.setattr(sockets, 'receive', receive_and_wait)
+    monkeypatch.setattr(sockets, 'receive_now', receive_and_wait)
     callers = entry_host.callers
     monkeypatch.setattr(callers, 'handle', handle)
     drain = threading.Thread(target=entry_host.drain, args=(5.0,))
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -48,6 +48,11 @@
         Time from SIGTERM until the process ends.
     memory_bytes : float
         Memory that the process may use.
+    message_fraction : float
+        Part of it for the messages that the process holds.
+    max_connections : int
+        Connections of callers, or of endpoints and operators, that a process
+        accepts at the same time.
     metrics_port : int
         Port of the metrics, 0 for none.
     rate_window, rate_overage, rate_slack : float
@@ -76,6 +81,13 @@
     rate_overage: float = 0.1
     rate_slack: float = 20.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    message_fraction: float = 0.2
+    max_connections: int = 1024
+
+    @property
+    def message_bytes(self):
+        """Memory of the messages that the process holds together."""
+        return self.memory_bytes * self.message_fraction
 
 
 class OptionReader:
@@ -170,6 +182,12 @@
         memory_bytes=reader.read(
             'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
+        message_fraction=reader.read(
+            'host', 'message_fraction', to_fraction, 'a part of 1', 0.2
+        ),
+        max_connections=reader.read(
+            'host', 'max_connections', to_positive_count, 'a number', 1024
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
@@ -213,6 +231,22 @@
     return number
 
 
+def to_positive_count(text):
+    """Return the integer in a text if it is above zero."""
+    number = to_count(text)
+    if not number:
+        raise ValueError
+    return number
+
+
+def to_fraction(text):
+    """Return the number in a text if it is above zero and below one."""
+    number = to_positive(text)
+    if not number < 1:
+        raise ValueError
+    return number
+
+
 def to_positive(text):
     """Return the number in a text if it is above zero."""
     number = float(text)
--- a/rhubarbreach/web/memory.py
+++ b/rhubarbreach/web/memory.py
@@ -39,6 +39,10 @@
         self.max_bytes = max_bytes
         self.metrics = metrics
         self.lock = threading.Lock()
+        # Held while received bytes are parsed, so that only one thread at a
+        # time has bytes that are not counted yet, and that another thread can
+        # drop those of a message which ends.
+        self.parse_lock = threading.RLock()
         self.used_bytes = 0
         self.holdings = set()
         self.log_due = 0.0
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -30,12 +30,20 @@
 
 
 def make_error(error):
-    """Return the error of a callback, or one for an error of the parser."""
+    """Return a new error for one of the parser or of a callback.
+
+    The tracebacks of the old ones hold received bytes.
+    """
     if isinstance(error.__context__, errors.BadMessageError):
-        return error.__context__
+        return copy_error(error.__context__)
     return errors.BadMessageError(str(error))
 
 
+def copy_error(error):
+    """Return an error without the traceback of another one."""
+    return errors.BadMessageError(str(error), error.status)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A complete request; header names are in lower case.
@@ -120,9 +128,7 @@
         """Memory of the requests that were not taken yet."""
         if not self.requests:
             return self.cost
-        return self.cost + sum(
-            request.held_bytes for request in self.requests
-        )
+        return self.cost + sum(request.held_bytes for request in self.requests)
 
     def feed(self, data):
         """Parse received bytes.
@@ -142,7 +148,7 @@
                 raise
             self.reset()
             self.started = True
-            self.error = error
+            self.error = copy_error(error)
 
     def parse(self, data):
         """Parse received bytes; see `feed`."""
@@ -160,7 +166,7 @@
                 'protocol upgrade is not supported'
             ) from error
         except httptools.HttpParserError as error:
-            raise make_error(error) from error
+            raise make_error(error) from None
         if not self.head_done:
             self.check_head(self.head_bytes)
         elif message == self.message_count:
@@ -206,6 +212,11 @@
         if self.record_size is not None:
             self.record_size(self.held_bytes)
 
+    def drop(self):
+        """Drop the request in progress; nothing more may be parsed."""
+        self.headers = []
+        self.body = b''
+
     def on_message_begin(self):
         """Start a request."""
         self.reset()
@@ -337,7 +348,7 @@
             ) from error
         except httptools.HttpParserError as error:
             if not self.is_complete:
-                raise make_error(error) from error
+                raise make_error(error) from None
         parts, self.parts = self.parts, []
         self.framing_bytes = 0 if parts else self.framing_bytes + len(data)
         if self.framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -1,6 +1,8 @@
 """HTTP server with one thread per connection."""
 
 import contextlib
+import errno
+import resource
 import socket
 import threading
 import time
@@ -10,16 +12,30 @@
 from rhubarbreach import exceptions
 from rhubarbreach.web import errors
 from rhubarbreach.web import memory
+from rhubarbreach.web import outbox
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
 from rhubarbreach.web import threads
 
-__all__ = ['Connection', 'Server', 'encode_response']
+__all__ = ['Connection', 'Server', 'encode_response', 'find_max_connections']
 
 LOG = eventlog.Logger('web')
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 1024
+# Descriptors of a process that are not used for callers: links, files, logs
+# and other servers. A connection takes two, with the one to an endpoint.
+RESERVED_DESCRIPTORS = 64
+DESCRIPTORS_PER_CONNECTION = 2
+# Time without a whole request after which a connection may end for a new one.
+# Callers of the stated limits send a request within some milliseconds.
+ROOM_SECONDS = 1.0
+# Connections that end at once for new ones, as each search for them looks at
+# all.
+ROOM_BATCH = 16
+ROOM_POLL_SECONDS = 0.02
+# Interval of the log event on connections that ended for others.
+ROOM_LOG_SECONDS = 1.0
 # The threads need little stack; the default of 8 MiB each would exhaust the
 # memory of small hosts.
 STACK_BYTES = 256 * 1024
@@ -31,8 +47,11 @@
 ACCEPT_SECONDS = 1.0
 ACCEPT_POLL_SECONDS = 0.002
 SERVICE_UNAVAILABLE = 503
+# Longest body that is sent together with its head.
+MAX_JOINED_BYTES = 64 * 1024
 RETRY_AFTER_SECONDS = 0.5
 DISCARD_SECONDS = 1.0
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 REASONS = {
     200: b'OK',
     202: b'Accepted',
@@ -51,15 +70,29 @@
 }
 
 
+def find_max_connections():
+    """Return the number of connections that the descriptors allow."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    available = (limit - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CONNECTION
+    return max(1, min(MAX_CONNECTIONS, available))
+
+
 def encode_response(status, headers, body, keep_alive, reason=None):
     """Return an encoded response with Content-Length."""
+    return encode_head(status, headers, len(body), keep_alive, reason) + body
+
+
+def encode_head(status, headers, length, keep_alive, reason=None):
+    """Return the encoded head of a response with Content-Length."""
     reason = reason or REASONS.get(status, b'Status')
     lines = [b'HTTP/1.1 %d %s' % (status, reason)]
     lines.extend(b'%s: %s' % pair for pair in headers)
-    lines.append(b'Content-Length: %d' % len(body))
+    lines.append(b'Content-Length: %d' % length)
     if not keep_alive:
         lines.append(b'Connection: close')
-    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
 class Connection:
@@ -89,55 +122,81 @@
         self.is_answer_due = False
         # Whether a request was read in part, or not yet handled.
         self.is_reading = False
+        self.parser = None
+        # Whether the connection ends for a new one.
+        self.is_dropped = False
+        # Since when it waits for a whole request; None while one is handled.
+        self.waiting_since = clock.monotonic()
         self.holding = server.memory.open(self.end_reading, 'request')
+        self.outbox = outbox.Outbox(
+            connection, server.memory.open(self.end_unread, 'response')
+        )
+
+    @property
+    def is_present(self):
+        """Whether the connection goes on."""
+        return not (self.is_ended or self.holding.is_ended)
 
     def run(self):
         """Handle requests until either side ends the connection."""
+        try:
+            refused_status = self.handle_requests()
+            # The error is gone, whose traceback holds received bytes.
+            if refused_status is not None:
+                self.drop_request()
+                self.refuse(refused_status)
+                self.discard_rest()
+        except Exception:
+            LOG.exception('event=connection_failed')
+            if self.is_answer_due:
+                self.refuse(500)
+        finally:
+            self.holding.close()
+            self.outbox.close()
+            self.server.remove_connection(self)
+            sockets.close_socket(self.socket)
+
+    def handle_requests(self):
+        """Handle requests; return the status for an invalid one, if any."""
         try:
             sockets.prepare(self.socket, detect_dead_peer=False)
-            parser = parse.RequestParser(
+            parser = self.parser = parse.RequestParser(
                 self.server.get_limits(), self.holding.resize
             )
             while self.keep_alive:
                 request = self.read_request(parser)
                 if request is None:
-                    return
+                    return None
                 self.keep_alive = request.keep_alive
                 with self.lock:
                     if self.is_ended:
-                        return
+                        return None
                     self.is_reading = False
                     self.is_answer_due = True
                 # No status would be true of a request that is cut short.
                 self.holding.keep()
+                self.waiting_since = None
                 self.server.handle(self, request)
                 if self.is_answer_due:
                     # The caller would take the next answer for this one.
-                    return
+                    return None
                 self.is_kept = True
                 del request
                 self.holding.resize(parser.held_bytes)
                 self.holding.reopen()
+                self.waiting_since = clock.monotonic()
             if sockets.is_readable(self.socket):
                 # The caller has sent another request.
                 self.discard_rest()
         except errors.BadMessageError as error:
             LOG.info('event=request_unreadable reason={!r}', str(error))
-            self.refuse(error.status)
-            self.discard_rest()
+            return error.status
         except (errors.ConnectionEndedError, errors.DeadlineError) as error:
             LOG.info('event=connection_ended reason={!r}', str(error))
             if self.is_answer_due:
                 # Another connection, which the handler uses, has ended.
                 self.refuse(500)
-        except Exception:
-            LOG.exception('event=connection_failed')
-            if self.is_answer_due:
-                self.refuse(500)
-        finally:
-            self.holding.close()
-            self.server.remove_connection(self)
-            sockets.close_socket(self.socket)
+        return None
 
     def read_request(self, parser):
         """Return the next request, or None if the caller sends none."""
@@ -151,20 +210,16 @@
         deadline = clock.monotonic() + limits.idle_timeout
         while not parser.requests:
             try:
-                data = sockets.receive(self.socket, deadline)
+                is_open = self.receive(parser, deadline)
             except errors.DeadlineError as error:
                 if not parser.started:
                     return None
                 raise errors.BadMessageError(
                     'request was not received in time', 408
                 ) from error
-            # Raises an error if it was ended for the memory of others.
-            self.holding.resize(parser.held_bytes)
-            if not data:
+            if not is_open:
                 return None
-            parser.feed(data)
             self.is_reading = parser.started or bool(parser.requests)
-            self.holding.resize(parser.held_bytes)
             if parser.started and not started:
                 started = True
                 deadline = clock.monotonic() + limits.header_timeout
@@ -174,11 +229,34 @@
                 self.send_continue(parser)
         return parser.requests.pop(0)
 
+    def receive(self, parser, deadline):
+        """Receive and parse bytes; return False at the end of a connection.
+
+        Raises
+        ------
+        BadMessageError
+            If the request is not valid, or was ended for others.
+        ConnectionEndedError
+            If the connection was reset.
+        DeadlineError
+            If nothing was received before the deadline.
+        """
+        while True:
+            with self.server.memory.parse_lock:
+                data = sockets.receive_now(self.socket)
+                if data:
+                    parser.feed(data)
+                if data is not None and (data or parser.started):
+                    # An error if it was ended for others.
+                    self.holding.resize(parser.held_bytes)
+            if data is not None:
+                return bool(data)
+            sockets.wait_until_readable(self.socket, deadline)
+
     def wait_while_idle(self):
         """Wait for a request; return False if the connection ends instead."""
         deadline = self.idle_since = clock.monotonic()
         self.is_idle = True
-        self.server.make_room()
         ready = []
         # The timeout may be replaced by a longer one meanwhile.
         while not ready and deadline < (
@@ -193,10 +271,37 @@
             return is_ready and not self.is_ended
 
     def end_reading(self):
-        """Wake the thread that reads a request; it refuses the request."""
+        """Drop the request that is read, and wake its thread to refuse it."""
+        self.drop_request()
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RD)
 
+    def drop_request(self):
+        """Free the bytes of a request that will not be handled."""
+        with self.server.memory.parse_lock:
+            if self.parser is not None:
+                self.parser.drop()
+
+    def end_unread(self):
+        """End a response whose caller is slow to read."""
+        sockets.shut_down(self.socket)
+
+    def end_for_room(self):
+        """End the connection for a new one unless a request is handled.
+
+        One that was read in part is refused as not run.
+
+        Returns
+        -------
+        bool
+            Whether it ends now.
+        """
+        if not self.holding.abandon():
+            return False
+        self.is_dropped = True
+        self.end_reading()
+        return True
+
     def end_if_idle(self):
         """End the connection unless a request is in progress or arrives.
 
@@ -260,6 +365,8 @@
         The connection would be reset if it were closed with unread bytes, and
         the caller would not see the refusal.
         """
+        if self.is_dropped:
+            return
         deadline = clock.monotonic() + DISCARD_SECONDS
         try:
             self.socket.shutdown(socket.SHUT_WR)
@@ -276,10 +383,13 @@
         """Send a whole response; see `send` for the deadline."""
         if self.server.draining:
             self.keep_alive = False
-        self.send(
-            encode_response(status, headers, body, self.keep_alive, reason),
-            deadline,
-        )
+        head = encode_head(status, headers, len(body), self.keep_alive, reason)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.send(head + body, deadline)
+            return
+        # Not copied as a whole.
+        self.queue(head)
+        self.send(body, deadline)
 
     def send(self, data, deadline=None):
         """Send bytes to the caller.
@@ -299,13 +409,26 @@
         DeadlineError
             If the caller did not read before the deadline.
         """
+        self.queue(data)
+        if self.outbox.unread:
+            if deadline is None:
+                deadline = clock.monotonic() + RESPONSE_TIMEOUT_SECONDS
+            self.outbox.wait(deadline)
+
+    def queue(self, data):
+        """Send what the caller takes at once, and queue the rest.
+
+        Raises
+        ------
+        ConnectionEndedError
+            If the connection was closed, reset or ended, by a drain or for the
+            memory of the process.
+        """
         with self.lock:
             if self.is_ended:
                 raise errors.ConnectionEndedError('ended by a drain')
             self.is_answer_due = False
-        if deadline is None:
-            deadline = clock.monotonic() + RESPONSE_TIMEOUT_SECONDS
-        sockets.send_all(self.socket, data, deadline)
+        self.outbox.put(data)
 
 
 class Server:
@@ -322,7 +445,12 @@
     name : str
         Prefix of the thread names.
     request_memory : MemoryPool, optional
-        Bounds the requests that the process holds.
+        Bounds the requests and unread responses that the process holds.
+    max_connections : int, optional
+        Bound of the connections and threads; by default and at most what the
+        descriptors of the process allow.
+    metrics : Metrics, optional
+        Counts the connections that ended for others.
 
     Raises
     ------
@@ -337,8 +465,15 @@
         get_limits,
         name,
         request_memory=memory.UNBOUNDED,
+        max_connections=None,
+        metrics=None,
     ):
         self.memory = request_memory
+        self.max_connections = min(
+            max_connections or MAX_CONNECTIONS, find_max_connections()
+        )
+        self.metrics = metrics
+        self.room_log_due = 0.0
         self.handle = handle
         self.get_limits = get_limits
         self.draining = False
@@ -354,7 +489,7 @@
         except OSError as error:
             raise exceptions.AddressError(f'{address}: {error}') from error
         threading.stack_size(STACK_BYTES)
-        self.threads = threads.ThreadPool(MAX_CONNECTIONS, name)
+        self.threads = threads.ThreadPool(self.max_connections, name)
         self.thread = threading.Thread(
             target=self.accept, name=f'{name}-accept', daemon=True
         )
@@ -369,12 +504,16 @@
         """Accept connections while the server listens."""
         while self.is_listening:
             try:
+                if not self.has_room():
+                    continue
                 client_socket, _ = self.listener.accept()
                 self.start(client_socket)
             except Exception as error:
                 if not self.is_listening:
                     return
                 LOG.warning('event=accept_failed reason={!r}', error)
+                if getattr(error, 'errno', None) in NO_DESCRIPTOR:
+                    self.make_room(clock.monotonic())
                 time.sleep(ACCEPT_PAUSE_SECONDS)
 
     def start(self, client_socket):
@@ -386,7 +525,6 @@
             raise
         with self.lock:
             self.connections.add(connection)
-        self.make_room()
         self.threads.add(connection.run)
         while True:
             try:
@@ -410,21 +548,75 @@
                 not connection.is_idle for connection in self.connections
             )
 
-    def make_room(self):
-        """End the longest idle connection if a new one has no thread.
+    def has_room(self):
+        """Return whether a connection may be accepted now.
 
-        One whose first request is still to come is spared.
+        Without room, wait for a moment. Connections that are not accepted wait
+        in the queue of the kernel.
         """
-        if len(self.connections) <= MAX_CONNECTIONS:
-            return
+        if not self.is_full() or self.draining:
+            return True
+        until = clock.monotonic() + ROOM_POLL_SECONDS
+        if not sockets.wait_readable([self.listener], until):
+            return False
+        if self.make_room(clock.monotonic()):
+            return True
+        time.sleep(ROOM_POLL_SECONDS)
+        return False
+
+    def is_full(self):
+        """Return whether no further connection fits."""
+        if len(self.connections) < self.max_connections:
+            return False
         with self.lock:
-            present = [c for c in self.connections if not c.is_ended]
-        if len(present) <= MAX_CONNECTIONS:
-            return
+            return (
+                sum(c.is_present for c in self.connections)
+                >= self.max_connections
+                or len(self.connections) >= self.max_connections + ROOM_BATCH
+            )
+
+    def make_room(self, now):
+        """End connections without a whole request, if any; return whether.
+
+        The longest idle one goes first. One whose first request is still to
+        come is spared for `ROOM_SECONDS`.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the monotonic clock.
+        """
+        with self.lock:
+            present = [c for c in self.connections if c.is_present]
         idle = [c for c in present if c.is_idle and c.is_kept]
         for connection in sorted(idle, key=lambda c: c.idle_since):
             if connection.end_if_idle():
-                return
+                return True
+        waiting = [
+            (since, number)
+            for number, connection in enumerate(present)
+            if (since := connection.waiting_since) is not None
+            and now - since >= ROOM_SECONDS
+        ]
+        count = sum(
+            present[number].end_for_room()
+            for _, number in sorted(waiting)[:ROOM_BATCH]
+        )
+        if count:
+            self.report_room(count, now)
+        return count > 0
+
+    def report_room(self, count, now):
+        """Count the connections that ended for others, and log it."""
+        if self.metrics is not None:
+            self.metrics.count('connections_ended_for_room_total', count)
+        if now >= self.room_log_due:
+            self.room_log_due = now + ROOM_LOG_SECONDS
+            LOG.warning(
+                'event=connections_ended_for_room count={} connections={}',
+                count,
+                len(self.connections),
+            )
 
     def close_idle(self):
         """End the connections on which no request is in progress."""
--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -17,9 +17,12 @@
     'parse_address',
     'prepare',
     'receive',
+    'receive_now',
     'send_all',
     'shut_down',
+    'wait',
     'wait_readable',
+    'wait_until_readable',
 ]
 
 RECEIVE_BYTES = 64 * 1024
@@ -203,19 +206,34 @@
     return ready[0][1] if ready else 0
 
 
-def wait_readable(connections, deadline):
+def wait_readable(connections, deadline, writer=None):
     """Wait until one of several sockets is readable or has ended.
 
+    Parameters
+    ----------
+    connections : iterable of socket.socket
+        Sockets to read from.
+    deadline : float
+        Seconds of the monotonic clock.
+    writer : socket.socket, optional
+        Socket that is also returned once it takes bytes.
+
     Returns
     -------
     list of socket.socket
-        Sockets that are readable or have ended, empty at the deadline.
+        Sockets that are ready or have ended, empty at the deadline.
     """
     poller = select.poll()
     by_descriptor = {}
     for connection in connections:
         poller.register(connection, select.POLLIN | select.POLLRDHUP)
         by_descriptor[connection.fileno()] = connection
+    if writer is not None:
+        events = select.POLLOUT
+        if writer.fileno() in by_descriptor:
+            events |= select.POLLIN | select.POLLRDHUP
+        poller.register(writer, events)
+        by_descriptor[writer.fileno()] = writer
     ready = poller.poll(to_milliseconds(deadline))
     return [by_descriptor[descriptor] for descriptor, _ in ready]
 
@@ -237,15 +255,37 @@
     DeadlineError
         If nothing was received before the deadline.
     """
-    while True:
-        try:
-            return connection.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            pass
-        except OSError as error:
-            raise errors.ConnectionEndedError(str(error)) from error
-        if not wait(connection, select.POLLIN, deadline):
-            raise errors.DeadlineError('nothing received before the deadline')
+    while (data := receive_now(connection)) is None:
+        wait_until_readable(connection, deadline)
+    return data
+
+
+def receive_now(connection):
+    """Return received bytes, none at the end, or None if none have arrived.
+
+    Raises
+    ------
+    ConnectionEndedError
+        If the connection was reset.
+    """
+    try:
+        return connection.recv(RECEIVE_BYTES)
+    except BlockingIOError:
+        return None
+    except OSError as error:
+        raise errors.ConnectionEndedError(str(error)) from error
+
+
+def wait_until_readable(connection, deadline):
+    """Wait until bytes have arrived or the connection has ended.
+
+    Raises
+    ------
+    DeadlineError
+        If nothing was received before the deadline.
+    """
+    if not wait(connection, select.POLLIN, deadline):
+        raise errors.DeadlineError('nothing received before the deadline')
 
 
 def send_all(connection, data, deadline):
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -191,7 +191,11 @@
         return open_holding(*arguments)
 
     monkeypatch.setattr(
-        web_server, 'memory', types.SimpleNamespace(open=fail_once)
+        web_server,
+        'memory',
+        types.SimpleNamespace(
+            open=fail_once, parse_lock=web_server.memory.parse_lock
+        ),
     )
     with contextlib.suppress(ConnectionResetError):
         assert send(web_server) == b''
