Read a stream on while its caller is slow to read

An endpoint cuts off a response that stays unread for some seconds, so that a caller which stood still for a moment lost its stream.

Cause: the forwarder waited for the caller with each event and did not read the endpoint meanwhile.

Change: events are queued on the connection in order, within the pool of the process, and the forwarder waits for the endpoint and the caller together. The end of a stream waits for the queue; a stream that breaks off gets none. A caller that has not read at the deadline of its request is disconnected, as before.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -318,11 +318,23 @@
                     outcome = self.call_step(self.finish, attempt)
                     return self.end_attempt(attempt, outcome)
             watched = [attempt.call.socket for attempt in self.attempts]
+            caller = self.connection.socket
             if self.is_caller_watched:
-                watched.append(self.connection.socket)
-            ready = sockets.wait_readable(watched, self.get_wait_deadline())
+                watched.append(caller)
+            ready = sockets.wait_readable(
+                watched,
+                self.get_wait_deadline(),
+                caller if self.writer.has_unread else None,
+            )
             waited_until = clock.monotonic()
-            if self.connection.socket in ready:
+            if caller in ready and self.writer.has_unread:
+                if not self.writer.flush():
+                    return self.end_attempt(
+                        self.attempts[-1], model.CallerGone()
+                    )
+                if not sockets.is_readable(caller):
+                    ready.remove(caller)
+            if self.is_caller_watched and caller in ready:
                 if self.has_caller_disconnected():
                     return self.end_attempt(
                         self.attempts[-1], model.CallerGone()
--- a/rhubarbreach/gateway/responses.py
+++ b/rhubarbreach/gateway/responses.py
@@ -20,7 +20,8 @@
     """Writer of one response.
 
     A stream may begin at one endpoint and go on at another. It keeps the head
-    of the first.
+    of the first. What the caller has not read is queued, in order, so that the
+    endpoint is read on; only the end of the response waits for the caller.
 
     Parameters
     ----------
@@ -84,10 +85,35 @@
         return b'\r\n'.join(lines) + b'\r\n\r\n'
 
     def send_blocks(self, head, blocks):
-        """Send events of a stream; return False if the caller is gone."""
-        return self.send(
-            self.encode_head(head) + b''.join(map(encode_chunk, blocks))
-        )
+        """Queue events of a stream; return False if the caller is gone."""
+        data = self.encode_head(head) + b''.join(map(encode_chunk, blocks))
+        try:
+            self.connection.queue(data)
+        except errors.ConnectionEndedError:
+            self.connection.keep_alive = False
+            return False
+        # A caller that has not read at the deadline is disconnected.
+        if self.has_unread and clock.monotonic() >= self.deadline:
+            self.connection.keep_alive = False
+            return False
+        return True
+
+    @property
+    def has_unread(self):
+        """Whether bytes wait until the caller reads."""
+        return bool(self.connection.outbox.unread)
+
+    def flush(self):
+        """Send what is queued and taken; return False if the caller is gone.
+
+        The caller may read before the next event arrives.
+        """
+        try:
+            self.connection.outbox.flush()
+        except errors.ConnectionEndedError:
+            self.connection.keep_alive = False
+            return False
+        return True
 
     def send_end(self, head, rest):
         """Send the end of a stream; return False if the caller is gone."""
@@ -97,7 +123,10 @@
         return self.send(data + LAST_CHUNK)
 
     def send(self, data):
-        """Send bytes to the caller; return False if it is gone."""
+        """Send bytes after those queued; return False if the caller is gone.
+
+        Waits until the caller has taken all, at most until the deadline.
+        """
         try:
             self.connection.send(data, self.deadline)
         except (errors.ConnectionEndedError, errors.DeadlineError):
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -48,10 +48,14 @@
         self.keep_alive = True
         self.status = None
         self.sent = []
+        self.outbox = types.SimpleNamespace(unread=b'')
 
     def send(self, data, deadline):
         self.sent.append(data)
 
+    def queue(self, data):
+        self.send(data, None)
+
     def send_response(
         self, status, headers=(), body=b'', reason=b'', deadline=None
     ):
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -12,6 +12,8 @@
 from rhubarbreach import codes
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward as forwarding
+from rhubarbreach.web import memory
+from rhubarbreach.web import outbox
 from rhubarbreach.web import server
 from rhubarbreach.web import sockets
 
@@ -174,11 +176,11 @@
     """Guards against reading an attempt that another one has superseded."""
     wait_readable = sockets.wait_readable
 
-    def wait_for_all(watched, deadline):
+    def wait_for_all(watched, *arguments):
         if len(watched) == 3:
             # Both endpoints have sent events before the sockets are polled.
             time.sleep(0.8)
-        return wait_readable(watched, deadline)
+        return wait_readable(watched, *arguments)
 
     monkeypatch.setattr(sockets, 'wait_readable', wait_for_all)
     refusal, data, endpoint, _ = forward_to(
@@ -300,9 +302,14 @@
 def test_caller_that_stands_still_for_a_moment_gets_its_response(socket_pair):
     """Guards against a response cut while its caller does not read."""
     ours, callers = socket_pair
+    queue = outbox.Outbox(ours, memory.UNBOUNDED.open())
+
+    def send(data, deadline):
+        queue.put(data)
+        queue.wait(deadline)
+
     connection = types.SimpleNamespace(
-        keep_alive=True,
-        send=lambda data, deadline: sockets.send_all(ours, data, deadline),
+        keep_alive=True, send=send, queue=queue.put, outbox=queue
     )
     writer = responses.ResponseWriter(
         types.SimpleNamespace(is_closing=lambda _: False),
