--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -50,6 +50,11 @@
         Time from SIGTERM until the process ends.
     memory_bytes : float
         Memory that the process may use.
+    message_fraction : float
+        Part of it for the messages that the process holds.
+    max_connections : int
+        Connections of callers, or of endpoints and operators, that a process
+        accepts at the same time.
     metrics_port : int
         Port of the metrics, 0 for none.
     zones : tuple of str
@@ -86,6 +91,13 @@
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     zones: tuple[str, ...] = ()
     evacuate_seconds: float = 0.0
+    message_fraction: float = 0.2
+    max_connections: int = 1024
+
+    @property
+    def message_bytes(self):
+        """Memory of the messages that the process holds together."""
+        return self.memory_bytes * self.message_fraction
 
 
 class OptionReader:
@@ -184,6 +196,12 @@
         evacuate_seconds=reader.read(
             'fleet', 'evacuate_ms', to_seconds, 'milliseconds', 0.0
         ),
+        message_fraction=reader.read(
+            'host', 'message_fraction', to_fraction, 'a part of 1', 0.2
+        ),
+        max_connections=reader.read(
+            'host', 'max_connections', to_positive_count, 'a number', 1024
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
@@ -227,6 +245,22 @@
     return number
 
 
+def to_positive_count(text):
+    """Return the integer in a text if it is above zero."""
+    number = to_count(text)
+    if not number:
+        raise ValueError
+    return number
+
+
+def to_fraction(text):
+    """Return the number in a text if it is above zero and below one."""
+    number = to_positive(text)
+    if not number < 1:
+        raise ValueError
+    return number
+
+
 def to_positive(text):
     """Return the number in a text if it is above zero."""
     number = float(text)
