Choose endpoints by the time at which a request probably begins

Callers: late responses in load peaks while slots were free. Cause: the choice counts requests, and all hosts with the same counts chose the same endpoints. Change: package balancing with the cost of requests, the speed of endpoints and the choice; the view uses it for requests that state their tokens.

--- /dev/null
+++ b/rhubarbreach/balancing/selection.py
@@ -0,0 +1,237 @@
+"""Choice of the endpoint at which a request probably begins soonest.
+
+Designed for load peaks on many hosts whose counts of each other's requests are
+5 to 150 ms old, with endpoints of uneven speed. Each decision considers a few
+endpoints from a list that the host has shuffled, so that hosts with the same
+counts do not send a peak to the same endpoints, and so that its time does not
+depend on the size of the fleet.
+"""
+
+import dataclasses
+import math
+
+__all__ = ['Chooser', 'Situation', 'estimate_wait']
+
+# Endpoints that a decision considers in the own zone, and in other zones if
+# none of the former has a free slot. With all 11 of a zone, more requests of
+# different hosts met at the same one.
+SAMPLE_SIZE = 8
+# The same before a request is refused.
+REFUSAL_SAMPLE_SIZE = 32
+# Standard deviation, in requests, of the count of an endpoint of the own zone.
+NEAR_SPREAD = 0.6
+# The count of one in another zone is uncertain by this multiple of the
+# requests that it completes within the age of the count, up to a part of its
+# slots.
+FAR_SPREAD_FACTOR = 2.0
+MAX_FAR_SPREAD_FRACTION = 0.25
+# Cost of another zone in seconds: the delay both ways, and the bytes.
+ZONE_SECONDS = 0.01
+# Time until a batch item has yielded its slot.
+YIELD_SECONDS = 0.03
+# Run time of a request until one is known.
+INITIAL_RUN_SECONDS = 0.7
+# Relative difference below which endpoints count as equal.
+JITTER = 0.02
+# Part of the memory of an endpoint that requests may use, as the requests of
+# other hosts are only counted.
+MEMORY_FRACTION = 0.9
+# Limit of the exponential function.
+MAX_EXPONENT = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What a decision is based on besides the endpoints.
+
+    `count_online` and `count_items` return the requests of all hosts and the
+    batch items on an endpoint, `count_own` those of this host. `run_seconds`
+    is the mean run time of a request, `age` the age in seconds of the counts
+    of other zones. `draw` returns a random number below 1, and
+    `shuffle` shuffles a list.
+    """
+
+    count_online: object
+    count_items: object
+    count_own: object
+    run_seconds: float
+    age: float
+    now: float
+    draw: object
+    shuffle: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """Endpoints of a service in the own zone, and in other zones."""
+
+    near: tuple
+    far: tuple
+
+
+class Chooser:
+    """Chooser among the endpoints of one host.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    table : EndpointTable
+        Work and speed of endpoints.
+    """
+
+    def __init__(self, zone, table):
+        self.zone = zone
+        self.table = table
+        self.services = {}
+        self.pools = {}
+
+    def set_services(self, services):
+        """Replace the endpoints by service."""
+        self.services = services
+        self.pools = {}
+
+    def get_pool(self, service, shuffle):
+        """Return the endpoints of a service, in an order of this host's own.
+
+        Returns
+        -------
+        Pool or None
+            None if the service has no endpoints.
+        """
+        pool = self.pools.get(service)
+        endpoints = self.services.get(service)
+        if pool is None and endpoints:
+            near, far = [], []
+            for endpoint in endpoints:
+                is_near = endpoint.availability_zone == self.zone
+                (near if is_near else far).append(endpoint)
+            shuffle(near)
+            shuffle(far)
+            pool = self.pools[service] = Pool(tuple(near), tuple(far))
+        return pool
+
+    def choose(self, service, cost, situation, is_allowed, is_last=False):
+        """Return the endpoint at which a request probably begins soonest.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        cost : Cost or None
+            Predicted cost of the request.
+        situation : Situation
+            Loads and the time.
+        is_allowed : callable
+            Returns whether an endpoint may be chosen.
+        is_last : bool
+            Whether the request is refused if no better endpoint is found.
+
+        Returns
+        -------
+        object or None
+            None if no endpoint is allowed.
+        """
+        pool = self.get_pool(service, situation.shuffle)
+        if pool is None:
+            return None
+        size = REFUSAL_SAMPLE_SIZE if is_last else SAMPLE_SIZE
+        best = None
+        lowest = float('inf')
+        for endpoints, is_near in ((pool.near, True), (pool.far, False)):
+            spread = compute_spread(endpoints, is_near, situation)
+            for endpoint in draw_some(
+                endpoints, is_allowed, size, situation.draw
+            ):
+                seconds = self.estimate(
+                    endpoint, service, cost, situation, spread, is_near
+                )
+                seconds *= 1 + JITTER * situation.draw()
+                if seconds < lowest:
+                    lowest = seconds
+                    best = endpoint
+            if best is not None and self.has_free_slot(best, situation):
+                return best
+        return best
+
+    def has_free_slot(self, endpoint, situation):
+        """Return whether an online request begins at once."""
+        endpoint_id = endpoint.endpoint_id
+        return situation.count_online(endpoint_id) < endpoint.slots
+
+    def estimate(self, endpoint, service, cost, situation, spread, is_near):
+        """Return the expected cost of an endpoint in seconds."""
+        endpoint_id = endpoint.endpoint_id
+        slots = endpoint.slots
+        table = self.table
+        now = situation.now
+        slowness = table.slowness.get(endpoint_id, service, now)
+        first = slowness * table.predict_first(endpoint_id, service, cost)
+        online = situation.count_online(endpoint_id)
+        stuck = table.count_stuck(endpoint_id, first, now)
+        if stuck:
+            online = max(online, slots + stuck)
+        seconds = first + slowness * estimate_wait(
+            online, slots, situation.run_seconds, spread
+        )
+        items = situation.count_items(endpoint_id)
+        if items and online < slots <= online + items:
+            seconds += YIELD_SECONDS
+        if not is_near:
+            seconds += ZONE_SECONDS
+        if cost is not None and cost.capacity_tokens:
+            seconds += self.estimate_memory_wait(
+                endpoint_id, cost, online, situation
+            )
+        return seconds
+
+    def estimate_memory_wait(self, endpoint_id, cost, online, situation):
+        """Return the seconds until an endpoint has memory for a request.
+
+        Others hosts' requests are assumed to hold as much as this one.
+        """
+        others = max(0, online - situation.count_own(endpoint_id))
+        held = (
+            self.table.held_tokens[endpoint_id]
+            + (others + 1) * cost.held_tokens
+        )
+        if held <= MEMORY_FRACTION * cost.capacity_tokens:
+            return 0.0
+        return situation.run_seconds * held / cost.capacity_tokens
+
+
+def compute_spread(endpoints, is_near, situation):
+    """Return the uncertainty of the counts of endpoints, in requests."""
+    if is_near or not endpoints:
+        return NEAR_SPREAD
+    slots = endpoints[0].slots
+    unknown = FAR_SPREAD_FACTOR * situation.age * slots / situation.run_seconds
+    return NEAR_SPREAD + min(unknown, MAX_FAR_SPREAD_FRACTION * slots)
+
+
+def estimate_wait(online, slots, run_seconds, spread):
+    """Return the expected seconds until a further request gets a slot.
+
+    A slot becomes free every `run_seconds / slots`. The number of requests
+    before this one is uncertain by `spread`, so that an endpoint with its last
+    slot free already has an expected wait.
+    """
+    excess = (online - slots + 1) / spread
+    if excess < MAX_EXPONENT:
+        excess = math.log1p(math.exp(excess))
+    return excess * spread * run_seconds / slots
+
+
+def draw_some(endpoints, is_allowed, size, draw):
+    """Return up to `size` neighbours in a list that are allowed."""
+    count = len(endpoints)
+    if count <= size:
+        return [e for e in endpoints if is_allowed(e)]
+    start = int(draw() * count)
+    drawn = endpoints[start : start + size]
+    if len(drawn) < size:
+        drawn += endpoints[: size - len(drawn)]
+    allowed = [e for e in drawn if is_allowed(e)]
+    if allowed:
+        return allowed
+    return [e for e in endpoints if is_allowed(e)][:size]
--- /dev/null
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -0,0 +1,411 @@
+"""Replay of load on engines and entry hosts in virtual time.
+
+Engines run their slots in one batch and admit in order of arrival. A token
+clock for each engine advances with its speed, so that a change of the speed or
+of the batch needs one new event. Hosts learn of each other's requests with the
+delays of the system: reports within a zone, exchanges with the leader.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import math
+import random
+
+from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import zone_loads
+from rhubarbreach.protocol import fleetmessages
+
+__all__ = ['Outcome', 'Pattern', 'Replay']
+
+SERVICE = 's'
+ROUTE = 'r'
+NEWS_DELAY_SECONDS = 0.004
+EXCHANGE_DELAY_SECONDS = 0.01
+# Time in which the connection to an endpoint is made and the request is read.
+SEND_SECONDS = 0.004
+# Batch items, failures and retries are not replayed.
+
+
+@dataclasses.dataclass(frozen=True)
+class Pattern:
+    """A fleet, its engines and the load that it receives. Times in seconds.
+
+    `rate` is the mean rate, multiplied by `peak` in the first `peak_seconds`
+    of each `period`. `zone_weights` gives the part of the load of each zone,
+    `zone_offsets` the start of the peaks of each zone. An engine is slow by
+    `slow_factor` with the probability `slow_fraction`, drawn anew about every
+    `slow_seconds`; `slow_engines` are slow from the beginning to the end.
+    `prompts` holds pairs of prompt tokens and their probability.
+    """
+
+    hosts: int = 58
+    zones: int = 4
+    zone_delay: float = 0.0039
+    endpoints: int = 45
+    slots: int = 8
+    rate: float = 206.0
+    peak: float = 1.87
+    peak_seconds: float = 2.4
+    period: float = 5.8
+    seconds: float = 8.2
+    zone_weights: tuple = ()
+    zone_offsets: tuple = ()
+    step: float = 0.00337
+    step_per_request: float = 0.000011
+    first: float = 0.006
+    read_per_second: float = 61000.0
+    event_tokens: int = 11
+    events: float = 19.0
+    spread: float = 0.57
+    prompts: tuple = ((450, 1.0),)
+    objective: float = 0.308
+    slow_fraction: float = 0.0
+    slow_factor: float = 2.5
+    slow_seconds: float = 0.6
+    slow_engines: int = 0
+    has_speed: bool = True
+    has_tokens: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request and its progress, in tokens of the clock of its engine."""
+
+    host: object
+    arrived: float
+    prompt: int
+    tokens: int
+    hint: int
+    endpoint_id: str = ''
+    ticket: object = None
+    first_at: float = 0.0
+    next_at: float = 0.0
+    end_at: float = 0.0
+    has_begun: bool = False
+    last_event: float = 0.0
+
+
+@dataclasses.dataclass
+class Outcome:
+    """Requests in time, late and refused, in peaks and by zone."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    by_zone: dict = dataclasses.field(default_factory=dict)
+    first_seconds: list = dataclasses.field(default_factory=list)
+    crossed: int = 0
+
+    @property
+    def total(self):
+        return self.in_time + self.late + self.refused
+
+    @property
+    def bad_fraction(self):
+        return (self.late + self.refused) / self.total
+
+    def add(self, zone, kind):
+        setattr(self, kind, getattr(self, kind) + 1)
+        row = self.by_zone.setdefault(zone, {})
+        row[kind] = row.get(kind, 0) + 1
+
+
+class Engine:
+    """Engine with a token clock that all running requests share."""
+
+    def __init__(self, replay, endpoint_id):
+        self.replay = replay
+        self.endpoint_id = endpoint_id
+        self.slow = 1.0
+        self.clock = 0.0
+        self.updated_at = 0.0
+        self.waiting = []
+        self.milestones = []
+        self.running = 0
+        self.epoch = 0
+
+    @property
+    def token_seconds(self):
+        pattern = self.replay.pattern
+        step = pattern.step + pattern.step_per_request * self.running
+        return step * self.slow
+
+    def advance(self):
+        now = self.replay.now
+        self.clock += (now - self.updated_at) / self.token_seconds
+        self.updated_at = now
+
+    def reschedule(self):
+        self.epoch += 1
+        if self.milestones:
+            delay = self.milestones[0][0] - self.clock
+            self.replay.schedule(
+                max(0.0, delay) * self.token_seconds, self.reach, self.epoch
+            )
+
+    def set_slow(self, factor):
+        self.advance()
+        self.slow = factor
+        self.reschedule()
+
+    def receive(self, request):
+        self.advance()
+        self.waiting.append(request)
+        self.admit()
+        self.reschedule()
+
+    def admit(self):
+        pattern = self.replay.pattern
+        while self.waiting and self.running < pattern.slots:
+            request = self.waiting.pop(0)
+            self.running += 1
+            step = pattern.step + pattern.step_per_request * self.running
+            before = pattern.first + request.prompt / pattern.read_per_second
+            begin = self.clock + before / step
+            request.end_at = begin + request.tokens
+            self.push(
+                request, begin + min(pattern.event_tokens, request.tokens)
+            )
+
+    def push(self, request, at):
+        entry = (at, next(self.replay.numbers), request)
+        heapq.heappush(self.milestones, entry)
+
+    def reach(self, epoch):
+        if epoch != self.epoch:
+            return
+        self.advance()
+        at, _, request = heapq.heappop(self.milestones)
+        self.clock = max(self.clock, at)
+        if at >= request.end_at:
+            self.running -= 1
+            self.replay.notify(request, self, True)
+            self.admit()
+        else:
+            step = self.replay.pattern.event_tokens
+            self.push(request, min(at + step, request.end_at))
+            self.replay.notify(request, self, False)
+        self.reschedule()
+
+
+class Replay:
+    """Replay of a pattern. `make_host(zone, rows)` returns a host.
+
+    A host has `acquire(request, now)`, `release(request, now)`,
+    `read_event(request, load, gap, now)`, `copy_report()`,
+    `apply_report(number, report, now)`, `copy_running()` and
+    `apply_exchange(elsewhere, nearby, age, now)`.
+    """
+
+    def __init__(self, pattern, make_host, seed):
+        self.pattern = pattern
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.numbers = itertools.count()
+        self.outcome = Outcome()
+        self.zones = [f'z{n}' for n in range(pattern.zones)]
+        rows = tuple(
+            fleetmessages.EndpointNotice(
+                f'e{n}',
+                SERVICE,
+                f'e{n}:1',
+                self.zones[n % pattern.zones],
+                pattern.slots,
+                'ready',
+                1,
+                1,
+            )
+            for n in range(pattern.endpoints)
+        )
+        self.zone_by_endpoint = {
+            row.endpoint_id: row.availability_zone for row in rows
+        }
+        self.engines = {
+            row.endpoint_id: Engine(self, row.endpoint_id) for row in rows
+        }
+        self.hosts = [
+            make_host(self.zones[n % pattern.zones], rows, pattern)
+            for n in range(pattern.hosts)
+        ]
+        for number, host in enumerate(self.hosts):
+            host.number = number
+            host.peers = range(
+                number % pattern.zones, pattern.hosts, pattern.zones
+            )
+            host.news_due = False
+            host.next_news = 0.0
+            host.set_peers([str(p) for p in host.peers if p != number])
+        self.zone_members = [
+            [h for h in self.hosts if h.zone == zone] for zone in self.zones
+        ]
+        self.reports = [{} for _ in self.hosts]
+        self.totals = {}
+        self.zone_totals = [{} for _ in self.zones]
+
+    def schedule(self, delay, function, *arguments):
+        event = (self.now + delay, next(self.numbers), function, arguments)
+        heapq.heappush(self.events, event)
+
+    def run(self):
+        pattern = self.pattern
+        self.interval = max(
+            leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
+            pattern.hosts / leader_client.MAX_EXCHANGES_PER_SECOND,
+        )
+        self.news_interval = zone_loads.compute_news_interval(
+            len(self.zone_members[0]) - 1
+        )
+        for host in self.hosts:
+            self.schedule(
+                self.rng.random() * self.interval, self.exchange, host
+            )
+            self.send_news(host)
+        for number in range(pattern.zones):
+            self.schedule(0.0, self.arrive, number)
+        for number, engine in enumerate(self.engines.values()):
+            if number < pattern.slow_engines:
+                engine.set_slow(pattern.slow_factor)
+            elif pattern.slow_fraction:
+                self.schedule(
+                    self.rng.random() * pattern.slow_seconds,
+                    self.change_speed,
+                    engine,
+                )
+        while self.events:
+            self.now, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+        return self.outcome
+
+    def change_speed(self, engine):
+        if self.now > self.pattern.seconds:
+            engine.set_slow(1.0)
+            return
+        is_slow = self.rng.random() < self.pattern.slow_fraction
+        engine.set_slow(self.pattern.slow_factor if is_slow else 1.0)
+        self.schedule(
+            self.pattern.slow_seconds * self.rng.uniform(0.7, 1.3),
+            self.change_speed,
+            engine,
+        )
+
+    def get_rate(self, zone):
+        pattern = self.pattern
+        weights = pattern.zone_weights or (1,) * pattern.zones
+        offsets = pattern.zone_offsets or (0.0,) * pattern.zones
+        phase = (self.now - offsets[zone]) % pattern.period
+        # The rate outside of the peaks keeps the mean.
+        quiet = (1 - pattern.peak * pattern.peak_seconds / pattern.period) / (
+            1 - pattern.peak_seconds / pattern.period
+        )
+        factor = pattern.peak if phase < pattern.peak_seconds else quiet
+        return pattern.rate * factor * weights[zone] / sum(weights)
+
+    def arrive(self, zone):
+        if self.now > self.pattern.seconds:
+            return
+        peak_rate = self.pattern.rate * self.pattern.peak
+        weights = self.pattern.zone_weights or (1,) * self.pattern.zones
+        limit = peak_rate * weights[zone] / sum(weights)
+        self.schedule(self.rng.expovariate(limit), self.arrive, zone)
+        if self.rng.random() * limit > self.get_rate(zone):
+            return
+        pattern = self.pattern
+        host = self.rng.choice(self.zone_members[zone])
+        sigma = math.sqrt(math.log(1 + pattern.spread**2))
+        events = self.rng.lognormvariate(
+            math.log(pattern.events) - sigma**2 / 2, sigma
+        )
+        tokens = max(1, round(events * pattern.event_tokens))
+        prompts, parts = zip(*pattern.prompts, strict=True)
+        prompt = self.rng.choices(prompts, parts)[0]
+        hint = round(tokens * self.rng.lognormvariate(0, 0.5))
+        request = Request(host, self.now, prompt, tokens, hint)
+        if not host.acquire(request, self.now):
+            self.outcome.add(host.zone, 'refused')
+            return
+        self.plan_news(host)
+        delay = SEND_SECONDS + self.get_delay(request)
+        engine = self.engines[request.endpoint_id]
+        self.schedule(delay, engine.receive, request)
+
+    def get_delay(self, request):
+        is_near = self.zone_by_endpoint[request.endpoint_id] == (
+            request.host.zone
+        )
+        return 0.0003 if is_near else self.pattern.zone_delay
+
+    def notify(self, request, engine, is_end):
+        load = None
+        if not request.has_begun:
+            speed = (
+                round(100 * engine.slow) if self.pattern.has_speed else None
+            )
+            load = (engine.running, len(engine.waiting), speed)
+        self.schedule(
+            self.get_delay(request), self.deliver, request, load, is_end
+        )
+        request.has_begun = True
+
+    def deliver(self, request, load, is_end):
+        host = request.host
+        if load is not None:
+            seconds = self.now - request.arrived
+            kind = 'in_time' if seconds <= self.pattern.objective else 'late'
+            self.outcome.add(host.zone, kind)
+            self.outcome.first_seconds.append(seconds)
+            self.outcome.crossed += (
+                self.zone_by_endpoint[request.endpoint_id] != host.zone
+            )
+            request.first_at = self.now
+        gap = self.now - request.last_event if request.last_event else None
+        host.read_event(request, load, gap, self.now)
+        request.last_event = self.now
+        if is_end:
+            host.release(request, self.now)
+            self.plan_news(host)
+
+    def plan_news(self, host):
+        if not host.news_due:
+            host.news_due = True
+            delay = max(0.0, host.next_news - self.now)
+            self.schedule(delay, self.send_news, host)
+
+    def send_news(self, host):
+        host.news_due = False
+        host.next_news = self.now + self.news_interval
+        report = host.copy_report(self.now)
+        members = self.zone_members[host.number % self.pattern.zones]
+        self.schedule(
+            NEWS_DELAY_SECONDS, self.apply_news, host, members, report
+        )
+
+    def apply_news(self, host, members, report):
+        for member in members:
+            if member is not host:
+                member.apply_report(str(host.number), report, self.now)
+
+    def exchange(self, host):
+        if self.now > self.pattern.seconds:
+            return
+        previous, running = self.reports[host.number], host.copy_running()
+        self.reports[host.number] = running
+        zone = self.zone_totals[host.number % self.pattern.zones]
+        for table in (self.totals, zone):
+            for key, count in previous.items():
+                table[key] = table.get(key, 0) - count
+            for key, count in running.items():
+                table[key] = table.get(key, 0) + count
+        elsewhere = {
+            key: count - zone.get(key, 0)
+            for key, count in self.totals.items()
+            if count - zone.get(key, 0) > 0
+        }
+        self.schedule(
+            EXCHANGE_DELAY_SECONDS,
+            host.apply_exchange,
+            elsewhere,
+            self.interval,
+        )
+        self.schedule(self.interval, self.exchange, host)
--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -22,6 +22,7 @@
     'consensus',
     'state',
     'catalog',
+    'balancing',
     'web',
     'fleet',
     'streams',
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -10,6 +10,9 @@
 import random
 import threading
 
+from rhubarbreach.balancing import costs
+from rhubarbreach.balancing import endpoints as endpoint_tables
+from rhubarbreach.balancing import selection
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import choice
@@ -64,6 +67,13 @@
         self.departures = departures.Departures()
         self.health = health.HealthTable()
         self.saturation = collections.defaultdict(saturation.Saturation)
+        # Work and speed of the endpoints, and what requests cost.
+        self.table = endpoint_tables.EndpointTable()
+        self.chooser = selection.Chooser(zone, self.table)
+        self.costs = costs.CostModel()
+        # Choices by cost, and those of them in another zone, for the metrics.
+        self.weighed = 0
+        self.crossed = 0
 
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
@@ -83,6 +93,7 @@
             self.endpoints = endpoints
             self.group_by_service()
             self.health.keep(endpoints)
+            self.table.keep(endpoints)
 
     def group_by_service(self):
         """Group the endpoints that take new requests by their service."""
@@ -94,6 +105,7 @@
             if not (endpoint.is_draining or is_leaving):
                 services.setdefault(endpoint.service, []).append(endpoint)
         self.services = services
+        self.chooser.set_services(services)
 
     def record_departure(self, endpoint):
         """Choose an endpoint no more, as it has said that it is leaving.
@@ -156,9 +168,23 @@
         with self.lock:
             return tuple(self.zone_loads.peers)
 
-    def report_peer(self, host_id, running, now):
-        """Store the running requests of another host of the zone."""
+    def report_peer(self, host_id, running, now, slowness=None):
+        """Store the running requests of another host of the zone.
+
+        Parameters
+        ----------
+        host_id : str
+            Host that reports.
+        running : dict of str to int
+            Its requests by endpoint.
+        now : float
+            Seconds of the monotonic clock.
+        slowness : dict of str to int, optional
+            Slowness of endpoints in percent that it has learned.
+        """
         with self.lock:
+            if slowness and host_id in self.zone_loads.peers:
+                self.table.slowness.merge(slowness, now)
             self.zone_loads.report(host_id, running, now)
             totals = self.zone_loads.get_totals(now)
             if totals is not None:
@@ -181,6 +207,7 @@
         can_retry=False,
         software_version=None,
         choices=None,
+        cost=None,
     ):
         """Choose an endpoint and count a request on it until `release`.
 
@@ -201,75 +228,38 @@
             Version of the endpoints at which a stream may be resumed.
         choices : collection of str, optional
             Endpoints to choose from; all if not given.
+        cost : Cost, optional
+            Predicted cost of the request. If its tokens are stated, or the
+            endpoints report their speed, it decides.
 
         Returns
         -------
         Endpoint or Refusal
-            See `choice.choose_endpoint`.
+            See `choice.choose_endpoint` and `balancing.selection`.
         """
         with self.lock:
-            endpoints = self.services.get(service, ())
-            available = [
-                endpoint
-                for endpoint in endpoints
-                if not self.health.is_ejected(endpoint.endpoint_id, now)
-            ]
-            online = {
-                endpoint.endpoint_id: self.count_online(endpoint.endpoint_id)
-                for endpoint in endpoints
-            }
-            slots = max((e.slots for e in endpoints), default=1)
-            zone_penalty = choice.compute_zone_penalty(
-                slots, self.run_seconds.get(service), self.load_age
-            )
-            self.saturation[service].update(
-                all(
-                    online[endpoint.endpoint_id] >= endpoint.slots
-                    for endpoint in available
-                ),
-                now,
+            is_weighed = (
+                cost is not None and cost.is_stated
+            ) or self.table.slowness.has_figures(service)
+            choose = (
+                self.choose_by_cost if is_weighed else self.choose_by_count
             )
-            candidates = filter_version(endpoints, software_version)
-            available = filter_version(available, software_version)
-            if choices is not None:
-                candidates = [
-                    e for e in candidates if e.endpoint_id in choices
-                ]
-                available = [e for e in available if e.endpoint_id in choices]
-            healthy = [
-                endpoint
-                for endpoint in available
-                if endpoint.endpoint_id not in self.suspects
-            ]
-            # If all endpoints have failed, any of them may have recovered.
-            chosen = choice.choose_endpoint(
-                healthy or available or candidates,
-                online,
-                self.batch,
-                self.zone,
+            chosen = choose(
+                service,
                 excluded,
+                now,
                 queue_limit,
-                zone_penalty,
+                can_retry,
+                software_version,
+                choices,
+                cost,
             )
-            if can_retry and len(healthy) < len(available):
-                must_wait = isinstance(chosen, codes.Refusal) or (
-                    online[chosen.endpoint_id] >= chosen.slots
-                )
-                if must_wait:
-                    chosen = choice.choose_endpoint(
-                        available,
-                        online,
-                        self.batch,
-                        self.zone,
-                        excluded,
-                        queue_limit,
-                        zone_penalty,
-                    )
             if isinstance(chosen, choice.Endpoint):
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
                 )
+                self.table.begin(endpoint_id, cost, now)
             else:
                 chosen = dataclasses.replace(
                     chosen,
@@ -287,6 +277,178 @@
             self.on_change(is_high)
         return chosen
 
+    def choose_by_cost(
+        self,
+        service,
+        excluded,
+        now,
+        queue_limit,
+        can_retry,
+        software_version,
+        choices,
+        cost,
+    ):
+        """Return the endpoint where a request probably begins soonest.
+
+        The parameters are those of `acquire`.
+        """
+
+        def is_healthy(endpoint):
+            return is_available(endpoint) and (
+                endpoint.endpoint_id not in self.suspects
+            )
+
+        def is_available(endpoint):
+            return not self.health.is_ejected(
+                endpoint.endpoint_id, now
+            ) and is_candidate(endpoint)
+
+        def is_candidate(endpoint):
+            return (
+                software_version is None
+                or endpoint.software_version == software_version
+            ) and (choices is None or endpoint.endpoint_id in choices)
+
+        situation = selection.Situation(
+            self.count_online,
+            lambda endpoint_id: self.batch.get(endpoint_id, 0),
+            lambda endpoint_id: self.running.get(endpoint_id, 0),
+            self.run_seconds.get(service) or selection.INITIAL_RUN_SECONDS,
+            self.load_age,
+            now,
+            random.random,
+            random.shuffle,
+        )
+
+        def choose(is_usable, is_last=False):
+            return self.chooser.choose(
+                service,
+                cost,
+                situation,
+                lambda endpoint: (
+                    endpoint.endpoint_id not in excluded
+                    and is_usable(endpoint)
+                ),
+                is_last,
+            )
+
+        is_usable = is_healthy
+        chosen = choose(is_usable)
+        if chosen is None:
+            # If all endpoints have failed, any of them may have recovered.
+            known = self.services.get(service, ())
+            if not any(map(is_healthy, known)):
+                is_usable = is_candidate
+                if any(map(is_available, known)):
+                    is_usable = is_available
+                chosen = choose(is_usable)
+        if chosen is not None and self.is_queue_full(chosen, queue_limit):
+            chosen = choose(is_usable, True) or chosen
+        if (
+            can_retry
+            and self.suspects
+            and (chosen is None or not self.has_free_slot(chosen))
+        ):
+            chosen = choose(is_available) or chosen
+        self.saturation[service].update(
+            chosen is None or not self.has_free_slot(chosen), now
+        )
+        if chosen is None:
+            return codes.Refusal(
+                codes.ResultCode.NO_ENDPOINT, 'no endpoint accepts requests'
+            )
+        if self.is_queue_full(chosen, queue_limit):
+            online = self.count_online(chosen.endpoint_id)
+            return codes.Refusal(
+                codes.ResultCode.QUEUE_FULL,
+                f'all endpoints are full: {chosen.endpoint_id} has {online} '
+                f'online requests for {chosen.slots} slots',
+            )
+        self.weighed += 1
+        self.crossed += chosen.availability_zone != self.zone
+        return chosen
+
+    def has_free_slot(self, endpoint):
+        """Return whether an online request begins there at once."""
+        return self.count_online(endpoint.endpoint_id) < endpoint.slots
+
+    def is_queue_full(self, endpoint, queue_limit):
+        """Return whether no further request may wait at an endpoint."""
+        online = self.count_online(endpoint.endpoint_id)
+        return online >= endpoint.slots + queue_limit
+
+    def choose_by_count(
+        self,
+        service,
+        excluded,
+        now,
+        queue_limit,
+        can_retry,
+        software_version,
+        choices,
+        cost,
+    ):
+        """Return the endpoint with the fewest requests for its slots.
+
+        The parameters are those of `acquire`; the cost is not used.
+        """
+        endpoints = self.services.get(service, ())
+        available = [
+            endpoint
+            for endpoint in endpoints
+            if not self.health.is_ejected(endpoint.endpoint_id, now)
+        ]
+        online = {
+            endpoint.endpoint_id: self.count_online(endpoint.endpoint_id)
+            for endpoint in endpoints
+        }
+        slots = max((e.slots for e in endpoints), default=1)
+        zone_penalty = choice.compute_zone_penalty(
+            slots, self.run_seconds.get(service), self.load_age
+        )
+        self.saturation[service].update(
+            all(
+                online[endpoint.endpoint_id] >= endpoint.slots
+                for endpoint in available
+            ),
+            now,
+        )
+        candidates = filter_version(endpoints, software_version)
+        available = filter_version(available, software_version)
+        if choices is not None:
+            candidates = [e for e in candidates if e.endpoint_id in choices]
+            available = [e for e in available if e.endpoint_id in choices]
+        healthy = [
+            endpoint
+            for endpoint in available
+            if endpoint.endpoint_id not in self.suspects
+        ]
+        # If all endpoints have failed, any of them may have recovered.
+        chosen = choice.choose_endpoint(
+            healthy or available or candidates,
+            online,
+            self.batch,
+            self.zone,
+            excluded,
+            queue_limit,
+            zone_penalty,
+        )
+        if can_retry and len(healthy) < len(available):
+            must_wait = isinstance(chosen, codes.Refusal) or (
+                online[chosen.endpoint_id] >= chosen.slots
+            )
+            if must_wait:
+                chosen = choice.choose_endpoint(
+                    available,
+                    online,
+                    self.batch,
+                    self.zone,
+                    excluded,
+                    queue_limit,
+                    zone_penalty,
+                )
+        return chosen
+
     def acquire_again(self, endpoint):
         """Count a further request on an endpoint until `release`.
 
@@ -306,6 +468,7 @@
             self.running[endpoint.endpoint_id] = (
                 self.running.get(endpoint.endpoint_id, 0) + 1
             )
+            self.table.begin(endpoint.endpoint_id, None, clock.monotonic())
         if self.on_change is not None:
             self.on_change(
                 self.get_utilization(endpoint) >= HIGH_UTILIZATION_FRACTION
@@ -402,6 +565,58 @@
             average += (seconds - average) * RUN_TIME_WEIGHT
             self.run_seconds[service] = average
 
+    def predict_cost(self, route, account, statement, capacity_tokens=0):
+        """Return the `Cost` of a request; see `CostModel.predict`."""
+        with self.lock:
+            return self.costs.predict(
+                route, account, statement, capacity_tokens
+            )
+
+    def record_answer(self, cost, events):
+        """Learn from a whole answer; see `CostModel.learn`."""
+        with self.lock:
+            self.costs.learn(cost, events)
+
+    def record_load(self, endpoint_id, load, now):
+        """Store the load that an endpoint has reported in a response.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint that has responded.
+        load : ServerLoad
+            Load that it reports.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            if endpoint is not None:
+                self.table.record_load(
+                    endpoint_id, endpoint.service, load, now
+                )
+
+    def note_first_event(self, endpoint_id, cost, now):
+        """Record that an endpoint has begun a request of this host."""
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            if endpoint is not None:
+                self.table.note_first_event(
+                    endpoint_id, endpoint.service, cost, now
+                )
+
+    def record_gap(self, endpoint, gap, percent, now):
+        """Record the time between two events; see `Slowness.record_gap`."""
+        with self.lock:
+            self.table.slowness.record_gap(
+                endpoint.endpoint_id, endpoint.service, gap, percent, now
+            )
+
+    def pop_slowness(self):
+        """Return what this host has learned of speeds since the last call."""
+        with self.lock:
+            return self.table.slowness.pop_news()
+
     def is_overload_sustained(self, service):
         """Return whether an overload lasts longer than a load peak.
 
@@ -426,9 +641,20 @@
                 for endpoint in candidates
             )
 
-    def release(self, endpoint_id):
-        """Remove a completed request from the load of an endpoint."""
+    def release(self, endpoint_id, cost=None, has_begun=False):
+        """Remove a completed request from the load of an endpoint.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint of the request.
+        cost : Cost, optional
+            Its cost, as passed to `acquire`.
+        has_begun : bool
+            Whether `note_first_event` was called for it.
+        """
         with self.lock:
+            self.table.end(endpoint_id, cost, has_begun)
             count = self.running.get(endpoint_id, 0) - 1
             if count > 0:
                 self.running[endpoint_id] = count
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -176,9 +176,14 @@
 
 @messages.frozen_message
 class LoadNews:
-    """Requests of an entry host on each endpoint, for others in its zone."""
+    """Requests of an entry host on each endpoint, for others in its zone.
+
+    `slowness` holds, for the endpoints whose speed the host has learned since
+    its last report, how long work takes there in percent of the usual.
+    """
 
     running: dict[str, int]
+    slowness: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
