--- /dev/null
+++ b/rhubarbreach/balancing/progress.py
@@ -0,0 +1,44 @@
+"""Progress of one response, and the pace of its events."""
+
+__all__ = ['Progress']
+
+
+class Progress:
+    """Events of a response that have arrived.
+
+    `has_begun` is whether the endpoint runs the request, as far as known.
+    `percent` is how long the endpoint has reported work to take when the
+    response began, None if it has not.
+    """
+
+    __slots__ = ('arrived_at', 'events', 'has_begun', 'percent')
+
+    def __init__(self):
+        self.events = 0
+        self.arrived_at = 0.0
+        self.has_begun = False
+        self.percent = None
+
+    def add(self, count, now):
+        """Add events that have arrived together.
+
+        Parameters
+        ----------
+        count : int
+            Number of the events.
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        tuple of float and int or None, or None
+            Seconds since the event before, and the percentage that was
+            reported with it. None without an event before, and if several
+            events have arrived together, as this host was slow to read then.
+        """
+        previous, self.arrived_at = self.arrived_at, now
+        self.events += count
+        if self.events == count or count > 1:
+            return None
+        percent, self.percent = self.percent, None
+        return now - previous, percent
--- a/rhubarbreach/catalog/model.py
+++ b/rhubarbreach/catalog/model.py
@@ -102,11 +102,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """Service whose endpoints run requests."""
+    """Service whose endpoints run requests.
+
+    `capacity_tokens` is the memory of an endpoint for the tokens of the
+    requests that it holds, 0 if unknown.
+    """
 
     name: str
     max_connections: int
     slots: int
+    capacity_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -381,6 +381,7 @@
             )
             return
         self.index = indexes.Index(catalog)
+        self.view.set_services(catalog.services)
         LOG.info(
             'event=catalog_in_force version={} routes={} accounts={}',
             catalog.version,
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -71,6 +71,8 @@
         self.table = endpoint_tables.EndpointTable()
         self.chooser = selection.Chooser(zone, self.table)
         self.costs = costs.CostModel()
+        # Memory of an endpoint of each service in tokens, 0 if unknown.
+        self.capacity_tokens = {}
         # Choices by cost, and those of them in another zone, for the metrics.
         self.weighed = 0
         self.crossed = 0
@@ -565,8 +567,21 @@
             average += (seconds - average) * RUN_TIME_WEIGHT
             self.run_seconds[service] = average
 
-    def predict_cost(self, route, account, statement, capacity_tokens=0):
+    def set_services(self, services):
+        """Take the properties of services from a configuration.
+
+        Parameters
+        ----------
+        services : iterable of catalog.model.Service
+            Services of the configuration in force.
+        """
+        self.capacity_tokens = {
+            service.name: service.capacity_tokens for service in services
+        }
+
+    def predict_cost(self, service, route, account, statement):
         """Return the `Cost` of a request; see `CostModel.predict`."""
+        capacity_tokens = self.capacity_tokens.get(service, 0)
         with self.lock:
             return self.costs.predict(
                 route, account, statement, capacity_tokens
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request: a call to an endpoint and its response."""
 
+from rhubarbreach.balancing import progress
 from rhubarbreach import clock
 from rhubarbreach.web import answers
 from rhubarbreach.web import client
@@ -19,12 +20,16 @@
         Load of the endpoint, for the log.
     tried_part : str or None
         Quarantined part of the prompt that the attempt tries.
+    cost : Cost, optional
+        Predicted cost that was passed when the endpoint was acquired.
     """
 
-    def __init__(self, endpoint, load, tried_part):
+    def __init__(self, endpoint, load, tried_part, cost=None):
         self.endpoint = endpoint
         self.load = load
         self.tried_part = tried_part
+        self.cost = cost
+        self.progress = progress.Progress()
         self.call = None
         self.holding = None
         self.body = None
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -108,6 +108,12 @@
             return service
         if self.app.view.has_high_utilization(service):
             self.app.leader_client.refresh_loads()
+        self.search.cost = self.app.view.predict_cost(
+            service,
+            self.route.name,
+            '' if self.account is None else self.account.name,
+            self.info.statement,
+        )
         try:
             return self.serve(service)
         finally:
@@ -298,7 +304,11 @@
         """Close the call of an attempt and release its endpoint."""
         self.attempts.remove(attempt)
         attempt.close()
-        self.app.view.release(attempt.endpoint.endpoint_id)
+        self.app.view.release(
+            attempt.endpoint.endpoint_id,
+            attempt.cost,
+            attempt.progress.has_begun,
+        )
         if attempt.tried_part is not None:
             self.app.leader_client.quarantine.end_trial(
                 attempt.tried_part, attempt.is_sent
@@ -375,6 +385,7 @@
             return model.TimedOut() if now >= self.deadline else None
         if not attempt.is_head_checked:
             attempt.is_head_checked = True
+            self.recorder.record_head(attempt, head, now)
             if self.is_stream(head):
                 # An engine answers with the first event. Other endpoints
                 # answer when they are done.
@@ -397,7 +408,9 @@
             self.was_broken_off = True
             return model.Unconfirmed()
         # Comments keep a connection open, but are no progress.
-        if any(events.get_data(block) is not None for block in blocks):
+        count = sum(events.get_data(block) is not None for block in blocks)
+        if count:
+            self.recorder.record_events(attempt, count, now)
             self.record_progress(attempt)
         elif now >= self.deadline and not attempt.call.is_complete:
             return model.TimedOut()
--- a/rhubarbreach/gateway/model.py
+++ b/rhubarbreach/gateway/model.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from rhubarbreach.balancing import costs
+
 __all__ = [
     'Broken',
     'CallInfo',
@@ -26,7 +28,8 @@
     `last_event_id` is the event after which a stream is to resume, if any,
     and `resumed_request_id` the request that began the stream.
     `prompt` holds the ids of the parts of the prompt. Requests may share all
-    of them but the last.
+    of them but the last. `statement` is what the caller states about the size
+    of the request, None if nothing.
     """
 
     request_id: str
@@ -36,6 +39,7 @@
     last_event_id: int | None
     prompt: tuple[str, ...] = ()
     resumed_request_id: str = ''
+    statement: costs.Statement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -64,6 +64,7 @@
                     view.record_run(
                         attempt.endpoint.service, now - attempt.run_started_at
                     )
+                    self.learn_cost(attempt)
                 self.log('delivered', f'status {status}', attempt, 'answered')
             case model.Unproven(reason=reason):
                 self.endpoint_ids.add(endpoint_id)
@@ -86,6 +87,41 @@
             case model.CallerGone():
                 self.log('caller_gone', '', attempt)
 
+    def record_head(self, attempt, head, now):
+        """Record the load that an endpoint reports in the head of a response.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            Attempt whose response has begun.
+        head : Head
+            Head of the response.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        load = self.app.dialect.get_load(head)
+        if load is not None:
+            attempt.progress.percent = load.percent
+            self.app.view.record_load(attempt.endpoint.endpoint_id, load, now)
+        if head.status in heads.SUCCESS:
+            # An engine sends the head with the first event.
+            attempt.progress.has_begun = True
+            self.app.view.note_first_event(
+                attempt.endpoint.endpoint_id, attempt.cost, now
+            )
+
+    def record_events(self, attempt, count, now):
+        """Record that events of a stream have arrived together."""
+        sample = attempt.progress.add(count, now)
+        if sample is not None:
+            self.app.view.record_gap(attempt.endpoint, *sample, now)
+
+    def learn_cost(self, attempt):
+        """Learn the cost of a request that one endpoint has answered."""
+        is_whole = self.info.last_event_id is None and self.sent == 0
+        if attempt.cost is not None and is_whole:
+            self.app.view.record_answer(attempt.cost, attempt.progress.events)
+
     def record_settled(self, attempt):
         """Count a stream that was delivered without a proof of its end."""
         self.app.view.record_success(attempt.endpoint.endpoint_id)
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -60,6 +60,8 @@
         self.declined = 0
         # Until when to wait for an endpoint, as none is at work.
         self.wait_until = float('inf')
+        # Predicted cost of the request, None until its service is known.
+        self.cost = None
 
     def begin(self, attempt):
         """Record that an attempt begins."""
@@ -114,9 +116,9 @@
             may_send, tried_part = quarantine.begin_trial(prompt, now)
             if may_send:
                 load = self.app.view.format_load(endpoint.endpoint_id)
-                return attempts.Attempt(endpoint, load, tried_part)
+                return attempts.Attempt(endpoint, load, tried_part, self.cost)
             # Another request has used the trial of the part.
-            self.app.view.release(endpoint.endpoint_id)
+            self.app.view.release(endpoint.endpoint_id, self.cost)
 
     def repeat_last(self, proof):
         """Return an attempt at the endpoint whose end is to be proven.
@@ -144,6 +146,7 @@
                 self.choose_queue_limit(service),
                 self.count_remaining() > 1,
                 self.software_version,
+                cost=self.cost,
             )
             is_found = not isinstance(endpoint, codes.Refusal)
             if is_found or not self.may_have_run():
@@ -170,6 +173,7 @@
             False,
             self.software_version,
             choices,
+            self.cost,
         )
 
     def list_askable(self):
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -199,6 +199,7 @@
             is_not_run=lambda head: bool(head.get(b'not-run')),
             is_signed=lambda head: not head.get(b'unsigned'),
             is_leaving=lambda head: bool(head.get(b'leaving')),
+            get_load=lambda head: None,
         )
         app = types.SimpleNamespace(
             view=loads,
