--- a/rhubarbreach/balancing/costs.py
+++ b/rhubarbreach/balancing/costs.py
@@ -19,6 +19,8 @@
 PRIOR_ANSWERS = 8
 # Groups that are remembered: accounts of a route, and shared parts of prompts.
 MAX_GROUPS = 2048
+# Latency objective of a request whose route has none.
+DEFAULT_OBJECTIVE_SECONDS = 0.3
 # Events of an answer until the first one is known.
 INITIAL_EVENTS = 16.0
 # Weights of the newest answer in the averages.
@@ -61,7 +63,8 @@
     an endpoint of its service, 0 if unknown. `events` is the mean of the
     events that will be written, and `deviation` its standard deviation.
     `groups` are the keys under which the answer is learned. `is_stated` is
-    whether the caller has stated its tokens.
+    whether the caller has stated its tokens, and `objective` the time in
+    seconds until its first event is due.
     """
 
     prompt_tokens: int
@@ -73,6 +76,7 @@
     groups: tuple[tuple, ...] = ()
     hint_tokens: int | None = None
     is_stated: bool = False
+    objective: float = DEFAULT_OBJECTIVE_SECONDS
 
 
 class CostModel:
@@ -88,7 +92,9 @@
         self.ratios = averages.AverageTable(MAX_GROUPS, HINT_WEIGHT)
         self.group_errors = averages.AverageTable(MAX_GROUPS, HINT_WEIGHT)
 
-    def predict(self, route, account, statement, capacity_tokens=0):
+    def predict(
+        self, route, account, statement, objective=0.0, capacity_tokens=0
+    ):
         """Return the `Cost` of a request.
 
         Parameters
@@ -97,6 +103,8 @@
             Names of its route and client account.
         statement : Statement or None
             What its caller states; None if nothing.
+        objective : float
+            Latency objective in seconds, 0 if there is none.
         capacity_tokens : int
             Memory of an endpoint of its service in tokens, 0 if unknown.
         """
@@ -107,7 +115,14 @@
             groups.append((route, account, parts[-2].part_id))
         mean, deviation = self.read_groups(groups)
         if statement is None:
-            return Cost(0, 0, mean, deviation, groups=tuple(groups))
+            return Cost(
+                0,
+                0,
+                mean,
+                deviation,
+                groups=tuple(groups),
+                objective=objective or DEFAULT_OBJECTIVE_SECONDS,
+            )
         mean, deviation = self.apply_hint(
             route, statement.hint_tokens, mean, deviation
         )
@@ -121,6 +136,7 @@
             tuple(groups),
             statement.hint_tokens,
             True,
+            objective or DEFAULT_OBJECTIVE_SECONDS,
         )
 
     def read_groups(self, groups):
--- a/rhubarbreach/balancing/selection.py
+++ b/rhubarbreach/balancing/selection.py
@@ -27,12 +27,14 @@
 MAX_FAR_SPREAD_FRACTION = 0.25
 # Cost of another zone in seconds: the delay both ways, and the bytes.
 ZONE_SECONDS = 0.01
+# Part of the objective within which a request is safe to begin in time.
+SAFE_OBJECTIVES = 0.6
 # Time until a batch item has yielded its slot.
 YIELD_SECONDS = 0.03
 # Run time of a request until one is known.
 INITIAL_RUN_SECONDS = 0.7
-# Relative difference below which endpoints count as equal.
-JITTER = 0.02
+# Difference, in requests that wait, below which endpoints count as equal.
+JITTER = 0.01
 # Part of the memory of an endpoint that requests may use, as the requests of
 # other hosts are only counted.
 MEMORY_FRACTION = 0.9
@@ -47,7 +49,8 @@
     `count_online` and `count_items` return the requests of all hosts and the
     batch items on an endpoint, `count_own` those of this host. `run_seconds`
     is the mean run time of a request, `age` the age in seconds of the counts
-    of other zones. `draw` returns a random number below 1, and
+    of other zones. `objective` is the time in seconds until the first event is
+    due. `draw` returns a random number below 1, and
     `shuffle` shuffles a list.
     """
 
@@ -56,6 +59,7 @@
     count_own: object
     run_seconds: float
     age: float
+    objective: float
     now: float
     draw: object
     shuffle: object
@@ -139,6 +143,9 @@
         best = None
         lowest = float('inf')
         for endpoints, is_near in ((pool.near, True), (pool.far, False)):
+            jitter = JITTER * situation.run_seconds / max(
+                1, endpoints[0].slots if endpoints else 1
+            )
             spread = compute_spread(endpoints, is_near, situation)
             for endpoint in draw_some(
                 endpoints, is_allowed, size, situation.draw
@@ -146,7 +153,7 @@
                 seconds = self.estimate(
                     endpoint, service, cost, situation, spread, is_near
                 )
-                seconds *= 1 + JITTER * situation.draw()
+                seconds += jitter * situation.draw()
                 if seconds < lowest:
                     lowest = seconds
                     best = endpoint
@@ -171,9 +178,11 @@
         stuck = table.count_stuck(endpoint_id, first, now)
         if stuck:
             online = max(online, slots + stuck)
-        seconds = first + slowness * estimate_wait(
-            online, slots, situation.run_seconds, spread
-        )
+        wait = estimate_wait(online, slots, situation.run_seconds, spread)
+        # Below this time a request is safe, and endpoints count as equally
+        # fast. To keep the fast ones busier would only cause queues there.
+        safe = SAFE_OBJECTIVES * situation.objective
+        seconds = wait + max(0.0, first + slowness * wait - safe)
         items = situation.count_items(endpoint_id)
         if items and online < slots <= online + items:
             seconds += YIELD_SECONDS
--- /dev/null
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -0,0 +1,105 @@
+"""Entry hosts of the replays: with the choice by cost, and without it."""
+
+from rhubarbreach.balancing import costs
+from rhubarbreach.balancing import endpoints
+from rhubarbreach.balancing import progress
+from rhubarbreach.balancing.tests import replay
+from rhubarbreach import codes
+from rhubarbreach.fleet import view
+
+__all__ = ['CountingHost', 'WeighingHost']
+
+
+class CountingHost:
+    """Host with the policy of b218eb7, which counts requests alone."""
+
+    def __init__(self, zone, rows, pattern):
+        self.zone = zone
+        self.pattern = pattern
+        self.view = view.View(zone)
+        self.view.update_endpoints(rows, True)
+
+    def set_peers(self, peers):
+        self.view.update_peers(peers)
+
+    def predict(self, request):
+        return None
+
+    def acquire(self, request, now):
+        limit = self.view.choose_queue_limit(
+            replay.SERVICE, self.pattern.objective, False, False
+        )
+        request.ticket = self.predict(request)
+        chosen = self.view.acquire(
+            replay.SERVICE, (), now, limit, cost=request.ticket
+        )
+        if isinstance(chosen, codes.Refusal):
+            return False
+        request.endpoint_id = chosen.endpoint_id
+        return True
+
+    def release(self, request, now):
+        self.view.release(request.endpoint_id, request.ticket, True)
+        self.view.record_run(replay.SERVICE, now - request.first_at)
+
+    def read_event(self, request, load, now):
+        pass
+
+    def copy_report(self):
+        return self.view.copy_running(), {}
+
+    def copy_running(self):
+        return self.view.copy_running()
+
+    def apply_report(self, number, report, now):
+        self.view.report_peer(number, report[0], now, report[1])
+
+    def apply_exchange(self, elsewhere, age):
+        self.view.update_loads(elsewhere, {}, (), {}, age)
+
+
+class WeighingHost(CountingHost):
+    """Host that chooses by cost, work and speed."""
+
+    def predict(self, request):
+        pattern = self.pattern
+        statement = None
+        if pattern.has_tokens:
+            parts = (
+                costs.Part(request.shared, request.prompt // 2),
+                costs.Part('', request.prompt - request.prompt // 2),
+            )
+            statement = costs.Statement(
+                request.prompt, 4 * request.hint, parts, request.hint
+            )
+        return self.view.predict_cost(
+            replay.SERVICE,
+            replay.ROUTE,
+            request.shared,
+            statement,
+            pattern.objective,
+        )
+
+    def release(self, request, now):
+        super().release(request, now)
+        self.view.record_answer(request.ticket, request.progress.events)
+
+    def read_event(self, request, load, now):
+        endpoint_id = request.endpoint_id
+        if load is not None:
+            request.progress = progress.Progress()
+            running, waiting, percent = load
+            slots = self.pattern.slots
+            request.progress.percent = percent
+            self.view.record_load(
+                endpoint_id,
+                endpoints.ServerLoad(running, waiting, slots, percent),
+                now,
+            )
+            self.view.note_first_event(endpoint_id, request.ticket, now)
+        sample = request.progress.add(1, now)
+        if sample is not None:
+            self.view.record_gap(self.view.endpoints[endpoint_id], *sample, now)
+
+    def copy_report(self):
+        return self.view.copy_running(), self.view.pop_slowness()
--- a/rhubarbreach/balancing/tests/replay.py
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -12,6 +12,7 @@
 import math
 import random
 
+from rhubarbreach import clock
 from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import zone_loads
 from rhubarbreach.protocol import fleetmessages
@@ -20,8 +21,8 @@
 
 SERVICE = 's'
 ROUTE = 'r'
-NEWS_DELAY_SECONDS = 0.004
-EXCHANGE_DELAY_SECONDS = 0.01
+NEWS_DELAY_SECONDS = 0.01
+EXCHANGE_DELAY_SECONDS = 0.02
 # Time in which the connection to an endpoint is made and the request is read.
 SEND_SECONDS = 0.004
 # Batch items, failures and retries are not replayed.
@@ -83,7 +84,8 @@
     next_at: float = 0.0
     end_at: float = 0.0
     has_begun: bool = False
-    last_event: float = 0.0
+    progress: object = None
+    shared: str = ''
 
 
 @dataclasses.dataclass
@@ -193,13 +195,14 @@
     """Replay of a pattern. `make_host(zone, rows)` returns a host.
 
     A host has `acquire(request, now)`, `release(request, now)`,
-    `read_event(request, load, gap, now)`, `copy_report()`,
+    `read_event(request, load, now)`, `copy_report()`,
     `apply_report(number, report, now)`, `copy_running()` and
-    `apply_exchange(elsewhere, nearby, age, now)`.
+    `apply_exchange(elsewhere, age)`.
     """
 
-    def __init__(self, pattern, make_host, seed):
+    def __init__(self, pattern, make_host, seed, monkeypatch):
         self.pattern = pattern
+        monkeypatch.setattr(clock, 'monotonic', lambda: self.now)
         self.rng = random.Random(seed)
         self.now = 0.0
         self.events = []
@@ -322,6 +325,7 @@
         prompt = self.rng.choices(prompts, parts)[0]
         hint = round(tokens * self.rng.lognormvariate(0, 0.5))
         request = Request(host, self.now, prompt, tokens, hint)
+        request.shared = f'p{self.rng.randrange(20)}'
         if not host.acquire(request, self.now):
             self.outcome.add(host.zone, 'refused')
             return
@@ -359,9 +363,7 @@
                 self.zone_by_endpoint[request.endpoint_id] != host.zone
             )
             request.first_at = self.now
-        gap = self.now - request.last_event if request.last_event else None
-        host.read_event(request, load, gap, self.now)
-        request.last_event = self.now
+        host.read_event(request, load, self.now)
         if is_end:
             host.release(request, self.now)
             self.plan_news(host)
@@ -375,7 +377,7 @@
     def send_news(self, host):
         host.news_due = False
         host.next_news = self.now + self.news_interval
-        report = host.copy_report(self.now)
+        report = host.copy_report()
         members = self.zone_members[host.number % self.pattern.zones]
         self.schedule(
             NEWS_DELAY_SECONDS, self.apply_news, host, members, report
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -317,6 +317,9 @@
             lambda endpoint_id: self.running.get(endpoint_id, 0),
             self.run_seconds.get(service) or selection.INITIAL_RUN_SECONDS,
             self.load_age,
+            costs.DEFAULT_OBJECTIVE_SECONDS
+            if cost is None
+            else cost.objective,
             now,
             random.random,
             random.shuffle,
@@ -579,12 +582,12 @@
             service.name: service.capacity_tokens for service in services
         }
 
-    def predict_cost(self, service, route, account, statement):
+    def predict_cost(self, service, route, account, statement, objective=0.0):
         """Return the `Cost` of a request; see `CostModel.predict`."""
         capacity_tokens = self.capacity_tokens.get(service, 0)
         with self.lock:
             return self.costs.predict(
-                route, account, statement, capacity_tokens
+                route, account, statement, objective, capacity_tokens
             )
 
     def record_answer(self, cost, events):
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -113,6 +113,7 @@
             self.route.name,
             '' if self.account is None else self.account.name,
             self.info.statement,
+            self.route.objective,
         )
         try:
             return self.serve(service)
