--- a/rhubarbreach/balancing/progress.py
+++ b/rhubarbreach/balancing/progress.py
@@ -11,11 +11,13 @@
     response began, None if it has not.
     """
 
-    __slots__ = ('arrived_at', 'events', 'has_begun', 'percent')
+    __slots__ = ('arrived_at', 'events', 'gap', 'has_begun', 'percent')
 
     def __init__(self):
         self.events = 0
         self.arrived_at = 0.0
+        # Seconds between the last two events; infinite if not known.
+        self.gap = float('inf')
         self.has_begun = False
         self.percent = None
 
@@ -32,13 +34,22 @@
         Returns
         -------
         tuple of float and int or None, or None
-            Seconds since the event before, and the percentage that was
-            reported with it. None without an event before, and if several
+            Seconds between two events, and the percentage that was reported
+            with the first one. None without an event before, and if several
             events have arrived together, as this host was slow to read then.
+
+        Notes
+        -----
+        Of the last two gaps the shorter one is returned. A host that is slow
+        to read makes one gap longer, and an endpoint that is slow makes all.
         """
         previous, self.arrived_at = self.arrived_at, now
         self.events += count
+        percent, self.percent = self.percent, None
         if self.events == count or count > 1:
+            self.gap = float('inf')
+            self.percent = percent
             return None
-        percent, self.percent = self.percent, None
-        return now - previous, percent
+        shorter = min(self.gap, now - previous)
+        self.gap = now - previous
+        return shorter, percent
--- a/rhubarbreach/balancing/selection.py
+++ b/rhubarbreach/balancing/selection.py
@@ -29,6 +29,9 @@
 ZONE_SECONDS = 0.01
 # Part of the objective within which a request is safe to begin in time.
 SAFE_OBJECTIVES = 0.6
+# Endpoints of other zones are considered when the best one of the own zone
+# costs more than this, that is from about its last but one free slot on.
+FAR_SECONDS = 0.01
 # Time until a batch item has yielded its slot.
 YIELD_SECONDS = 0.03
 # Run time of a request until one is known.
@@ -143,8 +146,10 @@
         best = None
         lowest = float('inf')
         for endpoints, is_near in ((pool.near, True), (pool.far, False)):
-            jitter = JITTER * situation.run_seconds / max(
-                1, endpoints[0].slots if endpoints else 1
+            jitter = (
+                JITTER
+                * situation.run_seconds
+                / max(1, endpoints[0].slots if endpoints else 1)
             )
             spread = compute_spread(endpoints, is_near, situation)
             for endpoint in draw_some(
@@ -157,15 +162,10 @@
                 if seconds < lowest:
                     lowest = seconds
                     best = endpoint
-            if best is not None and self.has_free_slot(best, situation):
-                return best
+            if lowest <= FAR_SECONDS:
+                break
         return best
 
-    def has_free_slot(self, endpoint, situation):
-        """Return whether an online request begins at once."""
-        endpoint_id = endpoint.endpoint_id
-        return situation.count_online(endpoint_id) < endpoint.slots
-
     def estimate(self, endpoint, service, cost, situation, spread, is_near):
         """Return the expected cost of an endpoint in seconds."""
         endpoint_id = endpoint.endpoint_id
--- a/rhubarbreach/balancing/tests/hosts.py
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -6,6 +6,7 @@
 from rhubarbreach.balancing.tests import replay
 from rhubarbreach import codes
 from rhubarbreach.fleet import view
+from rhubarbreach.fleet import zone_loads
 
 __all__ = ['CountingHost', 'WeighingHost']
 
@@ -18,6 +19,7 @@
         self.pattern = pattern
         self.view = view.View(zone)
         self.view.update_endpoints(rows, True)
+        self.budget = zone_loads.NewsBudget()
 
     def set_peers(self, peers):
         self.view.update_peers(peers)
@@ -54,6 +56,9 @@
     def apply_report(self, number, report, now):
         self.view.report_peer(number, report[0], now, report[1])
 
+    def pause_news(self, now):
+        return zone_loads.compute_news_interval(len(self.view.list_peers()))
+
     def apply_exchange(self, elsewhere, age):
         self.view.update_loads(elsewhere, {}, (), {}, age)
 
@@ -99,7 +104,12 @@
             self.view.note_first_event(endpoint_id, request.ticket, now)
         sample = request.progress.add(1, now)
         if sample is not None:
-            self.view.record_gap(self.view.endpoints[endpoint_id], *sample, now)
+            self.view.record_gap(
+                self.view.endpoints[endpoint_id], *sample, now
+            )
 
     def copy_report(self):
         return self.view.copy_running(), self.view.pop_slowness()
+
+    def pause_news(self, now):
+        return self.budget.spend(len(self.view.list_peers()), now)
--- a/rhubarbreach/balancing/tests/replay.py
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -14,7 +14,6 @@
 
 from rhubarbreach import clock
 from rhubarbreach.fleet import leader_client
-from rhubarbreach.fleet import zone_loads
 from rhubarbreach.protocol import fleetmessages
 
 __all__ = ['Outcome', 'Pattern', 'Replay']
@@ -257,9 +256,6 @@
             leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
             pattern.hosts / leader_client.MAX_EXCHANGES_PER_SECOND,
         )
-        self.news_interval = zone_loads.compute_news_interval(
-            len(self.zone_members[0]) - 1
-        )
         for host in self.hosts:
             self.schedule(
                 self.rng.random() * self.interval, self.exchange, host
@@ -376,7 +372,7 @@
 
     def send_news(self, host):
         host.news_due = False
-        host.next_news = self.now + self.news_interval
+        host.next_news = self.now + host.pause_news(self.now)
         report = host.copy_report()
         members = self.zone_members[host.number % self.pattern.zones]
         self.schedule(
--- a/rhubarbreach/fleet/zone_loads.py
+++ b/rhubarbreach/fleet/zone_loads.py
@@ -9,7 +9,7 @@
 
 from rhubarbreach.fleet import loads
 
-__all__ = ['ZoneLoads', 'compute_news_interval']
+__all__ = ['NewsBudget', 'ZoneLoads', 'compute_news_interval']
 
 # Shortest time between two reports of a host, and the time without a change
 # after which it repeats its report.
@@ -20,6 +20,9 @@
 IDLE_NEWS_INTERVAL_SECONDS = 0.1
 # Reports that a host sends per second, to all hosts of its zone together.
 MAX_NEWS_PER_SECOND = 400.0
+# Reports that a host may send at the shortest interval after a pause. A change
+# in a load peak then reaches the zone at once, at the same rate on average.
+MAX_BURST_REPORTS = 4.0
 
 
 def compute_news_interval(peer_count):
@@ -27,6 +30,31 @@
     return max(MIN_NEWS_INTERVAL_SECONDS, peer_count / MAX_NEWS_PER_SECOND)
 
 
+class NewsBudget:
+    """Budget of the reports of a host, which may be sent in short bursts."""
+
+    def __init__(self):
+        self.credit = MAX_BURST_REPORTS
+        self.updated_at = float('-inf')
+
+    def spend(self, peer_count, now):
+        """Count a report; return the seconds until the next one may follow.
+
+        Parameters
+        ----------
+        peer_count : int
+            Hosts that the report is sent to.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        interval = compute_news_interval(peer_count)
+        earned = (now - self.updated_at) / interval
+        self.credit = min(MAX_BURST_REPORTS, self.credit + earned) - 1
+        self.updated_at = now
+        missing = max(0.0, 1 - self.credit) * interval
+        return max(MIN_NEWS_INTERVAL_SECONDS, missing)
+
+
 class ZoneLoads:
     """Running requests of the other entry hosts of a zone.
 
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -28,6 +28,7 @@
         self.link = link
         self.view = view
         self.closed = False
+        self.budget = zone_loads.NewsBudget()
         # Set when the load has changed, and when others must know it at once.
         self.changed = threading.Event()
         self.urgent = threading.Event()
@@ -58,7 +59,7 @@
             except Exception:
                 LOG.exception('event=zone_news_failed')
             peer_count = len(self.view.list_peers())
-            time.sleep(zone_loads.compute_news_interval(peer_count))
+            time.sleep(self.budget.spend(peer_count, clock.monotonic()))
             if not self.changed.wait(zone_loads.MAX_NEWS_INTERVAL_SECONDS):
                 continue
             # Changes that are not urgent share a report.
