--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -28,6 +28,7 @@
         self.link = link
         self.view = view
         self.closed = False
+        self.budget = zone_loads.NewsBudget()
         # Set when the load has changed, and when others must know it at once.
         self.changed = threading.Event()
         self.urgent = threading.Event()
@@ -46,7 +47,9 @@
 
     def apply_news(self, sender_id, message):
         """Store the report of another host."""
-        self.view.report_peer(sender_id, message.running, clock.monotonic())
+        self.view.report_peer(
+            sender_id, message.running, clock.monotonic(), message.slowness
+        )
 
     def run(self):
         """Send reports until the task is closed."""
@@ -56,7 +59,7 @@
             except Exception:
                 LOG.exception('event=zone_news_failed')
             peer_count = len(self.view.list_peers())
-            time.sleep(zone_loads.compute_news_interval(peer_count))
+            time.sleep(self.budget.spend(peer_count, clock.monotonic()))
             if not self.changed.wait(zone_loads.MAX_NEWS_INTERVAL_SECONDS):
                 continue
             # Changes that are not urgent share a report.
@@ -66,7 +69,9 @@
         """Report the running requests of this host to its peers."""
         self.changed.clear()
         self.urgent.clear()
-        message = fleetmessages.LoadNews(self.view.copy_running())
+        message = fleetmessages.LoadNews(
+            self.view.copy_running(), self.view.pop_slowness()
+        )
         for host_id in self.view.list_peers():
             self.link.send(host_id, message)
 
