Name the accounts that exceed their share at the leader

Callers of all accounts are late and refused while one account sends several times its usual load. A host sees a few requests of an account in a second, so hosts report demands, completed and waiting requests in Exchange, and the leader names accounts above the max-min fair level in ExchangeReply while the fleet is saturated. Nothing reads the names yet.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -51,6 +51,10 @@
 # Time that a request may wait for the loads of other hosts. An exchange takes
 # about 5 ms, and the next one starts at the earliest 20 ms after it.
 REFRESH_TIMEOUT_SECONDS = 0.04
+# Time for which the queues that a leader has sent count. Without a leader all
+# accounts count alike.
+QUEUES_SECONDS = 1.0
+NO_QUEUE = fleetmessages.QueueState()
 
 
 def compute_interval(entry_host_count):
@@ -114,6 +118,15 @@
         self.tokens_wanted = False
         self.closed = False
         self.has_leader = False
+        # Returns the `QueueReport` of each service since the last call.
+        self.collect_queues = None
+        # Queues of all hosts by service, and until when they count.
+        self.queues = {}
+        self.queues_until = float('-inf')
+        # Time of the first reply, and whether a leader that knows all
+        # endpoints has replied. Until then loads may be missing.
+        self.first_reply_at = None
+        self.has_complete_loads = False
         view.on_high_utilization = self.request_loads
         self.thread = threading.Thread(
             target=self.run, name='member', daemon=True
@@ -170,6 +183,12 @@
             return None
         return index.accounts.get(name)
 
+    def get_queue(self, service, now):
+        """Return the `QueueState` of a service at all hosts."""
+        if now >= self.queues_until:
+            return NO_QUEUE
+        return self.queues.get(service, NO_QUEUE)
+
     def set_seeds(self, seeds):
         """Replace the stores to contact besides those the leader named."""
         self.search.seeds = tuple(seeds)
@@ -280,6 +299,7 @@
             service_answers,
             wanted_parts,
             used_trials,
+            {} if self.collect_queues is None else self.collect_queues(),
         )
         reply = self.search.call(message)
         if reply is None:
@@ -338,6 +358,13 @@
             self.view.update_peers(
                 p for p in reply.peers if p != self.link.host_id
             )
+        now = clock.monotonic()
+        self.queues = reply.queues
+        self.queues_until = now + QUEUES_SECONDS
+        self.has_complete_loads = self.has_complete_loads or reply.complete
+        if self.first_reply_at is None:
+            self.first_reply_at = now
+        self.entry_host_count = reply.entries
         order = self.endpoint_order
         self.view.update_loads(
             dict(zip(order, reply.elsewhere, strict=False)),
@@ -350,7 +377,6 @@
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
-        self.entry_host_count = reply.entries
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
         lost_seconds = LOST_LEADER_INTERVALS * self.interval
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -296,6 +296,7 @@
             quarantine_revision,
             quarantined,
             self.quarantine_manager.list_trials(sender_id, now),
+            self.usage.list_queues(now),
         )
 
     def find_recent_versions(self, services):
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -3,6 +3,7 @@
 import threading
 
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import fair_share
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import suspicion
 
@@ -29,6 +30,7 @@
         self.lock = threading.Lock()
         self.loads = loads.LoadsByZone()
         self.suspicion = suspicion.Suspicion()
+        self.queues = fair_share.FleetQueues()
         self.suspects = frozenset()
         self.next_update = 0.0
 
@@ -56,6 +58,7 @@
             )
             for endpoint_id, outcomes in message.outcomes.items():
                 self.suspicion.add(endpoint_id, host_id, *outcomes, now)
+            self.queues.report(host_id, message.queues, now)
             return has_grown, self.count_hosts()
 
     def count_hosts(self):
@@ -82,6 +85,13 @@
             )
             return elsewhere, nearby
 
+    def list_queues(self, now):
+        """Return the `QueueState` of each service whose requests wait."""
+        endpoints = self.list_endpoints().values()
+        with self.lock:
+            self.queues.update(endpoints, self.loads.fleet.totals, now)
+            return self.queues.list_states()
+
     def list_peers(self, message):
         """Return the hosts in the zone of a reporting host, and a revision.
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -14,6 +14,8 @@
     'Exchange',
     'ExchangeReply',
     'LoadNews',
+    'QueueReport',
+    'QueueState',
     'RetirementCall',
     'RetirementReply',
     'StoreNews',
@@ -90,6 +92,35 @@
     service: str = ''
 
 
+@messages.frozen_message
+class QueueReport:
+    """Requests of a service at an entry host since its last message.
+
+    `demands` is the work that client accounts have asked for, in requests, and
+    `completed` the number of requests that have ended. `waiting` requests
+    within the share of their account wait for a slot, and `unmet` is the
+    number of all that wait or were refused as no slot was free.
+    """
+
+    demands: dict[str, float] = dataclasses.field(default_factory=dict)
+    completed: int = 0
+    waiting: int = 0
+    unmet: int = 0
+
+
+@messages.frozen_message
+class QueueState:
+    """Requests of a service that wait for a slot at all entry hosts.
+
+    `waiting` counts those within the share of their account. `exceeding` names
+    the accounts that exceed their share, with the fraction of their requests
+    that is beyond it.
+    """
+
+    waiting: int = 0
+    exceeding: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @messages.frozen_message
 class Exchange:
     """State of an entry host, sent to the leader several times a second.
@@ -109,6 +140,7 @@
     answer of each service to any request. `wanted_parts` are the quarantined
     parts of requests that have come since the last message, and `used_trials`
     is the number of the last trial of each part that the host has made.
+    `queues` are the requests of each service that has had any.
     """
 
     catalog_version: int
@@ -127,6 +159,7 @@
     service_answers: dict[str, float] = dataclasses.field(default_factory=dict)
     wanted_parts: tuple[str, ...] = ()
     used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    queues: dict[str, QueueReport] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
@@ -149,7 +182,8 @@
     host has to report, and `quarantined` holds the parts to hold back with
     the remaining time in seconds, if `quarantine_revision` differs from the
     one in the request. `trials` holds the quarantined parts with which the
-    host may send one request each, with the number of the trial.
+    host may send one request each, with the number of the trial. `queues` are
+    the services whose requests wait.
     """
 
     is_leader: bool
@@ -172,6 +206,7 @@
     quarantine_revision: int = 0
     quarantined: dict[str, float] | None = None
     trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    queues: dict[str, QueueState] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
