Queue requests that find no slot at their entry host

Callers that found all endpoints full were refused at once or queued inside engines, in which waiting and late work cannot be reordered.

Requests now wait in gateway.admission, are bound when a slot is free, and are refused when they cannot begin in time. A slot of a request that ends is handed to the first waiter of the host. If free slots are fewer than the requests that may want them, hosts take them with a probability.

--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -1,13 +1,9 @@
 """Endpoints, their loads and their health, as one entry host knows them.
 
-A refused caller is told a time after which the load peak is probably over, and
-may then wait in a longer queue, so that it is not refused twice. See `choice`
-for the decisions.
+See `choice` for the decisions. Requests that find all endpoints full wait in
+`gateway.admission`, which is told when a slot may have become free.
 """
 
-import collections
-import dataclasses
-import random
 import threading
 
 from rhubarbreach import clock
@@ -16,7 +12,6 @@
 from rhubarbreach.fleet import departures
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
-from rhubarbreach.fleet import saturation
 from rhubarbreach.fleet import zone_loads
 
 __all__ = ['View']
@@ -48,6 +43,10 @@
         # Called when the number of requests of this host on an endpoint has
         # changed, with whether the endpoint is highly utilized.
         self.on_change = None
+        # Called when a slot may have become free: with the endpoint at which a
+        # request of this host has ended, or with None if the leader has sent
+        # loads or endpoints.
+        self.on_free = None
         self.lock = threading.Lock()
         self.services = {}
         self.endpoints = {}
@@ -63,7 +62,6 @@
         self.outcomes = {}
         self.departures = departures.Departures()
         self.health = health.HealthTable()
-        self.saturation = collections.defaultdict(saturation.Saturation)
 
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
@@ -83,6 +81,12 @@
             self.endpoints = endpoints
             self.group_by_service()
             self.health.keep(endpoints)
+        self.notify_free()
+
+    def notify_free(self, endpoint_id=None):
+        """Report that a slot may be free, of this host at an endpoint."""
+        if self.on_free is not None:
+            self.on_free(endpoint_id)
 
     def group_by_service(self):
         """Group the endpoints that take new requests by their service."""
@@ -141,6 +145,7 @@
             self.load_age = age
             totals = self.zone_loads.get_totals(now)
             self.nearby = (nearby or {}) if totals is None else totals
+        self.notify_free()
 
     def drop_leader_loads(self):
         """Forget the loads that the leader has sent, as they are outdated."""
@@ -222,13 +227,6 @@
             zone_penalty = choice.compute_zone_penalty(
                 slots, self.run_seconds.get(service), self.load_age
             )
-            self.saturation[service].update(
-                all(
-                    online[endpoint.endpoint_id] >= endpoint.slots
-                    for endpoint in available
-                ),
-                now,
-            )
             candidates = filter_version(endpoints, software_version)
             available = filter_version(available, software_version)
             if choices is not None:
@@ -265,18 +263,27 @@
                         queue_limit,
                         zone_penalty,
                     )
+            if (
+                isinstance(chosen, codes.Refusal)
+                and choices is None
+                and is_half_idle(endpoints, online)
+            ):
+                # Endpoints that have failed for others are better than a
+                # refusal while most slots are free.
+                chosen = choice.choose_endpoint(
+                    candidates,
+                    online,
+                    self.batch,
+                    self.zone,
+                    excluded,
+                    queue_limit,
+                    zone_penalty,
+                )
             if isinstance(chosen, choice.Endpoint):
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
                 )
-            else:
-                chosen = dataclasses.replace(
-                    chosen,
-                    retry_after=self.saturation[service].draw_retry_after(
-                        now, random.uniform
-                    ),
-                )
         is_high = (
             not isinstance(chosen, choice.Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
@@ -395,6 +402,44 @@
             slots, run_seconds, objectives * objective
         )
 
+    def is_sound(self, endpoint_id, now):
+        """Return whether an endpoint takes requests and has not failed."""
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            return (
+                endpoint is not None
+                and self.is_in_service(endpoint)
+                and endpoint_id not in self.suspects
+                and not self.health.is_ejected(endpoint_id, now)
+            )
+
+    def count_own(self, service):
+        """Return the requests of this host that run on a service."""
+        with self.lock:
+            return sum(
+                self.running.get(endpoint.endpoint_id, 0)
+                for endpoint in self.services.get(service, ())
+            )
+
+    def describe_service(self, service):
+        """Return what is known of a service.
+
+        Returns
+        -------
+        int, int, float or None, float
+            Slots of all endpoints, those of them that are free, mean run time
+            in seconds if it is known, and age of the loads in seconds.
+        """
+        with self.lock:
+            endpoints = self.services.get(service, ())
+            free = sum(
+                max(0, e.slots - self.count_online(e.endpoint_id))
+                for e in endpoints
+            )
+            slots = sum(e.slots for e in endpoints)
+            run_seconds = self.run_seconds.get(service)
+            return slots, free, run_seconds, self.load_age
+
     def record_run(self, service, seconds):
         """Add the run time of a completed request to its average."""
         with self.lock:
@@ -402,15 +447,6 @@
             average += (seconds - average) * RUN_TIME_WEIGHT
             self.run_seconds[service] = average
 
-    def is_overload_sustained(self, service):
-        """Return whether an overload lasts longer than a load peak.
-
-        The longer queue of retried requests is closed then, as they would
-        occupy all of it.
-        """
-        with self.lock:
-            return self.saturation[service].is_sustained()
-
     def get_utilization(self, endpoint):
         """Return the fraction of an endpoint's slots that is in use."""
         endpoint_id = endpoint.endpoint_id
@@ -469,6 +505,7 @@
         """Choose an endpoint again that was silent and goes on."""
         with self.lock:
             self.health.record_success(endpoint_id)
+        self.notify_free()
 
     def record_success(self, endpoint_id):
         """Count a success of an endpoint."""
@@ -496,6 +533,12 @@
             return dict(self.running)
 
 
+def is_half_idle(endpoints, online):
+    """Return whether under half of the slots of endpoints are in use."""
+    slots = sum(endpoint.slots for endpoint in endpoints)
+    return sum(online.values()) * 2 < slots
+
+
 def filter_version(endpoints, software_version):
     """Return the endpoints of a software version, or all if it is None."""
     if software_version is None:
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -10,6 +10,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
+from rhubarbreach.gateway import waiting
 from rhubarbreach.web import memory
 
 __all__ = ['App']
@@ -68,6 +69,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.response_memory = response_memory
+        self.admission = waiting.AdmissionControl(view, leader_client, metrics)
         self.draining = False
         # Monotonic times during a planned stop: from the first on, requests
         # that may last beyond the second are refused.
@@ -177,7 +179,7 @@
 
     def serve(self, connection, request, info):
         """Answer a request, or return its refusal."""
-        now = clock.monotonic()
+        now = received_at = clock.monotonic()
         index = self.leader_client.index
         if index is None:
             started_at = now
@@ -234,7 +236,7 @@
         ):
             return self.refuse_rate(account)
         forwarder = forward.RequestForwarder(
-            self, connection, request, info, route, account
+            self, connection, request, info, route, account, received_at
         )
         return forwarder.run()
 
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -62,9 +62,21 @@
         Route of the request.
     account : Account or None
         Client account of the request.
+    received_at : float, optional
+        Time at which the request was read, in seconds of the monotonic clock;
+        now if not given.
     """
 
-    def __init__(self, app, connection, request, info, route, account):
+    def __init__(
+        self,
+        app,
+        connection,
+        request,
+        info,
+        route,
+        account,
+        received_at=None,
+    ):
         self.app = app
         self.connection = connection
         self.request = request
@@ -74,7 +86,8 @@
         timeout = route.timeout
         if info.timeout is not None:
             timeout = min(timeout, info.timeout)
-        self.deadline = clock.monotonic() + timeout
+        now = clock.monotonic()
+        self.deadline = now + timeout
         self.writer = responses.ResponseWriter(
             app, connection, self.deadline, info.last_event_id
         )
@@ -91,7 +104,15 @@
         self.is_caller_watched = True
         self.recorder = outcomes.OutcomeRecorder(app, info, route, self.writer)
         self.search = search.EndpointSearch(
-            app, info, route, self.writer, self.recorder, self.attempts
+            app,
+            info,
+            route,
+            self.writer,
+            self.recorder,
+            self.attempts,
+            '' if account is None else account.name,
+            now if received_at is None else received_at,
+            self.has_caller_disconnected,
         )
         self.was_answered = False
 
@@ -234,7 +255,7 @@
         # A prompt that an endpoint has answered crashes none.
         prompt = () if self.was_answered else self.info.prompt
         attempt = self.search.place(service, prompt, self.proof)
-        if isinstance(attempt, codes.Refusal):
+        if isinstance(attempt, codes.Refusal | model.CallerGone):
             return attempt
         self.attempts.append(attempt)
         self.search.begin(attempt)
@@ -292,6 +313,8 @@
             self.proof.is_endpoint_gone = self.has_crashed(attempt)
         self.recorder.record(attempt, outcome)
         self.search.record(attempt, outcome)
+        # The slot is handed over once a failure is known.
+        self.app.view.notify_free(attempt.endpoint.endpoint_id)
         return outcome
 
     def close_attempt(self, attempt):
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -6,11 +6,13 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.gateway import admission
 from rhubarbreach.gateway import askable
 from rhubarbreach.gateway import attempt as attempts
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import resume
+from rhubarbreach.gateway import waiting
 
 __all__ = ['EndpointSearch']
 
@@ -42,15 +44,35 @@
         Outcomes of the attempts that have ended.
     running : list of Attempt
         Attempts that run, which the caller of this class updates.
+    account : str
+        Client account of the request, empty if there is none.
+    received_at : float
+        Time at which the request was read, in seconds of the monotonic clock.
+    is_caller_gone : callable
+        Returns whether the caller has disconnected.
     """
 
-    def __init__(self, app, info, route, writer, recorder, running):
+    def __init__(
+        self,
+        app,
+        info,
+        route,
+        writer,
+        recorder,
+        running,
+        account,
+        received_at,
+        is_caller_gone,
+    ):
         self.app = app
         self.info = info
         self.route = route
         self.writer = writer
         self.recorder = recorder
         self.running = running
+        self.account = account
+        self.received_at = received_at
+        self.is_caller_gone = is_caller_gone
         # Version at which the stream began; None before it has.
         self.software_version = None
         # Endpoints that have been asked.
@@ -90,7 +112,7 @@
 
         Returns
         -------
-        Attempt or Refusal
+        Attempt, Refusal or CallerGone
         """
         quarantine = self.app.leader_client.quarantine
         while True:
@@ -109,7 +131,7 @@
             if refusal is not None:
                 return refusal
             endpoint = self.acquire(service, now)
-            if isinstance(endpoint, codes.Refusal):
+            if isinstance(endpoint, codes.Refusal | model.CallerGone):
                 return endpoint
             may_send, tried_part = quarantine.begin_trial(prompt, now)
             if may_send:
@@ -135,7 +157,68 @@
         return proof.repeat
 
     def acquire(self, service, now):
-        """Return an endpoint for the next attempt, or a refusal."""
+        """Return an endpoint for the next attempt, or why there is none.
+
+        Returns
+        -------
+        Endpoint, Refusal or CallerGone
+        """
+        if self.is_new():
+            return self.app.admission.acquire(self.make_call(service, now))
+        result = self.acquire_now(service, now)
+        if isinstance(result, codes.Refusal) and not self.writer.is_started:
+            return self.app.admission.add_retry_after(service, result)
+        return result
+
+    def is_new(self):
+        """Return whether the request waits at this host for a slot.
+
+        Streams that go on, and requests that may have run at an endpoint, are
+        sent to engines in which they may wait for longer.
+        """
+        return (
+            self.route.objective > 0
+            and self.software_version is None
+            and not self.writer.is_started
+            and not self.recorder.sent
+            and not self.running
+        )
+
+    def make_call(self, service, now):
+        """Return the `Call` that waits for a slot for this request."""
+        deadline = self.writer.deadline - decide.MIN_REMAINING_SECONDS
+        is_returned = self.is_returned()
+        limits = admission.compute_limits(
+            self.received_at,
+            self.route.objective,
+            deadline,
+            is_returned,
+            self.app.admission.get_hold_until(now),
+        )
+        return waiting.Call(
+            service,
+            self.account,
+            limits,
+            is_returned,
+            self.excluded,
+            self.count_remaining() > 1,
+            self.is_caller_gone,
+        )
+
+    def is_returned(self):
+        """Return whether the request came back after a refusal.
+
+        It is recognized by its time limit, which is shorter than the timeout
+        of the route.
+        """
+        timeout = self.info.timeout
+        return (
+            timeout is not None
+            and timeout < self.route.timeout * RETRY_TIMEOUT_FRACTION
+        )
+
+    def acquire_now(self, service, now):
+        """Return an endpoint, at which the request may wait, or a refusal."""
         if not self.route.is_repeatable or self.count_remaining() > 0:
             endpoint = self.app.view.acquire(
                 service,
@@ -242,20 +325,13 @@
     def choose_queue_limit(self, service):
         """Return the queue limit of endpoints for this request.
 
-        A retried request is recognized by its time limit, which is shorter
-        than the timeout of the route. A stream that has begun cannot go to
-        endpoints of other software versions.
+        A stream that has begun cannot go to endpoints of other software
+        versions.
         """
-        timeout = self.info.timeout
-        is_retried = (
-            timeout is not None
-            and timeout < self.route.timeout * RETRY_TIMEOUT_FRACTION
-        )
-        view = self.app.view
         has_begun = self.software_version is not None
-        is_late = bool(self.recorder.sent or self.running) or (
-            is_retried and not view.is_overload_sustained(service)
+        is_late = bool(
+            self.recorder.sent or self.running or self.is_returned()
         )
-        return view.choose_queue_limit(
+        return self.app.view.choose_queue_limit(
             service, self.route.objective, is_late, has_begun
         )
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -15,6 +15,7 @@
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import responses
+from rhubarbreach.gateway import waiting
 from rhubarbreach.observe import metrics
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.streams import table
@@ -219,6 +220,12 @@
             response_memory=response_memory,
             metrics=metrics.Metrics(),
         )
+        app.leader_client.get_queue = lambda *_: fleetmessages.QueueState()
+        app.leader_client.has_complete_loads = True
+        app.leader_client.entry_host_count = 1
+        app.admission = waiting.AdmissionControl(
+            loads, app.leader_client, app.metrics
+        )
         on_quarantine(app.leader_client.quarantine)
         run.origins = []
         caller = FakeCaller()
