--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -29,6 +29,9 @@
 # Most requests that wait at a host for one service. The bound on their time
 # leaves fewer; this one bounds the threads that wait.
 MAX_WAITING = 256
+# Intervals between two slots of a host that a request waits for its own, in
+# the estimate of its wait: about the median of a random interval.
+OWN_WAIT_INTERVALS = 0.5
 # Time in which a request of an account beyond its share gets a slot or is
 # refused, relative to the objective. A refusal helps its caller only within
 # that time.
@@ -43,9 +46,9 @@
 # report to the leader for the first time.
 ASSUMED_HOSTS = 32
 SETTLE_SECONDS = 0.1
-# Time from which on the bound on a host that has just started ends. The loads
-# of all hosts have arrived by then.
-START_SECONDS = 2.0
+# Exchanges after which the loads of all hosts have arrived, and the bound on a
+# host that has just started ends. With 2 s, slots stayed idle in a replay.
+START_EXCHANGES = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -354,6 +357,9 @@
     def list_refused(self, service, now):
         """Return the requests that can no longer begin in time.
 
+        A request is refused by an estimate only while its caller still has
+        time for a second attempt. After that it is kept while it has a chance.
+
         Parameters
         ----------
         service : Service
@@ -367,10 +373,9 @@
         kept = 0
         for waiter in self.list_ordered(now):
             limit = self.get_limit(waiter)
-            # The first one is kept until its time is over, as one slot may
-            # be free at any moment.
-            begins_at = now + kept / rate
-            if now >= limit or begins_at > limit or kept >= MAX_WAITING:
+            begins_at = now + (kept + OWN_WAIT_INTERVALS) / rate
+            is_hopeless = begins_at > limit and now <= waiter.limits.excess_by
+            if now >= limit or is_hopeless or kept >= MAX_WAITING:
                 refused.append(waiter)
             else:
                 kept += 1
--- a/rhubarbreach/gateway/tests/replay.py
+++ b/rhubarbreach/gateway/tests/replay.py
@@ -113,6 +113,7 @@
         self.exchange_number = 0
         self.queue_state = fleetmessages.QueueState()
         self.first_loads_at = None
+        self.is_starting = False
         self.entries = 1
 
     def submit(self, request):
@@ -235,7 +236,6 @@
         self.queue = admission.AdmissionQueue()
         self.requests = {}
         self.ranks = admission.Ranks()
-        self.bounds_start = False
 
     def submit(self, request):
         now = self.replay.now
@@ -273,11 +273,13 @@
 
     def acquire(self, waiter, released):
         now = self.replay.now
-        if self.bounds_start and self.first_loads_at is not None:
+        if self.is_starting and self.first_loads_at is not None:
             seconds = now - self.first_loads_at
             slots = self.replay.deployment.slots * len(self.replay.rows)
             share = admission.compute_slot_share(slots, self.entries, seconds)
-            if seconds < admission.START_SECONDS and (
+            hosts = self.replay.deployment.hosts
+            interval = leader_client.compute_interval(hosts)
+            if seconds < admission.START_EXCHANGES * interval and (
                 sum(self.view.running.values()) >= share
             ):
                 return codes.Refusal(codes.ResultCode.QUEUE_FULL, 'share')
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -124,7 +124,8 @@
         if client.has_complete_loads or client.first_reply_at is None:
             return None
         seconds = now - client.first_reply_at
-        return seconds if seconds < admission.START_SECONDS else None
+        is_starting = seconds < admission.START_EXCHANGES * client.interval
+        return seconds if is_starting else None
 
     def get_hold_until(self, now):
         """Return until when requests are held, as no loads are known yet."""
