--- a/rhubarbreach/fleet/tests/test_fair_share.py
+++ b/rhubarbreach/fleet/tests/test_fair_share.py
@@ -8,6 +8,7 @@
 from rhubarbreach.protocol import fleetmessages
 
 RUN_SECONDS = 0.5
+STEP_SECONDS = 0.05
 
 
 @pytest.fixture
@@ -24,15 +25,14 @@
     ]
     running = {f'e{n}': 8 for n in range(5)}
 
-    def report(rates, begin, seconds, unmet=1, version=''):
+    def report(rates, begin, seconds, unmet=1):
         """Report requests a second by account; return the queues' state."""
-        steps = round(seconds / 0.1)
-        for step in range(steps):
-            now = begin + step / 10
+        for step in range(round(seconds / STEP_SECONDS)):
+            now = begin + step * STEP_SECONDS
             for host_id in ('h1', 'h2'):
                 message = fleetmessages.QueueReport(
-                    {name: rate / 20 for name, rate in rates.items()},
-                    int(40 / RUN_SECONDS / 20),
+                    {a: rate * STEP_SECONDS / 2 for a, rate in rates.items()},
+                    round(40 / RUN_SECONDS * STEP_SECONDS / 2),
                     unmet,
                     unmet,
                 )
