Merge the queue at entry hosts

The choice by cost uses the endpoints that have failed for others before it refuses a request while half of the slots are free, as the choice by count does.

--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -1,12 +1,9 @@
 """Endpoints, their loads and their health, as one entry host knows them.
 
-A refused caller is told a time after which the load peak is probably over, and
-may then wait in a longer queue, so that it is not refused twice. See `choice`
-for the decisions.
+See `choice` for the decisions. Requests that find all endpoints full wait in
+`gateway.admission`, which is told when a slot may have become free.
 """
 
-import collections
-import dataclasses
 import random
 import threading
 
@@ -19,7 +16,6 @@
 from rhubarbreach.fleet import departures
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
-from rhubarbreach.fleet import saturation
 from rhubarbreach.fleet import zone_loads
 
 __all__ = ['View']
@@ -51,6 +47,10 @@
         # Called when the number of requests of this host on an endpoint has
         # changed, with whether the endpoint is highly utilized.
         self.on_change = None
+        # Called when a slot may have become free: with the endpoint at which a
+        # request of this host has ended, or with None if the leader has sent
+        # loads or endpoints.
+        self.on_free = None
         self.lock = threading.Lock()
         self.services = {}
         self.endpoints = {}
@@ -67,7 +67,6 @@
         self.outcomes = {}
         self.departures = departures.Departures()
         self.health = health.HealthTable()
-        self.saturation = collections.defaultdict(saturation.Saturation)
         # Work and speed of the endpoints, and what requests cost.
         self.table = endpoint_tables.EndpointTable()
         self.chooser = selection.Chooser(zone, self.table)
@@ -97,6 +96,12 @@
             self.group_by_service()
             self.health.keep(endpoints)
             self.table.keep(endpoints)
+        self.notify_free()
+
+    def notify_free(self, endpoint_id=None):
+        """Report that a slot may be free, of this host at an endpoint."""
+        if self.on_free is not None:
+            self.on_free(endpoint_id)
 
     def group_by_service(self):
         """Group the endpoints that take new requests by their service.
@@ -169,6 +174,7 @@
             self.load_age = age
             totals = self.zone_loads.get_totals(now)
             self.nearby = (nearby or {}) if totals is None else totals
+        self.notify_free()
 
     def drop_leader_loads(self):
         """Forget the loads that the leader has sent, as they are outdated."""
@@ -276,13 +282,6 @@
                     self.running.get(endpoint_id, 0) + 1
                 )
                 self.table.begin(endpoint_id, cost, now)
-            else:
-                chosen = dataclasses.replace(
-                    chosen,
-                    retry_after=self.saturation[service].draw_retry_after(
-                        now, random.uniform
-                    ),
-                )
         is_high = (
             not isinstance(chosen, choice.Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
@@ -369,9 +368,14 @@
             and (chosen is None or not self.has_free_slot(chosen))
         ):
             chosen = choose(is_available) or chosen
-        self.saturation[service].update(
-            chosen is None or not self.has_free_slot(chosen), now
-        )
+        if (
+            choices is None
+            and (chosen is None or self.is_queue_full(chosen, queue_limit))
+            and self.is_half_idle(service)
+        ):
+            # Endpoints that have failed for others are better than a refusal
+            # while most slots are free.
+            chosen = choose(is_candidate, True) or chosen
         if chosen is None:
             return codes.Refusal(
                 codes.ResultCode.NO_ENDPOINT, 'no endpoint accepts requests'
@@ -387,6 +391,12 @@
         self.crossed += chosen.availability_zone != self.zone
         return chosen
 
+    def is_half_idle(self, service):
+        """Return whether under half of the slots of a service are in use."""
+        endpoints = self.services.get(service, ())
+        online = sum(self.count_online(e.endpoint_id) for e in endpoints)
+        return online * 2 < sum(endpoint.slots for endpoint in endpoints)
+
     def has_free_slot(self, endpoint):
         """Return whether an online request begins there at once."""
         return self.count_online(endpoint.endpoint_id) < endpoint.slots
@@ -425,13 +435,6 @@
         zone_penalty = choice.compute_zone_penalty(
             slots, self.run_seconds.get(service), self.load_age
         )
-        self.saturation[service].update(
-            all(
-                online[endpoint.endpoint_id] >= endpoint.slots
-                for endpoint in available
-            ),
-            now,
-        )
         candidates = filter_version(endpoints, software_version)
         available = filter_version(available, software_version)
         if choices is not None:
@@ -466,6 +469,22 @@
                     queue_limit,
                     zone_penalty,
                 )
+        if (
+            isinstance(chosen, codes.Refusal)
+            and choices is None
+            and self.is_half_idle(service)
+        ):
+            # Endpoints that have failed for others are better than a refusal
+            # while most slots are free.
+            chosen = choice.choose_endpoint(
+                candidates,
+                online,
+                self.batch,
+                self.zone,
+                excluded,
+                queue_limit,
+                zone_penalty,
+            )
         return chosen
 
     def acquire_again(self, endpoint):
@@ -580,6 +599,44 @@
             slots, run_seconds, objectives * objective
         )
 
+    def is_sound(self, endpoint_id, now):
+        """Return whether an endpoint takes requests and has not failed."""
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            return (
+                endpoint is not None
+                and self.is_in_service(endpoint)
+                and endpoint_id not in self.suspects
+                and not self.health.is_ejected(endpoint_id, now)
+            )
+
+    def count_own(self, service):
+        """Return the requests of this host that run on a service."""
+        with self.lock:
+            return sum(
+                self.running.get(endpoint.endpoint_id, 0)
+                for endpoint in self.services.get(service, ())
+            )
+
+    def describe_service(self, service):
+        """Return what is known of a service.
+
+        Returns
+        -------
+        int, int, float or None, float
+            Slots of all endpoints, those of them that are free, mean run time
+            in seconds if it is known, and age of the loads in seconds.
+        """
+        with self.lock:
+            endpoints = self.services.get(service, ())
+            free = sum(
+                max(0, e.slots - self.count_online(e.endpoint_id))
+                for e in endpoints
+            )
+            slots = sum(e.slots for e in endpoints)
+            run_seconds = self.run_seconds.get(service)
+            return slots, free, run_seconds, self.load_age
+
     def record_run(self, service, seconds):
         """Add the run time of a completed request to its average."""
         with self.lock:
@@ -652,15 +709,6 @@
         with self.lock:
             return self.table.slowness.pop_news()
 
-    def is_overload_sustained(self, service):
-        """Return whether an overload lasts longer than a load peak.
-
-        The longer queue of retried requests is closed then, as they would
-        occupy all of it.
-        """
-        with self.lock:
-            return self.saturation[service].is_sustained()
-
     def get_utilization(self, endpoint):
         """Return the fraction of an endpoint's slots that is in use."""
         endpoint_id = endpoint.endpoint_id
@@ -730,6 +778,7 @@
         """Choose an endpoint again that was silent and goes on."""
         with self.lock:
             self.health.record_success(endpoint_id)
+        self.notify_free()
 
     def record_success(self, endpoint_id):
         """Count a success of an endpoint."""
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -307,6 +307,7 @@
             self.quarantine_manager.list_trials(sender_id, now),
             evacuation_revision,
             None if evacuated is None else tuple(sorted(evacuated)),
+            self.usage.list_queues(now),
         )
 
     def find_recent_versions(self, services):
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -14,6 +14,8 @@
     'Exchange',
     'ExchangeReply',
     'LoadNews',
+    'QueueReport',
+    'QueueState',
     'RetirementCall',
     'RetirementReply',
     'StoreNews',
@@ -90,6 +92,35 @@
     service: str = ''
 
 
+@messages.frozen_message
+class QueueReport:
+    """Requests of a service at an entry host since its last message.
+
+    `demands` is the work that client accounts have asked for, in requests, and
+    `completed` the number of requests that have ended. `waiting` requests
+    within the share of their account wait for a slot, and `unmet` is the
+    number of all that wait or were refused as no slot was free.
+    """
+
+    demands: dict[str, float] = dataclasses.field(default_factory=dict)
+    completed: int = 0
+    waiting: int = 0
+    unmet: int = 0
+
+
+@messages.frozen_message
+class QueueState:
+    """Requests of a service that wait for a slot at all entry hosts.
+
+    `waiting` counts those within the share of their account. `exceeding` names
+    the accounts that exceed their share, with the fraction of their requests
+    that is beyond it.
+    """
+
+    waiting: int = 0
+    exceeding: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @messages.frozen_message
 class Exchange:
     """State of an entry host, sent to the leader several times a second.
@@ -111,6 +142,7 @@
     is the number of the last trial of each part that the host has made.
     `evacuation_revision` is the version of the evacuated zones that the host
     has.
+    `queues` are the requests of each service that has had any.
     """
 
     catalog_version: int
@@ -130,6 +162,7 @@
     wanted_parts: tuple[str, ...] = ()
     used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
     evacuation_revision: int = 0
+    queues: dict[str, QueueReport] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
@@ -155,6 +188,8 @@
     host may send one request each, with the number of the trial. `evacuated`
     holds the zones to whose endpoints nothing is sent, if
     `evacuation_revision` differs from the one in the request.
+    host may send one request each, with the number of the trial. `queues` are
+    the services whose requests wait.
     """
 
     is_leader: bool
@@ -179,6 +214,7 @@
     trials: dict[str, int] = dataclasses.field(default_factory=dict)
     evacuation_revision: int = 0
     evacuated: tuple[str, ...] | None = None
+    queues: dict[str, QueueState] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
