Pass no status outside 100 to 599 on to callers

Callers got the statuses 600 and 999 of faulty endpoints as answers, and an item or a call of the own interface with such a status counted as not run if it said so, so that a call which may run once could be sent again.

Cause: statuses had a lower bound only.

Change: the parser of responses takes a status above 599 for a malformed response, which may have run; so does the own interface, where a status below 200 was no answer already.

--- a/rhubarbreach/backlog/tests/test_execution.py
+++ b/rhubarbreach/backlog/tests/test_execution.py
@@ -55,7 +55,7 @@
         return part
 
 
-def execute(listener, cancel_after=None, record_departure=None):
+def execute(listener, cancel_after=None, record_departure=None, body=b''):
     """Run an item on the endpoint of a listener.
 
     The run is cancelled after `cancel_after` seconds if these are given.
@@ -68,7 +68,7 @@
         endpoint_id='e1',
         born=7,
         path='/p',
-        body=b'',
+        body=body,
         address=f'127.0.0.1:{listener.getsockname()[1]}',
     )
     dialect = types.SimpleNamespace(
@@ -117,7 +117,7 @@
     """
     listeners = []
 
-    def run(parts, pause=0.0, cancel_after=None):
+    def run(parts, pause=0.0, cancel_after=None, body=b''):
         run.sent_bytes = 0
         run.departures = []
         listener = socket.create_server(('127.0.0.1', 0))
@@ -138,7 +138,10 @@
 
         threading.Thread(target=answer, daemon=True).start()
         return execute(
-            listener, cancel_after, lambda *seen: run.departures.append(seen)
+            listener,
+            cancel_after,
+            lambda *seen: run.departures.append(seen),
+            body,
         )
 
     yield run
--- a/rhubarbreach/dispatch/transfer.py
+++ b/rhubarbreach/dispatch/transfer.py
@@ -9,6 +9,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach import serialization
 from rhubarbreach.web import answers
+from rhubarbreach.web import parse
 
 __all__ = ['Transfer', 'configure_handle']
 
@@ -116,6 +117,7 @@
         length = self.headers.get('content-length', '0')
         return (
             self.is_head_complete
+            and parse.FIRST_FINAL_STATUS <= self.status <= parse.LAST_STATUS
             and length.isdigit()
             and len(length) <= MAX_LENGTH_DIGITS
         )
@@ -152,7 +154,7 @@
         On a connection that was used before, a report without an attempt id
         may be about an earlier attempt.
         """
-        if self.status < CLIENT_ERROR:
+        if not CLIENT_ERROR <= self.status <= parse.LAST_STATUS:
             return False
         if self.attempt.reuse and ATTEMPT_HEADER not in self.headers:
             return False
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -11,6 +11,7 @@
 
 # Responses with a lower status are interim; a final response follows.
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 # Bytes of a response that may arrive without any byte of its body: interim
 # responses, the header, chunk extensions and trailers.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -392,6 +393,8 @@
             self.head_cost = 0
             self.reason = b''
             return
+        if status > LAST_STATUS:
+            raise errors.BadMessageError(f'status {status} is not valid')
         self.head = ResponseHead(status, self.reason, tuple(self.headers))
 
     def on_body(self, body):
