--- a/rhubarbreach/balancing/selection.py
+++ b/rhubarbreach/balancing/selection.py
@@ -23,12 +23,12 @@
 # The count of one in another zone is uncertain by this multiple of the
 # requests that it completes within the age of the count, up to a part of its
 # slots.
-FAR_SPREAD_FACTOR = 2.0
+FAR_SPREAD_FACTOR = 1.0
 MAX_FAR_SPREAD_FRACTION = 0.25
 # Cost of another zone in seconds: the delay both ways, and the bytes.
 ZONE_SECONDS = 0.01
 # Part of the objective within which a request is safe to begin in time.
-SAFE_OBJECTIVES = 0.6
+SAFE_OBJECTIVES = 0.4
 # Endpoints of other zones are considered when the best one of the own zone
 # costs more than this, that is from about its last but one free slot on.
 FAR_SECONDS = 0.01
--- a/rhubarbreach/balancing/speeds.py
+++ b/rhubarbreach/balancing/speeds.py
@@ -29,6 +29,9 @@
 # Weight of the newest figure in the mean of a service.
 MEAN_WEIGHT = 0.02
 MAX_SERVICES = 64
+# Reports of usual speed that are assumed of a service at first. A mean of few
+# reports would take one slow endpoint for all.
+PRIOR_REPORTS = 20
 # The usual time between two events of a service is the quantile of the
 # observed ones, found in relative steps. Some endpoints may be slow.
 USUAL_QUANTILE = 0.4
@@ -100,6 +103,9 @@
     def record_report(self, endpoint_id, service, percent, now):
         """Store what an endpoint reports about itself."""
         slowness = clamp(percent / PERCENT)
+        if not self.has_figures(service):
+            for _ in range(PRIOR_REPORTS):
+                self.means.add(service, 1.0)
         self.means.add(service, slowness)
         self.store(endpoint_id, slowness, now)
 
@@ -162,6 +168,15 @@
         for endpoint_id, percent in news.items():
             self.observe(endpoint_id, clamp(percent / PERCENT), now)
 
+    def list_slow(self, now):
+        """Return the endpoints with a recent figure of a slow one."""
+        since = now - self.memory_seconds
+        return sorted(
+            endpoint_id
+            for endpoint_id, (slowness, seen_at) in self.figures.items()
+            if slowness > SLOW and seen_at > since
+        )
+
     def keep(self, endpoint_ids):
         """Remove the figures of all other endpoints."""
         for table in (self.figures, self.news):
--- a/rhubarbreach/balancing/tests/hosts.py
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -8,7 +8,7 @@
 from rhubarbreach.fleet import view
 from rhubarbreach.fleet import zone_loads
 
-__all__ = ['CountingHost', 'WeighingHost']
+__all__ = ['CountingHost', 'PlainHost', 'WeighingHost']
 
 
 class CountingHost:
@@ -113,3 +113,10 @@
 
     def pause_news(self, now):
         return self.budget.spend(len(self.view.list_peers()), now)
+
+
+class PlainHost(WeighingHost):
+    """Host with the present code, whose zone reports come as before."""
+
+    def pause_news(self, now):
+        return CountingHost.pause_news(self, now)
--- a/rhubarbreach/balancing/tests/replay.py
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -103,8 +103,33 @@
         return self.in_time + self.late + self.refused
 
     @property
-    def bad_fraction(self):
-        return (self.late + self.refused) / self.total
+    def bad(self):
+        return self.late + self.refused
+
+    def count_bad(self, zone):
+        row = self.by_zone.get(zone, {})
+        return row.get('late', 0) + row.get('refused', 0)
+
+    def merge(self, other):
+        self.in_time += other.in_time
+        self.late += other.late
+        self.refused += other.refused
+        self.crossed += other.crossed
+        self.first_seconds += other.first_seconds
+        for zone, row in other.by_zone.items():
+            for kind, count in row.items():
+                own = self.by_zone.setdefault(zone, {})
+                own[kind] = own.get(kind, 0) + count
+
+    def format(self):
+        zones = ' '.join(
+            f'{zone}:{self.count_bad(zone)}' for zone in sorted(self.by_zone)
+        )
+        return (
+            f'in_time={self.in_time} late={self.late} '
+            f'refused={self.refused} crossed={self.crossed} bad_by_zone: '
+            f'{zones}'
+        )
 
     def add(self, zone, kind):
         setattr(self, kind, getattr(self, kind) + 1)
@@ -124,6 +149,7 @@
         self.waiting = []
         self.milestones = []
         self.running = 0
+        self.received = 0
         self.epoch = 0
 
     @property
@@ -151,6 +177,7 @@
         self.reschedule()
 
     def receive(self, request):
+        self.received += 1
         self.advance()
         self.waiting.append(request)
         self.admit()
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -73,9 +73,6 @@
         self.costs = costs.CostModel()
         # Memory of an endpoint of each service in tokens, 0 if unknown.
         self.capacity_tokens = {}
-        # Choices by cost, and those of them in another zone, for the metrics.
-        self.weighed = 0
-        self.crossed = 0
 
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
@@ -369,8 +366,6 @@
                 f'all endpoints are full: {chosen.endpoint_id} has {online} '
                 f'online requests for {chosen.slots} slots',
             )
-        self.weighed += 1
-        self.crossed += chosen.availability_zone != self.zone
         return chosen
 
     def has_free_slot(self, endpoint):
@@ -630,6 +625,11 @@
                 endpoint.endpoint_id, endpoint.service, gap, percent, now
             )
 
+    def list_slow(self, now):
+        """Return the endpoints that are slow now, in order."""
+        with self.lock:
+            return self.table.slowness.list_slow(now)
+
     def pop_slowness(self):
         """Return what this host has learned of speeds since the last call."""
         with self.lock:
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -106,6 +106,10 @@
         if head.status in heads.SUCCESS:
             # An engine sends the head with the first event.
             attempt.progress.has_begun = True
+            is_near = attempt.endpoint.availability_zone == self.app.view.zone
+            self.app.metrics.count(
+                'answers_begun_total', zone='own' if is_near else 'other'
+            )
             self.app.view.note_first_event(
                 attempt.endpoint.endpoint_id, attempt.cost, now
             )
@@ -120,7 +124,12 @@
         """Learn the cost of a request that one endpoint has answered."""
         is_whole = self.info.last_event_id is None and self.sent == 0
         if attempt.cost is not None and is_whole:
-            self.app.view.record_answer(attempt.cost, attempt.progress.events)
+            events = attempt.progress.events
+            self.app.view.record_answer(attempt.cost, events)
+            if events:
+                metrics = self.app.metrics
+                metrics.count('events_written_total', events)
+                metrics.count('events_predicted_total', attempt.cost.events)
 
     def record_settled(self, attempt):
         """Count a stream that was delivered without a proof of its end."""
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -12,6 +12,9 @@
 
 LOG = eventlog.Logger('zone')
 
+# Shortest time between two log lines on slow endpoints.
+SLOW_LOG_SECONDS = 2.0
+
 
 class ZoneNews:
     """Task that reports the load of this host to the others in its zone.
@@ -28,6 +31,8 @@
         self.link = link
         self.view = view
         self.closed = False
+        self.slow = []
+        self.next_log = float('-inf')
         self.budget = zone_loads.NewsBudget()
         # Set when the load has changed, and when others must know it at once.
         self.changed = threading.Event()
@@ -56,6 +61,7 @@
         while not self.closed:
             try:
                 self.send_report()
+                self.log_slow(clock.monotonic())
             except Exception:
                 LOG.exception('event=zone_news_failed')
             peer_count = len(self.view.list_peers())
@@ -75,6 +81,16 @@
         for host_id in self.view.list_peers():
             self.link.send(host_id, message)
 
+    def log_slow(self, now):
+        """Log the slow endpoints if they have changed."""
+        if now < self.next_log:
+            return
+        slow = self.view.list_slow(now)
+        if slow != self.slow:
+            self.slow = slow
+            self.next_log = now + SLOW_LOG_SECONDS
+            LOG.info('event=endpoints_slow endpoints={}', slow)
+
     def close(self):
         """Stop the task."""
         self.closed = True
