Use slots that loads show as free only on news of the leader

Each waiting thread tried a free slot again every 0.1 s, at which each host took more of the slots that all hosts see than its part. It does so without a leader only.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -183,9 +183,13 @@
             return None
         return index.accounts.get(name)
 
+    def has_queues(self, now):
+        """Return whether the leader has sent the queues recently."""
+        return now < self.queues_until
+
     def get_queue(self, service, now):
         """Return the `QueueState` of a service at all hosts."""
-        if now >= self.queues_until:
+        if not self.has_queues(now):
             return NO_QUEUE
         return self.queues.get(service, NO_QUEUE)
 
--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -267,7 +267,7 @@
         self.rate.advance(now, bool(self.waiters))
 
     def step(self, service, acquire, now, draw, released=None):
-        """Send and refuse requests as far as possible now.
+        """Send requests to free slots, and refuse those without a chance.
 
         Parameters
         ----------
@@ -309,6 +309,18 @@
                 results.append((waiter, chosen))
             elif not waiter.has_exclusions:
                 break
+        return results + self.refuse(service, now, draw)
+
+    def refuse(self, service, now, draw):
+        """Refuse the requests that can no longer begin in time.
+
+        Returns
+        -------
+        list of (Waiter, Refusal)
+            Requests that wait no longer; see `step` for the parameters.
+        """
+        self.exceeding = service.exceeding
+        results = []
         for waiter in self.list_refused(service, now):
             self.remove(waiter, now)
             refusal = self.make_refusal(
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -221,6 +221,7 @@
             metrics=metrics.Metrics(),
         )
         app.leader_client.get_queue = lambda *_: fleetmessages.QueueState()
+        app.leader_client.has_queues = lambda _: True
         app.leader_client.has_complete_loads = True
         app.leader_client.entry_host_count = 1
         app.admission = waiting.AdmissionControl(
--- a/rhubarbreach/gateway/tests/test_waiting.py
+++ b/rhubarbreach/gateway/tests/test_waiting.py
@@ -36,6 +36,7 @@
 def client():
     return types.SimpleNamespace(
         get_queue=lambda *_: fleetmessages.QueueState(),
+        has_queues=lambda _: True,
         entry_host_count=1,
         has_complete_loads=True,
         first_reply_at=None,
@@ -94,6 +95,7 @@
     control.handle_free('e1')
     assert second.result is None
     endpoints.record_recovery('e1')
+    endpoints.update_loads({}, {})
     second.thread.join(JOIN_SECONDS)
     assert second.result.endpoint_id == 'e1'
 
@@ -110,6 +112,18 @@
     assert isinstance(call.result, choice.Endpoint)
 
 
+def test_waiting_request_is_sent_without_a_leader(endpoints, client, submit):
+    """Guards against requests that wait for loads of a lost leader."""
+    endpoints.update_peers(('h2',))
+    endpoints.report_peer('h2', {'e1': 2}, clock.monotonic())
+    client.has_queues = lambda _: False
+    call = submit()
+    assert call.result is None
+    endpoints.report_peer('h2', {}, clock.monotonic())
+    call.thread.join(JOIN_SECONDS)
+    assert isinstance(call.result, choice.Endpoint)
+
+
 def test_waiting_request_is_refused_when_its_time_is_over(endpoints, submit):
     """Guards against requests that are held until their deadline."""
     endpoints.update_loads({'e1': 2}, {})
@@ -144,8 +158,10 @@
     first, second = submit(), submit()
     assert isinstance(first.result, choice.Endpoint)
     assert second.result is None
-    second.thread.join(JOIN_SECONDS)
     # The bound ends once the loads of all hosts are known.
+    time.sleep(0.2)
+    endpoints.update_loads({}, {})
+    second.thread.join(JOIN_SECONDS)
     assert isinstance(second.result, choice.Endpoint)
 
 
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -21,8 +21,7 @@
 LOG = eventlog.Logger('admission')
 
 # Interval at which a waiting request looks whether its caller has
-# disconnected, for which 0.5 s are allowed, and whether loads that other hosts
-# of the zone have sent show a free slot.
+# disconnected, for which 0.5 s are allowed.
 CHECK_SECONDS = 0.1
 # Shortest time between two log lines on requests that wait.
 LOG_INTERVAL_SECONDS = 1.0
@@ -188,18 +187,41 @@
                     del self.calls[waiter.number]
                     call.result = model.CallerGone()
                 elif call.result is None:
-                    self.step(call.service, now)
+                    self.check(call.service, now)
+
+    def check(self, service, now):
+        """Refuse requests whose time is over; the lock is held.
+
+        Slots that the loads show as free are used when the leader sends loads,
+        as each further attempt would take them from other hosts. Without a
+        leader only the hosts of the zone send loads.
+        """
+        if not self.leader_client.has_queues(now):
+            self.step(service, now)
+            return
+        self.finish(
+            service,
+            self.queues[service].refuse(
+                self.describe(service, now), now, random.uniform
+            ),
+        )
 
     def step(self, service, now, released=None):
-        """Send and refuse requests as far as possible; the lock is held."""
-        queue = self.queues[service]
-        for waiter, result in queue.step(
-            self.describe(service, now),
-            self.acquire_slot,
-            now,
-            random.uniform,
-            released,
-        ):
+        """Send requests to free slots; the lock is held."""
+        self.finish(
+            service,
+            self.queues[service].step(
+                self.describe(service, now),
+                self.acquire_slot,
+                now,
+                random.uniform,
+                released,
+            ),
+        )
+
+    def finish(self, service, results):
+        """Wake the threads whose requests wait no longer."""
+        for waiter, result in results:
             call = self.calls.pop(waiter.number)
             if isinstance(result, codes.Refusal):
                 self.refused[service] += 1
