Read which endpoints are cold

The configuration states how many requests a cold endpoint is meant to get, and announcements state for how much longer one is cold; both were skipped. Each store now keeps this in its registry, with failures and zones whose endpoints are unknown until a later announcement.

--- a/rhubarbreach/catalog/model.py
+++ b/rhubarbreach/catalog/model.py
@@ -102,11 +102,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """Service whose endpoints run requests."""
+    """Service whose endpoints run requests.
+
+    An endpoint is cold for `cold_start` seconds after its start and is meant
+    to get `cold_rate` requests a second then, 0 for no limit.
+    """
 
     name: str
     max_connections: int
     slots: int
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/fleet/announcements.py
+++ b/rhubarbreach/fleet/announcements.py
@@ -23,6 +23,8 @@
 # time in the future would keep all later ones out.
 MAX_CLOCK_SKEW_MS = 24 * 60 * 60 * 1000
 MILLISECONDS_PER_SECOND = 1000
+# An endpoint that said it was cold for longer would get few requests for good.
+MAX_COLD_SECONDS = 60 * 60
 # Ids are sent as header values, and names are parts of log lines.
 PRINTABLE = re.compile(r'[\x21-\x7e]+')
 # An endpoint may leave out its software version.
@@ -67,6 +69,8 @@
         fault = 'the sequence number is out of range'
     elif not 0 <= notice.born <= latest:
         fault = 'the start time is out of range'
+    elif not 0 <= (notice.cold_seconds or 0) <= MAX_COLD_SECONDS:
+        fault = 'the remaining time for which it is cold is out of range'
     else:
         try:
             sockets.parse_address(notice.address)
--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from rhubarbreach.fleet import coldness
 from rhubarbreach.protocol import fleetmessages
 
 __all__ = ['EndpointState', 'Registry']
@@ -48,6 +49,7 @@
     def __init__(self, interval):
         self.interval = interval
         self.entries = {}
+        self.coldness = coldness.Coldness(interval)
         self.revision = 0
 
     def record_announcement(self, row, now):
@@ -77,6 +79,7 @@
         if entry is None or is_changed(row, entry.row):
             self.revision += 1
         self.entries[row.endpoint_id] = Entry(row, received_at)
+        self.coldness.record_announcement(row, received_at)
         self.remove_superseded(row)
         return True
 
@@ -152,6 +155,48 @@
         self.revision += bool(expired)
         return expired
 
+    def treat_zone_as_cold(self, zone, now):
+        """Count the endpoints of a zone as cold until they announce again.
+
+        Parameters
+        ----------
+        zone : str
+            Availability zone, to which nothing was sent for some time.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        self.coldness.treat_zone_as_cold(zone, now)
+
+    def list_cold(self, cold_starts, now):
+        """Return the cold endpoints that take new requests.
+
+        Parameters
+        ----------
+        cold_starts : dict of str to float
+            Services with a limit on requests to cold endpoints, and the
+            seconds for which their endpoints are cold after a start.
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        dict of str to tuple of str and float
+            Service, and remaining seconds, by endpoint.
+        """
+        self.coldness.keep(self.entries)
+        cold = {}
+        for endpoint_id, entry in self.entries.items():
+            service = entry.row.service
+            cold_start = cold_starts.get(service)
+            if cold_start is None or entry.row.state != EndpointState.READY:
+                continue
+            remaining = self.coldness.get_remaining(
+                endpoint_id, cold_start, now
+            )
+            if remaining > 0:
+                cold[endpoint_id] = (service, remaining)
+        return cold
+
     def list_rows(self, now, with_gone=False):
         """Return the announcement of each endpoint with its current age.
 
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -97,7 +97,13 @@
                 entries = self.registry.entries
                 row = entries[notice.endpoint_id].row
                 self.pending_updates[notice.endpoint_id] = row
-        if is_newer and (entry is None or entry.row.state != notice.state):
+        if not is_newer:
+            return
+        is_restarted = entry is not None and entry.row.born != notice.born
+        if notice.cold_seconds or is_restarted:
+            # The leader has to know it before hosts send many requests there.
+            self.wake.set()
+        if entry is None or entry.row.state != notice.state:
             LOG.info(
                 'event=endpoint_state endpoint={} state={} address={} '
                 'service={} born={} sequence={}',
@@ -153,6 +159,29 @@
         LOG.info('event=endpoint_state endpoint={} state=gone', endpoint_id)
         self.wake.set()
 
+    def treat_zone_as_cold(self, zone, now):
+        """Count the endpoints of a zone as cold until they announce again."""
+        with self.lock:
+            self.registry.treat_zone_as_cold(zone, now)
+
+    def record_failure(self, endpoint_id, failed_at):
+        """Count an endpoint as cold that has failed.
+
+        Returns
+        -------
+        bool
+            Whether the failure was not known.
+        """
+        with self.lock:
+            return self.registry.coldness.record_failure(
+                endpoint_id, failed_at
+            )
+
+    def list_cold(self, cold_starts, now):
+        """Return the cold endpoints, as `Registry.list_cold` does."""
+        with self.lock:
+            return self.registry.list_cold(cold_starts, now)
+
     def has_survived(self, endpoint_id, born, since):
         """Return whether a process of an endpoint lived on after a time.
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -30,7 +30,9 @@
     endpoint started, and `sequence` counts its announcements; both serve to
     reject an announcement that arrives late. `age` is the time in seconds
     since the announcement arrived. A stream may only be resumed at endpoints
-    with the `software_version` of the one that began it.
+    with the `software_version` of the one that began it. `cold_seconds` is
+    the time in seconds for which the endpoint said that it is cold, None if it
+    did not say.
     """
 
     endpoint_id: str
@@ -43,6 +45,7 @@
     sequence: int
     age: float = 0.0
     software_version: str = ''
+    cold_seconds: float | None = None
 
 
 @messages.frozen_message
@@ -109,6 +112,10 @@
     answer of each service to any request. `wanted_parts` are the quarantined
     parts of requests that have come since the last message, and `used_trials`
     is the number of the last trial of each part that the host has made.
+    `cold_wanted` are the permits that the host asks for by cold endpoint,
+    `cold_failures` holds the time in seconds since the last failure of each
+    endpoint that may have restarted, and `cold_stamp` is the version of the
+    list of cold endpoints that the host has.
     """
 
     catalog_version: int
@@ -127,6 +134,9 @@
     service_answers: dict[str, float] = dataclasses.field(default_factory=dict)
     wanted_parts: tuple[str, ...] = ()
     used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_wanted: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_failures: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_stamp: str = ''
 
 
 @messages.frozen_message
@@ -150,6 +160,10 @@
     the remaining time in seconds, if `quarantine_revision` differs from the
     one in the request. `trials` holds the quarantined parts with which the
     host may send one request each, with the number of the trial.
+    `cold_granted` are requests that the host may send to cold endpoints within
+    a short time. `cold` holds the cold endpoints with the remaining time in
+    seconds, negative if unknown, if `cold_stamp` differs from the one in the
+    request; an empty stamp means that the leader does not know them yet.
     """
 
     is_leader: bool
@@ -172,13 +186,21 @@
     quarantine_revision: int = 0
     quarantined: dict[str, float] | None = None
     trials: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_granted: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold: dict[str, float] | None = None
+    cold_stamp: str = ''
 
 
 @messages.frozen_message
 class LoadNews:
-    """Requests of an entry host on each endpoint, for others in its zone."""
+    """Requests of an entry host on each endpoint, for others in its zone.
+
+    `failed` holds the time in seconds since the last failure of each endpoint
+    that may have restarted.
+    """
 
     running: dict[str, int]
+    failed: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -54,6 +54,9 @@
         Tolerance of the rate limits of client accounts. In `rate_window`
         seconds an account may exceed the requests that its limit allows by
         the fraction `rate_overage` and by `rate_slack` requests.
+    cold_overage, cold_slack : float
+        A cold endpoint may get its target rate times `cold_overage` plus
+        `cold_slack` requests in any second.
     """
 
     name: str
@@ -76,6 +79,8 @@
     rate_overage: float = 0.1
     rate_slack: float = 20.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 class OptionReader:
@@ -86,6 +91,17 @@
         self.parser = parser
         self.faults = []
 
+    def read_bound(self, option, expected, default):
+        """Return an option of a bound that not every deployment defines.
+
+        The template of the settings keeps the names of variables that a
+        deployment does not define.
+        """
+        text = self.parser.get('fleet', option, fallback='').strip()
+        if text.startswith('{{'):
+            return default
+        return self.read('fleet', option, to_non_negative, expected, default)
+
     def read(self, section, option, convert, expected, default=None):
         """Return an option; add a fault and return None if not valid."""
         text = self.parser.get(section, option, fallback='').strip()
@@ -170,6 +186,8 @@
         memory_bytes=reader.read(
             'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
+        cold_overage=reader.read_bound('cold_overage', 'a factor', 1.5),
+        cold_slack=reader.read_bound('cold_slack', 'a number', 5.0),
     )
     needed = {
         'entry': ('callers', 'readiness'),
