Send requests to cold endpoints with permits only

Endpoints that came back after a fault were idle, so all hosts chose them, and 23 requests in one second reached one that is meant to get 9.2. No host knew what the others send.

The leader grants permits from a bucket for each cold endpoint, and names the cold endpoints to all hosts. A host without a permit sends nothing there, also no retry, probe or proof of an end. Failures are known to the hosts of a zone within milliseconds. Items take permits from the same buckets.

--- a/rhubarbreach/backlog/assignments.py
+++ b/rhubarbreach/backlog/assignments.py
@@ -512,7 +512,7 @@
             elif run.cancelled:
                 cancels.append(run.order_id)
             known.append((run.order_id, len(progress.texts)))
-        orders = self.list_orders(worker_id, reported, ended)
+        orders = self.list_orders(worker_id, reported, ended, now)
         reply = workmessages.WorkOrders(
             True, None, tuple(orders), tuple(known), tuple(cancels)
         )
@@ -569,21 +569,23 @@
         progress.lost_order_id = None
         return run
 
-    def list_orders(self, worker_id, reported, ended):
+    def list_orders(self, worker_id, reported, ended, now):
         """Return the orders that a store has not reported yet.
 
         An order whose reply was lost is sent again. An order that was
         cancelled before the store reported it ends here. So does a run that
         the store no longer reports: the store may have restarted, and sending
         the order again would join the events of two runs. An item that is
-        larger than `ORDER_BYTES` is ordered alone.
+        larger than `ORDER_BYTES` is ordered alone. An order whose permit for a
+        cold endpoint has ended is not sent.
         """
         orders = []
         remaining_bytes = ORDER_BYTES
         for key, run in list(self.runs.items()):
             if run.worker_id != worker_id or run.order_id in reported:
                 continue
-            if run.reported or run.cancelled:
+            start_before = run.endpoint.start_before
+            if run.reported or run.cancelled or now >= start_before:
                 del self.runs[key]
                 outcome = 'lost' if run.reported else 'cancelled'
                 ended.append(EndedRun(run, outcome, begun=run.begun))
@@ -607,6 +609,9 @@
                     run.endpoint.software_version,
                     run.endpoint.born,
                     run.progress.output_bytes,
+                    None
+                    if start_before == float('inf')
+                    else start_before - now,
                 )
             )
         return orders
--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -5,6 +5,7 @@
 from rhubarbreach.backlog import results
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import cold_permits
 from rhubarbreach.web import answers
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
@@ -53,10 +54,14 @@
         Item, endpoint, and number of the event after which to resume.
     memory_pool : MemoryPool
         Bounds the outputs of all runs.
+    start_before : float, optional
+        When the permit for a cold endpoint ends, in seconds of the monotonic
+        clock.
     """
 
-    def __init__(self, order, memory_pool):
+    def __init__(self, order, memory_pool, start_before=float('inf')):
         self.order = order
+        self.start_before = start_before
         self.holding = memory_pool.open(self.interrupt)
         self.call = None
         self.stream = None
@@ -148,10 +153,15 @@
         'POST', order.path.encode('latin-1'), headers, order.body
     )
     now = clock.monotonic()
+    if now >= run.start_before:
+        return 'not_run', 'the permit has ended'
     call = client.Call(
         order.address,
         data,
-        now + CONNECT_TIMEOUT_SECONDS,
+        min(
+            now + CONNECT_TIMEOUT_SECONDS,
+            run.start_before + cold_permits.CONNECT_SECONDS,
+        ),
         now + IDLE_TIMEOUT_SECONDS,
     )
     run.call = call
--- a/rhubarbreach/backlog/plan.py
+++ b/rhubarbreach/backlog/plan.py
@@ -183,7 +183,7 @@
     return (item.slack < 0, -item.event_count, item.due, item.key)
 
 
-def plan_starts(waiting, slots):
+def plan_starts(waiting, slots, max_starts=None):
     """Return pairs of waiting item and endpoint id in order of rank.
 
     Parameters
@@ -192,8 +192,17 @@
         Items that may start.
     slots : iterable of EndpointSlots
         Use of the slots by endpoint.
+    max_starts : dict of str to int, optional
+        Items that may start on each cold endpoint.
     """
-    free = {endpoint.endpoint_id: endpoint.free for endpoint in slots}
+    max_starts = max_starts or {}
+    free = {
+        endpoint.endpoint_id: min(
+            endpoint.free,
+            max_starts.get(endpoint.endpoint_id, endpoint.free),
+        )
+        for endpoint in slots
+    }
     services = {}
     for endpoint in slots:
         for version in (None, endpoint.software_version):
@@ -204,7 +213,8 @@
     ranked = sorted(waiting, key=get_rank)
     unplaced = place_items(ranked, services, free, starts)
     for endpoint in slots:
-        free[endpoint.endpoint_id] += endpoint.spare
+        if endpoint.endpoint_id not in max_starts:
+            free[endpoint.endpoint_id] += endpoint.spare
     place_items(unplaced, services, free, starts)
     return starts
 
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -65,6 +65,11 @@
         Takes the id of an endpoint, the start of its process, and a time of
         the monotonic clock in seconds. Returns whether the process lived on
         after that time, or None if this is not known yet.
+    count_item_starts : callable
+        Takes the time; returns the items that may start by cold endpoint.
+    take_item_start : callable
+        Takes the id of an endpoint and the time; returns until when an item
+        may start there, or None if it may not.
     """
 
     def __init__(
@@ -76,6 +81,8 @@
         list_slots,
         record_outcome,
         has_survived,
+        count_item_starts=lambda now: {},
+        take_item_start=lambda endpoint_id, now: float('inf'),
     ):
         self.progress_due = 0.0
         self.log_due = 0.0
@@ -87,6 +94,8 @@
         self.list_slots = list_slots
         self.record_outcome = record_outcome
         self.has_survived = has_survived
+        self.count_item_starts = count_item_starts
+        self.take_item_start = take_item_start
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.assignments = assignments.Assignments(self.load_progress)
@@ -378,10 +387,19 @@
                     )
                 )
             started = set()
-            for item, endpoint_id in plan.plan_starts(waiting, slots):
+            max_starts = self.count_item_starts(now)
+            for item, endpoint_id in plan.plan_starts(
+                waiting, slots, max_starts
+            ):
+                start_before = self.take_item_start(endpoint_id, now)
+                if start_before is None:
+                    continue
+                endpoint = dataclasses.replace(
+                    endpoints[endpoint_id], start_before=start_before
+                )
                 job, ledger_item, destination = self.open_items[item.key]
                 worker_id = self.assignments.assign(
-                    job, ledger_item, endpoints[endpoint_id], destination, now
+                    job, ledger_item, endpoint, destination, now
                 )
                 if worker_id is not None:
                     started.add(item.key)
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -46,10 +46,11 @@
     `begun` is the number of the event after which the run resumes the item.
     `known` is the number of events that the leader has, or None until the
     current leader has sent it. `started` is whether a thread executes the run.
+    It has to begin before `start_before`, in seconds of the monotonic clock.
     """
 
-    def __init__(self, order, memory_pool):
-        self.run = execution.Run(order, memory_pool)
+    def __init__(self, order, memory_pool, start_before=float('inf')):
+        self.run = execution.Run(order, memory_pool, start_before)
         self.begun = order.last_id
         self.progress = execution.RunProgress(
             [], order.last_id, order.output_bytes
@@ -220,7 +221,7 @@
             return False
         self.leader_id = store
         self.last_contact = clock.monotonic()
-        self.apply_reply(reports, reply)
+        self.apply_reply(reports, reply, now)
         return True
 
     def make_reports(self, now):
@@ -275,8 +276,18 @@
         if waiting:
             LOG.warning('event=runs_orphaned count={}', len(waiting))
 
-    def apply_reply(self, reports, reply):
-        """Start, continue and end runs as the leader's reply requests."""
+    def apply_reply(self, reports, reply, sent):
+        """Start, continue and end runs as the leader's reply requests.
+
+        Parameters
+        ----------
+        reports : sequence of RunReport
+            Runs that were reported.
+        reply : WorkOrders
+            Reply to the report.
+        sent : float
+            Time of the report, in seconds of the monotonic clock.
+        """
         known_counts = dict(reply.known)
         has_more = False
         with self.lock:
@@ -297,7 +308,10 @@
             started = []
             for order in reply.orders:
                 if order.order_id not in self.active and not self.draining:
-                    active_run = ActiveRun(order, self.memory)
+                    start_before = float('inf')
+                    if order.start_within is not None:
+                        start_before = sent + order.start_within
+                    active_run = ActiveRun(order, self.memory, start_before)
                     self.active[order.order_id] = active_run
                     started.append(active_run)
         self.cancel_runs(reply.cancels)
--- a/rhubarbreach/fleet/choice.py
+++ b/rhubarbreach/fleet/choice.py
@@ -61,7 +61,9 @@
 class Endpoint:
     """An endpoint that runs requests of a service.
 
-    `born` is the start of its process, in Unix milliseconds.
+    `born` is the start of its process, in Unix milliseconds. A request has to
+    begin before `start_before`, in seconds of the monotonic clock, when the
+    permit for a cold endpoint ends.
     """
 
     endpoint_id: str
@@ -72,6 +74,9 @@
     is_draining: bool = False
     software_version: str = ''
     born: int = 0
+    start_before: float = dataclasses.field(
+        default=float('inf'), compare=False
+    )
 
 
 def compute_zone_penalty(slots, run_seconds, age):
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -51,6 +51,12 @@
 # Time that a request may wait for the loads of other hosts. An exchange takes
 # about 5 ms, and the next one starts at the earliest 20 ms after it.
 REFRESH_TIMEOUT_SECONDS = 0.04
+# Time that a request may wait for a permit for a cold endpoint. It covers two
+# immediate exchanges, and leaves a refused caller time to be served elsewhere.
+PERMIT_TIMEOUT_SECONDS = 0.05
+# With more hosts than this no request waits for a permit, as an exchange for
+# each of them would occupy the leader.
+MAX_WAITING_HOSTS = 400
 
 
 def compute_interval(entry_host_count):
@@ -108,6 +114,10 @@
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
+        # Numbers of the last exchange that has begun, and of the last one that
+        # was answered.
+        self.begun_count = 0
+        self.answered_count = 0
         # Guards the flags below, with which requests start an exchange.
         self.schedule = threading.Condition()
         self.loads_wanted = False
@@ -204,6 +214,47 @@
                 if not remaining or not self.changed.wait(remaining):
                     return
 
+    def wait_for_permit(self, service, excluded):
+        """Wait for a permit for a cold endpoint if a request needs one.
+
+        A request waits for one reply, and for further ones only while no warm
+        endpoint has a free slot.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        excluded : collection of str
+            Endpoints that have already been tried.
+        """
+        view = self.view
+        if not self.has_leader:
+            return
+        now = clock.monotonic()
+        deadline = now + PERMIT_TIMEOUT_SECONDS
+        while view.needs_permit(service, excluded, now):
+            view.want_permit(service)
+            if self.entry_host_count > MAX_WAITING_HOSTS:
+                self.request_loads()
+                return
+            if not self.wait_for_exchange(deadline):
+                return
+            now = clock.monotonic()
+            if not view.is_full(service, now):
+                return
+
+    def wait_for_exchange(self, deadline):
+        """Start an exchange; return whether it was answered in time."""
+        with self.changed:
+            begun = self.begun_count
+        self.request_tokens()
+        with self.changed:
+            while self.answered_count <= begun:
+                remaining = clock.remaining(deadline, clock.monotonic())
+                if not remaining or not self.changed.wait(remaining):
+                    return False
+        return True
+
     def run(self):
         """Exchange messages with the leader until the client is closed."""
         while not self.closed:
@@ -260,6 +311,8 @@
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
+        with self.changed:
+            self.begun_count += 1
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
@@ -280,6 +333,7 @@
             service_answers,
             wanted_parts,
             used_trials,
+            *self.view.make_cold_report(sent),
         )
         reply = self.search.call(message)
         if reply is None:
@@ -349,6 +403,7 @@
             self.min_interval,
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
+        self.view.apply_cold(reply, order, sent, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         self.entry_host_count = reply.entries
         if self.index is not None:
@@ -359,6 +414,7 @@
         )
         with self.changed:
             self.reply_count += 1
+            self.answered_count = self.begun_count
             self.changed.notify_all()
         if not self.has_leader and self.is_fresh(clock.monotonic()):
             self.has_leader = True
@@ -381,6 +437,9 @@
             )
             return
         self.index = indexes.Index(catalog)
+        self.view.limit_cold_services(
+            service.name for service in catalog.services if service.cold_rate
+        )
         LOG.info(
             'event=catalog_in_force version={} routes={} accounts={}',
             catalog.version,
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -13,6 +13,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import choice
+from rhubarbreach.fleet import cold_view
 from rhubarbreach.fleet import departures
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
@@ -63,6 +64,7 @@
         self.outcomes = {}
         self.departures = departures.Departures()
         self.health = health.HealthTable()
+        self.cold = cold_view.ColdView()
         self.saturation = collections.defaultdict(saturation.Saturation)
 
     def update_endpoints(self, rows, complete):
@@ -81,6 +83,7 @@
                     row.born,
                 )
             self.endpoints = endpoints
+            self.cold.update_endpoints(endpoints)
             self.group_by_service()
             self.health.keep(endpoints)
 
@@ -209,6 +212,10 @@
         """
         with self.lock:
             endpoints = self.services.get(service, ())
+            if service in self.cold.services:
+                endpoints = self.cold.select(
+                    endpoints, excluded, self.get_utilization, now
+                )
             available = [
                 endpoint
                 for endpoint in endpoints
@@ -266,6 +273,7 @@
                         zone_penalty,
                     )
             if isinstance(chosen, choice.Endpoint):
+                chosen = self.take_permit(chosen, now)
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
@@ -298,11 +306,16 @@
         Returns
         -------
         Endpoint or None
-            None if it takes no new requests.
+            None if it takes no new requests, or is cold and there is no
+            permit.
         """
+        now = clock.monotonic()
         with self.lock:
             if not self.is_in_service(endpoint):
                 return None
+            endpoint = self.take_permit(endpoint, now)
+            if endpoint is None:
+                return None
             self.running[endpoint.endpoint_id] = (
                 self.running.get(endpoint.endpoint_id, 0) + 1
             )
@@ -312,6 +325,116 @@
             )
         return endpoint
 
+    def take_permit(self, endpoint, now):
+        """Return an endpoint to send to; None if it needs a permit first."""
+        if not self.cold.is_cold(endpoint, now):
+            if endpoint.start_before < float('inf'):
+                # It was cold when it served an earlier request.
+                return dataclasses.replace(endpoint, start_before=float('inf'))
+            return endpoint
+        until = self.cold.take_permit(endpoint.endpoint_id, now)
+        if until is None:
+            return None
+        return dataclasses.replace(endpoint, start_before=until)
+
+    def limit_cold_services(self, services):
+        """Replace the services whose cold endpoints need permits."""
+        with self.lock:
+            self.cold.services = frozenset(services)
+
+    def has_cold_limit(self, service):
+        """Return whether requests to cold endpoints are limited."""
+        return service in self.cold.services
+
+    def needs_permit(self, service, excluded, now):
+        """Return whether a request should get a permit before `acquire`.
+
+        It should if the endpoints that are not cold are loaded.
+        """
+        if service not in self.cold.services:
+            return False
+        with self.lock:
+            return self.cold.needs_permit(
+                self.services.get(service, ()),
+                excluded,
+                self.get_utilization,
+                now,
+            )
+
+    def is_full(self, service, now):
+        """Return whether no endpoint that is not cold has a free slot."""
+        with self.lock:
+            return all(
+                self.get_utilization(endpoint) >= 1
+                for endpoint in self.services.get(service, ())
+                if not self.cold.is_cold(endpoint, now)
+            )
+
+    def want_permit(self, service):
+        """Request a permit with the next exchange."""
+        with self.lock:
+            self.cold.want_permit(service)
+
+    def make_cold_report(self, now):
+        """Return the fields of `Exchange` about cold endpoints.
+
+        Returns
+        -------
+        dict, dict, str
+            `cold_wanted`, `cold_failures` and `cold_stamp`.
+        """
+        with self.lock:
+            wanted = self.cold.pop_wanted(
+                self.services,
+                self.zone,
+                lambda endpoint_id: self.health.is_ejected(endpoint_id, now),
+                now,
+            )
+            return wanted, self.cold.list_failures(now), self.cold.stamp
+
+    def apply_cold(self, reply, known_ids, sent, now):
+        """Apply permits and cold endpoints of a reply of the leader.
+
+        Parameters
+        ----------
+        reply : ExchangeReply
+            Reply of the leader.
+        known_ids : collection of str
+            Endpoints that the leader knows.
+        sent : float
+            When the exchange began, in seconds of the monotonic clock.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        with self.lock:
+            self.cold.apply_statement(
+                reply.cold_stamp, reply.cold, known_ids, sent, now
+            )
+            self.cold.add_permits(reply.cold_granted, sent)
+
+    def record_cold_news(self, ages, now):
+        """Count endpoints as cold that have failed at a host of the zone."""
+        with self.lock:
+            self.cold.record_news(ages, now)
+
+    def list_cold_news(self, now):
+        """Return the seconds since the failures that this host has seen."""
+        with self.lock:
+            return self.cold.list_news(now)
+
+    def record_cold(self, endpoint_id, now):
+        """Count an endpoint as cold that has failed, or says that it is.
+
+        The other hosts have to know it before they send many requests there.
+        """
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            is_limited = self.cold.record_failure(endpoint, now)
+        if is_limited and self.on_high_utilization is not None:
+            self.on_high_utilization()
+        if is_limited and self.on_change is not None:
+            self.on_change(True)
+
     def is_in_service(self, endpoint):
         """Return whether the process of an endpoint takes new requests."""
         return endpoint in self.services.get(endpoint.service, ())
@@ -459,11 +582,13 @@
         with self.lock:
             self.health.record_failure(endpoint_id, now)
             self.count_outcome(endpoint_id, 1, 0)
+        self.record_cold(endpoint_id, now)
 
     def record_stall(self, endpoint_id, now):
         """Avoid a silent endpoint for some time; it has not failed yet."""
         with self.lock:
             self.health.record_failure(endpoint_id, now)
+        self.record_cold(endpoint_id, now)
 
     def record_recovery(self, endpoint_id):
         """Choose an endpoint again that was silent and goes on."""
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -12,6 +12,7 @@
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import cold_permits
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import heads
 from rhubarbreach.gateway import model
@@ -249,6 +250,9 @@
     def send_request(self, attempt):
         """Send the request; return the outcome if that fails, else None."""
         now = clock.monotonic()
+        start_before = attempt.endpoint.start_before
+        if now >= start_before:
+            return model.NotRun('the permit has ended', False)
         send_deadline = self.deadline
         if len(self.attempts) > 1:
             send_deadline = min(send_deadline, now + TAKEOVER_SEND_SECONDS)
@@ -270,7 +274,11 @@
                     headers,
                     self.request.body,
                 ),
-                min(self.deadline, now + CONNECT_TIMEOUT_SECONDS),
+                min(
+                    self.deadline,
+                    now + CONNECT_TIMEOUT_SECONDS,
+                    start_before + cold_permits.CONNECT_SECONDS,
+                ),
                 send_deadline,
                 self.app.response_memory,
             )
@@ -529,6 +537,12 @@
         head = attempt.head
         dialect = self.app.dialect
         outcome = heads.check_identity(head, self.info.request_id, dialect)
+        if self.app.view.has_cold_limit(
+            attempt.endpoint.service
+        ) and dialect.is_cold(head):
+            self.app.view.record_cold(
+                attempt.endpoint.endpoint_id, clock.monotonic()
+            )
         if dialect.is_leaving(head) and heads.is_own(head, outcome):
             self.record_departure(attempt)
         if outcome is not None:
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -108,6 +108,9 @@
             )
             if refusal is not None:
                 return refusal
+            if self.app.view.has_cold_limit(service):
+                self.app.leader_client.wait_for_permit(service, self.excluded)
+                now = clock.monotonic()
             endpoint = self.acquire(service, now)
             if isinstance(endpoint, codes.Refusal):
                 return endpoint
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -19,6 +19,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import quota
+from rhubarbreach.hosts import cold_manager
 from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import gauges
@@ -150,6 +151,13 @@
             self.wake,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
+        self.cold_manager = cold_manager.ColdManager(
+            self.host_id,
+            self.endpoints,
+            self.current_index.get,
+            settings.cold_overage,
+            settings.cold_slack,
+        )
         self.quarantine_manager = quarantine_manager.QuarantineManager(
             self.ledger, self.group.propose
         )
@@ -167,6 +175,8 @@
             self.list_slots,
             self.record_outcome,
             self.endpoints.has_survived,
+            self.count_item_starts,
+            self.take_item_start,
         )
         self.worker = workers.Worker(
             self.link,
@@ -296,6 +306,7 @@
             quarantine_revision,
             quarantined,
             self.quarantine_manager.list_trials(sender_id, now),
+            *self.cold_manager.answer(message, entries, quorum_contact, now),
         )
 
     def find_recent_versions(self, services):
@@ -391,6 +402,20 @@
         self.usage.record_outcome(
             endpoint_id, worker_id, failures, successes, clock.monotonic()
         )
+        if failures:
+            self.cold_manager.record_failure(endpoint_id, clock.monotonic())
+
+    def count_item_starts(self, now):
+        """Return the items that may start by cold endpoint."""
+        return self.cold_manager.count_item_starts(
+            self.usage.count_hosts(), self.group.quorum_contact, now
+        )
+
+    def take_item_start(self, endpoint_id, now):
+        """Return until when an item may start, or None without a permit."""
+        return self.cold_manager.take_item_start(
+            endpoint_id, self.group.quorum_contact, now
+        )
 
     # Periodic duties.
 
@@ -445,6 +470,7 @@
         gauges.set_store_gauges(
             self.metrics, self.group, self.ledger, self.link
         )
+        self.cold_manager.set_gauges(self.metrics)
 
     def advance_quarantine(self, now):
         """Advance the quarantine of parts on a leader."""
@@ -493,6 +519,7 @@
                 self.allocator.reset()
             self.quarantine_manager.reset()
             self.version_history.reset()
+            self.cold_manager.reset(now)
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -46,7 +46,10 @@
 
     def apply_news(self, sender_id, message):
         """Store the report of another host."""
-        self.view.report_peer(sender_id, message.running, clock.monotonic())
+        now = clock.monotonic()
+        self.view.report_peer(sender_id, message.running, now)
+        if message.failed:
+            self.view.record_cold_news(message.failed, now)
 
     def run(self):
         """Send reports until the task is closed."""
@@ -66,7 +69,10 @@
         """Report the running requests of this host to its peers."""
         self.changed.clear()
         self.urgent.clear()
-        message = fleetmessages.LoadNews(self.view.copy_running())
+        message = fleetmessages.LoadNews(
+            self.view.copy_running(),
+            self.view.list_cold_news(clock.monotonic()),
+        )
         for host_id in self.view.list_peers():
             self.link.send(host_id, message)
 
--- a/rhubarbreach/protocol/workmessages.py
+++ b/rhubarbreach/protocol/workmessages.py
@@ -19,7 +19,9 @@
     `order_id` is unique among all orders. `host` is the host of the item's
     route. `address` is the address of the endpoint, `software_version` the
     version of its software, and `born` the start of its process in Unix
-    milliseconds. `output_bytes` is the size of the events up to `last_id`.
+    milliseconds. `output_bytes` is the size of the events up to `last_id`. A
+    run at a cold endpoint has to begin within `start_within` seconds after the
+    store has asked for its orders.
     """
 
     order_id: str
@@ -36,6 +38,7 @@
     software_version: str = ''
     born: int = 0
     output_bytes: int = 0
+    start_within: float | None = None
 
 
 @messages.frozen_message
