--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -167,6 +167,26 @@
         """
         self.coldness.treat_zone_as_cold(zone, now)
 
+    def record_failures(self, ages, now):
+        """Count endpoints as cold that have failed since they announced.
+
+        Parameters
+        ----------
+        ages : dict of str to float
+            Seconds since the last failure of each endpoint.
+        now : float
+            Seconds of the monotonic clock.
+
+        Returns
+        -------
+        bool
+            Whether one of the failures was not known.
+        """
+        is_new = False
+        for endpoint_id, age in ages.items():
+            is_new |= self.coldness.record_failure(endpoint_id, now - age)
+        return is_new
+
     def list_cold(self, cold_starts, now):
         """Return the cold endpoints that take new requests.
 
--- a/rhubarbreach/hosts/cold_manager.py
+++ b/rhubarbreach/hosts/cold_manager.py
@@ -19,6 +19,9 @@
     + cold_permits.PERMIT_SECONDS
     + cold_permits.ARRIVAL_SECONDS
 )
+# A new leader names the cold endpoints when the hosts have found it and have
+# reported the failures that the previous leader knew.
+DISCOVERY_SECONDS = 0.5
 # Longest time for which the list of cold endpoints is reused.
 UPDATE_INTERVAL_SECONDS = 0.05
 # Time beyond the interval of exchanges after which all hosts know of a cold
@@ -56,7 +59,7 @@
         self.limits = {}
         self.cold_starts = {}
         self.index = None
-        self.ready_at = float('inf')
+        self.listed_at = self.ready_at = float('inf')
         # Service of each cold endpoint, and the time until which it is cold.
         self.services = {}
         self.cold_until = {}
@@ -71,6 +74,7 @@
             self.services = {}
             self.cold_until = {}
             self.change_count += 1
+            self.listed_at = now + DISCOVERY_SECONDS
             self.ready_at = now + TAKEOVER_SECONDS
             self.next_update = float('-inf')
 
@@ -114,13 +118,15 @@
         """
         if not self.is_enabled():
             return {}, None, ''
-        for endpoint_id, age in message.cold_failures.items():
-            self.record_failure(endpoint_id, now - age)
-        if not self.may_grant(confirmed_at, now):
+        if message.cold_failures:
+            self.record_failures(message.cold_failures, now)
+        if not self.is_confirmed(self.listed_at, confirmed_at, now):
             return {}, None, ''
+        granted = {}
         with self.lock:
             self.update(entry_host_count, now)
-            granted = self.allocator.grant(message.cold_wanted, now)
+            if self.is_confirmed(self.ready_at, confirmed_at, now):
+                granted = self.allocator.grant(message.cold_wanted, now)
             stamp = f'{self.host_id}:{self.ready_at}:{self.change_count}'
             cold = None
             if stamp != message.cold_stamp:
@@ -134,17 +140,21 @@
                 }
         return granted, cold, stamp
 
-    def may_grant(self, confirmed_at, now):
-        """Return whether no other leader can have granted permits."""
-        return now >= self.ready_at and (
-            now - confirmed_at <= CONFIRMED_SECONDS
-        )
+    def is_confirmed(self, since, confirmed_at, now):
+        """Return whether this store leads since a time and does so still."""
+        return now >= since and now - confirmed_at <= CONFIRMED_SECONDS
+
+    def record_failures(self, ages, now):
+        """Count endpoints as cold that have failed at a host or a store.
 
-    def record_failure(self, endpoint_id, failed_at):
-        """Count an endpoint as cold that has failed at a host or a store."""
-        if self.is_enabled() and self.endpoints.record_failure(
-            endpoint_id, failed_at
-        ):
+        Parameters
+        ----------
+        ages : dict of str to float
+            Seconds since the last failure of each endpoint.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        if self.is_enabled() and self.endpoints.record_failures(ages, now):
             with self.lock:
                 self.next_update = float('-inf')
 
@@ -202,7 +212,7 @@
         """
         if not self.is_enabled():
             return {}
-        may_grant = self.may_grant(confirmed_at, now)
+        may_grant = self.is_confirmed(self.ready_at, confirmed_at, now)
         with self.lock:
             self.update(entry_host_count, now)
             starts = self.allocator.count_item_starts(now)
@@ -222,9 +232,8 @@
         with self.lock:
             if endpoint_id not in self.services:
                 return float('inf')
-            if self.may_grant(confirmed_at, now) and self.allocator.take(
-                endpoint_id, 1, now
-            ):
+            may_grant = self.is_confirmed(self.ready_at, confirmed_at, now)
+            if may_grant and self.allocator.take(endpoint_id, 1, now):
                 return now + cold_permits.PERMIT_SECONDS
         return None
 
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -164,18 +164,10 @@
         with self.lock:
             self.registry.treat_zone_as_cold(zone, now)
 
-    def record_failure(self, endpoint_id, failed_at):
-        """Count an endpoint as cold that has failed.
-
-        Returns
-        -------
-        bool
-            Whether the failure was not known.
-        """
+    def record_failures(self, ages, now):
+        """Count endpoints as cold, as `Registry.record_failures` does."""
         with self.lock:
-            return self.registry.coldness.record_failure(
-                endpoint_id, failed_at
-            )
+            return self.registry.record_failures(ages, now)
 
     def list_cold(self, cold_starts, now):
         """Return the cold endpoints, as `Registry.list_cold` does."""
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -403,7 +403,9 @@
             endpoint_id, worker_id, failures, successes, clock.monotonic()
         )
         if failures:
-            self.cold_manager.record_failure(endpoint_id, clock.monotonic())
+            self.cold_manager.record_failures(
+                {endpoint_id: 0.0}, clock.monotonic()
+            )
 
     def count_item_starts(self, now):
         """Return the items that may start by cold endpoint."""
