--- a/rhubarbreach/fleet/cold_permits.py
+++ b/rhubarbreach/fleet/cold_permits.py
@@ -30,6 +30,8 @@
 GRANT_WINDOW_SECONDS = 1.0 + PERMIT_SECONDS + ARRIVAL_SECONDS
 # Tokens of each endpoint that items leave to online requests.
 RESERVED_TOKENS = 1
+# Without it, sums of fractions would count as less than a whole token.
+ROUNDING = 1e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,4 +196,4 @@
         filled = bucket.level + (now - bucket.time) * bucket.limit.rate
         bucket.level = min(bucket.limit.capacity, filled)
         bucket.time = now
-    return max(0, math.floor(bucket.level))
+    return max(0, math.floor(bucket.level + ROUNDING))
