Ask for permits only where a request may use them

A stream that may resume at one software version only was refused while warm endpoints of other versions had room, as it did not ask for a permit. A silent endpoint that has not failed does not count as cold any more: in an overload all endpoints are silent. A zone that counts as cold is listed at once.

--- a/rhubarbreach/fleet/cold_view.py
+++ b/rhubarbreach/fleet/cold_view.py
@@ -216,7 +216,7 @@
             return None
         return self.permits[endpoint_id].pop(0)
 
-    def select(self, endpoints, excluded, get_utilization, now):
+    def select(self, endpoints, is_usable, get_utilization, now):
         """Return the endpoints to which a request may be sent now.
 
         Cold ones are used, with a permit, while the warm ones are loaded.
@@ -225,47 +225,46 @@
         ----------
         endpoints : sequence of Endpoint
             Endpoints of a service.
-        excluded : collection of str
-            Endpoints that have already been tried.
+        is_usable : callable
+            Returns whether the request may be sent to an endpoint at all.
         get_utilization : callable
             Returns the fraction of the slots of an endpoint that is in use.
         now : float
             Seconds of the monotonic clock.
         """
-        warm = [e for e in endpoints if not self.is_cold(e, now)]
-        if len(warm) == len(endpoints):
+        warm, cold = self.split(endpoints, now)
+        if not cold:
             return endpoints
-        permitted = [
-            endpoint
-            for endpoint in endpoints
-            if self.has_permit(endpoint.endpoint_id, now)
-            and self.is_cold(endpoint, now)
-        ]
-        if permitted and is_loaded(warm, excluded, get_utilization):
+        permitted = [e for e in cold if self.has_permit(e.endpoint_id, now)]
+        if permitted and is_loaded(warm, is_usable, get_utilization):
             return warm + permitted
         return warm
 
-    def needs_permit(self, endpoints, excluded, get_utilization, now):
+    def needs_permit(self, endpoints, is_usable, get_utilization, now):
         """Return whether a request should get a permit first.
 
         The parameters are those of `select`.
         """
-        warm = [e for e in endpoints if not self.is_cold(e, now)]
+        warm, cold = self.split(endpoints, now)
+        cold = [e for e in cold if is_usable(e)]
         return (
-            len(warm) < len(endpoints)
-            and is_loaded(warm, excluded, get_utilization)
-            and not any(
-                self.has_permit(e.endpoint_id, now)
-                for e in endpoints
-                if e.endpoint_id not in excluded and self.is_cold(e, now)
-            )
+            bool(cold)
+            and is_loaded(warm, is_usable, get_utilization)
+            and not any(self.has_permit(e.endpoint_id, now) for e in cold)
         )
 
+    def split(self, endpoints, now):
+        """Return the warm and the cold endpoints."""
+        warm, cold = [], []
+        for endpoint in endpoints:
+            (cold if self.is_cold(endpoint, now) else warm).append(endpoint)
+        return warm, cold
 
-def is_loaded(warm, excluded, get_utilization):
-    """Return whether all warm endpoints are loaded that are not excluded."""
+
+def is_loaded(warm, is_usable, get_utilization):
+    """Return whether all warm endpoints are loaded that a request may use."""
     return all(
         get_utilization(endpoint) >= LOADED_FRACTION
         for endpoint in warm
-        if endpoint.endpoint_id not in excluded
+        if is_usable(endpoint)
     )
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -214,7 +214,7 @@
                 if not remaining or not self.changed.wait(remaining):
                     return
 
-    def wait_for_permit(self, service, excluded):
+    def wait_for_permit(self, service, excluded, software_version=None):
         """Wait for a permit for a cold endpoint if a request needs one.
 
         A request waits for one reply, and for further ones only while no warm
@@ -226,13 +226,15 @@
             Service of the request.
         excluded : collection of str
             Endpoints that have already been tried.
+        software_version : str, optional
+            Version of the endpoints at which a stream may be resumed.
         """
         view = self.view
         if not self.has_leader:
             return
         now = clock.monotonic()
         deadline = now + PERMIT_TIMEOUT_SECONDS
-        while view.needs_permit(service, excluded, now):
+        while view.needs_permit(service, excluded, software_version, now):
             view.want_permit(service)
             if self.entry_host_count > MAX_WAITING_HOSTS:
                 self.request_loads()
--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -166,6 +166,8 @@
             Seconds of the monotonic clock.
         """
         self.coldness.treat_zone_as_cold(zone, now)
+        # The leader reads the cold endpoints again before its next reply.
+        self.revision += 1
 
     def record_failures(self, ages, now):
         """Count endpoints as cold that have failed since they announced.
--- a/rhubarbreach/fleet/tests/test_cold_endpoints.py
+++ b/rhubarbreach/fleet/tests/test_cold_endpoints.py
@@ -181,11 +181,11 @@
 
 def test_cold_endpoint_is_used_while_the_others_are_loaded(host):
     apply_reply(host, {'e': 3.0}, sent=10.5, granted={'e': 1})
-    assert not host.needs_permit('s', (), 10.6)
+    assert not host.needs_permit('s', (), None, 10.6)
     assert host.acquire('s', (), 10.6).endpoint_id == 'f'
     host.update_loads({'f': 8}, {})
     assert host.acquire('s', (), 10.6).endpoint_id == 'e'
-    assert host.needs_permit('s', (), 10.6)
+    assert host.needs_permit('s', (), None, 10.6)
     host.want_permit('s')
     assert host.make_cold_report(10.6)[0] == {'e': 1}
 
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -213,8 +213,9 @@
         with self.lock:
             endpoints = self.services.get(service, ())
             if service in self.cold.services:
+                is_usable = make_filter(excluded, software_version, choices)
                 endpoints = self.cold.select(
-                    endpoints, excluded, self.get_utilization, now
+                    endpoints, is_usable, self.get_utilization, now
                 )
             available = [
                 endpoint
@@ -346,17 +347,16 @@
         """Return whether requests to cold endpoints are limited."""
         return service in self.cold.services
 
-    def needs_permit(self, service, excluded, now):
+    def needs_permit(self, service, excluded, software_version, now):
         """Return whether a request should get a permit before `acquire`.
 
-        It should if the endpoints that are not cold are loaded.
+        It should if the endpoints that are not cold are loaded. The parameters
+        are those of `acquire`.
         """
-        if service not in self.cold.services:
-            return False
         with self.lock:
             return self.cold.needs_permit(
                 self.services.get(service, ()),
-                excluded,
+                make_filter(excluded, software_version),
                 self.get_utilization,
                 now,
             )
@@ -588,7 +588,6 @@
         """Avoid a silent endpoint for some time; it has not failed yet."""
         with self.lock:
             self.health.record_failure(endpoint_id, now)
-        self.record_cold(endpoint_id, now)
 
     def record_recovery(self, endpoint_id):
         """Choose an endpoint again that was silent and goes on."""
@@ -621,6 +620,19 @@
             return dict(self.running)
 
 
+def make_filter(excluded, software_version, choices=None):
+    """Return a function that tells whether a request may use an endpoint."""
+
+    def is_usable(endpoint):
+        return (
+            endpoint.endpoint_id not in excluded
+            and software_version in (None, endpoint.software_version)
+            and (choices is None or endpoint.endpoint_id in choices)
+        )
+
+    return is_usable
+
+
 def filter_version(endpoints, software_version):
     """Return the endpoints of a software version, or all if it is None."""
     if software_version is None:
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -109,7 +109,9 @@
             if refusal is not None:
                 return refusal
             if self.app.view.has_cold_limit(service):
-                self.app.leader_client.wait_for_permit(service, self.excluded)
+                self.app.leader_client.wait_for_permit(
+                    service, self.excluded, self.software_version
+                )
                 now = clock.monotonic()
             endpoint = self.acquire(service, now)
             if isinstance(endpoint, codes.Refusal):
--- a/rhubarbreach/hosts/tests/coldfleet.py
+++ b/rhubarbreach/hosts/tests/coldfleet.py
@@ -312,7 +312,7 @@
 
     def place(self, host, request, deadline, now):
         """Wait for a permit if one is needed, and choose an endpoint."""
-        needs = host.view.needs_permit('s', request.excluded, now)
+        needs = host.view.needs_permit('s', request.excluded, None, now)
         if self.asks and needs and not host.is_cut_off:
             is_first = deadline is None
             deadline = now + WAIT_SECONDS if is_first else deadline
