--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -5,6 +5,7 @@
 from rhubarbreach.backlog import results
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.fleet import cold_permits
 from rhubarbreach.web import answers
 from rhubarbreach.web import client
 from rhubarbreach.web import errors
@@ -55,11 +56,21 @@
         Bounds the outputs of all runs.
     begin_until : float
         Until when the item may be sent, in seconds of the monotonic clock.
+    start_before : float
+        When the permit for a cold endpoint ends, in seconds of the monotonic
+        clock.
     """
 
-    def __init__(self, order, memory_pool, begin_until=float('inf')):
+    def __init__(
+        self,
+        order,
+        memory_pool,
+        begin_until=float('inf'),
+        start_before=float('inf'),
+    ):
         self.order = order
         self.begin_until = begin_until
+        self.start_before = start_before
         self.holding = memory_pool.open(self.interrupt)
         self.call = None
         self.stream = None
@@ -157,10 +168,15 @@
         'POST', order.path.encode('latin-1'), headers, order.body
     )
     now = clock.monotonic()
+    if now >= run.start_before:
+        return 'not_run', 'the permit has ended'
     call = client.Call(
         order.address,
         data,
-        now + CONNECT_TIMEOUT_SECONDS,
+        min(
+            now + CONNECT_TIMEOUT_SECONDS,
+            run.start_before + cold_permits.CONNECT_SECONDS,
+        ),
         now + IDLE_TIMEOUT_SECONDS,
         run.may_begin,
     )
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -50,11 +50,18 @@
     `begun` is the number of the event after which the run resumes the item.
     `known` is the number of events that the leader has, or None until the
     current leader has sent it. `started` is whether a thread executes the run.
-    The run may begin until `begin_until`.
+    The run may begin until `begin_until`, and before `start_before` if its
+    endpoint is cold.
     """
 
-    def __init__(self, order, memory_pool, begin_until=float('inf')):
-        self.run = execution.Run(order, memory_pool, begin_until)
+    def __init__(
+        self,
+        order,
+        memory_pool,
+        begin_until=float('inf'),
+        start_before=float('inf'),
+    ):
+        self.run = execution.Run(order, memory_pool, begin_until, start_before)
         self.begun = order.last_id
         self.progress = execution.RunProgress(
             [], order.last_id, order.output_bytes
@@ -225,7 +232,7 @@
             return False
         self.leader_id = store
         self.last_contact = clock.monotonic()
-        self.apply_reply(reports, reply, now + ORDER_SECONDS)
+        self.apply_reply(reports, reply, now)
         return True
 
     def make_reports(self, now):
@@ -280,17 +287,17 @@
         if waiting:
             LOG.warning('event=runs_orphaned count={}', len(waiting))
 
-    def apply_reply(self, reports, reply, begin_until):
+    def apply_reply(self, reports, reply, sent):
         """Start, continue and end runs as the leader's reply requests.
 
         Parameters
         ----------
-        reports : list of RunReport
-            Reports that the leader has answered.
+        reports : sequence of RunReport
+            Runs that were reported.
         reply : WorkOrders
-            Its reply.
-        begin_until : float
-            Until when its orders may begin, in seconds of the monotonic clock.
+            Reply to the report.
+        sent : float
+            Time of the report, in seconds of the monotonic clock.
         """
         known_counts = dict(reply.known)
         has_more = False
@@ -312,7 +319,12 @@
             started = []
             for order in reply.orders:
                 if order.order_id not in self.active and not self.draining:
-                    active_run = ActiveRun(order, self.memory, begin_until)
+                    start_before = float('inf')
+                    if order.start_within is not None:
+                        start_before = sent + order.start_within
+                    active_run = ActiveRun(
+                        order, self.memory, sent + ORDER_SECONDS, start_before
+                    )
                     self.active[order.order_id] = active_run
                     started.append(active_run)
         self.cancel_runs(reply.cancels)
--- a/rhubarbreach/catalog/model.py
+++ b/rhubarbreach/catalog/model.py
@@ -106,12 +106,16 @@
 
     `capacity_tokens` is the memory of an endpoint for the tokens of the
     requests that it holds, 0 if unknown.
+    An endpoint is cold for `cold_start` seconds after its start and is meant
+    to get `cold_rate` requests a second then, 0 for no limit.
     """
 
     name: str
     max_connections: int
     slots: int
     capacity_tokens: int = 0
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -60,6 +60,12 @@
 # accounts count alike.
 QUEUES_SECONDS = 1.0
 NO_QUEUE = fleetmessages.QueueState()
+# Time that a request may wait for a permit for a cold endpoint. It covers two
+# immediate exchanges, and leaves a refused caller time to be served elsewhere.
+PERMIT_TIMEOUT_SECONDS = 0.05
+# With more hosts than this no request waits for a permit, as an exchange for
+# each of them would occupy the leader.
+MAX_WAITING_HOSTS = 400
 
 
 def compute_interval(entry_host_count):
@@ -128,6 +134,10 @@
         self.lock = threading.Lock()
         self.changed = threading.Condition(self.lock)
         self.reply_count = 0
+        # Numbers of the last exchange that has begun, and of the last one that
+        # was answered.
+        self.begun_count = 0
+        self.answered_count = 0
         # Guards the flags below, with which requests start an exchange.
         self.schedule = threading.Condition()
         self.loads_wanted = False
@@ -265,6 +275,49 @@
                 if not remaining or not self.changed.wait(remaining):
                     return
 
+    def wait_for_permit(self, service, excluded, software_version=None):
+        """Wait for a permit for a cold endpoint if a request needs one.
+
+        A request waits for one reply, and for further ones only while no warm
+        endpoint has a free slot.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        excluded : collection of str
+            Endpoints that have already been tried.
+        software_version : str, optional
+            Version of the endpoints at which a stream may be resumed.
+        """
+        view = self.view
+        if not self.has_leader:
+            return
+        now = clock.monotonic()
+        deadline = now + PERMIT_TIMEOUT_SECONDS
+        while view.needs_permit(service, excluded, software_version, now):
+            view.want_permit(service)
+            if self.entry_host_count > MAX_WAITING_HOSTS:
+                self.request_loads()
+                return
+            if not self.wait_for_exchange(deadline):
+                return
+            now = clock.monotonic()
+            if not view.is_full(service, now):
+                return
+
+    def wait_for_exchange(self, deadline):
+        """Start an exchange; return whether it was answered in time."""
+        with self.changed:
+            begun = self.begun_count
+        self.request_tokens()
+        with self.changed:
+            while self.answered_count <= begun:
+                remaining = clock.remaining(deadline, clock.monotonic())
+                if not remaining or not self.changed.wait(remaining):
+                    return False
+        return True
+
     def run(self):
         """Exchange messages with the leader until the client is closed."""
         while not self.closed:
@@ -322,6 +375,8 @@
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
         self.guard.begin_exchange(sent)
+        with self.changed:
+            self.begun_count += 1
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
@@ -344,6 +399,7 @@
             used_trials,
             self.evacuations.revision,
             {} if self.collect_queues is None else self.collect_queues(),
+            *self.view.make_cold_report(sent),
         )
         reply = self.search.call(message)
         if reply is None:
@@ -422,6 +478,7 @@
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
         self.guard.end_exchange(sent)
+        self.view.apply_cold(reply, order, sent, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
@@ -431,6 +488,7 @@
         )
         with self.changed:
             self.reply_count += 1
+            self.answered_count = self.begun_count
             self.changed.notify_all()
         if not self.has_leader and self.is_fresh(clock.monotonic()):
             self.has_leader = True
@@ -469,6 +527,9 @@
             return
         self.index = indexes.Index(catalog)
         self.view.set_services(catalog.services)
+        self.view.limit_cold_services(
+            service.name for service in catalog.services if service.cold_rate
+        )
         LOG.info(
             'event=catalog_in_force version={} routes={} accounts={}',
             catalog.version,
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -4,6 +4,7 @@
 `gateway.admission`, which is told when a slot may have become free.
 """
 
+import dataclasses
 import random
 import threading
 
@@ -13,6 +14,7 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import choice
+from rhubarbreach.fleet import cold_view
 from rhubarbreach.fleet import departures
 from rhubarbreach.fleet import health
 from rhubarbreach.fleet import registry
@@ -73,6 +75,7 @@
         self.costs = costs.CostModel()
         # Memory of an endpoint of each service in tokens, 0 if unknown.
         self.capacity_tokens = {}
+        self.cold = cold_view.ColdView()
 
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
@@ -90,6 +93,7 @@
                     row.born,
                 )
             self.endpoints = endpoints
+            self.cold.update_endpoints(endpoints)
             self.group_by_service()
             self.health.keep(endpoints)
             self.table.keep(endpoints)
@@ -257,6 +261,10 @@
             See `choice.choose_endpoint` and `balancing.selection`.
         """
         with self.lock:
+            if service in self.cold.services:
+                choices = self.select_permitted(
+                    service, excluded, software_version, choices, now
+                )
             is_weighed = (
                 cost is not None and cost.is_stated
             ) or self.table.slowness.has_figures(service)
@@ -274,6 +282,7 @@
                 cost,
             )
             if isinstance(chosen, choice.Endpoint):
+                chosen = self.take_permit(chosen, now)
                 endpoint_id = chosen.endpoint_id
                 self.running[endpoint_id] = (
                     self.running.get(endpoint_id, 0) + 1
@@ -289,6 +298,22 @@
             self.on_change(is_high)
         return chosen
 
+    def select_permitted(
+        self, service, excluded, software_version, choices, now
+    ):
+        """Return the ids of the endpoints that are warm or have a permit.
+
+        The parameters are those of `acquire`.
+        """
+        endpoints = self.cold.select(
+            self.services.get(service, ()),
+            make_filter(excluded, software_version, choices),
+            self.get_utilization,
+            now,
+        )
+        endpoint_ids = {endpoint.endpoint_id for endpoint in endpoints}
+        return endpoint_ids if choices is None else endpoint_ids & choices
+
     def choose_by_cost(
         self,
         service,
@@ -493,11 +518,16 @@
         Returns
         -------
         Endpoint or None
-            None if it takes no new requests.
+            None if it takes no new requests, or is cold and there is no
+            permit.
         """
+        now = clock.monotonic()
         with self.lock:
             if not self.is_in_service(endpoint):
                 return None
+            endpoint = self.take_permit(endpoint, now)
+            if endpoint is None:
+                return None
             self.running[endpoint.endpoint_id] = (
                 self.running.get(endpoint.endpoint_id, 0) + 1
             )
@@ -508,6 +538,115 @@
             )
         return endpoint
 
+    def take_permit(self, endpoint, now):
+        """Return an endpoint to send to; None if it needs a permit first."""
+        if not self.cold.is_cold(endpoint, now):
+            if endpoint.start_before < float('inf'):
+                # It was cold when it served an earlier request.
+                return dataclasses.replace(endpoint, start_before=float('inf'))
+            return endpoint
+        until = self.cold.take_permit(endpoint.endpoint_id, now)
+        if until is None:
+            return None
+        return dataclasses.replace(endpoint, start_before=until)
+
+    def limit_cold_services(self, services):
+        """Replace the services whose cold endpoints need permits."""
+        with self.lock:
+            self.cold.services = frozenset(services)
+
+    def has_cold_limit(self, service):
+        """Return whether requests to cold endpoints are limited."""
+        return service in self.cold.services
+
+    def needs_permit(self, service, excluded, software_version, now):
+        """Return whether a request should get a permit before `acquire`.
+
+        It should if the endpoints that are not cold are loaded. The parameters
+        are those of `acquire`.
+        """
+        with self.lock:
+            return self.cold.needs_permit(
+                self.services.get(service, ()),
+                make_filter(excluded, software_version),
+                self.get_utilization,
+                now,
+            )
+
+    def is_full(self, service, now):
+        """Return whether no endpoint that is not cold has a free slot."""
+        with self.lock:
+            return all(
+                self.get_utilization(endpoint) >= 1
+                for endpoint in self.services.get(service, ())
+                if not self.cold.is_cold(endpoint, now)
+            )
+
+    def want_permit(self, service):
+        """Request a permit with the next exchange."""
+        with self.lock:
+            self.cold.want_permit(service)
+
+    def make_cold_report(self, now):
+        """Return the fields of `Exchange` about cold endpoints.
+
+        Returns
+        -------
+        dict, dict, str
+            `cold_wanted`, `cold_failures` and `cold_stamp`.
+        """
+        with self.lock:
+            wanted = self.cold.pop_wanted(
+                self.services,
+                self.zone,
+                lambda endpoint_id: self.health.is_ejected(endpoint_id, now),
+                now,
+            )
+            return wanted, self.cold.list_failures(now), self.cold.stamp
+
+    def apply_cold(self, reply, known_ids, sent, now):
+        """Apply permits and cold endpoints of a reply of the leader.
+
+        Parameters
+        ----------
+        reply : ExchangeReply
+            Reply of the leader.
+        known_ids : collection of str
+            Endpoints that the leader knows.
+        sent : float
+            When the exchange began, in seconds of the monotonic clock.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        with self.lock:
+            self.cold.apply_statement(
+                reply.cold_stamp, reply.cold, known_ids, sent, now
+            )
+            self.cold.add_permits(reply.cold_granted, sent)
+
+    def record_cold_news(self, ages, now):
+        """Count endpoints as cold that have failed at a host of the zone."""
+        with self.lock:
+            self.cold.record_news(ages, now)
+
+    def list_cold_news(self, now):
+        """Return the seconds since the failures that this host has seen."""
+        with self.lock:
+            return self.cold.list_news(now)
+
+    def record_cold(self, endpoint_id, now):
+        """Count an endpoint as cold that has failed, or says that it is.
+
+        The other hosts have to know it before they send many requests there.
+        """
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            is_limited = self.cold.record_failure(endpoint, now)
+        if is_limited and self.on_high_utilization is not None:
+            self.on_high_utilization()
+        if is_limited and self.on_change is not None:
+            self.on_change(True)
+
     def is_in_service(self, endpoint):
         """Return whether the process of an endpoint takes new requests."""
         return endpoint in self.services.get(endpoint.service, ())
@@ -768,6 +907,7 @@
         with self.lock:
             self.health.record_failure(endpoint_id, now)
             self.count_outcome(endpoint_id, 1, 0)
+        self.record_cold(endpoint_id, now)
 
     def record_stall(self, endpoint_id, now):
         """Avoid a silent endpoint for some time; it has not failed yet."""
@@ -806,6 +946,19 @@
             return dict(self.running)
 
 
+def make_filter(excluded, software_version, choices=None):
+    """Return a function that tells whether a request may use an endpoint."""
+
+    def is_usable(endpoint):
+        return (
+            endpoint.endpoint_id not in excluded
+            and software_version in (None, endpoint.software_version)
+            and (choices is None or endpoint.endpoint_id in choices)
+        )
+
+    return is_usable
+
+
 def filter_version(endpoints, software_version):
     """Return the endpoints of a software version, or all if it is None."""
     if software_version is None:
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -20,6 +20,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import evacuations
 from rhubarbreach.fleet import quota
+from rhubarbreach.hosts import cold_manager
 from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
 from rhubarbreach.hosts import evacuation
@@ -150,9 +151,17 @@
             self.wake,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
+        self.known_evacuations = evacuations.Evacuations()
         self.evacuations = evacuation.EvacuationCalls(
             self.query, self.propose, self.find_zones
         )
+        self.cold_manager = cold_manager.ColdManager(
+            self.host_id,
+            self.endpoints,
+            self.current_index.get,
+            settings.cold_overage,
+            settings.cold_slack,
+        )
         self.quarantine_manager = quarantine_manager.QuarantineManager(
             self.ledger, self.group.propose
         )
@@ -170,6 +179,8 @@
             self.list_slots,
             self.record_outcome,
             self.endpoints.has_survived,
+            self.count_item_starts,
+            self.take_item_start,
         )
         self.message_memory = memory.MemoryPool(
             settings.message_bytes, metrics
@@ -281,9 +292,7 @@
             )
         )
         batch = self.runner.count_running()
-        evacuation_revision, evacuated = self.ledger.get_evacuated()
-        if evacuation_revision == message.evacuation_revision:
-            evacuated = None
+        evacuated = self.read_evacuations(now)
         return fleetmessages.ExchangeReply(
             True,
             self.host_id,
@@ -305,11 +314,30 @@
             quarantine_revision,
             quarantined,
             self.quarantine_manager.list_trials(sender_id, now),
-            evacuation_revision,
-            None if evacuated is None else tuple(sorted(evacuated)),
+            evacuated.revision,
+            None
+            if evacuated.revision == message.evacuation_revision
+            else tuple(sorted(evacuated.zones)),
             self.usage.list_queues(now),
+            *self.cold_manager.answer(message, entries, quorum_contact, now),
         )
 
+    def read_evacuations(self, now):
+        """Return the evacuations in force.
+
+        The endpoints of a zone that is restored may be cold. They count as
+        cold before any host learns that the zone is restored.
+        """
+        current = evacuations.Evacuations(*self.ledger.get_evacuated())
+        with self.lock:
+            previous = self.known_evacuations
+            if current.revision <= previous.revision:
+                return previous
+            for zone in evacuations.find_restored(previous, current):
+                self.endpoints.treat_zone_as_cold(zone, now)
+            self.known_evacuations = current
+        return current
+
     def find_recent_versions(self, services):
         """Return the versions of services, or None without leading."""
         if not self.may_answer(clock.monotonic()):
@@ -426,7 +454,7 @@
         Endpoints in evacuated zones count as draining.
         """
         now = clock.monotonic()
-        _, zones = self.ledger.get_evacuated()
+        zones = self.read_evacuations(now).zones
         return (
             evacuations.exclude_zones(self.endpoints.list_by_id(), zones),
             self.usage.sum_online(now),
@@ -438,6 +466,22 @@
         self.usage.record_outcome(
             endpoint_id, worker_id, failures, successes, clock.monotonic()
         )
+        if failures:
+            self.cold_manager.record_failures(
+                {endpoint_id: 0.0}, clock.monotonic()
+            )
+
+    def count_item_starts(self, now):
+        """Return the items that may start by cold endpoint."""
+        return self.cold_manager.count_item_starts(
+            self.usage.count_hosts(), self.group.quorum_contact, now
+        )
+
+    def take_item_start(self, endpoint_id, now):
+        """Return until when an item may start, or None without a permit."""
+        return self.cold_manager.take_item_start(
+            endpoint_id, self.group.quorum_contact, now
+        )
 
     # Periodic duties.
 
@@ -459,6 +503,7 @@
             self.members.announce_presence,
             self.advance_membership,
             self.share_endpoints,
+            self.read_evacuations,
             self.update_gauges,
             self.advance_quarantine,
             self.advance_versions,
@@ -492,6 +537,7 @@
         gauges.set_store_gauges(
             self.metrics, self.group, self.ledger, self.link
         )
+        self.cold_manager.set_gauges(self.metrics)
 
     def advance_quarantine(self, now):
         """Advance the quarantine of parts on a leader."""
@@ -540,6 +586,7 @@
                 self.allocator.reset()
             self.quarantine_manager.reset()
             self.version_history.reset()
+            self.cold_manager.reset(now)
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -52,9 +52,12 @@
 
     def apply_news(self, sender_id, message):
         """Store the report of another host."""
+        now = clock.monotonic()
         self.view.report_peer(
-            sender_id, message.running, clock.monotonic(), message.slowness
+            sender_id, message.running, now, message.slowness
         )
+        if message.failed:
+            self.view.record_cold_news(message.failed, now)
 
     def run(self):
         """Send reports until the task is closed."""
@@ -76,7 +79,9 @@
         self.changed.clear()
         self.urgent.clear()
         message = fleetmessages.LoadNews(
-            self.view.copy_running(), self.view.pop_slowness()
+            self.view.copy_running(),
+            self.view.pop_slowness(),
+            self.view.list_cold_news(clock.monotonic()),
         )
         for host_id in self.view.list_peers():
             self.link.send(host_id, message)
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -32,7 +32,9 @@
     endpoint started, and `sequence` counts its announcements; both serve to
     reject an announcement that arrives late. `age` is the time in seconds
     since the announcement arrived. A stream may only be resumed at endpoints
-    with the `software_version` of the one that began it.
+    with the `software_version` of the one that began it. `cold_seconds` is
+    the time in seconds for which the endpoint said that it is cold, None if it
+    did not say.
     """
 
     endpoint_id: str
@@ -45,6 +47,7 @@
     sequence: int
     age: float = 0.0
     software_version: str = ''
+    cold_seconds: float | None = None
 
 
 @messages.frozen_message
@@ -143,6 +146,10 @@
     `evacuation_revision` is the version of the evacuated zones that the host
     has.
     `queues` are the requests of each service that has had any.
+    `cold_wanted` are the permits that the host asks for by cold endpoint,
+    `cold_failures` holds the time in seconds since the last failure of each
+    endpoint that may have restarted, and `cold_stamp` is the version of the
+    list of cold endpoints that the host has.
     """
 
     catalog_version: int
@@ -163,6 +170,9 @@
     used_trials: dict[str, int] = dataclasses.field(default_factory=dict)
     evacuation_revision: int = 0
     queues: dict[str, QueueReport] = dataclasses.field(default_factory=dict)
+    cold_wanted: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_failures: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_stamp: str = ''
 
 
 @messages.frozen_message
@@ -188,8 +198,12 @@
     host may send one request each, with the number of the trial. `evacuated`
     holds the zones to whose endpoints nothing is sent, if
     `evacuation_revision` differs from the one in the request.
-    host may send one request each, with the number of the trial. `queues` are
+    `queues` are
     the services whose requests wait.
+    `cold_granted` are requests that the host may send to cold endpoints within
+    a short time. `cold` holds the cold endpoints with the remaining time in
+    seconds, negative if unknown, if `cold_stamp` differs from the one in the
+    request; an empty stamp means that the leader does not know them yet.
     """
 
     is_leader: bool
@@ -215,6 +229,9 @@
     evacuation_revision: int = 0
     evacuated: tuple[str, ...] | None = None
     queues: dict[str, QueueState] = dataclasses.field(default_factory=dict)
+    cold_granted: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold: dict[str, float] | None = None
+    cold_stamp: str = ''
 
 
 @messages.frozen_message
@@ -223,10 +240,13 @@
 
     `slowness` holds, for the endpoints whose speed the host has learned since
     its last report, how long work takes there in percent of the usual.
+    `failed` holds the time in seconds since the last failure of each endpoint
+    that may have restarted.
     """
 
     running: dict[str, int]
     slowness: dict[str, int] = dataclasses.field(default_factory=dict)
+    failed: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @messages.frozen_message
