Split long events in time that is linear in their bytes

A stream with events of 64 KB reached its caller at some megabytes a second, for the processor time of the host, and an endpoint could keep a host busy.

Cause: the pattern of the separator began with an optional character, and each read searched the whole incomplete event again.

Change: the pattern begins with the end of line, and only new bytes are searched.

--- a/rhubarbreach/web/events.py
+++ b/rhubarbreach/web/events.py
@@ -6,7 +6,11 @@
 
 __all__ = ['Splitter', 'get_data', 'get_id', 'is_event']
 
-SEPARATOR = re.compile(rb'(?:\r?\n){2}')
+# The end of the line before may have a carriage return too, which stays in the
+# block. The search for a pattern that begins with it is many times slower.
+SEPARATOR = re.compile(rb'\n\r?\n')
+# Bytes of a separator that may have arrived before the rest of it.
+SEPARATOR_START_BYTES = 2
 # A stream without a separator in this many bytes is not a stream of events.
 MAX_EVENT_BYTES = 1024 * 1024
 # Callers and endpoints keep event ids in integers of 64 bits.
@@ -33,10 +37,11 @@
         BadMessageError
             If more than `MAX_EVENT_BYTES` arrive without a separator.
         """
+        searched_bytes = max(0, len(self.rest) - SEPARATOR_START_BYTES)
         data = self.rest + data
         blocks = []
         start = 0
-        for match in SEPARATOR.finditer(data):
+        for match in SEPARATOR.finditer(data, searched_bytes):
             blocks.append(data[start : match.end()])
             start = match.end()
         self.rest = data[start:]
