Count the heads of responses and incomplete messages of links

Change: the head of a response counts by the cost of its lines for as long as the attempt lasts. Incomplete messages of links are bounded together at 32 MB, the oldest is discarded first; its sender gets no reply, as after a lost link.

Whole heads of up to 64 KiB are accepted as before.

--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -86,9 +86,21 @@
     def feed_events(self, parts):
         """Return the complete events in the next parts of a stream."""
         blocks = self.stream.feed(parts)
-        self.holding.resize(self.stream.held_bytes)
+        self.holding.resize(self.body.head_bytes + self.stream.held_bytes)
         return blocks
 
+    def read(self, deadline):
+        """Return the next parts of the body, and count the head.
+
+        The errors are those of `Call.read`.
+        """
+        parts = self.call.read(deadline)
+        head_bytes = self.call.parser.head_cost
+        if head_bytes != self.body.head_bytes:
+            self.body.head_bytes = head_bytes
+            self.holding.resize(head_bytes)
+        return parts
+
     def close(self):
         """Close the call; the endpoint stops if it is still running."""
         if self.call is not None:
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -380,7 +380,7 @@
 
     def read(self, attempt):
         """Relay the bytes that have arrived; return the outcome, if any."""
-        parts = attempt.call.read(self.deadline)
+        parts = attempt.read(self.deadline)
         now = clock.monotonic()
         head = attempt.head
         if head is None:
--- a/rhubarbreach/gateway/tests/test_odd_responses.py
+++ b/rhubarbreach/gateway/tests/test_odd_responses.py
@@ -6,6 +6,7 @@
 from rhubarbreach import codes
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward
+from rhubarbreach.web import memory
 
 forward_to = test_forward.forward_to
 RESET = test_forward.RESET
@@ -76,3 +77,26 @@
     if kind is not catalogs.RouteKind.STREAM:
         assert refusal is not None
         assert not data
+
+
+def test_head_of_many_short_lines_counts_by_its_cost(forward_to):
+    """Guards against heads that together exceed the memory of a host."""
+    pool = memory.MemoryPool(1_000_000)
+    sizes = []
+    open_holding = pool.open
+
+    def open_watched(end):
+        holding = open_holding(end)
+        resize = holding.resize
+        holding.resize = lambda size: (sizes.append(size), resize(size))
+        return holding
+
+    pool.open = open_watched
+    refusal, _, _, _ = forward_to(
+        [b'HTTP/1.1 200 OK\r\n' + b'a:\r\n' * 15_000],
+        0.0,
+        response_memory=pool,
+    )
+    assert refusal is not None
+    assert max(sizes) > 1_000_000
+    assert (pool.used_bytes, pool.holdings) == (0, set())
--- a/rhubarbreach/protocol/framing.py
+++ b/rhubarbreach/protocol/framing.py
@@ -14,6 +14,11 @@
 FRAME_BYTES = 8 * 1024
 HEADER = struct.Struct('!II')
 MAX_PARTIAL_MESSAGES = 256
+# Bytes of all incomplete messages together; a fifth of the memory of the
+# smallest host. Sixteen of the longest messages may arrive at the same time.
+MAX_PARTIAL_BYTES = 16 * codec.MAX_MESSAGE_BYTES
+# What a frame takes beside its bytes.
+FRAME_COST_BYTES = 64
 
 
 def split_message(data):
@@ -42,6 +47,7 @@
 
     def __init__(self):
         self.partial = collections.OrderedDict()
+        self.partial_bytes = 0
 
     def add(self, pipe_id, frame):
         """Add a received frame.
@@ -72,32 +78,45 @@
             )
         number, count = HEADER.unpack_from(frame)
         if count == 1 and number == 0:
-            self.partial.pop(pipe_id, None)
+            self.discard(pipe_id)
             return frame[HEADER.size :]
         if not 0 <= number < count <= codec.MAX_MESSAGE_BYTES // FRAME_BYTES:
-            self.partial.pop(pipe_id, None)
+            self.discard(pipe_id)
             raise exceptions.MessageError(
                 f'invalid header: frame {number} of {count}'
             )
         if number == 0:
+            self.discard(pipe_id)
             self.partial[pipe_id] = (count, [])
-            self.evict_partial()
         partial = self.partial.get(pipe_id)
         if partial is None or partial[0] != count or len(partial[1]) != number:
-            self.partial.pop(pipe_id, None)
+            self.discard(pipe_id)
             raise exceptions.MessageError(
                 f'frame {number} of {count} is out of order'
             )
         partial[1].append(frame[HEADER.size :])
+        self.partial_bytes += len(frame) + FRAME_COST_BYTES
         if number + 1 < count:
+            self.evict_partial()
             return None
-        del self.partial[pipe_id]
+        self.discard(pipe_id)
         return b''.join(partial[1])
 
+    def discard(self, pipe_id):
+        """Discard the incomplete message of a connection, if any."""
+        _, frames = self.partial.pop(pipe_id, (0, ()))
+        self.partial_bytes -= sum(
+            len(frame) + HEADER.size + FRAME_COST_BYTES for frame in frames
+        )
+
     def evict_partial(self):
-        """Discard the oldest incomplete messages above the limit.
+        """Discard the oldest incomplete messages above the limits.
 
-        They belong to connections that were lost.
+        They belong to connections that were lost, or to peers that stop short
+        of their end.
         """
-        while len(self.partial) > MAX_PARTIAL_MESSAGES:
-            self.partial.popitem(last=False)
+        while (
+            len(self.partial) > MAX_PARTIAL_MESSAGES
+            or self.partial_bytes > MAX_PARTIAL_BYTES
+        ):
+            self.discard(next(iter(self.partial)))
--- a/rhubarbreach/protocol/tests/test_framing.py
+++ b/rhubarbreach/protocol/tests/test_framing.py
@@ -50,3 +50,24 @@
     """Guards against malformed frames of a peer that stop the receiver."""
     with pytest.raises(exceptions.MessageError):
         framing.Assembler().add(1, frame)
+
+
+def test_incomplete_messages_are_bounded_together():
+    """Guards against peers that all stop short of the end of a message."""
+    assembler = framing.Assembler()
+    frames = framing.split_message(b'a' * codec.MAX_MESSAGE_BYTES)
+    for pipe_id in range(100):
+        for frame in frames[:-1]:
+            assembler.add(pipe_id, frame)
+    held = sum(
+        len(frame)
+        for _, parts in assembler.partial.values()
+        for frame in parts
+    )
+    assert held <= 16 * codec.MAX_MESSAGE_BYTES
+    # The newest is whole after its last frame.
+    assert assembler.add(99, frames[-1]) == b'a' * codec.MAX_MESSAGE_BYTES
+    for pipe_id in range(100):
+        assembler.add(pipe_id, framing.split_message(b'next')[0])
+    assert not assembler.partial
+    assert assembler.partial_bytes == 0
--- a/rhubarbreach/web/answers.py
+++ b/rhubarbreach/web/answers.py
@@ -161,6 +161,8 @@
         # arrives in pieces of one byte.
         self.buffer = bytearray()
         self.size = 0
+        # Memory of the head, which is held as long as the body.
+        self.head_bytes = 0
 
     def feed(self, parts):
         """Add the next parts.
@@ -175,7 +177,7 @@
             raise errors.BadMessageError(
                 f'body exceeds {self.max_bytes} bytes'
             )
-        self.holding.resize(self.size)
+        self.holding.resize(self.head_bytes + self.size)
         for part in parts:
             self.buffer += part
 
