Bound the effort of a decision and test the headers that it reads

Callers: processor time of entry hosts with half a core is part of the time to the first event. Change: figures that are equal for all endpoints are computed once in each decision, six endpoints a pool are estimated, and before a refusal 20 a pool are looked up by count alone.

--- a/rhubarbreach/balancing/costs.py
+++ b/rhubarbreach/balancing/costs.py
@@ -64,7 +64,8 @@
     events that will be written, and `deviation` its standard deviation.
     `groups` are the keys under which the answer is learned. `is_stated` is
     whether the caller has stated its tokens, and `objective` the time in
-    seconds until its first event is due.
+    seconds until its first event is due. `chains` are hashes of the beginnings
+    of the prompt, up to each part.
     """
 
     prompt_tokens: int
@@ -77,6 +78,17 @@
     hint_tokens: int | None = None
     is_stated: bool = False
     objective: float = DEFAULT_OBJECTIVE_SECONDS
+    chains: tuple[int, ...] = ()
+
+
+def hash_chains(parts):
+    """Return a hash of each beginning of a prompt, the shortest first."""
+    chains = []
+    chain = 0
+    for part in parts:
+        chain = hash((chain, part.part_id))
+        chains.append(chain)
+    return tuple(chains)
 
 
 class CostModel:
@@ -137,6 +149,7 @@
             statement.hint_tokens,
             True,
             objective or DEFAULT_OBJECTIVE_SECONDS,
+            hash_chains(parts),
         )
 
     def read_groups(self, groups):
--- a/rhubarbreach/balancing/endpoints.py
+++ b/rhubarbreach/balancing/endpoints.py
@@ -60,18 +60,18 @@
         self.seconds.add(seconds, FIRST_WEIGHT)
         self.products.add(tokens * seconds, FIRST_WEIGHT)
 
-    def predict(self, tokens):
-        """Return the usual seconds until the first event."""
+    def fit(self):
+        """Return the seconds without reading, and those for each token."""
         count = self.seconds.count
         if not count:
-            return INITIAL_FIRST_SECONDS
+            return INITIAL_FIRST_SECONDS, 0.0
         mean = self.seconds.mean
         variance = self.tokens.variance
         if count < MIN_READS or variance < 1:
-            return mean
+            return mean, 0.0
         slope = (self.products.mean - self.tokens.mean * mean) / variance
         slope = max(0.0, slope)
-        return max(0.0, mean + slope * (tokens - self.tokens.mean))
+        return max(0.0, mean - slope * self.tokens.mean), slope
 
 
 class EndpointTable:
@@ -148,18 +148,12 @@
             return 0
         return sum(sent_at <= sent_before for sent_at in waiting)
 
-    def predict_first(self, endpoint_id, service, cost):
-        """Return the usual seconds until a request's first event."""
-        if cost is None or not cost.is_stated:
-            tokens = self.read_times[service].tokens.mean
-        else:
-            cached = self.cached.get(endpoint_id)
-            tokens = (
-                cost.prompt_tokens
-                if cached is None
-                else cached.count_unread(cost)
-            )
-        return self.read_times[service].predict(tokens)
+    def count_unread(self, endpoint_id, cost):
+        """Return the tokens that an endpoint has to read of a request."""
+        cached = self.cached.get(endpoint_id)
+        if cached is None:
+            return cost.prompt_tokens
+        return cached.count_unread(cost)
 
     def keep(self, endpoint_ids):
         """Forget all other endpoints."""
--- a/rhubarbreach/balancing/prompts.py
+++ b/rhubarbreach/balancing/prompts.py
@@ -28,22 +28,17 @@
 
     def count_unread(self, cost):
         """Return the tokens of a prompt that the endpoint has to read."""
-        if not cost.parts or not self.chains:
-            return cost.prompt_tokens
         unread = cost.prompt_tokens
-        chain = 0
-        for part in cost.parts:
-            chain = hash((chain, part.part_id))
-            if chain not in self.chains:
+        for chain in cost.chains:
+            tokens = self.chains.get(chain)
+            if tokens is None:
                 break
-            unread -= part.tokens
+            unread -= tokens
         return max(0, unread)
 
     def record(self, cost):
         """Record that the endpoint has read a prompt."""
-        chain = 0
-        for part in cost.parts:
-            chain = hash((chain, part.part_id))
+        for chain, part in zip(cost.chains, cost.parts, strict=True):
             self.tokens += part.tokens - self.chains.get(chain, 0)
             self.chains[chain] = part.tokens
             self.chains.move_to_end(chain)
--- a/rhubarbreach/balancing/selection.py
+++ b/rhubarbreach/balancing/selection.py
@@ -15,9 +15,9 @@
 # Endpoints that a decision considers in the own zone, and in other zones if
 # none of the former has a free slot. With all 11 of a zone, more requests of
 # different hosts met at the same one.
-SAMPLE_SIZE = 8
-# The same before a request is refused.
-REFUSAL_SAMPLE_SIZE = 32
+SAMPLE_SIZE = 6
+# Endpoints among which an allowed one is sought before a request is refused.
+REFUSAL_SAMPLE_SIZE = 20
 # Standard deviation, in requests, of the count of an endpoint of the own zone.
 NEAR_SPREAD = 0.6
 # The count of one in another zone is uncertain by this multiple of the
@@ -129,10 +129,11 @@
             Predicted cost of the request.
         situation : Situation
             Loads and the time.
-        is_allowed : callable
-            Returns whether an endpoint may be chosen.
+        is_allowed : callable or None
+            Returns whether an endpoint may be chosen; None if all may.
         is_last : bool
-            Whether the request is refused if no better endpoint is found.
+            Whether more endpoints are searched for an allowed one, as the
+            request is refused otherwise.
 
         Returns
         -------
@@ -143,22 +144,25 @@
         if pool is None:
             return None
         size = REFUSAL_SAMPLE_SIZE if is_last else SAMPLE_SIZE
+        slowness = self.table.slowness
+        reading = self.table.read_times[service].fit()
+        speed = slowness.get_mean(service), slowness.memory_seconds
         best = None
         lowest = float('inf')
         for endpoints, is_near in ((pool.near, True), (pool.far, False)):
-            jitter = (
-                JITTER
-                * situation.run_seconds
-                / max(1, endpoints[0].slots if endpoints else 1)
-            )
+            if not endpoints:
+                continue
+            run_seconds = situation.run_seconds
+            jitter = JITTER * run_seconds / max(1, endpoints[0].slots)
             spread = compute_spread(endpoints, is_near, situation)
+            distance = 0.0 if is_near else ZONE_SECONDS
             for endpoint in draw_some(
-                endpoints, is_allowed, size, situation.draw
-            ):
-                seconds = self.estimate(
-                    endpoint, service, cost, situation, spread, is_near
+                endpoints, is_allowed, size, situation.draw, not is_last
+            )[:SAMPLE_SIZE]:
+                seconds = distance + jitter * situation.draw()
+                seconds += self.estimate(
+                    endpoint, cost, situation, spread, reading, speed
                 )
-                seconds += jitter * situation.draw()
                 if seconds < lowest:
                     lowest = seconds
                     best = endpoint
@@ -166,28 +170,47 @@
                 break
         return best
 
-    def estimate(self, endpoint, service, cost, situation, spread, is_near):
-        """Return the expected cost of an endpoint in seconds."""
+    def estimate(self, endpoint, cost, situation, spread, reading, speed):
+        """Return the expected cost of an endpoint in seconds.
+
+        Parameters
+        ----------
+        endpoint : object
+            Endpoint with its id and slots.
+        cost : Cost or None
+            Predicted cost of the request.
+        situation : Situation
+            Loads and the time.
+        spread : float
+            Uncertainty of the count of requests.
+        reading : tuple of float
+            Usual seconds until the first event without reading, and for each
+            token that is read.
+        speed : tuple of float
+            Mean slowness of the service, and the time in seconds in which a
+            figure loses its weight.
+        """
         endpoint_id = endpoint.endpoint_id
         slots = endpoint.slots
         table = self.table
         now = situation.now
-        slowness = table.slowness.get(endpoint_id, service, now)
-        first = slowness * table.predict_first(endpoint_id, service, cost)
+        slowness = table.slowness.weigh(endpoint_id, *speed, now)
+        first, token_seconds = reading
+        if token_seconds and cost is not None:
+            first += token_seconds * table.count_unread(endpoint_id, cost)
+        first *= slowness
         online = situation.count_online(endpoint_id)
-        stuck = table.count_stuck(endpoint_id, first, now)
-        if stuck:
-            online = max(online, slots + stuck)
+        if endpoint_id in table.waiting:
+            stuck = table.count_stuck(endpoint_id, first, now)
+            if stuck:
+                online = max(online, slots + stuck)
         wait = estimate_wait(online, slots, situation.run_seconds, spread)
         # Below this time a request is safe, and endpoints count as equally
         # fast. To keep the fast ones busier would only cause queues there.
         safe = SAFE_OBJECTIVES * situation.objective
         seconds = wait + max(0.0, first + slowness * wait - safe)
-        items = situation.count_items(endpoint_id)
-        if items and online < slots <= online + items:
+        if online < slots <= online + situation.count_items(endpoint_id):
             seconds += YIELD_SECONDS
-        if not is_near:
-            seconds += ZONE_SECONDS
         if cost is not None and cost.capacity_tokens:
             seconds += self.estimate_memory_wait(
                 endpoint_id, cost, online, situation
@@ -231,16 +254,21 @@
     return excess * spread * run_seconds / slots
 
 
-def draw_some(endpoints, is_allowed, size, draw):
-    """Return up to `size` neighbours in a list that are allowed."""
+def draw_some(endpoints, is_allowed, size, draw, searches_all):
+    """Return up to `size` neighbours in a list that are allowed.
+
+    If none of them is, the whole list is searched if `searches_all` is set.
+    """
     count = len(endpoints)
-    if count <= size:
-        return [e for e in endpoints if is_allowed(e)]
-    start = int(draw() * count)
-    drawn = endpoints[start : start + size]
-    if len(drawn) < size:
-        drawn += endpoints[: size - len(drawn)]
+    drawn = endpoints
+    if count > size:
+        start = int(draw() * count)
+        drawn = endpoints[start : start + size]
+        if len(drawn) < size:
+            drawn += endpoints[: size - len(drawn)]
+    if is_allowed is None:
+        return drawn
     allowed = [e for e in drawn if is_allowed(e)]
-    if allowed:
+    if allowed or len(drawn) == count or not searches_all:
         return allowed
     return [e for e in endpoints if is_allowed(e)][:size]
--- a/rhubarbreach/balancing/speeds.py
+++ b/rhubarbreach/balancing/speeds.py
@@ -88,13 +88,23 @@
 
         An old figure gives way to the mean of the service.
         """
+        mean, memory_seconds = self.get_mean(service), self.memory_seconds
+        return self.weigh(endpoint_id, mean, memory_seconds, now)
+
+    def get_mean(self, service):
+        """Return the mean slowness that endpoints of a service report."""
         average = self.means.get(service)
-        mean = 1.0 if average is None else average.mean
+        return 1.0 if average is None else average.mean
+
+    def weigh(self, endpoint_id, mean, memory_seconds, now):
+        """Return the expected slowness between its figure and the mean."""
         figure = self.figures.get(endpoint_id)
         if figure is None:
             return mean
-        weight = math.exp((figure[1] - now) / self.memory_seconds)
-        return mean + (figure[0] - mean) * min(1.0, weight)
+        age = now - figure[1]
+        if age <= 0:
+            return figure[0]
+        return mean + (figure[0] - mean) * math.exp(-age / memory_seconds)
 
     def has_figures(self, service):
         """Return whether endpoints of a service report their speed."""
--- a/rhubarbreach/balancing/tests/test_costs.py
+++ b/rhubarbreach/balancing/tests/test_costs.py
@@ -83,7 +83,15 @@
 
 def make_cost(*parts, capacity=1000):
     tokens = sum(part.tokens for part in parts)
-    return costs.Cost(tokens, tokens, 1.0, 1.0, parts, capacity)
+    return costs.Cost(
+        tokens,
+        tokens,
+        1.0,
+        1.0,
+        parts,
+        capacity,
+        chains=costs.hash_chains(parts),
+    )
 
 
 def test_only_a_cached_beginning_is_not_read_again():
--- a/rhubarbreach/balancing/tests/test_selection.py
+++ b/rhubarbreach/balancing/tests/test_selection.py
@@ -118,7 +118,15 @@
 def test_long_prompt_goes_where_it_is_cached(fleet):
     """Guards against reading 4,000 tokens again beside an equal endpoint."""
     parts = (costs.Part('book', 4000), costs.Part('question', 20))
-    cost = costs.Cost(4020, 4100, 9.0, 1.0, parts, is_stated=True)
+    cost = costs.Cost(
+        4020,
+        4100,
+        9.0,
+        1.0,
+        parts,
+        is_stated=True,
+        chains=costs.hash_chains(parts),
+    )
     short = costs.Cost(20, 100, 9.0, 1.0, (), is_stated=True)
     idle = endpoints.ServerLoad(1, 0, 8, None)
     # Reading takes 66 ms for each 1,000 tokens.
--- a/rhubarbreach/fleet/tests/test_zone_loads.py
+++ b/rhubarbreach/fleet/tests/test_zone_loads.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 
 from rhubarbreach import clock
@@ -234,3 +235,42 @@
     )
     assert choice.MIN_ZONE_PENALTY < young < old < oldest
     assert oldest == 8 * choice.MAX_ZONE_PENALTY_FRACTION
+
+
+def test_change_after_a_pause_is_reported_at_once_within_the_rate():
+    """Guards against counts that are 36 ms old in a zone of 15 hosts."""
+    budget = zone_loads.NewsBudget()
+    peers, now, sent = 14, 10.0, []
+    while now < 12.0:
+        sent.append(now)
+        now += budget.spend(peers, now)
+    burst = [at for at in sent if at < 10.0 + 0.0201]
+    assert len(burst) >= zone_loads.MAX_BURST_REPORTS
+    allowed = 2.0 / zone_loads.compute_news_interval(peers)
+    assert len(sent) <= allowed + zone_loads.MAX_BURST_REPORTS
+    assert budget.spend(peers, 20.0) == zone_loads.MIN_NEWS_INTERVAL_SECONDS
+
+
+def test_report_of_an_earlier_version_says_nothing_of_speeds():
+    """Guards against hosts of two versions that do not understand each other.
+
+    The field was added at the end, with a default.
+    """
+    earlier = dataclasses.make_dataclass('LoadNews', [('running', dict)])
+    old = msgspec.msgpack.encode(earlier({'e1': 2}))
+    message = msgspec.msgpack.decode(old, type=fleetmessages.LoadNews)
+    assert message == fleetmessages.LoadNews({'e1': 2}, {})
+    new = msgspec.msgpack.encode(fleetmessages.LoadNews({'e1': 2}, {'e1': 9}))
+    assert msgspec.msgpack.decode(new, type=earlier) == earlier({'e1': 2})
+
+
+def test_speeds_count_only_from_hosts_of_the_zone():
+    """Guards against figures of hosts that are no peers."""
+    host = view.View('z1')
+    host.update_endpoints((), True)
+    host.update_peers(('h2',))
+    host.report_peer('h2', {'e1': 2}, 1.0)
+    host.report_peer('stranger', {}, 1.0, {'e1': 300})
+    assert host.table.slowness.figures == {}
+    host.report_peer('h2', {'e1': 2}, 1.0, {'e1': 300})
+    assert host.list_slow(1.0) == ['e1']
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -329,13 +329,21 @@
                 situation,
                 lambda endpoint: (
                     endpoint.endpoint_id not in excluded
+                    and not (
+                        is_last and self.is_queue_full(endpoint, queue_limit)
+                    )
                     and is_usable(endpoint)
                 ),
                 is_last,
             )
 
         is_usable = is_healthy
-        chosen = choose(is_usable)
+        has_limits = software_version is not None or choices is not None
+        if has_limits or excluded or self.suspects or self.health.entries:
+            chosen = choose(is_usable)
+        else:
+            # All may be chosen, which most often is the case.
+            chosen = self.chooser.choose(service, cost, situation, None)
         if chosen is None:
             # If all endpoints have failed, any of them may have recovered.
             known = self.services.get(service, ())
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from rhubarbreach.balancing import endpoints as endpoint_tables
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -199,7 +200,11 @@
             is_not_run=lambda head: bool(head.get(b'not-run')),
             is_signed=lambda head: not head.get(b'unsigned'),
             is_leaving=lambda head: bool(head.get(b'leaving')),
-            get_load=lambda head: None,
+            get_load=lambda head: (
+                endpoint_tables.ServerLoad(3, 0, 8, int(head.get(b'percent')))
+                if head.get(b'percent')
+                else None
+            ),
         )
         app = types.SimpleNamespace(
             view=loads,
@@ -337,6 +342,29 @@
     assert loads[0].run_seconds['s'] >= 0.3
 
 
+@pytest.mark.parametrize('status', [200, 421])
+def test_load_in_a_response_reaches_the_choice(forward_to, status):
+    """Guards against figures of endpoints that nothing reads.
+
+    A request that was declined has not begun, and counts nowhere afterwards.
+    """
+    head = b'HTTP/1.1 %d OK\r\nContent-Type: text/event-stream\r\n' % status
+    head += b'Percent: 300\r\nNot-Run: %s\r\n' % (
+        b'' if status == 200 else b'1'
+    )
+    event = b'id: %d\ndata: x\n\n'
+    body = event % 1 + event % 2
+    length = b'Content-Length: %d\r\n\r\n' % len(body)
+    loads = []
+    forward_to([head + length + body], 0.0, on_view=loads.append)
+    table = loads[0].table
+    assert table.slowness.has_figures('s')
+    assert loads[0].list_slow(clock.monotonic()) == ['e1']
+    assert not table.waiting and not table.held_tokens
+    learned = loads[0].costs.groups.get(('r',))
+    assert (learned is not None and learned.mean == 2) == (status == 200)
+
+
 @pytest.mark.parametrize('framing', ['chunked', 'length', 'unframed'])
 @pytest.mark.parametrize('resumable', [False, True])
 def test_stream_that_ends_within_an_event_is_incomplete(
