--- a/rhubarbreach/backlog/tests/test_assignments.py
+++ b/rhubarbreach/backlog/tests/test_assignments.py
@@ -425,3 +425,20 @@
         firsts += [item.first for item in items]
         now += 9.0
     assert firsts == [1, 4, 7]
+
+
+def test_order_is_not_sent_after_its_permit_has_ended(leader, make_report):
+    """Guards against items that reach a cold endpoint beyond its limit.
+
+    The reply to the first report was lost.
+    """
+    cold = dataclasses.replace(leader.endpoints['e1'], start_before=0.3)
+    leader.endpoints['e1'] = cold
+    leader.receive('one', make_report(), 0.0)
+    leader.assign('a')
+    reply, _ = leader.receive('one', make_report(), 0.2)
+    (order,) = reply.orders
+    assert 0 < order.start_within <= 0.3 - 0.2 + 0.001
+    reply, ended = leader.receive('one', make_report(), 0.4)
+    assert not reply.orders
+    assert [run.outcome for run in ended] == ['cancelled']
--- a/rhubarbreach/backlog/tests/test_plan.py
+++ b/rhubarbreach/backlog/tests/test_plan.py
@@ -208,3 +208,12 @@
         ('a', 'e1'),
         ('b', 'e2'),
     }
+
+
+def test_items_start_at_cold_endpoints_only_with_permits():
+    """Guards against items that crash endpoints which have just started."""
+    items = [waiting(str(n)) for n in range(8)]
+    both = [slots(endpoint_id='a'), slots(endpoint_id='b', online=5)]
+    starts = plan.plan_starts(items, both, {'a': 1})
+    placed = [endpoint_id for _, endpoint_id in starts]
+    assert sorted(placed) == ['a', 'b', 'b']
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -5,11 +5,13 @@
 import dataclasses
 import threading
 import time
+import types
 
 import pytest
 
 from rhubarbreach.backlog import execution
 from rhubarbreach.backlog import worker
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.protocol import workmessages
 from rhubarbreach.web import memory
@@ -301,3 +303,21 @@
     report = active_run.make_report(time.monotonic(), worker.REPORT_BYTES)
     assert (report.outcome, report.texts) == ('oversized', ())
     assert not active_run.has_unreported(report)
+
+
+def test_run_at_a_cold_endpoint_does_not_begin_late(worker_setup):
+    """Guards against items that reach a cold endpoint beyond its limit.
+
+    The time counts from the report, as the reply may have been under way.
+    """
+    sent = clock.monotonic() - 1.0
+    order = dataclasses.replace(ORDER, start_within=0.3, address='127.0.0.1:1')
+    store_worker, _, release = worker_setup
+    store_worker.apply_reply((), orders(order), sent)
+    (run,) = wait_for(lambda: release.runs)
+    assert run.start_before == pytest.approx(sent + 0.3)
+    dialect = types.SimpleNamespace(encode_item=lambda *_: ())
+    outcome = execution.attempt_run(
+        run, execution.RunProgress(), dialect, None
+    )
+    assert outcome[0] == 'not_run'
--- a/rhubarbreach/settings/tests/test_role.py
+++ b/rhubarbreach/settings/tests/test_role.py
@@ -74,3 +74,13 @@
 def test_missing_file_is_a_settings_error(tmp_path):
     with pytest.raises(exceptions.SettingsError):
         role.load_role(str(tmp_path / 'none.ini'))
+
+
+def test_bound_that_a_deployment_does_not_define_has_its_default(load):
+    """Guards against hosts that do not start at earlier deployments."""
+    text = ENTRY.replace(
+        'revoke_ms = 4000',
+        'cold_overage = {{bounds.cold_overage}}\ncold_slack = 7',
+    )
+    settings = load(text)
+    assert (settings.cold_overage, settings.cold_slack) == (1.5, 7.0)
