--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -5,6 +5,7 @@
 import dataclasses
 import threading
 import time
+import types
 
 import pytest
 
@@ -323,3 +324,21 @@
     (run,) = wait_for(lambda: release.runs)
     assert before < run.begin_until
     assert run.begin_until < clock.monotonic() + worker.ORDER_SECONDS
+
+
+def test_run_at_a_cold_endpoint_does_not_begin_late(worker_setup):
+    """Guards against items that reach a cold endpoint beyond its limit.
+
+    The time counts from the report, as the reply may have been under way.
+    """
+    sent = clock.monotonic() - 1.0
+    order = dataclasses.replace(ORDER, start_within=0.3, address='127.0.0.1:1')
+    store_worker, _, release = worker_setup
+    store_worker.apply_reply((), orders(order), sent)
+    (run,) = wait_for(lambda: release.runs)
+    assert run.start_before == pytest.approx(sent + 0.3)
+    dialect = types.SimpleNamespace(encode_item=lambda *_: ())
+    outcome = execution.attempt_run(
+        run, execution.RunProgress(), dialect, None
+    )
+    assert outcome[0] == 'not_run'
