Place no work in evacuated zones through the own API

The registry of endpoints leaves out those of evacuated zones, so that neither online work nor items are placed there. A request that only such a zone could serve is refused at once, as no endpoint can come.

--- a/rhubarbreach/membership/endpoints.py
+++ b/rhubarbreach/membership/endpoints.py
@@ -65,6 +65,7 @@
         self.unsent = {}
         self.unrelayed = {}
         self.listeners = []
+        self.evacuated_zones = frozenset()
         self.stopped = threading.Event()
         self.thread = None
         if link is not None:
@@ -124,6 +125,8 @@
     def usable(self, model_id, now):
         """Return the endpoints that accept new work for a model.
 
+        Those in evacuated zones accept none.
+
         Parameters
         ----------
         model_id : str
@@ -141,6 +144,7 @@
                 record.info
                 for record in self.records.values()
                 if model_id in record.info.models
+                and record.info.zone not in self.evacuated_zones
                 and not record.info.draining
                 and now < record.info.expires_at
             ]
@@ -162,6 +166,25 @@
             ]
         return tuple(sorted(infos, key=lambda info: info.endpoint_id))
 
+    def is_evacuated(self, model_id, now):
+        """Return whether an evacuated zone has an endpoint of a model."""
+        with self.lock:
+            return any(
+                record.info.zone in self.evacuated_zones
+                and model_id in record.info.models
+                and now < record.info.expires_at
+                for record in self.records.values()
+            )
+
+    def set_evacuated_zones(self, zones):
+        """Replace the availability zones that accept no new work."""
+        with self.lock:
+            if self.evacuated_zones == frozenset(zones):
+                return
+            self.evacuated_zones = frozenset(zones)
+        LOG.info('event=evacuations_in_force zones={}', sorted(zones))
+        self.notify()
+
     def mark_lost(self, endpoint_id, now):
         """Treat an endpoint as expired until its next announcement."""
         with self.lock:
--- a/rhubarbreach/membership/tests/test_endpoints.py
+++ b/rhubarbreach/membership/tests/test_endpoints.py
@@ -100,3 +100,22 @@
         assert sent.is_set()
     finally:
         registry.close()
+
+
+def test_endpoint_of_an_evacuated_zone_gets_no_new_work(registry):
+    """Guards against work for a zone that an operator has evacuated.
+
+    Its endpoints go on to announce themselves, and may be new.
+    """
+    changes = []
+    registry.subscribe(lambda: changes.append(None))
+    registry.set_evacuated_zones(('zone-1',))
+    registry.announce(ROW, 10.0)
+    other = dataclasses.replace(ROW, endpoint_id='engine-2', zone='zone-2')
+    registry.announce(other, 10.0)
+    assert list_ids(registry, 10.1) == ['engine-2']
+    assert not registry.get('engine-1').draining
+    count = len(changes)
+    registry.set_evacuated_zones(())
+    assert list_ids(registry, 10.1) == ['engine-1', 'engine-2']
+    assert len(changes) == count + 1
--- a/rhubarbreach/placement/expiry.py
+++ b/rhubarbreach/placement/expiry.py
@@ -39,8 +39,12 @@
     unserved = [
         entry
         for entry in online.entries_by_id.values()
-        if now - entry.queued_at > NO_ENDPOINT_WAIT_SECONDS
-        and not core.registry.usable(entry.work.model_id, now)
+        if not core.registry.usable(entry.work.model_id, now)
+        and (
+            now - entry.queued_at > NO_ENDPOINT_WAIT_SECONDS
+            # An endpoint may come soon, but not in an evacuated zone.
+            or core.registry.is_evacuated(entry.work.model_id, now)
+        )
     ]
     for entry in unserved:
         online.remove(entry)
--- a/rhubarbreach/placement/tests/test_scheduler.py
+++ b/rhubarbreach/placement/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler with its dispatch thread."""
 
+import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -232,3 +233,49 @@
     scheduler.exchange.report(now)
     scheduler.step()
     assert not preempted
+
+
+@pytest.mark.parametrize('mode', ['full', 'baseline'])
+@pytest.mark.parametrize('lane', [work.Lane.ONLINE, work.Lane.BATCH])
+def test_work_for_an_evacuated_zone_goes_elsewhere_or_waits(
+    start_scheduler, mode, lane
+):
+    """Guards against work that overflows into an evacuated zone."""
+    scheduler = start_scheduler(mode)
+    other = conftest.make_row('e3', zone='z2')
+    scheduler.registry.announce(other, clock.monotonic())
+    scheduler.registry.set_evacuated_zones(('z1',))
+    futures = [
+        scheduler.submit(conftest.make_work(f'w{n}', lane)) for n in range(4)
+    ]
+    # Items wait for the first lease of a slot.
+    concurrent.futures.wait(
+        futures, WAIT_SECONDS, concurrent.futures.FIRST_COMPLETED
+    )
+    done, _ = concurrent.futures.wait(futures, 0.5)
+    assert done
+    assert {f.result().endpoint.endpoint_id for f in done} == {'e3'}
+    waiting = [future for future in futures if future not in done]
+    scheduler.registry.set_evacuated_zones(())
+    first, _ = concurrent.futures.wait(
+        waiting, WAIT_SECONDS, concurrent.futures.FIRST_COMPLETED
+    )
+    for future in first:
+        assert future.result().endpoint.endpoint_id in ('e1', 'e2')
+    assert bool(first) == bool(waiting)
+
+
+def test_request_that_only_an_evacuated_zone_could_serve_is_refused_at_once(
+    start_scheduler,
+):
+    """Guards against callers that wait although no endpoint can come."""
+    scheduler = start_scheduler()
+    scheduler.registry.set_evacuated_zones(('z1',))
+    started_at = time.monotonic()
+    refusal = scheduler.submit(conftest.make_work('w')).result(WAIT_SECONDS)
+    assert time.monotonic() - started_at < 1.0
+    assert refusal.code is codes.ResultCode.NO_ENDPOINT
+    assert refusal.ran is codes.Ran.NO
+    batch = scheduler.submit(conftest.make_work('b', work.Lane.BATCH))
+    time.sleep(0.3)
+    assert not batch.done()
--- a/rhubarbreach/state/changes.py
+++ b/rhubarbreach/state/changes.py
@@ -81,6 +81,12 @@
             return check_share_set(config, change)
         case model.TakeOrderLease():
             return check_lease(config, change)
+        case model.StartEvacuation(zone):
+            return check_name('zone', zone)
+        case model.EndEvacuation(zone):
+            return require(
+                zone in config.evacuated_zones, 'zone is not evacuated', zone
+            )
     return f'unknown change {type(change).__name__}'
 
 
@@ -386,6 +392,18 @@
     )
 
 
+def start_evacuation(config, change):
+    """Apply `StartEvacuation`."""
+    zones = {*config.evacuated_zones, change.zone}
+    return dataclasses.replace(config, evacuated_zones=tuple(sorted(zones)))
+
+
+def end_evacuation(config, change):
+    """Apply `EndEvacuation`."""
+    zones = tuple(z for z in config.evacuated_zones if z != change.zone)
+    return dataclasses.replace(config, evacuated_zones=zones)
+
+
 CHANGE_HANDLERS = {
     model.PutAccount: put_account,
     model.RemoveAccount: remove_account,
@@ -397,6 +415,8 @@
     model.RemoveRoute: remove_route,
     model.SetShareSet: set_share_set,
     model.TakeOrderLease: take_order_lease,
+    model.StartEvacuation: start_evacuation,
+    model.EndEvacuation: end_evacuation,
 }
 
 
--- a/rhubarbreach/state/index.py
+++ b/rhubarbreach/state/index.py
@@ -40,6 +40,8 @@
         hold rate shares.
     share_hosts : tuple of str
         Hosts that hold rate shares.
+    evacuated_zones : tuple of str
+        Availability zones to whose endpoints nothing is sent, sorted.
     """
 
     revision: int = 0
@@ -54,6 +56,7 @@
     bound_map: shards.ShardedMap = EMPTY_MAP
     share_epoch: int = 0
     share_hosts: tuple[str, ...] = ()
+    evacuated_zones: tuple[str, ...] = ()
 
     @property
     def accounts(self):
@@ -172,6 +175,7 @@
         bound_map=make_map(bounds.items()),
         share_epoch=document.share_epoch,
         share_hosts=document.share_hosts,
+        evacuated_zones=document.evacuated_zones,
     )
 
 
@@ -195,4 +199,5 @@
             model.LongestBound(account_id, seconds)
             for account_id, seconds in config.bound_map.items()
         ),
+        evacuated_zones=config.evacuated_zones,
     )
--- a/rhubarbreach/state/model.py
+++ b/rhubarbreach/state/model.py
@@ -13,6 +13,7 @@
     'ChangeRequest',
     'ChangeResult',
     'Config',
+    'EndEvacuation',
     'Key',
     'LongestBound',
     'Model',
@@ -27,6 +28,7 @@
     'RevokeKey',
     'Route',
     'SetShareSet',
+    'StartEvacuation',
     'TakeOrderLease',
     'decode_result',
     'encode_request',
@@ -181,6 +183,7 @@
     share_hosts: tuple[str, ...] = ()
     order_leases: tuple[OrderLease, ...] = ()
     longest_bounds: tuple[LongestBound, ...] = ()
+    evacuated_zones: tuple[str, ...] = ()
 
 
 @frozen
@@ -262,6 +265,23 @@
     expected_epoch: int
 
 
+@frozen
+class StartEvacuation:
+    """Change that evacuates an availability zone.
+
+    Nothing is sent to its endpoints then.
+    """
+
+    zone: str
+
+
+@frozen
+class EndEvacuation:
+    """Change that ends the evacuation of an availability zone."""
+
+    zone: str
+
+
 CHANGES = tagged.TaggedUnion(
     PutAccount,
     RemoveAccount,
@@ -273,6 +293,8 @@
     RemoveRoute,
     SetShareSet,
     TakeOrderLease,
+    StartEvacuation,
+    EndEvacuation,
 )
 
 
--- a/rhubarbreach/state/tests/test_config.py
+++ b/rhubarbreach/state/tests/test_config.py
@@ -74,6 +74,8 @@
         model.PutRoute(model.Route('other', '/v1/chat')),
         model.SetShareSet(7, ('host-1',)),
         model.TakeOrderLease('endpoint-1', 'host-1', 3),
+        model.StartEvacuation(''),
+        model.EndEvacuation('zone-1'),
     ],
 )
 def test_invalid_change_is_refused_and_changes_nothing(machine, change):
@@ -151,3 +153,26 @@
     document = index.to_document(machine.config)
     assert index.from_document(document) == machine.config
     assert machine.config.get_longest_bound('patio') == 60.0
+
+
+def test_evacuated_zones_survive_a_snapshot(machine):
+    """Guards against zones that open when a store restores its state."""
+    submit(machine, 'op-1', model.StartEvacuation('z2'))
+    submit(machine, 'op-2', model.StartEvacuation('z1'))
+    submit(machine, 'op-3', model.StartEvacuation('z1'))
+    restored = config.ConfigMachine()
+    restored.restore(machine.snapshot())
+    assert restored.config.evacuated_zones == ('z1', 'z2')
+    submit(restored, 'op-4', model.EndEvacuation('z1'))
+    assert restored.config.evacuated_zones == ('z2',)
+
+
+def test_late_end_of_an_evacuation_does_not_undo_a_new_one(machine):
+    """Guards against a delayed change that opens a zone unnoticed."""
+    submit(machine, 'op-1', model.StartEvacuation('z1'), 1)
+    submit(machine, 'op-2', model.EndEvacuation('z1'), 2)
+    submit(machine, 'op-3', model.StartEvacuation('z1'), 3)
+    late = submit(machine, 'op-4', model.EndEvacuation('z1'), 2)
+    assert late.code == CODE.REVISION_CONFLICT
+    assert submit(machine, 'op-2', model.EndEvacuation('z1'), 2).revision == 3
+    assert machine.config.evacuated_zones == ('z1',)
