Let operators evacuate zones through the own API

StartEvacuation and EndEvacuation, with the commands evacuate_zone and restore_zone. A change is based on a revision and carries an operation id, so that a late one changes nothing. list_endpoints shows which endpoints are in an evacuated zone.

--- a/rhubarbreach/commands/admin.py
+++ b/rhubarbreach/commands/admin.py
@@ -24,7 +24,8 @@
     revoke_key, list_keys. Models and routes: put_model, remove_model,
     list_models, put_route, remove_route, list_routes. Fleet: list_hosts,
     list_endpoints, list_groups, list_rates, wait_in_effect, change_member,
-    drain_host, set_log_level, order_endpoint. Jobs: list_jobs, cancel_job.
+    drain_host, evacuate_zone, restore_zone, set_log_level, order_endpoint.
+    Jobs: list_jobs, cancel_job.
     `rhubarbreach admin COMMAND --help` describes a command.
 
     A change is refused if the configuration has changed since it was read.
--- a/rhubarbreach/commands/operation.py
+++ b/rhubarbreach/commands/operation.py
@@ -51,6 +51,7 @@
             'running',
             'waiting',
             'slots',
+            'evacuated',
         )
         self._session.show('ListEndpoints', '', 'endpoints', columns)
 
@@ -106,6 +107,17 @@
         """Drain a host: stop new work, finish work in flight, then exit."""
         self._remove('DrainHost', host_id)
 
+    def evacuate_zone(self, zone):
+        """Evacuate an availability zone: nothing is sent to its endpoints.
+
+        Requests that run there go on to their end.
+        """
+        self._remove('StartEvacuation', zone)
+
+    def restore_zone(self, zone):
+        """End the evacuation of an availability zone."""
+        self._remove('EndEvacuation', zone)
+
     def list_jobs(self, account_id=''):
         """List the batch jobs of all accounts or of one."""
         columns = (
--- a/rhubarbreach/commands/tests/test_admin.py
+++ b/rhubarbreach/commands/tests/test_admin.py
@@ -70,9 +70,26 @@
     assert 'not yet in effect on host-9; at the latest in 1.5 s' in output
 
 
+def test_commands_evacuate_a_zone_and_restore_it(run, provider):
+    """Guards against commands that change another zone or none."""
+    assert run('evacuate_zone', 'z2')[0] == 0
+    assert provider.machine.config.evacuated_zones == ('z2',)
+    status, _, errors = run('evacuate_zone', 'z9')
+    assert status == session.EXIT_REFUSED
+    assert 'unknown zone' in errors
+    assert run('restore_zone', 'z2')[0] == 0
+    assert provider.machine.config.evacuated_zones == ()
+    assert run('restore_zone', 'z2')[0] == session.EXIT_REFUSED
+
+
 def test_each_call_of_the_schema_has_a_command():
     """Guards against a call that operators cannot make."""
     service = operators_pb2.DESCRIPTOR.services_by_name['Operators']
+    names = {
+        'start_evacuation': 'evacuate_zone',
+        'end_evacuation': 'restore_zone',
+    }
     for method in service.methods:
         name = server.find_function_name(method.name)
+        name = names.get(name, name)
         assert getattr(admin.Admin, name).__doc__
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -127,6 +127,7 @@
         if self.settings.data.folder:
             revision_file = revision.RevisionFile(self.settings.data.folder)
         self.view = view_module.ConfigView(revision_file)
+        self.view.subscribe(self.apply_evacuations)
         self.tracker = effect.RevisionTracker()
         self.stores = None
         self.local_store = None
@@ -203,6 +204,12 @@
         }
         return alive | set(self.view.snapshot.share_hosts)
 
+    def apply_evacuations(self, update):
+        """Give no more work to the zones that a configuration evacuates."""
+        zones = update.config.evacuated_zones
+        self.registry.set_evacuated_zones(zones)
+        self.metrics.set_gauge('zones_evacuated', len(zones))
+
     def open_serving(self):
         """Create the rate limiter, the scheduler and the executor."""
         host = self.settings.host
--- a/rhubarbreach/daemon/provider.py
+++ b/rhubarbreach/daemon/provider.py
@@ -49,6 +49,7 @@
 
     def list_endpoints(self, deadline):
         """Return the endpoints that this host knows."""
+        evacuated = self.view.snapshot.evacuated_zones
         return tuple(
             provider.EndpointStatus(
                 endpoint.endpoint_id,
@@ -60,10 +61,20 @@
                 endpoint.load.running,
                 endpoint.load.waiting,
                 endpoint.load.slots,
+                endpoint.zone in evacuated,
             )
             for endpoint in self.host.registry.list_all(clock.monotonic())
         )
 
+    def list_zones(self, deadline):
+        """Return the availability zones of the known hosts and endpoints."""
+        infos = self.host.registry.list_all(clock.monotonic())
+        return {
+            *(host.zone for host in self.host.membership.alive()),
+            *(endpoint.zone for endpoint in infos),
+            *self.view.snapshot.evacuated_zones,
+        }
+
     def list_groups(self, deadline):
         """Return the status of the replicas on this host."""
         if self.host.stores is None:
--- a/rhubarbreach/daemon/tests/test_host.py
+++ b/rhubarbreach/daemon/tests/test_host.py
@@ -6,6 +6,7 @@
 import time
 
 from rhubarbreach.bench import load
+from rhubarbreach import clock
 from rhubarbreach.daemon.tests import conftest
 from rhubarbreach.state import model
 
@@ -127,3 +128,19 @@
     )
     assert status == 400
     assert json.loads(data)['error']['code'] == 100
+
+
+def test_evacuation_holds_over_a_restart_until_it_ends(
+    deployment, engine_endpoint
+):
+    """Guards against an evacuated zone that opens when its host restarts."""
+    deployment.change(model.StartEvacuation('zone-1'))
+    deployment.host.close()
+    deployment.start()
+    registry = deployment.host.registry
+    conftest.wait_for(lambda: registry.get('engine-1'))
+    assert not registry.usable('rota', clock.monotonic())
+    (endpoint,) = deployment.host.provider.list_endpoints(clock.monotonic())
+    assert endpoint.evacuated
+    deployment.change(model.EndEvacuation('zone-1'))
+    conftest.wait_for(lambda: send(deployment).status == 200)
--- a/rhubarbreach/operators/fleet.py
+++ b/rhubarbreach/operators/fleet.py
@@ -99,5 +99,6 @@
         )
 
     list_hosts = list_endpoints = list_groups = list_rates = refuse
+    list_zones = refuse
     list_jobs = cancel_job = change_member = drain_host = refuse
     set_log_level = order_endpoint = refuse
--- a/rhubarbreach/operators/provider.py
+++ b/rhubarbreach/operators/provider.py
@@ -52,6 +52,7 @@
     running: int
     waiting: int
     slots: int
+    evacuated: bool = False
 
 
 @frozen
@@ -124,6 +125,9 @@
     ) -> tuple[EndpointStatus, ...] | codes.Refusal:
         """Return the endpoints that this host knows."""
 
+    def list_zones(self, deadline: float) -> set[str] | codes.Refusal:
+        """Return the known availability zones."""
+
     def list_groups(
         self, deadline: float
     ) -> tuple[GroupStatus, ...] | codes.Refusal:
--- a/rhubarbreach/operators/service.py
+++ b/rhubarbreach/operators/service.py
@@ -100,6 +100,27 @@
         """Remove a route."""
         return self.change(request.change, model.RemoveRoute(request.id))
 
+    def start_evacuation(self, request):
+        """Evacuate an availability zone that is known."""
+        zones = self.provider.list_zones(
+            clock.monotonic() + COMMIT_TIMEOUT_SECONDS
+        )
+        if isinstance(zones, codes.Refusal):
+            return make_refused_reply(zones)
+        if request.id not in zones:
+            return make_refused_reply(
+                refuse(
+                    f'unknown zone {request.id!r}; known: '
+                    f'{", ".join(sorted(zones))}',
+                    codes.ResultCode.NOT_FOUND,
+                )
+            )
+        return self.change(request.change, model.StartEvacuation(request.id))
+
+    def end_evacuation(self, request):
+        """End the evacuation of an availability zone."""
+        return self.change(request.change, model.EndEvacuation(request.id))
+
     def change(self, header, change):
         """Commit a change and wait until it is in effect.
 
--- a/rhubarbreach/operators/tests/memory.py
+++ b/rhubarbreach/operators/tests/memory.py
@@ -43,6 +43,9 @@
     def list_endpoints(self, deadline):
         raise ValueError('simulated internal error')
 
+    def list_zones(self, deadline):
+        return {'z', 'z2'}
+
     def list_groups(self, deadline):
         return UNAVAILABLE
 
