--- a/rhubarbreach/fleet/evacuations.py
+++ b/rhubarbreach/fleet/evacuations.py
@@ -62,10 +62,18 @@
         self.resumes_at = float('-inf')
 
     def begin_exchange(self, now):
-        """Record that an exchange begins."""
-        if now - self.exchanged_at > STANDSTILL_SECONDS:
+        """Record that an exchange begins.
+
+        Returns
+        -------
+        bool
+            Whether the host has stood still since the last one.
+        """
+        stood_still = now - self.exchanged_at > STANDSTILL_SECONDS
+        if stood_still:
             self.resumes_at = now + CUT_OFF_SECONDS
         self.exchanged_at = now
+        return stood_still
 
     def end_exchange(self, sent):
         """Record the answer of a leader to an exchange that began at `sent`.
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -289,7 +289,8 @@
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
-        self.guard.begin_exchange(sent)
+        if self.guard.begin_exchange(sent):
+            LOG.warning('event=standstill_ended')
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
--- a/rhubarbreach/fleet/tests/test_evacuations.py
+++ b/rhubarbreach/fleet/tests/test_evacuations.py
@@ -88,13 +88,13 @@
 def test_host_that_stood_still_waits_for_an_answer():
     """Guards against requests sent by what was known before a pause."""
     guard = evacuations.ContactGuard(0.0)
-    guard.begin_exchange(1.0)
+    assert not guard.begin_exchange(1.0)
     woken = 9.0
     assert not guard.may_send(woken)
     # The answer to the exchange before the pause is read now.
     guard.end_exchange(1.0)
     assert not guard.may_send(woken)
-    guard.begin_exchange(woken)
+    assert guard.begin_exchange(woken)
     assert not guard.may_send(woken + 0.1)
     guard.end_exchange(woken)
     assert guard.may_send(woken + 0.1)
