Hold back requests that crash each endpoint

A request that crashed each endpoint was sent again at any host, and only parts that several prompts share were judged. A digest of path, account and body now counts as one more part, judged by three crashes. Crashes beside those of many other endpoints do not count, answers clear it, and it is tried twice at most. The setting is on by default.

--- a/rhubarbreach/fleet/crash_evidence.py
+++ b/rhubarbreach/fleet/crash_evidence.py
@@ -11,6 +11,8 @@
 import collections
 import dataclasses
 
+from rhubarbreach.fleet import request_parts
+
 __all__ = ['CrashEvidence', 'Incident', 'compute_settle_seconds']
 
 # Breaks of requests at an endpoint within this time belong to one crash.
@@ -20,6 +22,12 @@
 MIN_INCIDENTS = 3
 MIN_ENDPOINTS = 2
 MIN_PROMPTS = 2
+# Each retry of a request has the same prompt.
+MIN_PROMPTS_OF_REQUEST = 1
+# Crashes of other endpoints at the same time, without a request, up to which
+# its own count. Otherwise sound requests that are retried while a zone fails
+# break at one endpoint after the other.
+MAX_OTHER_CRASHES = 2
 # The same for a part that endpoints have answered before the crashes.
 MIN_INCIDENTS_OF_ANSWERED = 5
 # Time from a crash to an answer that shows that its service works again.
@@ -134,6 +142,13 @@
         counted = [i for i in self.incidents if i.service in recovered]
         return self.is_sufficient(counted, min_incidents)
 
+    @property
+    def min_prompts(self):
+        """Different prompts that have to crash endpoints."""
+        if request_parts.is_request_part(self.part):
+            return MIN_PROMPTS_OF_REQUEST
+        return MIN_PROMPTS
+
     def is_sufficient(self, incidents, min_incidents):
         """Return whether crashes are enough to judge the part by."""
         prompts = {
@@ -146,7 +161,7 @@
             bool(self.unexplained)
             and len(incidents) >= min_incidents
             and len({i.endpoint_id for i in incidents}) >= MIN_ENDPOINTS
-            and len(prompts) >= MIN_PROMPTS
+            and len(prompts) >= self.min_prompts
         )
 
 
@@ -240,17 +255,38 @@
             Parts that are known to be culprits.
         """
         suspects = {}
+        counts = self.count_requests()
         for incident in reversed(self.incidents):
             candidates = incident.list_candidates()
             if not candidates.keys().isdisjoint(quarantined):
                 continue
             for part in candidates:
-                if not self.is_answered_since(part, incident):
+                is_rare = counts.get(part, 0) == 1
+                if not (is_rare or self.is_answered_since(part, incident)):
                     suspects[part] = None
             if len(suspects) >= MAX_SUSPECTS:
                 break
         return tuple(suspects)[:MAX_SUSPECTS]
 
+    def count_requests(self):
+        """Return the number of crashes of each request, by its part."""
+        return collections.Counter(
+            part
+            for incident in self.incidents
+            for part in incident.list_candidates()
+            if request_parts.is_request_part(part)
+        )
+
+    def is_outage(self, incident, part):
+        """Return whether many endpoints crash at once, without a request."""
+        others = {
+            other.endpoint_id
+            for other in self.incidents
+            if abs(other.time - incident.time) <= INCIDENT_SECONDS
+            and part not in other.list_candidates()
+        }
+        return len(others) > MAX_OTHER_CRASHES
+
     def is_answered_since(self, part, incident):
         """Return whether an endpoint answered a part after a crash."""
         return self.answered_at.get(part, float('-inf')) >= incident.time
@@ -277,6 +313,16 @@
         for incident in self.incidents:
             if incident.reported_at <= latest:
                 self.add_incident(cases, incident, quarantined)
+        for part, case in cases.items():
+            if (
+                request_parts.is_request_part(part)
+                and len(case.incidents) >= MIN_INCIDENTS
+            ):
+                case.incidents = [
+                    incident
+                    for incident in case.incidents
+                    if not self.is_outage(incident, part)
+                ]
         return max(
             (
                 part
--- a/rhubarbreach/fleet/quarantine.py
+++ b/rhubarbreach/fleet/quarantine.py
@@ -90,7 +90,7 @@
                 return None
         return codes.Refusal(
             codes.ResultCode.QUARANTINED,
-            'endpoints crash on a part of the prompt',
+            'endpoints crash on the request or a part of its prompt',
             retry_after=max(held.values()) - now,
         )
 
--- a/rhubarbreach/fleet/quarantine_trials.py
+++ b/rhubarbreach/fleet/quarantine_trials.py
@@ -9,11 +9,16 @@
 
 import dataclasses
 
-__all__ = ['TrialTable', 'compute_pause']
+from rhubarbreach.fleet import request_parts
+
+__all__ = ['TrialTable', 'compute_pause', 'may_try']
 
 # Seconds from the quarantine of a part to its first trial.
 FIRST_PAUSE_SECONDS = 4.0
 PAUSE_FACTOR = 8.0
+# Trials of a request. At most three retries may reach endpoints once it is
+# known to crash them, and one may be under way.
+MAX_REQUEST_TRIALS = 2
 # Seconds for which a host may use a trial after it was last granted.
 GRANT_SECONDS = 2.0
 # Seconds without a request for the part at a host, or without a report of it,
@@ -34,6 +39,14 @@
     return FIRST_PAUSE_SECONDS * PAUSE_FACTOR**trial_number
 
 
+def may_try(part, trial_number):
+    """Return whether a part may be tried after a number of trials."""
+    return (
+        not request_parts.is_request_part(part)
+        or trial_number < MAX_REQUEST_TRIALS
+    )
+
+
 @dataclasses.dataclass
 class Trial:
     """Trial of a part that a host may make.
--- a/rhubarbreach/fleet/tests/test_crash_evidence.py
+++ b/rhubarbreach/fleet/tests/test_crash_evidence.py
@@ -3,6 +3,8 @@
 import pytest
 
 from rhubarbreach.fleet import crash_evidence
+from rhubarbreach.fleet import quarantine_trials
+from rhubarbreach.fleet import request_parts
 
 LATEST = 100.0
 
@@ -228,3 +230,105 @@
     evidence.add_service_answer('up', 7.0)
     evidence.add_answer('first', 7.0)
     assert evidence.find_culprit((), LATEST, EveryPart()) == 'bad'
+
+
+REQUEST = request_parts.add_request_part((), '/p', 'account', b'body')
+
+
+@pytest.fixture
+def crash_request(evidence):
+    """Return a function that adds crashes on one request, sent again."""
+
+    def add(count, start=1, prompt=REQUEST, has_head=False, step=2.0):
+        for number in range(start, start + count):
+            time = number * step
+            evidence.add_crash(f'e{number}', prompt, has_head, time, time)
+
+    return add
+
+
+def test_request_that_is_sent_again_is_held_back_after_three_crashes(
+    evidence, find_culprit, crash_request
+):
+    """Guards against a request that crashes all endpoints one by one."""
+    crash_request(2)
+    evidence.add_service_answer('', LATEST)
+    assert find_culprit((), LATEST) is None
+    crash_request(1, 3)
+    assert find_culprit((), LATEST) == REQUEST[0]
+    assert evidence.list_suspects(()) == (REQUEST[0],)
+
+
+def test_sound_request_that_breaks_with_a_zone_is_not_held_back(
+    evidence, find_culprit, crash_request
+):
+    """Guards against the retry of a request at endpoints that fail together.
+
+    Its service answers other requests again, but not yet this one.
+    """
+    crash_request(3, step=0.2)
+    for number in range(10, 16):
+        evidence.add_crash(f'e{number}', ('own', ''), False, 0.5, 0.5)
+    evidence.add_service_answer('', LATEST)
+    assert find_culprit((), LATEST) is None
+
+
+def test_request_that_is_answered_needs_more_crashes(
+    evidence, find_culprit, crash_request
+):
+    """Guards against holding back a request that many callers send."""
+    evidence.add_answer(REQUEST[0], 0.5)
+    crash_request(4)
+    evidence.add_service_answer('', LATEST)
+    assert find_culprit((), LATEST) is None
+    evidence.add_answer(REQUEST[0], LATEST)
+    crash_request(1, 5)
+    assert find_culprit((), LATEST) is None
+
+
+def test_request_is_held_back_rather_than_the_parts_of_its_prompt(
+    evidence, find_culprit, crash_request
+):
+    """Guards against refusing all requests that share a part with it."""
+    prompt = request_parts.add_request_part(
+        ('first', 'own'), '/p', 'account', b'body'
+    )
+    crash_request(3, prompt=prompt, has_head=True)
+    assert find_culprit((), LATEST) == prompt[1]
+
+
+def test_requests_of_one_crash_do_not_displace_shared_parts(evidence):
+    """Guards against a crash of many requests that hides their part."""
+    for number in range(2 * crash_evidence.MAX_SUSPECTS):
+        prompt = request_parts.add_request_part(
+            ('bad', 'own'), '/p', 'account', b'%d' % number
+        )
+        evidence.add_crash('e1', prompt, True, 1.0, 1.0)
+    assert evidence.list_suspects(()) == ('bad',)
+
+
+def test_part_of_a_request_depends_on_path_account_and_body():
+    """Guards against refusing the request of another account."""
+    make = request_parts.add_request_part
+    digests = {
+        make((), path, account, body)[0]
+        for path, account, body in (
+            ('/p', 'a', b'b'),
+            ('/q', 'a', b'b'),
+            ('/p', 'c', b'b'),
+            ('/p', 'a', b'd'),
+            ('/p', 'ab', b''),
+        )
+    }
+    assert len(digests) == 5
+    forged = ('first', REQUEST[0], 'own')
+    prompt = make(forged, '/p', 'other', b'body')
+    assert REQUEST[0] not in prompt
+    assert (prompt[0], prompt[-1]) == ('first', 'own')
+
+
+def test_request_is_tried_a_bounded_number_of_times():
+    """Guards against trials that crash more endpoints than allowed."""
+    assert quarantine_trials.may_try(REQUEST[0], 1)
+    assert not quarantine_trials.may_try(REQUEST[0], 2)
+    assert quarantine_trials.may_try('part', 9)
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -8,6 +8,7 @@
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
+from rhubarbreach.fleet import request_parts
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
 from rhubarbreach.web import memory
@@ -49,6 +50,8 @@
         Counters and latencies.
     response_memory : MemoryPool
         Bounds the responses of endpoints that this host holds.
+    judges_requests : bool
+        Whether whole requests may be held back, as parts of their prompts.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         dialect,
         metrics,
         response_memory=memory.UNBOUNDED,
+        judges_requests=True,
     ):
+        self.judges_requests = judges_requests
         self.leader_client = leader_client
         self.view = view
         self.origins = origins
@@ -226,6 +231,11 @@
             return self.serve_submission(
                 connection, request, info, route, name
             )
+        if self.judges_requests:
+            prompt = request_parts.add_request_part(
+                info.prompt, request.path, name, request.body
+            )
+            info = dataclasses.replace(info, prompt=prompt)
         refusal = self.leader_client.quarantine.find_refusal(info.prompt, now)
         if refusal is not None:
             return refusal
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -90,6 +90,7 @@
             dialect,
             metrics,
             memory.MemoryPool(message_bytes),
+            settings.judges_requests,
         )
         self.readiness = server.Server(
             settings.readiness,
--- a/rhubarbreach/hosts/quarantine_manager.py
+++ b/rhubarbreach/hosts/quarantine_manager.py
@@ -161,7 +161,13 @@
             cleared = sorted(self.cleared)
             self.trials.keep({p: n for p, (n, _) in trials.items()})
             due = self.trials.find_due(
-                [p for p, (_, at) in trials.items() if at <= unix_time], now
+                [
+                    part
+                    for part, (number, at) in trials.items()
+                    if at <= unix_time
+                    and quarantine_trials.may_try(part, number)
+                ],
+                now,
             )
         ended = [part for part, end in quarantined.items() if end < unix_time]
         command = None
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -55,6 +55,8 @@
     zones : tuple of str
         Availability zones that operators may name. If empty, those of the
         known hosts and endpoints.
+    judges_requests : bool
+        Whether requests that crash each endpoint are held back.
     rate_window, rate_overage, rate_slack : float
         Tolerance of the rate limits of client accounts. In `rate_window`
         seconds an account may exceed the requests that its limit allows by
@@ -82,6 +84,7 @@
     rate_slack: float = 20.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     zones: tuple[str, ...] = ()
+    judges_requests: bool = True
 
 
 class OptionReader:
@@ -177,6 +180,9 @@
             'host', 'memory_mb', to_bytes, 'megabytes', DEFAULT_MEMORY_BYTES
         ),
         zones=reader.read('fleet', 'zones', to_names, 'zone names', ()),
+        judges_requests=reader.read(
+            'fleet', 'judges_requests', to_bool, 'true or false', True
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
