--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -374,7 +374,8 @@
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
-        self.guard.begin_exchange(sent)
+        if self.guard.begin_exchange(sent):
+            LOG.warning('event=standstill_ended')
         with self.changed:
             self.begun_count += 1
         wanted = self.tokens.compute_wanted(sent)
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -90,6 +90,7 @@
             dialect,
             metrics,
             message_memory,
+            settings.judges_requests,
         )
         self.readiness = server.Server(
             settings.readiness,
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -63,6 +63,8 @@
     evacuate_seconds : float
         Time after which no host sends anything to an evacuated zone, 0 if
         zones are not evacuated.
+    judges_requests : bool
+        Whether requests that crash each endpoint are held back.
     rate_window, rate_overage, rate_slack : float
         Tolerance of the rate limits of client accounts. In `rate_window`
         seconds an account may exceed the requests that its limit allows by
@@ -98,6 +100,7 @@
     max_connections: int = 1024
     cold_overage: float = 1.5
     cold_slack: float = 5.0
+    judges_requests: bool = True
 
     @property
     def message_bytes(self):
@@ -220,6 +223,9 @@
         ),
         cold_overage=reader.read_bound('cold_overage', 'a factor', 1.5),
         cold_slack=reader.read_bound('cold_slack', 'a number', 5.0),
+        judges_requests=reader.read(
+            'fleet', 'judges_requests', to_bool, 'true or false', True
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
