Pass the cost of queued requests, and ask for permits while they wait

Requests that waited in the queue of their entry host were sent without their cost, and asked for a permit only once, before they waited.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -306,6 +306,22 @@
             if not view.is_full(service, now):
                 return
 
+    def request_permits(self, service, count):
+        """Ask for permits for requests that wait, if cold endpoints need them.
+
+        Parameters
+        ----------
+        service : str
+            Service of the requests.
+        count : int
+            Requests that wait.
+        """
+        now = clock.monotonic()
+        if self.has_leader and self.view.needs_permit(service, (), None, now):
+            for _ in range(count):
+                self.view.want_permit(service)
+            self.request_loads()
+
     def wait_for_exchange(self, deadline):
         """Start an exchange; return whether it was answered in time."""
         with self.changed:
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -631,6 +631,8 @@
                 reply.cold_stamp, reply.cold, known_ids, sent, now
             )
             self.cold.add_permits(reply.cold_granted, sent)
+        if reply.cold_granted:
+            self.notify_free()
 
     def record_cold_news(self, ages, now):
         """Count endpoints as cold that have failed at a host of the zone."""
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -218,6 +218,7 @@
             self.excluded,
             self.count_remaining() > 1,
             self.is_caller_gone,
+            self.cost,
         )
 
     def is_returned(self):
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -44,6 +44,8 @@
         Whether it can be sent to a further endpoint.
     is_caller_gone : callable
         Returns whether the caller has disconnected.
+    cost : Cost, optional
+        Predicted cost of the request.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         excluded,
         can_retry,
         is_caller_gone,
+        cost=None,
     ):
         self.service = service
         self.account = account
@@ -63,6 +66,7 @@
         self.excluded = excluded
         self.can_retry = can_retry
         self.is_caller_gone = is_caller_gone
+        self.cost = cost
         self.result = None
         self.decided = threading.Event()
 
@@ -190,6 +194,7 @@
             0,
             call.can_retry,
             choices=choices,
+            cost=call.cost,
         )
 
     def wait(self, call, waiter):
@@ -215,8 +220,13 @@
 
         Slots that the loads show as free are used when the leader sends loads,
         as each further attempt would take them from other hosts. Without a
-        leader only the hosts of the zone send loads.
+        leader only the hosts of the zone send loads. Requests that wait while
+        endpoints are cold ask for permits again, as permits expire soon.
         """
+        if self.view.has_cold_limit(service):
+            self.leader_client.request_permits(
+                service, len(self.queues[service].waiters)
+            )
         if not self.leader_client.has_queues(now):
             self.step(service, now)
             return
