Bound what callers of the own interface hold together

Heads of up to 3.2 MB and bodies of up to 4 MB for each of 2,048 connections were held without a bound on all, and idle connections kept new callers out for up to 75 s. Descriptors could run out before the limit of connections.

Change: a head is bounded at 64 KiB; heads and bodies count by their cost in one pool (setting requests max_held, 256 MiB), of which the largest and oldest that is read in part is refused with QUEUE_FULL, as not run. The longest idle connection ends for a new one after 1 s without a request, and the limit of connections follows the descriptors.

--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -327,6 +327,7 @@
             self.application,
             self.metrics,
             self.settings.requests.max_connections,
+            self.settings.requests.max_held,
         )
 
     def find_unready_reason(self):
--- a/rhubarbreach/entry/bodies.py
+++ b/rhubarbreach/entry/bodies.py
@@ -1,6 +1,7 @@
 """Reading of request bodies with limits on size and time."""
 
 from rhubarbreach.dispatch import errors
+from rhubarbreach.web import errors as web_errors
 
 __all__ = ['discard_body', 'open_stream', 'read_body']
 
@@ -46,8 +47,21 @@
     if length is not None and length > max_bytes:
         return refuse_large(max_bytes)
     request.connection.set_read_deadline(seconds)
+    holding = request.connection.holding
+    head_cost = request.connection.head_cost
     try:
-        body = read_stream(request.environ['wsgi.input'], length, max_bytes)
+        body = read_stream(
+            request.environ['wsgi.input'],
+            length,
+            max_bytes,
+            lambda size: holding.resize(head_cost + size),
+        )
+        # No status would be true of a request that ends while it runs.
+        holding.keep()
+        holding.resize(head_cost + len(body))
+    except web_errors.BadMessageError:
+        request.body_failed = True
+        return refuse_held()
     except TimeoutError:
         request.body_failed = True
         return errors.make_refusal(
@@ -56,6 +70,8 @@
         )
     except (OSError, ValueError):
         request.body_failed = True
+        if holding.is_ended:
+            return refuse_held()
         return errors.make_refusal(
             'BODY_INCOMPLETE', 'the body ended before it was complete'
         )
@@ -123,20 +139,34 @@
     )
 
 
-def read_stream(stream, length, max_bytes):
+def refuse_held():
+    """Return the refusal of a body for which there is no memory."""
+    return errors.make_refusal(
+        'QUEUE_FULL',
+        'this host holds too many bytes of requests',
+        retry_after=1.0,
+    )
+
+
+def read_stream(stream, length, max_bytes, record_size=None):
     """Read up to `length` bytes, or `max_bytes` + 1 if it is None.
 
-    The additional byte shows that the body exceeds the limit.
+    The additional byte shows that the body exceeds the limit. `record_size` is
+    called with the bytes read so far and those that are read next, as a read
+    holds what has arrived until it is complete.
     """
     remaining = max_bytes + 1 if length is None else length
-    chunks = []
+    body = bytearray()
     while remaining > 0:
-        chunk = stream.read(min(remaining, READ_BYTES))
+        size = min(remaining, READ_BYTES)
+        if record_size is not None:
+            record_size(len(body) + size)
+        chunk = stream.read(size)
         if not chunk:
             break
-        chunks.append(chunk)
+        body += chunk
         remaining -= len(chunk)
-    return b''.join(chunks)
+    return bytes(body)
 
 
 def discard_body(request):
--- a/rhubarbreach/entry/connection.py
+++ b/rhubarbreach/entry/connection.py
@@ -1,5 +1,6 @@
 """Connection of a caller: reading with deadlines, responses, keep-alive."""
 
+import contextlib
 import http
 import io
 import re
@@ -10,6 +11,7 @@
 from werkzeug import serving
 
 from rhubarbreach.dispatch import sink
+from rhubarbreach.web import errors as web_errors
 
 __all__ = ['ConnectionHandler', 'DeadlineReader', 'HEAD_TIMEOUT_SECONDS']
 
@@ -22,6 +24,10 @@
 LENGTH_HEADERS = ('content-length', 'transfer-encoding')
 MAX_HEADERS = 100
 MAX_LINE_BYTES = 32 * 1024
+# All lines of a head together.
+MAX_HEAD_BYTES = 64 * 1024
+# What a header line takes beside its bytes: two strings and their tuple.
+LINE_COST_BYTES = 256
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 CONTROL_CHARACTER = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
@@ -37,10 +43,13 @@
     ----------
     connection : socket.socket
         Socket of the caller.
+    holding : web.memory.Holding
+        Counts the bytes of the request.
     """
 
-    def __init__(self, connection):
+    def __init__(self, connection, holding):
         self.connection = connection
+        self.holding = holding
         self.deadline = 0.0
         self.blocking = True
 
@@ -52,6 +61,8 @@
         """Read once; return None if `blocking` is False."""
         if not self.blocking:
             return None
+        if self.holding.is_ended:
+            raise ConnectionError('ended for the memory of this host')
         remaining = self.deadline - time.monotonic()
         if remaining <= 0:
             raise TimeoutError('nothing received before the deadline')
@@ -59,13 +70,15 @@
         return self.connection.recv_into(buffer)
 
 
-def read_headers(file):
+def read_headers(file, record_size):
     """Return the headers of a request.
 
     Parameters
     ----------
     file : io.BufferedReader
         File positioned after the request line.
+    record_size : callable
+        Called with the memory of the headers after each line.
 
     Returns
     -------
@@ -79,10 +92,16 @@
         there are too many lines, or if the body length is given twice.
     """
     headers = datastructures.Headers()
+    head_bytes = cost = 0
     for _ in range(MAX_HEADERS):
         line = file.readline(MAX_LINE_BYTES + 1)
         if line in (b'\r\n', b'\n'):
             return headers
+        head_bytes += len(line)
+        cost += len(line) + LINE_COST_BYTES
+        record_size(cost)
+        if head_bytes > MAX_HEAD_BYTES:
+            raise ValueError(f'head exceeds {MAX_HEAD_BYTES} bytes')
         if len(line) > MAX_LINE_BYTES or not line.endswith(b'\n'):
             raise ValueError(
                 f'header line is truncated or exceeds {MAX_LINE_BYTES} bytes'
@@ -112,11 +131,14 @@
         self.request = self.connection = connection
         self.client_address = address
         self.server = server
-        self.reader = DeadlineReader(connection)
+        self.holding = server.memory.open(self.end_reading, 'request')
+        self.reader = DeadlineReader(connection, self.holding)
         self.rfile = io.BufferedReader(self.reader)
         self.wfile = io.BytesIO()
         self.close_connection = False
         self.command = ''
+        # Memory of the head, which is held with the body.
+        self.head_cost = 0
         self.fd = connection.fileno()
         self.last_used = time.monotonic()
 
@@ -130,8 +152,17 @@
         except (OSError, ValueError):
             self.close_connection = True
         self.last_used = time.monotonic()
+        if self.holding.is_ended:
+            return False
+        self.holding.resize(0)
+        self.holding.reopen()
         return not self.close_connection
 
+    def end_reading(self):
+        """Wake the thread that reads a request, which it then refuses."""
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RD)
+
     def has_buffered_data(self):
         """Return whether bytes of the next request have been read."""
         self.reader.blocking = False
@@ -153,7 +184,16 @@
         try:
             line = self.raw_requestline.decode('ascii').strip()
             self.command, self.path, self.request_version = line.split(' ')
-            self.headers = read_headers(self.rfile)
+            self.headers = read_headers(self.rfile, self.holding.resize)
+            self.head_cost = self.holding.size
+        except web_errors.BadMessageError:
+            self.server.refuse(self.connection)
+            return False
+        except ConnectionError:
+            if not self.holding.is_ended:
+                raise
+            self.server.refuse(self.connection)
+            return False
         except ValueError:
             self.send_error(http.HTTPStatus.BAD_REQUEST)
             return False
@@ -268,6 +308,7 @@
 
     def close(self):
         """Close the socket."""
+        self.holding.close()
         try:
             self.connection.close()
         except OSError:
--- a/rhubarbreach/entry/server.py
+++ b/rhubarbreach/entry/server.py
@@ -14,6 +14,8 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.entry import connection as connection_module
 from rhubarbreach.entry import refusals
+from rhubarbreach.web import memory
+from rhubarbreach.web import server as web_server
 
 __all__ = ['BACKLOG', 'Server']
 
@@ -24,6 +26,10 @@
 POLL_TIMEOUT_SECONDS = 0.5
 # Pause after an error that may occur again at once.
 ERROR_PAUSE_SECONDS = 0.05
+# Time without a request after which a connection may end for a new one.
+ROOM_SECONDS = 1.0
+# Bytes of the requests that are held, as for the responses in `dispatch`.
+MAX_HELD_BYTES = 256 << 20
 
 
 class Server:
@@ -41,7 +47,10 @@
     metrics : observe.metrics.Metrics
         Counters.
     max_connections : int
-        Maximum number of open connections and of concurrent requests.
+        Maximum number of open connections and of concurrent requests; fewer if
+        the descriptors of the process allow only that.
+    max_held_bytes : float
+        Bound of the requests that are held together.
     """
 
     ssl_context = None
@@ -49,10 +58,18 @@
     multiprocess = False
     passthrough_errors = False
 
-    def __init__(self, address, application, metrics, max_connections=2048):
+    def __init__(
+        self,
+        address,
+        application,
+        metrics,
+        max_connections=2048,
+        max_held_bytes=MAX_HELD_BYTES,
+    ):
         self.application = application
         self.metrics = metrics
-        self.max_connections = max_connections
+        self.max_connections = web_server.find_max_connections(max_connections)
+        self.memory = memory.MemoryPool(max_held_bytes, metrics)
         host, _, port = address.rpartition(':')
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
@@ -64,7 +81,7 @@
         self.port = self.server_address[1]
         self.address = f'{host}:{self.port}'
         self.pool = concurrent.futures.ThreadPoolExecutor(
-            max_connections, thread_name_prefix='entry-request'
+            self.max_connections, thread_name_prefix='entry-request'
         )
         self.epoll = select.epoll()
         self.wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
@@ -156,7 +173,10 @@
             except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self.open_connections >= self.max_connections:
+            if (
+                self.open_connections >= self.max_connections
+                and not self.make_room()
+            ):
                 self.refuse(connection)
                 continue
             with self.lock:
@@ -170,6 +190,18 @@
                 self.close_handler(handler)
                 raise
 
+    def make_room(self):
+        """Close the longest idle connection; return whether there is one.
+
+        One that may be about to send a request is spared.
+        """
+        fd, handler = next(iter(self.idle.items()), (None, None))
+        if fd is None or time.monotonic() - handler.last_used < ROOM_SECONDS:
+            return False
+        self.close_handler(self.remove_idle(fd))
+        self.metrics.count('connections_ended_for_room_total')
+        return True
+
     def refuse(self, connection):
         """Refuse a connection above the limit."""
         self.metrics.count('entry_connections_refused_total')
--- a/rhubarbreach/settings/model.py
+++ b/rhubarbreach/settings/model.py
@@ -66,6 +66,7 @@
     body_timeout: float
     default_timeout: float
     drain_timeout: float
+    max_held: int = 256 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/settings/options.py
+++ b/rhubarbreach/settings/options.py
@@ -163,6 +163,9 @@
     make_number(
         'requests', 'max_connections', int, '2048', 1, 65536, 'connections'
     ),
+    make_number(
+        'requests', 'max_held', int, '268435456', 2**20, 2**40, 'bytes'
+    ),
     make_number('requests', 'body_timeout', float, '10', 0.1, 600, 'seconds'),
     make_number(
         'requests', 'default_timeout', float, '60', 0.1, 3600, 'seconds'
--- a/rhubarbreach/settings/tests/test_role.py
+++ b/rhubarbreach/settings/tests/test_role.py
@@ -46,6 +46,8 @@
     assert settings.link_port == 7000
     assert settings.founds_group is True
     assert settings.announce_interval == 1.2
+    assert settings.message_bytes == 0.2 * settings.memory_bytes
+    assert settings.max_connections == 1024
 
 
 @pytest.mark.parametrize(
@@ -57,6 +59,8 @@
         ('10.0.0.2:90, 10.0.0.3:90', 'nowhere', 'seeds'),
         ('callers = 10.0.0.1:80', 'callers = 80', 'callers'),
         ('callers = 10.0.0.1:80', '', 'callers'),
+        ('role = entry', 'role = entry\nmessage_fraction = 1', 'fraction'),
+        ('role = entry', 'role = entry\nmax_connections = 0', 'max_conn'),
         ('founds_group = true', 'founds_group = perhaps', 'founds_group'),
         ('revoke_ms = 4000', 'revoke_ms = 0', 'revoke_ms'),
         ('role = entry', 'role = store', 'control'),
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -70,13 +70,19 @@
 }
 
 
-def find_max_connections():
-    """Return the number of connections that the descriptors allow."""
+def find_max_connections(max_connections):
+    """Return the number of connections that the descriptors allow.
+
+    Parameters
+    ----------
+    max_connections : int
+        Largest number to return.
+    """
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
-        return MAX_CONNECTIONS
+        return max_connections
     available = (limit - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CONNECTION
-    return max(1, min(MAX_CONNECTIONS, available))
+    return max(1, min(max_connections, available))
 
 
 def encode_response(status, headers, body, keep_alive, reason=None):
@@ -469,8 +475,8 @@
         metrics=None,
     ):
         self.memory = request_memory
-        self.max_connections = min(
-            max_connections or MAX_CONNECTIONS, find_max_connections()
+        self.max_connections = find_max_connections(
+            max_connections or MAX_CONNECTIONS
         )
         self.metrics = metrics
         self.room_log_due = 0.0
