Add settings of the bounds of connections

The number of waiting requests, the ratio of chunk framing and the time after which a connection may end for another one were constants. They are settings of the section callers now, with the same values, and are checked at the start.

--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -13,6 +13,7 @@
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.streams import recorder
+from rhubarbreach.web import bounds
 from rhubarbreach.web import memory
 from rhubarbreach.web import server
 
@@ -90,6 +91,7 @@
             metrics,
             message_memory,
         )
+        connection_bounds = bounds.make_bounds(settings)
         self.readiness = server.Server(
             settings.readiness,
             self.answer_readiness,
@@ -98,6 +100,7 @@
             message_memory,
             MAX_READINESS_CONNECTIONS,
             metrics,
+            connection_bounds,
         )
         self.callers = server.Server(
             settings.callers,
@@ -107,6 +110,7 @@
             message_memory,
             settings.max_connections,
             metrics,
+            connection_bounds,
         )
         self.message_memory = message_memory
 
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -53,6 +53,13 @@
     max_connections : int
         Connections of callers, or of endpoints and operators, that a process
         accepts at the same time.
+    max_pipelined : int
+        Requests of one connection that may wait for the one before them.
+    max_framing_ratio : float
+        Bytes of chunk framing for each byte of the body of a request.
+    room_seconds : float
+        Time without a whole request after which a connection may end for a new
+        one.
     metrics_port : int
         Port of the metrics, 0 for none.
     rate_window, rate_overage, rate_slack : float
@@ -83,6 +90,9 @@
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     message_fraction: float = 0.2
     max_connections: int = 1024
+    max_pipelined: int = 64
+    max_framing_ratio: float = 16.0
+    room_seconds: float = 1.0
 
     @property
     def message_bytes(self):
@@ -188,6 +198,15 @@
         max_connections=reader.read(
             'host', 'max_connections', to_positive_count, 'a number', 1024
         ),
+        max_pipelined=reader.read(
+            'callers', 'max_pipelined', to_positive_count, 'a number', 64
+        ),
+        max_framing_ratio=reader.read(
+            'callers', 'max_framing_ratio', to_positive, 'a number', 16.0
+        ),
+        room_seconds=reader.read(
+            'callers', 'room_ms', to_seconds, 'milliseconds', 1.0
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
--- a/rhubarbreach/web/bounds.py
+++ b/rhubarbreach/web/bounds.py
@@ -1,6 +1,8 @@
-"""Check that the limits of a process fit its memory and descriptors."""
+"""Bounds of connections, and whether they fit memory and descriptors."""
 
-__all__ = ['find_contradictions']
+import dataclasses
+
+__all__ = ['Bounds', 'DEFAULT_BOUNDS', 'find_contradictions', 'make_bounds']
 
 # Resident set of a process without callers, and of a connection with its
 # thread while a request is read in part; both measured (32 MB and 24 KB).
@@ -10,6 +12,40 @@
 COPIES = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds that no caller within the limits on requests reaches.
+
+    Parameters
+    ----------
+    max_pipelined : int
+        Requests of one connection that may wait for the one before them. One
+        more is refused as not run. A read of 64 KiB holds up to 3,600.
+    max_framing_ratio : float
+        Bytes of chunk framing for each byte of a body. Chunks of one byte have
+        five.
+    room_seconds : float
+        Time without a whole request after which a connection may end for a new
+        one. Callers send a request within some milliseconds.
+    """
+
+    max_pipelined: int = 64
+    max_framing_ratio: float = 16.0
+    room_seconds: float = 1.0
+
+
+DEFAULT_BOUNDS = Bounds()
+
+
+def make_bounds(settings):
+    """Return the bounds in the settings of a host."""
+    return Bounds(
+        settings.max_pipelined,
+        settings.max_framing_ratio,
+        settings.room_seconds,
+    )
+
+
 def find_contradictions(settings, limits, max_by_descriptors):
     """Return what does not fit, one line each.
 
@@ -42,6 +78,11 @@
             f'{needed_bytes:.0f} bytes, memory_mb gives '
             f'{settings.memory_bytes:.0f}'
         )
+    if settings.room_seconds >= limits.idle_timeout:
+        found.append(
+            f'room_ms of {settings.room_seconds:g} s is not below '
+            f'idle_timeout_ms of {limits.idle_timeout:g} s and has no effect'
+        )
     if settings.max_connections > max_by_descriptors:
         found.append(
             f'max_connections is {settings.max_connections}, the descriptors '
--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -5,6 +5,7 @@
 import httptools
 
 from rhubarbreach.web import answers
+from rhubarbreach.web import bounds as bounds_module
 from rhubarbreach.web import errors
 
 __all__ = ['Request', 'RequestParser', 'ResponseHead', 'ResponseParser']
@@ -23,11 +24,6 @@
 # Growth of a message that is reported while it is still being parsed. A single
 # read of 64 KiB can become some megabytes of short header lines.
 REPORT_BYTES = 16 * 1024
-# Requests of one connection that may wait for the one before them. One more is
-# refused as not run. A read of 64 KiB holds up to 3,600 of them.
-MAX_PIPELINED_REQUESTS = 64
-# Bytes of chunk framing for each byte of a body. Chunks of one byte have five.
-MAX_FRAMING_RATIO = 16
 
 
 def make_error(error):
@@ -94,10 +90,15 @@
     record_size : callable, optional
         Called with the bytes held each time a request that is being parsed
         has grown by `REPORT_BYTES`; may raise `BadMessageError`.
+    bounds : Bounds, optional
+        Bounds on waiting requests and on chunk framing.
     """
 
-    def __init__(self, limits, record_size=None):
+    def __init__(
+        self, limits, record_size=None, bounds=bounds_module.DEFAULT_BOUNDS
+    ):
         self.limits = limits
+        self.bounds = bounds
         self.record_size = record_size
         self.requests = []
         # Error in the bytes after the last of these requests.
@@ -199,11 +200,12 @@
                 f'body, the limit is {max_bytes}',
                 431,
             )
-        max_bytes += MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.body_bytes
+        max_bytes += MAX_FRAMING_BYTES
+        max_bytes += self.bounds.max_framing_ratio * self.body_bytes
         if self.framing_bytes > max_bytes:
             raise errors.BadMessageError(
                 f'chunks of a body of {self.body_bytes} bytes have more than '
-                f'{max_bytes} further bytes',
+                f'{max_bytes:.0f} further bytes',
                 431,
             )
 
@@ -275,9 +277,11 @@
 
     def on_message_complete(self):
         """Add the request to the complete requests."""
-        if len(self.requests) >= MAX_PIPELINED_REQUESTS:
+        # The first of them does not wait.
+        if len(self.requests) > self.bounds.max_pipelined:
             raise errors.BadMessageError(
-                f'more than {MAX_PIPELINED_REQUESTS} requests are waiting', 503
+                f'more than {self.bounds.max_pipelined} requests are waiting',
+                503,
             )
         self.requests.append(
             Request(
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -10,6 +10,7 @@
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
+from rhubarbreach.web import bounds as bounds_module
 from rhubarbreach.web import errors
 from rhubarbreach.web import memory
 from rhubarbreach.web import outbox
@@ -27,9 +28,6 @@
 # and other servers. A connection takes two, with the one to an endpoint.
 RESERVED_DESCRIPTORS = 64
 DESCRIPTORS_PER_CONNECTION = 2
-# Time without a whole request after which a connection may end for a new one.
-# Callers of the stated limits send a request within some milliseconds.
-ROOM_SECONDS = 1.0
 # Connections that end at once for new ones, as each search for them looks at
 # all.
 ROOM_BATCH = 16
@@ -167,7 +165,9 @@
         try:
             sockets.prepare(self.socket, detect_dead_peer=False)
             parser = self.parser = parse.RequestParser(
-                self.server.get_limits(), self.holding.resize
+                self.server.get_limits(),
+                self.holding.resize,
+                self.server.bounds,
             )
             while self.keep_alive:
                 request = self.read_request(parser)
@@ -457,6 +457,8 @@
         descriptors of the process allow.
     metrics : Metrics, optional
         Counts the connections that ended for others.
+    bounds : Bounds, optional
+        Bounds of each connection.
 
     Raises
     ------
@@ -473,8 +475,10 @@
         request_memory=memory.UNBOUNDED,
         max_connections=None,
         metrics=None,
+        bounds=bounds_module.DEFAULT_BOUNDS,
     ):
         self.memory = request_memory
+        self.bounds = bounds
         self.max_connections = find_max_connections(
             max_connections or MAX_CONNECTIONS
         )
@@ -585,7 +589,7 @@
         """End connections without a whole request, if any; return whether.
 
         The longest idle one goes first. One whose first request is still to
-        come is spared for `ROOM_SECONDS`.
+        come is spared for the time in the bounds.
 
         Parameters
         ----------
@@ -602,7 +606,7 @@
             (since, number)
             for number, connection in enumerate(present)
             if (since := connection.waiting_since) is not None
-            and now - since >= ROOM_SECONDS
+            and now - since >= self.bounds.room_seconds
         ]
         count = sum(
             present[number].end_for_room()
--- a/rhubarbreach/web/tests/test_bounds.py
+++ b/rhubarbreach/web/tests/test_bounds.py
@@ -18,6 +18,7 @@
         message_fraction=fraction,
         message_bytes=memory_bytes * fraction,
         max_connections=changes.pop('max_connections', 1024),
+        room_seconds=changes.pop('room_seconds', 1.0),
     )
 
 
@@ -35,6 +36,7 @@
         ({'max_connections': 4000}, 4000, 'memory_mb'),
         ({'memory_bytes': 90 * MEGABYTE}, 1024, 'memory_mb'),
         ({}, 480, 'descriptors'),
+        ({'room_seconds': 20.0}, 1024, 'room_ms'),
     ],
 )
 def test_limits_that_do_not_fit_are_named(changes, max_by_descriptors, named):
