--- a/rhubarbreach/entry/tests/test_untrusted_callers.py
+++ b/rhubarbreach/entry/tests/test_untrusted_callers.py
@@ -129,7 +129,7 @@
 
 def test_idle_connections_make_room_for_a_caller(entry, connect, monkeypatch):
     """Guards against idle connections that keep callers out for 75 s."""
-    monkeypatch.setattr(server, 'ROOM_SECONDS', 0.2, raising=False)
+    monkeypatch.setattr(server, 'ROOM_SECONDS', 0.2)
     entry.server.max_connections = 3
     for _ in range(3):
         connect()
--- a/rhubarbreach/gateway/responses.py
+++ b/rhubarbreach/gateway/responses.py
@@ -2,9 +2,9 @@
 
 from rhubarbreach import clock
 from rhubarbreach.gateway import heads
+from rhubarbreach.web import connection as connection_module
 from rhubarbreach.web import errors
 from rhubarbreach.web import events
-from rhubarbreach.web import server
 
 __all__ = ['LAST_CHUNK', 'ResponseWriter', 'encode_chunk']
 
@@ -146,7 +146,8 @@
             self.connection.keep_alive = False
         # A response that arrives late still has some time to be sent.
         deadline = max(
-            self.deadline, clock.monotonic() + server.RESPONSE_TIMEOUT_SECONDS
+            self.deadline,
+            clock.monotonic() + connection_module.RESPONSE_TIMEOUT_SECONDS,
         )
         try:
             self.connection.send_response(
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -12,6 +12,7 @@
 from rhubarbreach import codes
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward as forwarding
+from rhubarbreach.web import connection as connections
 from rhubarbreach.web import memory
 from rhubarbreach.web import outbox
 from rhubarbreach.web import server
@@ -335,7 +336,7 @@
 
 def test_whole_response_reaches_a_caller_that_reads_slowly(monkeypatch):
     """Guards against a body cut before the deadline of its request."""
-    monkeypatch.setattr(server, 'RESPONSE_TIMEOUT_SECONDS', 0.3)
+    monkeypatch.setattr(connections, 'RESPONSE_TIMEOUT_SECONDS', 0.3)
     head = types.SimpleNamespace(status=200, reason=b'OK', headers=())
     body = b'x' * 16_000_000
 
--- a/rhubarbreach/gateway/tests/test_slow_callers.py
+++ b/rhubarbreach/gateway/tests/test_slow_callers.py
@@ -13,8 +13,8 @@
 
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway.tests import test_forward as forwarding
+from rhubarbreach.web import connection
 from rhubarbreach.web import memory
-from rhubarbreach.web import server
 
 HEAD = forwarding.HEAD
 END = forwarding.END
@@ -41,7 +41,7 @@
     """Return a function that forwards a stream to a slow caller."""
 
     def run(parts, read_after, pool=memory.UNBOUNDED, **options):
-        class Caller(server.Connection):
+        class Caller(connection.Connection):
             def __init__(self):
                 ours, callers = socket.socketpair()
                 ours.setblocking(False)
