--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -13,6 +13,7 @@
 from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.streams import recorder
+from rhubarbreach.web import bounds
 from rhubarbreach.web import memory
 from rhubarbreach.web import server
 
@@ -92,6 +93,7 @@
             message_memory,
             settings.judges_requests,
         )
+        connection_bounds = bounds.make_bounds(settings)
         self.readiness = server.Server(
             settings.readiness,
             self.answer_readiness,
@@ -100,6 +102,7 @@
             message_memory,
             MAX_READINESS_CONNECTIONS,
             metrics,
+            connection_bounds,
         )
         self.callers = server.Server(
             settings.callers,
@@ -109,6 +112,7 @@
             message_memory,
             settings.max_connections,
             metrics,
+            connection_bounds,
         )
         self.message_memory = message_memory
 
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -55,6 +55,13 @@
     max_connections : int
         Connections of callers, or of endpoints and operators, that a process
         accepts at the same time.
+    max_pipelined : int
+        Requests of one connection that may wait for the one before them.
+    max_framing_ratio : float
+        Bytes of chunk framing for each byte of the body of a request.
+    room_seconds : float
+        Time without a whole request after which a connection may end for a new
+        one.
     metrics_port : int
         Port of the metrics, 0 for none.
     zones : tuple of str
@@ -101,6 +108,9 @@
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     judges_requests: bool = True
+    max_pipelined: int = 64
+    max_framing_ratio: float = 16.0
+    room_seconds: float = 1.0
 
     @property
     def message_bytes(self):
@@ -226,6 +236,15 @@
         judges_requests=reader.read(
             'fleet', 'judges_requests', to_bool, 'true or false', True
         ),
+        max_pipelined=reader.read(
+            'callers', 'max_pipelined', to_positive_count, 'a number', 64
+        ),
+        max_framing_ratio=reader.read(
+            'callers', 'max_framing_ratio', to_positive, 'a number', 16.0
+        ),
+        room_seconds=reader.read(
+            'callers', 'room_ms', to_seconds, 'milliseconds', 1.0
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
