--- a/rhubarbreach/balancing/progress.py
+++ b/rhubarbreach/balancing/progress.py
@@ -7,11 +7,9 @@
     """Events of a response that have arrived.
 
     `has_begun` is whether the endpoint runs the request, as far as known.
-    `percent` is how long the endpoint has reported work to take when the
-    response began, None if it has not.
     """
 
-    __slots__ = ('arrived_at', 'events', 'gap', 'has_begun', 'percent')
+    __slots__ = ('arrived_at', 'events', 'gap', 'has_begun')
 
     def __init__(self):
         self.events = 0
@@ -19,7 +17,6 @@
         # Seconds between the last two events; infinite if not known.
         self.gap = float('inf')
         self.has_begun = False
-        self.percent = None
 
     def add(self, count, now):
         """Add events that have arrived together.
@@ -33,10 +30,10 @@
 
         Returns
         -------
-        tuple of float and int or None, or None
-            Seconds between two events, and the percentage that was reported
-            with the first one. None without an event before, and if several
-            events have arrived together, as this host was slow to read then.
+        float or None
+            Seconds between two events. None without an event before, and if
+            several events have arrived together, as this host was slow to
+            read then.
 
         Notes
         -----
@@ -45,11 +42,9 @@
         """
         previous, self.arrived_at = self.arrived_at, now
         self.events += count
-        percent, self.percent = self.percent, None
         if self.events == count or count > 1:
             self.gap = float('inf')
-            self.percent = percent
             return None
         shorter = min(self.gap, now - previous)
         self.gap = now - previous
-        return shorter, percent
+        return shorter
--- a/rhubarbreach/balancing/speeds.py
+++ b/rhubarbreach/balancing/speeds.py
@@ -119,28 +119,26 @@
         self.means.add(service, slowness)
         self.store(endpoint_id, slowness, now)
 
-    def record_gap(self, endpoint_id, service, gap, percent, now):
+    def record_gap(self, endpoint_id, service, gap, now):
         """Derive the slowness from the time between two events.
 
+        Where endpoints report their speed, this would tell nothing more.
+
         Parameters
         ----------
         endpoint_id, service : str
             Endpoint that has sent the events, and its service.
         gap : float
             Seconds between the events.
-        percent : int or None
-            What the endpoint has reported with the event before, if it has.
         now : float
             Seconds of the monotonic clock.
         """
+        if self.has_figures(service):
+            return
         usual = self.usual_gaps.get(service)
         if usual is None:
             usual = self.usual_gaps[service] = UsualGap()
-        if percent is not None:
-            usual.add(gap / clamp(percent / PERCENT))
-            return
-        if not self.has_figures(service):
-            usual.add(gap)
+        usual.add(gap)
         if usual.count < MIN_GAPS or usual.seconds <= 0:
             return
         slowness = clamp(gap / usual.seconds)
--- a/rhubarbreach/balancing/tests/hosts.py
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -95,18 +95,15 @@
             request.progress = progress.Progress()
             running, waiting, percent = load
             slots = self.pattern.slots
-            request.progress.percent = percent
             self.view.record_load(
                 endpoint_id,
                 endpoints.ServerLoad(running, waiting, slots, percent),
                 now,
             )
             self.view.note_first_event(endpoint_id, request.ticket, now)
-        sample = request.progress.add(1, now)
-        if sample is not None:
-            self.view.record_gap(
-                self.view.endpoints[endpoint_id], *sample, now
-            )
+        gap = request.progress.add(1, now)
+        if gap is not None:
+            self.view.record_gap(self.view.endpoints[endpoint_id], gap, now)
 
     def copy_report(self):
         return self.view.copy_running(), self.view.pop_slowness()
--- a/rhubarbreach/balancing/tests/test_speeds.py
+++ b/rhubarbreach/balancing/tests/test_speeds.py
@@ -17,7 +17,7 @@
     now = start
     for gap in gaps:
         now += gap
-        slowness.record_gap(endpoint_id, 's', gap, None, now)
+        slowness.record_gap(endpoint_id, 's', gap, now)
     return now
 
 
@@ -83,7 +83,7 @@
     stream = progress.Progress()
     assert stream.add(1, 0.0) is None
     times = (0.038, 0.076, 0.276, 0.314, 0.352)
-    gaps = [stream.add(1, now)[0] for now in times]
+    gaps = [stream.add(1, now) for now in times]
     assert max(gaps) < 0.05
     # Events that arrive together tell nothing.
     assert stream.add(3, 0.6) is None
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -626,11 +626,11 @@
                     endpoint_id, endpoint.service, cost, now
                 )
 
-    def record_gap(self, endpoint, gap, percent, now):
+    def record_gap(self, endpoint, gap, now):
         """Record the time between two events; see `Slowness.record_gap`."""
         with self.lock:
             self.table.slowness.record_gap(
-                endpoint.endpoint_id, endpoint.service, gap, percent, now
+                endpoint.endpoint_id, endpoint.service, gap, now
             )
 
     def list_slow(self, now):
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -101,7 +101,6 @@
         """
         load = self.app.dialect.get_load(head)
         if load is not None:
-            attempt.progress.percent = load.percent
             self.app.view.record_load(attempt.endpoint.endpoint_id, load, now)
         if head.status in heads.SUCCESS:
             # An engine sends the head with the first event.
@@ -116,9 +115,9 @@
 
     def record_events(self, attempt, count, now):
         """Record that events of a stream have arrived together."""
-        sample = attempt.progress.add(count, now)
-        if sample is not None:
-            self.app.view.record_gap(attempt.endpoint, *sample, now)
+        gap = attempt.progress.add(count, now)
+        if gap is not None:
+            self.app.view.record_gap(attempt.endpoint, gap, now)
 
     def learn_cost(self, attempt):
         """Learn the cost of a request that one endpoint has answered."""
