Bound the cost of cold endpoints in decisions

The choice among 1,000 endpoints, 500 of them cold, took 0.4 ms more, and a denied permit at the leader 0.23 ms. Cold endpoints are looked up in one set, and the leader does not search a service again for 0.01 s after a denial.

--- a/rhubarbreach/fleet/cold_permits.py
+++ b/rhubarbreach/fleet/cold_permits.py
@@ -30,6 +30,9 @@
 GRANT_WINDOW_SECONDS = 1.0 + PERMIT_SECONDS + ARRIVAL_SECONDS
 # Tokens of each endpoint that items leave to online requests.
 RESERVED_TOKENS = 1
+# Time for which a service without tokens is not searched again. A search of
+# 300 endpoints takes 0.2 ms, and many hosts ask at once.
+DENIAL_SECONDS = 0.01
 # Without it, sums of fractions would count as less than a whole token.
 ROUNDING = 1e-6
 
@@ -78,6 +81,8 @@
 
     def __init__(self):
         self.buckets = {}
+        # Times until which the endpoints of a service count as empty.
+        self.denied_until = {}
         self.granted_count = 0
         self.denied_count = 0
 
@@ -170,6 +175,8 @@
         int
             Permits that are missing still.
         """
+        if now < self.denied_until.get(service, float('-inf')):
+            return count
         tokens = {
             endpoint_id: count_tokens(bucket, now)
             for endpoint_id, bucket in self.buckets.items()
@@ -178,6 +185,7 @@
         while count:
             best = max(tokens, key=tokens.get)
             if tokens[best] < 1:
+                self.denied_until[service] = now + DENIAL_SECONDS
                 return count
             self.take(best, 1, now)
             tokens[best] -= 1
--- a/rhubarbreach/fleet/cold_view.py
+++ b/rhubarbreach/fleet/cold_view.py
@@ -233,8 +233,8 @@
             Seconds of the monotonic clock.
         """
         warm, cold = self.split(endpoints, now)
-        if not cold:
-            return endpoints
+        if not cold or not self.permits:
+            return warm
         permitted = [e for e in cold if self.has_permit(e.endpoint_id, now)]
         if permitted and is_loaded(warm, is_usable, get_utilization):
             return warm + permitted
@@ -245,6 +245,8 @@
 
         The parameters are those of `select`.
         """
+        if not endpoints or endpoints[0].service not in self.services:
+            return False
         warm, cold = self.split(endpoints, now)
         cold = [e for e in cold if is_usable(e)]
         return (
@@ -254,11 +256,13 @@
         )
 
     def split(self, endpoints, now):
-        """Return the warm and the cold endpoints."""
-        warm, cold = [], []
-        for endpoint in endpoints:
-            (cold if self.is_cold(endpoint, now) else warm).append(endpoint)
-        return warm, cold
+        """Return the warm and the cold endpoints of a limited service."""
+        cold_ids = {e for e, until in self.cold_until.items() if now < until}
+        cold_ids.update(self.failed_at, self.new_ids)
+        if not cold_ids:
+            return endpoints, []
+        warm = [e for e in endpoints if e.endpoint_id not in cold_ids]
+        return warm, [e for e in endpoints if e.endpoint_id in cold_ids]
 
 
 def is_loaded(warm, is_usable, get_utilization):
