--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -371,11 +371,13 @@
         Returns
         -------
         frozenset of str, bool
-            Zones of the settings, or else those of hosts and endpoints.
+            Zones of the settings, or else those of hosts and endpoints, and
+            the evacuated ones, which may be gone meanwhile.
         """
+        _, evacuated = self.ledger.get_evacuated()
         if self.settings.zones:
-            return frozenset(self.settings.zones), True
-        return frozenset(
+            return evacuated.union(self.settings.zones), True
+        return evacuated.union(
             (
                 self.settings.availability_zone,
                 *self.members.list_zones(),
--- a/rhubarbreach/hosts/tests/test_evacuation.py
+++ b/rhubarbreach/hosts/tests/test_evacuation.py
@@ -1,5 +1,7 @@
 """Calls of operators that start and end evacuations at stores."""
 
+import dataclasses
+
 import pytest
 
 from rhubarbreach.backlog import commands
@@ -159,3 +161,6 @@
     assert send_exchange(leader, 1).evacuated is None
     command = commands.ReadEvacuation('z1')
     assert leader.ledger.answer_query(command).is_evacuated
+    # The zone has lost its last host, and is still to be brought back.
+    leader.settings = dataclasses.replace(leader.settings, zones=('z7',))
+    assert leader.find_zones() == ({'z1', 'z7'}, True)
