Count no failure of an endpoint that is not sent to

A request that was held back between the connection and its first byte counted as a failure of the endpoint, which was then ejected and reported to the leader. It counts as declined now.

--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -275,6 +275,8 @@
                 self.app.response_memory,
                 lambda: self.app.leader_client.may_send_to(attempt.endpoint),
             )
+        except errors.WithheldError as error:
+            return model.NotRun(str(error), endpoint_failed=False)
         except errors.ConnectError as error:
             return model.NotRun(str(error))
         except errors.DeadlineError:
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -137,6 +137,7 @@
         resumable=False,
         longest_pause=0.2,
         kind=catalogs.RouteKind.STREAM,
+        may_send=lambda _: True,
         on_view=lambda _: None,
         on_quarantine=lambda _: None,
         response_memory=memory.UNBOUNDED,
@@ -211,7 +212,7 @@
                 refresh_loads=on_refresh,
                 request_loads=lambda: None,
                 wait_for_contact=lambda: True,
-                may_send_to=lambda _: True,
+                may_send_to=may_send,
                 quarantine=quarantine.Quarantine(),
                 is_fresh=is_fresh
                 if callable(is_fresh)
@@ -257,6 +258,25 @@
     assert seconds > 4.0
 
 
+def test_endpoint_that_may_not_be_sent_to_has_not_failed(forward_to):
+    """Guards against ejecting the sound endpoints of an evacuated zone."""
+    views = []
+    refusal, data, _, _ = forward_to(
+        [HEAD, make_event(1), END],
+        0.05,
+        timeout=5.0,
+        others=[[HEAD, make_event(1), END]],
+        count=2,
+        may_send=lambda endpoint: endpoint.endpoint_id != 'e1',
+        on_view=views.append,
+    )
+    assert refusal is None
+    assert data.endswith(responses.LAST_CHUNK)
+    (loads,) = views
+    assert not loads.health.is_ejected('e1', clock.monotonic())
+    assert loads.pop_outcomes() == {'e2': (0, 1)}
+
+
 def test_request_on_a_route_with_a_long_timeout_is_answered(forward_to):
     """Guards against a timeout that the system call for it cannot hold."""
     parts = [HEAD, make_event(1), END]
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -66,7 +66,7 @@
         self.socket = sockets.connect(address, connect_deadline)
         if may_send is not None and not may_send():
             self.close()
-            raise errors.ConnectError('the request may no longer be sent')
+            raise errors.WithheldError('the request may no longer be sent')
         try:
             sockets.send_all(self.socket, data, deadline)
             self.is_sent = True
--- a/rhubarbreach/web/errors.py
+++ b/rhubarbreach/web/errors.py
@@ -8,6 +8,7 @@
     'ConnectRefusedError',
     'ConnectionEndedError',
     'DeadlineError',
+    'WithheldError',
 ]
 
 
@@ -23,6 +24,10 @@
     """No connection was made; nothing was sent."""
 
 
+class WithheldError(ConnectError):
+    """The connection was made, but the request was not to be sent any more."""
+
+
 class ConnectRefusedError(ConnectError):
     """The peer is reached, and no process listens on its port."""
 
--- a/rhubarbreach/web/tests/test_silent_peers.py
+++ b/rhubarbreach/web/tests/test_silent_peers.py
@@ -60,7 +60,7 @@
     """Guards against a process that stands still before it sends."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
         now = clock.monotonic()
-        with pytest.raises(errors.ConnectError):
+        with pytest.raises(errors.WithheldError):
             client.Call(
                 f'127.0.0.1:{listener.getsockname()[1]}',
                 b'GET / HTTP/1.1\r\n\r\n',
