Refuse requests at once when no endpoint is left

A request of a service without endpoints waited for three quarters of its objective: without a free slot none was tried. It is tried now, which takes no slot from others. The new test fails without the change.

--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -357,6 +357,9 @@
         waiting = max(service.waiting, self.count_within_share())
         if released is not None:
             return not is_excess or not waiting
+        if waiter.has_exclusions or not service.free:
+            # It takes no slot from others, or may have no endpoint left.
+            return True
         if service.free * 2 > service.slots:
             return True
         contenders = waiting + service.age * (
--- a/rhubarbreach/gateway/tests/test_waiting.py
+++ b/rhubarbreach/gateway/tests/test_waiting.py
@@ -186,3 +186,15 @@
     assert control.add_retry_after('s', refusal).retry_after > 0
     refusal = codes.Refusal(codes.ResultCode.NO_ENDPOINT, 'none')
     assert control.add_retry_after('s', refusal) is refusal
+
+
+def test_request_without_an_endpoint_is_refused_at_once(
+    endpoints, control, submit
+):
+    """Guards against requests that are held although nobody can serve them."""
+    endpoints.update_endpoints((), True)
+    for _ in range(5):
+        call = submit()
+        call.thread.join(JOIN_SECONDS)
+        assert call.result.code == codes.ResultCode.NO_ENDPOINT
+        assert call.seconds < OBJECTIVE / 2
