Count a cold endpoint as failed once only

A response that says its endpoint is cold was reported again for each response, so that the endpoint stayed unknown to all hosts.

Evidence: the tests of fleet, backlog, gateway, hosts, catalog, settings, streams and protocol, and those of the wire and of cold endpoints pass.

--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -343,6 +343,11 @@
         with self.lock:
             self.cold.services = frozenset(services)
 
+    def is_cold(self, endpoint, now):
+        """Return whether requests to an endpoint need a permit."""
+        with self.lock:
+            return self.cold.is_cold(endpoint, now)
+
     def has_cold_limit(self, service):
         """Return whether requests to cold endpoints are limited."""
         return service in self.cold.services
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -537,12 +537,8 @@
         head = attempt.head
         dialect = self.app.dialect
         outcome = heads.check_identity(head, self.info.request_id, dialect)
-        if self.app.view.has_cold_limit(
-            attempt.endpoint.service
-        ) and dialect.is_cold(head):
-            self.app.view.record_cold(
-                attempt.endpoint.endpoint_id, clock.monotonic()
-            )
+        if self.app.view.has_cold_limit(attempt.endpoint.service):
+            self.record_coldness(attempt)
         if dialect.is_leaving(head) and heads.is_own(head, outcome):
             self.record_departure(attempt)
         if outcome is not None:
@@ -558,6 +554,15 @@
             return model.Broken('response is not signed')
         return None
 
+    def record_coldness(self, attempt):
+        """Count an endpoint as cold that says so and was not known to be."""
+        now = clock.monotonic()
+        view = self.app.view
+        if self.app.dialect.is_cold(attempt.head) and not view.is_cold(
+            attempt.endpoint, now
+        ):
+            view.record_cold(attempt.endpoint.endpoint_id, now)
+
     def relay_events(self, attempt, blocks):
         """Send new events; return False if the caller is gone."""
         previous_id = self.writer.last_id
