Leave fields at their defaults out of messages

Fields at their defaults are no longer sent; receivers, also older ones, restore them.

The endpoints of a restored zone count as cold at a host until a leader names them, as a new leader names none at first, and a host that stood still sends nothing before it has applied the evacuated zones.

--- a/rhubarbreach/fleet/cold_view.py
+++ b/rhubarbreach/fleet/cold_view.py
@@ -72,6 +72,11 @@
             or endpoint_id in self.new_ids
         )
 
+    def treat_as_cold(self, endpoint, now):
+        """Count an endpoint as cold until the leader answers about it."""
+        if endpoint.service in self.services:
+            self.failed_at[endpoint.endpoint_id] = now
+
     def record_failure(self, endpoint, now):
         """Count an endpoint that has failed here as cold.
 
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -453,7 +453,6 @@
         running : dict of str to int
             Requests that the message reported, which the reply includes.
         """
-        self.apply_evacuations(reply)
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
         if reply.endpoints is not None:
@@ -494,8 +493,10 @@
             self.min_interval,
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
-        self.guard.end_exchange(sent)
         self.view.apply_cold(reply, order, sent, clock.monotonic())
+        self.apply_evacuations(reply)
+        # A host that has stood still sends nothing before it knows them.
+        self.guard.end_exchange(sent)
         self.search.stores = reply.stores or self.search.stores
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
@@ -512,18 +513,20 @@
             LOG.info('event=leader_found store={}', self.leader_id)
 
     def apply_evacuations(self, reply):
-        """Apply the evacuated zones, before anything else of a reply."""
+        """Apply the evacuated zones of a reply."""
         previous = self.evacuations
         current = previous.update(reply.evacuation_revision, reply.evacuated)
         if current is previous:
             return
         self.evacuations = current
+        restored = evacuations.find_restored(previous, current)
+        self.view.treat_zones_as_cold(restored, clock.monotonic())
         self.view.set_evacuated_zones(current.zones)
         LOG.info(
             'event=evacuations_in_force revision={} zones={} restored={}',
             current.revision,
             sorted(current.zones),
-            sorted(evacuations.find_restored(previous, current)),
+            sorted(restored),
         )
 
     def apply_catalog(self, copy):
--- a/rhubarbreach/fleet/tests/test_cold_endpoints.py
+++ b/rhubarbreach/fleet/tests/test_cold_endpoints.py
@@ -211,3 +211,17 @@
     size = measure(cold=dict.fromkeys(names, 2.5), cold_stamp='127.0.0.1:1:1')
     assert size - measure() < 300 * 24
     print(f'list={size - measure()}')
+
+
+def test_restored_zone_is_cold_until_a_new_leader_names_its_endpoints(host):
+    """Guards against a zone that comes back between two leaders.
+
+    The endpoints are warm as far as the host knows, and a new leader names no
+    cold ones at first.
+    """
+    host.treat_zones_as_cold({'z1'}, 11.0)
+    apply_reply(host, None, sent=11.1, stamp='')
+    endpoint = host.endpoints['e']
+    assert host.cold.is_cold(endpoint, 11.2)
+    apply_reply(host, {}, sent=11.3, stamp='b')
+    assert not host.cold.is_cold(endpoint, 11.4)
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -639,6 +639,16 @@
         if reply.cold_granted:
             self.notify_free()
 
+    def treat_zones_as_cold(self, zones, now):
+        """Count the endpoints of zones as cold until the leader names them.
+
+        A new leader names none at first.
+        """
+        with self.lock:
+            for endpoint in self.endpoints.values():
+                if endpoint.availability_zone in zones:
+                    self.cold.treat_as_cold(endpoint, now)
+
     def record_cold_news(self, ages, now):
         """Count endpoints as cold that have failed at a host of the zone."""
         with self.lock:
--- a/rhubarbreach/hosts/tests/test_evacuation.py
+++ b/rhubarbreach/hosts/tests/test_evacuation.py
@@ -164,3 +164,27 @@
     # The zone has lost its last host, and is still to be brought back.
     leader.settings = dataclasses.replace(leader.settings, zones=('z7',))
     assert leader.find_zones() == ({'z1', 'z7'}, True)
+
+
+def test_restored_zone_counts_as_cold_before_hosts_learn_of_it(stores):
+    """Guards against a zone that gets full traffic while it is cold."""
+    leader = conftest.find_leader(stores)
+    cluster.wait_until(
+        lambda: leader.evacuations.start('z1', is_there) is None
+    )
+    treated = []
+    leader.endpoints.treat_zone_as_cold = lambda zone, _: treated.append(zone)
+    cluster.wait_until(
+        lambda: send_exchange(leader, 0).evacuation_revision == 1
+    )
+    assert treated == []
+    cluster.wait_until(lambda: leader.evacuations.end('z1', is_there) is None)
+    reply = cluster.wait_until(
+        lambda: (
+            reply
+            if (reply := send_exchange(leader, 1)).evacuated == ()
+            else None
+        )
+    )
+    assert reply.evacuation_revision == 2
+    assert treated == ['z1']
--- a/rhubarbreach/protocol/codec.py
+++ b/rhubarbreach/protocol/codec.py
@@ -80,6 +80,35 @@
     return msgspec.msgpack.Decoder(messages.REGISTRY[kind])
 
 
+@functools.cache
+def list_defaults(kind):
+    """Return the field names of a message type, with their defaults."""
+    return tuple(
+        (field.name, get_default(field))
+        for field in dataclasses.fields(messages.REGISTRY[kind])
+    )
+
+
+def get_default(field):
+    """Return the default of a field, `MISSING` if it has none."""
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+def list_fields(message):
+    """Return the fields of a message by name, but for those at defaults.
+
+    Most fields of an exchange are at their defaults, and their names would be
+    half of its bytes. The receiver restores them.
+    """
+    return {
+        name: value
+        for name, default in list_defaults(type(message).__name__)
+        if (value := getattr(message, name)) != default
+    }
+
+
 def encode(envelope):
     """Encode an envelope.
 
@@ -100,14 +129,18 @@
         be encoded.
     """
     message = envelope.message
-    kind = '' if message is None else type(message).__name__
+    kind = ''
+    body = None
+    if message is not None:
+        kind = type(message).__name__
+        body = list_fields(message)
     wire = WireEnvelope(
         envelope.sender_id,
         envelope.call_id,
         envelope.is_reply,
         envelope.stamp,
         kind,
-        msgspec.Raw(serialization.encode(ENCODER, message)),
+        msgspec.Raw(serialization.encode(ENCODER, body)),
     )
     data = ENCODER.encode(wire)
     if len(data) > MAX_MESSAGE_BYTES:
--- a/rhubarbreach/protocol/tests/test_codec.py
+++ b/rhubarbreach/protocol/tests/test_codec.py
@@ -5,6 +5,7 @@
 from rhubarbreach import codes
 from rhubarbreach import exceptions
 from rhubarbreach.protocol import codec
+from rhubarbreach.protocol import fleetmessages
 from rhubarbreach.protocol import logmessages
 
 
@@ -20,6 +21,15 @@
     assert codec.decode(codec.encode(envelope)) == envelope
 
 
+def test_fields_at_their_defaults_are_not_sent():
+    """Guards against exchanges that grow with each optional field."""
+    message = fleetmessages.Exchange(3, 'stamp', {'e': 2}, {}, {'e': (0, 1)})
+    data = codec.encode(make_envelope(message))
+    assert b'outcomes' in data
+    assert b'departures' not in data
+    assert codec.decode(data) == make_envelope(message)
+
+
 @pytest.mark.parametrize('data', [b'', b'\xc1', b'\x91\x01', b'x' * 50])
 def test_malformed_data_raises_message_error(data):
     """Guards against malformed data of a peer that stops the receiver."""
