Refuse waiting requests when all endpoints are gone

Connections of callers failed with 500 after a start of all hosts: the rate of slots of a service without endpoints is 0, and the estimate of the wait divided by it. The new test fails with ZeroDivisionError without the change.

--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -394,7 +394,9 @@
         kept = 0
         for waiter in self.list_ordered(now):
             limit = self.get_limit(waiter)
-            begins_at = now + (kept + OWN_WAIT_INTERVALS) / rate
+            # All endpoints may be gone while requests wait.
+            wait = (kept + OWN_WAIT_INTERVALS) / rate if rate else math.inf
+            begins_at = now + wait
             is_hopeless = begins_at > limit and now <= waiter.limits.excess_by
             if now >= limit or is_hopeless or kept >= MAX_WAITING:
                 refused.append(waiter)
--- a/rhubarbreach/gateway/tests/test_admission.py
+++ b/rhubarbreach/gateway/tests/test_admission.py
@@ -203,3 +203,14 @@
         if tick % 10 == 0:
             rate.record_start()
     assert 3.0 < rate.get_rate(10.0) < 7.0
+
+
+def test_requests_wait_no_longer_when_all_endpoints_are_gone(queue):
+    """Guards against connections that fail as no slot can become free.
+
+    A store group that has just started may know no endpoint yet.
+    """
+    queue.add(make_waiter(1), 0.0)
+    gone = make_service(slots=0, run_seconds=None)
+    refused = queue.refuse(gone, 0.01, draw_low)
+    assert [waiter.number for waiter, _ in refused] == [1]
