--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -274,6 +274,18 @@
         self.evacuations[zone] = (is_evacuated, self.evacuation_revision)
         return commands.Done()
 
+    def list_restored(self, revision):
+        """Return the zones whose evacuation has ended since a revision.
+
+        A store may learn of its start and its end at the same time.
+        """
+        with self.lock:
+            return [
+                zone
+                for zone, (is_evacuated, last) in self.evacuations.items()
+                if not is_evacuated and last > revision
+            ]
+
     def get_evacuated(self):
         """Return the revision of the evacuations and the evacuated zones.
 
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -392,6 +392,10 @@
             for item, endpoint_id in plan.plan_starts(
                 waiting, slots, max_starts
             ):
+                zone = endpoints[endpoint_id].availability_zone
+                if self.assignments.choose_worker(zone) is None:
+                    # A permit would be lost.
+                    continue
                 start_before = self.take_item_start(endpoint_id, now)
                 if start_before is None:
                     continue
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -296,3 +296,12 @@
     del data['evacuations'], data['evacuation_revision']
     ledger.restore(msgspec.msgpack.encode(data))
     assert ledger.get_evacuated() == (0, frozenset())
+
+
+def test_zone_that_was_evacuated_in_between_counts_as_restored(ledger):
+    """Guards against full traffic to a zone that a store never saw closed."""
+    apply(ledger, commands.StartEvacuation('z1', 0))
+    apply(ledger, commands.EndEvacuation('z1', 1))
+    apply(ledger, commands.StartEvacuation('z2', 0))
+    assert ledger.list_restored(0) == ['z1']
+    assert ledger.list_restored(2) == []
--- a/rhubarbreach/bench/storelosses/virtualstores.py
+++ b/rhubarbreach/bench/storelosses/virtualstores.py
@@ -13,6 +13,7 @@
 from rhubarbreach.bench.storelosses import virtualdisks
 from rhubarbreach.bench.storelosses import virtualgroups
 from rhubarbreach.consensus import groups as group_sets
+from rhubarbreach.fleet import evacuations
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import store as store_hosts
 
@@ -63,6 +64,8 @@
         self.runner = mock.Mock()
         self.allocator = mock.Mock()
         self.quarantine_manager = mock.Mock()
+        self.cold_manager = mock.Mock()
+        self.known_evacuations = evacuations.Evacuations()
         self.usage = mock.Mock()
         self.is_leading = False
         self.leading_term = 0
--- a/rhubarbreach/fleet/cold_permits.py
+++ b/rhubarbreach/fleet/cold_permits.py
@@ -136,7 +136,7 @@
         self.granted_count += taken
         return taken
 
-    def grant(self, wanted, now):
+    def grant(self, wanted, now, excluded=frozenset()):
         """Return the permits granted to a host by endpoint.
 
         A host does not know the tokens of the endpoints. What one lacks is
@@ -148,6 +148,8 @@
             Permits that the host asks for by endpoint.
         now : float
             Seconds of the monotonic clock.
+        excluded : collection of str
+            Endpoints for which none are granted.
         """
         granted = {}
         missing = {}
@@ -155,7 +157,9 @@
             bucket = self.buckets.get(endpoint_id)
             if bucket is None or count <= 0:
                 continue
-            taken = self.take(endpoint_id, count, now)
+            taken = 0
+            if endpoint_id not in excluded:
+                taken = self.take(endpoint_id, count, now)
             if taken:
                 granted[endpoint_id] = taken
             if taken < count:
@@ -163,11 +167,11 @@
                 missing[service] = missing.get(service, 0) + count - taken
         for service, count in missing.items():
             self.denied_count += self.grant_others(
-                service, count, granted, now
+                service, count, granted, now, excluded
             )
         return granted
 
-    def grant_others(self, service, count, granted, now):
+    def grant_others(self, service, count, granted, now, excluded):
         """Grant permits for any endpoints of a service.
 
         Returns
@@ -180,11 +184,11 @@
         tokens = {
             endpoint_id: count_tokens(bucket, now)
             for endpoint_id, bucket in self.buckets.items()
-            if bucket.service == service
+            if bucket.service == service and endpoint_id not in excluded
         }
         while count:
-            best = max(tokens, key=tokens.get)
-            if tokens[best] < 1:
+            best = max(tokens, key=tokens.get, default=None)
+            if best is None or tokens[best] < 1:
                 self.denied_until[service] = now + DENIAL_SECONDS
                 return count
             self.take(best, 1, now)
--- a/rhubarbreach/fleet/cold_view.py
+++ b/rhubarbreach/fleet/cold_view.py
@@ -166,6 +166,10 @@
         """Request a permit for a request with the next exchange."""
         self.wanted[service] += 1
 
+    def want_permits(self, service, count):
+        """Request permits for all requests that wait, however often."""
+        self.wanted[service] = max(self.wanted[service], count)
+
     def pop_wanted(self, services, zone, is_ejected, now):
         """Return the permits to request by endpoint.
 
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -318,8 +318,7 @@
         """
         now = clock.monotonic()
         if self.has_leader and self.view.needs_permit(service, (), None, now):
-            for _ in range(count):
-                self.view.want_permit(service)
+            self.view.want_permits(service, count)
             self.request_loads()
 
     def wait_for_exchange(self, deadline):
@@ -422,7 +421,16 @@
         if reply is None:
             self.handle_failed_exchange(clock.monotonic())
             return False
-        self.apply_reply(reply, sent, running)
+        # Waiting requests use what has become free once all is applied.
+        self.view.is_updating = True
+        try:
+            # Before a host that has just started can serve any request.
+            self.apply_evacuations(reply)
+            self.apply_reply(reply, sent, running)
+            self.guard.end_exchange(sent)
+        finally:
+            self.view.is_updating = False
+        self.view.notify_free()
         return True
 
     def handle_failed_exchange(self, now):
@@ -494,9 +502,6 @@
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
         self.view.apply_cold(reply, order, sent, clock.monotonic())
-        self.apply_evacuations(reply)
-        # A host that has stood still sends nothing before it knows them.
-        self.guard.end_exchange(sent)
         self.search.stores = reply.stores or self.search.stores
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
--- a/rhubarbreach/fleet/tests/test_cold_endpoints.py
+++ b/rhubarbreach/fleet/tests/test_cold_endpoints.py
@@ -225,3 +225,21 @@
     assert host.cold.is_cold(endpoint, 11.2)
     apply_reply(host, {}, sent=11.3, stamp='b')
     assert not host.cold.is_cold(endpoint, 11.4)
+
+
+def test_no_permits_for_endpoints_to_which_nothing_is_sent():
+    """Guards against permits for an evacuated zone that nobody can use."""
+    allocator = cold_permits.PermitAllocator()
+    allocator.update({'e': 's', 'f': 's'}, {'s': LIMIT}, 0)
+    assert allocator.grant({'e': 8}, 1.0, {'f'}) == {'e': 5}
+    assert allocator.grant({'f': 2}, 1.5, {'e', 'f'}) == {}
+
+
+def test_waiting_requests_share_one_wish_for_permits(host):
+    """Guards against permits that expire at one host and lack at others."""
+    host.update_loads({'e': 8, 'f': 8}, {})
+    apply_reply(host, {'e': 3.0}, sent=11.0, stamp='b')
+    for _ in range(10):
+        host.want_permits('s', 10)
+    wanted, _, _ = host.make_cold_report(11.1)
+    assert wanted == {'e': 10}
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -317,3 +317,15 @@
     client.apply_reply(complete, 0.0, {})
     client.apply_reply(fleetmessages.ExchangeReply(True, 's2'), 0.0, {})
     assert client.has_complete_loads
+
+
+def test_waiting_requests_get_no_slot_before_a_reply_is_applied(make_client):
+    """Guards against requests for endpoints that the reply evacuates."""
+    client = make_client(FakeLink((), 's1'))
+    seen = []
+    client.view.on_free = lambda _: seen.append(client.evacuations.zones)
+    reply = make_reply(evacuation_revision=1, evacuated=('z1',))
+    client.search.call = lambda _: reply
+    assert client.exchange()
+    assert seen == [{'z1'}]
+    assert not client.view.services
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -13,6 +13,7 @@
 from rhubarbreach.balancing import selection
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach import eventlog
 from rhubarbreach.fleet import choice
 from rhubarbreach.fleet import cold_view
 from rhubarbreach.fleet import departures
@@ -22,6 +23,8 @@
 
 __all__ = ['View']
 
+LOG = eventlog.Logger('view')
+
 # Weight of the newest request in the moving average of run times.
 RUN_TIME_WEIGHT = 0.05
 # From this utilization on, requests of other hosts may fill an endpoint within
@@ -76,6 +79,9 @@
         # Memory of an endpoint of each service in tokens, 0 if unknown.
         self.capacity_tokens = {}
         self.cold = cold_view.ColdView()
+        # Whether a reply of the leader is applied in part, so that slots that
+        # it frees must not be used yet.
+        self.is_updating = False
 
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
@@ -101,8 +107,13 @@
 
     def notify_free(self, endpoint_id=None):
         """Report that a slot may be free, of this host at an endpoint."""
-        if self.on_free is not None:
+        is_deferred = endpoint_id is None and self.is_updating
+        if self.on_free is None or is_deferred:
+            return
+        try:
             self.on_free(endpoint_id)
+        except Exception:
+            LOG.exception('event=hand_over_failed endpoint={}', endpoint_id)
 
     def group_by_service(self):
         """Group the endpoints that take new requests by their service.
@@ -261,6 +272,7 @@
             See `choice.choose_endpoint` and `balancing.selection`.
         """
         with self.lock:
+            is_restricted = choices is not None
             if service in self.cold.services:
                 choices = self.select_permitted(
                     service, excluded, software_version, choices, now
@@ -280,6 +292,7 @@
                 software_version,
                 choices,
                 cost,
+                is_restricted,
             )
             if isinstance(chosen, choice.Endpoint):
                 chosen = self.take_permit(chosen, now)
@@ -305,12 +318,15 @@
 
         The parameters are those of `acquire`.
         """
+        known = self.services.get(service, ())
         endpoints = self.cold.select(
-            self.services.get(service, ()),
+            known,
             make_filter(excluded, software_version, choices),
             self.get_utilization,
             now,
         )
+        if len(endpoints) == len(known):
+            return choices
         endpoint_ids = {endpoint.endpoint_id for endpoint in endpoints}
         return endpoint_ids if choices is None else endpoint_ids & choices
 
@@ -324,10 +340,12 @@
         software_version,
         choices,
         cost,
+        is_restricted,
     ):
         """Return the endpoint where a request probably begins soonest.
 
-        The parameters are those of `acquire`.
+        The parameters are those of `acquire`; `is_restricted` is whether its
+        caller has named the endpoints to choose from.
         """
 
         def is_healthy(endpoint):
@@ -399,7 +417,7 @@
         ):
             chosen = choose(is_available) or chosen
         if (
-            choices is None
+            not is_restricted
             and (chosen is None or self.is_queue_full(chosen, queue_limit))
             and self.is_half_idle(service)
         ):
@@ -444,10 +462,11 @@
         software_version,
         choices,
         cost,
+        is_restricted,
     ):
         """Return the endpoint with the fewest requests for its slots.
 
-        The parameters are those of `acquire`; the cost is not used.
+        The parameters are those of `choose_by_cost`; the cost is not used.
         """
         endpoints = self.services.get(service, ())
         available = [
@@ -499,7 +518,7 @@
                 )
         if (
             isinstance(chosen, codes.Refusal)
-            and choices is None
+            and not is_restricted
             and self.is_half_idle(service)
         ):
             # Endpoints that have failed for others are better than a refusal
@@ -600,6 +619,11 @@
         with self.lock:
             self.cold.want_permit(service)
 
+    def want_permits(self, service, count):
+        """Request permits for all requests that wait."""
+        with self.lock:
+            self.cold.want_permits(service, count)
+
     def make_cold_report(self, now):
         """Return the fields of `Exchange` about cold endpoints.
 
@@ -784,16 +808,21 @@
         -------
         int, int, float or None, float
             Slots of all endpoints, those of them that are free, mean run time
-            in seconds if it is known, and age of the loads in seconds.
+            in seconds if it is known, and age of the loads in seconds. A cold
+            endpoint without a permit has no free slots.
         """
+        now = clock.monotonic()
         with self.lock:
             endpoints = self.services.get(service, ())
+            is_limited = service in self.cold.services
             running, elsewhere = self.running, self.elsewhere
             nearby = self.nearby
             slots = free = 0
             for endpoint in endpoints:
                 name = endpoint.endpoint_id
                 slots += endpoint.slots
+                if is_limited and not self.may_use(endpoint, now):
+                    continue
                 # As `count_online`, which takes three times as long.
                 idle = endpoint.slots - running.get(name, 0)
                 idle -= elsewhere.get(name, 0) + nearby.get(name, 0)
@@ -802,6 +831,12 @@
             run_seconds = self.run_seconds.get(service)
             return slots, free, run_seconds, self.load_age
 
+    def may_use(self, endpoint, now):
+        """Return whether an endpoint is warm, or there is a permit for it."""
+        return not self.cold.is_cold(endpoint, now) or self.cold.has_permit(
+            endpoint.endpoint_id, now
+        )
+
     def record_run(self, service, seconds):
         """Add the run time of a completed request to its average."""
         with self.lock:
@@ -889,6 +924,9 @@
         """Return whether all endpoints of a service are highly utilized."""
         with self.lock:
             candidates = self.services.get(service, ())
+            if service in self.cold.services:
+                now = clock.monotonic()
+                candidates = [e for e in candidates if self.may_use(e, now)]
             return all(
                 self.get_utilization(endpoint) >= HIGH_UTILIZATION_FRACTION
                 for endpoint in candidates
--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -300,6 +300,9 @@
         results = []
         for waiter in self.list_ordered(now):
             if not self.may_take(waiter, service, released, draw):
+                if is_exceeding(waiter, self.exceeding):
+                    # It holds up no request within the share of its account.
+                    continue
                 break
             chosen = acquire(waiter, released)
             if not isinstance(chosen, codes.Refusal):
@@ -379,7 +382,8 @@
         """Return the requests that can no longer begin in time.
 
         A request is refused by an estimate only while its caller still has
-        time for a second attempt. After that it is kept while it has a chance.
+        time for a second attempt, and while no slot is left for it. After that
+        it is kept while it has a chance.
 
         Parameters
         ----------
@@ -397,7 +401,11 @@
             # All endpoints may be gone while requests wait.
             wait = (kept + OWN_WAIT_INTERVALS) / rate if rate else math.inf
             begins_at = now + wait
-            is_hopeless = begins_at > limit and now <= waiter.limits.excess_by
+            is_hopeless = (
+                begins_at > limit
+                and now <= waiter.limits.excess_by
+                and kept >= service.free
+            )
             if now >= limit or is_hopeless or kept >= MAX_WAITING:
                 refused.append(waiter)
             else:
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -142,6 +142,7 @@
         finally:
             for attempt in list(self.attempts):
                 self.close_attempt(attempt)
+                self.app.view.notify_free(attempt.endpoint.endpoint_id)
 
     def find_service(self):
         """Return the service of the request, or its refusal."""
@@ -331,8 +332,10 @@
             self.proof.is_endpoint_gone = self.has_crashed(attempt)
         self.recorder.record(attempt, outcome)
         self.search.record(attempt, outcome)
-        # The slot is handed over once a failure is known.
-        self.app.view.notify_free(attempt.endpoint.endpoint_id)
+        if not isinstance(outcome, model.NotRun):
+            # The slot is handed over once a failure is known. An endpoint that
+            # declines has none, whatever the loads show.
+            self.app.view.notify_free(attempt.endpoint.endpoint_id)
         return outcome
 
     def close_attempt(self, attempt):
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -151,6 +151,7 @@
                 return attempts.Attempt(endpoint, load, tried_part, self.cost)
             # Another request has used the trial of the part.
             self.app.view.release(endpoint.endpoint_id, self.cost)
+            self.app.view.notify_free()
 
     def repeat_last(self, proof):
         """Return an attempt at the endpoint whose end is to be proven.
--- a/rhubarbreach/gateway/tests/test_admission.py
+++ b/rhubarbreach/gateway/tests/test_admission.py
@@ -214,3 +214,25 @@
     gone = make_service(slots=0, run_seconds=None)
     refused = queue.refuse(gone, 0.01, draw_low)
     assert [waiter.number for waiter, _ in refused] == [1]
+
+
+def test_request_beyond_its_share_holds_up_no_late_one(queue, step):
+    """Guards against slots that stay idle beside an account in excess.
+
+    A late request comes after one beyond its share in the order, and is itself
+    the reason why that one may not take the slot.
+    """
+    service = make_service(exceeding={'big': 0.9}, waiting=1)
+    queue.add(make_waiter(1, 'small', arrived_at=-0.4, returned=True), 0.0)
+    queue.add(make_waiter(2, 'big', arrived_at=0.0, rank=0.1), 0.0)
+    sent, _ = step(service, 0.01, slots=1, released='e0')
+    assert sent == [1]
+
+
+def test_no_request_is_refused_by_estimate_while_slots_are_free(queue):
+    """Guards against refusals of small services at large fleets."""
+    queue.add(make_waiter(1), 0.0)
+    service = make_service(free=20, slots=48, hosts=66, run_seconds=1.0)
+    assert queue.refuse(service, 0.01, draw_low) == []
+    service = make_service(free=0, slots=48, hosts=66, run_seconds=1.0)
+    assert len(queue.refuse(service, 0.01, draw_low)) == 1
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -153,9 +153,11 @@
         service = call.service
         with self.lock:
             queue = self.queues[service]
-            queue.record_arrival(began_at)
-            if not call.is_returned:
-                self.demands[service][call.account] += 1
+            if not call.excluded:
+                # Later attempts of a declined request are no new demand.
+                queue.record_arrival(began_at)
+                if not call.is_returned:
+                    self.demands[service][call.account] += 1
             if self.is_calm(queue, service, began_at):
                 result = self.acquire_any(call, began_at)
                 if not isinstance(result, codes.Refusal):
@@ -187,7 +189,7 @@
 
     def acquire_any(self, call, now, choices=None):
         """Return an endpoint with a free slot, or a refusal."""
-        return self.view.acquire(
+        result = self.view.acquire(
             call.service,
             call.excluded,
             now,
@@ -196,6 +198,18 @@
             choices=choices,
             cost=call.cost,
         )
+        if (
+            isinstance(result, codes.Refusal)
+            and result.code is codes.ResultCode.NO_ENDPOINT
+            and self.view.has_cold_limit(call.service)
+            and self.leader_client.has_leader
+            and self.view.needs_permit(call.service, call.excluded, None, now)
+        ):
+            return codes.Refusal(
+                codes.ResultCode.QUEUE_FULL,
+                'all endpoints are cold, and there is no permit yet',
+            )
+        return result
 
     def wait(self, call, waiter):
         """Wait until it is decided what becomes of a request."""
--- a/rhubarbreach/hosts/cold_manager.py
+++ b/rhubarbreach/hosts/cold_manager.py
@@ -96,7 +96,14 @@
                 self.next_update = float('-inf')
         return bool(self.limits)
 
-    def answer(self, message, entry_host_count, confirmed_at, now):
+    def answer(
+        self,
+        message,
+        entry_host_count,
+        confirmed_at,
+        now,
+        excluded=frozenset(),
+    ):
         """Return permits and cold endpoints for an entry host.
 
         Parameters
@@ -110,6 +117,9 @@
             seconds of the monotonic clock.
         now : float
             Seconds of the monotonic clock.
+        excluded : collection of str
+            Endpoints for which no permits are granted, as nothing is sent
+            there.
 
         Returns
         -------
@@ -126,7 +136,9 @@
         with self.lock:
             self.update(entry_host_count, now)
             if self.is_confirmed(self.ready_at, confirmed_at, now):
-                granted = self.allocator.grant(message.cold_wanted, now)
+                granted = self.allocator.grant(
+                    message.cold_wanted, now, excluded
+                )
             stamp = f'{self.host_id}:{self.ready_at}:{self.change_count}'
             cold = None
             if stamp != message.cold_stamp:
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -319,7 +319,13 @@
             if evacuated.revision == message.evacuation_revision
             else tuple(sorted(evacuated.zones)),
             self.usage.list_queues(now),
-            *self.cold_manager.answer(message, entries, quorum_contact, now),
+            *self.cold_manager.answer(
+                message,
+                entries,
+                quorum_contact,
+                now,
+                self.list_evacuated(evacuated.zones),
+            ),
         )
 
     def read_evacuations(self, now):
@@ -333,11 +339,21 @@
             previous = self.known_evacuations
             if current.revision <= previous.revision:
                 return previous
-            for zone in evacuations.find_restored(previous, current):
+            for zone in self.ledger.list_restored(previous.revision):
                 self.endpoints.treat_zone_as_cold(zone, now)
             self.known_evacuations = current
         return current
 
+    def list_evacuated(self, zones):
+        """Return the ids of the endpoints in evacuated zones."""
+        if not zones:
+            return frozenset()
+        return frozenset(
+            row.endpoint_id
+            for row in self.endpoints.list_rows()
+            if row.availability_zone in zones
+        )
+
     def find_recent_versions(self, services):
         """Return the versions of services, or None without leading."""
         if not self.may_answer(clock.monotonic()):
@@ -575,6 +591,13 @@
         if is_leading and self.is_leading:
             # Another store may have been the leader between these terms.
             self.runner.set_leading(False)
+        if is_leading:
+            # Before the first exchange is answered.
+            with self.lock:
+                self.allocator.reset()
+            self.quarantine_manager.reset()
+            self.version_history.reset()
+            self.cold_manager.reset(clock.monotonic())
         self.leading_term = term
         self.is_leading = is_leading
         LOG.info(
@@ -583,12 +606,6 @@
             self.group.term,
             self.group.applied_index,
         )
-        if is_leading:
-            with self.lock:
-                self.allocator.reset()
-            self.quarantine_manager.reset()
-            self.version_history.reset()
-            self.cold_manager.reset(now)
         self.runner.set_leading(is_leading)
 
     def drain(self, timeout):
