Release the endpoint of a complete response before its caller reads it

A caller that was slow to read the end of a response kept its endpoint occupied for all hosts, and lengthened the learned run time, by which requests are queued and refused. The slot is handed over when the response is complete.

--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -44,6 +44,8 @@
         self.silent_at = float('inf')
         self.is_stalled = False
         self.run_started_at = clock.monotonic()
+        # When its response was complete; None while its endpoint is occupied.
+        self.ended_at = None
 
     def open(
         self,
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -141,8 +141,10 @@
             return self.serve(service)
         finally:
             for attempt in list(self.attempts):
+                is_handed_over = attempt.ended_at is not None
                 self.close_attempt(attempt)
-                self.app.view.notify_free(attempt.endpoint.endpoint_id)
+                if not is_handed_over:
+                    self.app.view.notify_free(attempt.endpoint.endpoint_id)
 
     def find_service(self):
         """Return the service of the request, or its refusal."""
@@ -332,7 +334,7 @@
             self.proof.is_endpoint_gone = self.has_crashed(attempt)
         self.recorder.record(attempt, outcome)
         self.search.record(attempt, outcome)
-        if not isinstance(outcome, model.NotRun):
+        if not isinstance(outcome, model.NotRun) and attempt.ended_at is None:
             # The slot is handed over once a failure is known. An endpoint that
             # declines has none, whatever the loads show.
             self.app.view.notify_free(attempt.endpoint.endpoint_id)
@@ -342,15 +344,30 @@
         """Close the call of an attempt and release its endpoint."""
         self.attempts.remove(attempt)
         attempt.close()
+        if attempt.ended_at is None:
+            self.release(attempt)
+        if attempt.tried_part is not None:
+            self.app.leader_client.quarantine.end_trial(
+                attempt.tried_part, attempt.is_sent
+            )
+
+    def release(self, attempt):
+        """Remove an attempt from the load of its endpoint."""
         self.app.view.release(
             attempt.endpoint.endpoint_id,
             attempt.cost,
             attempt.progress.has_begun,
         )
-        if attempt.tried_part is not None:
-            self.app.leader_client.quarantine.end_trial(
-                attempt.tried_part, attempt.is_sent
-            )
+
+    def hand_over(self, attempt):
+        """Hand over the slot of a response that is complete.
+
+        Its caller may be slow to read the rest, which no endpoint has to wait
+        for.
+        """
+        self.release(attempt)
+        attempt.ended_at = clock.monotonic()
+        self.app.view.notify_free(attempt.endpoint.endpoint_id)
 
     def relay(self):
         """Relay responses until an attempt ends or another one is due.
@@ -673,6 +690,7 @@
         ):
             self.record_answer(attempt)
         self.drop_others(attempt)
+        self.hand_over(attempt)
         if not self.writer.send_whole(head, attempt.body.join()):
             return model.CallerGone()
         return model.Delivered(head.status)
@@ -695,6 +713,7 @@
                 return self.break_off(attempt)
         self.drop_others(attempt)
         self.begin_response(attempt)
+        self.hand_over(attempt)
         if not self.writer.send_end(attempt.head, attempt.stream.rest):
             return model.CallerGone()
         return model.Delivered(attempt.head.status)
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -61,8 +61,10 @@
             case model.Delivered(status=status):
                 view.record_success(endpoint_id)
                 if status in heads.SUCCESS:
+                    ended_at = attempt.ended_at or now
                     view.record_run(
-                        attempt.endpoint.service, now - attempt.run_started_at
+                        attempt.endpoint.service,
+                        ended_at - attempt.run_started_at,
                     )
                     self.learn_cost(attempt)
                 self.log('delivered', f'status {status}', attempt, 'answered')
--- a/rhubarbreach/gateway/tests/test_slow_callers.py
+++ b/rhubarbreach/gateway/tests/test_slow_callers.py
@@ -130,3 +130,19 @@
     run_caller = serve.caller
     run_caller.outbox.close()
     assert pool.used_bytes == 0
+
+
+def test_slow_caller_does_not_occupy_an_endpoint_that_is_done(serve):
+    """Guards against slots that look used, and run times that look long.
+
+    Requests are queued and refused by these figures.
+    """
+    views = []
+    read_after = 1.5
+    parts = [HEAD, *make_events(1, EVENT_COUNT), END]
+    _, is_whole, _, seconds = serve(parts, read_after, on_view=views.append)
+    assert is_whole
+    assert seconds > read_after
+    (loads,) = views
+    assert loads.run_seconds['s'] < read_after
+    assert not loads.copy_running()
