--- a/rhubarbreach/fleet/fair_share.py
+++ b/rhubarbreach/fleet/fair_share.py
@@ -17,7 +17,7 @@
 LOG = eventlog.Logger('fair_share')
 
 # Time constant of the demands of accounts. With 1.5 s an account that sends
-# eight times its load was named a second after it began, in a peak of 2.4 s.
+# eight times its load was named a second after it began; peaks last seconds.
 DEMAND_SECONDS = 0.5
 # Time constant of the run time and the capacity.
 CAPACITY_SECONDS = 3.0
