--- a/rhubarbreach/fleet/cold_permits.py
+++ b/rhubarbreach/fleet/cold_permits.py
@@ -114,11 +114,6 @@
             else:
                 bucket.limit = limit
 
-    def count_available(self, endpoint_id, now):
-        """Return the tokens of an endpoint, whole ones only."""
-        bucket = self.buckets.get(endpoint_id)
-        return 0 if bucket is None else count_tokens(bucket, now)
-
     def count_item_starts(self, now):
         """Return the items that may start on each cold endpoint."""
         return {
