Reserve the ports of tests per process

Cause: tests closed the socket that had found a port free before their own listener opened.

Change: one module finds the ports of all tests.

--- a/rhubarbreach/consensus/tests/cluster.py
+++ b/rhubarbreach/consensus/tests/cluster.py
@@ -3,7 +3,6 @@
 import contextlib
 import random
 import shutil
-import socket
 import time
 import uuid
 
@@ -15,6 +14,7 @@
 from rhubarbreach.consensus import group
 from rhubarbreach.consensus import groups
 from rhubarbreach.consensus import model
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import link
 
 HOSTS = ('host-1', 'host-2', 'host-3')
@@ -81,28 +81,6 @@
     return uuid.uuid4().hex.encode() + SEPARATOR + command
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
-def find_port(addresses):
-    """Return a port that is free on all of the addresses."""
-    for _ in range(50):
-        with socket.socket() as probe:
-            probe.bind((addresses[0], 0))
-            port = probe.getsockname()[1]
-        try:
-            listeners = [socket.create_server((a, port)) for a in addresses]
-        except OSError:
-            continue
-        for listener in listeners:
-            listener.close()
-        return port
-    raise OSError(f'no port is free on all of the addresses {addresses}')
-
-
 def wait_until(condition, seconds=WAIT_SECONDS):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -122,7 +100,7 @@
         self.options = options
         self.initial = options.pop('initial', hosts)
         self.machine_type = options.pop('machine_type', IdempotentMachine)
-        self.addresses = {host: find_address() for host in hosts}
+        self.addresses = {host: ports.find_address() for host in hosts}
         self.links = {}
         self.group_sets = {}
         for host in hosts:
@@ -130,7 +108,7 @@
 
     def start(self, host):
         if host not in self.addresses:
-            self.addresses[host] = find_address()
+            self.addresses[host] = ports.find_address()
             for other_link in self.links.values():
                 other_link.set_peer(host, self.addresses[host])
         peers = {h: a for h, a in self.addresses.items() if h != host}
--- a/rhubarbreach/daemon/tests/conftest.py
+++ b/rhubarbreach/daemon/tests/conftest.py
@@ -2,13 +2,13 @@
 
 import hashlib
 import pathlib
-import socket
 import time
 import uuid
 
 import pytest
 
 from rhubarbreach import clock
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.daemon import host as host_module
 from rhubarbreach.emulator import endpoint
 from rhubarbreach.emulator import engine
@@ -18,12 +18,6 @@
 WAIT_SECONDS = 30.0
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 def wait_for(condition):
     """Wait until a condition holds."""
     deadline = clock.monotonic() + WAIT_SECONDS
@@ -45,7 +39,7 @@
 
     def __init__(self, folder):
         self.folder = folder
-        self.http = find_address()
+        self.http = ports.find_address()
         self.host = None
         lines = [
             '[host]',
@@ -54,7 +48,7 @@
             'zone = zone-1',
             'roles = entry, store',
             f'http = {self.http}',
-            f'link = {find_address()}',
+            f'link = {ports.find_address()}',
             '[data]',
             f'folder = {folder / "data"}',
             '[store]',
@@ -103,7 +97,11 @@
 @pytest.fixture
 def engine_endpoint(deployment):
     settings = endpoint.EndpointSettings(
-        'engine-1', 'zone-1', find_address(), ('rota',), (deployment.http,)
+        'engine-1',
+        'zone-1',
+        ports.find_address(),
+        ('rota',),
+        (deployment.http,),
     )
     emulated = endpoint.EngineEndpoint(
         settings, engine.EngineSettings(slots=4, step_base=0.01)
--- a/rhubarbreach/distribution/tests/fleet.py
+++ b/rhubarbreach/distribution/tests/fleet.py
@@ -2,11 +2,10 @@
 
 import concurrent.futures
 import contextlib
-import random
-import socket
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.distribution import distributor
 from rhubarbreach.distribution import watch
 from rhubarbreach.observe import metrics
@@ -16,9 +15,6 @@
 from rhubarbreach.state import model
 
 
-PORTS = (10240, 32768)
-
-
 class FakeGroup:
     """Group of one replica that loses its quorum if `confirmed` is False."""
 
@@ -44,20 +40,6 @@
         super().__init__(settings, host_link, *arguments, **options)
 
 
-def find_address():
-    """Return a free address below the ephemeral port range.
-
-    An ephemeral port may be taken by an outgoing connection of another link
-    before this host listens on it. This made one of three test runs on a busy
-    machine fail.
-    """
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(('127.0.0.1', port))
-            return f'127.0.0.1:{port}'
-
-
 class Fleet:
     """Fleet of a store host and the hosts given.
 
@@ -77,7 +59,9 @@
         self.operations = 0
         self.recorder = timeline.Recorder('fleet', clock.HybridClock())
         names = self.first + tuple(upstreams)
-        self.addresses = {name: find_address() for name in (*names, 'late')}
+        self.addresses = {
+            name: ports.find_address() for name in (*names, 'late')
+        }
         self.hosts = {}
         for name in names:
             self.start(name, upstreams.get(name, ()))
--- a/rhubarbreach/emulator/tests/test_endpoint.py
+++ b/rhubarbreach/emulator/tests/test_endpoint.py
@@ -2,25 +2,19 @@
 
 import http.client
 import json
-import socket
 
 import pytest
 
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.emulator import endpoint
 from rhubarbreach.emulator import engine
 from rhubarbreach.emulator import tokens
 
 
-def find_free_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 @pytest.fixture
 def emulated_engine():
     settings = endpoint.EndpointSettings(
-        'endpoint-1', 'zone-1', find_free_address(), ('rota',), ()
+        'endpoint-1', 'zone-1', ports.find_address(), ('rota',), ()
     )
     engine_settings = engine.EngineSettings(slots=2, step_base=0.002)
     engine_endpoint = endpoint.EngineEndpoint(settings, engine_settings)
--- a/rhubarbreach/hosts/tests/conftest.py
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.hosts import store
 from rhubarbreach.observe import metrics
 from rhubarbreach.settings import role
@@ -33,7 +34,7 @@
     """Return four loopback addresses and a port that is free on all."""
     block = 1 + os.getpid() % 250
     addresses = tuple(f'127.{block}.7.{number}' for number in (1, 2, 3, 4))
-    return addresses, cluster.find_port(addresses)
+    return addresses, ports.find_port(addresses)
 
 
 @pytest.fixture
--- a/rhubarbreach/hosts/tests/test_entry.py
+++ b/rhubarbreach/hosts/tests/test_entry.py
@@ -9,7 +9,7 @@
 
 from rhubarbreach.catalog import index as indexes
 from rhubarbreach.catalog import model as catalogs
-from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.gateway import forward
 from rhubarbreach.gateway import model
 from rhubarbreach.hosts import entry
@@ -58,7 +58,7 @@
             address=address,
             availability_zone='z1',
             role='entry',
-            link_port=cluster.find_port([address]),
+            link_port=ports.find_port([address]),
             seeds=(address,),
             callers='127.0.0.1:0',
             readiness='127.0.0.1:0',
--- a/rhubarbreach/limits/tests/test_limiter.py
+++ b/rhubarbreach/limits/tests/test_limiter.py
@@ -1,13 +1,13 @@
 """Tests of the rate limiter over loopback links."""
 
 import dataclasses
-import socket
 import time
 
 import pytest
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.limits import shares
 from rhubarbreach.limits import shareset
 from rhubarbreach.protocol import link
@@ -34,17 +34,10 @@
         return rendezvous.rank_hosts(name, NAMES, count)
 
 
-def find_address():
-    """Return a free address on loopback."""
-    with socket.socket() as listener:
-        listener.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{listener.getsockname()[1]}'
-
-
 @pytest.fixture
 def limiters():
     """Return the rate limiters of three hosts."""
-    addresses = {name: find_address() for name in NAMES}
+    addresses = {name: ports.find_address() for name in NAMES}
     account = model.Account('a', 5.0, 20.0)
     view = View(model.Config(1, (account,), share_epoch=1, share_hosts=NAMES))
     links = [link.Link(n, addresses[n], addresses, None) for n in NAMES]
--- a/rhubarbreach/membership/tests/test_hosts.py
+++ b/rhubarbreach/membership/tests/test_hosts.py
@@ -1,11 +1,11 @@
 """Tests of membership over loopback links."""
 
-import socket
 import time
 
 import pytest
 
 from rhubarbreach import clock
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.membership import endpoints
 from rhubarbreach.membership import hosts
 from rhubarbreach.placement.tests import conftest
@@ -15,13 +15,6 @@
 WAIT_SECONDS = 15
 
 
-def find_address():
-    """Return a free address on loopback."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 def wait_for(condition):
     """Wait until a condition holds; return whether it does."""
     deadline = clock.monotonic() + WAIT_SECONDS
@@ -53,12 +46,14 @@
 @pytest.fixture
 def fleet_hosts():
     """Return three hosts in two zones that join through one seed."""
-    address = find_address()
+    address = ports.find_address()
     seeds = (('h0', address),)
     fleet_hosts = [FleetHost('h0', 'z0', address, ())]
     for index in (1, 2):
         zone = f'z{index % 2}'
-        fleet_hosts.append(FleetHost(f'h{index}', zone, find_address(), seeds))
+        fleet_hosts.append(
+            FleetHost(f'h{index}', zone, ports.find_address(), seeds)
+        )
     yield fleet_hosts
     for fleet_host in fleet_hosts:
         fleet_host.close()
--- a/rhubarbreach/orders/tests/test_order_sender.py
+++ b/rhubarbreach/orders/tests/test_order_sender.py
@@ -1,13 +1,13 @@
 """Tests of orders under leases against an emulated endpoint."""
 
 import dataclasses
-import socket
 import types
 
 import pytest
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.emulator import endpoint
 from rhubarbreach.emulator import engine
 from rhubarbreach.observe import timeline
@@ -19,12 +19,6 @@
 VALIDITY = 0.2
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 class FakeView:
     """Configuration view whose group commits only order leases."""
 
@@ -53,7 +47,7 @@
     settings = endpoint.EndpointSettings(
         'endpoint-1',
         'zone-1',
-        find_address(),
+        ports.find_address(),
         ('rota',),
         (),
         fencing=request.param,
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -1,27 +1,21 @@
 """Tests of the link between hosts."""
 
 import contextlib
-import socket
 import time
 
 import pytest
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import link
 from rhubarbreach.protocol import membermessages
 from rhubarbreach.protocol import peer as peer_task
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 @pytest.fixture
 def pair():
-    first, second = find_address(), find_address()
+    first, second = ports.find_address(), ports.find_address()
     with contextlib.ExitStack() as stack:
         links = (
             link.Link('host-1', first, {'host-2': second}, None),
@@ -141,7 +135,7 @@
     """Guards against a reply that completes another call with the same id."""
     pair[0].call('host-2', membermessages.Probe(1, ()), clock.monotonic() + 60)
     call_id = next(iter(pair[0].calls))
-    restarted = link.Link('host-1', find_address(), {}, None)
+    restarted = link.Link('host-1', ports.find_address(), {}, None)
     restarted.call(
         'host-1', membermessages.Probe(1, ()), clock.monotonic() + 60
     )
--- a/rhubarbreach/protocol/tests/test_silence.py
+++ b/rhubarbreach/protocol/tests/test_silence.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rhubarbreach import clock
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import messages
@@ -65,15 +66,18 @@
 
 @pytest.fixture
 def pair():
-    with socket.create_server((ADDRESSES[0], 0)) as probe:
-        port = probe.getsockname()[1]
+    port, second_port = (ports.find_port(ADDRESSES) for _ in range(2))
     first = links.Link(
         ADDRESSES[0], f'{ADDRESSES[0]}:{port}', {}, None, common_port=port
     )
     second = links.Link(
-        ADDRESSES[1], f'{ADDRESSES[1]}:{port + 1}', {}, None, common_port=port
+        ADDRESSES[1],
+        f'{ADDRESSES[1]}:{second_port}',
+        {},
+        None,
+        common_port=port,
     )
-    proxy = Proxy(ADDRESSES[1], port, port + 1)
+    proxy = Proxy(ADDRESSES[1], port, second_port)
     yield first, second, proxy
     for opened in (first, second, proxy):
         opened.close()
--- a/rhubarbreach/protocol/tests/test_stopped_host.py
+++ b/rhubarbreach/protocol/tests/test_stopped_host.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -11,6 +10,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import link as links
 
@@ -33,8 +33,7 @@
 @pytest.fixture
 def hosts():
     """Link of this process, and the process of another host."""
-    with socket.create_server((ADDRESSES[0], 0)) as probe:
-        port = probe.getsockname()[1]
+    port = ports.find_port(ADDRESSES)
     link = links.Link(
         ADDRESSES[0], f'{ADDRESSES[0]}:{port}', {}, None, common_port=port
     )
--- a/rhubarbreach/streams/tests/test_origins.py
+++ b/rhubarbreach/streams/tests/test_origins.py
@@ -6,6 +6,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import streammessages
 from rhubarbreach.streams import keeper
@@ -22,7 +23,7 @@
     def __init__(self):
         network = 1 + os.getpid() % 250
         self.addresses = [f'127.{network}.7.{n}' for n in range(1, 6)]
-        self.port = cluster.find_port(self.addresses)
+        self.port = ports.find_port(self.addresses)
         self.links = []
         self.recorders = []
         self.keepers = {}
