--- a/rhubarbreach/consensus/tests/test_crashes.py
+++ b/rhubarbreach/consensus/tests/test_crashes.py
@@ -10,6 +10,7 @@
 from rhubarbreach.consensus import group
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus.tests import cluster
+from rhubarbreach.consensus.tests import ports
 from rhubarbreach.protocol import link
 from rhubarbreach.storage import files
 
@@ -43,7 +44,7 @@
 @pytest.fixture
 def host_link():
     """Return a link without peers."""
-    host_link = link.Link('host-1', cluster.find_address(), {}, None)
+    host_link = link.Link('host-1', ports.find_address(), {}, None)
     yield host_link
     host_link.close()
 
