Split the view of endpoints into parts with one subject each

Change: the view owns a directory of endpoints (fleet/directory.py), counts of requests (request_counts.py), the use of cold endpoints (cold_access.py), health and outcomes (health.py), what requests have taught (performance.py) and the choice by all of these (endpoint_choice.py). All share the lock of the view; each docstring says which methods need it and which acquire it. Callers name the part. The queue limit is a function of fleet/choice.py. No decision changes.

--- a/rhubarbreach/balancing/tests/hosts.py
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -22,7 +22,7 @@
         self.budget = zone_loads.NewsBudget()
 
     def set_peers(self, peers):
-        self.view.update_peers(peers)
+        self.view.counts.update_peers(peers)
 
     def predict(self, request):
         return None
@@ -42,22 +42,26 @@
 
     def release(self, request, now):
         self.view.release(request.endpoint_id, request.ticket, True)
-        self.view.record_run(replay.SERVICE, now - request.first_at)
+        self.view.performance.record_run(
+            replay.SERVICE, now - request.first_at
+        )
 
     def read_event(self, request, load, now):
         pass
 
     def copy_report(self):
-        return self.view.copy_running(), {}
+        return self.view.counts.copy_running(), {}
 
     def copy_running(self):
-        return self.view.copy_running()
+        return self.view.counts.copy_running()
 
     def apply_report(self, number, report, now):
         self.view.report_peer(number, report[0], now, report[1])
 
     def pause_news(self, now):
-        return zone_loads.compute_news_interval(len(self.view.list_peers()))
+        return zone_loads.compute_news_interval(
+            len(self.view.counts.list_peers())
+        )
 
     def apply_exchange(self, elsewhere, age):
         self.view.update_loads(elsewhere, {}, (), {}, age)
@@ -77,7 +81,7 @@
             statement = costs.Statement(
                 request.prompt, 4 * request.hint, parts, request.hint
             )
-        return self.view.predict_cost(
+        return self.view.performance.predict_cost(
             replay.SERVICE,
             replay.ROUTE,
             request.shared,
@@ -87,7 +91,9 @@
 
     def release(self, request, now):
         super().release(request, now)
-        self.view.record_answer(request.ticket, request.progress.events)
+        self.view.performance.record_answer(
+            request.ticket, request.progress.events
+        )
 
     def read_event(self, request, load, now):
         endpoint_id = request.endpoint_id
@@ -95,21 +101,28 @@
             request.progress = progress.Progress()
             running, waiting, percent = load
             slots = self.pattern.slots
-            self.view.record_load(
+            self.view.performance.record_load(
                 endpoint_id,
                 endpoints.ServerLoad(running, waiting, slots, percent),
                 now,
             )
-            self.view.note_first_event(endpoint_id, request.ticket, now)
+            self.view.performance.note_first_event(
+                endpoint_id, request.ticket, now
+            )
         gap = request.progress.add(1, now)
         if gap is not None:
-            self.view.record_gap(self.view.endpoints[endpoint_id], gap, now)
+            self.view.performance.record_gap(
+                self.view.directory.endpoints[endpoint_id], gap, now
+            )
 
     def copy_report(self):
-        return self.view.copy_running(), self.view.pop_slowness()
+        return (
+            self.view.counts.copy_running(),
+            self.view.performance.pop_slowness(),
+        )
 
     def pause_news(self, now):
-        return self.budget.spend(len(self.view.list_peers()), now)
+        return self.budget.spend(len(self.view.counts.list_peers()), now)
 
 
 class PlainHost(WeighingHost):
--- a/rhubarbreach/fleet/choice.py
+++ b/rhubarbreach/fleet/choice.py
@@ -19,6 +19,7 @@
 __all__ = [
     'Endpoint',
     'choose_endpoint',
+    'choose_queue_limit',
     'compute_queue_limit',
     'compute_zone_penalty',
 ]
@@ -108,6 +109,33 @@
     return max(1, limit)
 
 
+def choose_queue_limit(slots, run_seconds, objective, is_late, has_begun):
+    """Return the queue limit for a request.
+
+    Parameters
+    ----------
+    slots : int
+        Fewest slots of an endpoint of the service; 0 if it has none.
+    run_seconds : float or None
+        Mean run time of a request, if it is known.
+    objective : float
+        Latency objective in seconds.
+    is_late : bool
+        Whether the request was refused or sent before.
+    has_begun : bool
+        Whether the request goes on with a stream.
+    """
+    if not (run_seconds and slots):
+        has_priority = is_late or has_begun
+        return MAX_QUEUED_RETRIES if has_priority else MAX_QUEUED
+    objectives = MAX_WAIT_OBJECTIVES
+    if has_begun:
+        objectives = MAX_BEGUN_WAIT_OBJECTIVES
+    elif is_late:
+        objectives = MAX_RETRY_WAIT_OBJECTIVES
+    return compute_queue_limit(slots, run_seconds, objectives * objective)
+
+
 def choose_endpoint(
     candidates,
     online,
--- a/rhubarbreach/fleet/health.py
+++ b/rhubarbreach/fleet/health.py
@@ -1,8 +1,8 @@
-"""Temporary ejection of endpoints after failures."""
+"""Failures and successes of endpoints, and ejection after failures."""
 
 import dataclasses
 
-__all__ = ['HealthTable']
+__all__ = ['EndpointHealth', 'HealthTable']
 
 # Ejection time after the first failure, doubled by each consecutive failure.
 # The maximum is about the time after which an endpoint that sends no
@@ -51,3 +51,61 @@
         for endpoint_id in list(self.entries):
             if endpoint_id not in endpoint_ids:
                 del self.entries[endpoint_id]
+
+
+class EndpointHealth:
+    """Endpoints that have failed at this host, or at several others.
+
+    The lock of the view protects all attributes. `record_stall`,
+    `record_success` and `pop_outcomes` acquire it; all other methods have to
+    be called with it.
+
+    Parameters
+    ----------
+    lock : threading.Lock
+        Lock of the view.
+    """
+
+    def __init__(self, lock):
+        self.lock = lock
+        self.table = HealthTable()
+        # Endpoints that fail for several hosts, as the leader has sent them.
+        self.suspects = frozenset()
+        # Failures and successes to report to the leader, by endpoint.
+        self.outcomes = {}
+
+    def is_sound(self, endpoint_id, now):
+        """Return whether an endpoint has not failed."""
+        return endpoint_id not in self.suspects and not self.table.is_ejected(
+            endpoint_id, now
+        )
+
+    def record_failure(self, endpoint_id, now):
+        """Count a failure and eject the endpoint for some time."""
+        self.table.record_failure(endpoint_id, now)
+        self.count_outcome(endpoint_id, 1, 0)
+
+    def count_outcome(self, endpoint_id, failures, successes):
+        """Add to the outcomes that are reported to the leader."""
+        previous = self.outcomes.get(endpoint_id, (0, 0))
+        self.outcomes[endpoint_id] = (
+            previous[0] + failures,
+            previous[1] + successes,
+        )
+
+    def record_stall(self, endpoint_id, now):
+        """Avoid a silent endpoint for some time; it has not failed yet."""
+        with self.lock:
+            self.table.record_failure(endpoint_id, now)
+
+    def record_success(self, endpoint_id):
+        """Count a success of an endpoint."""
+        with self.lock:
+            self.table.record_success(endpoint_id)
+            self.count_outcome(endpoint_id, 0, 1)
+
+    def pop_outcomes(self):
+        """Return the failures and successes since the last call."""
+        with self.lock:
+            outcomes, self.outcomes = self.outcomes, {}
+        return outcomes
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -123,7 +123,7 @@
         self.entry_host_count = 1
         self.tokens = token_source.TokenSource(
             link,
-            view.list_peers,
+            view.counts.list_peers,
             self.find_account,
             self.request_tokens,
             tolerance,
@@ -295,15 +295,15 @@
             return
         now = clock.monotonic()
         deadline = now + PERMIT_TIMEOUT_SECONDS
-        while view.needs_permit(service, excluded, software_version, now):
-            view.want_permit(service)
+        while view.cold.needs_permit(service, excluded, software_version, now):
+            view.cold.want_permit(service)
             if self.entry_host_count > MAX_WAITING_HOSTS:
                 self.request_loads()
                 return
             if not self.wait_for_exchange(deadline):
                 return
             now = clock.monotonic()
-            if not view.is_full(service, now):
+            if not view.cold.are_warm_full(service, now):
                 return
 
     def request_permits(self, service, count):
@@ -317,8 +317,10 @@
             Requests that wait.
         """
         now = clock.monotonic()
-        if self.has_leader and self.view.needs_permit(service, (), None, now):
-            self.view.want_permits(service, count)
+        if self.has_leader and self.view.cold.needs_permit(
+            service, (), None, now
+        ):
+            self.view.cold.want_permits(service, count)
             self.request_loads()
 
     def wait_for_exchange(self, deadline):
@@ -394,7 +396,7 @@
         with self.changed:
             self.begun_count += 1
         wanted = self.tokens.compute_wanted(sent)
-        running = self.view.copy_running()
+        running = self.view.counts.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
         wanted_parts, used_trials = self.quarantine.make_trial_report()
         crashes, answered = self.quarantine.make_report(sent)
@@ -403,19 +405,19 @@
             self.endpoints_stamp,
             running,
             wanted,
-            self.view.pop_outcomes(),
+            self.view.health.pop_outcomes(),
             self.view.zone,
             self.peers_revision,
             crashes,
             answered,
             self.quarantine.revision,
-            self.view.copy_departures(),
+            self.view.directory.copy_departures(),
             service_answers,
             wanted_parts,
             used_trials,
             self.evacuations.revision,
             {} if self.collect_queues is None else self.collect_queues(),
-            *self.view.make_cold_report(sent),
+            *self.view.cold.make_report(sent),
         )
         reply = self.search.call(message)
         if reply is None:
@@ -480,7 +482,7 @@
             )
         if reply.peers is not None:
             self.peers_revision = reply.peers_revision
-            self.view.update_peers(
+            self.view.counts.update_peers(
                 p for p in reply.peers if p != self.link.host_id
             )
         now = clock.monotonic()
@@ -525,8 +527,8 @@
             return
         self.evacuations = current
         restored = evacuations.find_restored(previous, current)
-        self.view.treat_zones_as_cold(restored, clock.monotonic())
-        self.view.set_evacuated_zones(current.zones)
+        self.view.cold.treat_zones_as_cold(restored, clock.monotonic())
+        self.view.directory.set_evacuated_zones(current.zones)
         LOG.info(
             'event=evacuations_in_force revision={} zones={} restored={}',
             current.revision,
@@ -551,8 +553,8 @@
             )
             return
         self.index = indexes.Index(catalog)
-        self.view.set_services(catalog.services)
-        self.view.limit_cold_services(
+        self.view.performance.set_services(catalog.services)
+        self.view.cold.limit_services(
             service.name for service in catalog.services if service.cold_rate
         )
         LOG.info(
--- a/rhubarbreach/fleet/tests/test_cold_endpoints.py
+++ b/rhubarbreach/fleet/tests/test_cold_endpoints.py
@@ -41,7 +41,7 @@
 def host():
     """Return the view of a host that knows two warm endpoints at 10 s."""
     host = view.View('z1')
-    host.limit_cold_services(['s'])
+    host.cold.limit_services(['s'])
     rows = [make_notice(endpoint_id='e'), make_notice(endpoint_id='f')]
     host.update_endpoints(rows, True)
     apply_reply(host, {}, sent=10.0)
@@ -140,7 +140,7 @@
 
 def test_host_without_leader_sends_nothing_to_cold_endpoints(host):
     host.record_failure('e', 10.5)
-    host.record_cold_news({'f': 0.1}, 10.5)
+    host.cold.record_news({'f': 0.1}, 10.5)
     refusal = host.acquire('s', (), 30.0)
     assert refusal.code == codes.ResultCode.NO_ENDPOINT
     assert refusal.ran == codes.Ran.NO
@@ -149,7 +149,7 @@
 def test_reply_from_before_a_failure_does_not_prove_an_endpoint_warm(host):
     host.record_failure('e', 10.5)
     apply_reply(host, None, sent=10.4)
-    assert host.make_cold_report(10.6)[1] == pytest.approx({'e': 0.1})
+    assert host.cold.make_report(10.6)[1] == pytest.approx({'e': 0.1})
     assert host.acquire('s', ('f',), 20.0).code == codes.ResultCode.NO_ENDPOINT
     apply_reply(host, None, sent=10.6)
     assert host.acquire('s', ('f',), 20.0).endpoint_id == 'e'
@@ -178,13 +178,13 @@
 
 def test_cold_endpoint_is_used_while_the_others_are_loaded(host):
     apply_reply(host, {'e': 3.0}, sent=10.5, granted={'e': 1})
-    assert not host.needs_permit('s', (), None, 10.6)
+    assert not host.cold.needs_permit('s', (), None, 10.6)
     assert host.acquire('s', (), 10.6).endpoint_id == 'f'
     host.update_loads({'f': 8}, {})
     assert host.acquire('s', (), 10.6).endpoint_id == 'e'
-    assert host.needs_permit('s', (), None, 10.6)
-    host.want_permit('s')
-    assert host.make_cold_report(10.6)[0] == {'e': 1}
+    assert host.cold.needs_permit('s', (), None, 10.6)
+    host.cold.want_permit('s')
+    assert host.cold.make_report(10.6)[0] == {'e': 1}
 
 
 def test_proof_of_an_end_needs_a_permit_at_a_cold_endpoint(host):
@@ -194,10 +194,10 @@
 
 
 def test_services_without_a_limit_are_served_as_before(host):
-    host.limit_cold_services(())
+    host.cold.limit_services(())
     host.record_failure('e', 10.5)
     assert isinstance(host.acquire('s', ('f',), 20.0), choice.Endpoint)
-    assert host.make_cold_report(10.6) == ({}, {}, 'a')
+    assert host.cold.make_report(10.6) == ({}, {}, 'a')
 
 
 def test_list_of_300_cold_endpoints_is_small():
@@ -219,12 +219,12 @@
     The endpoints are warm as far as the host knows, and a new leader names no
     cold ones at first.
     """
-    host.treat_zones_as_cold({'z1'}, 11.0)
+    host.cold.treat_zones_as_cold({'z1'}, 11.0)
     apply_reply(host, None, sent=11.1, stamp='')
-    endpoint = host.endpoints['e']
-    assert host.cold.is_cold(endpoint, 11.2)
+    endpoint = host.directory.endpoints['e']
+    assert host.cold.state.is_cold(endpoint, 11.2)
     apply_reply(host, {}, sent=11.3, stamp='b')
-    assert not host.cold.is_cold(endpoint, 11.4)
+    assert not host.cold.state.is_cold(endpoint, 11.4)
 
 
 def test_no_permits_for_endpoints_to_which_nothing_is_sent():
@@ -240,6 +240,6 @@
     host.update_loads({'e': 8, 'f': 8}, {})
     apply_reply(host, {'e': 3.0}, sent=11.0, stamp='b')
     for _ in range(10):
-        host.want_permits('s', 10)
-    wanted, _, _ = host.make_cold_report(11.1)
+        host.cold.want_permits('s', 10)
+    wanted, _, _ = host.cold.make_report(11.1)
     assert wanted == {'e': 10}
--- a/rhubarbreach/fleet/tests/test_evacuations.py
+++ b/rhubarbreach/fleet/tests/test_evacuations.py
@@ -25,7 +25,7 @@
     rows = (make_notice('e1', 'z1'), make_notice('e2', 'z2'))
     known = view.View('z2')
     known.update_endpoints(rows, True)
-    known.set_evacuated_zones(['z2'])
+    known.directory.set_evacuated_zones(['z2'])
     return known
 
 
@@ -42,7 +42,7 @@
 
     An endpoint that is ejected everywhere else is tried again, for example.
     """
-    endpoints.set_evacuated_zones(['z1', 'z2'])
+    endpoints.directory.set_evacuated_zones(['z1', 'z2'])
     refusal = endpoints.acquire('s', (), 0.0, can_retry=True)
     assert refusal.code is codes.ResultCode.NO_ENDPOINT
     assert refusal.ran is codes.Ran.NO
@@ -50,9 +50,9 @@
 
 def test_proofs_and_resumed_streams_do_not_reach_the_zone(endpoints):
     """Guards against the paths that name an endpoint they already used."""
-    endpoint = endpoints.endpoints['e2']
+    endpoint = endpoints.directory.endpoints['e2']
     assert endpoints.acquire_again(endpoint) is None
-    assert endpoints.list_endpoint_ids('s', '') == {'e1'}
+    assert endpoints.directory.list_endpoint_ids('s', '') == {'e1'}
     choices = {'e2'}
     assert isinstance(
         endpoints.acquire('s', (), 0.0, choices=choices), codes.Refusal
@@ -64,16 +64,18 @@
 
     The end of a response is judged by whether its endpoint was in service.
     """
-    assert endpoints.is_endpoint_in_service(endpoints.endpoints['e2'])
+    assert endpoints.directory.is_endpoint_in_service(
+        endpoints.directory.endpoints['e2']
+    )
 
 
 def test_list_of_endpoints_does_not_open_the_zone(endpoints):
     """Guards against endpoints that announce themselves in the zone."""
     rows = (make_notice('e1', 'z1'), make_notice('e3', 'z2'))
     endpoints.update_endpoints(rows, True)
-    assert endpoints.list_endpoint_ids('s', None) == {'e1'}
-    endpoints.set_evacuated_zones([])
-    assert endpoints.list_endpoint_ids('s', None) == {'e1', 'e3'}
+    assert endpoints.directory.list_endpoint_ids('s', None) == {'e1'}
+    endpoints.directory.set_evacuated_zones([])
+    assert endpoints.directory.list_endpoint_ids('s', None) == {'e1', 'e3'}
 
 
 def test_reply_of_a_former_leader_does_not_reopen_a_zone():
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -146,17 +146,17 @@
     # had a leader again, long after the peak.
     client = make_client(FakeLink(STORES, None))
     client.has_leader = True
-    client.view.update_peers(('h2',))
+    client.view.counts.update_peers(('h2',))
     client.view.report_peer('h2', {'e1': 1}, clock.monotonic())
     client.view.update_loads({'e1': 20}, {'e1': 3}, ('e2',))
     client.confirmed_at = clock.monotonic()
     client.exchange()
-    assert client.view.count_online('e1') == 21
+    assert client.view.counts.count_online('e1') == 21
     client.confirmed_at -= leader_client.FRESH_SECONDS
     client.exchange()
-    assert client.view.count_online('e1') == 1
-    assert not client.view.batch
-    assert client.view.suspects == {'e2'}
+    assert client.view.counts.count_online('e1') == 1
+    assert not client.view.counts.batch
+    assert client.view.health.suspects == {'e2'}
 
 
 class SilentLink:
@@ -266,9 +266,9 @@
     """Guards against a row of an older store that stops the exchange."""
     client = make_client(FakeLink(('s1',), None))
     client.apply_reply(make_reply(), clock.monotonic(), {})
-    assert list(client.view.endpoints) == ['sound']
-    assert client.view.elsewhere['sound'] == 3
-    assert client.view.batch['sound'] == 6
+    assert list(client.view.directory.endpoints) == ['sound']
+    assert client.view.counts.elsewhere['sound'] == 3
+    assert client.view.counts.batch['sound'] == 6
     assert client.endpoints_stamp == 'stamp'
 
 
@@ -289,7 +289,7 @@
     client.apply_reply(
         make_reply(catalog=fleetmessages.CatalogCopy(2, b'odd')), now, {}
     )
-    assert list(client.view.endpoints) == ['sound']
+    assert list(client.view.directory.endpoints) == ['sound']
     assert client.index.version == 1
     assert client.reply_count == 2
 
@@ -328,4 +328,4 @@
     client.search.call = lambda _: reply
     assert client.exchange()
     assert seen == [{'z1'}]
-    assert not client.view.services
+    assert not client.view.directory.services
--- a/rhubarbreach/fleet/tests/test_load_peaks.py
+++ b/rhubarbreach/fleet/tests/test_load_peaks.py
@@ -79,7 +79,7 @@
         for number, host in enumerate(hosts):
             if due[number] <= now:
                 due[number] = now + EXCHANGE_INTERVAL_SECONDS
-                reports.report(number, host.copy_running(), now)
+                reports.report(number, host.counts.copy_running(), now)
                 host.update_loads(sum_others(reports, number, now), {})
         if rng.random() < fleet.peak * fleet.step:
             number = rng.randrange(fleet.hosts)
--- a/rhubarbreach/fleet/tests/test_view.py
+++ b/rhubarbreach/fleet/tests/test_view.py
@@ -77,7 +77,7 @@
     streams of the others arrive when their callers have noticed.
     """
     objective, run_seconds, patience = 0.3, 0.7, 1.2
-    endpoints.record_run('s', run_seconds)
+    endpoints.performance.record_run('s', run_seconds)
     late, begun = (
         endpoints.choose_queue_limit('s', objective, True, has_begun)
         for has_begun in (False, True)
@@ -144,9 +144,9 @@
 def test_incomplete_update_removes_no_endpoint(endpoints):
     # A new leader has not received the announcements of all endpoints yet.
     endpoints.update_endpoints((make_notice('e4'),), False)
-    assert set(endpoints.endpoints) == {'e1', 'e2', 'e3', 'e4'}
+    assert set(endpoints.directory.endpoints) == {'e1', 'e2', 'e3', 'e4'}
     endpoints.update_endpoints((make_notice('e4'),), True)
-    assert set(endpoints.endpoints) == {'e4'}
+    assert set(endpoints.directory.endpoints) == {'e4'}
 
 
 def test_ejection_is_longer_after_each_failure(endpoints):
@@ -155,7 +155,7 @@
     after = health.BASE_EJECTION_SECONDS + 0.01
     assert endpoints.acquire('s', (), after).endpoint_id == 'e1'
     endpoints.record_failure('e1', after)
-    assert endpoints.health.is_ejected('e1', 2.5 * after)
+    assert endpoints.health.table.is_ejected('e1', 2.5 * after)
 
 
 def test_failed_endpoints_are_tried_if_all_have_failed(endpoints):
@@ -167,7 +167,7 @@
 def test_released_request_frees_its_slot(endpoints):
     chosen = endpoints.acquire('s', (), 0.0)
     endpoints.release(chosen.endpoint_id)
-    assert endpoints.copy_running() == {}
+    assert endpoints.counts.copy_running() == {}
 
 
 def test_suspects_get_no_requests_while_others_are_available(endpoints):
@@ -180,10 +180,10 @@
 
 def test_outcomes_are_reported_once(endpoints):
     endpoints.record_failure('e1', 0.0)
-    endpoints.record_success('e1')
-    endpoints.record_success('e2')
-    assert endpoints.pop_outcomes() == {'e1': (1, 1), 'e2': (0, 1)}
-    assert endpoints.pop_outcomes() == {}
+    endpoints.health.record_success('e1')
+    endpoints.health.record_success('e2')
+    assert endpoints.health.pop_outcomes() == {'e1': (1, 1), 'e2': (0, 1)}
+    assert endpoints.health.pop_outcomes() == {}
 
 
 def test_suspect_gets_repeatable_requests_when_others_are_full(endpoints):
@@ -212,8 +212,8 @@
     assert chosen.endpoint_id == 'e1'
     refusal = host.acquire('s', ('e1',), 0.0, software_version='v1')
     assert refusal.code == codes.ResultCode.NO_ENDPOINT
-    assert host.has_version('s', 'v1')
-    assert not host.has_version('s', 'v3')
+    assert host.directory.has_version('s', 'v1')
+    assert not host.directory.has_version('s', 'v3')
 
 
 def test_leaving_endpoint_that_is_forgotten_for_a_time_stays_excluded():
@@ -224,7 +224,7 @@
     """
     endpoints = view.View('z1')
     endpoints.update_endpoints((make_notice('e1'),), True)
-    endpoints.record_departure(endpoints.acquire('s', (), 0.0))
+    endpoints.directory.record_departure(endpoints.acquire('s', (), 0.0))
     endpoints.update_endpoints((), True)
     endpoints.update_endpoints((make_notice('e1'),), True)
     assert isinstance(endpoints.acquire('s', (), 0.0), codes.Refusal)
--- a/rhubarbreach/fleet/tests/test_zone_loads.py
+++ b/rhubarbreach/fleet/tests/test_zone_loads.py
@@ -81,12 +81,12 @@
         for number in range(pattern.hosts):
             host = view.View(zones[number % pattern.zones])
             host.update_endpoints(rows, True)
-            host.record_run('s', pattern.run_seconds)
+            host.performance.record_run('s', pattern.run_seconds)
             self.hosts.append(host)
         self.reports = [{} for _ in self.hosts]
         for number, host in enumerate(self.hosts):
             if has_news:
-                host.update_peers(map(str, self.list_peers(number)))
+                host.counts.update_peers(map(str, self.list_peers(number)))
 
     def list_peers(self, number):
         step = self.pattern.zones
@@ -146,7 +146,7 @@
     def send_news(self, number):
         if not self.has_news:
             return
-        running = self.hosts[number].copy_running()
+        running = self.hosts[number].counts.copy_running()
         for peer in self.list_peers(number):
             self.hosts[peer].report_peer(str(number), running, self.now)
 
@@ -154,7 +154,7 @@
         """Give a host the loads as the leader knows them."""
         if self.now > self.pattern.peak_seconds:
             return
-        self.reports[number] = self.hosts[number].copy_running()
+        self.reports[number] = self.hosts[number].counts.copy_running()
         peers = self.list_peers(number)
         nearby, elsewhere = {}, {}
         for other, report in enumerate(self.reports):
@@ -189,18 +189,18 @@
 
 def test_peer_reports_replace_the_loads_of_the_leader():
     host = view.View('z1')
-    host.update_peers(('h2', 'h3'))
+    host.counts.update_peers(('h2', 'h3'))
     host.report_peer('h2', {'e1': 2}, clock.monotonic())
     # Until all peers have reported, the loads of the leader are complete.
     host.update_loads({'e1': 1}, {}, (), {'e1': 4})
-    assert host.count_online('e1') == 5
+    assert host.counts.count_online('e1') == 5
     host.report_peer('h3', {'e1': 3}, clock.monotonic())
-    assert host.count_online('e1') == 6
+    assert host.counts.count_online('e1') == 6
     host.report_peer('stranger', {'e1': 9}, clock.monotonic())
-    assert host.count_online('e1') == 6
-    host.update_peers(('h2',))
+    assert host.counts.count_online('e1') == 6
+    host.counts.update_peers(('h2',))
     host.update_loads({}, {}, (), {})
-    assert host.count_online('e1') == 2
+    assert host.counts.count_online('e1') == 2
 
 
 def test_silent_peer_makes_the_loads_of_the_leader_count_again():
@@ -268,9 +268,9 @@
     """Guards against figures of hosts that are no peers."""
     host = view.View('z1')
     host.update_endpoints((), True)
-    host.update_peers(('h2',))
+    host.counts.update_peers(('h2',))
     host.report_peer('h2', {'e1': 2}, 1.0)
     host.report_peer('stranger', {}, 1.0, {'e1': 300})
-    assert host.table.slowness.figures == {}
+    assert host.performance.table.slowness.figures == {}
     host.report_peer('h2', {'e1': 2}, 1.0, {'e1': 300})
-    assert host.list_slow(1.0) == ['e1']
+    assert host.performance.list_slow(1.0) == ['e1']
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -130,7 +130,7 @@
             return service
         if self.app.view.has_high_utilization(service):
             self.app.leader_client.refresh_loads()
-        self.search.cost = self.app.view.predict_cost(
+        self.search.cost = self.app.view.performance.predict_cost(
             service,
             self.route.name,
             '' if self.account is None else self.account.name,
@@ -575,7 +575,7 @@
 
     def record_departure(self, attempt):
         """Send no more requests to the endpoint, and report it."""
-        if self.app.view.record_departure(attempt.endpoint):
+        if self.app.view.directory.record_departure(attempt.endpoint):
             self.recorder.log(
                 'answered', 'the endpoint is leaving', attempt, 'departure'
             )
@@ -609,7 +609,7 @@
         head = attempt.head
         dialect = self.app.dialect
         outcome = heads.check_identity(head, self.info.request_id, dialect)
-        if self.app.view.has_cold_limit(attempt.endpoint.service):
+        if self.app.view.cold.has_limit(attempt.endpoint.service):
             self.record_coldness(attempt)
         if dialect.is_leaving(head) and heads.is_own(head, outcome):
             self.record_departure(attempt)
@@ -630,7 +630,7 @@
         """Count an endpoint as cold that says so and was not known to be."""
         now = clock.monotonic()
         view = self.app.view
-        if self.app.dialect.is_cold(attempt.head) and not view.is_cold(
+        if self.app.dialect.is_cold(attempt.head) and not view.cold.is_cold(
             attempt.endpoint, now
         ):
             view.record_cold(attempt.endpoint.endpoint_id, now)
@@ -726,13 +726,13 @@
         """
         endpoint = attempt.endpoint
         deadline = clock.monotonic() + CONNECT_TIMEOUT_SECONDS
-        if not self.app.view.is_endpoint_in_service(
+        if not self.app.view.directory.is_endpoint_in_service(
             endpoint
         ) or not sockets.is_port_closed(endpoint.address, deadline):
             return False
         # Only the leader may know yet that the endpoint has left in order.
         self.app.leader_client.refresh_loads()
-        return not self.app.view.has_left(endpoint)
+        return not self.app.view.directory.has_left(endpoint)
 
     def break_off(self, attempt):
         """Return the outcome of a response whose endpoint has crashed."""
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -59,10 +59,10 @@
                 view.record_failure(endpoint_id, now)
                 self.log('broken', reason, attempt)
             case model.Delivered(status=status):
-                view.record_success(endpoint_id)
+                view.health.record_success(endpoint_id)
                 if status in heads.SUCCESS:
                     ended_at = attempt.ended_at or now
-                    view.record_run(
+                    view.performance.record_run(
                         attempt.endpoint.service,
                         ended_at - attempt.run_started_at,
                     )
@@ -81,7 +81,7 @@
                 self.log('superseded', '', attempt)
             case model.Unread():
                 self.endpoint_ids.add(endpoint_id)
-                view.record_stall(endpoint_id, now)
+                view.health.record_stall(endpoint_id, now)
                 self.log('unread', 'request was not read in time', attempt)
             case model.TimedOut():
                 self.endpoint_ids.add(endpoint_id)
@@ -103,7 +103,9 @@
         """
         load = self.app.dialect.get_load(head)
         if load is not None:
-            self.app.view.record_load(attempt.endpoint.endpoint_id, load, now)
+            self.app.view.performance.record_load(
+                attempt.endpoint.endpoint_id, load, now
+            )
         if head.status in heads.SUCCESS:
             # An engine sends the head with the first event.
             attempt.progress.has_begun = True
@@ -111,7 +113,7 @@
             self.app.metrics.count(
                 'answers_begun_total', zone='own' if is_near else 'other'
             )
-            self.app.view.note_first_event(
+            self.app.view.performance.note_first_event(
                 attempt.endpoint.endpoint_id, attempt.cost, now
             )
 
@@ -119,14 +121,14 @@
         """Record that events of a stream have arrived together."""
         gap = attempt.progress.add(count, now)
         if gap is not None:
-            self.app.view.record_gap(attempt.endpoint, gap, now)
+            self.app.view.performance.record_gap(attempt.endpoint, gap, now)
 
     def learn_cost(self, attempt):
         """Learn the cost of a request that one endpoint has answered."""
         is_whole = self.info.last_event_id is None and self.sent == 0
         if attempt.cost is not None and is_whole:
             events = attempt.progress.events
-            self.app.view.record_answer(attempt.cost, events)
+            self.app.view.performance.record_answer(attempt.cost, events)
             if events:
                 metrics = self.app.metrics
                 metrics.count('events_written_total', events)
@@ -134,7 +136,7 @@
 
     def record_settled(self, attempt):
         """Count a stream that was delivered without a proof of its end."""
-        self.app.view.record_success(attempt.endpoint.endpoint_id)
+        self.app.view.health.record_success(attempt.endpoint.endpoint_id)
         self.log('settled', 'end without a proof', attempt, 'answered')
 
     def record_stall(self, attempt):
@@ -142,7 +144,7 @@
         if attempt.is_stalled:
             return
         attempt.is_stalled = True
-        self.app.view.record_stall(
+        self.app.view.health.record_stall(
             attempt.endpoint.endpoint_id, clock.monotonic()
         )
         self.log('stalled', 'no event in time', attempt)
--- a/rhubarbreach/gateway/resume.py
+++ b/rhubarbreach/gateway/resume.py
@@ -74,7 +74,9 @@
         target
         for target in route.targets
         if target.service in services
-        and app.view.has_version(target.service, origin.software_version)
+        and app.view.directory.has_version(
+            target.service, origin.software_version
+        )
         and target.weight > 0
     )
     if not targets:
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -137,7 +137,7 @@
             )
             if refusal is not None:
                 return refusal
-            if self.app.view.has_cold_limit(service):
+            if self.app.view.cold.has_limit(service):
                 self.app.leader_client.wait_for_permit(
                     service, self.excluded, self.software_version
                 )
@@ -147,7 +147,7 @@
                 return endpoint
             may_send, tried_part = quarantine.begin_trial(prompt, now)
             if may_send:
-                load = self.app.view.format_load(endpoint.endpoint_id)
+                load = self.app.view.counts.format_load(endpoint.endpoint_id)
                 return attempts.Attempt(endpoint, load, tried_part, self.cost)
             # Another request has used the trial of the part.
             self.app.view.release(endpoint.endpoint_id, self.cost)
@@ -165,7 +165,7 @@
         endpoint = self.app.view.acquire_again(proof.endpoint)
         if endpoint is None:
             return None
-        load = self.app.view.format_load(endpoint.endpoint_id)
+        load = self.app.view.counts.format_load(endpoint.endpoint_id)
         proof.repeat = attempts.Attempt(endpoint, load, None)
         return proof.repeat
 
@@ -285,7 +285,7 @@
 
     def list_untried(self, service):
         """Return the ids of the endpoints that were not asked."""
-        endpoint_ids = self.app.view.list_endpoint_ids(
+        endpoint_ids = self.app.view.directory.list_endpoint_ids(
             service, self.software_version
         )
         return endpoint_ids - self.excluded
@@ -327,7 +327,9 @@
             return True
         return bool(
             self.list_askable()
-            & self.app.view.list_endpoint_ids(service, self.software_version)
+            & self.app.view.directory.list_endpoint_ids(
+                service, self.software_version
+            )
         )
 
     def must_pause(self, outcome):
--- a/rhubarbreach/gateway/tests/replay.py
+++ b/rhubarbreach/gateway/tests/replay.py
@@ -123,7 +123,7 @@
         if not request.is_returned:
             self.demands[request.account] += 1
         objective = self.replay.deployment.objective
-        online = self.view.count_online
+        online = self.view.counts.count_online
         is_full = all(
             online(row.endpoint_id) >= row.slots for row in self.replay.rows
         )
@@ -150,7 +150,9 @@
 
     def end(self, request):
         self.completed += 1
-        self.view.record_run('s', self.replay.now - request.event_at)
+        self.view.performance.record_run(
+            's', self.replay.now - request.event_at
+        )
         self.view.release(request.endpoint_id)
         self.handle_change(request.endpoint_id)
 
@@ -182,7 +184,7 @@
         self.exchange_number += 1
         replay, now = self.replay, self.replay.now
         self.exchanged_at = now
-        own = self.view.copy_running()
+        own = self.view.counts.copy_running()
         replay.loads.report(self.number, self.zone, own, now)
         waiting, unmet = self.count_waiting()
         report = fleetmessages.QueueReport(
@@ -223,7 +225,7 @@
 
     def send_news(self):
         self.is_news_due = False
-        own = self.view.copy_running()
+        own = self.view.counts.copy_running()
         for peer in self.peers:
             peer.view.report_peer(self.number, own, self.replay.now)
 
@@ -279,7 +281,7 @@
             hosts = self.replay.deployment.hosts
             interval = leader_client.compute_interval(hosts)
             if seconds < admission.START_EXCHANGES * interval and (
-                sum(self.view.running.values()) >= share
+                sum(self.view.counts.running.values()) >= share
             ):
                 return codes.Refusal(codes.ResultCode.QUEUE_FULL, 'share')
         choices = None if released is None else {released}
@@ -359,7 +361,7 @@
             host.peers = [
                 h for h in self.hosts if h.zone == host.zone and h is not host
             ]
-            host.view.update_peers(h.number for h in host.peers)
+            host.view.counts.update_peers(h.number for h in host.peers)
             self.after(self.rng.random() * 0.05, host.start)
 
     def after(self, seconds, function, *arguments):
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -291,8 +291,8 @@
     assert refusal is None
     assert data.endswith(responses.LAST_CHUNK)
     (loads,) = views
-    assert not loads.health.is_ejected('e1', clock.monotonic())
-    assert loads.pop_outcomes() == {'e2': (0, 1)}
+    assert not loads.health.table.is_ejected('e1', clock.monotonic())
+    assert loads.health.pop_outcomes() == {'e2': (0, 1)}
 
 
 def test_request_on_a_route_with_a_long_timeout_is_answered(forward_to):
@@ -373,7 +373,7 @@
         on_view=loads.append,
     )
     assert refusal is None
-    assert loads[0].run_seconds['s'] >= 0.3
+    assert loads[0].performance.run_seconds['s'] >= 0.3
 
 
 @pytest.mark.parametrize('status', [200, 421])
@@ -391,11 +391,11 @@
     length = b'Content-Length: %d\r\n\r\n' % len(body)
     loads = []
     forward_to([head + length + body], 0.0, on_view=loads.append)
-    table = loads[0].table
+    table = loads[0].performance.table
     assert table.slowness.has_figures('s')
-    assert loads[0].list_slow(clock.monotonic()) == ['e1']
+    assert loads[0].performance.list_slow(clock.monotonic()) == ['e1']
     assert not table.waiting and not table.held_tokens
-    learned = loads[0].costs.groups.get(('r',))
+    learned = loads[0].performance.costs.groups.get(('r',))
     assert (learned is not None and learned.mean == 2) == (status == 200)
 
 
--- a/rhubarbreach/gateway/tests/test_silent_endpoints.py
+++ b/rhubarbreach/gateway/tests/test_silent_endpoints.py
@@ -102,8 +102,8 @@
     assert refusal is None
     assert list_ids(data) == [1, 2, 3]
     assert seconds < 1.2
-    assert not loads[0].running
-    failures = [failed for failed, _ in loads[0].outcomes.values()]
+    assert not loads[0].counts.running
+    failures = [failed for failed, _ in loads[0].health.outcomes.values()]
     assert sorted(failures) == [0, 1]
 
 
@@ -121,8 +121,8 @@
     )
     assert endpoint.count == 2
     assert list_ids(data) == [1, 2, 3]
-    assert not loads[0].health.entries
-    assert all(failed == 0 for failed, _ in loads[0].outcomes.values())
+    assert not loads[0].health.table.entries
+    assert all(failed == 0 for failed, _ in loads[0].health.outcomes.values())
     count = forward_to.metrics.get_count
     assert count('forward_outcomes_total', outcome='stalled') == 1
 
@@ -144,7 +144,7 @@
     )
     assert endpoint.count == 3
     assert list_ids(data) == [1, 2, 3]
-    assert sorted(f for f, _ in loads[0].outcomes.values()) == [0, 1]
+    assert sorted(f for f, _ in loads[0].health.outcomes.values()) == [0, 1]
     count = forward_to.metrics.get_count
     assert count('forward_outcomes_total', outcome='stalled') == 1
 
--- a/rhubarbreach/gateway/tests/test_slow_callers.py
+++ b/rhubarbreach/gateway/tests/test_slow_callers.py
@@ -144,5 +144,5 @@
     assert is_whole
     assert seconds > read_after
     (loads,) = views
-    assert loads.run_seconds['s'] < read_after
-    assert not loads.copy_running()
+    assert loads.performance.run_seconds['s'] < read_after
+    assert not loads.counts.copy_running()
--- a/rhubarbreach/gateway/tests/test_takeovers.py
+++ b/rhubarbreach/gateway/tests/test_takeovers.py
@@ -329,8 +329,10 @@
     assert list_ids(data) == [1, 2, 3, 4]
     assert data.endswith(responses.LAST_CHUNK)
     assert chosen[1] == chosen[2]
-    assert all(failed < 2 for failed, _ in take_over.view.outcomes.values())
-    assert not take_over.view.outcomes.get(chosen[1], (0, 0))[0]
+    assert all(
+        failed < 2 for failed, _ in take_over.view.health.outcomes.values()
+    )
+    assert not take_over.view.health.outcomes.get(chosen[1], (0, 0))[0]
 
 
 def test_endpoint_that_does_not_read_is_not_asked_all_the_time(take_over):
@@ -407,7 +409,7 @@
     chosen, _, data, _ = take_over([[HEAD, *events, END]], send_seconds=0.8)
     assert list_ids(data) == [1, 2, 3, 4]
     assert len(chosen) == 1
-    assert not take_over.view.health.entries
+    assert not take_over.view.health.table.entries
 
 
 @pytest.mark.parametrize('has_begun', [False, True])
--- a/rhubarbreach/gateway/tests/test_unproven_ends.py
+++ b/rhubarbreach/gateway/tests/test_unproven_ends.py
@@ -232,7 +232,7 @@
     views = []
 
     def refresh():
-        endpoint = views[0].endpoints['e1']
+        endpoint = views[0].directory.endpoints['e1']
         notice = fleetmessages.EndpointNotice(
             'e1', 's', endpoint.address, 'z1', 8, state, born, 2, 0.0
         )
@@ -263,7 +263,7 @@
 def announce_later_process(view):
     """Announce a later process of the endpoint, which has already answered."""
     time.sleep(0.1)
-    (endpoint,) = view.endpoints.values()
+    (endpoint,) = view.directory.endpoints.values()
     row = fleetmessages.EndpointNotice(
         endpoint.endpoint_id,
         endpoint.service,
--- a/rhubarbreach/gateway/tests/test_waiting.py
+++ b/rhubarbreach/gateway/tests/test_waiting.py
@@ -28,7 +28,7 @@
         'e1', 's', 'e1:1', 'z', 2, 'ready', 1, 1
     )
     known.update_endpoints((row,), True)
-    known.record_run('s', 0.2)
+    known.performance.record_run('s', 0.2)
     return known
 
 
@@ -114,7 +114,7 @@
 
 def test_waiting_request_is_sent_without_a_leader(endpoints, client, submit):
     """Guards against requests that wait for loads of a lost leader."""
-    endpoints.update_peers(('h2',))
+    endpoints.counts.update_peers(('h2',))
     endpoints.report_peer('h2', {'e1': 2}, clock.monotonic())
     client.has_queues = lambda _: False
     call = submit()
@@ -147,7 +147,7 @@
     assert clock.monotonic() - began_at < 0.5
     assert isinstance(call.result, model.CallerGone)
     endpoints.update_loads({}, {})
-    assert endpoints.copy_running() == {}
+    assert endpoints.counts.copy_running() == {}
 
 
 def test_host_that_has_just_started_sends_its_share(endpoints, client, submit):
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -201,9 +201,11 @@
         if (
             isinstance(result, codes.Refusal)
             and result.code is codes.ResultCode.NO_ENDPOINT
-            and self.view.has_cold_limit(call.service)
+            and self.view.cold.has_limit(call.service)
             and self.leader_client.has_leader
-            and self.view.needs_permit(call.service, call.excluded, None, now)
+            and self.view.cold.needs_permit(
+                call.service, call.excluded, None, now
+            )
         ):
             return codes.Refusal(
                 codes.ResultCode.QUEUE_FULL,
@@ -237,7 +239,7 @@
         leader only the hosts of the zone send loads. Requests that wait while
         endpoints are cold ask for permits again, as permits expire soon.
         """
-        if self.view.has_cold_limit(service):
+        if self.view.cold.has_limit(service):
             self.leader_client.request_permits(
                 service, len(self.queues[service].waiters)
             )
@@ -305,7 +307,7 @@
             Endpoint at which a request of this host has ended, None if new
             loads have arrived.
         """
-        endpoint = self.view.endpoints.get(endpoint_id)
+        endpoint = self.view.directory.endpoints.get(endpoint_id)
         with self.lock:
             if endpoint is not None:
                 self.completed[endpoint.service] += 1
--- a/rhubarbreach/hosts/tests/coldfleet.py
+++ b/rhubarbreach/hosts/tests/coldfleet.py
@@ -188,7 +188,7 @@
             if endpoint.is_returning:
                 self.at(endpoint.back_at, self.restart, endpoint)
         for host in self.hosts:
-            host.view.limit_cold_services('s' if self.is_limited else ())
+            host.view.cold.limit_services('s' if self.is_limited else ())
             self.exchange(host, 0.0)
         self.at(0.1, self.arrive)
         while self.events:
@@ -229,7 +229,7 @@
         if host.is_exchanging or now < host.next_exchange:
             return
         host.is_exchanging = True
-        report = host.view.make_cold_report(now)
+        report = host.view.cold.make_report(now)
         message = fleetmessages.Exchange(
             0,
             '',
@@ -271,7 +271,9 @@
         if reply is not None:
             if rows is not None:
                 host.view.update_endpoints(rows, True)
-            others = self.running - collections.Counter(host.view.running)
+            others = self.running - collections.Counter(
+                host.view.counts.running
+            )
             host.view.update_loads(others, {}, age=self.min_interval)
             granted, cold, stamp = reply
             host.view.apply_cold(
@@ -312,12 +314,14 @@
 
     def place(self, host, request, deadline, now):
         """Wait for a permit if one is needed, and choose an endpoint."""
-        needs = host.view.needs_permit('s', request.excluded, None, now)
+        needs = host.view.cold.needs_permit('s', request.excluded, None, now)
         if self.asks and needs and not host.is_cut_off:
             is_first = deadline is None
             deadline = now + WAIT_SECONDS if is_first else deadline
-            if is_first or (now < deadline and host.view.is_full('s', now)):
-                host.view.want_permit('s')
+            if is_first or (
+                now < deadline and host.view.cold.are_warm_full('s', now)
+            ):
+                host.view.cold.want_permit('s')
                 host.waiting.append((request, deadline))
                 self.at(max(now, host.next_exchange), self.exchange, host)
                 return
@@ -356,7 +360,7 @@
             self.fail(host, request, endpoint.endpoint_id, now)
             return
         self.release(host, endpoint.endpoint_id)
-        host.view.record_success(endpoint.endpoint_id)
+        host.view.health.record_success(endpoint.endpoint_id)
         self.count(request, not is_late)
 
     def fail(self, host, request, endpoint_id, now):
@@ -376,10 +380,10 @@
         self.running[endpoint_id] -= 1
 
     def tell_zone(self, host, now):
-        ages = host.view.list_cold_news(now)
+        ages = host.view.cold.list_news(now)
         for other in self.hosts:
             if other is not host and other.zone == host.zone:
-                other.view.record_cold_news(ages, now)
+                other.view.cold.record_news(ages, now)
 
     def count(self, request, is_served):
         if request.started_at >= BACK_AT:
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -57,7 +57,7 @@
             sender_id, message.running, now, message.slowness
         )
         if message.failed:
-            self.view.record_cold_news(message.failed, now)
+            self.view.cold.record_news(message.failed, now)
 
     def run(self):
         """Send reports until the task is closed."""
@@ -67,7 +67,7 @@
                 self.log_slow(clock.monotonic())
             except Exception:
                 LOG.exception('event=zone_news_failed')
-            peer_count = len(self.view.list_peers())
+            peer_count = len(self.view.counts.list_peers())
             time.sleep(self.budget.spend(peer_count, clock.monotonic()))
             if not self.changed.wait(zone_loads.MAX_NEWS_INTERVAL_SECONDS):
                 continue
@@ -79,18 +79,18 @@
         self.changed.clear()
         self.urgent.clear()
         message = fleetmessages.LoadNews(
-            self.view.copy_running(),
-            self.view.pop_slowness(),
-            self.view.list_cold_news(clock.monotonic()),
+            self.view.counts.copy_running(),
+            self.view.performance.pop_slowness(),
+            self.view.cold.list_news(clock.monotonic()),
         )
-        for host_id in self.view.list_peers():
+        for host_id in self.view.counts.list_peers():
             self.link.send(host_id, message)
 
     def log_slow(self, now):
         """Log the slow endpoints if they have changed."""
         if now < self.next_log:
             return
-        slow = self.view.list_slow(now)
+        slow = self.view.performance.list_slow(now)
         if slow != self.slow:
             self.slow = slow
             self.next_log = now + SLOW_LOG_SECONDS
