Check a configuration before it is sent

Cause: an operator learned of a fault in a configuration only from the refusal of a store, without its place, and of entries without effect not at all.

--- a/rhubarbreach/commands/importcheck.py
+++ b/rhubarbreach/commands/importcheck.py
@@ -37,6 +37,7 @@
     'placement',
     'dispatch',
     'entry',
+    'configcheck',
     'batch',
     'orders',
     'operators',
--- a/rhubarbreach/commands/main.py
+++ b/rhubarbreach/commands/main.py
@@ -1,9 +1,11 @@
 """Command line `rhubarbreach`."""
 
 import importlib
+import sys
 
 import fire
 
+from rhubarbreach.commands import check
 from rhubarbreach.commands import explain
 from rhubarbreach.commands import host
 from rhubarbreach.commands import reference
@@ -30,9 +32,11 @@
 class Commands:
     """Serving system for online and batch inference on one fleet.
 
-    serve runs a host, check checks its settings, admin has the commands for
-    operators, timeline and explain print events from log files, load sends
-    requests, demo and bench start a small deployment on the loopback address.
+    serve runs a host, check checks its settings (--config FILE) or a
+    configuration (FILE) before it is sent, see `check --help`. admin has the
+    commands for operators, timeline and explain print events from log files,
+    load sends requests, demo and bench start a small deployment on the
+    loopback address.
     """
 
     def __init__(self):
@@ -79,5 +83,11 @@
 
 
 def main():
-    """Run the command named on the command line."""
+    """Run the command named on the command line.
+
+    `check` parses its own options, because fire would take FILE for the value
+    of a flag before it, and exits with 2 on wrong usage.
+    """
+    if sys.argv[1:2] == ['check']:
+        sys.exit(check.main(sys.argv[2:]))
     fire.Fire(Commands, name='rhubarbreach')
--- /dev/null
+++ b/rhubarbreach/configcheck/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the analysis of configurations."""
