Bound the size of a checked document by its format

Cause: the check scanned up to 16 MB of a document that a store takes up to 1.5 MiB of, and a name that the terminal's encoding lacks ended it.

--- a/rhubarbreach/commands/check.py
+++ b/rhubarbreach/commands/check.py
@@ -19,8 +19,6 @@
 # the configuration.
 EXIT_USAGE = 64
 STANDARD_INPUT = '-'
-# Larger documents are not read. One of 13,000 accounts with keys has 4 MB.
-MAX_FILE_BYTES = 16 * 1024 * 1024
 LIST_ATTEMPTS = 3
 
 
@@ -81,7 +79,8 @@
     ----------
     form : object
         Format of the file: `check(data, scan, fleet, in_force)` returns the
-        findings, `read_contents(data)` the `Contents` of a document.
+        findings, `read_contents(data)` the `Contents` of a document. Larger
+        ones than `max_bytes` are not read whole.
     options : argparse.Namespace
         Options of `make_parser`.
     read_stored : callable, optional
@@ -95,10 +94,12 @@
             request_seconds=options.request_seconds,
             **settings,
         )
-        data = read_file(options.file)
+        data = read_file(options.file, form.max_bytes)
         old = None
         if options.in_force is not None:
-            old = form.read_contents(read_file(options.in_force))
+            old = form.read_contents(
+                read_file(options.in_force, form.max_bytes)
+            )
         elif read_stored is not None:
             old = read_stored()
     except exceptions.SettingsError as error:
@@ -110,17 +111,19 @@
     found, scan, changed = analyse(form, data, fleet, old)
     outcome = report.make_report(options.file, found, scan, changed)
     write = report.format_json if options.json else report.format_text
+    # Names may hold characters that the terminal's encoding lacks.
+    sys.stdout.reconfigure(errors='backslashreplace')
     sys.stdout.write(write(outcome))
     return report.get_status(outcome, options.fail_on_difference)
 
 
 def analyse(form, data, fleet, old):
     """Return the findings, the scan and the differences of a document."""
-    if len(data) > MAX_FILE_BYTES:
+    if len(data) > form.max_bytes:
         finding = findings.Finding(
             'document_too_large',
             (),
-            f'the document has more than {MAX_FILE_BYTES} bytes',
+            f'the document has more than {form.max_bytes} bytes',
         )
         return [finding], documents.Scan(b''), None
     scan = documents.scan(data)
@@ -134,12 +137,12 @@
     return found, scan, changed
 
 
-def read_file(name):
+def read_file(name, max_bytes):
     """Return the bytes of a file, at most one more than are checked."""
     if name == STANDARD_INPUT:
-        return sys.stdin.buffer.read(MAX_FILE_BYTES + 1)
+        return sys.stdin.buffer.read(max_bytes + 1)
     with pathlib.Path(name).open('rb') as file:
-        return file.read(MAX_FILE_BYTES + 1)
+        return file.read(max_bytes + 1)
 
 
 def leave(text):
--- a/rhubarbreach/commands/tests/test_check.py
+++ b/rhubarbreach/commands/tests/test_check.py
@@ -7,6 +7,7 @@
 
 from rhubarbreach.commands import check
 from rhubarbreach.configcheck import findings
+from rhubarbreach.configcheck import staterules
 from rhubarbreach.operators import server
 from rhubarbreach.operators.tests import memory
 from rhubarbreach.state import model
@@ -137,7 +138,7 @@
 
 def test_huge_document_is_refused_without_reading_it(run, monkeypatch):
     """Guards against a check that takes all memory of the machine."""
-    monkeypatch.setattr(check, 'MAX_FILE_BYTES', 100)
+    monkeypatch.setattr(staterules.Format, 'max_bytes', 100)
     status, output, _ = run(b'[' * 101)
     assert status == 2
     assert output.startswith('FILE:1: error: document_too_large:')
--- a/rhubarbreach/configcheck/findings.py
+++ b/rhubarbreach/configcheck/findings.py
@@ -26,7 +26,10 @@
         ERROR,
         'not JSON in UTF-8, nested too deeply, or a value of another type',
     ),
-    'document_too_large': (ERROR, 'more bytes than a store host takes'),
+    'document_too_large': (
+        ERROR,
+        'more bytes than a store host takes or the command reads',
+    ),
     'number_out_of_range': (ERROR, 'a whole number that no message carries'),
     'timeout_not_positive': (ERROR, 'the timeout of a route is not above 0'),
     'weight_negative': (ERROR, 'the weight of a target is negative'),
--- a/rhubarbreach/configcheck/staterules.py
+++ b/rhubarbreach/configcheck/staterules.py
@@ -49,6 +49,9 @@
 class Format:
     """Format of the documents that hold a `Document`."""
 
+    # One of 13,000 accounts with a key each has 4 MB.
+    max_bytes = 16 * 1024 * 1024
+
     def check(self, data, found, fleet, in_force):
         """Return the findings of a document.
 
