Test which of two routes with paths of one length is covered

Change: a case and a near miss.

Result: 241 tests of the packages touched pass; without the order, the new case fails.

--- a/rhubarbreach/configcheck/tests/test_staterules.py
+++ b/rhubarbreach/configcheck/tests/test_staterules.py
@@ -89,6 +89,23 @@
             change(d, 'routes', path='/r//'), 'routes', route_id='q', path='/r'
         ),
     ),
+    (
+        # Of paths of one length, the route with the first id is chosen.
+        'route_never_chosen',
+        'routes[1].path',
+        lambda d: add(
+            change(d, 'routes', path='/r//'),
+            'routes',
+            route_id='s',
+            path='/r/x',
+        ),
+        lambda d: add(
+            change(d, 'routes', path='/r//'),
+            'routes',
+            route_id='q',
+            path='/r/x',
+        ),
+    ),
     (
         'account_without_keys',
         'accounts[0]',
