Return the resumes of takeovers that lost

Cause: test_first_new_event_decides_between_two_endpoints[0] failed while the request was whole. Its second endpoint pauses for 0.3 s between events and counts as silent after 0.2 s, so that a third attempt may start and is cancelled: the statuses are cancelled, completed and failed. The truncated message of the assertion was read as two failed ones. On a slow machine the first endpoint also went on before the second one had begun. The search for delays that cut a stream found a fault of the product: a takeover that is cancelled because the silent endpoint goes on keeps the resume that it has taken. After four silences none is left, and a break of the stream then ends it though another endpoint would go on.

Change: a takeover that lost returns its resume.

--- a/rhubarbreach/dispatch/hedge.py
+++ b/rhubarbreach/dispatch/hedge.py
@@ -117,7 +117,11 @@
         )
 
     def apply_decision(self):
-        """Cancel all attempts but the one that continues the stream."""
+        """Cancel all attempts but the one that continues the stream.
+
+        They return their resumes. An endpoint that is silent again and again
+        would otherwise use them all up, and none would be left once it fails.
+        """
         if not self.contest.decided.done():
             return
         relay = self.contest.decided.result()
@@ -128,6 +132,7 @@
                     one.placement.endpoint.software_version
                 )
             else:
+                self.run.resumes -= one.attempt.attempt_id in self.resume_ids
                 self.cancel(one)
         self.run.relay = relay
 
