Cut the stale store off in the test of its answers

Cause: test_store_that_missed_the_last_attempt_does_not_answer_first failed because all four stores held the later origin, one more than it waits for. It did not cut off the store that is to miss it: that store asks the entry host, which it hears for the first time, for all of its origins, and under load the answer includes the later one. No message was lost; in two failed runs with a log at sender, connection and receiver all of them arrived, to four stores. The product is right, and the suspected loss over a new link is not confirmed.

Change: the link of the entry host drops what it sends to that store, and the test checks that it still holds the earlier origin before the query. Before, the test could also pass with a store that had learned the later one.

It fails if the first reply is used.

--- a/rhubarbreach/streams/tests/test_origins.py
+++ b/rhubarbreach/streams/tests/test_origins.py
@@ -194,12 +194,16 @@
     """Guards against a stream that goes on at the version before its own.
 
     A store that was cut off while a later attempt was recorded still holds the
-    origin of the earlier one.
+    origin of the earlier one. Without the cut it may learn the later origin,
+    as it asks an entry host that it hears first for all of its origins.
     """
     entry = network.start_entry()
     entry.record(b'r', OLD, 30.0)
     cluster.wait_until(lambda: network.count_copies(b'r') == recorder.COPIES)
     stale = next(a for a in network.stores if network.keepers[a].table)
+    entry.link.set_fault(
+        lambda _sender, receiver, _: () if receiver == stale else (0.0,)
+    )
     entry.list_stores = lambda: [a for a in network.stores if a != stale]
     entry.record(b'r', NEW, 30.0)
     cluster.wait_until(
@@ -211,6 +215,8 @@
             == recorder.COPIES
         )
     )
+    now = clock.monotonic()
+    assert network.keepers[stale].table.find(b'r', now) == OLD
     network.stop(network.addresses[4])
     other = network.start_entry()
     found = {other.find(b'r', ('s',)) for _ in range(40)}
