Let only its own thread close the socket of a connection

Cause: Server.close closed the sockets of connections whose threads went on. A thread that then began to wait for the next request passed the descriptor -1 to poll, and logged event=connection_failed with ValueError. A descriptor that was reused in the meantime would have been worse. No other code closes the socket of a caller from another thread; connections that end for the memory of the process are only shut down.

Change: Server.close ends the connections and shuts their sockets down, and each thread closes its own. A closed pool runs the tasks that wait, which end at once and close their sockets; before, these stayed open.

Result: the new tests fail before with ValueError('file descriptor cannot be a negative integer (-1)') and with a task that is not run, and pass now.

--- a/rhubarbreach/web/connection.py
+++ b/rhubarbreach/web/connection.py
@@ -255,6 +255,16 @@
             if self.parser is not None:
                 self.parser.drop()
 
+    def end(self):
+        """End the connection at once; no further request is handled.
+
+        The socket is closed by the thread of the connection, which may be
+        about to wait on it.
+        """
+        with self.lock:
+            self.is_ended = True
+        sockets.shut_down(self.socket)
+
     def end_unread(self):
         """End a response whose caller is slow to read."""
         sockets.shut_down(self.socket)
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -308,5 +308,5 @@
         with self.lock:
             connections = list(self.connections)
         for connection in connections:
-            sockets.close_socket(connection.socket)
+            connection.end()
         self.threads.close()
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import sys
 import threading
 import time
 import types
@@ -10,9 +11,11 @@
 
 from rhubarbreach.catalog import model
 from rhubarbreach import clock
+from rhubarbreach.web import connection as connection_module
 from rhubarbreach.web import errors
 from rhubarbreach.web import memory
 from rhubarbreach.web import server
+from rhubarbreach.web import threads
 
 LIMITS = model.CallerLimits(512, 2048, 0.4, 1.0)
 REQUEST = b'GET / HTTP/1.1\r\n\r\n'
@@ -408,3 +411,47 @@
     web_server = start_server(lambda *arguments: handlers.pop(0)(*arguments))
     assert send(web_server, REQUEST + REQUEST) == b''
     assert handlers
+
+
+@pytest.mark.parametrize('pipelined', [b'', REQUEST])
+def test_connection_of_a_closed_server_ends_quietly(
+    start_server, monkeypatch, pipelined
+):
+    """Guards against a socket that is closed while its thread uses it.
+
+    The thread logged a failure, or could wait on the descriptor of another
+    connection.
+    """
+    handled = []
+    failures = []
+    monkeypatch.setattr(
+        connection_module.LOG,
+        'exception',
+        lambda *_: failures.append(sys.exception()),
+    )
+
+    def close_server(connection, _):
+        connection.send_response(200)
+        handled.append(connection)
+        web_server.close()
+
+    web_server = start_server(close_server)
+    assert send(web_server, REQUEST + pipelined).startswith(b'HTTP/1.1 200 ')
+    end = clock.monotonic() + 5.0
+    while web_server.connections and clock.monotonic() < end:
+        time.sleep(0.01)
+    assert not web_server.connections
+    assert [c.socket.fileno() for c in handled] == [-1]
+    assert failures == []
+
+
+def test_closed_pool_runs_the_tasks_that_wait():
+    """Guards against sockets that no thread closes."""
+    pool = threads.ThreadPool(1, 'test')
+    may_end, is_run = threading.Event(), threading.Event()
+    for task in (lambda: may_end.wait(5.0), is_run.set):
+        pool.add(task)
+        pool.start_missing()
+    pool.close()
+    may_end.set()
+    assert is_run.wait(5.0)
--- a/rhubarbreach/web/threads.py
+++ b/rhubarbreach/web/threads.py
@@ -67,12 +67,12 @@
             raise
 
     def run(self):
-        """Run tasks until the pool is closed."""
+        """Run tasks until the pool is closed and none waits."""
         while True:
             with self.changed:
                 while not (self.tasks or self.is_closed):
                     self.changed.wait()
-                if self.is_closed:
+                if not self.tasks:
                     return
                 task = self.tasks.popleft()
                 self.idle_count -= 1
@@ -85,8 +85,7 @@
                 self.idle_count += 1
 
     def close(self):
-        """Drop the tasks that wait, and end the threads that are idle."""
+        """End the threads as soon as no task waits."""
         with self.changed:
             self.is_closed = True
-            self.tasks.clear()
             self.changed.notify_all()
