Bound the arrivals that a busy host expects of the others

Cause: a host multiplies its own arrivals by the number of hosts to tell how many requests may want the free slots that it sees. One with a tenth of all requests among 300 hosts expects thirty times as many as there are, takes a free slot with a small probability, and its requests wait beside free slots until they are refused.

Change: it expects of each other host no more than an equal part of what all slots can serve.

--- a/rhubarbreach/gateway/admission.py
+++ b/rhubarbreach/gateway/admission.py
@@ -365,9 +365,11 @@
             return True
         if service.free * 2 > service.slots:
             return True
-        contenders = waiting + service.age * (
-            self.backlog.get_arrival_rate() * service.hosts
-        )
+        own = self.backlog.get_arrival_rate()
+        # A host with far more requests than the others would expect as many of
+        # each of them, and refuse its own beside free slots.
+        others = min(own, service.expected_rate) * (service.hosts - 1)
+        contenders = waiting + service.age * (own + others)
         if service.free >= contenders:
             return True
         return not is_excess and draw(0.0, contenders) < service.free
--- a/rhubarbreach/gateway/tests/replay.py
+++ b/rhubarbreach/gateway/tests/replay.py
@@ -373,12 +373,12 @@
             self.now, _, function, arguments = heapq.heappop(self.events)
             function(*arguments)
 
-    def arrive(self, account):
-        """Send a request of a new caller."""
-        host = self.rng.choice(self.hosts)
+    def arrive(self, account, host=None):
+        """Send a request of a new caller, to any host if none is given."""
+        host = host or self.rng.choice(self.hosts)
         host.submit(Request(account, host.zone, self.now))
 
-    def add_arrivals(self, rates, begin, end, multiply):
+    def add_arrivals(self, rates, begin, end, multiply, host=None):
         """Schedule requests at random times.
 
         Parameters
@@ -389,12 +389,14 @@
             Time of the first and the last request.
         multiply : callable
             Returns the factor of an account's rate at a time, at most 16.
+        host : Host, optional
+            Host that gets them all.
         """
         for account, rate in rates.items():
             time = begin
             while (time := time + self.rng.expovariate(rate * 16)) < end:
                 if self.rng.random() * 16 < multiply(account, time):
-                    self.after(time - self.now, self.arrive, account)
+                    self.after(time - self.now, self.arrive, account, host)
 
     def record_event(self, request):
         """Record the first event of a response."""
--- a/rhubarbreach/gateway/tests/test_queue_replays.py
+++ b/rhubarbreach/gateway/tests/test_queue_replays.py
@@ -143,3 +143,22 @@
     assert served[1] > 8.0 * 10 / 2, reports
     # Neither new nor retried requests have it for themselves.
     assert min(run.count('in time'), run.count('second attempt')) > 8, reports
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_busy_host_is_served_like_quiet_ones(monkeypatch, seed):
+    """Guards against refusals at a host with a tenth of all requests.
+
+    It expected as many requests from each of the others.
+    """
+    deployment = replay.Deployment(hosts=300, zones=4, endpoints=230)
+    run = replay.Replay(deployment, replay.QueueHost, seed, monkeypatch)
+    run.add_arrivals(make_rates(1800.0), 0.3, 2.5, lambda *_: 1)
+    busy = {'busy': 200.0}
+    run.add_arrivals(busy, 0.3, 2.5, lambda *_: 1, run.hosts[0])
+    run.run(2.5 + PATIENCE_SECONDS)
+    shares = []
+    for accounts in (busy, make_rates(1800.0)):
+        bad = run.count('late', 'refused', accounts=accounts)
+        shares.append(bad / (bad + run.count('in time', accounts=accounts)))
+    assert shares[0] < shares[1] + 0.1, run.report('busy')
