Hedge streams that would be late at a stalled endpoint

Cause: endpoints stand still for about 0.5 s with free slots, and a stream there is asked to go on elsewhere only after three objectives.

Change: a stream without an event also asks a second endpoint with a free slot while the objective can still be met there, within a budget. The first new event decides. Endpoints whose first events are overdue are avoided by the host and its zone until their next event. Records of crashes, answers and departures move from forward.py to the recorder.

--- a/rhubarbreach/balancing/tests/hosts.py
+++ b/rhubarbreach/balancing/tests/hosts.py
@@ -1,14 +1,20 @@
 """Entry hosts of the replays: with the choice by cost, and without it."""
 
+import dataclasses
+
 from rhubarbreach.balancing import costs
 from rhubarbreach.balancing import endpoints
+from rhubarbreach.balancing import overdue
 from rhubarbreach.balancing import progress
 from rhubarbreach.balancing.tests import replay
+from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.fleet import view
 from rhubarbreach.fleet import zone_loads
+from rhubarbreach.gateway import hedges
+from rhubarbreach.observe import metrics
 
-__all__ = ['CountingHost', 'PlainHost', 'WeighingHost']
+__all__ = ['CountingHost', 'HedgingHost', 'PlainHost', 'WeighingHost']
 
 
 class CountingHost:
@@ -47,6 +53,9 @@
     def read_event(self, request, load, now):
         pass
 
+    def plan_hedge(self, request, now):
+        return None
+
     def copy_report(self):
         return self.view.copy_running(), {}
 
@@ -54,7 +63,7 @@
         return self.view.copy_running()
 
     def apply_report(self, number, report, now):
-        self.view.report_peer(number, report[0], now, report[1])
+        self.view.report_peer(number, report[0], now, *report[1:])
 
     def pause_news(self, now):
         return zone_loads.compute_news_interval(len(self.view.list_peers()))
@@ -117,3 +126,70 @@
 
     def pause_news(self, now):
         return CountingHost.pause_news(self, now)
+
+
+class HedgingHost(WeighingHost):
+    """Host that also hedges, and avoids endpoints that stand still."""
+
+    fraction = 0.1
+
+    def __init__(self, zone, rows, pattern):
+        super().__init__(zone, rows, pattern)
+        self.hedges = hedges.HedgeControl(
+            self.view, metrics.Metrics(), self.fraction
+        )
+
+    def plan_hedge(self, request, now):
+        endpoint = self.view.endpoints[request.endpoint_id]
+        request.sent_at = now
+        request.found_slot = self.view.get_utilization(endpoint) <= 1
+        request.plan = self.hedges.plan(
+            replay.SERVICE, self.pattern.objective, request.arrived, now
+        )
+        return request.plan.due_at
+
+    def hedge(self, request, now):
+        is_busy = self.view.has_high_utilization(replay.SERVICE)
+        if overdue.may_be_overdue(request.found_slot, is_busy):
+            self.view.mark_overdue(request.endpoint_id, request.arrived, now)
+        _, endpoint = self.hedges.acquire(
+            request.plan,
+            now,
+            is_busy,
+            lambda: self.view.acquire_spare(
+                replay.SERVICE,
+                {request.endpoint_id},
+                None,
+                request.ticket,
+                now,
+            ),
+        )
+        if endpoint is None:
+            return None
+        return dataclasses.replace(
+            request,
+            endpoint_id=endpoint.endpoint_id,
+            found_slot=True,
+            is_first=False,
+            sent_at=now,
+        )
+
+    def cancel(self, request, now):
+        self.view.release(request.endpoint_id, request.ticket, False)
+        if request.found_slot and request.is_first:
+            self.learn(request, now)
+
+    def learn(self, request, now):
+        self.hedges.record_first(
+            replay.SERVICE, self.pattern.objective, now - request.sent_at
+        )
+
+    def read_event(self, request, load, now):
+        super().read_event(request, load, now)
+        self.view.note_event(request.endpoint_id, now)
+        if load is not None and request.found_slot:
+            self.learn(request, now)
+
+    def copy_report(self):
+        overdue_ages = self.view.list_overdue(clock.monotonic())
+        return (*super().copy_report(), overdue_ages)
--- a/rhubarbreach/balancing/tests/replay.py
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -36,7 +36,8 @@
     `zone_offsets` the start of the peaks of each zone. An engine is slow by
     `slow_factor` with the probability `slow_fraction`, drawn anew about every
     `slow_seconds`; `slow_engines` are slow from the beginning to the end.
-    `prompts` holds pairs of prompt tokens and their probability.
+    `prompts` holds pairs of prompt tokens and their probability. An engine
+    stands still `stall_rate` times a second for one of `stall_seconds`.
     """
 
     hosts: int = 58
@@ -66,9 +67,11 @@
     slow_engines: int = 0
     has_speed: bool = True
     has_tokens: bool = True
+    stall_rate: float = 0.0
+    stall_seconds: tuple = (0.2, 0.8)
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """A request and its progress, in tokens of the clock of its engine."""
 
@@ -85,6 +88,12 @@
     has_begun: bool = False
     progress: object = None
     shared: str = ''
+    found_slot: bool = True
+    plan: object = None
+    twin: object = None
+    is_cancelled: bool = False
+    is_first: bool = True
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass
@@ -97,6 +106,7 @@
     by_zone: dict = dataclasses.field(default_factory=dict)
     first_seconds: list = dataclasses.field(default_factory=list)
     crossed: int = 0
+    hedged: int = 0
 
     @property
     def total(self):
@@ -115,6 +125,7 @@
         self.late += other.late
         self.refused += other.refused
         self.crossed += other.crossed
+        self.hedged += other.hedged
         self.first_seconds += other.first_seconds
         for zone, row in other.by_zone.items():
             for kind, count in row.items():
@@ -127,7 +138,8 @@
         )
         return (
             f'in_time={self.in_time} late={self.late} '
-            f'refused={self.refused} crossed={self.crossed} bad_by_zone: '
+            f'refused={self.refused} crossed={self.crossed} '
+            f'hedged={self.hedged} bad_by_zone: '
             f'{zones}'
         )
 
@@ -151,6 +163,7 @@
         self.running = 0
         self.received = 0
         self.epoch = 0
+        self.is_stalled = False
 
     @property
     def token_seconds(self):
@@ -160,12 +173,13 @@
 
     def advance(self):
         now = self.replay.now
-        self.clock += (now - self.updated_at) / self.token_seconds
+        if not self.is_stalled:
+            self.clock += (now - self.updated_at) / self.token_seconds
         self.updated_at = now
 
     def reschedule(self):
         self.epoch += 1
-        if self.milestones:
+        if self.milestones and not self.is_stalled:
             delay = self.milestones[0][0] - self.clock
             self.replay.schedule(
                 max(0.0, delay) * self.token_seconds, self.reach, self.epoch
@@ -176,6 +190,23 @@
         self.slow = factor
         self.reschedule()
 
+    def set_stalled(self, is_stalled):
+        self.advance()
+        self.is_stalled = is_stalled
+        self.reschedule()
+
+    def cancel(self, request):
+        self.advance()
+        entries = [entry for entry in self.milestones if entry[2] != request]
+        if request in self.waiting:
+            self.waiting.remove(request)
+        elif len(entries) < len(self.milestones):
+            self.milestones = entries
+            heapq.heapify(self.milestones)
+            self.running -= 1
+        self.admit()
+        self.reschedule()
+
     def receive(self, request):
         self.received += 1
         self.advance()
@@ -221,7 +252,8 @@
     """Replay of a pattern. `make_host(zone, rows)` returns a host.
 
     A host has `acquire(request, now)`, `release(request, now)`,
-    `read_event(request, load, now)`, `copy_report()`,
+    `read_event(request, load, now)`, `plan_hedge(request, now)`,
+    `hedge(request, now)`, `copy_report()`,
     `apply_report(number, report, now)`, `copy_running()` and
     `apply_exchange(elsewhere, age)`.
     """
@@ -299,6 +331,8 @@
                     self.change_speed,
                     engine,
                 )
+            if pattern.stall_rate:
+                self.plan_stall(engine)
         while self.events:
             self.now, _, function, arguments = heapq.heappop(self.events)
             function(*arguments)
@@ -316,6 +350,17 @@
             engine,
         )
 
+    def plan_stall(self, engine):
+        delay = self.rng.expovariate(self.pattern.stall_rate)
+        if self.now + delay < self.pattern.seconds:
+            self.schedule(delay, self.stall, engine)
+
+    def stall(self, engine):
+        engine.set_stalled(True)
+        seconds = self.rng.uniform(*self.pattern.stall_seconds)
+        self.schedule(seconds, engine.set_stalled, False)
+        self.schedule(seconds, self.plan_stall, engine)
+
     def get_rate(self, zone):
         pattern = self.pattern
         weights = pattern.zone_weights or (1,) * pattern.zones
@@ -352,11 +397,34 @@
         if not host.acquire(request, self.now):
             self.outcome.add(host.zone, 'refused')
             return
-        self.plan_news(host)
+        self.send(request)
+        due_at = host.plan_hedge(request, self.now)
+        if due_at is not None:
+            self.schedule(due_at - self.now, self.hedge, request)
+
+    def send(self, request):
+        self.plan_news(request.host)
         delay = SEND_SECONDS + self.get_delay(request)
         engine = self.engines[request.endpoint_id]
         self.schedule(delay, engine.receive, request)
 
+    def hedge(self, request):
+        if request.first_at:
+            return
+        twin = request.host.hedge(request, self.now)
+        if twin is not None:
+            self.outcome.hedged += 1
+            request.twin, twin.twin = twin, request
+            self.send(twin)
+            self.plan_news(request.host)
+
+    def cancel(self, request):
+        request.is_cancelled = True
+        request.host.cancel(request, self.now)
+        self.plan_news(request.host)
+        engine = self.engines[request.endpoint_id]
+        self.schedule(self.get_delay(request), engine.cancel, request)
+
     def get_delay(self, request):
         is_near = self.zone_by_endpoint[request.endpoint_id] == (
             request.host.zone
@@ -377,7 +445,11 @@
 
     def deliver(self, request, load, is_end):
         host = request.host
+        if request.is_cancelled:
+            return
         if load is not None:
+            if request.twin is not None:
+                self.cancel(request.twin)
             seconds = self.now - request.arrived
             kind = 'in_time' if seconds <= self.pattern.objective else 'late'
             self.outcome.add(host.zone, kind)
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -10,6 +10,8 @@
 
 from rhubarbreach.balancing import costs
 from rhubarbreach.balancing import endpoints as endpoint_tables
+from rhubarbreach.balancing import hedging
+from rhubarbreach.balancing import overdue
 from rhubarbreach.balancing import selection
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -68,7 +70,11 @@
         self.zone_loads = zone_loads.ZoneLoads()
         self.run_seconds = {}
         self.batch = {}
+        # Endpoints that are avoided while others have a free slot: those that
+        # the leader has named, and those whose first events are overdue.
         self.suspects = frozenset()
+        self.leader_suspects = frozenset()
+        self.overdue = overdue.OverdueTable()
         self.outcomes = {}
         self.departures = departures.Departures()
         self.health = health.HealthTable()
@@ -103,6 +109,7 @@
             self.group_by_service()
             self.health.keep(endpoints)
             self.table.keep(endpoints)
+            self.overdue.keep(endpoints)
         self.notify_free()
 
     def notify_free(self, endpoint_id=None):
@@ -182,7 +189,8 @@
         with self.lock:
             self.elsewhere = elsewhere
             self.batch = batch
-            self.suspects = frozenset(suspects)
+            self.leader_suspects = frozenset(suspects)
+            self.update_suspects(now)
             self.load_age = age
             totals = self.zone_loads.get_totals(now)
             self.nearby = (nearby or {}) if totals is None else totals
@@ -190,7 +198,15 @@
 
     def drop_leader_loads(self):
         """Forget the loads that the leader has sent, as they are outdated."""
-        self.update_loads({}, {}, self.suspects)
+        self.update_loads({}, {}, self.leader_suspects)
+
+    def update_suspects(self, now):
+        """Update the endpoints that are avoided; the lock is held."""
+        self.suspects = self.leader_suspects
+        if not self.overdue.is_empty:
+            self.suspects |= self.overdue.list_avoided(
+                self.endpoints, self.services, now
+            )
 
     def update_peers(self, peers):
         """Replace the other hosts of the zone."""
@@ -202,7 +218,9 @@
         with self.lock:
             return tuple(self.zone_loads.peers)
 
-    def report_peer(self, host_id, running, now, slowness=None):
+    def report_peer(
+        self, host_id, running, now, slowness=None, overdue_ages=None
+    ):
         """Store the running requests of another host of the zone.
 
         Parameters
@@ -215,8 +233,12 @@
             Seconds of the monotonic clock.
         slowness : dict of str to int, optional
             Slowness of endpoints in percent that it has learned.
+        overdue_ages : dict of str to int, optional
+            Endpoints that it has found overdue; see `OverdueTable.report`.
         """
         with self.lock:
+            if host_id in self.zone_loads.peers:
+                self.overdue.report(host_id, overdue_ages, now)
             if slowness and host_id in self.zone_loads.peers:
                 self.table.slowness.merge(slowness, now)
             self.zone_loads.report(host_id, running, now)
@@ -272,6 +294,7 @@
             See `choice.choose_endpoint` and `balancing.selection`.
         """
         with self.lock:
+            self.update_suspects(now)
             is_restricted = choices is not None
             if service in self.cold.services:
                 choices = self.select_permitted(
@@ -296,11 +319,7 @@
             )
             if isinstance(chosen, choice.Endpoint):
                 chosen = self.take_permit(chosen, now)
-                endpoint_id = chosen.endpoint_id
-                self.running[endpoint_id] = (
-                    self.running.get(endpoint_id, 0) + 1
-                )
-                self.table.begin(endpoint_id, cost, now)
+                self.begin(chosen, cost, now)
         is_high = (
             not isinstance(chosen, choice.Endpoint)
             or self.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
@@ -555,15 +574,54 @@
             endpoint = self.take_permit(endpoint, now)
             if endpoint is None:
                 return None
-            self.running[endpoint.endpoint_id] = (
-                self.running.get(endpoint.endpoint_id, 0) + 1
+            self.begin(endpoint, None, now)
+        self.notify_begin(endpoint)
+        return endpoint
+
+    def acquire_spare(self, service, excluded, software_version, cost, now):
+        """Count a hedge at a sound endpoint with a free slot until `release`.
+
+        A hedge uses no permit. The parameters are those of `acquire`.
+
+        Returns
+        -------
+        Endpoint or None
+            None if there is none.
+        """
+        is_fit = make_filter(excluded, software_version)
+        with self.lock:
+            self.update_suspects(now)
+            endpoint = hedging.choose_spare(
+                self.services.get(service, ()),
+                self.zone,
+                self.count_used,
+                lambda e: (
+                    is_fit(e)
+                    and e.endpoint_id not in self.suspects
+                    and not self.health.is_ejected(e.endpoint_id, now)
+                    and not self.cold.is_cold(e, now)
+                ),
+                lambda e: self.table.slowness.get(e.endpoint_id, service, now),
+                random.random,
             )
-            self.table.begin(endpoint.endpoint_id, None, clock.monotonic())
+            if endpoint is None:
+                return None
+            self.begin(endpoint, cost, now)
+        self.notify_begin(endpoint)
+        return endpoint
+
+    def begin(self, endpoint, cost, now):
+        """Count a request on an endpoint; the lock is held."""
+        endpoint_id = endpoint.endpoint_id
+        self.running[endpoint_id] = self.running.get(endpoint_id, 0) + 1
+        self.table.begin(endpoint_id, cost, now)
+
+    def notify_begin(self, endpoint):
+        """Report that a request of this host has begun at an endpoint."""
         if self.on_change is not None:
             self.on_change(
                 self.get_utilization(endpoint) >= HIGH_UTILIZATION_FRACTION
             )
-        return endpoint
 
     def take_permit(self, endpoint, now):
         """Return an endpoint to send to; None if it needs a permit first."""
@@ -785,6 +843,7 @@
     def is_sound(self, endpoint_id, now):
         """Return whether an endpoint takes requests and has not failed."""
         with self.lock:
+            self.update_suspects(now)
             endpoint = self.endpoints.get(endpoint_id)
             return (
                 endpoint is not None
@@ -904,6 +963,31 @@
                 endpoint.endpoint_id, endpoint.service, gap, now
             )
 
+    def mark_overdue(self, endpoint_id, sent_at, now):
+        """Avoid an endpoint without a first event; return whether it is new.
+
+        See `OverdueTable.mark` for the parameters. The endpoint has not
+        failed.
+        """
+        with self.lock:
+            is_new = self.overdue.mark(endpoint_id, sent_at, now)
+        if is_new and self.on_change is not None:
+            self.on_change(True)
+        return is_new
+
+    def note_event(self, endpoint_id, now):
+        """Record an event, after which its endpoint is not overdue."""
+        if not self.overdue.note_event(endpoint_id, now):
+            return
+        if self.on_change is not None:
+            self.on_change(False)
+        self.notify_free()
+
+    def list_overdue(self, now):
+        """Return the endpoints that this host has found overdue."""
+        with self.lock:
+            return self.overdue.list_news(now)
+
     def list_slow(self, now):
         """Return the endpoints that are slow now, in order."""
         with self.lock:
@@ -916,9 +1000,11 @@
 
     def get_utilization(self, endpoint):
         """Return the fraction of an endpoint's slots that is in use."""
-        endpoint_id = endpoint.endpoint_id
-        used = self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
-        return used / max(1, endpoint.slots)
+        return self.count_used(endpoint.endpoint_id) / max(1, endpoint.slots)
+
+    def count_used(self, endpoint_id):
+        """Return the requests of all hosts and the items on an endpoint."""
+        return self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
 
     def has_high_utilization(self, service):
         """Return whether all endpoints of a service are highly utilized."""
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -10,6 +10,7 @@
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import request_parts
 from rhubarbreach.gateway import forward
+from rhubarbreach.gateway import hedges
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import waiting
 from rhubarbreach.web import memory
@@ -53,6 +54,8 @@
         Bounds the responses of endpoints that this host holds.
     judges_requests : bool
         Whether whole requests may be held back, as parts of their prompts.
+    hedge_fraction : float
+        Part of the requests that may be hedged, 0 for none.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         metrics,
         response_memory=memory.UNBOUNDED,
         judges_requests=True,
+        hedge_fraction=0.0,
     ):
         self.judges_requests = judges_requests
         self.leader_client = leader_client
@@ -75,6 +79,7 @@
         self.metrics = metrics
         self.response_memory = response_memory
         self.admission = waiting.AdmissionControl(view, leader_client, metrics)
+        self.hedges = hedges.HedgeControl(view, metrics, hedge_fraction)
         self.draining = False
         # Monotonic times during a planned stop: from the first on, requests
         # that may last beyond the second are refused.
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -35,8 +35,13 @@
         self.body = None
         # Events of the response; None unless it is relayed event by event.
         self.stream = None
-        # Whether the request may have reached the endpoint.
+        # Whether the request may have reached the endpoint, and when it was
+        # sent.
         self.is_sent = False
+        self.sent_at = float('inf')
+        # Whether it is a hedge, and whether a slot was free when it was sent.
+        self.is_hedge = False
+        self.found_slot = False
         self.is_head_checked = False
         self.has_event = False
         # Time from which its silence lets another endpoint be sought, and
@@ -89,7 +94,7 @@
         self.is_sent = True
         self.holding = response_memory.open(self.call.interrupt)
         self.body = answers.Body(self.holding)
-        self.run_started_at = clock.monotonic()
+        self.run_started_at = self.sent_at = clock.monotonic()
 
     @property
     def head(self):
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -15,6 +15,7 @@
 from rhubarbreach.fleet import cold_permits
 from rhubarbreach.gateway import decide
 from rhubarbreach.gateway import heads
+from rhubarbreach.gateway import hedges
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import outcomes
 from rhubarbreach.gateway import proof as proofs
@@ -115,7 +116,9 @@
             now if received_at is None else received_at,
             self.has_caller_disconnected,
         )
-        self.was_answered = False
+        self.hedge = hedges.RequestHedge(
+            app, info, route, self.search, self.search.received_at
+        )
 
     def run(self):
         """Try endpoints until the request is done; return its refusal.
@@ -164,6 +167,8 @@
         while True:
             if self.is_proof_over():
                 outcome = self.settle_end()
+            elif self.hedge.is_due(clock.monotonic()):
+                outcome = self.start_hedge()
             elif self.attempts and not self.is_takeover_due(clock.monotonic()):
                 outcome = self.relay()
             else:
@@ -187,6 +192,8 @@
                 case codes.Refusal():
                     return self.refuse_unplaced(outcome)
             if self.attempts and not decide.is_final(outcome):
+                if self.hedge.has_returned(self.recorder.attempt):
+                    continue
                 # The others go on. One more may be asked at once.
                 self.takeover_at = clock.monotonic()
                 if self.search.must_pause(outcome):
@@ -264,10 +271,35 @@
             if now >= other.silent_at:
                 self.recorder.record_stall(other)
         # A prompt that an endpoint has answered crashes none.
-        prompt = () if self.was_answered else self.info.prompt
+        prompt = () if self.recorder.was_answered else self.info.prompt
         attempt = self.search.place(service, prompt, self.proof)
         if isinstance(attempt, codes.Refusal | model.CallerGone):
             return attempt
+        outcome = self.begin_attempt(attempt)
+        if outcome is None:
+            self.postpone_takeover(attempt)
+            self.hedge.begin(attempt)
+        return outcome
+
+    def start_hedge(self):
+        """Send the request to a second endpoint if that is worth it.
+
+        The first one is not silent for it, and goes on if the second fails.
+
+        Returns
+        -------
+        outcome of the attempt or None
+        """
+        attempt = self.hedge.place()
+        if attempt is None:
+            return None
+        outcome = self.begin_attempt(attempt)
+        if outcome is None:
+            attempt.silent_at = self.get_silent_at()
+        return outcome
+
+    def begin_attempt(self, attempt):
+        """Send the request; return the outcome if that fails, else None."""
         self.attempts.append(attempt)
         self.search.begin(attempt)
         if not self.writer.is_started:
@@ -275,7 +307,6 @@
         outcome = self.send_request(attempt)
         if outcome is not None:
             return self.end_attempt(attempt, outcome)
-        self.postpone_takeover(attempt)
         return None
 
     def send_request(self, attempt):
@@ -285,7 +316,11 @@
         if now >= start_before:
             return model.NotRun('the permit has ended', False)
         send_deadline = self.deadline
-        if len(self.attempts) > 1:
+        connect_seconds = CONNECT_TIMEOUT_SECONDS
+        if attempt.is_hedge:
+            connect_seconds = hedges.SEND_SECONDS
+            send_deadline = min(send_deadline, now + connect_seconds)
+        elif len(self.attempts) > 1:
             send_deadline = min(send_deadline, now + TAKEOVER_SEND_SECONDS)
         if self.proof is not None:
             send_deadline = min(send_deadline, self.proof.settle_at)
@@ -307,7 +342,7 @@
                 ),
                 min(
                     self.deadline,
-                    now + CONNECT_TIMEOUT_SECONDS,
+                    now + connect_seconds,
                     start_before + cold_permits.CONNECT_SECONDS,
                 ),
                 send_deadline,
@@ -316,10 +351,12 @@
             )
         except errors.WithheldError as error:
             return model.NotRun(str(error), endpoint_failed=False)
-        except errors.ConnectError as error:
+        except errors.ConnectRefusedError as error:
             return model.NotRun(str(error))
+        except errors.ConnectError as error:
+            return model.NotRun(str(error), not attempt.is_hedge)
         except errors.DeadlineError:
-            if send_deadline < self.deadline:
+            if attempt.is_hedge or send_deadline < self.deadline:
                 return model.Unread()
             return model.TimedOut()
         return None
@@ -333,6 +370,7 @@
             # A process may end while it is asked.
             self.proof.is_endpoint_gone = self.has_crashed(attempt)
         self.recorder.record(attempt, outcome)
+        self.hedge.record_end(attempt, outcome)
         self.search.record(attempt, outcome)
         if not isinstance(outcome, model.NotRun) and attempt.ended_at is None:
             # The slot is handed over once a failure is known. An endpoint that
@@ -420,7 +458,11 @@
                     self.proof = None
                 return self.end_attempt(self.attempts[-1], model.TimedOut())
             # Events may have arrived while the caller was slow to read.
-            if self.is_takeover_due(waited_until) or self.is_proof_over():
+            if (
+                self.is_takeover_due(waited_until)
+                or self.hedge.is_due(waited_until)
+                or self.is_proof_over()
+            ):
                 return None
 
     def call_step(self, step, attempt):
@@ -436,7 +478,7 @@
         except errors.ConnectionEndedError as error:
             if attempt.holding.is_ended:
                 return model.Broken('ended for the memory of this host')
-            self.record_crash(attempt, attempt.head is not None)
+            self.recorder.record_crash(attempt, attempt.head is not None)
             return model.Broken(str(error))
         except errors.BadMessageError as error:
             return model.Broken(f'malformed response: {error}')
@@ -478,6 +520,7 @@
         count = sum(events.get_data(block) is not None for block in blocks)
         if count:
             self.recorder.record_events(attempt, count, now)
+            self.hedge.note_event(attempt, now)
             self.record_progress(attempt)
         elif now >= self.deadline and not attempt.call.is_complete:
             return model.TimedOut()
@@ -503,13 +546,15 @@
         """Record that an endpoint has sent an event."""
         self.recorder.record_progress(attempt)
         self.postpone_takeover(attempt)
-        self.record_answer(attempt)
+        self.recorder.record_answer(attempt)
 
     def postpone_takeover(self, attempt):
         """Seek another endpoint only after a further silence of this one."""
-        stall_seconds = decide.get_stall_seconds(self.route)
-        attempt.silent_at = clock.monotonic() + stall_seconds
-        self.takeover_at = attempt.silent_at
+        attempt.silent_at = self.takeover_at = self.get_silent_at()
+
+    def get_silent_at(self):
+        """Return when an endpoint is silent if no event comes from now on."""
+        return clock.monotonic() + decide.get_stall_seconds(self.route)
 
     def is_takeover_due(self, now):
         """Return whether another endpoint is to be asked to go on."""
@@ -530,35 +575,6 @@
             if other is not attempt:
                 self.end_attempt(other, model.Superseded())
 
-    def record_crash(self, attempt, has_head):
-        """Report a crash of the endpoint that this request may have caused.
-
-        An endpoint that crashes during an answer crashes for another reason.
-
-        Parameters
-        ----------
-        attempt : Attempt
-            Attempt that has ended.
-        has_head : bool
-            Whether the head of a response had arrived.
-        """
-        if not self.was_answered:
-            self.app.leader_client.quarantine.record_crash(
-                attempt.endpoint.endpoint_id,
-                self.info.prompt,
-                has_head,
-                clock.monotonic(),
-                attempt.endpoint.service,
-            )
-
-    def record_answer(self, attempt):
-        """Record that an endpoint has begun to answer the request."""
-        if not self.was_answered:
-            self.was_answered = True
-            self.app.leader_client.quarantine.record_answer(
-                self.info.prompt, clock.monotonic(), attempt.endpoint.service
-            )
-
     def record_origin(self, endpoint):
         """Record the endpoint as the origin of the stream."""
         if self.search.software_version is None:
@@ -573,17 +589,9 @@
             self.origin_revision,
         )
 
-    def record_departure(self, attempt):
-        """Send no more requests to the endpoint, and report it."""
-        if self.app.view.record_departure(attempt.endpoint):
-            self.recorder.log(
-                'answered', 'the endpoint is leaving', attempt, 'departure'
-            )
-            self.app.leader_client.request_loads()
-
     def get_wait_deadline(self):
         """Return until when to wait for bytes of the endpoints."""
-        deadline = self.deadline
+        deadline = min(self.deadline, self.hedge.due_at)
         if self.may_take_over():
             deadline = min(deadline, self.takeover_at)
         if self.proof is not None and not self.is_proof_disputed():
@@ -610,9 +618,9 @@
         dialect = self.app.dialect
         outcome = heads.check_identity(head, self.info.request_id, dialect)
         if self.app.view.has_cold_limit(attempt.endpoint.service):
-            self.record_coldness(attempt)
+            self.recorder.record_coldness(attempt)
         if dialect.is_leaving(head) and heads.is_own(head, outcome):
-            self.record_departure(attempt)
+            self.recorder.record_departure(attempt)
         if outcome is not None:
             return outcome
         is_resuming = self.writer.is_started or self.proof is not None
@@ -621,20 +629,11 @@
         if head.status >= FIRST_SERVER_ERROR and self.search.can_retry():
             return model.Broken(f'status {head.status}')
         if head.status not in heads.SUCCESS and len(self.attempts) > 1:
-            return model.Broken(f'status {head.status}, others go on')
+            return self.hedge.judge_status(attempt)
         if head.status in heads.SUCCESS and not dialect.is_signed(head):
             return model.Broken('response is not signed')
         return None
 
-    def record_coldness(self, attempt):
-        """Count an endpoint as cold that says so and was not known to be."""
-        now = clock.monotonic()
-        view = self.app.view
-        if self.app.dialect.is_cold(attempt.head) and not view.is_cold(
-            attempt.endpoint, now
-        ):
-            view.record_cold(attempt.endpoint.endpoint_id, now)
-
     def relay_events(self, attempt, blocks):
         """Send new events; return False if the caller is gone."""
         previous_id = self.writer.last_id
@@ -688,7 +687,7 @@
         if head.status in heads.SUCCESS and (
             attempt.body.size or is_delimited
         ):
-            self.record_answer(attempt)
+            self.recorder.record_answer(attempt)
         self.drop_others(attempt)
         self.hand_over(attempt)
         if not self.writer.send_whole(head, attempt.body.join()):
@@ -698,13 +697,13 @@
     def finish_stream(self, attempt):
         """End the stream of the caller if it is whole; return the outcome."""
         judgement = attempt.stream.judge_end(
-            self.was_answered or self.writer.last_id is not None
+            self.recorder.was_answered or self.writer.last_id is not None
         )
         match judgement.end:
             case answers.End.BROKEN:
                 # The end of the connection may end a response without a
                 # length, also that of an endpoint that crashes.
-                self.record_crash(attempt, True)
+                self.recorder.record_crash(attempt, True)
                 return model.Broken(judgement.reason)
             case answers.End.UNPROVEN if self.may_be_proven():
                 if not self.is_proven(attempt):
@@ -736,7 +735,7 @@
 
     def break_off(self, attempt):
         """Return the outcome of a response whose endpoint has crashed."""
-        self.record_crash(attempt, True)
+        self.recorder.record_crash(attempt, True)
         return model.Broken('endpoint is gone after a response without length')
 
     def may_be_proven(self):
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -35,6 +35,8 @@
         # declined, without the attempts that are running.
         self.endpoint_ids = set()
         self.declined = 0
+        # Whether an endpoint has begun to answer the request.
+        self.was_answered = False
         # Attempt that was recorded last.
         self.attempt = None
 
@@ -81,7 +83,8 @@
                 self.log('superseded', '', attempt)
             case model.Unread():
                 self.endpoint_ids.add(endpoint_id)
-                view.record_stall(endpoint_id, now)
+                if not attempt.is_hedge:
+                    view.record_stall(endpoint_id, now)
                 self.log('unread', 'request was not read in time', attempt)
             case model.TimedOut():
                 self.endpoint_ids.add(endpoint_id)
@@ -154,6 +157,52 @@
             attempt.is_stalled = False
             self.app.view.record_recovery(attempt.endpoint.endpoint_id)
 
+    def record_crash(self, attempt, has_head):
+        """Report a crash of the endpoint that this request may have caused.
+
+        An endpoint that crashes during an answer crashes for another reason.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            Attempt that has ended.
+        has_head : bool
+            Whether the head of a response had arrived.
+        """
+        if not self.was_answered:
+            self.app.leader_client.quarantine.record_crash(
+                attempt.endpoint.endpoint_id,
+                self.info.prompt,
+                has_head,
+                clock.monotonic(),
+                attempt.endpoint.service,
+            )
+
+    def record_answer(self, attempt):
+        """Record that an endpoint has begun to answer the request."""
+        if not self.was_answered:
+            self.was_answered = True
+            self.app.leader_client.quarantine.record_answer(
+                self.info.prompt, clock.monotonic(), attempt.endpoint.service
+            )
+
+    def record_departure(self, attempt):
+        """Send no more requests to the endpoint, and report it."""
+        if self.app.view.record_departure(attempt.endpoint):
+            self.log(
+                'answered', 'the endpoint is leaving', attempt, 'departure'
+            )
+            self.app.leader_client.request_loads()
+
+    def record_coldness(self, attempt):
+        """Count an endpoint as cold that says so and was not known to be."""
+        now = clock.monotonic()
+        view = self.app.view
+        if self.app.dialect.is_cold(attempt.head) and not view.is_cold(
+            attempt.endpoint, now
+        ):
+            view.record_cold(attempt.endpoint.endpoint_id, now)
+
     def log(self, outcome, reason, attempt=None, event='attempt'):
         """Log and count a decision on the request.
 
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -14,6 +14,7 @@
 from rhubarbreach.fleet import quarantine
 from rhubarbreach.fleet import view
 from rhubarbreach.gateway import forward
+from rhubarbreach.gateway import hedges
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import responses
 from rhubarbreach.gateway import waiting
@@ -158,6 +159,9 @@
         others=(),
         last_event_id=None,
         on_refresh=lambda: None,
+        objective=0.1,
+        hedge_fraction=0.0,
+        on_request=lambda _: None,
     ):
         endpoint = FakeEndpoint(parts, pause, later, unread)
         endpoint.last = last
@@ -191,7 +195,7 @@
             '/',
             kind,
             timeout,
-            0.1,
+            objective,
             0,
             (catalogs.Target('s', 1.0),),
             max_attempts=max_attempts,
@@ -240,6 +244,7 @@
         app.admission = waiting.AdmissionControl(
             loads, app.leader_client, app.metrics
         )
+        app.hedges = hedges.HedgeControl(loads, app.metrics, hedge_fraction)
         on_quarantine(app.leader_client.quarantine)
         run.origins = []
         caller = FakeCaller()
@@ -248,9 +253,11 @@
         )
         request = parse.Request('POST', b'/', (), body, True)
         started_at = clock.monotonic()
-        refusal = forward.RequestForwarder(
+        forwarder = forward.RequestForwarder(
             app, caller, request, info, route, None
-        ).run()
+        )
+        on_request(forwarder)
+        refusal = forwarder.run()
         seconds = clock.monotonic() - started_at
         run.caller = caller
         run.quarantine = app.leader_client.quarantine
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -92,6 +92,7 @@
             metrics,
             message_memory,
             settings.judges_requests,
+            settings.hedge_fraction,
         )
         connection_bounds = bounds.make_bounds(settings)
         self.readiness = server.Server(
--- a/rhubarbreach/hosts/zone_news.py
+++ b/rhubarbreach/hosts/zone_news.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+import msgspec
+
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import zone_loads
@@ -12,7 +14,7 @@
 
 LOG = eventlog.Logger('zone')
 
-# Shortest time between two log lines on slow endpoints.
+# Shortest time between two log lines on slow or overdue endpoints.
 SLOW_LOG_SECONDS = 2.0
 
 
@@ -33,6 +35,8 @@
         self.closed = False
         self.slow = []
         self.next_log = float('-inf')
+        self.overdue = []
+        self.next_overdue_log = float('-inf')
         self.budget = zone_loads.NewsBudget()
         # Set when the load has changed, and when others must know it at once.
         self.changed = threading.Event()
@@ -54,7 +58,11 @@
         """Store the report of another host."""
         now = clock.monotonic()
         self.view.report_peer(
-            sender_id, message.running, now, message.slowness
+            sender_id,
+            message.running,
+            now,
+            message.slowness,
+            message.overdue or None,
         )
         if message.failed:
             self.view.record_cold_news(message.failed, now)
@@ -65,6 +73,7 @@
             try:
                 self.send_report()
                 self.log_slow(clock.monotonic())
+                self.log_overdue(clock.monotonic())
             except Exception:
                 LOG.exception('event=zone_news_failed')
             peer_count = len(self.view.list_peers())
@@ -78,10 +87,12 @@
         """Report the running requests of this host to its peers."""
         self.changed.clear()
         self.urgent.clear()
+        now = clock.monotonic()
         message = fleetmessages.LoadNews(
             self.view.copy_running(),
             self.view.pop_slowness(),
-            self.view.list_cold_news(clock.monotonic()),
+            self.view.list_cold_news(now),
+            self.view.list_overdue(now) or msgspec.UNSET,
         )
         for host_id in self.view.list_peers():
             self.link.send(host_id, message)
@@ -96,6 +107,16 @@
             self.next_log = now + SLOW_LOG_SECONDS
             LOG.info('event=endpoints_slow endpoints={}', slow)
 
+    def log_overdue(self, now):
+        """Log the endpoints that are overdue here if they have changed."""
+        if now < self.next_overdue_log:
+            return
+        overdue = sorted(self.view.list_overdue(now))
+        if overdue != self.overdue:
+            self.overdue = overdue
+            self.next_overdue_log = now + SLOW_LOG_SECONDS
+            LOG.info('event=endpoints_overdue endpoints={}', overdue)
+
     def close(self):
         """Stop the task."""
         self.closed = True
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from rhubarbreach import codes
 from rhubarbreach.protocol import messages
 
@@ -241,12 +243,15 @@
     `slowness` holds, for the endpoints whose speed the host has learned since
     its last report, how long work takes there in percent of the usual.
     `failed` holds the time in seconds since the last failure of each endpoint
-    that may have restarted.
+    that may have restarted. `overdue` holds the milliseconds since the host
+    found the first events of an endpoint overdue; it is left out if there is
+    none.
     """
 
     running: dict[str, int]
     slowness: dict[str, int] = dataclasses.field(default_factory=dict)
     failed: dict[str, float] = dataclasses.field(default_factory=dict)
+    overdue: dict[str, int] | msgspec.UnsetType = msgspec.UNSET
 
 
 @messages.frozen_message
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -79,6 +79,9 @@
     cold_overage, cold_slack : float
         A cold endpoint may get its target rate times `cold_overage` plus
         `cold_slack` requests in any second.
+    hedge_fraction : float
+        Part of the requests of an entry host that may be sent to a second
+        endpoint before the first one has sent an event, 0 for none.
     """
 
     name: str
@@ -111,6 +114,7 @@
     max_pipelined: int = 64
     max_framing_ratio: float = 16.0
     room_seconds: float = 1.0
+    hedge_fraction: float = 0.1
 
     @property
     def message_bytes(self):
@@ -245,6 +249,9 @@
         room_seconds=reader.read(
             'callers', 'room_ms', to_seconds, 'milliseconds', 1.0
         ),
+        hedge_fraction=reader.read(
+            'fleet', 'hedge_fraction', to_part, 'a part from 0 to 1', 0.1
+        ),
     )
     needed = {
         'entry': ('callers', 'readiness'),
@@ -304,6 +311,14 @@
     return number
 
 
+def to_part(text):
+    """Return the number in a text if it is from zero to one."""
+    number = to_non_negative(text)
+    if number > 1:
+        raise ValueError
+    return number
+
+
 def to_positive(text):
     """Return the number in a text if it is above zero."""
     number = float(text)
