--- a/rhubarbreach/fleet/health.py
+++ b/rhubarbreach/fleet/health.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from rhubarbreach.balancing import overdue
+
 __all__ = ['EndpointHealth', 'HealthTable']
 
 # Ejection time after the first failure, doubled by each consecutive failure.
@@ -56,9 +58,9 @@
 class EndpointHealth:
     """Endpoints that have failed at this host, or at several others.
 
-    The lock of the view protects all attributes. `record_stall`,
-    `record_success` and `pop_outcomes` acquire it; all other methods have to
-    be called with it.
+    The lock of the view protects all attributes. `list_overdue`,
+    `record_stall`, `record_success` and `pop_outcomes` acquire it; all other
+    methods have to be called with it.
 
     Parameters
     ----------
@@ -69,8 +71,12 @@
     def __init__(self, lock):
         self.lock = lock
         self.table = HealthTable()
-        # Endpoints that fail for several hosts, as the leader has sent them.
+        # Endpoints that are avoided while others have a free slot: those that
+        # fail for several hosts, as the leader has sent them, and those whose
+        # first events are overdue.
         self.suspects = frozenset()
+        self.leader_suspects = frozenset()
+        self.overdue = overdue.OverdueTable()
         # Failures and successes to report to the leader, by endpoint.
         self.outcomes = {}
 
@@ -80,6 +86,32 @@
             endpoint_id, now
         )
 
+    def keep(self, endpoint_ids):
+        """Forget all other endpoints."""
+        self.table.keep(endpoint_ids)
+        self.overdue.keep(endpoint_ids)
+
+    def update_suspects(self, directory, now):
+        """Update the endpoints that are avoided.
+
+        Parameters
+        ----------
+        directory : Directory
+            Endpoints by service.
+        now : float
+            Seconds of the monotonic clock.
+        """
+        self.suspects = self.leader_suspects
+        if not self.overdue.is_empty:
+            self.suspects |= self.overdue.list_avoided(
+                directory.endpoints, directory.services, now
+            )
+
+    def list_overdue(self, now):
+        """Return what this host has found; see `OverdueTable.report`."""
+        with self.lock:
+            return self.overdue.list_news(now)
+
     def record_failure(self, endpoint_id, now):
         """Count a failure and eject the endpoint for some time."""
         self.table.record_failure(endpoint_id, now)
--- a/rhubarbreach/fleet/request_counts.py
+++ b/rhubarbreach/fleet/request_counts.py
@@ -5,6 +5,12 @@
 __all__ = ['RequestCounts']
 
 
+# Fraction of the slots of a service from which on online requests leave no
+# room for hedges.
+BUSY_FRACTION = 0.75
+MAX_LOOKS = 48
+
+
 class RequestCounts:
     """Requests of all hosts and batch items on endpoints.
 
@@ -99,11 +105,35 @@
                 free += idle
         return free
 
+    def count_used(self, endpoint_id):
+        """Return the requests of all hosts and the items on an endpoint."""
+        return self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
+
+    def make_counter(self):
+        """Return a function like `count_used` that takes half of its time."""
+        running, nearby = self.running, self.nearby
+        elsewhere, batch = self.elsewhere, self.batch
+        return lambda endpoint_id: (
+            running.get(endpoint_id, 0)
+            + nearby.get(endpoint_id, 0)
+            + elsewhere.get(endpoint_id, 0)
+            + batch.get(endpoint_id, 0)
+        )
+
     def get_utilization(self, endpoint):
         """Return the fraction of an endpoint's slots that is in use."""
-        endpoint_id = endpoint.endpoint_id
-        used = self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
-        return used / max(1, endpoint.slots)
+        return self.count_used(endpoint.endpoint_id) / max(1, endpoint.slots)
+
+    def is_busy(self, endpoints):
+        """Return whether online requests leave no room for hedges.
+
+        Items of batch jobs yield to them and do not count. A part of the
+        endpoints is looked at, evenly spread.
+        """
+        endpoints = endpoints[:: 1 + len(endpoints) // MAX_LOOKS]
+        slots = sum(endpoint.slots for endpoint in endpoints)
+        free = self.count_free_slots(endpoints)
+        return free <= (1 - BUSY_FRACTION) * slots
 
     def is_half_idle(self, endpoints):
         """Return whether under half of the slots of endpoints are in use."""
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -4,9 +4,11 @@
 `gateway.admission`, which is told when a slot may have become free.
 """
 
+import random
 import threading
 
 from rhubarbreach.balancing import endpoints as endpoint_tables
+from rhubarbreach.balancing import hedging
 from rhubarbreach.balancing import selection
 from rhubarbreach import clock
 from rhubarbreach import eventlog
@@ -94,7 +96,7 @@
             self.directory.update(rows, complete)
             endpoints = self.directory.endpoints
             self.cold.state.update_endpoints(endpoints)
-            self.health.table.keep(endpoints)
+            self.health.keep(endpoints)
             self.performance.table.keep(endpoints)
         self.notify_free()
 
@@ -123,14 +125,17 @@
         now = clock.monotonic()
         with self.lock:
             self.counts.update(elsewhere, batch, nearby, age, now)
-            self.health.suspects = frozenset(suspects)
+            self.health.leader_suspects = frozenset(suspects)
+            self.health.update_suspects(self.directory, now)
         self.notify_free()
 
     def drop_leader_loads(self):
         """Forget the loads that the leader has sent, as they are outdated."""
-        self.update_loads({}, {}, self.health.suspects)
+        self.update_loads({}, {}, self.health.leader_suspects)
 
-    def report_peer(self, host_id, running, now, slowness=None):
+    def report_peer(
+        self, host_id, running, now, slowness=None, overdue_ages=None
+    ):
         """Store the running requests of another host of the zone.
 
         Parameters
@@ -143,8 +148,12 @@
             Seconds of the monotonic clock.
         slowness : dict of str to int, optional
             Slowness of endpoints in percent that it has learned.
+        overdue_ages : dict of str to int, optional
+            Endpoints that it has found overdue; see `OverdueTable.report`.
         """
         with self.lock:
+            if self.counts.is_peer(host_id):
+                self.health.overdue.report(host_id, overdue_ages, now)
             if slowness and self.counts.is_peer(host_id):
                 self.performance.table.slowness.merge(slowness, now)
             self.counts.report_peer(host_id, running, now)
@@ -189,6 +198,7 @@
             See `choice.choose_endpoint` and `balancing.selection`.
         """
         with self.lock:
+            self.health.update_suspects(self.directory, now)
             is_restricted = choices is not None
             if self.cold.has_limit(service):
                 choices = self.cold.select_permitted(
@@ -209,8 +219,7 @@
             )
             if isinstance(chosen, choice.Endpoint):
                 chosen = self.cold.take_permit(chosen, now)
-                self.counts.add(chosen.endpoint_id)
-                self.performance.table.begin(chosen.endpoint_id, cost, now)
+                self.begin(chosen, cost, now)
         is_high = (
             not isinstance(chosen, choice.Endpoint)
             or self.counts.get_utilization(chosen) >= HIGH_UTILIZATION_FRACTION
@@ -242,13 +251,47 @@
             endpoint = self.cold.take_permit(endpoint, now)
             if endpoint is None:
                 return None
-            self.counts.add(endpoint.endpoint_id)
-            self.performance.table.begin(
-                endpoint.endpoint_id, None, clock.monotonic()
+            self.begin(endpoint, None, now)
+        self.notify_change(endpoint)
+        return endpoint
+
+    def acquire_spare(self, service, excluded, software_version, cost, now):
+        """Count a hedge at a sound endpoint with a free slot until `release`.
+
+        A hedge uses no permit. The parameters are those of `acquire`.
+
+        Returns
+        -------
+        Endpoint or None
+            None if there is none.
+        """
+        is_fit = directories.make_filter(excluded, software_version)
+        slowness = self.performance.table.slowness
+        with self.lock:
+            self.health.update_suspects(self.directory, now)
+            endpoint = hedging.choose_spare(
+                self.directory.services.get(service, ()),
+                self.zone,
+                self.counts.make_counter(),
+                lambda e: (
+                    is_fit(e)
+                    and self.health.is_sound(e.endpoint_id, now)
+                    and not self.cold.state.is_cold(e, now)
+                ),
+                lambda e: slowness.get(e.endpoint_id, service, now),
+                random.random,
             )
+            if endpoint is None:
+                return None
+            self.begin(endpoint, cost, now)
         self.notify_change(endpoint)
         return endpoint
 
+    def begin(self, endpoint, cost, now):
+        """Count a request on an endpoint; the lock is held."""
+        self.counts.add(endpoint.endpoint_id)
+        self.performance.table.begin(endpoint.endpoint_id, cost, now)
+
     def release(self, endpoint_id, cost=None, has_begun=False):
         """Remove a completed request from the load of an endpoint.
 
@@ -297,6 +340,7 @@
     def is_sound(self, endpoint_id, now):
         """Return whether an endpoint takes requests and has not failed."""
         with self.lock:
+            self.health.update_suspects(self.directory, now)
             endpoint = self.directory.endpoints.get(endpoint_id)
             return (
                 endpoint is not None
@@ -347,6 +391,33 @@
                 for endpoint in candidates
             )
 
+    def is_busy(self, service):
+        """Return whether a service has no room for hedges."""
+        with self.lock:
+            return self.counts.is_busy(
+                self.directory.services.get(service, ())
+            )
+
+    def mark_overdue(self, endpoint_id, sent_at, now):
+        """Avoid an endpoint without a first event; return whether it is new.
+
+        See `OverdueTable.mark` for the parameters. The endpoint has not
+        failed.
+        """
+        with self.lock:
+            is_new = self.health.overdue.mark(endpoint_id, sent_at, now)
+        if is_new and self.on_change is not None:
+            self.on_change(True)
+        return is_new
+
+    def note_event(self, endpoint_id, now):
+        """Record an event, after which its endpoint is not overdue."""
+        if not self.health.overdue.note_event(endpoint_id, now):
+            return
+        if self.on_change is not None:
+            self.on_change(False)
+        self.notify_free()
+
     def record_failure(self, endpoint_id, now):
         """Count a failure and eject the endpoint for some time."""
         with self.lock:
