Test a suspended host, the takeover time and the report of overdue endpoints

Cause: tests still passed with the check of late decisions removed, and with a hedge that postpones the takeover.

Change: the first test uses times at which a hedge would still be sent; one test each for the takeover time and for the report to the zone.

--- a/rhubarbreach/balancing/tests/test_hedging.py
+++ b/rhubarbreach/balancing/tests/test_hedging.py
@@ -1,9 +1,11 @@
 """Tests of hedges and of overdue endpoints, beside hosts that do not hedge."""
 
 import dataclasses
+import queue
 import random
 import statistics
 import time
+import types
 
 import pytest
 
@@ -12,7 +14,9 @@
 from rhubarbreach.balancing.tests import hosts
 from rhubarbreach.balancing.tests import replay
 from rhubarbreach.balancing.tests import test_replays as replays
+from rhubarbreach import clock
 from rhubarbreach.fleet import view
+from rhubarbreach.hosts import zone_news
 from rhubarbreach.protocol import fleetmessages
 
 FIRST = replays.FIRST
@@ -137,6 +141,31 @@
     assert not list_avoided(10.4 + overdue.BASE_SECONDS)
 
 
+def test_zone_is_told_of_overdue_endpoints():
+    """Guards against a zone whose hosts each find a stall out themselves."""
+    row = fleetmessages.EndpointNotice('e', 's', '1', 'z', 8, 'ready', 1, 1)
+    sent = queue.Queue()
+    told, teller = view.View('z'), view.View('z')
+    link = types.SimpleNamespace(
+        register=lambda *_, **__: None,
+        send=lambda _, message: sent.put(message),
+    )
+    for host, peer in ((told, 'teller'), (teller, 'told')):
+        host.update_endpoints(
+            (row, dataclasses.replace(row, endpoint_id='f')), True
+        )
+        host.update_peers((peer,))
+    news = [zone_news.ZoneNews(link, host) for host in (teller, told)]
+    now = clock.monotonic()
+    teller.mark_overdue('e', now, now)
+    while not (message := sent.get(timeout=5)).overdue:
+        pass
+    news[1].apply_news('teller', message)
+    for task in news:
+        task.close()
+    assert told.overdue.reports['teller'].keys() == {'e'}
+
+
 @pytest.mark.parametrize('count', [100, 1000])
 def test_decision_is_fast(count):
     """Guards against hedges that take an entry host's processor time.
--- a/rhubarbreach/gateway/tests/test_hedges.py
+++ b/rhubarbreach/gateway/tests/test_hedges.py
@@ -228,7 +228,8 @@
 ):
     """Guards against hedges of all requests of a host that was suspended.
 
-    The event has arrived while it stood still, and is delivered late.
+    The event has arrived while it stood still, and the objective could still
+    be met by a hedge.
     """
     wait_readable = sockets.wait_readable
     is_asleep = []
@@ -237,17 +238,40 @@
         ready = wait_readable(watched, until, *arguments)
         if not ready and not is_asleep:
             is_asleep.append(True)
-            time.sleep(0.4)
+            time.sleep(0.1)
         return ready
 
     monkeypatch.setattr(sockets, 'wait_readable', oversleep)
-    loads, ids, endpoint, _ = hedge([0.5, *respond(1)], respond(1))
+    # The hedge is due after 0.74 s and useless after 0.89 s.
+    loads, ids, endpoint, _ = hedge(
+        [0.78, *respond(1)], respond(1), objective=1.2
+    )
     assert is_asleep
     assert ids == [1, 2, 3]
     assert endpoint.count == 1
     assert not loads.list_overdue(clock.monotonic())
 
 
+def test_hedge_does_not_postpone_a_takeover(hedge):
+    """Guards against a silent stream that is left later for its hedge."""
+    times = []
+
+    def watch(forwarder):
+        start_hedge = forwarder.start_hedge
+
+        def start():
+            times.append(forwarder.takeover_at)
+            outcome = start_hedge()
+            times.append(forwarder.takeover_at)
+            return outcome
+
+        forwarder.start_hedge = start
+
+    hedge([0.5, *respond(1)], [2.0], on_request=watch)
+    assert len(times) == 2
+    assert times[0] == times[1]
+
+
 def test_slow_connection_of_a_hedge_holds_no_events_back(hedge, monkeypatch):
     """Guards against events that wait for a host that does not respond."""
     opened = []
