Split the store host into parts with one subject each

The allocator of tokens and the evacuations last read, which shared one lock without a reason, have a lock each; neither was ever taken together with the other. Names of duties in log lines stay.

--- a/rhubarbreach/bench/storelosses/virtualfleets.py
+++ b/rhubarbreach/bench/storelosses/virtualfleets.py
@@ -150,7 +150,7 @@
             if (
                 process is not None
                 and now >= machine.frozen_until
-                and process.may_answer(now)
+                and process.leadership.may_answer(now)
             ):
                 return process
         return None
--- a/rhubarbreach/bench/storelosses/virtualstores.py
+++ b/rhubarbreach/bench/storelosses/virtualstores.py
@@ -4,7 +4,6 @@
 duties of a store host. Threads, sockets, disks and the clock are replaced.
 """
 
-import contextlib
 import dataclasses
 import types
 from unittest import mock
@@ -13,7 +12,8 @@
 from rhubarbreach.bench.storelosses import virtualdisks
 from rhubarbreach.bench.storelosses import virtualgroups
 from rhubarbreach.consensus import groups as group_sets
-from rhubarbreach.fleet import evacuations
+from rhubarbreach.hosts import evacuated_zones
+from rhubarbreach.hosts import leadership
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import store as store_hosts
 
@@ -58,18 +58,26 @@
         self.members = members.Members(
             self.settings, self.link, self.group, self.ledger
         )
-        self.lock = contextlib.nullcontext()
         self.endpoints = mock.Mock()
         self.version_history = mock.Mock()
         self.runner = mock.Mock()
-        self.allocator = mock.Mock()
+        self.exchanges = mock.Mock()
         self.quarantine_manager = mock.Mock()
         self.cold_manager = mock.Mock()
-        self.known_evacuations = evacuations.Evacuations()
         self.usage = mock.Mock()
-        self.is_leading = False
-        self.leading_term = 0
-        self.draining = False
+        self.evacuated_zones = evacuated_zones.EvacuatedZones(
+            self.settings,
+            self.ledger,
+            self.members,
+            self.usage,
+            self.endpoints,
+        )
+        self.leadership = leadership.Leadership(
+            self.host_id,
+            self.group,
+            self.reset_duties,
+            self.runner.set_leading,
+        )
         self.next_gauges = float('inf')
         self.next_prune = float('inf')
         self.run_duties()
@@ -104,10 +112,9 @@
     def run_duties(self):
         """Run the duties that are due, periodically."""
         self.run_due_duties(self.now)
-        is_changing = self.group.is_leader != self.is_leading
         self.call_later(
             store_hosts.TAKEOVER_POLL_SECONDS
-            if is_changing
+            if self.leadership.is_changing
             else store_hosts.DUTY_INTERVAL_SECONDS,
             self.run_duties,
         )
--- a/rhubarbreach/hosts/tests/conftest.py
+++ b/rhubarbreach/hosts/tests/conftest.py
@@ -54,4 +54,4 @@
 
 def find_leader(stores):
     """Return the leading store, or None while there is none."""
-    return next((host for host in stores if host.is_leading), None)
+    return next((host for host in stores if host.leadership.is_leading), None)
--- a/rhubarbreach/hosts/tests/test_evacuation.py
+++ b/rhubarbreach/hosts/tests/test_evacuation.py
@@ -143,7 +143,7 @@
     message = fleetmessages.Exchange(
         0, '', {}, {}, {}, evacuation_revision=revision
     )
-    return store.answer_exchange('entry', message)
+    return store.exchanges.answer('entry', message)
 
 
 def test_hosts_get_the_zones_only_when_their_revision_differs(stores):
@@ -162,8 +162,10 @@
     command = commands.ReadEvacuation('z1')
     assert leader.ledger.answer_query(command).is_evacuated
     # The zone has lost its last host, and is still to be brought back.
-    leader.settings = dataclasses.replace(leader.settings, zones=('z7',))
-    assert leader.find_zones() == ({'z1', 'z7'}, True)
+    leader.evacuated_zones.settings = dataclasses.replace(
+        leader.settings, zones=('z7',)
+    )
+    assert leader.evacuated_zones.find_zones() == ({'z1', 'z7'}, True)
 
 
 def test_restored_zone_counts_as_cold_before_hosts_learn_of_it(stores):
--- a/rhubarbreach/hosts/tests/test_quarantine_manager.py
+++ b/rhubarbreach/hosts/tests/test_quarantine_manager.py
@@ -16,7 +16,7 @@
 def send_exchange(store, crashes=()):
     """Return the reply of a store to an entry host without state."""
     message = fleetmessages.Exchange(0, '', {}, {}, {}, crashes=crashes)
-    return store.answer_exchange('entry', message)
+    return store.exchanges.answer('entry', message)
 
 
 def report_crashes(store):
@@ -70,7 +70,7 @@
     leader = conftest.find_leader(stores)
     crash = fleetmessages.CrashNotice('e1', ('first', 'own'), True, 2.0)
     assert send_exchange(leader, (crash,)).suspect_parts == ('first',)
-    leader.leading_term -= 1
+    leader.leadership.leading_term -= 1
     cluster.wait_until(lambda: send_exchange(leader).is_leader)
     assert send_exchange(leader).suspect_parts == ()
 
--- a/rhubarbreach/hosts/tests/test_store.py
+++ b/rhubarbreach/hosts/tests/test_store.py
@@ -25,7 +25,7 @@
 def send_exchange(store):
     """Return the reply of a store to an entry host that has no state yet."""
     message = fleetmessages.Exchange(0, '', {}, {}, {})
-    return store.answer_exchange('entry', message)
+    return store.exchanges.answer('entry', message)
 
 
 @pytest.fixture(params=['sync', 'append'])
@@ -74,12 +74,12 @@
     calls = []
     monkeypatch.setattr(leader.runner, 'set_leading', calls.append)
     monkeypatch.setattr(
-        leader, 'leading_term', leader.group.term - 1, raising=False
+        leader.leadership, 'leading_term', leader.group.term - 1, raising=False
     )
     assert not send_exchange(leader).is_leader
     cluster.wait_until(lambda: calls)
     assert calls == [False, True]
-    assert leader.leading_term == leader.group.term
+    assert leader.leadership.leading_term == leader.group.term
     assert send_exchange(leader).is_leader
 
 
@@ -109,7 +109,7 @@
         cluster.wait_until(
             lambda: consensus_model.find_member(leader.group.members, address)
         )
-        assert leader.is_leading
+        assert leader.leadership.is_leading
     finally:
         new.close()
 
@@ -186,13 +186,13 @@
         command = commands.PutCatalog(version, document)
         leader.propose(command, 5.0)
         cluster.wait_until(
-            lambda: leader.answer_exchange('entry', message).is_leader
+            lambda: leader.exchanges.answer('entry', message).is_leader
         )
-        assert leader.answer_exchange('entry', message).granted
+        assert leader.exchanges.answer('entry', message).granted
         assert leader.current_index.get().version == 1
     leader.current_index.index = None
     job = types.SimpleNamespace(host='h', path_prefix='/')
-    assert leader.find_destination(job) is None
+    assert leader.item_resources.find_destination(job) is None
 
 
 def test_change_that_is_too_large_is_refused_by_each_store(stores):
