Split schedule and waits from the leader client

Cause: fleet/leader_client.py had 569 lines: the exchange with the leader, the times of exchanges, and the requests that wait for one.

Change: exchange_schedule.py holds the times and their constants, which stores use without the client, and exchange_waits.py the waits for loads and permits, each with its own condition.

Result: fleet/leader_client.py has 404 lines; the tests of fleet, gateway, balancing, hosts and test_fleet.py pass.

--- a/rhubarbreach/balancing/tests/replay.py
+++ b/rhubarbreach/balancing/tests/replay.py
@@ -13,7 +13,7 @@
 import random
 
 from rhubarbreach import clock
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.protocol import fleetmessages
 
 __all__ = ['Outcome', 'Pattern', 'Replay']
@@ -280,8 +280,8 @@
     def run(self):
         pattern = self.pattern
         self.interval = max(
-            leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
-            pattern.hosts / leader_client.MAX_EXCHANGES_PER_SECOND,
+            exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS,
+            pattern.hosts / exchange_schedule.MAX_EXCHANGES_PER_SECOND,
         )
         for host in self.hosts:
             self.schedule(
--- a/rhubarbreach/bench/exchangecost.py
+++ b/rhubarbreach/bench/exchangecost.py
@@ -4,7 +4,7 @@
 import time
 
 from rhubarbreach.bench import fits
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.hosts import usage
 from rhubarbreach.protocol import codec
 from rhubarbreach.protocol import fleetmessages
@@ -116,9 +116,9 @@
         size += sum(get_encoded_size(message) for _, message in messages)
         size /= ROUNDS
         interval = max(
-            leader_client.EXCHANGE_INTERVAL_SECONDS,
-            leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
-            count / leader_client.MAX_EXCHANGES_PER_SECOND,
+            exchange_schedule.EXCHANGE_INTERVAL_SECONDS,
+            exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS,
+            count / exchange_schedule.MAX_EXCHANGES_PER_SECOND,
         )
         per_second = count / interval
         points['CPU us'].append(fits.Point(count, seconds * MICROSECONDS))
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -10,28 +10,18 @@
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import announcements
 from rhubarbreach.fleet import evacuations
+from rhubarbreach.fleet import exchange_schedule
+from rhubarbreach.fleet import exchange_waits
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quarantine
 from rhubarbreach.fleet import token_source
 from rhubarbreach.protocol import fleetmessages
 
-__all__ = ['FRESH_SECONDS', 'LeaderClient', 'compute_interval']
+__all__ = ['FRESH_SECONDS', 'LeaderClient']
 
 LOG = eventlog.Logger('member')
 
-# Interval of exchanges, and so the longest delay until all hosts know of a
-# draining endpoint, a revoked key or the load of endpoints. The shortest bound
-# on any of them is 2 s.
-EXCHANGE_INTERVAL_SECONDS = 0.15
-# A host that runs out of slots starts an exchange immediately, but not more
-# often than this.
-MIN_EXCHANGE_INTERVAL_SECONDS = 0.02
-# Exchanges for loads that all hosts together may start. In a load peak all of
-# them request the loads at once, so with more hosts each does so less often.
-# Between two exchanges an endpoint receives fewer requests of each host then.
-# Exchanges for tokens are not bounded: there are at most as many as requests.
-MAX_EXCHANGES_PER_SECOND = 800.0
 # Pause before the next store is tried when one is not the leader.
 RETRY_INTERVAL_SECONDS = 0.05
 # Relative jitter of the pause after a failed exchange, so that hosts that have
@@ -49,9 +39,6 @@
 # A leader that has not replied for this multiple of the interval of exchanges
 # counts as lost for the tokens of accounts.
 LOST_LEADER_INTERVALS = 1.5
-# Time that a request may wait for the loads of other hosts. An exchange takes
-# about 5 ms, and the next one starts at the earliest 20 ms after it.
-REFRESH_TIMEOUT_SECONDS = 0.04
 # Time that a request waits for the first exchange of a host that has stood
 # still, and the pause between two checks.
 CONTACT_WAIT_SECONDS = 1.0
@@ -60,26 +47,15 @@
 # accounts count alike.
 QUEUES_SECONDS = 1.0
 NO_QUEUE = fleetmessages.QueueState()
-# Time that a request may wait for a permit for a cold endpoint. It covers two
-# immediate exchanges, and leaves a refused caller time to be served elsewhere.
-PERMIT_TIMEOUT_SECONDS = 0.05
-# With more hosts than this no request waits for a permit, as an exchange for
-# each of them would occupy the leader.
-MAX_WAITING_HOSTS = 400
-
-
-def compute_interval(entry_host_count):
-    """Return the longest time in seconds between two exchanges of a host."""
-    return max(
-        EXCHANGE_INTERVAL_SECONDS,
-        entry_host_count / MAX_EXCHANGES_PER_SECOND,
-    )
 
 
 class LeaderClient:
     """Configuration, endpoints and rates last received from the leader.
 
-    A thread exchanges messages with the leader until `close`.
+    A thread exchanges messages with the leader until `close`. Only this thread
+    changes the attributes, except for `collect_queues` and the seeds of
+    `search`; other threads read each of them without a lock. `schedule` and
+    `waits` have locks of their own.
 
     Parameters
     ----------
@@ -120,29 +96,20 @@
         self.endpoints_stamp = ''
         self.endpoint_order = ()
         self.peers_revision = 0
-        self.entry_host_count = 1
+        self.schedule = exchange_schedule.Schedule()
+        self.waits = exchange_waits.ExchangeWaits(
+            self.schedule, view.cold, lambda: self.has_leader
+        )
         self.tokens = token_source.TokenSource(
             link,
             view.counts.list_peers,
             self.find_account,
-            self.request_tokens,
+            self.schedule.request_tokens,
             tolerance,
         )
-        self.quarantine = quarantine.Quarantine(self.request_loads)
+        self.quarantine = quarantine.Quarantine(self.schedule.request_loads)
         self.evacuations = evacuations.Evacuations()
         self.guard = evacuations.ContactGuard(self.started_at, evacuates_zones)
-        self.lock = threading.Lock()
-        self.changed = threading.Condition(self.lock)
-        self.reply_count = 0
-        # Numbers of the last exchange that has begun, and of the last one that
-        # was answered.
-        self.begun_count = 0
-        self.answered_count = 0
-        # Guards the flags below, with which requests start an exchange.
-        self.schedule = threading.Condition()
-        self.loads_wanted = False
-        self.tokens_wanted = False
-        self.closed = False
         self.has_leader = False
         # Returns the `QueueReport` of each service since the last call.
         self.collect_queues = None
@@ -153,7 +120,7 @@
         # endpoints has replied. Until then loads may be missing.
         self.first_reply_at = None
         self.has_complete_loads = False
-        view.on_high_utilization = self.request_loads
+        view.on_high_utilization = self.schedule.request_loads
         self.thread = threading.Thread(
             target=self.run, name='member', daemon=True
         )
@@ -194,12 +161,7 @@
         deadline = min(
             now + STARTUP_WAIT_SECONDS, self.started_at + STARTUP_SECONDS
         )
-        with self.lock:
-            while self.index is None:
-                remaining = clock.remaining(deadline, clock.monotonic())
-                if not remaining:
-                    break
-                self.changed.wait(remaining)
+        self.waits.wait_until(lambda: self.index is not None, deadline)
         return self.index
 
     def wait_for_contact(self):
@@ -245,99 +207,10 @@
         """Replace the stores to contact besides those the leader named."""
         self.search.seeds = tuple(seeds)
 
-    @property
-    def interval(self):
-        """Longest time in seconds between two exchanges of this host."""
-        return compute_interval(self.entry_host_count)
-
-    @property
-    def min_interval(self):
-        """Shortest time in seconds between two exchanges of this host."""
-        return max(
-            MIN_EXCHANGE_INTERVAL_SECONDS,
-            self.entry_host_count / MAX_EXCHANGES_PER_SECOND,
-        )
-
-    def refresh_loads(self):
-        """Start an exchange and wait a short time for the reply.
-
-        In a large fleet the next exchange begins too late to wait for it.
-        """
-        if self.min_interval > REFRESH_TIMEOUT_SECONDS:
-            self.request_loads()
-            return
-        deadline = clock.monotonic() + REFRESH_TIMEOUT_SECONDS
-        with self.lock:
-            previous = self.reply_count
-            self.request_loads()
-            while self.reply_count == previous:
-                remaining = clock.remaining(deadline, clock.monotonic())
-                if not remaining or not self.changed.wait(remaining):
-                    return
-
-    def wait_for_permit(self, service, excluded, software_version=None):
-        """Wait for a permit for a cold endpoint if a request needs one.
-
-        A request waits for one reply, and for further ones only while no warm
-        endpoint has a free slot.
-
-        Parameters
-        ----------
-        service : str
-            Service of the request.
-        excluded : collection of str
-            Endpoints that have already been tried.
-        software_version : str, optional
-            Version of the endpoints at which a stream may be resumed.
-        """
-        view = self.view
-        if not self.has_leader:
-            return
-        now = clock.monotonic()
-        deadline = now + PERMIT_TIMEOUT_SECONDS
-        while view.cold.needs_permit(service, excluded, software_version, now):
-            view.cold.want_permit(service)
-            if self.entry_host_count > MAX_WAITING_HOSTS:
-                self.request_loads()
-                return
-            if not self.wait_for_exchange(deadline):
-                return
-            now = clock.monotonic()
-            if not view.cold.are_warm_full(service, now):
-                return
-
-    def request_permits(self, service, count):
-        """Ask for permits for requests that wait, if cold endpoints need them.
-
-        Parameters
-        ----------
-        service : str
-            Service of the requests.
-        count : int
-            Requests that wait.
-        """
-        now = clock.monotonic()
-        if self.has_leader and self.view.cold.needs_permit(
-            service, (), None, now
-        ):
-            self.view.cold.want_permits(service, count)
-            self.request_loads()
-
-    def wait_for_exchange(self, deadline):
-        """Start an exchange; return whether it was answered in time."""
-        with self.changed:
-            begun = self.begun_count
-        self.request_tokens()
-        with self.changed:
-            while self.answered_count <= begun:
-                remaining = clock.remaining(deadline, clock.monotonic())
-                if not remaining or not self.changed.wait(remaining):
-                    return False
-        return True
-
     def run(self):
         """Exchange messages with the leader until the client is closed."""
-        while not self.closed:
+        schedule = self.schedule
+        while not schedule.closed:
             succeeded = False
             try:
                 succeeded = self.exchange()
@@ -348,53 +221,18 @@
                 time.sleep(RETRY_INTERVAL_SECONDS * jitter)
                 continue
             ended_at = clock.monotonic()
-            time.sleep(MIN_EXCHANGE_INTERVAL_SECONDS)
-            self.wait_for_schedule(
-                ended_at + self.min_interval, ended_at + self.interval
+            time.sleep(exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS)
+            schedule.wait(
+                ended_at + schedule.min_interval,
+                ended_at + schedule.interval,
             )
 
-    def request_loads(self):
-        """Start an exchange as soon as the leader has time for it."""
-        with self.schedule:
-            self.loads_wanted = True
-            self.schedule.notify_all()
-
-    def request_tokens(self):
-        """Start an exchange immediately, as a request waits for a token."""
-        with self.schedule:
-            self.tokens_wanted = True
-            self.schedule.notify_all()
-
-    def wait_for_schedule(self, loads_at, latest):
-        """Wait until an exchange is due.
-
-        Parameters
-        ----------
-        loads_at : float
-            Earliest time of an exchange for loads, in seconds of the monotonic
-            clock.
-        latest : float
-            Latest time of any exchange.
-        """
-        with self.schedule:
-            while not (self.closed or self.tokens_wanted):
-                due = latest
-                if self.loads_wanted:
-                    due = min(latest, loads_at)
-                remaining = clock.remaining(due, clock.monotonic())
-                if not remaining:
-                    break
-                self.schedule.wait(remaining)
-            self.loads_wanted = False
-            self.tokens_wanted = False
-
     def exchange(self):
         """Report this host's state; return whether the leader answered."""
         sent = clock.monotonic()
         if self.guard.begin_exchange(sent):
             LOG.warning('event=standstill_ended')
-        with self.changed:
-            self.begun_count += 1
+        self.waits.begin_exchange()
         wanted = self.tokens.compute_wanted(sent)
         running = self.view.counts.copy_running()
         service_answers = self.quarantine.list_service_answers(sent)
@@ -491,7 +329,7 @@
         self.has_complete_loads = self.has_complete_loads or reply.complete
         if self.first_reply_at is None:
             self.first_reply_at = now
-        self.entry_host_count = reply.entries
+        self.schedule.entry_host_count = reply.entries
         order = self.endpoint_order
         self.view.update_loads(
             dict(zip(order, reply.elsewhere, strict=False)),
@@ -500,21 +338,18 @@
             loads.subtract_own(
                 dict(zip(order, reply.nearby, strict=False)), running
             ),
-            self.min_interval,
+            self.schedule.min_interval,
         )
         self.quarantine.apply_reply(reply, clock.monotonic())
         self.view.apply_cold(reply, order, sent, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         if self.index is not None:
             self.confirmed_at = max(self.confirmed_at, sent - reply.age)
-        lost_seconds = LOST_LEADER_INTERVALS * self.interval
+        lost_seconds = LOST_LEADER_INTERVALS * self.schedule.interval
         self.tokens.apply_grants(
             reply.granted, reply.entries, clock.monotonic() + lost_seconds
         )
-        with self.changed:
-            self.reply_count += 1
-            self.answered_count = self.begun_count
-            self.changed.notify_all()
+        self.waits.end_exchange()
         if not self.has_leader and self.is_fresh(clock.monotonic()):
             self.has_leader = True
             LOG.info('event=leader_found store={}', self.leader_id)
@@ -566,6 +401,4 @@
 
     def close(self):
         """Stop the thread."""
-        self.closed = True
-        with self.schedule:
-            self.schedule.notify_all()
+        self.schedule.close()
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -133,7 +133,7 @@
     try:
         deadline = clock.monotonic() + 1.5
         while clock.monotonic() < deadline:
-            client.request_loads()
+            client.schedule.request_loads()
             time.sleep(0.005)
     finally:
         client.close()
@@ -291,7 +291,7 @@
     )
     assert list(client.view.directory.endpoints) == ['sound']
     assert client.index.version == 1
-    assert client.reply_count == 2
+    assert client.waits.reply_count == 2
 
 
 def test_queues_of_a_lost_leader_count_no_more(make_client):
--- a/rhubarbreach/fleet/tests/test_loads.py
+++ b/rhubarbreach/fleet/tests/test_loads.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import fair_share
-from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import suspicion
 from rhubarbreach.protocol import codec
@@ -152,7 +152,7 @@
         for part in (request, reply)
     )
     interval = max(
-        leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
-        hosts / leader_client.MAX_EXCHANGES_PER_SECOND,
+        exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS,
+        hosts / exchange_schedule.MAX_EXCHANGES_PER_SECOND,
     )
     assert size / interval <= TARGET_BYTES_PER_SECOND
--- a/rhubarbreach/fleet/tests/test_zone_loads.py
+++ b/rhubarbreach/fleet/tests/test_zone_loads.py
@@ -10,7 +10,7 @@
 
 from rhubarbreach import clock
 from rhubarbreach.fleet import choice
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import view
 from rhubarbreach.fleet import zone_loads
 from rhubarbreach.protocol import fleetmessages
@@ -100,8 +100,8 @@
     def run(self):
         pattern = self.pattern
         self.interval = max(
-            leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
-            pattern.hosts / leader_client.MAX_EXCHANGES_PER_SECOND,
+            exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS,
+            pattern.hosts / exchange_schedule.MAX_EXCHANGES_PER_SECOND,
         )
         for number in range(pattern.hosts):
             self.schedule(
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -129,7 +129,7 @@
         if isinstance(service, codes.Refusal):
             return service
         if self.app.view.has_high_utilization(service):
-            self.app.leader_client.refresh_loads()
+            self.app.leader_client.waits.refresh_loads()
         self.search.cost = self.app.view.performance.predict_cost(
             service,
             self.route.name,
@@ -579,7 +579,7 @@
             self.recorder.log(
                 'answered', 'the endpoint is leaving', attempt, 'departure'
             )
-            self.app.leader_client.request_loads()
+            self.app.leader_client.schedule.request_loads()
 
     def get_wait_deadline(self):
         """Return until when to wait for bytes of the endpoints."""
@@ -731,7 +731,7 @@
         ) or not sockets.is_port_closed(endpoint.address, deadline):
             return False
         # Only the leader may know yet that the endpoint has left in order.
-        self.app.leader_client.refresh_loads()
+        self.app.leader_client.waits.refresh_loads()
         return not self.app.view.directory.has_left(endpoint)
 
     def break_off(self, attempt):
--- a/rhubarbreach/gateway/search.py
+++ b/rhubarbreach/gateway/search.py
@@ -138,7 +138,7 @@
             if refusal is not None:
                 return refusal
             if self.app.view.cold.has_limit(service):
-                self.app.leader_client.wait_for_permit(
+                self.app.leader_client.waits.wait_for_permit(
                     service, self.excluded, self.software_version
                 )
                 now = clock.monotonic()
--- a/rhubarbreach/gateway/tests/replay.py
+++ b/rhubarbreach/gateway/tests/replay.py
@@ -13,8 +13,8 @@
 
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import fair_share
-from rhubarbreach.fleet import leader_client
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import view
 from rhubarbreach.fleet import zone_loads
@@ -171,7 +171,9 @@
     def hurry(self):
         """Start the next exchange as soon as the leader has time for it."""
         hosts = self.replay.deployment.hosts
-        interval = max(0.02, hosts / leader_client.MAX_EXCHANGES_PER_SECOND)
+        interval = max(
+            0.02, hosts / exchange_schedule.MAX_EXCHANGES_PER_SECOND
+        )
         self.exchange_number += 1
         due = max(self.replay.now, self.exchanged_at + interval)
         self.replay.after(
@@ -204,12 +206,12 @@
         )
         replay.after(LINK_SECONDS, self.apply, *reply)
         hosts = replay.deployment.hosts
-        interval = leader_client.compute_interval(hosts)
+        interval = exchange_schedule.compute_interval(hosts)
         replay.after(interval, self.exchange, self.exchange_number)
 
     def apply(self, elsewhere, nearby, queue_state, entries):
         hosts = self.replay.deployment.hosts
-        age = max(0.02, hosts / leader_client.MAX_EXCHANGES_PER_SECOND)
+        age = max(0.02, hosts / exchange_schedule.MAX_EXCHANGES_PER_SECOND)
         self.view.update_loads(elsewhere, {}, (), nearby, age)
         self.queue_state = queue_state
         self.entries = entries
@@ -279,7 +281,7 @@
             slots = self.replay.deployment.slots * len(self.replay.rows)
             share = admission.compute_slot_share(slots, self.entries, seconds)
             hosts = self.replay.deployment.hosts
-            interval = leader_client.compute_interval(hosts)
+            interval = exchange_schedule.compute_interval(hosts)
             if seconds < admission.START_EXCHANGES * interval and (
                 sum(self.view.counts.running.values()) >= share
             ):
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -220,8 +220,10 @@
             ),
             dialect=dialect,
             leader_client=types.SimpleNamespace(
-                refresh_loads=on_refresh,
-                request_loads=lambda: None,
+                waits=types.SimpleNamespace(refresh_loads=on_refresh),
+                schedule=types.SimpleNamespace(
+                    request_loads=lambda: None, entry_host_count=1
+                ),
                 wait_for_contact=lambda: True,
                 may_send_to=may_send,
                 quarantine=quarantine.Quarantine(),
@@ -236,7 +238,6 @@
         app.leader_client.get_queue = lambda *_: fleetmessages.QueueState()
         app.leader_client.has_queues = lambda _: True
         app.leader_client.has_complete_loads = True
-        app.leader_client.entry_host_count = 1
         app.admission = waiting.AdmissionControl(
             loads, app.leader_client, app.metrics
         )
--- a/rhubarbreach/gateway/tests/test_waiting.py
+++ b/rhubarbreach/gateway/tests/test_waiting.py
@@ -37,10 +37,9 @@
     return types.SimpleNamespace(
         get_queue=lambda *_: fleetmessages.QueueState(),
         has_queues=lambda _: True,
-        entry_host_count=1,
         has_complete_loads=True,
         first_reply_at=None,
-        interval=0.15,
+        schedule=types.SimpleNamespace(entry_host_count=1, interval=0.15),
     )
 
 
@@ -153,7 +152,7 @@
 def test_host_that_has_just_started_sends_its_share(endpoints, client, submit):
     """Guards against hosts that fill all engines before loads are known."""
     client.has_complete_loads = False
-    client.entry_host_count = 2
+    client.schedule.entry_host_count = 2
     client.first_reply_at = clock.monotonic() - 0.15
     first, second = submit(), submit()
     assert isinstance(first.result, choice.Endpoint)
--- a/rhubarbreach/gateway/waiting.py
+++ b/rhubarbreach/gateway/waiting.py
@@ -110,7 +110,7 @@
             free,
             run_seconds,
             age,
-            max(1, self.leader_client.entry_host_count),
+            max(1, self.leader_client.schedule.entry_host_count),
             queue.waiting,
             queue.exceeding,
         )
@@ -127,7 +127,9 @@
         if client.has_complete_loads or client.first_reply_at is None:
             return None
         seconds = now - client.first_reply_at
-        is_starting = seconds < admission.START_EXCHANGES * client.interval
+        is_starting = (
+            seconds < admission.START_EXCHANGES * client.schedule.interval
+        )
         return seconds if is_starting else None
 
     def get_hold_until(self, now):
@@ -240,7 +242,7 @@
         endpoints are cold ask for permits again, as permits expire soon.
         """
         if self.view.cold.has_limit(service):
-            self.leader_client.request_permits(
+            self.leader_client.waits.request_permits(
                 service, len(self.queues[service].waiters)
             )
         if not self.leader_client.has_queues(now):
@@ -288,7 +290,7 @@
         if seconds is not None:
             slots, *_ = self.view.describe_service(call.service)
             share = admission.compute_slot_share(
-                slots, self.leader_client.entry_host_count, seconds
+                slots, self.leader_client.schedule.entry_host_count, seconds
             )
             if slots and self.view.count_own(call.service) >= share:
                 return codes.Refusal(
--- a/rhubarbreach/hosts/cold_manager.py
+++ b/rhubarbreach/hosts/cold_manager.py
@@ -4,7 +4,7 @@
 
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import cold_permits
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 
 __all__ = ['ColdManager']
 
@@ -186,7 +186,8 @@
             self.cold_until = cold_until
         self.services = services
         learn_seconds = (
-            leader_client.compute_interval(entry_host_count) + LEARN_SECONDS
+            exchange_schedule.compute_interval(entry_host_count)
+            + LEARN_SECONDS
         )
         self.allocator.update(services, self.limits, now + learn_seconds)
 
--- a/rhubarbreach/hosts/quarantine_manager.py
+++ b/rhubarbreach/hosts/quarantine_manager.py
@@ -11,7 +11,7 @@
 from rhubarbreach.backlog import commands
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import crash_evidence
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import quarantine_trials
 
 __all__ = ['QuarantineManager']
@@ -143,7 +143,7 @@
         trials = self.ledger.get_trials()
         unix_time = time.time()
         settle = crash_evidence.compute_settle_seconds(
-            leader_client.compute_interval(entry_host_count)
+            exchange_schedule.compute_interval(entry_host_count)
         )
         with self.lock:
             self.evidence.expire(now)
--- a/rhubarbreach/hosts/tests/coldfleet.py
+++ b/rhubarbreach/hosts/tests/coldfleet.py
@@ -12,7 +12,7 @@
 
 from rhubarbreach import codes
 from rhubarbreach.fleet import choice
-from rhubarbreach.fleet import leader_client
+from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import registry
 from rhubarbreach.fleet import view
 from rhubarbreach.hosts import cold_manager
@@ -154,10 +154,10 @@
         self.is_limited, self.asks = is_limited, asks
         self.link_seconds = link_seconds
         self.min_interval = max(
-            leader_client.MIN_EXCHANGE_INTERVAL_SECONDS,
-            host_count / leader_client.MAX_EXCHANGES_PER_SECOND,
+            exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS,
+            host_count / exchange_schedule.MAX_EXCHANGES_PER_SECOND,
         )
-        self.interval = leader_client.compute_interval(host_count)
+        self.interval = exchange_schedule.compute_interval(host_count)
         self.events = []
         self.numbers = itertools.count()
         self.endpoints = {}
@@ -267,7 +267,9 @@
 
     def apply(self, host, rows, reply, waiting, sent, now):
         host.is_exchanging = False
-        host.next_exchange = now + leader_client.MIN_EXCHANGE_INTERVAL_SECONDS
+        host.next_exchange = (
+            now + exchange_schedule.MIN_EXCHANGE_INTERVAL_SECONDS
+        )
         if reply is not None:
             if rows is not None:
                 host.view.update_endpoints(rows, True)
