--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -194,7 +194,7 @@
             self.log(
                 'answered', 'the endpoint is leaving', attempt, 'departure'
             )
-            self.app.leader_client.request_loads()
+            self.app.leader_client.schedule.request_loads()
 
     def record_coldness(self, attempt):
         """Count an endpoint as cold that says so and was not known to be."""
--- a/rhubarbreach/gateway/tests/test_hedges.py
+++ b/rhubarbreach/gateway/tests/test_hedges.py
@@ -143,7 +143,7 @@
     app.view.cold.limit_services(('s',))
     app.view.cold.state.new_ids = {'e2'}
     app.view.cold.state.permits['e2'] = [float('inf')]
-    app.leader_client.wait_for_permit = lambda *_: None
+    app.leader_client.waits.wait_for_permit = lambda *_: None
     app.dialect.is_cold = lambda head: False
 
 
