--- a/rhubarbreach/balancing/tests/test_hedging.py
+++ b/rhubarbreach/balancing/tests/test_hedging.py
@@ -154,7 +154,7 @@
         host.update_endpoints(
             (row, dataclasses.replace(row, endpoint_id='f')), True
         )
-        host.update_peers((peer,))
+        host.counts.update_peers((peer,))
     news = [zone_news.ZoneNews(link, host) for host in (teller, told)]
     now = clock.monotonic()
     teller.mark_overdue('e', now, now)
--- a/rhubarbreach/fleet/endpoint_choice.py
+++ b/rhubarbreach/fleet/endpoint_choice.py
@@ -119,6 +119,9 @@
 
         situation = self.describe_situation(service, cost, now)
 
+        def list_open(rows):
+            return counts.list_open(rows, queue_limit, barred)
+
         def choose(is_usable, is_last=False):
             return self.chooser.choose(
                 service,
@@ -126,12 +129,9 @@
                 situation,
                 lambda endpoint: (
                     endpoint.endpoint_id not in excluded
-                    and not (
-                        is_last and counts.is_queue_full(endpoint, queue_limit)
-                    )
                     and is_usable(endpoint)
                 ),
-                is_last,
+                list_open if is_last else None,
             )
 
         is_usable = is_healthy
@@ -150,7 +150,12 @@
             if any(map(is_available, known)):
                 is_usable = is_available
             chosen = choose(is_usable)
+        barred = set(excluded)
         if chosen is not None and counts.is_queue_full(chosen, queue_limit):
+            if is_usable is is_healthy:
+                barred |= suspects
+            if is_usable is not is_candidate:
+                barred |= health.table.list_ejected(now)
             chosen = choose(is_usable, True) or chosen
         if (
             criteria.can_retry
@@ -165,6 +170,7 @@
         ):
             # Endpoints that have failed for others are better than a refusal
             # while most slots are free.
+            barred = set(excluded)
             chosen = choose(is_candidate, True) or chosen
         if chosen is None:
             return codes.Refusal(
--- a/rhubarbreach/fleet/request_counts.py
+++ b/rhubarbreach/fleet/request_counts.py
@@ -8,7 +8,7 @@
 # Fraction of the slots of a service from which on online requests leave no
 # room for hedges.
 BUSY_FRACTION = 0.75
-MAX_LOOKS = 48
+MAX_LOOKS = 24
 
 
 class RequestCounts:
@@ -149,6 +149,33 @@
         online = self.count_online(endpoint.endpoint_id)
         return online >= endpoint.slots + queue_limit
 
+    def list_open(self, rows, queue_limit, barred):
+        """Return those of some endpoints at which a request may wait.
+
+        A decision compares up to all endpoints of a service, so that no
+        function is called for each of them.
+
+        Parameters
+        ----------
+        rows : iterable of tuple
+            Endpoints, each with its id and slots.
+        queue_limit : int
+            Requests that may wait at an endpoint.
+        barred : set of str
+            Endpoints that the request may not use.
+        """
+        running, nearby = self.running.get, self.nearby.get
+        elsewhere = self.elsewhere.get
+        # The own requests are few, and are only looked up if they decide.
+        return [
+            endpoint
+            for endpoint, name, slots in rows
+            if (others := elsewhere(name, 0) + nearby(name, 0))
+            < slots + queue_limit
+            and name not in barred
+            and others + running(name, 0) < slots + queue_limit
+        ]
+
     def update_peers(self, peers):
         """Replace the other hosts of the zone."""
         with self.lock:
