--- a/rhubarbreach/balancing/tests/test_hedging.py
+++ b/rhubarbreach/balancing/tests/test_hedging.py
@@ -163,7 +163,7 @@
     news[1].apply_news('teller', message)
     for task in news:
         task.close()
-    assert told.overdue.reports['teller'].keys() == {'e'}
+    assert told.health.overdue.reports['teller'].keys() == {'e'}
 
 
 @pytest.mark.parametrize('count', [100, 1000])
