Let an item whose permit has ended wait without a backoff

Cause: a run whose permit for a cold endpoint ended before it began counted as failed (not_run). Its item waited for 0.2 s, doubled with each such run, up to 3 s, though nothing had failed.

Change: such a run ends as expired; the leader treats it like a cancelled one.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -125,7 +125,8 @@
     -------
     tuple of str
         Outcome and detail. The outcome is `completed`, `unproven` if the
-        response may have been broken off at its end, `cancelled`, `not_run`,
+        response may have been broken off at its end, `cancelled`, `expired` if
+        the permit for a cold endpoint ended before the run, `not_run`,
         `impossible`, `attempted` if the endpoint reported a failure of the
         item, `oversized` if the output exceeds what a result may hold, so that
         none of its events can be used, or `failed` on any other error, after
@@ -169,7 +170,7 @@
     )
     now = clock.monotonic()
     if now >= run.start_before:
-        return 'not_run', 'the permit has ended'
+        return 'expired', 'the permit has ended'
     call = client.Call(
         order.address,
         data,
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -513,7 +513,7 @@
                 self.progress_due = now
         elif outcome == 'impossible':
             self.stop_running(run, progress, ended.detail)
-        elif outcome not in ('cancelled', 'lost'):
+        elif outcome not in ('cancelled', 'expired', 'lost'):
             self.handle_failure(run, progress, ended, now)
         self.wake.set()
 
--- a/rhubarbreach/backlog/tests/test_runner.py
+++ b/rhubarbreach/backlog/tests/test_runner.py
@@ -274,3 +274,17 @@
     assert not end_unproven_run('e1', b'1')
     assert not end_unproven_run('e1')
     assert end_unproven_run('e1')
+
+
+def test_run_whose_permit_ended_before_it_began_has_no_backoff(
+    runner, end_run
+):
+    """Guards against an item that waits for seconds for a late order.
+
+    Each permit for a cold endpoint that ended in time counted as a failure.
+    """
+    for number in (1, 2):
+        end_run(number, outcome='expired')
+    progress = runner.assignments.progress[KEY]
+    assert (progress.failures, progress.not_before) == (0, 0.0)
+    assert not runner.health.is_ejected('e1', time.monotonic())
