--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -181,6 +181,7 @@
             self.endpoints.has_survived,
             self.count_item_starts,
             self.take_item_start,
+            metrics,
         )
         self.message_memory = memory.MemoryPool(
             settings.message_bytes, metrics
