--- a/rhubarbreach/backlog/plan.py
+++ b/rhubarbreach/backlog/plan.py
@@ -11,20 +11,16 @@
 """
 
 import dataclasses
-import heapq
 import math
 
-from rhubarbreach.backlog import reserve
-
 __all__ = [
     'EndpointSlots',
     'RunTimeEstimator',
     'RunningItem',
     'WaitingItem',
-    'get_rank',
-    'list_unplaced',
     'plan_displacements',
     'plan_starts',
+    'plan_yields',
 ]
 
 # Slots of an endpoint that batch items leave free, so that the next online
@@ -122,10 +118,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointSlots:
-    """Use of an endpoint's slots.
-
-    `batch` items run there; `leaving` more were cancelled and have not ended.
-    """
+    """Use of an endpoint's slots."""
 
     endpoint_id: str
     service: str
@@ -133,34 +126,23 @@
     online: int
     batch: int
     software_version: str = ''
-    availability_zone: str = ''
-    leaving: int = 0
 
     @property
     def free(self):
         """Slots that batch items may use at any time."""
         return self.total - SPARE_SLOTS - self.online - self.batch
 
-    def count_startable(self, kept):
-        """Return the slots that waiting items may use beside a `Reserve`."""
-        if self.endpoint_id in kept.closed:
-            return 0
+    @property
+    def spare(self):
+        """Reserved slots that waiting items may use in quiet periods."""
         is_low = self.online < self.total * LOW_ONLINE_FRACTION
-        spare = 0 if is_low else SPARE_SLOTS
-        spare = max(spare, kept.starts.get(self.endpoint_id, 0))
-        return self.total - spare - self.online - self.batch
+        return SPARE_SLOTS if is_low else 0
 
     @property
     def excess(self):
         """Number of batch items on slots that online requests need."""
         return min(self.batch, self.online + self.batch - self.total)
 
-    @property
-    def blocked(self):
-        """Number of online requests that wait for an item to yield."""
-        held = self.batch + self.leaving
-        return max(0, min(held, self.online + held - self.total))
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingItem:
@@ -169,8 +151,7 @@
     `due` is a Unix time in seconds, `slack` the predicted time in seconds
     between the completion and `due` if the item ran now, and `event_count`
     the number of its events so far. An item with events resumes only at an
-    endpoint with its `software_version`. Its prompt is cached at `home`, and
-    probably a part of it at the endpoints `nearby`.
+    endpoint with its `software_version`.
     """
 
     key: tuple[str, str]
@@ -179,8 +160,6 @@
     slack: float
     event_count: int = 0
     software_version: str | None = None
-    home: str | None = None
-    nearby: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,7 +183,7 @@
     return (item.slack < 0, -item.event_count, item.due, item.key)
 
 
-def plan_starts(waiting, slots, max_starts=None, kept=reserve.EMPTY):
+def plan_starts(waiting, slots, max_starts=None):
     """Return pairs of waiting item and endpoint id in order of rank.
 
     Parameters
@@ -215,124 +194,64 @@
         Use of the slots by endpoint.
     max_starts : dict of str to int, optional
         Items that may start on each cold endpoint.
-    kept : Reserve, optional
-        Slots that stay free for online requests that are about to come.
     """
     max_starts = max_starts or {}
-    free = {}
-    services = {}
-    for endpoint in slots:
-        endpoint_id = endpoint.endpoint_id
-        free[endpoint_id] = min(
+    free = {
+        endpoint.endpoint_id: min(
             endpoint.free,
-            endpoint.count_startable(kept),
-            max_starts.get(endpoint_id, endpoint.free),
+            max_starts.get(endpoint.endpoint_id, endpoint.free),
         )
+        for endpoint in slots
+    }
+    services = {}
+    for endpoint in slots:
         for version in (None, endpoint.software_version):
             services.setdefault((endpoint.service, version), []).append(
-                endpoint_id
+                endpoint.endpoint_id
             )
     starts = []
     ranked = sorted(waiting, key=get_rank)
-    limits = dict(kept.max_starts)
-    unplaced = place_items(ranked, services, free, limits, starts)
+    unplaced = place_items(ranked, services, free, starts)
     for endpoint in slots:
         if endpoint.endpoint_id not in max_starts:
-            spare = endpoint.count_startable(kept) - endpoint.free
-            free[endpoint.endpoint_id] += max(0, spare)
-    place_items(unplaced, services, free, limits, starts)
+            free[endpoint.endpoint_id] += endpoint.spare
+    place_items(unplaced, services, free, starts)
     return starts
 
 
-def place_items(ranked, services, free, limits, starts):
-    """Add starts while slots are free; return the unplaced items.
-
-    An item starts where its prompt is cached if that has a free slot, and
-    otherwise at the emptiest endpoint. An endpoint that may keep only a part
-    of the prompt is at most one slot fuller than that.
-    """
+def place_items(ranked, services, free, starts):
+    """Add starts while slots are free; return the unplaced items."""
     unplaced = []
-    queues = {
-        group: [(-free[e], e) for e in endpoint_ids if free[e] > 0]
-        for group, endpoint_ids in services.items()
-    }
-    for queue in queues.values():
-        heapq.heapify(queue)
-    members = {group: frozenset(ids) for group, ids in services.items()}
     for item in ranked:
-        group = (item.service, item.software_version)
-        best = None
-        limit = limits.get(item.service, math.inf)
-        if limit > 0:
-            best = pop_emptiest(queues.get(group, []), free)
-        if best is None:
+        candidates = services.get((item.service, item.software_version), ())
+        best = max(candidates, key=lambda e: (free[e], e), default=None)
+        if best is None or free[best] <= 0:
             unplaced.append(item)
             continue
-        chosen = best
-        if item.home in members[group] and free[item.home] > 0:
-            chosen = item.home
-        elif item.nearby:
-            chosen = max(
-                (
-                    e
-                    for e in item.nearby
-                    if e in members[group]
-                    and free[e] >= max(1, free[best] - 1)
-                ),
-                key=lambda e: (free[e], e),
-                default=best,
-            )
-        free[chosen] -= 1
-        limits[item.service] = limit - 1
-        starts.append((item, chosen))
+        free[best] -= 1
+        starts.append((item, best))
     return unplaced
 
 
-def pop_emptiest(queue, free):
-    """Return the endpoint with the most free slots of a heap, or None.
+def plan_yields(running, slots):
+    """Return the keys of the items that yield their slots.
 
-    Entries whose number of free slots has changed are brought up to date.
+    Items of the lowest rank yield first: they have the fewest events, which
+    the engine has to process again.
     """
-    while queue:
-        count, endpoint_id = queue[0]
-        if -count == free[endpoint_id]:
-            return endpoint_id
-        if free[endpoint_id] > 0:
-            heapq.heapreplace(queue, (-free[endpoint_id], endpoint_id))
-        else:
-            heapq.heappop(queue)
-    return None
-
-
-def list_unplaced(waiting, started_keys, kept):
-    """Return the waiting items that lack a slot.
+    yields = []
+    for endpoint in slots:
+        if endpoint.excess <= 0:
+            continue
+        on_endpoint = [
+            r for r in running if r.endpoint_id == endpoint.endpoint_id
+        ]
+        on_endpoint.sort(key=get_rank, reverse=True)
+        yields.extend(r.key for r in on_endpoint[: endpoint.excess])
+    return yields
 
-    Items that only wait because others use the slots that items need are left
-    out.
 
-    Parameters
-    ----------
-    waiting : iterable of WaitingItem
-        Items that could start.
-    started_keys : collection
-        Keys of those that have started.
-    kept : Reserve
-        Slots that stay free, and limits on the starts.
-    """
-    started = {}
-    for item in waiting:
-        if item.key in started_keys:
-            started[item.service] = started.get(item.service, 0) + 1
-    return [
-        item
-        for item in waiting
-        if item.key not in started_keys
-        and started.get(item.service, 0)
-        < kept.max_starts.get(item.service, math.inf)
-    ]
-
-
-def plan_displacements(running, unplaced, kept=reserve.EMPTY):
+def plan_displacements(running, unplaced):
     """Return the keys of late items to cancel for items in time.
 
     Parameters
@@ -341,8 +260,6 @@
         Running items.
     unplaced : iterable of WaitingItem
         Waiting items without a slot.
-    kept : Reserve, optional
-        Slots that stay free; no item could start at its closed endpoints.
     """
     wanted = {}
     for item in unplaced:
@@ -350,8 +267,6 @@
             wanted[item.service] = wanted.get(item.service, 0) + 1
     displaced = []
     for run in sorted(running, key=get_rank, reverse=True):
-        if run.endpoint_id in kept.closed:
-            continue
         if run.slack < 0 and wanted.get(run.service, 0) > 0:
             wanted[run.service] -= 1
             displaced.append(run.key)
--- a/rhubarbreach/backlog/runner.py
+++ b/rhubarbreach/backlog/runner.py
@@ -6,15 +6,11 @@
 import time
 
 from rhubarbreach.backlog import assignments
-from rhubarbreach.backlog import candidates
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ends
 from rhubarbreach.backlog import plan
-from rhubarbreach.backlog import policy
-from rhubarbreach.backlog import residence
 from rhubarbreach.backlog import results
 from rhubarbreach.backlog import versions
-from rhubarbreach.backlog import yield_counts
 from rhubarbreach import clock
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import health
@@ -74,8 +70,6 @@
     take_item_start : callable
         Takes the id of an endpoint and the time; returns until when an item
         may start there, or None if it may not.
-    metrics : Metrics, optional
-        Receives the counts of yields.
     """
 
     def __init__(
@@ -89,7 +83,6 @@
         has_survived,
         count_item_starts=lambda now: {},
         take_item_start=lambda endpoint_id, now: float('inf'),
-        metrics=None,
     ):
         self.progress_due = 0.0
         self.log_due = 0.0
@@ -117,9 +110,6 @@
         self.closed = False
         self.counts = collections.Counter()
         self.estimator = plan.RunTimeEstimator()
-        self.policy = policy.YieldPolicy()
-        self.residence = residence.Residence()
-        self.yield_counts = yield_counts.YieldCounts(metrics)
         self.thread = threading.Thread(
             target=self.run, name='runner', daemon=True
         )
@@ -139,7 +129,6 @@
         self.results.clear()
         if is_leading:
             self.discovery_end = clock.monotonic() + DISCOVERY_SECONDS
-            self.policy.forget_requests()
             self.open_items = self.find_open_items()
             self.is_leading = True
         self.wake.set()
@@ -197,19 +186,13 @@
             self.handle_end(ended_run)
         self.cancel_unneeded(endpoints)
         runs = self.list_runs()
-        slots = candidates.count_slots(endpoints, online, runs, ejected)
+        slots = count_slots(endpoints, online, runs, ejected)
         self.estimator.update_availability(slots, now)
-        running = candidates.list_running(runs, self.estimator, time.time())
-        waiting = self.list_waiting(endpoints, slots, now)
-        kept, reasons = self.policy.plan(
-            waiting, running, slots, self.estimator, now
-        )
-        self.yield_counts.record_slots(slots, kept)
-        self.cancel_runs(reasons)
+        running = self.list_running(runs)
+        self.cancel_runs(plan.plan_yields(running, slots))
         if now >= self.discovery_end:
-            unplaced = self.start_items(waiting, endpoints, slots, kept, now)
-            displaced = plan.plan_displacements(running, unplaced, kept)
-            self.cancel_runs(dict.fromkeys(displaced, 'displaced'))
+            unplaced = self.start_items(endpoints, slots, now)
+            self.cancel_runs(plan.plan_displacements(running, unplaced))
         if now >= self.progress_due:
             self.progress_due = now + PROGRESS_COMMIT_SECONDS
             self.commit_progress(now)
@@ -327,40 +310,55 @@
                 run.key
                 for run in self.assignments.runs.values()
                 if run.key not in self.open_items
-                or candidates.is_to_leave(run, endpoints)
+                or is_to_leave(run, endpoints)
             ]
-        self.cancel_runs(dict.fromkeys(keys, 'unneeded'))
+        self.cancel_runs(keys)
 
-    def cancel_runs(self, reasons):
-        """Cancel runs and notify their stores immediately, if reachable.
+    def list_running(self, runs):
+        """Return the runs that are not cancelled, as `RunningItem`."""
+        unix_time = time.time()
+        running = []
+        for run in runs:
+            if run.cancelled:
+                continue
+            event_count = len(run.progress.texts)
+            running.append(
+                plan.RunningItem(
+                    run.key,
+                    run.endpoint.endpoint_id,
+                    run.destination.service,
+                    run.job.due,
+                    run.job.due
+                    - unix_time
+                    - self.estimator.predict(event_count),
+                    event_count,
+                )
+            )
+        return running
 
-        Parameters
-        ----------
-        reasons : dict of tuple to str
-            Reasons by item key.
-        """
+    def cancel_runs(self, keys):
+        """Cancel runs and notify their stores immediately, if reachable."""
         by_worker = {}
         with self.lock:
-            for key, reason in reasons.items():
+            for key in keys:
                 run = self.assignments.runs.get(key)
                 if run is not None and not run.cancelled:
                     run.cancelled = True
                     self.counts['yielded'] += 1
-                    self.yield_counts.record_cut(reason)
                     by_worker.setdefault(run.worker_id, []).append(
                         run.order_id
                     )
         for worker_id, order_ids in by_worker.items():
             self.link.send(worker_id, workmessages.RunCancel(tuple(order_ids)))
 
-    def list_waiting(self, endpoints, slots, now):
-        """Return the items that may start."""
+    def start_items(self, endpoints, slots, now):
+        """Assign items to free slots; return the waiting items left over."""
         unix_time = time.time()
         waiting = []
+        notified = set()
         with self.lock:
-            homes = self.residence.find(self.open_items, endpoints)
             ended_keys = self.results.list_keys()
-            for key, open_item in self.open_items.items():
+            for key, (job, _, destination) in self.open_items.items():
                 if key in self.assignments.runs or key in ended_keys:
                     continue
                 progress = self.assignments.get_progress(key)
@@ -368,31 +366,31 @@
                     continue
                 if progress.final_reason is not None:
                     continue
+                service = destination.service
                 if progress.texts and versions.is_stranded(
-                    progress, open_item[2].service, endpoints, slots, now
+                    progress, service, endpoints, slots, now
                 ):
                     if self.may_be_whole(progress):
                         continue
-                    candidates.restart_item(key, progress)
+                    restart_item(key, progress)
+                event_count = len(progress.texts)
+                slack = (
+                    job.due - unix_time - self.estimator.predict(event_count)
+                )
                 waiting.append(
-                    candidates.make_waiting(
-                        open_item,
-                        progress,
-                        self.estimator,
-                        homes[key],
-                        unix_time,
+                    plan.WaitingItem(
+                        key,
+                        service,
+                        job.due,
+                        slack,
+                        event_count,
+                        progress.software_version if event_count else None,
                     )
                 )
-        return waiting
-
-    def start_items(self, waiting, endpoints, slots, kept, now):
-        """Assign items to free slots; return those that lack a slot."""
-        notified = set()
-        started = set()
-        with self.lock:
+            started = set()
             max_starts = self.count_item_starts(now)
             for item, endpoint_id in plan.plan_starts(
-                waiting, slots, max_starts, kept
+                waiting, slots, max_starts
             ):
                 zone = endpoints[endpoint_id].availability_zone
                 if self.assignments.choose_worker(zone) is None:
@@ -414,7 +412,7 @@
         for worker_id in notified:
             # An empty message makes the store request its orders immediately.
             self.link.send(worker_id, workmessages.RunCancel(()))
-        return plan.list_unplaced(waiting, started, kept)
+        return [item for item in waiting if item.key not in started]
 
     def may_be_whole(self, progress):
         """Return whether all events of an item may be there."""
@@ -426,14 +424,13 @@
         unix_time = time.time()
         LOG.info(
             'event=backlog open={} late={} running={} online={} slots={} '
-            'endpoints={} kept_free={} yielded={} failed={} completed={}',
+            'endpoints={} yielded={} failed={} completed={}',
             len(self.open_items),
             sum(job.due < unix_time for job, _, _ in self.open_items.values()),
             sum(endpoint.batch for endpoint in slots),
             sum(endpoint.online for endpoint in slots),
             sum(endpoint.total for endpoint in slots),
             len(slots),
-            self.yield_counts.kept_free,
             self.counts['yielded'],
             self.counts['failed'],
             self.counts['completed'],
@@ -504,11 +501,6 @@
         if progress.orderly_end is not None:
             self.judge_survival(progress.orderly_end)
         progress.add_contrary_evidence(ended)
-        with self.lock:
-            if ended.event_count:
-                self.residence.record(run.key, run.endpoint)
-            if outcome == 'completed':
-                self.policy.add_item(len(progress.texts))
         if outcome == 'completed':
             self.estimator.add_item(
                 len(progress.texts), ended.event_count, ended.seconds
@@ -618,7 +610,7 @@
         They cannot become a result, and may come from a faulty endpoint.
         """
         with self.lock:
-            candidates.restart_item(run.key, progress)
+            restart_item(run.key, progress)
             progress.oversized_at.add(run.endpoint.endpoint_id)
         self.propose(
             commands.FAMILY.encode(commands.DropProgress(*run.key)),
@@ -658,3 +650,54 @@
         """Stop scheduling."""
         self.closed = True
         self.wake.set()
+
+
+def is_to_leave(run, endpoints):
+    """Return whether a run has to resume elsewhere, as its endpoint drains.
+
+    If no other endpoint has its software version, its events would be lost.
+    """
+    if not is_draining(endpoints.get(run.endpoint.endpoint_id)):
+        return False
+    return not (run.reported and run.progress.texts) or versions.is_in_service(
+        run.endpoint.software_version, run.destination.service, endpoints
+    )
+
+
+def is_draining(endpoint):
+    """Return whether an endpoint is known to drain.
+
+    An unknown endpoint may have announced itself to another leader, so its
+    runs are not cancelled. If it no longer exists, they fail anyway.
+    """
+    return endpoint is not None and endpoint.is_draining
+
+
+def restart_item(key, progress):
+    """Drop the events of an item, so that it begins anew."""
+    LOG.info(
+        'event=item_restarted job={} item={} made={} version={!r}',
+        *key,
+        len(progress.texts),
+        progress.software_version,
+    )
+    progress.restart()
+
+
+def count_slots(endpoints, online, runs, ejected):
+    """Return the `EndpointSlots` of each endpoint that accepts items."""
+    batch = collections.Counter(
+        run.endpoint.endpoint_id for run in runs if not run.cancelled
+    )
+    return [
+        plan.EndpointSlots(
+            endpoint.endpoint_id,
+            endpoint.service,
+            endpoint.slots,
+            online.get(endpoint.endpoint_id, 0),
+            batch[endpoint.endpoint_id],
+            endpoint.software_version,
+        )
+        for endpoint in endpoints.values()
+        if not endpoint.is_draining and endpoint.endpoint_id not in ejected
+    ]
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -182,7 +182,6 @@
             self.endpoints.has_survived,
             self.item_resources.count_item_starts,
             self.item_resources.take_item_start,
-            metrics,
         )
         self.exchanges = exchanges.Exchanges(
             self,
