--- a/rhubarbreach/balancing/hedging.py
+++ b/rhubarbreach/balancing/hedging.py
@@ -226,7 +226,7 @@
         now : float
             Seconds of the monotonic clock.
         is_busy : bool
-            Whether the service is highly utilized.
+            Whether online requests use most slots of the service.
         """
         if now > plan.give_up_at:
             return Verdict.TOO_LATE
--- a/rhubarbreach/balancing/overdue.py
+++ b/rhubarbreach/balancing/overdue.py
@@ -25,7 +25,7 @@
     """Return whether a request without an event tells of a stall.
 
     One that was sent to a full endpoint waits for its slot, and if the service
-    is highly utilized the counts of requests may be wrong.
+    is busy the counts of requests may be wrong.
     """
     return found_slot and not is_busy
 
