--- a/rhubarbreach/fleet/request_counts.py
+++ b/rhubarbreach/fleet/request_counts.py
@@ -110,7 +110,10 @@
         return self.count_online(endpoint_id) + self.batch.get(endpoint_id, 0)
 
     def make_counter(self):
-        """Return a function like `count_used` that takes half of its time."""
+        """Return a function like `count_used` for many calls in a row.
+
+        It is valid while the lock is held, and looks up no attributes.
+        """
         running, nearby = self.running, self.nearby
         elsewhere, batch = self.elsewhere, self.batch
         return lambda endpoint_id: (
--- a/rhubarbreach/web/buffer.py
+++ b/rhubarbreach/web/buffer.py
@@ -2,8 +2,9 @@
 
 __all__ = ['BLOCK_BYTES', 'BodyBuffer']
 
-# All blocks of all bodies have this size. Buffers that grow side by side by
-# reallocation leave gaps of all sizes, which took four times their bytes.
+# All blocks of all bodies have this size, so that a freed one fits the next
+# body. With 4,000 bodies at a time, buffers that grew by reallocation took a
+# process to 190 MB, and blocks to 116 MB.
 BLOCK_BYTES = 16 * 1024
 
 
--- a/rhubarbreach/web/memory.py
+++ b/rhubarbreach/web/memory.py
@@ -45,8 +45,8 @@
         # time has bytes that are not counted yet, and that another thread can
         # drop those of a message which ends.
         self.parse_lock = threading.RLock()
-        # Held for each read of a large request. A thousand threads that parse
-        # bodies left an ordinary request without processor time for a minute.
+        # Held for each read of a large request. Beside a thousand threads that
+        # read bodies, an ordinary request was not answered within a minute.
         self.large_turns = threading.Semaphore(LARGE_TURNS)
         self.used_bytes = 0
         self.holdings = set()
