--- a/review/harness2.py
+++ b/review/harness2.py
@@ -26,6 +26,8 @@
 REQUEST_ID = 'X-Rhubarbreach-Request-Id'
 # As in the sheet of turnopatio-mx.
 HEARTBEAT_SECONDS = 1.2
+# A heartbeat that is not acknowledged in this time goes to the next node.
+ACK_SECONDS = 1.0
 STABLE_WINDOW_SECONDS = 3.0
 SETTLE_SECONDS = 1.0
 BOUNDS = {
@@ -259,25 +261,36 @@
     def announce(self):
         """Send a heartbeat to the stores until one acknowledges it."""
         self.sequence += 1
-        body = {
+        body = self.make_heartbeat()
+        for _ in self.fleet.stores:
+            store = self.fleet.stores[self.next_control % len(self.fleet.stores)]
+            status = self.send_heartbeat(store, body)
+            if status and 200 <= status < 300:
+                if self.sequence <= 2:
+                    self.record.write(
+                        f'replica {self.id}: heartbeat {self.sequence} '
+                        'acknowledged'
+                    )
+                return True
+            self.next_control += 1
+        return False
+
+    def make_heartbeat(self):
+        return {
             'service': self.service, 'address': self.address,
             'zone': self.zone, 'version': self.version, 'slots': 8,
             'state': self.state, 'cold_remaining_ms': 0, 'stage': 'hybrid',
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
             'seq': self.sequence, 'born': self.born,
         }
-        for _ in self.fleet.stores:
-            store = self.fleet.stores[self.next_control % len(self.fleet.stores)]
-            answer = send(
-                self.fleet.get_control(store), 'POST',
-                f'/Instances.Heartbeat/{self.id}',
-                [('Content-Type', 'application/json')],
-                json.dumps(body).encode(), 1.0,
-            )
-            if answer.status and 200 <= answer.status < 300:
-                return True
-            self.next_control += 1
-        return False
+
+    def send_heartbeat(self, store, body):
+        return send(
+            self.fleet.get_control(store), 'POST',
+            f'/Instances.Heartbeat/{self.id}',
+            [('Content-Type', 'application/json')],
+            json.dumps(body).encode(), ACK_SECONDS,
+        ).status
 
     def serve(self, connection):
         """Serve the requests of one connection."""
