--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,6 +18,11 @@
 REQUESTS = 30
 
 
+def wait_until(moment):
+    """Wait until a time of the monotonic clock."""
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
 def case(fleet, record, has_trouble):
     fleet.start_all()
     fleet.add_replicas(6)
@@ -64,7 +69,7 @@
             fleet.start(store)
         started_at = time.monotonic()
         record.write('all stores have been started')
-    time.sleep(sent_at + LATE_SECONDS - time.monotonic())
+    wait_until(sent_at + LATE_SECONDS)
     answer = harness2.send(
         fleet.get_control(fleet.stores[1]),
         'POST',
@@ -77,9 +82,7 @@
         f'heartbeat of {leaving.id} arrives {LATE_SECONDS} s late: status '
         f'{answer.status}'
     )
-    time.sleep(
-        max(started_at + CALM_SECONDS, left_at + 5.0) - time.monotonic()
-    )
+    wait_until(max(started_at + CALM_SECONDS, left_at + 5.0))
     threads = [
         threading.Thread(
             target=fleet.call,
