Refuse a body that is announced beyond the limit at once

Callers that announced a body of 64 MB were read until 4 MB had arrived, and those that waited for 100 Continue were told to send it.

Cause: the parser counted the bytes of a body and did not look at its Content-Length.

The parser now refuses with 413 as soon as the header is complete. Nothing of the request has run, and the caller is told before it sends the rest. httptools has checked the number by then.

Before the change the new test gets 100 Continue and 408 in place of 413.

--- a/rhubarbreach/web/parse.py
+++ b/rhubarbreach/web/parse.py
@@ -191,6 +191,13 @@
                 431,
             )
 
+    def check_body(self, size):
+        """Raise an error if a body exceeds its limit."""
+        if size > self.limits.max_body_bytes:
+            raise errors.BadMessageError(
+                f'request body exceeds {self.limits.max_body_bytes} bytes', 413
+            )
+
     def check_framing(self, received_bytes, added_bytes):
         """Bound what is received within a body and held nowhere.
 
@@ -264,15 +271,15 @@
         for name, value in self.headers:
             if name == b'expect' and value.lower() == b'100-continue':
                 self.expects_continue = True
+            elif name == b'content-length':
+                # The parser has checked that it is a number.
+                self.check_body(int(value))
 
     def on_body(self, body):
         """Append a part of the body."""
         self.body_bytes += len(body)
         self.cost += len(body)
-        if self.body_bytes > self.limits.max_body_bytes:
-            raise errors.BadMessageError(
-                f'request body exceeds {self.limits.max_body_bytes} bytes', 413
-            )
+        self.check_body(self.body_bytes)
         if not self.body:
             self.body = body
             return
--- a/rhubarbreach/web/tests/test_web.py
+++ b/rhubarbreach/web/tests/test_web.py
@@ -82,6 +82,16 @@
     assert not requests
 
 
+def test_announced_body_beyond_the_limit_is_refused_at_once(web_server):
+    """Guards against a caller that sends a body which is then refused."""
+    with connect(web_server) as caller:
+        caller.sendall(
+            b'POST / HTTP/1.1\r\nContent-Length: 4000\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        assert read_all(caller).startswith(b'HTTP/1.1 413 ')
+
+
 def test_slow_request_is_refused_and_not_run(web_server, requests):
     with connect(web_server) as caller:
         caller.sendall(b'GET / HTTP')
