Bound the bytes that wait in the sockets of a host

A thousand callers whose bodies stop just short of their end took a host of 150 MB over its memory, entry hosts and stores alike: DEPLOY.md counts bytes that have arrived and were not read.

Cause: two threads at a time read large requests, and the kernel keeps up to 128 KB for each connection that waits, up to megabytes for one that was fast before, and as much of a response that its caller does not read. Nothing counted these bytes.

Now a part of the memory (`[host] socket_fraction`, 0.2) is for the buffers of all sockets, of callers and of endpoints. The first sockets get 64 KB, then 16 KB, all others 4 KB in each direction, so that the sum is bounded whatever a crowd sends and however few of its connections are read; without a crowd nothing changes. Connections in the queue of the kernel get the size of the next one, and the queues of the readiness and the metrics servers are shorter. Refused bytes are discarded into one buffer for all threads.

Three fakes of other tests take the new arguments.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -180,6 +180,7 @@
         ),
         now + IDLE_TIMEOUT_SECONDS,
         run.may_begin,
+        run.holding.pool.buffers,
     )
     run.call = call
     if run.cancelled:
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -87,6 +87,7 @@
                 connect_deadline,
                 send_deadline,
                 may_send,
+                response_memory.buffers,
             )
         except errors.DeadlineError:
             self.is_sent = True
--- a/rhubarbreach/gateway/tests/test_takeovers.py
+++ b/rhubarbreach/gateway/tests/test_takeovers.py
@@ -221,11 +221,11 @@
     connect = sockets.connect
     addresses = []
 
-    def fail_once(address, deadline):
+    def fail_once(address, *options):
         addresses.append(address)
         if len(addresses) == 2:
             raise errors.ConnectError('connect: error 111')
-        return connect(address, deadline)
+        return connect(address, *options)
 
     monkeypatch.setattr(sockets, 'connect', fail_once)
     chosen, _, data, _ = take_over(
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -82,7 +82,7 @@
         self.origins = recorder.OriginRecorder(
             self.link, lambda: self.leader_client.stores
         )
-        message_memory = memory.MemoryPool(settings.message_bytes, metrics)
+        message_memory = memory.make_pool(settings, metrics)
         self.app = apps.App(
             self.leader_client,
             self.view,
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -193,9 +193,7 @@
                 )
             ),
         )
-        self.message_memory = memory.MemoryPool(
-            settings.message_bytes, metrics
-        )
+        self.message_memory = memory.make_pool(settings, metrics)
         self.worker = workers.Worker(
             self.link,
             settings.availability_zone,
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -52,6 +52,8 @@
         Memory that the process may use.
     message_fraction : float
         Part of it for the messages that the process holds.
+    socket_fraction : float
+        Part of it for the buffers of its sockets.
     max_connections : int
         Connections of callers, or of endpoints and operators, that a process
         accepts at the same time.
@@ -107,6 +109,7 @@
     zones: tuple[str, ...] = ()
     evacuate_seconds: float = 0.0
     message_fraction: float = 0.2
+    socket_fraction: float = 0.2
     max_connections: int = 1024
     cold_overage: float = 1.5
     cold_slack: float = 5.0
@@ -121,6 +124,11 @@
         """Memory of the messages that the process holds together."""
         return self.memory_bytes * self.message_fraction
 
+    @property
+    def socket_bytes(self):
+        """Memory of the buffers of all sockets of the process."""
+        return self.memory_bytes * self.socket_fraction
+
 
 class OptionReader:
     """Reader of options that collects faults."""
@@ -232,6 +240,9 @@
         message_fraction=reader.read(
             'host', 'message_fraction', to_fraction, 'a part of 1', 0.2
         ),
+        socket_fraction=reader.read(
+            'host', 'socket_fraction', to_fraction, 'a part of 1', 0.2
+        ),
         max_connections=reader.read(
             'host', 'max_connections', to_positive_count, 'a number', 1024
         ),
--- a/rhubarbreach/web/bounds.py
+++ b/rhubarbreach/web/bounds.py
@@ -70,11 +70,13 @@
         BASE_BYTES
         + CONNECTION_BYTES * settings.max_connections
         + settings.message_bytes
+        + settings.socket_bytes
     )
     if needed_bytes > settings.memory_bytes:
         found.append(
-            f'{settings.max_connections} connections and '
-            f'{settings.message_bytes:.0f} bytes of messages need '
+            f'{settings.max_connections} connections, '
+            f'{settings.message_bytes:.0f} bytes of messages and '
+            f'{settings.socket_bytes:.0f} bytes in sockets need '
             f'{needed_bytes:.0f} bytes, memory_mb gives '
             f'{settings.memory_bytes:.0f}'
         )
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -5,6 +5,7 @@
 anything is sent, so that the request has certainly not run.
 """
 
+from rhubarbreach.web import buffers
 from rhubarbreach.web import errors
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
@@ -48,6 +49,8 @@
     may_send : callable, optional
         Returns whether the request may still be sent. It is called once the
         connection is made, as the process may have stood still meanwhile.
+    socket_buffers : SocketBuffers, optional
+        Bounds the bytes in the sockets of the process.
 
     Raises
     ------
@@ -58,12 +61,27 @@
     """
 
     def __init__(
-        self, address, data, connect_deadline, deadline, may_send=None
+        self,
+        address,
+        data,
+        connect_deadline,
+        deadline,
+        may_send=None,
+        socket_buffers=buffers.UNLIMITED,
     ):
         self.parser = parse.ResponseParser()
         self.is_sent = False
         self.is_interrupted = False
-        self.socket = sockets.connect(address, connect_deadline)
+        self.is_closed = False
+        self.buffers = socket_buffers
+        self.buffer_size = socket_buffers.take()
+        try:
+            self.socket = sockets.connect(
+                address, connect_deadline, self.buffer_size
+            )
+        except errors.ConnectError:
+            socket_buffers.release(self.buffer_size)
+            raise
         if may_send is not None and not may_send():
             self.close()
             raise errors.WithheldError('the request may no longer be sent')
@@ -121,4 +139,7 @@
 
     def close(self):
         """Close the connection; the endpoint stops a call still running."""
+        if not self.is_closed:
+            self.is_closed = True
+            self.buffers.release(self.buffer_size)
         sockets.close_socket(self.socket)
--- a/rhubarbreach/web/connection.py
+++ b/rhubarbreach/web/connection.py
@@ -93,6 +93,7 @@
         self.outbox = outbox.Outbox(
             connection, server.memory.open(self.end_unread, 'response')
         )
+        self.buffer_size = server.memory.buffers.take()
 
     @property
     def is_present(self):
@@ -356,7 +357,7 @@
         deadline = clock.monotonic() + DISCARD_SECONDS
         try:
             self.socket.shutdown(socket.SHUT_WR)
-            while sockets.receive(self.socket, deadline):
+            while sockets.discard(self.socket, deadline):
                 if clock.monotonic() >= deadline:
                     return
         except (OSError, errors.ConnectionEndedError, errors.DeadlineError):
--- a/rhubarbreach/web/memory.py
+++ b/rhubarbreach/web/memory.py
@@ -10,9 +10,10 @@
 
 from rhubarbreach import clock
 from rhubarbreach import eventlog
+from rhubarbreach.web import buffers as socket_buffers
 from rhubarbreach.web import errors
 
-__all__ = ['Holding', 'MemoryPool', 'UNBOUNDED']
+__all__ = ['Holding', 'MemoryPool', 'UNBOUNDED', 'make_pool']
 
 LOG = eventlog.Logger('web')
 
@@ -35,10 +36,15 @@
         Limit of all messages together.
     metrics : Metrics, optional
         Counts the messages that were ended.
+    buffers : SocketBuffers, optional
+        Bounds the bytes of messages in the sockets.
     """
 
-    def __init__(self, max_bytes, metrics=None):
+    def __init__(
+        self, max_bytes, metrics=None, buffers=socket_buffers.UNLIMITED
+    ):
         self.max_bytes = max_bytes
+        self.buffers = buffers
         self.metrics = metrics
         self.lock = threading.Lock()
         # Held while received bytes are parsed, so that only one thread at a
@@ -205,5 +211,22 @@
                 self.release()
 
 
+def make_pool(settings, metrics):
+    """Return the pool of a host.
+
+    Parameters
+    ----------
+    settings : RoleSettings
+        Settings of the host.
+    metrics : Metrics
+        Counts what was ended or reduced.
+    """
+    return MemoryPool(
+        settings.message_bytes,
+        metrics,
+        socket_buffers.SocketBuffers(settings.socket_bytes, metrics),
+    )
+
+
 # For processes whose memory is not limited.
 UNBOUNDED = MemoryPool(float('inf'))
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -10,6 +10,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.web import bounds as bounds_module
+from rhubarbreach.web import buffers
 from rhubarbreach.web import connection as connection_module
 from rhubarbreach.web import memory
 from rhubarbreach.web import sockets
@@ -20,6 +21,8 @@
 LOG = eventlog.Logger('web')
 
 BACKLOG = 1024
+# Part of the backlog of a server for few connections.
+BACKLOG_PER_CONNECTION = 4
 MAX_CONNECTIONS = 1024
 # Descriptors of a process that are not used for callers: links, files, logs
 # and other servers. A connection takes two, with the one to an endpoint.
@@ -110,12 +113,17 @@
         self.is_listening = True
         self.connections = set()
         self.lock = threading.Lock()
+        # Size of the buffers of connections that are not accepted yet.
+        self.buffer_size = None
         host, _, port = address.rpartition(':')
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             self.listener.bind((host, int(port)))
-            self.listener.listen(BACKLOG)
+            self.update_buffers()
+            self.listener.listen(
+                min(BACKLOG, BACKLOG_PER_CONNECTION * self.max_connections)
+            )
         except OSError as error:
             raise exceptions.AddressError(f'{address}: {error}') from error
         threading.stack_size(STACK_BYTES)
@@ -138,6 +146,7 @@
                     continue
                 client_socket, _ = self.listener.accept()
                 self.start(client_socket)
+                self.update_buffers()
             except Exception as error:
                 if not self.is_listening:
                     return
@@ -146,6 +155,13 @@
                     self.make_room(clock.monotonic())
                 time.sleep(ACCEPT_PAUSE_SECONDS)
 
+    def update_buffers(self):
+        """Set the buffers of the connections that arrive from now on."""
+        size = self.memory.buffers.next_size
+        if size != self.buffer_size:
+            buffers.set_size(self.listener, size)
+            self.buffer_size = size
+
     def start(self, client_socket):
         """Handle an accepted connection on a thread of the pool."""
         try:
@@ -153,6 +169,10 @@
         except Exception:
             client_socket.close()
             raise
+        size = connection.buffer_size
+        # It may have arrived when others were smaller or larger.
+        if not size == self.buffer_size == self.memory.buffers.largest:
+            buffers.set_size(client_socket, size)
         with self.lock:
             self.connections.add(connection)
         self.threads.add(connection.run)
@@ -170,6 +190,7 @@
         """Remove a connection that has ended."""
         with self.lock:
             self.connections.discard(connection)
+        self.memory.buffers.release(connection.buffer_size)
 
     def count_busy(self):
         """Return the number of connections that are not idle."""
--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -6,12 +6,14 @@
 import socket
 
 from rhubarbreach import clock
+from rhubarbreach.web import buffers
 from rhubarbreach.web import errors
 
 __all__ = [
     'RECEIVE_BYTES',
     'close_socket',
     'connect',
+    'discard',
     'is_port_closed',
     'is_readable',
     'parse_address',
@@ -26,6 +28,8 @@
 ]
 
 RECEIVE_BYTES = 64 * 1024
+# Written by all threads that discard bytes, and never read.
+DISCARDED = bytearray(RECEIVE_BYTES)
 MILLISECONDS_PER_SECOND = 1000
 # Longest timeout of `poll`, whose argument is a C int.
 MAX_POLL_MS = 2**31 - 1
@@ -92,7 +96,7 @@
     return host, port
 
 
-def connect(address, deadline):
+def connect(address, deadline, buffer_size=None):
     """Return a connection to an endpoint.
 
     Parameters
@@ -101,6 +105,8 @@
         `IP:port`.
     deadline : float
         Seconds of `clock.monotonic`.
+    buffer_size : int, optional
+        Size of the buffers of the socket; by default that of the kernel.
 
     Raises
     ------
@@ -116,6 +122,8 @@
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         prepare(connection)
+        if buffer_size is not None:
+            buffers.set_size(connection, buffer_size)
         code = connection.connect_ex(host_and_port)
         if code not in (0, errno.EINPROGRESS):
             raise make_connect_error(code)
@@ -276,6 +284,25 @@
         raise errors.ConnectionEndedError(str(error)) from error
 
 
+def discard(connection, deadline):
+    """Discard received bytes; return False at the end of the connection.
+
+    Raises
+    ------
+    ConnectionEndedError
+        If the connection was reset.
+    DeadlineError
+        If nothing was received before the deadline.
+    """
+    while True:
+        try:
+            return bool(connection.recv_into(DISCARDED))
+        except BlockingIOError:
+            wait_until_readable(connection, deadline)
+        except OSError as error:
+            raise errors.ConnectionEndedError(str(error)) from error
+
+
 def wait_until_readable(connection, deadline):
     """Wait until bytes have arrived or the connection has ended.
 
--- a/rhubarbreach/web/tests/test_bounds.py
+++ b/rhubarbreach/web/tests/test_bounds.py
@@ -17,6 +17,7 @@
         memory_bytes=memory_bytes,
         message_fraction=fraction,
         message_bytes=memory_bytes * fraction,
+        socket_bytes=memory_bytes * changes.pop('socket_fraction', 0.2),
         max_connections=changes.pop('max_connections', 1024),
         room_seconds=changes.pop('room_seconds', 1.0),
     )
@@ -33,6 +34,7 @@
     [
         ({'message_fraction': 0.05}, 1024, 'message_fraction'),
         ({'message_fraction': 0.9}, 1024, 'memory_mb'),
+        ({'socket_fraction': 0.5}, 1024, 'sockets'),
         ({'max_connections': 4000}, 4000, 'memory_mb'),
         ({'memory_bytes': 90 * MEGABYTE}, 1024, 'memory_mb'),
         ({}, 480, 'descriptors'),
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -197,7 +197,9 @@
         web_server,
         'memory',
         types.SimpleNamespace(
-            open=fail_once, parse_lock=web_server.memory.parse_lock
+            open=fail_once,
+            parse_lock=web_server.memory.parse_lock,
+            buffers=web_server.memory.buffers,
         ),
     )
     with contextlib.suppress(ConnectionResetError):
