Count what a document takes once it is decoded

Callers that sent whole configurations or batch jobs of very many short parts, each within the limits, took a store to 255 MB (services), 173 MB (keys) and an entry host to 202 MB (header fields of items), with a limit of 150 MB.

Cause: a request counts by its bytes, and no longer grows once it is complete. A decoded name of three bytes with its place in a dict takes more than a hundred, and any number of threads decode at the same time.

`serialization.estimate_decoded_bytes` bounds the memory of a decoded document by counting its separators, and `Connection.reserve` adds it to the request in the pool of the process while the request is handled. A request for which there is no memory at the moment is refused as not run (503), one that never fits is refused for good (413). A batch job also counts its copies on the way to the leader. The bound is `message_fraction` as before; a job of 200 items or a configuration of some thousand routes takes a few megabytes of it.

Unknown fields (87 and 78 MB before), items (98 MB) and the readers of results (300 of 6 MB, 83 MB at the leader) show no fault on; they are kept against one.

--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -13,6 +13,7 @@
 from rhubarbreach.gateway import hedges
 from rhubarbreach.gateway import model
 from rhubarbreach.gateway import waiting
+from rhubarbreach import serialization
 from rhubarbreach.web import memory
 
 __all__ = ['App']
@@ -24,6 +25,9 @@
 RETRY_AFTER_SECONDS = 0.5
 # Other hosts take the request at once.
 STOP_RETRY_AFTER_SECONDS = 0.05
+# Copies of a batch job while it is submitted: its command and the message to
+# the leader.
+JOB_COPIES = 2
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
 # Refusals that are answered with `NOT_RUN_STATUS` in place of a status 4xx.
@@ -282,8 +286,11 @@
 
     def serve_submission(self, connection, request, info, route, account):
         """Submit a batch job and answer the request."""
-        items = self.dialect.decode_items(request)
-        reply = self.jobs.submit(info, account, route, items, request.path)
+        size = serialization.estimate_decoded_bytes(request.body)
+        size += JOB_COPIES * len(request.body)
+        with connection.reserve(size):
+            items = self.dialect.decode_items(request)
+            reply = self.jobs.submit(info, account, route, items, request.path)
         match reply:
             case commands.Done():
                 connection.send_response(202)
--- a/rhubarbreach/serialization.py
+++ b/rhubarbreach/serialization.py
@@ -19,6 +19,7 @@
     'decode',
     'decode_json',
     'encode',
+    'estimate_decoded_bytes',
 ]
 
 # Range of integers in messages, commands and snapshots.
@@ -26,6 +27,13 @@
 MAX_INTEGER = 2**64 - 1
 # Every reader can decode a document of this depth, whatever calls it.
 MAX_DEPTH = 64
+# Memory that a value of a JSON document takes once it is decoded: an entry of
+# a dict has two of them, its name and its value.
+VALUE_BYTES = 160
+VALUE_STARTS = (b',', b':', b'[', b'{')
+# Bytes of a character in a string that holds one from beyond the first 65,536,
+# with the copy that the decoder makes of a string with escapes.
+MAX_CHARACTER_BYTES = 4 + 1
 # Strings, which may contain brackets, and brackets.
 JSON_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{\]}]', re.DOTALL)
 
@@ -78,6 +86,27 @@
     return decode(decoder, document)
 
 
+def estimate_decoded_bytes(document):
+    """Return a bound on the memory of a JSON document once it is decoded.
+
+    Many short values take a multiple of their bytes.
+
+    Parameters
+    ----------
+    document : bytes
+        JSON text.
+
+    Returns
+    -------
+    int
+        Bytes, without those of the text.
+    """
+    is_plain = document.isascii() and b'\\' not in document
+    character_bytes = 1 if is_plain else MAX_CHARACTER_BYTES
+    values = sum(map(document.count, VALUE_STARTS))
+    return character_bytes * len(document) + VALUE_BYTES * values
+
+
 def check_depth(document):
     """Check that all readers of a JSON document can decode its nesting.
 
--- a/rhubarbreach/web/connection.py
+++ b/rhubarbreach/web/connection.py
@@ -18,6 +18,7 @@
 
 # A caller that does not read a short response in this time is disconnected.
 RESPONSE_TIMEOUT_SECONDS = 5.0
+CONTENT_TOO_LARGE = 413
 SERVICE_UNAVAILABLE = 503
 # Longest body that is sent together with its head.
 MAX_JOINED_BYTES = 64 * 1024
@@ -273,6 +274,34 @@
         """End a response whose caller is slow to read."""
         sockets.shut_down(self.socket)
 
+    @contextlib.contextmanager
+    def reserve(self, size):
+        """Count further bytes while a request is handled.
+
+        Parameters
+        ----------
+        size : int
+            Memory that handling it takes beside the request.
+
+        Raises
+        ------
+        BadMessageError
+            If the messages of the process do not leave that much; the request
+            is refused as not run, for good if it never fits.
+        """
+        max_bytes = self.server.memory.max_bytes
+        if self.holding.size + size > max_bytes:
+            raise errors.BadMessageError(
+                f'the request needs {size} bytes, all messages have '
+                f'{max_bytes:.0f}',
+                CONTENT_TOO_LARGE,
+            )
+        self.holding.resize(self.holding.size + size)
+        try:
+            yield
+        finally:
+            self.holding.resize(self.holding.size - size)
+
     def end_for_room(self):
         """End the connection for a new one unless a request is handled.
 
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -374,6 +374,34 @@
         assert not pool.used_bytes
 
 
+def test_request_without_memory_to_handle_it_is_refused(start_server):
+    """Guards against requests that exceed the memory once they are decoded."""
+    pool = memory.MemoryPool(5_000_000)
+    sizes = {b'/much': 4_000_000, b'/beyond': 6_000_000, b'/more': 2_000_000}
+    is_handled = threading.Event()
+    is_released = threading.Event()
+
+    def wait(connection, request):
+        with connection.reserve(sizes[request.target]):
+            is_handled.set()
+            is_released.wait(5.0)
+        connection.send_response(200)
+
+    web_server = start_server(wait, model.DEFAULT_LIMITS, pool)
+    request = b'GET %s HTTP/1.1\r\nConnection: close\r\n\r\n'
+    with socket.create_connection(('127.0.0.1', web_server.port), 5) as held:
+        held.sendall(request % b'/much')
+        assert is_handled.wait(5.0)
+        refused = send(web_server, request % b'/more')
+        assert refused.startswith(b'HTTP/1.1 503 ')
+        assert b'\r\nRetry-After: ' in refused
+        refused = send(web_server, request % b'/beyond')
+        assert refused.startswith(b'HTTP/1.1 413 ')
+        is_released.set()
+        assert held.recv(65536).startswith(b'HTTP/1.1 200 ')
+    assert send(web_server, request % b'/more').startswith(b'HTTP/1.1 200 ')
+
+
 @pytest.mark.parametrize(
     ('second', 'status'),
     [
