Count the copies of the configuration that are read

Callers that read a configuration of 1.4 MB and took no bytes of it let each thread of a store hold a copy.

--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -261,6 +261,11 @@
         )
         return reply if isinstance(reply, codes.Refusal) else None
 
+    @property
+    def catalog_bytes(self):
+        """Size of the configuration that this store knows."""
+        return len(self.ledger.get_catalog()[1])
+
     def read_catalog(self):
         """Return the newest `CatalogReply`, or a `Refusal`."""
         return self.query(
