Bound the endpoints that a store knows

Cause: each announcement is compared with all known ones, so that the time grows with their square, and the table of all endpoints goes to each host after each change until it exceeds the longest message. Hosts then get no reply of the leader, and trust no key.

The announcements that a store keeps are now bounded by their bytes (`[fleet] endpoint_kb`, 512, some 4,000 endpoints). Those known stay and go on to announce themselves. Endpoints at one address are found by an index. The counter endpoints_refused_total and the event endpoints_full show refusals.

--- a/rhubarbreach/fleet/registry.py
+++ b/rhubarbreach/fleet/registry.py
@@ -19,6 +19,8 @@
 # announcement does not restore it. Partitions delay announcements by a few
 # seconds.
 TOMBSTONE_SECONDS = 120.0
+# What a row takes in a message beside its texts.
+ROW_BYTES = 64
 
 
 class EndpointState(enum.StrEnum):
@@ -44,11 +46,18 @@
     ----------
     interval : float
         Seconds between two announcements of an endpoint.
+    max_bytes : float, optional
+        Bound of all rows. It protects the endpoints that are known: a new one
+        beyond it is refused.
     """
 
-    def __init__(self, interval):
+    def __init__(self, interval, max_bytes=float('inf')):
         self.interval = interval
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
         self.entries = {}
+        # Ids of the endpoints at each address.
+        self.ids_by_address = {}
         self.coldness = coldness.Coldness(interval)
         self.revision = 0
 
@@ -75,14 +84,63 @@
             row = dataclasses.replace(row, state=EndpointState.DRAINING)
         if row.state != EndpointState.GONE and self.is_superseded(row):
             return False
+        if not self.make_room(row):
+            return False
         row = dataclasses.replace(row, age=0.0)
         if entry is None or is_changed(row, entry.row):
             self.revision += 1
-        self.entries[row.endpoint_id] = Entry(row, received_at)
+        self.put(Entry(row, received_at))
         self.coldness.record_announcement(row, received_at)
         self.remove_superseded(row)
         return True
 
+    def put(self, entry):
+        """Add or replace the entry of an endpoint."""
+        row = entry.row
+        previous = self.entries.get(row.endpoint_id)
+        if previous is not None:
+            self.release(previous.row)
+        self.entries[row.endpoint_id] = entry
+        self.used_bytes += get_size(row)
+        self.ids_by_address.setdefault(row.address, set()).add(row.endpoint_id)
+
+    def remove(self, endpoint_id):
+        """Remove the entry of an endpoint."""
+        self.release(self.entries.pop(endpoint_id).row)
+
+    def release(self, row):
+        """Return the bytes of a row, and forget where its endpoint is."""
+        self.used_bytes -= get_size(row)
+        ids = self.ids_by_address[row.address]
+        ids.discard(row.endpoint_id)
+        if not ids:
+            del self.ids_by_address[row.address]
+
+    def make_room(self, row):
+        """Return whether a row fits; remove old endpoints that have left.
+
+        Parameters
+        ----------
+        row : EndpointNotice
+            New announcement.
+        """
+        size = get_size(row)
+        entry = self.entries.get(row.endpoint_id)
+        if entry is not None:
+            size -= get_size(entry.row)
+        if self.used_bytes + size <= self.max_bytes:
+            return True
+        gone = [
+            (other.received_at, endpoint_id)
+            for endpoint_id, other in self.entries.items()
+            if other.row.state == EndpointState.GONE and other is not entry
+        ]
+        for _, endpoint_id in sorted(gone):
+            self.remove(endpoint_id)
+            if self.used_bytes + size <= self.max_bytes:
+                return True
+        return False
+
     def start_drain(self, endpoint_id, born):
         """Mark a process as draining that has said so elsewhere.
 
@@ -104,7 +162,7 @@
         if born != entry.row.born:
             return None
         row = dataclasses.replace(entry.row, state=EndpointState.DRAINING)
-        self.entries[endpoint_id] = dataclasses.replace(entry, row=row)
+        self.put(dataclasses.replace(entry, row=row))
         self.revision += 1
         return row
 
@@ -116,29 +174,27 @@
         row = dataclasses.replace(entry.row, state=EndpointState.GONE)
         if entry.row.state != EndpointState.GONE:
             self.revision += 1
-        self.entries[endpoint_id] = Entry(row, now)
+        self.put(Entry(row, now))
         return row
 
     def is_superseded(self, row):
         """Return whether a later process uses the address of an endpoint."""
         return any(
-            entry.row.address == row.address
-            and entry.row.endpoint_id != row.endpoint_id
-            and entry.row.born > row.born
-            for entry in self.entries.values()
+            endpoint_id != row.endpoint_id
+            and self.entries[endpoint_id].row.born > row.born
+            for endpoint_id in self.ids_by_address.get(row.address, ())
         )
 
     def remove_superseded(self, row):
         """Remove earlier processes at the address of an endpoint."""
         superseded = [
             endpoint_id
-            for endpoint_id, entry in self.entries.items()
-            if entry.row.address == row.address
-            and endpoint_id != row.endpoint_id
-            and entry.row.born < row.born
+            for endpoint_id in self.ids_by_address[row.address]
+            if endpoint_id != row.endpoint_id
+            and self.entries[endpoint_id].row.born < row.born
         ]
         for endpoint_id in superseded:
-            del self.entries[endpoint_id]
+            self.remove(endpoint_id)
             self.revision += 1
 
     def expire(self, now):
@@ -150,9 +206,11 @@
             if entry.row.state == EndpointState.GONE:
                 limit = TOMBSTONE_SECONDS
             if now - entry.received_at > limit:
-                del self.entries[endpoint_id]
+                self.remove(endpoint_id)
                 expired.append(endpoint_id)
-        self.revision += bool(expired)
+        if expired:
+            self.revision += 1
+            self.coldness.keep(self.entries)
         return expired
 
     def treat_zone_as_cold(self, zone, now):
@@ -238,6 +296,18 @@
         )
 
 
+def get_size(row):
+    """Return the approximate size of a row in a message."""
+    texts = (
+        row.endpoint_id,
+        row.service,
+        row.address,
+        row.availability_zone,
+        row.software_version,
+    )
+    return ROW_BYTES + sum(map(len, texts))
+
+
 def is_newer(row, stored):
     """Return whether an announcement is newer than one of the same id."""
     if row.born != stored.born:
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -19,6 +19,8 @@
 # announcement intervals before it treats an endpoint that has not announced
 # itself as gone.
 LEARN_ANNOUNCEMENTS = 3
+# Interval of the log event on endpoints that were refused.
+LOG_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,9 +55,24 @@
         Returns the host ids of the other stores.
     wake : threading.Event
         Set when an update must reach the other stores immediately.
+    max_bytes : float, optional
+        Bound of the announcements that are kept.
+    metrics : Metrics, optional
+        Counts the endpoints that were refused.
     """
 
-    def __init__(self, host_id, interval, link, list_others, wake):
+    def __init__(
+        self,
+        host_id,
+        interval,
+        link,
+        list_others,
+        wake,
+        max_bytes=float('inf'),
+        metrics=None,
+    ):
+        self.metrics = metrics
+        self.log_due = 0.0
         self.host_id = host_id
         self.interval = interval
         self.link = link
@@ -64,7 +81,7 @@
         self.started = clock.monotonic()
         self.listening_since = self.expired_at = self.started
         self.lock = threading.Lock()
-        self.registry = registries.Registry(interval)
+        self.registry = registries.Registry(interval, max_bytes)
         self.pending_updates = {}
         self.table = None
         link.register(
@@ -86,8 +103,17 @@
             self.link.send(sender_id, fleetmessages.EndpointNews(rows))
 
     def record_announcement(self, notice):
-        """Process the announcement of an endpoint."""
+        """Process the announcement of an endpoint.
+
+        Returns
+        -------
+        bool
+            False if there is no room for a further endpoint.
+        """
         with self.lock:
+            if not self.registry.make_room(notice):
+                self.report_full(notice)
+                return False
             entry = self.registry.entries.get(notice.endpoint_id)
             is_newer = self.registry.record_announcement(
                 notice, clock.monotonic()
@@ -98,7 +124,7 @@
                 row = entries[notice.endpoint_id].row
                 self.pending_updates[notice.endpoint_id] = row
         if not is_newer:
-            return
+            return True
         is_restarted = entry is not None and entry.row.born != notice.born
         if notice.cold_seconds or is_restarted:
             # The leader has to know it before hosts send many requests there.
@@ -115,6 +141,21 @@
                 notice.sequence,
             )
             self.wake.set()
+        return True
+
+    def report_full(self, notice):
+        """Count an endpoint that was refused, and log at a bounded rate."""
+        if self.metrics is not None:
+            self.metrics.count('endpoints_refused_total')
+        now = clock.monotonic()
+        if now >= self.log_due:
+            self.log_due = now + LOG_SECONDS
+            LOG.warning(
+                'event=endpoints_full endpoint={} known={} bytes={}',
+                notice.endpoint_id,
+                len(self.registry.entries),
+                self.registry.used_bytes,
+            )
 
     def record_departure(self, endpoint_id, born):
         """Process the statement of an endpoint, in a response, that it leaves.
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -140,6 +140,8 @@
             self.link,
             self.members.list_others,
             self.wake,
+            settings.endpoint_bytes,
+            metrics,
         )
         self.usage = usage.Usage(self.endpoints.list_by_id)
         self.evacuated_zones = evacuated_zones.EvacuatedZones(
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -11,6 +11,9 @@
 ROLES = ('entry', 'store')
 BYTES_PER_MEGABYTE = 1_000_000
 NAME = re.compile(r'[\w.-]+')
+BYTES_PER_KILOBYTE = 1000
+# The table of all endpoints has to fit into one message.
+DEFAULT_ENDPOINT_BYTES = 512 * BYTES_PER_KILOBYTE
 # Memory of the smallest hosts.
 DEFAULT_MEMORY_BYTES = 150 * BYTES_PER_MEGABYTE
 
@@ -41,6 +44,8 @@
         Folder for the state of a store host.
     announce_interval : float
         Interval between two announcements of an endpoint.
+    endpoint_bytes : float
+        Bound of the announcements of all endpoints that a host keeps.
     tolerated_stores : int
         Number of store hosts that may fail at the same time.
     revoke_seconds : float
@@ -98,6 +103,7 @@
     founds_group: bool = False
     data_folder: str = ''
     announce_interval: float = 1.2
+    endpoint_bytes: float = DEFAULT_ENDPOINT_BYTES
     tolerated_stores: int = 1
     revoke_seconds: float = 5.0
     grace_seconds: float = 8.0
@@ -211,6 +217,13 @@
         announce_interval=reader.read(
             'fleet', 'announce_ms', to_seconds, 'milliseconds', 1.2
         ),
+        endpoint_bytes=reader.read(
+            'fleet',
+            'endpoint_kb',
+            to_kilobytes,
+            'kilobytes',
+            DEFAULT_ENDPOINT_BYTES,
+        ),
         tolerated_stores=reader.read(
             'fleet', 'tolerated_stores', to_count, 'a number', 1
         ),
@@ -351,6 +364,11 @@
     return to_positive(text) * BYTES_PER_MEGABYTE
 
 
+def to_kilobytes(text):
+    """Return the bytes for a text in kilobytes."""
+    return to_positive(text) * BYTES_PER_KILOBYTE
+
+
 def to_seconds(text):
     """Return the seconds for a text in milliseconds."""
     return to_positive(text) / 1000
