Bound what accepted batch jobs take at the stores

The format of the file is the same.

The leader counts the bodies and header fields of open items, their expected outputs and the results, with jobs that are not applied yet, and refuses a job beyond `[store] job_fraction` (0.2) of the memory as not run, with 503. The check is outside of the state machine, so that stores of different memory stay the same. The gauge job_bytes, the counter jobs_refused_for_memory_total and the event job_refused_for_memory show it.

Not bounded: an output that is far longer than its tokens suggest, and a full ledger beside a crowd that uses all connections and messages of a store.

--- a/rhubarbreach/backlog/jobs.py
+++ b/rhubarbreach/backlog/jobs.py
@@ -4,11 +4,35 @@
 
 from rhubarbreach.backlog import commands
 
-__all__ = ['Job', 'MAX_REPLY_BYTES']
+__all__ = ['Job', 'MAX_REPLY_BYTES', 'measure_item']
 
 # Bytes of result text in one reply. A job of ten items has about 160 KB, and
 # replies to all entry hosts may be queued at the same time.
 MAX_REPLY_BYTES = 256 * 1024
+# Memory of an item or a result beside its texts, and of a header field.
+ITEM_BYTES = 512
+FIELD_BYTES = 192
+# Expected output of an item for each of its tokens, and the largest one.
+OUTPUT_BYTES_PER_TOKEN = 16
+MAX_OUTPUT_BYTES = 1472 * 1024
+
+
+def measure_item(item):
+    """Return the memory of an open item with its expected output."""
+    fields = sum(len(name) + len(value) for name, value in item.headers)
+    return (
+        ITEM_BYTES
+        + len(item.path)
+        + fields
+        + FIELD_BYTES * len(item.headers)
+        + len(item.body)
+        + min(OUTPUT_BYTES_PER_TOKEN * item.tokens, MAX_OUTPUT_BYTES)
+    )
+
+
+def measure_result(result):
+    """Return the memory of a result."""
+    return ITEM_BYTES + len(result.output) + len(result.reason)
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +72,13 @@
         """Whether the job has no items left to run."""
         return self.ended or not self.open
 
+    @property
+    def size(self):
+        """Memory of the open items and of the results."""
+        return sum(map(measure_item, self.open.values())) + sum(
+            map(measure_result, self.results)
+        )
+
     @property
     def waiting_tokens(self):
         """Tokens of the items without a result."""
@@ -103,10 +134,19 @@
         self.ends.pop(item_id, None)
 
     def add_result(self, result):
-        """Append a result unless its item already has one."""
+        """Append a result unless its item already has one.
+
+        Returns
+        -------
+        int
+            Change of the size of the job.
+        """
         self.drop_progress(result.item_id)
-        if self.open.pop(result.item_id, None) is not None:
-            self.results.append(result)
+        item = self.open.pop(result.item_id, None)
+        if item is None:
+            return 0
+        self.results.append(result)
+        return measure_result(result) - measure_item(item)
 
     def end(self):
         """Discard the open items."""
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -71,8 +71,10 @@
         # revision of its last change.
         self.evacuations = {}
         self.evacuation_revision = 0
-        # Not a part of the replicated state.
+        # Not a part of the replicated state. `job_bytes` is the memory of all
+        # jobs, with the outputs that the open items may still have.
         self.ages = ages.JobAges()
+        self.job_bytes = 0
 
     def apply(self, index, command):
         """Apply an encoded command of the log; return the encoded reply."""
@@ -158,6 +160,7 @@
             {item.item_id: item for item in command.items},
             [],
         )
+        self.job_bytes += sum(map(jobs.measure_item, command.items))
         self.ages.add(command.job_id, clock.monotonic())
         return commands.Done()
 
@@ -174,14 +177,16 @@
         """Append a result unless its item already has one."""
         job = self.jobs.get(job_id)
         if job is not None and not job.ended:
-            job.add_result(result)
+            self.job_bytes += job.add_result(result)
 
     def end_job(self, command):
         """End a job; its results stay readable."""
         job = self.jobs.get(command.job_id)
         if job is None or job.account != command.account:
             return commands.JobNotFound()
+        self.job_bytes -= job.size
         job.end()
+        self.job_bytes += job.size
         return commands.Done()
 
     def prune_jobs(self, before):
@@ -189,6 +194,7 @@
         for job_id, job in list(self.jobs.items()):
             if job.is_closed and job.submitted < before:
                 del self.jobs[job_id]
+                self.job_bytes -= job.size
                 self.ages.remove(job_id)
 
     def is_expired(self, job, unix_time, now):
@@ -418,11 +424,15 @@
 
     def restore(self, data):
         """Replace the state by an encoded one."""
-        image = IMAGE_DECODER.decode(data)
         with self.lock:
+            # The former and the new state need not be in memory together.
+            self.jobs = {}
+            image = IMAGE_DECODER.decode(data)
+            del data
             self.version = image.version
             self.document = image.document
             self.jobs = {job.job_id: job for job in image.jobs}
+            self.job_bytes = sum(job.size for job in image.jobs)
             self.retiring = set(image.retiring)
             self.quarantined = dict(image.quarantined)
             self.quarantine_revision = image.quarantine_revision
--- a/rhubarbreach/bench/storelosses/virtualdisks.py
+++ b/rhubarbreach/bench/storelosses/virtualdisks.py
@@ -60,13 +60,16 @@
     def read_file(self, path):
         return self.find(path).files.get(str(path))
 
-    def write_file(self, path, data):
-        self.find(path).files[str(path)] = data
+    def open_bytes(self, path, start, size):
+        return self.read_file(path)[start : start + size]
 
-    def replace_file(self, path, data):
+    def write_file(self, path, *parts):
+        self.find(path).files[str(path)] = b''.join(parts)
+
+    def replace_file(self, path, *parts):
         disk = self.find(path)
         disk.operate()
-        disk.files[str(path)] = data
+        disk.files[str(path)] = b''.join(parts)
         disk.operate()
 
     def publish_file(self, temporary, path):
--- a/rhubarbreach/bench/storelosses/virtualgroups.py
+++ b/rhubarbreach/bench/storelosses/virtualgroups.py
@@ -100,6 +100,7 @@
             f'{settings.folder}/{settings.group_id}',
             settings.snapshot_entries // groups.TRAILING_LOG_DIVISOR,
         )
+        self.admit = None
         self.lock = contextlib.nullcontext()
         self.changed = Notifier(process, self.replicate)
         self.committed = Notifier(process, self.apply)
@@ -114,7 +115,7 @@
         )
         formation.start_formation(self.state)
         if self.store.snapshot.last_index:
-            machine.restore(self.store.snapshot.data)
+            machine.restore(bytes(self.store.snapshot.data))
         self.next_tick = now
         self.was_leader = False
         self.replicators = {}
--- a/rhubarbreach/consensus/applying.py
+++ b/rhubarbreach/consensus/applying.py
@@ -103,7 +103,7 @@
         state = self.group.state
         if snapshot.last_index <= state.applied_index:
             return
-        self.group.machine.restore(snapshot.data)
+        self.group.machine.restore(bytes(snapshot.data))
         self.snapshot_index = snapshot.last_index
         with self.group.lock:
             state.applied_index = snapshot.last_index
@@ -168,13 +168,16 @@
         self.applied_bytes = 0
         with group.lock:
             members_index, members = group.store.get_members_at(last.index)
-        data = group.machine.snapshot()
         self.snapshot_index = last.index
         snapshot = model.Snapshot(
-            last.index, last.term, members_index, members, data
+            last.index,
+            last.term,
+            members_index,
+            members,
+            group.machine.snapshot(),
         )
         try:
-            group.store.prepare_snapshot(snapshot)
+            snapshot = group.store.prepare_snapshot(snapshot)
         except (exceptions.DiskFullError, OSError) as error:
             # The log stays longer; the next snapshot trims it.
             LOG.warning(
--- a/rhubarbreach/consensus/following.py
+++ b/rhubarbreach/consensus/following.py
@@ -148,14 +148,14 @@
         message.last_term,
         message.last_index,
         store_codec.decode_members(message.members),
-        bytes(state.partial_snapshot.data),
+        state.partial_snapshot.data,
     )
     # An error of the disk ends this step without a reply, and the leader
     # retries. The snapshot may be in effect by then.
     try:
         state.store.install_snapshot(snapshot)
     finally:
-        if state.store.snapshot is snapshot:
+        if state.store.snapshot.last_index == snapshot.last_index:
             state.partial_snapshot = None
             state.commit_index = max(state.commit_index, snapshot.last_index)
-            state.snapshot_to_restore = snapshot
+            state.snapshot_to_restore = state.store.snapshot
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -60,6 +60,9 @@
         Counters and latencies.
     recorder : Recorder, optional
         Recorder of the timeline.
+    admit : callable, optional
+        Called with each command and its future before it is appended; returns
+        a `Refusal`, or None.
 
     Raises
     ------
@@ -69,7 +72,16 @@
         If the data folder of the group is in use.
     """
 
-    def __init__(self, settings, link, machine, metrics=None, recorder=None):
+    def __init__(
+        self,
+        settings,
+        link,
+        machine,
+        metrics=None,
+        recorder=None,
+        admit=None,
+    ):
+        self.admit = admit
         self.settings = settings
         self.link = link
         self.machine = machine
@@ -96,7 +108,7 @@
         try:
             formation.start_formation(self.state)
             if self.store.snapshot.last_index:
-                machine.restore(self.store.snapshot.data)
+                machine.restore(bytes(self.store.snapshot.data))
         except BaseException:
             self.store.close()
             raise
@@ -178,6 +190,12 @@
                 f'{MAX_COMMAND_BYTES} bytes'
             )
         future = concurrent.futures.Future()
+        refusal = None
+        if self.admit is not None and self.is_leader:
+            refusal = self.admit(command, future)
+        if refusal is not None:
+            future.set_result(refusal)
+            return future
         self.inbox.put(
             model.Proposal(model.ENTRY_COMMAND, command, deadline, future)
         )
--- a/rhubarbreach/consensus/model.py
+++ b/rhubarbreach/consensus/model.py
@@ -83,13 +83,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """State of a machine after it has applied the entry `last_index`."""
+    """State of a machine after it has applied the entry `last_index`.
+
+    `data` is bytes, or the `StoredBytes` of a file.
+    """
 
     last_index: int
     last_term: int
     members_index: int
     members: tuple
-    data: bytes
+    data: object
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/consensus/store.py
+++ b/rhubarbreach/consensus/store.py
@@ -1,6 +1,8 @@
 """Durable state of one replica: log, term, vote and snapshot."""
 
+import dataclasses
 import pathlib
+import struct
 
 import msgspec
 
@@ -28,15 +30,20 @@
 
 
 class SnapshotFile(msgspec.Struct, frozen=True, array_like=True):
-    """Content of a snapshot file."""
+    """Content of a snapshot file; `data` is encoded as a binary string."""
 
     last_index: int
     last_term: int
     members_index: int
     members: tuple[logmessages.Member, ...]
-    data: bytes
+    data: msgspec.Raw
 
 
+# Format of a binary string in MessagePack: its type, its length, its bytes.
+BINARY_HEADER = struct.Struct('>BI')
+BINARY_TYPE = 0xC6
+# Bytes of the header by type. Earlier releases used the shortest one.
+BINARY_HEADER_BYTES = {0xC4: 2, 0xC5: 3, BINARY_TYPE: BINARY_HEADER.size}
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(SnapshotFile)
 
 
@@ -51,16 +58,46 @@
 
 
 def encode_snapshot(snapshot):
-    """Encode a snapshot as the content of a snapshot file."""
-    return ENCODER.encode(
+    """Return the content of a snapshot file in two parts.
+
+    The second one is the data of the snapshot, which is not copied.
+    """
+    header = BINARY_HEADER.pack(BINARY_TYPE, len(snapshot.data))
+    head = ENCODER.encode(
         SnapshotFile(
             snapshot.last_index,
             snapshot.last_term,
             snapshot.members_index,
             snapshot.members,
-            snapshot.data,
+            msgspec.Raw(header),
         )
     )
+    return head, snapshot.data
+
+
+def read_snapshot(path):
+    """Return the snapshot in a file, None if there is no file.
+
+    Its data stays in the file.
+
+    Raises
+    ------
+    CorruptLogError
+        If the file is damaged.
+    """
+    content = files.read_file(path)
+    if content is None:
+        return None
+    stored = SNAPSHOT_DECODER.decode(content)
+    encoded = memoryview(stored.data)
+    size = len(encoded) - BINARY_HEADER_BYTES[encoded[0]]
+    return model.Snapshot(
+        stored.last_index,
+        stored.last_term,
+        stored.members_index,
+        stored.members,
+        files.open_bytes(path, len(content) - size, size),
+    )
 
 
 class Store:
@@ -117,16 +154,9 @@
         data = files.read_file(self.path / FORMATION_NAME)
         if data is not None:
             self.formed, self.initial_members = FORMATION_DECODER.decode(data)
-        data = files.read_file(self.path / SNAPSHOT_NAME)
-        if data is not None:
-            stored = SNAPSHOT_DECODER.decode(data)
-            self.snapshot = model.Snapshot(
-                stored.last_index,
-                stored.last_term,
-                stored.members_index,
-                stored.members,
-                stored.data,
-            )
+        snapshot = read_snapshot(self.path / SNAPSHOT_NAME)
+        if snapshot is not None:
+            self.snapshot = snapshot
         self.base_index = self.snapshot.last_index
         self.base_term = self.snapshot.last_term
         self.log = segments.SegmentLog(self.path / LOG_NAME)
@@ -339,8 +369,18 @@
 
         This is the only method that may be called without the group lock by
         a thread other than the group thread.
+
+        Returns
+        -------
+        Snapshot
+            The same snapshot, whose data is in the file.
         """
-        files.write_file(self.path / PREPARED_NAME, encode_snapshot(snapshot))
+        path = self.path / PREPARED_NAME
+        head, data = encode_snapshot(snapshot)
+        files.write_file(path, head, data)
+        return dataclasses.replace(
+            snapshot, data=files.open_bytes(path, len(head), len(data))
+        )
 
     def publish_snapshot(self, snapshot):
         """Make the prepared snapshot the current one and trim the log."""
@@ -380,9 +420,13 @@
 
         Entries after the snapshot are kept if the log agrees with it.
         """
-        files.replace_file(
-            self.path / SNAPSHOT_NAME, encode_snapshot(snapshot)
+        path = self.path / SNAPSHOT_NAME
+        head, data = encode_snapshot(snapshot)
+        files.replace_file(path, head, data)
+        snapshot = dataclasses.replace(
+            snapshot, data=files.open_bytes(path, len(head), len(data))
         )
+        del data
         keeps_suffix = self.get_term(snapshot.last_index) == snapshot.last_term
         # The new segment comes first, because a full disk may refuse it. Until
         # then nothing has changed in memory, and the leader sends it again.
--- a/rhubarbreach/consensus/tests/test_store.py
+++ b/rhubarbreach/consensus/tests/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the durable state of a replica."""
 
+import msgspec
 import pytest
 
 from rhubarbreach.consensus import model
@@ -9,6 +10,13 @@
 from rhubarbreach.storage import files
 
 
+@pytest.fixture
+def store(tmp_path):
+    new_store = stores.Store(tmp_path / 'group')
+    yield new_store
+    new_store.close()
+
+
 def make_entries(first, last, term):
     return [
         logmessages.LogEntry(index, term, model.ENTRY_COMMAND, b'x')
@@ -84,3 +92,24 @@
     store = reopen(store)
     assert (store.last_index, store.last_term) == (13, 2)
     store.close()
+
+
+@pytest.mark.parametrize('size', [5, 300, 70_000])
+def test_snapshot_of_an_earlier_release_is_read(store, size):
+    """Guards against a store that cannot be opened after an update."""
+    data = bytes(size)
+    content = msgspec.msgpack.encode((10, 2, 0, (), data))
+    files.replace_file(store.path / stores.SNAPSHOT_NAME, content)
+    snapshot = stores.read_snapshot(store.path / stores.SNAPSHOT_NAME)
+    assert (snapshot.last_index, snapshot.last_term) == (10, 2)
+    assert snapshot.data == data
+    assert snapshot.data[2:4] == data[2:4]
+
+
+def test_snapshot_is_read_after_another_one_takes_its_name(store):
+    """Guards against a transfer that mixes the bytes of two snapshots."""
+    store.install_snapshot(model.Snapshot(10, 2, 0, (), b'first'))
+    first = store.snapshot.data
+    store.install_snapshot(model.Snapshot(20, 2, 0, (), b'second'))
+    assert first[1:] == b'irst'
+    assert bytes(store.snapshot.data) == b'second'
--- a/rhubarbreach/hosts/gauges.py
+++ b/rhubarbreach/hosts/gauges.py
@@ -33,6 +33,7 @@
     open_jobs = ledger.list_open()
     metrics.set_gauge('jobs_open', len(open_jobs))
     metrics.set_gauge('items_open', sum(len(items) for _, items in open_jobs))
+    metrics.set_gauge('job_bytes', ledger.job_bytes)
     metrics.set_gauge('parts_quarantined', len(ledger.quarantined))
     _, zones = ledger.get_evacuated()
     metrics.set_gauge('zones_evacuated', len(zones))
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from rhubarbreach.backlog import admission
 from rhubarbreach.backlog import commands
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
@@ -108,6 +109,9 @@
         self.current_index = current_index.CurrentIndex(
             self.ledger, decode_catalog
         )
+        self.job_admission = admission.JobAdmission(
+            self.ledger, settings.job_bytes, metrics
+        )
         self.link = links.Link(
             self.host_id,
             f'{self.host_id}:{settings.link_port}',
@@ -118,7 +122,11 @@
         self.groups = groups.GroupSet(self.link)
         self.group = self.groups.add(
             consensus_group.Group(
-                make_group_settings(settings), self.link, self.ledger, metrics
+                make_group_settings(settings),
+                self.link,
+                self.ledger,
+                metrics,
+                admit=self.job_admission.admit,
             )
         )
         self.leadership = leadership.Leadership(
--- a/rhubarbreach/protocol/tagged.py
+++ b/rhubarbreach/protocol/tagged.py
@@ -43,6 +43,17 @@
         body = msgspec.Raw(serialization.encode(ENCODER, value))
         return ENCODER.encode((type(value).__name__, body))
 
+    def read_name(self, data):
+        """Return the class name of an encoded value.
+
+        Raises
+        ------
+        MessageError
+            If the data is malformed.
+        """
+        name, _ = serialization.decode(PAIR_DECODER, data)
+        return name
+
     def decode(self, data):
         """Decode a value from MessagePack.
 
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -59,6 +59,9 @@
         Part of it for the messages that the process holds.
     socket_fraction : float
         Part of it for the buffers of its sockets.
+    job_fraction : float
+        Part of it for the batch jobs that a store keeps. A snapshot takes as
+        much for some seconds.
     max_connections : int
         Connections of callers, or of endpoints and operators, that a process
         accepts at the same time.
@@ -116,6 +119,7 @@
     evacuate_seconds: float = 0.0
     message_fraction: float = 0.2
     socket_fraction: float = 0.2
+    job_fraction: float = 0.2
     max_connections: int = 1024
     cold_overage: float = 1.5
     cold_slack: float = 5.0
@@ -135,6 +139,11 @@
         """Memory of the buffers of all sockets of the process."""
         return self.memory_bytes * self.socket_fraction
 
+    @property
+    def job_bytes(self):
+        """Memory of the batch jobs that a store keeps."""
+        return self.memory_bytes * self.job_fraction
+
 
 class OptionReader:
     """Reader of options that collects faults."""
@@ -256,6 +265,9 @@
         socket_fraction=reader.read(
             'host', 'socket_fraction', to_fraction, 'a part of 1', 0.2
         ),
+        job_fraction=reader.read(
+            'store', 'job_fraction', to_fraction, 'a part of 1', 0.2
+        ),
         max_connections=reader.read(
             'host', 'max_connections', to_positive_count, 'a number', 1024
         ),
--- a/rhubarbreach/storage/folder.py
+++ b/rhubarbreach/storage/folder.py
@@ -68,7 +68,7 @@
             data = uuid.uuid4().hex.encode()
             files.replace_file(path, data)
             files.sync_folder(self.path.parent)
-        return data.decode()
+        return bytes(data).decode()
 
     def close(self):
         """Release the lock."""
