--- a/rhubarbreach/web/buffers.py
+++ b/rhubarbreach/web/buffers.py
@@ -5,7 +5,6 @@
 socket grow to megabytes, and thousands of sockets may be filled at a time.
 """
 
-import collections
 import contextlib
 import socket
 import threading
@@ -74,7 +73,7 @@
             }
         self.limits[sizes[-1]] = float('inf')
         self.largest = sizes[0]
-        self.counts = collections.Counter()
+        self.counts = dict.fromkeys(sizes, 0)
         self.log_due = 0.0
 
     @property
@@ -108,7 +107,8 @@
             return
         self.log_due = now + LOG_SECONDS
         LOG.warning(
-            'event=socket_buffers_reduced sockets={}', self.counts.total()
+            'event=socket_buffers_reduced sockets={}',
+            sum(self.counts.values()),
         )
 
 
