Bound the memory and the time of requests at the own interface

Causes, of one class, as each reader of the platform's hosts had been bounded before (docs/design/untrusted-callers.md) and this one in part: - the allocator kept its default settings; - the sockets of callers and their queue had no bound; - an upload was counted nowhere until it was stored; - any number of threads parsed large bodies. Chunks of one byte take some microseconds each under the interpreter lock; - the responses of endpoints had a bound that no setting changes.

Now the process limits the allocator like the other hosts; its sockets share `[requests] max_unread` (64 MiB); an upload counts towards `max_held` with its items, and is refused as not run (503) beyond it; two threads at a time parse large bodies, and leave their turn while they wait for bytes; responses are bounded by max_held. Its default is 384 MiB in place of 256, so that a job of the longest body fits with its items.

Silent connections, long heads, trailers, pipelined requests and announcements showed no fault before.

Not bounded: jobs that were accepted one after another; a body of 4 MB in chunks of one byte still takes longer than body_timeout.

--- a/rhubarbreach/batch/api.py
+++ b/rhubarbreach/batch/api.py
@@ -13,8 +13,10 @@
 from rhubarbreach.batch import upload
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.entry import bodies
 from rhubarbreach.entry import refusals
 from rhubarbreach.state import jobcommands
+from rhubarbreach.web import errors as web_errors
 
 __all__ = ['BatchApi', 'make_job_id']
 
@@ -110,11 +112,22 @@
         )
         try:
             parsed = upload.read_upload(
-                streaming.open_body(request), parser, self.settings.max_body
+                streaming.open_body(request),
+                parser,
+                self.settings.max_body,
+                streaming.count_bytes(request),
             )
+            streaming.keep_bytes(request)
+        except web_errors.BadMessageError:
+            request.body_failed = True
+            parsed = bodies.refuse_held()
         except (OSError, http_exceptions.HTTPException):
             reason = 'the connection ended before the end of the body'
             parsed = codes.Refusal(Code.BODY_INCOMPLETE, reason)
+            if streaming.is_ended(request):
+                parsed = bodies.refuse_held()
+        finally:
+            streaming.end_turn(request)
         if isinstance(parsed, codes.Refusal):
             return make_error(request, parsed)
         begin = self.make_begin(caller, client_id or uuid.uuid4().hex, parsed)
--- a/rhubarbreach/batch/streaming.py
+++ b/rhubarbreach/batch/streaming.py
@@ -3,8 +3,17 @@
 from werkzeug import wrappers
 
 from rhubarbreach import clock
-
-__all__ = ['BodyStream', 'open_body', 'send_lines']
+from rhubarbreach.entry import bodies
+
+__all__ = [
+    'BodyStream',
+    'count_bytes',
+    'end_turn',
+    'is_ended',
+    'keep_bytes',
+    'open_body',
+    'send_lines',
+]
 
 # Time limits of an upload: for its next bytes, and for all of it.
 READ_TIMEOUT_SECONDS = 20.0
@@ -33,6 +42,7 @@
         ):
             self.unread_bytes = 0
         self.deadline = clock.monotonic() + UPLOAD_TIMEOUT_SECONDS
+        self.read_bytes = 0
 
     def read(self, size):
         """Return up to `size` bytes, empty at the end.
@@ -44,6 +54,8 @@
         """
         if self.unread_bytes is not None:
             size = min(size, self.unread_bytes)
+        if not self.read_bytes:
+            size = min(size, bodies.CHUNKED_TURN_BYTES)
         if size == 0:
             self.request.body_read = True
             return b''
@@ -51,7 +63,10 @@
         self.request.connection.set_read_deadline(
             min(READ_TIMEOUT_SECONDS, time_left)
         )
+        if self.read_bytes:
+            self.request.connection.reader.take_turn()
         data = self.stream.read(size)
+        self.read_bytes += len(data)
         if self.unread_bytes is not None:
             self.unread_bytes -= len(data)
             if not data:
@@ -71,6 +86,42 @@
     return request.stream
 
 
+def count_bytes(request):
+    """Return a function that counts what an upload holds, or None.
+
+    The function raises `BadMessageError` if there is no memory for it.
+    """
+    if not hasattr(request, 'connection'):
+        return None
+    connection = request.connection
+    return lambda size: connection.holding.resize(connection.head_cost + size)
+
+
+def keep_bytes(request):
+    """Let an upload that is complete not end for others.
+
+    Raises
+    ------
+    BadMessageError
+        If it has ended.
+    """
+    if hasattr(request, 'connection'):
+        request.connection.holding.keep()
+
+
+def end_turn(request):
+    """Let another large request be read, after the end of this one."""
+    if hasattr(request, 'connection'):
+        request.connection.reader.end_turn()
+
+
+def is_ended(request):
+    """Return whether an upload was ended to free its bytes."""
+    return (
+        hasattr(request, 'connection') and request.connection.holding.is_ended
+    )
+
+
 def send_lines(request, content_type, chunks):
     """Send a response body in chunks as they become available.
 
--- a/rhubarbreach/batch/upload.py
+++ b/rhubarbreach/batch/upload.py
@@ -17,6 +17,8 @@
 MAX_CUSTOM_ID_LENGTH = 256
 READ_BYTES = 64 * 1024
 DIGEST_BYTES = 32
+# What an item takes beside its body: its id, and its places in two tables.
+ITEM_BYTES = 512
 
 Code = codes.ResultCode
 
@@ -84,6 +86,8 @@
         self.max_items = max_items
         self.lines = {}
         self.bodies = []
+        # Memory of the items.
+        self.held_bytes = 0
         self.method = ''
         self.path = ''
         self.route = None
@@ -140,6 +144,7 @@
         self.add_target(body)
         self.lines[line.custom_id] = number
         self.bodies.append(body)
+        self.held_bytes += len(body) + ITEM_BYTES
         self.hash.update(data)
         self.hash.update(b'\n')
 
@@ -197,7 +202,7 @@
         )
 
 
-def read_upload(stream, parser, max_bytes):
+def read_upload(stream, parser, max_bytes, record_size=None):
     """Read and validate an upload.
 
     Parameters
@@ -208,6 +213,9 @@
         Parser that validates the lines.
     max_bytes : int
         Maximum size of the whole upload.
+    record_size : callable, optional
+        Called with the memory of the upload so far, and may raise
+        `BadMessageError`.
 
     Returns
     -------
@@ -230,6 +238,8 @@
             refusal = parser.add_line(number, line)
             if refusal is not None:
                 return refusal
+        if record_size is not None:
+            record_size(parser.held_bytes + len(rest) + READ_BYTES)
         if len(rest) > MAX_LINE_BYTES:
             return parser.add_line(number + 1, rest)
     refusal = parser.add_line(number + 1, rest)
--- a/rhubarbreach/daemon/host.py
+++ b/rhubarbreach/daemon/host.py
@@ -230,7 +230,7 @@
             self.membership,
             self.link,
         )
-        self.loop = loop.Loop(self.metrics)
+        self.loop = loop.Loop(self.metrics, self.settings.requests.max_held)
         self.executor = executor.Executor(
             self.scheduler, self.loop, self.recorder, self.metrics
         )
@@ -335,6 +335,7 @@
             self.metrics,
             self.settings.requests.max_connections,
             self.settings.requests.max_held,
+            self.settings.requests.max_unread,
         )
 
     def find_unready_reason(self):
--- a/rhubarbreach/daemon/run.py
+++ b/rhubarbreach/daemon/run.py
@@ -2,13 +2,18 @@
 
 import signal
 
+import logbook
+
 from rhubarbreach.daemon import host as host_module
 from rhubarbreach.daemon import probe
 from rhubarbreach import exceptions
 from rhubarbreach.observe import logs
+from rhubarbreach.web import allocator
 
 __all__ = ['run_host']
 
+LOG = logbook.Logger('host')
+
 FLUSH_PERIOD_SECONDS = 0.5
 
 
@@ -36,6 +41,8 @@
         if fault.is_address:
             raise exceptions.AddressError(fault.text)
         raise exceptions.DataFolderError(fault.text)
+    if not allocator.limit_fragmentation():
+        LOG.warning('event=allocator_unknown')
     host = host_module.Host(settings, handler)
     host.start()
     # The interrupted code may hold the lock of the event.
--- a/rhubarbreach/dispatch/loop.py
+++ b/rhubarbreach/dispatch/loop.py
@@ -47,9 +47,11 @@
     ----------
     metrics : observe.metrics.Metrics
         Counts late bytes, failed attempts, lost callers and errors.
+    max_held_bytes : float, optional
+        Bound of the responses that are held together.
     """
 
-    def __init__(self, metrics):
+    def __init__(self, metrics, max_held_bytes=None):
         self.metrics = metrics
         self.selector = selector.Selector()
         self.commands = collections.deque()
@@ -58,7 +60,7 @@
         self.unprocessed = []
         self.idle_handles = []
         self.timer_at = None
-        self.memory = memory.MemoryPool(MAX_HELD_BYTES)
+        self.memory = memory.MemoryPool(max_held_bytes or MAX_HELD_BYTES)
         self.now = clock.monotonic()
         self.next_timeout_check = self.now
         self.closing = False
--- a/rhubarbreach/entry/bodies.py
+++ b/rhubarbreach/entry/bodies.py
@@ -1,11 +1,23 @@
 """Reading of request bodies with limits on size and time."""
 
+import contextlib
+
 from rhubarbreach.dispatch import errors
 from rhubarbreach.web import errors as web_errors
 
-__all__ = ['discard_body', 'open_stream', 'read_body']
+__all__ = [
+    'CHUNKED_TURN_BYTES',
+    'discard_body',
+    'open_stream',
+    'read_body',
+    'refuse_held',
+]
 
 READ_BYTES = 64 * 1024
+# A body with more bytes waits for its turn. One in chunks may take a thousand
+# times as long to read.
+TURN_BYTES = 16 * 1024
+CHUNKED_TURN_BYTES = 1024
 
 # An unread body up to this size is read and discarded, so that the connection
 # can be kept open.
@@ -50,12 +62,14 @@
     holding = request.connection.holding
     head_cost = request.connection.head_cost
     try:
-        body = read_stream(
-            request.environ['wsgi.input'],
-            length,
-            max_bytes,
-            lambda size: holding.resize(head_cost + size),
-        )
+        with large_turn(request.connection.reader) as reader:
+            body = read_stream(
+                request.environ['wsgi.input'],
+                length,
+                max_bytes,
+                lambda size: holding.resize(head_cost + size),
+                reader,
+            )
         # No status would be true of a request that ends while it runs.
         holding.keep()
         holding.resize(head_cost + len(body))
@@ -148,17 +162,32 @@
     )
 
 
-def read_stream(stream, length, max_bytes, record_size=None):
+@contextlib.contextmanager
+def large_turn(reader):
+    """End the turn that a large body has taken meanwhile, if any."""
+    try:
+        yield reader
+    finally:
+        reader.end_turn()
+
+
+def read_stream(stream, length, max_bytes, record_size=None, reader=None):
     """Read up to `length` bytes, or `max_bytes` + 1 if it is None.
 
     The additional byte shows that the body exceeds the limit. `record_size` is
     called with the bytes read so far and those that are read next, as a read
-    holds what has arrived until it is complete.
+    holds what has arrived until it is complete. A large body waits for the
+    turns of the `reader`.
     """
     remaining = max_bytes + 1 if length is None else length
+    size = CHUNKED_TURN_BYTES if length is None else TURN_BYTES
     body = bytearray()
     while remaining > 0:
-        size = min(remaining, READ_BYTES)
+        if body:
+            size = READ_BYTES
+            if reader is not None:
+                reader.take_turn()
+        size = min(remaining, size)
         if record_size is not None:
             record_size(len(body) + size)
         chunk = stream.read(size)
--- a/rhubarbreach/entry/connection.py
+++ b/rhubarbreach/entry/connection.py
@@ -52,6 +52,8 @@
         self.holding = holding
         self.deadline = 0.0
         self.blocking = True
+        # Whether this thread has one of the turns for large requests.
+        self.has_turn = False
 
     def readable(self):
         """Return True."""
@@ -67,7 +69,41 @@
         if remaining <= 0:
             raise TimeoutError('nothing received before the deadline')
         self.connection.settimeout(remaining)
-        return self.connection.recv_into(buffer)
+        with self.pause_turn():
+            return self.connection.recv_into(buffer)
+
+    @property
+    def turns(self):
+        """Semaphore of the threads that read large requests."""
+        return self.holding.pool.large_turns
+
+    def take_turn(self):
+        """Wait for a turn, which pauses while bytes are awaited.
+
+        A body in chunks of a few bytes takes much time of the processor. With
+        a thread for each of many such bodies, no other request is answered.
+        """
+        if not self.has_turn:
+            self.turns.acquire()
+            self.has_turn = True
+
+    def end_turn(self):
+        """End the turn of this thread, if it has one."""
+        if self.has_turn:
+            self.has_turn = False
+            self.turns.release()
+
+    @contextlib.contextmanager
+    def pause_turn(self):
+        """Leave the turn to another thread meanwhile."""
+        if not self.has_turn:
+            yield
+            return
+        self.turns.release()
+        try:
+            yield
+        finally:
+            self.turns.acquire()
 
 
 def read_headers(file, record_size):
@@ -140,6 +176,7 @@
         # Memory of the head, which is held with the body.
         self.head_cost = 0
         self.fd = connection.fileno()
+        self.buffer_size = server.memory.buffers.take()
         self.last_used = time.monotonic()
 
     def serve_next_request(self):
--- a/rhubarbreach/entry/server.py
+++ b/rhubarbreach/entry/server.py
@@ -14,6 +14,7 @@
 from rhubarbreach.dispatch import errors
 from rhubarbreach.entry import connection as connection_module
 from rhubarbreach.entry import refusals
+from rhubarbreach.web import buffers
 from rhubarbreach.web import memory
 from rhubarbreach.web import server as web_server
 
@@ -30,6 +31,8 @@
 ROOM_SECONDS = 1.0
 # Bytes of the requests that are held, as for the responses in `dispatch`.
 MAX_HELD_BYTES = 256 << 20
+# Bytes in the buffers of the sockets of callers.
+MAX_UNREAD_BYTES = 64 << 20
 
 
 class Server:
@@ -51,6 +54,8 @@
         the descriptors of the process allow only that.
     max_held_bytes : float
         Bound of the requests that are held together.
+    max_unread_bytes : float
+        Bound of the bytes in the buffers of the sockets.
     """
 
     ssl_context = None
@@ -65,17 +70,24 @@
         metrics,
         max_connections=2048,
         max_held_bytes=MAX_HELD_BYTES,
+        max_unread_bytes=MAX_UNREAD_BYTES,
     ):
         self.application = application
         self.metrics = metrics
         self.max_connections = web_server.find_max_connections(max_connections)
-        self.memory = memory.MemoryPool(max_held_bytes, metrics)
+        self.memory = memory.MemoryPool(
+            max_held_bytes,
+            metrics,
+            buffers.SocketBuffers(max_unread_bytes, metrics),
+        )
         host, _, port = address.rpartition(':')
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind((host.strip('[]'), int(port)))
-        self.socket.listen(BACKLOG)
+        self.buffer_size = None
+        self.update_buffers()
+        self.socket.listen(min(BACKLOG, self.max_connections))
         self.socket.setblocking(False)
         self.server_address = self.socket.getsockname()
         self.port = self.server_address[1]
@@ -165,6 +177,13 @@
         if self.lacks_thread:
             self.start_task(int)
 
+    def update_buffers(self):
+        """Set the buffers of the connections that arrive from now on."""
+        size = self.memory.buffers.next_size
+        if size != self.buffer_size:
+            buffers.set_size(self.socket, size)
+            self.buffer_size = size
+
     def accept(self):
         """Accept pending connections."""
         for _ in range(MAX_ACCEPTS_PER_POLL):
@@ -184,6 +203,9 @@
             handler = connection_module.ConnectionHandler(
                 connection, address, self
             )
+            # It may have arrived when others were smaller or larger.
+            buffers.set_size(connection, handler.buffer_size)
+            self.update_buffers()
             try:
                 self.add_idle(handler)
             except Exception:
@@ -267,6 +289,7 @@
     def close_handler(self, handler):
         """Close a connection."""
         handler.close()
+        self.memory.buffers.release(handler.buffer_size)
         with self.lock:
             self.open_connections -= 1
 
--- a/rhubarbreach/settings/model.py
+++ b/rhubarbreach/settings/model.py
@@ -66,7 +66,8 @@
     body_timeout: float
     default_timeout: float
     drain_timeout: float
-    max_held: int = 256 << 20
+    max_held: int = 384 << 20
+    max_unread: int = 64 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rhubarbreach/settings/options.py
+++ b/rhubarbreach/settings/options.py
@@ -164,7 +164,10 @@
         'requests', 'max_connections', int, '2048', 1, 65536, 'connections'
     ),
     make_number(
-        'requests', 'max_held', int, '268435456', 2**20, 2**40, 'bytes'
+        'requests', 'max_held', int, '402653184', 2**20, 2**40, 'bytes'
+    ),
+    make_number(
+        'requests', 'max_unread', int, '67108864', 2**16, 2**40, 'bytes'
     ),
     make_number('requests', 'body_timeout', float, '10', 0.1, 600, 'seconds'),
     make_number(
