--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -119,7 +119,7 @@
     evacuate_seconds: float = 0.0
     message_fraction: float = 0.2
     socket_fraction: float = 0.2
-    job_fraction: float = 0.2
+    job_fraction: float = 0.25
     max_connections: int = 1024
     cold_overage: float = 1.5
     cold_slack: float = 5.0
@@ -266,7 +266,7 @@
             'host', 'socket_fraction', to_fraction, 'a part of 1', 0.2
         ),
         job_fraction=reader.read(
-            'store', 'job_fraction', to_fraction, 'a part of 1', 0.2
+            'store', 'job_fraction', to_fraction, 'a part of 1', 0.25
         ),
         max_connections=reader.read(
             'host', 'max_connections', to_positive_count, 'a number', 1024
--- a/rhubarbreach/web/tests/crowds.py
+++ b/rhubarbreach/web/tests/crowds.py
@@ -10,6 +10,8 @@
 import tempfile
 import threading
 
+import pytest
+
 from rhubarbreach import clock
 from rhubarbreach.web import sockets
 
@@ -21,6 +23,7 @@
     'count_descriptors',
     'count_unread_bytes',
     'isolate',
+    'mark_cases',
     'read_peak_bytes',
     'reset_peak',
 ]
@@ -33,6 +36,23 @@
 RESET_PEAK = b'5'
 WATCH_SECONDS = 0.1
 LISTEN_STATE = '0A'
+BY_HAND = pytest.mark.by_hand
+
+
+def mark_cases(names, ci_names):
+    """Return the parameters of a test, of which some run in CI.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Names of all cases.
+    ci_names : collection of str
+        Cases that run in CI. The others are marked `by_hand`.
+    """
+    return [
+        pytest.param(name, marks=() if name in ci_names else BY_HAND)
+        for name in names
+    ]
 
 
 @contextlib.contextmanager
