Bound the connections to the port of the links

Cause: pynng accepts any number of connections, keeps a silent one for 10 s and one that has greeted for good.

The link now accepts its connections itself (`protocol.receiver`) and reads the frames of pynng's transport, whose bytes on the wire stay the same; pynng still dials and sends. There are at most `[link] max_connections` (1024, and an eighth of the descriptors), also with TLS. Beyond that the oldest connection ends that has not greeted, then the oldest without a valid message, then the one that was heard least recently, so that known hosts stay. A strange greeting or a frame that is too long ends a connection at once. The first 64 connections get receive buffers of 128 KB, the others 16 KB. An incomplete message is dropped when its connection ends. The counter link_connections_ended_for_room_total and the event link_connections_ended_for_room show it.

Tried before: to give accepted descriptors to the library by its transport `socket://`. Its pipes were counted wrongly, and under a crowd connections that had just been accepted were found closed (EBADF; trial, not traced).

The tests take the largest number of descriptors while the crowd is there; before, they counted them after it had gone.

test_message_of_a_closed_connection_does_not_end_the_link replaced the receive function of the library. It now sends a malformed message and half of one over connections that end at once, and checks the same and that both are forgotten.

--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -58,6 +58,8 @@
             {},
             None,
             common_port=settings.link_port,
+            max_connections=settings.max_link_connections,
+            metrics=metrics,
         )
         self.view = views.View(settings.availability_zone)
         self.leader_client = leader_clients.LeaderClient(
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -118,6 +118,8 @@
             {},
             None,
             common_port=settings.link_port,
+            max_connections=settings.max_link_connections,
+            metrics=metrics,
         )
         self.groups = groups.GroupSet(self.link)
         self.group = self.groups.add(
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -3,10 +3,10 @@
 import collections
 import concurrent.futures
 import itertools
+import resource
 import secrets
 import threading
-
-import pynng
+import time
 
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -17,14 +17,21 @@
 from rhubarbreach.protocol import framing
 from rhubarbreach.protocol import hostmessages
 from rhubarbreach.protocol import peer as peer_task
+from rhubarbreach.protocol import receiver
 from rhubarbreach.protocol import tls
 
 __all__ = ['Link']
 
 LOG = eventlog.Logger('link')
 
-RECEIVE_TIMEOUT_MS = 200
+RECEIVE_SECONDS = 0.2
+FAILURE_PAUSE_SECONDS = 0.05
 HANDLER_THREADS = 16
+# Three connections of each of some hundred hosts: the one in use, its
+# replacement and the one that was replaced.
+MAX_CONNECTIONS = 1024
+# Part of the descriptors of the process.
+DESCRIPTOR_PART = 8
 # A peer in use is probed at this interval and dialled again after the timeout.
 # Both are below 3 s, the shortest time in which hosts have to detect a
 # connection that stopped delivering data.
@@ -54,6 +61,11 @@
     common_port : int, optional
         Port of the links of all hosts, for fleets in which the id of a host
         is its address. Peers are then added on first use, and are probed.
+    max_connections : int, optional
+        Bound of the connections that others make; fewer if the limit of
+        descriptors allows only that.
+    metrics : Metrics, optional
+        Counts the connections that ended for others.
     """
 
     def __init__(
@@ -64,6 +76,8 @@
         tls_files,
         hybrid_clock=None,
         common_port=None,
+        max_connections=MAX_CONNECTIONS,
+        metrics=None,
     ):
         self.common_port = common_port
         self.host_id = host_id
@@ -88,13 +102,13 @@
         self.executor = concurrent.futures.ThreadPoolExecutor(
             HANDLER_THREADS, thread_name_prefix='link-handler'
         )
-        self.socket = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
-        self.socket.recv_max_size = 2 * framing.FRAME_BYTES
-        scheme = 'tcp'
-        if tls_files is not None:
-            scheme = 'tls+tcp'
-            self.socket.tls_config = tls.make_server(tls_files)
-        self.socket.listen(f'{scheme}://{listen}')
+        self.receiver = receiver.Receiver(
+            listen,
+            None if tls_files is None else tls.make_wrap(tls_files),
+            find_max_connections(max_connections),
+            self.discard_partial,
+            metrics,
+        )
         self.peers = {}
         for peer_id, address in peers.items():
             self.set_peer(peer_id, address)
@@ -299,35 +313,36 @@
         while not self.closed:
             try:
                 self.run_once(clock.monotonic())
-            except pynng.Timeout:
-                continue
-            except pynng.Closed:
-                return
-            except pynng.NNGException as error:
-                LOG.warning('event=receive_failed error={!r}', str(error))
             except Exception:
                 # If this thread ended, the host would receive no messages and
                 # no call would complete.
-                LOG.exception('event=receive_failed')
+                if not self.closed:
+                    LOG.exception('event=receive_failed')
+                    time.sleep(FAILURE_PAUSE_SECONDS)
+        self.receiver.release()
 
     def run_once(self, now):
-        """Run the periodic checks if they are due and receive a message."""
+        """Run the periodic checks if they are due and receive frames."""
         if now >= self.checks_due:
-            self.checks_due = now + RECEIVE_TIMEOUT_MS / 1000
+            self.checks_due = now + RECEIVE_SECONDS
             self.expire_calls(now)
             if self.common_port is not None:
                 self.probe_peers(now)
-        self.receive_frame(self.socket.recv_msg())
+        for connection, frame in self.receiver.receive(RECEIVE_SECONDS):
+            try:
+                self.receive_frame(connection, frame)
+            except Exception:
+                LOG.exception('event=receive_failed')
+
+    def discard_partial(self, connection):
+        """Discard the incomplete message of a connection that has ended."""
+        self.assembler.discard(connection.number)
 
-    def receive_frame(self, received):
+    def receive_frame(self, connection, frame):
         """Add a received frame; dispatch its message if it is complete."""
-        if received.pipe is None:
-            self.reject('connection_gone', f'{len(received.bytes)} bytes')
-            return
-        frame = received.bytes
         self.received_bytes += len(frame)
         try:
-            data = self.assembler.add(received.pipe.id, frame)
+            data = self.assembler.add(connection.number, frame)
             if data is None:
                 return
             envelope = codec.decode(data)
@@ -335,7 +350,7 @@
             self.reject('malformed', str(error))
             return
         if self.tls_files is not None:
-            name = tls.get_peer_name(received.pipe)
+            name = connection.stream.peer_name
             if name != envelope.sender_id:
                 self.reject('wrong_certificate', f'{name}')
                 return
@@ -344,6 +359,7 @@
             peer = self.peers.get(envelope.sender_id)
         if peer is not None:
             peer.heard_at = clock.monotonic()
+        self.receiver.record_message(connection)
         self.dispatch(envelope)
 
     def reject(self, reason, detail):
@@ -419,11 +435,25 @@
             self.peers.clear()
         for peer in peers:
             peer.close()
-        self.socket.close()
+        self.receiver.close()
         self.expire_calls(float('inf'))
         self.executor.shutdown(wait=False, cancel_futures=True)
 
 
+def find_max_connections(max_connections):
+    """Return the number of connections that the descriptors allow.
+
+    Parameters
+    ----------
+    max_connections : int
+        Largest number to return.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return max_connections
+    return max(1, min(max_connections, limit // DESCRIPTOR_PART))
+
+
 def make_refusal(peer_id, ran):
     """Return the refusal of a call that got no reply."""
     reason = 'no reply in time'
--- a/rhubarbreach/protocol/tests/test_link.py
+++ b/rhubarbreach/protocol/tests/test_link.py
@@ -1,6 +1,7 @@
 """Tests of the link between hosts."""
 
 import contextlib
+import socket
 import time
 
 import pytest
@@ -8,9 +9,11 @@
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus.tests import ports
+from rhubarbreach.protocol import framing
 from rhubarbreach.protocol import link
 from rhubarbreach.protocol import membermessages
 from rhubarbreach.protocol import peer as peer_task
+from rhubarbreach.protocol import receiver
 
 
 @pytest.fixture
@@ -60,31 +63,25 @@
     assert future.result().ran == codes.Ran.NO
 
 
-class ClosedPipeMessage:
-    """Message whose connection was closed before it was received."""
-
-    bytes = b'x'
-    pipe = None
-
-
-def test_message_of_a_closed_connection_does_not_end_the_link(
-    pair, monkeypatch
-):
+def test_message_of_a_closed_connection_does_not_end_the_link(pair):
     """Guards against a host that receives no messages any more.
 
     The receiver thread ended with an exception, and calls never completed.
     """
-    receive = pair[1].socket.recv_msg
-    closed = [ClosedPipeMessage()]
-
-    def recv_msg():
-        return closed.pop() if closed else receive()
-
-    monkeypatch.setattr(pair[1].socket, 'recv_msg', recv_msg)
-    wait_until_empty(closed)
+    host, _, port = pair[1].listen.rpartition(':')
+    frame = framing.HEADER.pack(0, 1) + b'x'
+    data = receiver.GREETING + b'\0\0' + receiver.LENGTH.pack(len(frame))
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(data + frame)
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(data + frame[:-1])
     pair[1].register(membermessages.Probe, answer_probe)
     reply = call_until_reply(pair[0], 'host-2', membermessages.Probe(4, ()))
     assert reply == membermessages.ProbeReply(5, ())
+    end = clock.monotonic() + 5
+    while len(pair[1].receiver.connections) > 1:
+        assert clock.monotonic() < end
+        time.sleep(0.01)
     assert pair[1].rejected == 1
 
 
--- a/rhubarbreach/protocol/tls.py
+++ b/rhubarbreach/protocol/tls.py
@@ -4,9 +4,7 @@
 
 import pynng
 
-__all__ = ['TlsFiles', 'get_peer_name', 'make_client', 'make_server']
-
-PEER_NAME_OPTION = b'tls-peer-cn'
+__all__ = ['TlsFiles', 'make_client', 'make_wrap']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,39 +34,16 @@
     )
 
 
-def make_server(files):
-    """Return the TLS configuration of a listening socket."""
-    return make_config(pynng.TLSConfig.MODE_SERVER, files, None)
-
-
 def make_client(files, peer_id):
     """Return the TLS configuration to dial a peer and verify its name."""
     return make_config(pynng.TLSConfig.MODE_CLIENT, files, peer_id)
 
 
-def get_peer_name(pipe):
-    """Return the common name of the verified certificate of a pipe.
+def make_wrap(files):
+    """Return a function that returns the `ServerStream` of a socket."""
+    # Imported here, as most processes use no TLS.
+    from rhubarbreach.protocol import tlsstream
 
-    Parameters
-    ----------
-    pipe : pynng.Pipe
-        Pipe of a received message.
-
-    Returns
-    -------
-    str or None
-        Common name, None when the pipe has no verified certificate.
-
-    Notes
-    -----
-    pynng does not expose this option of the NNG library, so it is read with
-    a function of that library.
-    """
-    library = pynng.nng.lib
-    value = pynng.nng.ffi.new('char **')
-    result = library.nng_pipe_get_string(pipe.pipe, PEER_NAME_OPTION, value)
-    if result != 0:
-        return None
-    name = pynng.nng.ffi.string(value[0]).decode('utf-8', 'replace')
-    library.nng_strfree(value[0])
-    return name
+    return tlsstream.make_wrap(
+        files.ca_file, files.certificate_file, files.key_file
+    )
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -65,6 +65,8 @@
     max_connections : int
         Connections of callers, or of endpoints and operators, that a process
         accepts at the same time.
+    max_link_connections : int
+        Connections that other hosts make to the link of the process.
     max_pipelined : int
         Requests of one connection that may wait for the one before them.
     max_framing_ratio : float
@@ -121,6 +123,7 @@
     socket_fraction: float = 0.2
     job_fraction: float = 0.25
     max_connections: int = 1024
+    max_link_connections: int = 1024
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     judges_requests: bool = True
@@ -271,6 +274,9 @@
         max_connections=reader.read(
             'host', 'max_connections', to_positive_count, 'a number', 1024
         ),
+        max_link_connections=reader.read(
+            'link', 'max_connections', to_positive_count, 'a number', 1024
+        ),
         cold_overage=reader.read_bound('cold_overage', 'a factor', 1.5),
         cold_slack=reader.read_bound('cold_slack', 'a number', 5.0),
         judges_requests=reader.read(
--- a/rhubarbreach/web/tests/crowds.py
+++ b/rhubarbreach/web/tests/crowds.py
@@ -132,7 +132,9 @@
 
 
 class MemoryWatch:
-    """Peak of the memory that a process needs, with its socket buffers.
+    """Peaks of the memory that a process needs, and of its descriptors.
+
+    The memory includes the bytes in its socket buffers.
 
     Parameters
     ----------
@@ -147,6 +149,7 @@
         self.host = host
         self.peak_bytes = 0
         self.peak_unread_bytes = 0
+        self.peak_descriptors = 0
         self.is_closed = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -163,6 +166,9 @@
         """Sample the memory until the end of the watch or of the process."""
         with contextlib.suppress(FileNotFoundError, ProcessLookupError):
             while not self.is_closed.wait(WATCH_SECONDS):
+                self.peak_descriptors = max(
+                    self.peak_descriptors, count_descriptors(self.process_id)
+                )
                 unread = count_unread_bytes(self.process_id, self.host)
                 size = read_resident_bytes(self.process_id) + unread
                 self.peak_unread_bytes = max(self.peak_unread_bytes, unread)
