Bound the peers of a link and the log of dropped messages

Malformed messages wrote a line of the log each.

Cause: the sender of any message gets a reply and so becomes a peer, with a queue, a thread and a socket, for 20 s.

A connection belongs to the host that its first message names; another sender ends it. Peers are bounded by `[link] max_connections` as well. The event message_rejected comes at most once a second, and the counter link_messages_rejected_total counts by reason.

--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -26,6 +26,8 @@
 
 RECEIVE_SECONDS = 0.2
 FAILURE_PAUSE_SECONDS = 0.05
+# Interval of the log event on dropped messages.
+REJECT_LOG_SECONDS = 1.0
 HANDLER_THREADS = 16
 # Three connections of each of some hundred hosts: the one in use, its
 # replacement and the one that was replaced.
@@ -62,10 +64,10 @@
         Port of the links of all hosts, for fleets in which the id of a host
         is its address. Peers are then added on first use, and are probed.
     max_connections : int, optional
-        Bound of the connections that others make; fewer if the limit of
-        descriptors allows only that.
+        Bound of the connections that others make, and of the peers that are
+        added on first use; fewer if the limit of descriptors allows only that.
     metrics : Metrics, optional
-        Counts the connections that ended for others.
+        Counts dropped messages and connections that ended for others.
     """
 
     def __init__(
@@ -96,16 +98,19 @@
         self.checks_due = clock.monotonic()
         self.closed = False
         self.rejected = 0
+        self.reject_log_due = 0.0
         self.received_bytes = 0
         # Bytes queued for peers since the start, by type of message.
         self.queued_bytes_total = collections.Counter()
         self.executor = concurrent.futures.ThreadPoolExecutor(
             HANDLER_THREADS, thread_name_prefix='link-handler'
         )
+        self.metrics = metrics
+        self.max_peers = find_max_connections(max_connections)
         self.receiver = receiver.Receiver(
             listen,
             None if tls_files is None else tls.make_wrap(tls_files),
-            find_max_connections(max_connections),
+            self.max_peers,
             self.discard_partial,
             metrics,
         )
@@ -244,11 +249,32 @@
         with self.lock:
             peer = self.peers.get(peer_id)
         if peer is None and self.common_port is not None and not self.closed:
+            if not self.has_room_for_peer(clock.monotonic()):
+                return None
             self.set_peer(peer_id, f'{peer_id}:{self.common_port}')
             with self.lock:
                 peer = self.peers.get(peer_id)
         return peer
 
+    def has_room_for_peer(self, now):
+        """Return whether a peer may be added; make room for it if possible.
+
+        Any sender of a message gets a reply, and becomes a peer by it.
+        """
+        with self.lock:
+            if len(self.peers) < self.max_peers:
+                return True
+            unconnected = [
+                peer
+                for peer in self.peers.values()
+                if now >= peer.connect_deadline and not peer.is_connected
+            ]
+        if unconnected:
+            self.remove_peer(unconnected[0].peer_id)
+            return True
+        self.reject('too_many_peers', f'{self.max_peers}')
+        return False
+
     def probe_peers(self, now):
         """Probe the peers in use; reconnect those that did not answer."""
         with self.lock:
@@ -354,6 +380,12 @@
             if name != envelope.sender_id:
                 self.reject('wrong_certificate', f'{name}')
                 return
+        if connection.sender_id not in ('', envelope.sender_id):
+            # A host has connections of its own.
+            self.reject('other_sender', envelope.sender_id)
+            self.receiver.end(connection)
+            return
+        connection.sender_id = envelope.sender_id
         self.hybrid_clock.observe(envelope.stamp)
         with self.lock:
             peer = self.peers.get(envelope.sender_id)
@@ -363,11 +395,19 @@
         self.dispatch(envelope)
 
     def reject(self, reason, detail):
-        """Count and log a dropped message."""
+        """Count a dropped message, and log it at a bounded rate."""
         self.rejected += 1
-        LOG.warning(
-            'event=message_rejected reason={} detail={!r}', reason, detail
-        )
+        if self.metrics is not None:
+            self.metrics.count('link_messages_rejected_total', reason=reason)
+        now = clock.monotonic()
+        if now >= self.reject_log_due:
+            self.reject_log_due = now + REJECT_LOG_SECONDS
+            LOG.warning(
+                'event=message_rejected reason={} detail={!r} total={}',
+                reason,
+                detail,
+                self.rejected,
+            )
 
     def dispatch(self, envelope):
         """Complete the call of a reply, or run the handler of a message."""
--- a/rhubarbreach/protocol/peer.py
+++ b/rhubarbreach/protocol/peer.py
@@ -65,6 +65,8 @@
         self.silent_since = None
         # When a message of the peer last arrived.
         self.heard_at = float('-inf')
+        # Latest time for the first connection.
+        self.connect_deadline = clock.monotonic() + MESSAGE_EXPIRY_SECONDS
         self.socket = self.dial()
         # Connection that replaces `socket` once it is made, and the one that
         # was replaced last with the time until which it is kept.
@@ -91,6 +93,11 @@
         socket.dial(f'{scheme}://{self.address}', block=False)
         return socket
 
+    @property
+    def is_connected(self):
+        """Whether the peer has accepted a connection that is still open."""
+        return bool(self.socket.pipes)
+
     def redial(self):
         """Dial a peer that does not answer once more.
 
--- a/rhubarbreach/protocol/receiver.py
+++ b/rhubarbreach/protocol/receiver.py
@@ -60,6 +60,8 @@
         self.descriptor = stream.fileno()
         self.greeting_deadline = now + GREETING_SECONDS
         self.is_greeted = False
+        # Host id in the first message, empty before it.
+        self.sender_id = ''
         # Bytes of a frame, or of the greeting, that is not complete.
         self.rest = b''
 
--- a/rhubarbreach/protocol/tests/test_receiver.py
+++ b/rhubarbreach/protocol/tests/test_receiver.py
@@ -132,3 +132,43 @@
         connect(GREETING + encode_message()).close()
         connect().close()
     wait_until(lambda: len(link.receiver.connections) == 0)
+
+
+def test_messages_of_another_host_end_a_connection(link, connect):
+    """Guards against a peer for each of any number of invented senders."""
+    connection = connect(GREETING + encode_message('host-2'))
+    wait_until(lambda: link.receiver.heard)
+    connection.sendall(encode_message('host-3'))
+    assert is_ended(connection)
+    assert link.rejected == 1
+
+
+def test_peers_that_never_connect_give_way():
+    """Guards against peers without bound, and against none for a new host."""
+    port = ports.find_port(('127.0.3.1',))
+    link = links.Link(
+        '127.0.3.1',
+        f'127.0.3.1:{port}',
+        {},
+        None,
+        common_port=port,
+        max_connections=MAX_CONNECTIONS,
+    )
+    with contextlib.closing(link):
+        probe = hostmessages.LinkProbe()
+        for number in range(MAX_CONNECTIONS):
+            assert link.send(f'127.0.4.{number}', probe)
+        assert not link.send('127.0.4.100', probe)
+        for peer in link.peers.values():
+            peer.connect_deadline = 0.0
+        assert link.send('127.0.4.100', probe)
+        assert len(link.peers) == MAX_CONNECTIONS
+        assert '127.0.4.0' not in link.peers
+
+
+def test_rejected_messages_are_logged_at_a_bounded_rate(link, connect, capsys):
+    """Guards against a log that a stranger fills."""
+    frame = framing.HEADER.pack(0, 1) + b'x'
+    connect(GREETING + 1000 * (struct.pack('!Q', len(frame)) + frame))
+    wait_until(lambda: link.rejected == 1000)
+    assert capsys.readouterr().err.count('event=message_rejected') <= 5
