Count accepted jobs against the other limits of a store

Cause: the bounds of jobs, connections and messages each hold, but not together. A part of it stays in the heap as free blocks when the jobs have left.

A store now finds the share of its limits that the jobs leave, and allows only that part of its connections (64 at least) and of its messages (one of the longest requests with its copies at least). The queue of new connections is 128 long meanwhile: with 1024 an announcement waited for more than its 5 s for as long as the jobs were there. Without a crowd, or with few jobs, nothing changes; default settings are the same. `settings_contradict` checks the jobs too.

Shorter times for connections and for discarded bytes were tried, changed nothing and are not in.

A fake of test_server.py gets the new attribute of the pool.

--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -8,6 +8,7 @@
 from rhubarbreach.backlog import ledger as ledgers
 from rhubarbreach.backlog import runner as runners
 from rhubarbreach.backlog import worker as workers
+from rhubarbreach.catalog import model as catalog_model
 from rhubarbreach.catalog import validate
 from rhubarbreach import clock
 from rhubarbreach import codes
@@ -26,6 +27,7 @@
 from rhubarbreach.hosts import exchanges
 from rhubarbreach.hosts import gauges
 from rhubarbreach.hosts import item_resources
+from rhubarbreach.hosts import job_memory
 from rhubarbreach.hosts import leadership
 from rhubarbreach.hosts import members
 from rhubarbreach.hosts import quarantine_manager
@@ -36,6 +38,7 @@
 from rhubarbreach.protocol import link as links
 from rhubarbreach.protocol import workmessages
 from rhubarbreach.streams import keeper
+from rhubarbreach.web import bounds
 from rhubarbreach.web import memory
 
 __all__ = ['StoreHost']
@@ -205,7 +208,13 @@
                 )
             ),
         )
-        self.message_memory = memory.make_pool(settings, metrics)
+        self.job_memory = job_memory.JobMemory(settings, self.ledger)
+        self.message_memory = memory.make_pool(
+            settings,
+            metrics,
+            bounds.find_min_message_bytes(catalog_model.DEFAULT_LIMITS),
+            self.job_memory.find_share,
+        )
         self.worker = workers.Worker(
             self.link,
             settings.availability_zone,
@@ -380,6 +389,7 @@
             self.metrics, self.group, self.ledger, self.link
         )
         self.cold_manager.set_gauges(self.metrics)
+        self.job_memory.release()
 
     def advance_quarantine(self, now):
         """Advance the quarantine of parts on a leader."""
--- a/rhubarbreach/web/allocator.py
+++ b/rhubarbreach/web/allocator.py
@@ -2,7 +2,7 @@
 
 import ctypes
 
-__all__ = ['limit_fragmentation']
+__all__ = ['limit_fragmentation', 'release_pages']
 
 # Parameters of `mallopt` in glibc.
 M_MMAP_THRESHOLD = -3
@@ -37,3 +37,19 @@
             mallopt(M_ARENA_MAX, MAX_ARENAS),
         ]
     )
+
+
+def release_pages():
+    """Return the pages of freed blocks to the kernel.
+
+    Returns
+    -------
+    bool
+        Whether any was returned.
+    """
+    try:
+        malloc_trim = ctypes.CDLL(None).malloc_trim
+    except (AttributeError, OSError):
+        # Another C library.
+        return False
+    return bool(malloc_trim(0))
--- a/rhubarbreach/web/bounds.py
+++ b/rhubarbreach/web/bounds.py
@@ -2,12 +2,21 @@
 
 import dataclasses
 
-__all__ = ['Bounds', 'DEFAULT_BOUNDS', 'find_contradictions', 'make_bounds']
+__all__ = [
+    'Bounds',
+    'DEFAULT_BOUNDS',
+    'find_contradictions',
+    'find_min_message_bytes',
+    'find_share',
+    'make_bounds',
+]
 
 # Resident set of a process without callers, and of a connection with its
 # thread while a request is read in part; both measured (32 MB and 24 KB).
 BASE_BYTES = 40_000_000
 CONNECTION_BYTES = 32_000
+# A snapshot of the jobs is made beside them.
+JOB_COPIES = 2
 # A body is held, copied when it is complete and copied when it is sent on.
 COPIES = 3
 
@@ -46,6 +55,43 @@
     )
 
 
+def find_min_message_bytes(limits):
+    """Return the bytes that one request takes with its copies.
+
+    Parameters
+    ----------
+    limits : CallerLimits
+        Limits on single requests.
+    """
+    return COPIES * (limits.max_header_bytes + limits.max_body_bytes)
+
+
+def find_share(settings, job_bytes):
+    """Return the part of its limits that a store can use beside its jobs.
+
+    Load pattern: a crowd that comes while many accepted jobs are owed.
+
+    Parameters
+    ----------
+    settings : RoleSettings
+        Settings of the store.
+    job_bytes : float
+        Memory of the jobs that it keeps.
+
+    Returns
+    -------
+    float
+        From 0 to 1; 1 while all fits.
+    """
+    wanted_bytes = (
+        CONNECTION_BYTES * settings.max_connections
+        + settings.message_bytes
+        + settings.socket_bytes
+    )
+    left_bytes = settings.memory_bytes - BASE_BYTES - JOB_COPIES * job_bytes
+    return min(1.0, max(0.0, left_bytes / wanted_bytes))
+
+
 def find_contradictions(settings, limits, max_by_descriptors):
     """Return what does not fit, one line each.
 
@@ -60,7 +106,7 @@
     """
     found = []
     request_bytes = limits.max_header_bytes + limits.max_body_bytes
-    if settings.message_bytes < COPIES * request_bytes:
+    if settings.message_bytes < find_min_message_bytes(limits):
         found.append(
             f'message_fraction {settings.message_fraction:g} of '
             f'{settings.memory_bytes:.0f} bytes does not hold one request of '
@@ -80,6 +126,18 @@
             f'{needed_bytes:.0f} bytes, memory_mb gives '
             f'{settings.memory_bytes:.0f}'
         )
+    needed_bytes = (
+        BASE_BYTES
+        + JOB_COPIES * settings.job_bytes
+        + find_min_message_bytes(limits)
+    )
+    if settings.role == 'store' and needed_bytes > settings.memory_bytes:
+        found.append(
+            f'job_fraction {settings.job_fraction:g} with a snapshot and one '
+            f'request of {request_bytes} bytes with its copies needs '
+            f'{needed_bytes:.0f} bytes, memory_mb gives '
+            f'{settings.memory_bytes:.0f}'
+        )
     if settings.room_seconds >= limits.idle_timeout:
         found.append(
             f'room_ms of {settings.room_seconds:g} s is not below '
--- a/rhubarbreach/web/memory.py
+++ b/rhubarbreach/web/memory.py
@@ -38,12 +38,24 @@
         Counts the messages that were ended.
     buffers : SocketBuffers, optional
         Bounds the bytes of messages in the sockets.
+    min_bytes : float, optional
+        Limit that stays whatever else takes memory.
+    find_share : callable, optional
+        Returns the part of the limits that the rest of the process leaves,
+        from 0 to 1.
     """
 
     def __init__(
-        self, max_bytes, metrics=None, buffers=socket_buffers.UNLIMITED
+        self,
+        max_bytes,
+        metrics=None,
+        buffers=socket_buffers.UNLIMITED,
+        min_bytes=0.0,
+        find_share=None,
     ):
         self.max_bytes = max_bytes
+        self.min_bytes = min_bytes
+        self.find_share = find_share
         self.buffers = buffers
         self.metrics = metrics
         self.lock = threading.Lock()
@@ -59,6 +71,16 @@
         self.log_due = 0.0
         self.unlogged = collections.Counter()
 
+    @property
+    def share(self):
+        """Part of the limits that the rest of the process leaves."""
+        return 1.0 if self.find_share is None else self.find_share()
+
+    @property
+    def limit(self):
+        """Bytes that all messages may hold now."""
+        return max(self.min_bytes, self.max_bytes * self.share)
+
     def open(self, end=None, kind='message'):
         """Return the holding of a message.
 
@@ -103,7 +125,7 @@
             'max_bytes={:.0f}',
             ','.join(f'{kind}:{count}' for kind, count in counts.items()),
             self.used_bytes,
-            self.max_bytes,
+            self.limit,
         )
 
 
@@ -144,7 +166,7 @@
             self.pool.report(victim, now)
         if self.is_ended:
             raise errors.BadMessageError(
-                f'messages exceed {self.pool.max_bytes:.0f} bytes together',
+                f'messages exceed {self.pool.limit:.0f} bytes together',
                 SERVICE_UNAVAILABLE,
             )
 
@@ -163,7 +185,7 @@
         else:
             pool.holdings.discard(self)
         victims = []
-        while pool.used_bytes > pool.max_bytes and not self.is_ended:
+        while pool.used_bytes > pool.limit and not self.is_ended:
             victim = pool.find_victim(now) or self
             victim.is_ended = True
             victim.release()
@@ -211,7 +233,7 @@
                 self.release()
 
 
-def make_pool(settings, metrics):
+def make_pool(settings, metrics, min_bytes=0.0, find_share=None):
     """Return the pool of a host.
 
     Parameters
@@ -220,11 +242,15 @@
         Settings of the host.
     metrics : Metrics
         Counts what was ended or reduced.
+    min_bytes, find_share : optional
+        See `MemoryPool`.
     """
     return MemoryPool(
         settings.message_bytes,
         metrics,
         socket_buffers.SocketBuffers(settings.socket_bytes, metrics),
+        min_bytes,
+        find_share,
     )
 
 
--- a/rhubarbreach/web/server.py
+++ b/rhubarbreach/web/server.py
@@ -21,6 +21,7 @@
 LOG = eventlog.Logger('web')
 
 BACKLOG = 1024
+SHORT_BACKLOG = 128
 # Part of the backlog of a server for few connections.
 BACKLOG_PER_CONNECTION = 4
 MAX_CONNECTIONS = 1024
@@ -28,6 +29,8 @@
 # and other servers. A connection takes two, with the one to an endpoint.
 RESERVED_DESCRIPTORS = 64
 DESCRIPTORS_PER_CONNECTION = 2
+# Connections that stay allowed whatever else takes memory.
+MIN_CONNECTIONS = 64
 # Connections that end at once for new ones, as each search for them looks at
 # all.
 ROOM_BATCH = 16
@@ -115,15 +118,14 @@
         self.lock = threading.Lock()
         # Size of the buffers of connections that are not accepted yet.
         self.buffer_size = None
+        self.backlog = 0
         host, _, port = address.rpartition(':')
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             self.listener.bind((host, int(port)))
             self.update_buffers()
-            self.listener.listen(
-                min(BACKLOG, BACKLOG_PER_CONNECTION * self.max_connections)
-            )
+            self.update_backlog()
         except OSError as error:
             raise exceptions.AddressError(f'{address}: {error}') from error
         threading.stack_size(STACK_BYTES)
@@ -147,6 +149,7 @@
                 client_socket, _ = self.listener.accept()
                 self.start(client_socket)
                 self.update_buffers()
+                self.update_backlog()
             except Exception as error:
                 if not self.is_listening:
                     return
@@ -162,6 +165,19 @@
             buffers.set_size(self.listener, size)
             self.buffer_size = size
 
+    def update_backlog(self):
+        """Set the length of the kernel's queue of new connections.
+
+        While memory is short, connections leave it slowly, and callers would
+        give up in a long one.
+        """
+        backlog = min(BACKLOG, BACKLOG_PER_CONNECTION * self.max_connections)
+        if self.connection_limit < self.max_connections:
+            backlog = min(backlog, SHORT_BACKLOG)
+        if backlog != self.backlog:
+            self.listener.listen(backlog)
+            self.backlog = backlog
+
     def start(self, client_socket):
         """Handle an accepted connection on a thread of the pool."""
         try:
@@ -215,15 +231,23 @@
         time.sleep(ROOM_POLL_SECONDS)
         return False
 
+    @property
+    def connection_limit(self):
+        """Connections that the memory of the process leaves now."""
+        limit = max(
+            MIN_CONNECTIONS, int(self.max_connections * self.memory.share)
+        )
+        return min(limit, self.max_connections)
+
     def is_full(self):
         """Return whether no further connection fits."""
-        if len(self.connections) < self.max_connections:
+        limit = self.connection_limit
+        if len(self.connections) < limit:
             return False
         with self.lock:
             return (
-                sum(c.is_present for c in self.connections)
-                >= self.max_connections
-                or len(self.connections) >= self.max_connections + ROOM_BATCH
+                sum(c.is_present for c in self.connections) >= limit
+                or len(self.connections) >= limit + ROOM_BATCH
             )
 
     def make_room(self, now):
--- a/rhubarbreach/web/tests/test_bounds.py
+++ b/rhubarbreach/web/tests/test_bounds.py
@@ -20,6 +20,9 @@
         socket_bytes=memory_bytes * changes.pop('socket_fraction', 0.2),
         max_connections=changes.pop('max_connections', 1024),
         room_seconds=changes.pop('room_seconds', 1.0),
+        role=changes.pop('role', 'store'),
+        job_fraction=(job_fraction := changes.pop('job_fraction', 0.25)),
+        job_bytes=memory_bytes * job_fraction,
     )
 
 
@@ -39,6 +42,7 @@
         ({'memory_bytes': 90 * MEGABYTE}, 1024, 'memory_mb'),
         ({}, 480, 'descriptors'),
         ({'room_seconds': 20.0}, 1024, 'room_ms'),
+        ({'job_fraction': 0.4}, 1024, 'job_fraction'),
     ],
 )
 def test_limits_that_do_not_fit_are_named(changes, max_by_descriptors, named):
@@ -47,3 +51,15 @@
         make_settings(**changes), model.DEFAULT_LIMITS, max_by_descriptors
     )
     assert any(named in line for line in found)
+
+
+def test_jobs_leave_less_for_others():
+    """Guards against limits that hold only while no job is kept."""
+    settings = make_settings()
+    shares = [
+        bounds.find_share(settings, job_bytes)
+        for job_bytes in (0, settings.job_bytes, settings.memory_bytes)
+    ]
+    assert shares[0] == 1.0
+    assert 0.0 < shares[1] < 0.5
+    assert shares[2] == 0.0
--- a/rhubarbreach/web/tests/test_memory.py
+++ b/rhubarbreach/web/tests/test_memory.py
@@ -81,3 +81,20 @@
     for holding in holdings:
         holding.close()
     assert (pool.used_bytes, pool.holdings) == (0, set())
+
+
+def test_pool_shrinks_with_the_memory_that_others_take():
+    """Guards against messages that take what accepted jobs need."""
+    shares = [1.0]
+    pool = memory.MemoryPool(
+        1_000_000, min_bytes=100_000, find_share=lambda: shares[0]
+    )
+    holding = pool.open(lambda: None)
+    holding.resize(900_000)
+    shares[0] = 0.3
+    with pytest.raises(errors.BadMessageError):
+        holding.resize(900_001)
+    assert pool.limit == 300_000
+    shares[0] = 0.0
+    pool.open(lambda: None).resize(100_000)
+    assert pool.limit == 100_000
--- a/rhubarbreach/web/tests/test_server.py
+++ b/rhubarbreach/web/tests/test_server.py
@@ -200,6 +200,7 @@
             open=fail_once,
             parse_lock=web_server.memory.parse_lock,
             buffers=web_server.memory.buffers,
+            share=1.0,
         ),
     )
     with contextlib.suppress(ConnectionResetError):
