--- a/rhubarbreach/protocol/receiver.py
+++ b/rhubarbreach/protocol/receiver.py
@@ -296,8 +296,11 @@
             )
 
     def end(self, connection):
-        """Close a connection and forget it."""
+        """Close a connection and forget it, unless that was done before."""
         descriptor = connection.descriptor
+        if self.connections.get(descriptor) is not connection:
+            # Another connection may have the descriptor now.
+            return
         for table in (
             self.connections,
             self.waiting,
--- a/rhubarbreach/protocol/tests/test_receiver.py
+++ b/rhubarbreach/protocol/tests/test_receiver.py
@@ -172,3 +172,18 @@
     connect(GREETING + 1000 * (struct.pack('!Q', len(frame)) + frame))
     wait_until(lambda: link.rejected == 1000)
     assert capsys.readouterr().err.count('event=message_rejected') <= 5
+
+
+def test_connection_that_ends_twice_leaves_the_next_one(link, connect):
+    """Guards against a descriptor that a new connection has taken."""
+    first = connect(GREETING + encode_message())
+    wait_until(lambda: link.receiver.heard)
+    (ended,) = link.receiver.connections.values()
+    first.close()
+    wait_until(lambda: not link.receiver.connections)
+    connect(GREETING + encode_message())
+    wait_until(lambda: link.receiver.heard)
+    (kept,) = link.receiver.connections.values()
+    assert kept.descriptor == ended.descriptor
+    link.receiver.end(ended)
+    assert link.receiver.connections == {kept.descriptor: kept}
