--- a/rhubarbreach/fleet/directory.py
+++ b/rhubarbreach/fleet/directory.py
@@ -11,8 +11,9 @@
 class Directory:
     """Endpoints that one host knows, and those of them that it may choose.
 
-    The lock of the view protects all attributes. `update`, `group_by_service`,
-    `is_leaving` and `is_in_service` have to be called with it. All other
+    The lock of the view protects all attributes. `update`, `list_ready`,
+    `group_by_service`, `is_leaving` and `is_in_service` have to be called with
+    it. All other
     methods acquire it, except for `is_endpoint_in_service`, which only looks
     up one endpoint.
 
@@ -34,7 +35,14 @@
         self.departures = departures.Departures()
 
     def update(self, rows, complete):
-        """Replace the endpoints, or only update them if not complete."""
+        """Replace the endpoints, or only update them if not complete.
+
+        Returns
+        -------
+        list of str
+            Endpoints that took new requests before and take none any more.
+        """
+        ready = self.list_ready()
         endpoints = {} if complete else dict(self.endpoints)
         for row in rows:
             endpoints[row.endpoint_id] = choice.Endpoint(
@@ -49,6 +57,15 @@
             )
         self.endpoints = endpoints
         self.group_by_service()
+        return sorted(ready - self.list_ready())
+
+    def list_ready(self):
+        """Return the ids of the endpoints that take new requests."""
+        return {
+            endpoint.endpoint_id
+            for endpoints in self.services.values()
+            for endpoint in endpoints
+        }
 
     def group_by_service(self):
         """Group the endpoints that take new requests by their service.
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -93,11 +93,13 @@
     def update_endpoints(self, rows, complete):
         """Replace the endpoints, or only update them if not complete."""
         with self.lock:
-            self.directory.update(rows, complete)
+            withdrawn = self.directory.update(rows, complete)
             endpoints = self.directory.endpoints
             self.cold.state.update_endpoints(endpoints)
             self.health.keep(endpoints)
             self.performance.table.keep(endpoints)
+        if withdrawn:
+            LOG.info('event=endpoints_withdrawn endpoints={}', withdrawn)
         self.notify_free()
 
     def notify_free(self, endpoint_id=None):
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -35,10 +35,11 @@
         self.body = None
         # Events of the response; None unless it is relayed event by event.
         self.stream = None
-        # Whether the request may have reached the endpoint, and when it was
-        # sent.
+        # Whether the request may have reached the endpoint, when it was sent
+        # and when its endpoint was chosen.
         self.is_sent = False
         self.sent_at = float('inf')
+        self.chosen_at = clock.monotonic()
         # Whether it is a hedge, and whether a slot was free when it was sent.
         self.is_hedge = False
         self.found_slot = False
@@ -101,6 +102,16 @@
         self.body = answers.Body(self.holding)
         self.run_started_at = self.sent_at = clock.monotonic()
 
+    @property
+    def send_seconds(self):
+        """Seconds from the choice of the endpoint until the request was sent.
+
+        None if it was not sent, or only in part.
+        """
+        if self.call is None:
+            return None
+        return round(self.sent_at - self.chosen_at, 3)
+
     @property
     def head(self):
         """Head of the response, None until it is received."""
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -244,7 +244,7 @@
         LOG.info(
             'event={} request={} route={} endpoint={} load={} outcome={} '
             'sent={} declined={} last_event={} first_event={} '
-            'seconds={:.3f} reason={!r}',
+            'send_seconds={} seconds={:.3f} reason={!r}',
             event,
             self.info.request_id,
             self.route.name,
@@ -255,6 +255,7 @@
             self.declined,
             self.writer.last_id,
             self.format_first_event(),
+            self.attempt.send_seconds if self.attempt else None,
             clock.monotonic() - self.started_at,
             reason,
         )
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -18,6 +18,8 @@
 # A store that hears no other one for this long was suspended or cut off, and
 # cannot tell yet which of them are absent.
 DEAF_SECONDS = 2 * PRESENCE_INTERVAL_SECONDS
+# A voter of which the leader has missed two announcements counts as silent.
+SILENT_SECONDS = 2 * PRESENCE_INTERVAL_SECONDS
 # A store that has been silent for this long counts as absent. Its vote is
 # lost, and it is replaced once a successor is available.
 ABSENT_SECONDS = 3.0
@@ -55,6 +57,7 @@
         self.ledger = ledger
         self.presence = {}
         self.listening_since = clock.monotonic()
+        self.silent_voters = frozenset()
         self.next_presence = 0.0
         self.step = None
         self.step_future = None
@@ -132,6 +135,33 @@
             for host_id, (last_contact, message) in list(self.presence.items())
         )
 
+    def find_silent_voters(self, now):
+        """Return the host ids of the voters that are silent."""
+        return frozenset(
+            member.host_id
+            for member in model.get_voters(self.group.members)
+            if now - self.get_heard_at(member.host_id) > SILENT_SECONDS
+        )
+
+    def get_heard_at(self, host_id):
+        """Return when a store was heard, or this one began to listen."""
+        last_contact, _ = self.presence.get(host_id, (0.0, None))
+        return max(last_contact, self.listening_since)
+
+    def update_silent_voters(self, now):
+        """Log the voters that have fallen silent or are heard again."""
+        silent = self.find_silent_voters(now)
+        for host_id in sorted(silent - self.silent_voters):
+            LOG.warning(
+                'event=voter_silent store={} seconds={:.3f} listening={:.3f}',
+                host_id,
+                now - self.get_heard_at(host_id),
+                now - self.listening_since,
+            )
+        for host_id in sorted(self.silent_voters - silent):
+            LOG.info('event=voter_heard store={}', host_id)
+        self.silent_voters = silent
+
     def advance_membership(self, now):
         """Start the next step of a membership change when it is due.
 
@@ -140,6 +170,7 @@
         now : float
             Monotonic time in seconds.
         """
+        self.update_silent_voters(now)
         if self.step_future is not None:
             if not self.step_future.done():
                 return
--- a/rhubarbreach/protocol/link.py
+++ b/rhubarbreach/protocol/link.py
@@ -26,7 +26,7 @@
 
 RECEIVE_SECONDS = 0.2
 FAILURE_PAUSE_SECONDS = 0.05
-# Interval of the log event on dropped messages.
+# Interval of the log events on dropped messages and on late replies.
 REJECT_LOG_SECONDS = 1.0
 HANDLER_THREADS = 16
 # Three connections of each of some hundred hosts: the one in use, its
@@ -99,6 +99,7 @@
         self.closed = False
         self.rejected = 0
         self.reject_log_due = 0.0
+        self.late_log_due = 0.0
         self.received_bytes = 0
         # Bytes queued for peers since the start, by type of message.
         self.queued_bytes_total = collections.Counter()
@@ -412,7 +413,8 @@
     def dispatch(self, envelope):
         """Complete the call of a reply, or run the handler of a message."""
         if envelope.is_reply:
-            self.finish_call(envelope.call_id, envelope.message)
+            if not self.finish_call(envelope.call_id, envelope.message):
+                self.record_late_reply(envelope)
             return
         handler, inline = self.handlers.get(
             type(envelope.message), (None, False)
@@ -449,11 +451,25 @@
         self.post(envelope.sender_id, envelope.call_id, True, message)
 
     def finish_call(self, call_id, result):
-        """Complete the future of a call unless it is complete already."""
+        """Complete the future of a call; return whether it was open."""
         with self.lock:
             future, _ = self.calls.pop(call_id, (None, None))
-        if future is not None:
-            future.set_result(result)
+        if future is None:
+            return False
+        future.set_result(result)
+        return True
+
+    def record_late_reply(self, envelope):
+        """Count a reply to a call that is over, and log at a bounded rate."""
+        name = type(envelope.message).__name__
+        if self.metrics is not None:
+            self.metrics.count('link_replies_late_total', message=name)
+        now = clock.monotonic()
+        if now >= self.late_log_due:
+            self.late_log_due = now + REJECT_LOG_SECONDS
+            LOG.warning(
+                'event=reply_late peer={} message={}', envelope.sender_id, name
+            )
 
     def expire_calls(self, now):
         """Complete the calls whose deadline has passed."""
