--- a/rhubarbreach/bench/storelosses/__main__.py
+++ b/rhubarbreach/bench/storelosses/__main__.py
@@ -10,6 +10,7 @@
 import sys
 
 from rhubarbreach.bench.storelosses import lossseries
+from rhubarbreach.bench.storelosses import virtualfleets
 
 __all__ = ['main']
 
@@ -23,11 +24,20 @@
         action='store_true',
         help='lose disks while other machines are down, frozen or cut off',
     )
+    parser.add_argument(
+        '--deployment',
+        choices=sorted(virtualfleets.DEPLOYMENTS),
+        default='small',
+        help='numbers of the fleet (%(default)s)',
+    )
     options = parser.parse_args()
+    deployment = virtualfleets.DEPLOYMENTS[options.deployment]
     first, end = (int(part) for part in options.seeds.split(':'))
     failed = []
     for seed in range(first, end):
-        series = lossseries.make_series(random.Random(seed), options.overlaps)
+        series = lossseries.make_series(
+            random.Random(seed), options.overlaps, deployment
+        )
         try:
             lossseries.play_series(series)
         except AssertionError as error:
--- a/rhubarbreach/bench/storelosses/lossseries.py
+++ b/rhubarbreach/bench/storelosses/lossseries.py
@@ -7,14 +7,11 @@
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
 
-__all__ = ['CATCH_UP_SECONDS', 'Series', 'make_series', 'play_series']
+__all__ = ['Series', 'make_series', 'play_series']
 
-# Time after the return of a store in which it still counts as lost.
-CATCH_UP_SECONDS = 4.7
 # Time in which a confirmed change is readable after the last loss.
 RECOVERY_SECONDS = 10.0
 FIRST_LOSS_SECONDS = 6.0
-MAX_STORES = 6
 RETIREMENT_POLL_SECONDS = 0.25
 RETIREMENT_SECONDS = 12.0
 KINDS = (
@@ -38,7 +35,7 @@
 
 
 class Series:
-    """Random losses, of which at most one disk is lost at a time.
+    """Random losses, with as many lost disks at a time as are tolerated.
 
     Parameters
     ----------
@@ -50,15 +47,20 @@
         Whether a disk may be lost while other machines, which keep theirs,
         are down, frozen or cut off. The fleet was stable at least once since
         the last lost disk was replaced.
+    deployment : Deployment
+        Numbers of the fleet.
     """
 
-    def __init__(self, random, seconds, overlaps):
+    def __init__(self, random, seconds, overlaps, deployment):
         self.random = random
         self.overlaps = overlaps
-        self.fleet = virtualfleets.Fleet(random, random.choice((4, 4, 5)))
+        self.deployment = deployment
+        self.fleet = virtualfleets.Fleet(
+            random, random.choice(deployment.counts), deployment
+        )
         self.seconds = seconds
-        # Until when a disk counts as lost.
-        self.disk_lost_until = 0.0
+        # When the stores whose disks were lost, or their successors, are back.
+        self.disks_back_at = []
         self.retiring = None
 
     @property
@@ -75,29 +77,42 @@
             self.strike(self.random.choice(KINDS))
             pause = self.random.choice((0.05, 0.4, 1.5, 4.0, 8.0))
             loop.run(self.now + pause * self.random.random())
-        while not self.may_lose_disk():
+        while self.count_losable_disks() < self.deployment.tolerated:
             loop.run(self.now + 0.1)
         self.strike_last()
+        self.wait_until_served()
+
+    def wait_until_served(self):
+        """Wait for a leader; raise AssertionError if there is none."""
         end = self.now + RECOVERY_SECONDS
         while not self.fleet.is_served():
-            assert loop.now < end, 'no leader with all confirmed changes'
-            loop.run(loop.now + 0.1)
+            assert self.now < end, 'no leader with all confirmed changes'
+            self.fleet.loop.run(self.now + 0.1)
 
     # Losses.
 
-    def may_lose_disk(self):
-        """Return whether the loss of one more disk is tolerated."""
+    def count_losable_disks(self):
+        """Return how many more disks may be lost now."""
         fleet = self.fleet
         fleet.update_stable_at()
-        if self.now < self.disk_lost_until:
-            return False
-        if self.overlaps:
-            return fleet.stable_at >= self.disk_lost_until - CATCH_UP_SECONDS
-        return self.now >= fleet.disturbed_until + CATCH_UP_SECONDS
+        catch_up = self.deployment.catch_up_seconds
+        if not self.overlaps and self.now < fleet.disturbed_until + catch_up:
+            return 0
+        self.disks_back_at = [
+            back_at
+            for back_at in self.disks_back_at
+            if self.now < back_at + catch_up
+            or (self.overlaps and fleet.stable_at < back_at)
+        ]
+        return self.deployment.tolerated - len(self.disks_back_at)
+
+    def may_lose_disk(self):
+        """Return whether the loss of one more disk is tolerated."""
+        return self.count_losable_disks() > 0
 
     def note_disk_loss(self, back_at):
         """Record that a disk counts as lost until its store caught up."""
-        self.disk_lost_until = back_at + CATCH_UP_SECONDS
+        self.disks_back_at.append(back_at)
 
     def list_up(self):
         """Return the machines whose process runs."""
@@ -144,7 +159,7 @@
                 self.replace(machine, random.choice((1.0, 1.0, 2.0)))
             case 'add':
                 machines = self.fleet.list_machines()
-                if len(machines) < MAX_STORES:
+                if len(machines) < self.deployment.max_stores:
                     self.add(0.0)
             case 'retire':
                 self.retire(machine)
@@ -266,25 +281,34 @@
             self.wipe(other, self.random.uniform(0.3, 2.0))
 
     def strike_last(self):
-        """Lose one disk while all other machines lose power."""
+        """Lose the tolerated disks while all other machines lose power."""
         machines = self.fleet.list_machines()
-        machine = self.random.choice(machines)
+        lost = [self.random.choice(machines)]
         leader = self.fleet.find_leader()
         if leader is not None and self.random.random() < 0.4:
-            machine = leader.machine
+            lost = [leader.machine]
+        others = [m for m in machines if m is not lost[0]]
+        if self.deployment.tolerated > 1:
+            lost += self.random.sample(others, self.deployment.tolerated - 1)
+        self.lose_power(lost)
+
+    def lose_power(self, lost):
+        """Let all machines lose power, and some of them their disks."""
         self.fleet.log('last loss')
         self.fleet.cuts.clear()
-        for other in machines:
-            other.frozen_until = 0.0
-            other.stop(True)
-            if other is machine:
-                other.wipe()
-            other.start_later(1.0)
+        for machine in self.fleet.list_machines():
+            machine.frozen_until = 0.0
+            machine.stop(True)
+            if machine in lost:
+                machine.wipe()
+            machine.start_later(1.0)
 
 
-def make_series(random, overlaps):
+def make_series(
+    random, overlaps, deployment=virtualfleets.DEPLOYMENTS['small']
+):
     """Return a `Series` of random length."""
-    return Series(random, random.uniform(10.0, 45.0), overlaps)
+    return Series(random, random.uniform(10.0, 45.0), overlaps, deployment)
 
 
 def play_series(series):
--- a/rhubarbreach/bench/storelosses/virtualdisks.py
+++ b/rhubarbreach/bench/storelosses/virtualdisks.py
@@ -15,16 +15,17 @@
 class Disk:
     """Files and log segments of one host.
 
+    `sync_seconds` is the time of an operation that makes something durable.
     `countdown` is the number of operations until a loss of power, None for
     no loss. `busy_until` is when the disk has finished its operations.
     """
 
-    def __init__(self):
+    def __init__(self, sync_seconds):
         self.files = {}
         self.segments = {}
         self.synced_records = {}
         self.countdown = None
-        self.sync_seconds = 0.001
+        self.sync_seconds = sync_seconds
         self.busy_seconds = 0.0
 
     def operate(self):
--- a/rhubarbreach/bench/storelosses/virtualfleets.py
+++ b/rhubarbreach/bench/storelosses/virtualfleets.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import dataclasses
 from unittest import mock
 import zlib
 
@@ -18,6 +19,8 @@
 
 __all__ = [
     'CLIENT_TIMEOUT_SECONDS',
+    'DEPLOYMENTS',
+    'Deployment',
     'Fleet',
     'replace_modules',
 ]
@@ -31,11 +34,46 @@
 CLIENT_TIMEOUT_SECONDS = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Numbers of a fleet of stores.
+
+    Parameters
+    ----------
+    counts : tuple of int
+        Numbers of stores at the start, of which one is drawn.
+    max_stores : int
+        Stores up to which others are added.
+    tolerated : int
+        Stores that may be lost at the same time.
+    catch_up_seconds : float
+        Time after the return of a store in which it still counts as lost.
+    delay_seconds : tuple of float
+        Shortest and longest delay of a message.
+    sync_seconds : float
+        Time of an operation that makes something durable.
+    """
+
+    counts: tuple[int, ...]
+    max_stores: int
+    tolerated: int
+    catch_up_seconds: float
+    delay_seconds: tuple[float, float]
+    sync_seconds: float
+
+
+DEPLOYMENTS = {
+    'small': Deployment((4, 4, 5), 6, 1, 4.7, (0.0003, 0.003), 0.001),
+    'grown': Deployment((8,), 11, 2, 6.0, (0.0003, 0.005), 0.002),
+}
+
+
 class Fleet:
     """Machines, network, clients and checks of the guarantees."""
 
-    def __init__(self, random, count):
+    def __init__(self, random, count, deployment=DEPLOYMENTS['small']):
         self.random = random
+        self.deployment = deployment
         self.loop = virtual.EventLoop()
         self.disks = virtualdisks.Disks()
         self.machines = {}
@@ -106,7 +144,7 @@
         if receiver is None:
             return
         # A message that was sent after a sync leaves when that is done.
-        delay = self.random.uniform(0.0003, 0.003)
+        delay = self.random.uniform(*self.deployment.delay_seconds)
         delay += sender.machine.disk.busy_seconds
         arrival = max(self.loop.now + delay, self.last_arrivals.get(pair, 0.0))
         self.last_arrivals[pair] = arrival
--- a/rhubarbreach/bench/storelosses/virtualstores.py
+++ b/rhubarbreach/bench/storelosses/virtualstores.py
@@ -42,7 +42,7 @@
             seeds=seeds,
             founds_group=founds_group,
             data_folder=machine.host_id,
-            tolerated_stores=1,
+            tolerated_stores=machine.fleet.deployment.tolerated,
         )
         self.host_id = machine.host_id
         self.link = virtualgroups.Link(self)
@@ -128,8 +128,7 @@
         self.host_id = host_id
         self.availability_zone = availability_zone
         self.random = fleet.random
-        self.disk = virtualdisks.Disk()
-        fleet.disks.by_folder[host_id] = self.disk
+        self.replace_disk()
         self.process = None
         self.frozen_until = 0.0
         self.is_gone = False
@@ -174,7 +173,11 @@
     def wipe(self):
         """Lose the disk."""
         self.fleet.log(f'{self.host_id} loses its disk')
-        self.disk = virtualdisks.Disk()
+        self.replace_disk()
+
+    def replace_disk(self):
+        """Use an empty disk."""
+        self.disk = virtualdisks.Disk(self.fleet.deployment.sync_seconds)
         self.fleet.disks.by_folder[self.host_id] = self.disk
 
     @property
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -1,5 +1,6 @@
 """Tests of random losses of stores against the guarantees of a fleet."""
 
+import contextlib
 import random
 
 import pytest
@@ -13,6 +14,12 @@
 LOST_VOTERS = (1020, 1028, 1118, 1122, 1229, 1292)
 # Series in which the leader waited for a new store that it could not reach.
 UNREACHABLE_STORES = (1248,)
+# Series in which no leader lasted long enough to replace a lost voter.
+RESTARTED_STORES = (12, 69, 198, 225)
+# Time until the successor of a lost machine starts.
+SUCCESSOR_SECONDS = 1.0
+# Longest time for which a killed process is down.
+RESTART_SECONDS = 0.8
 
 
 @pytest.mark.parametrize(
@@ -21,13 +28,66 @@
 def test_confirmed_changes_outlive_losses(seed):
     """Guards against a fleet without a leader after tolerated losses."""
     series = lossseries.make_series(random.Random(seed), False)
-    try:
+    with reporting(series):
         lossseries.play_series(series)
+
+
+@contextlib.contextmanager
+def reporting(series):
+    """Print the events of a series if it fails."""
+    try:
+        yield
     except BaseException:
         print('\n'.join([*series.fleet.events, *series.fleet.describe()]))
         raise
 
 
+@pytest.mark.parametrize('seed', RESTARTED_STORES)
+def test_lost_voter_is_replaced_by_short_lived_leaders(seed):
+    """Guards against a wait that starts anew with each leader."""
+    series = lossseries.make_series(random.Random(seed), True)
+    with reporting(series):
+        lossseries.play_series(series)
+
+
+@pytest.mark.parametrize('restarted_after', [0.5, 1.5, 2.0, 2.8])
+@pytest.mark.parametrize('name', sorted(virtualfleets.DEPLOYMENTS))
+@pytest.mark.parametrize('seed', range(3))
+def test_restart_of_all_stores_delays_no_replacement(
+    seed, name, restarted_after
+):
+    """Guards against a wait that starts anew with a restart.
+
+    As many disks as are tolerated are lost twice, the second time when the
+    first ones count as replaced.
+    """
+    deployment = virtualfleets.DEPLOYMENTS[name]
+    series = lossseries.Series(random.Random(seed), 0.0, True, deployment)
+    fleet = series.fleet
+    with virtualfleets.replace_modules(fleet), reporting(series):
+        fleet.loop.run(12.0)
+        voters = [
+            fleet.machines[member.host_id]
+            for member in model.get_voters(fleet.find_leader().group.members)
+        ]
+        fleet.random.shuffle(voters)
+        lost_at = fleet.loop.now
+        for machine in voters[: deployment.tolerated]:
+            series.replace(machine, SUCCESSOR_SECONDS)
+        fleet.loop.run(lost_at + restarted_after)
+        for machine in series.list_up():
+            series.end(
+                machine, False, fleet.random.uniform(0, RESTART_SECONDS)
+            )
+        fleet.loop.run(
+            lost_at + SUCCESSOR_SECONDS + deployment.catch_up_seconds
+        )
+        series.lose_power(
+            voters[deployment.tolerated :][: deployment.tolerated]
+        )
+        series.wait_until_served()
+
+
 @pytest.mark.parametrize('seed', range(4))
 @pytest.mark.parametrize('lead_seconds', [0.001, 0.1])
 def test_store_that_stands_still_keeps_its_vote(seed, lead_seconds):
