Remember which voters are silent over a restart of the stores

Cause: a lost voter was replaced only by a leader that had listened for 3 s since its own start. Restarts of all stores, or changes of the leader beside cuts, began the wait anew, so that the next lost disk took the majority of the voters.

Change: the leader commits to the ledger which voters it has not heard for 1.6 s, and that one is heard again. After a restart such a voter is waited for for 0.8 s only, since all stores announce themselves when they start; a standby gets the log as soon as a voter is recorded as silent.

--- a/rhubarbreach/backlog/commands.py
+++ b/rhubarbreach/backlog/commands.py
@@ -35,6 +35,7 @@
     'ReadEvacuation',
     'ReadResults',
     'ReleaseParts',
+    'RecordSilentStores',
     'RemoveDepartures',
     'RemoveVersions',
     'Results',
@@ -180,6 +181,13 @@
     host_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordSilentStores:
+    """Command that replaces the voters which the leader no longer hears."""
+
+    host_ids: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantinePart:
     """Command that holds back requests with a part in their prompts.
@@ -377,6 +385,7 @@
     EndJob,
     PruneJobs,
     RetireStore,
+    RecordSilentStores,
     QuarantinePart,
     ReleaseParts,
     AddVersions,
--- a/rhubarbreach/backlog/ledger.py
+++ b/rhubarbreach/backlog/ledger.py
@@ -45,6 +45,7 @@
     departures: list[commands.AddDeparture] = dataclasses.field(
         default_factory=list
     )
+    silent_stores: list[str] = dataclasses.field(default_factory=list)
 
 
 IMAGE_DECODER = msgspec.msgpack.Decoder(Image)
@@ -66,6 +67,8 @@
         self.document = b''
         self.jobs = {}
         self.retiring = set()
+        # Voters that the leader no longer heard.
+        self.silent_stores = frozenset()
         # Unix time until which requests with a part are held back.
         self.quarantined = {}
         self.quarantine_revision = 0
@@ -127,6 +130,9 @@
             case commands.RetireStore(host_id=host_id):
                 self.retiring.add(host_id)
                 return commands.Done()
+            case commands.RecordSilentStores(host_ids=host_ids):
+                self.silent_stores = frozenset(host_ids)
+                return commands.Done()
             case commands.QuarantinePart():
                 self.quarantine_part(command)
                 return commands.Done()
@@ -476,6 +482,7 @@
                 self.evacuation_revision,
                 sorted(self.late_parts),
                 list(self.departures.values()),
+                sorted(self.silent_stores),
             )
             return msgspec.msgpack.encode(image)
 
@@ -506,6 +513,7 @@
                 for departure in image.departures
             }
             self.departure_revision += 1
+            self.silent_stores = frozenset(image.silent_stores)
             self.ages.update(self.jobs, clock.monotonic())
         if self.notify is not None:
             self.notify()
--- a/rhubarbreach/backlog/tests/test_ledger.py
+++ b/rhubarbreach/backlog/tests/test_ledger.py
@@ -331,6 +331,15 @@
     assert other.departure_revision
 
 
+def test_silent_stores_are_kept_in_a_snapshot(ledger):
+    """Guards against a lost voter that is waited for again."""
+    for host_ids in (('a', 'b'), ('b',)):
+        apply(ledger, commands.RecordSilentStores(host_ids))
+    other = ledgers.Ledger()
+    other.restore(ledger.snapshot())
+    assert other.silent_stores == {'b'}
+
+
 def test_departures_are_bounded_and_removed(ledger, monkeypatch):
     """Guards against a state that grows with each restart of an endpoint."""
     monkeypatch.setattr(ledgers, 'MAX_DEPARTURES', 3)
--- a/rhubarbreach/fleet/reconfiguration.py
+++ b/rhubarbreach/fleet/reconfiguration.py
@@ -17,6 +17,9 @@
 # A leader has to have listened for this long before it considers a store lost.
 # Stores announce their presence every 0.8 s and may be starting as well.
 SETTLE_SECONDS = 3.0
+# A voter that was silent before the start of the leader is lost if it is not
+# heard for this long either. All stores announce themselves when they start.
+CONFIRM_SECONDS = 0.8
 # If it has not heard from all voters after this long, two announcements, a
 # learner gets the log, so that it can vote as soon as one of them is lost.
 PREPARE_SECONDS = 1.6
@@ -85,6 +88,7 @@
     listening_seconds,
     disk_full=False,
     refused=(),
+    silent=frozenset(),
 ):
     """Return the next membership change, or None.
 
@@ -106,6 +110,9 @@
     refused : container of steps
         Steps that have just been refused. Others go first, so that a store
         that is heard but cannot be reached does not hold them up.
+    silent : frozenset of str
+        Voters that a leader has recorded as silent, before a restart of the
+        stores or since.
 
     Returns
     -------
@@ -114,12 +121,14 @@
         the group tolerates the loss of a store at each step.
     """
     steps = list_steps(
-        own_id, members, stores, voters, listening_seconds, disk_full
+        own_id, members, stores, voters, listening_seconds, disk_full, silent
     )
     return next((step for step in steps if step not in refused), None)
 
 
-def list_steps(own_id, members, stores, voters, listening_seconds, disk_full):
+def list_steps(
+    own_id, members, stores, voters, listening_seconds, disk_full, silent
+):
     """Yield the membership changes that are due, the most urgent one first.
 
     The parameters are those of `plan_step`.
@@ -136,9 +145,10 @@
     ready = [h for h in learner_ids if is_healthy(stores_by_id.get(h))]
     ready = sort_by_zone(ready, healthy, stores_by_id)
     has_settled = listening_seconds >= SETTLE_SECONDS
-    if has_settled:
+    lost = find_lost(voter_ids, stores_by_id, silent, listening_seconds)
+    if has_settled or lost:
         yield from list_voter_steps(
-            own_id, voter_ids, ready, stores_by_id, voters
+            own_id, voter_ids, lost, ready, stores_by_id, voters
         )
     for store in stores:
         if is_healthy(store) and store.host_id not in voter_ids + learner_ids:
@@ -148,26 +158,44 @@
             store = stores_by_id.get(host_id)
             if store is None or store.is_retiring or store.is_expired:
                 yield Remove(host_id)
-    elif listening_seconds >= PREPARE_SECONDS and len(healthy) < voters:
+    is_voter_missed = (
+        PREPARE_SECONDS <= listening_seconds < SETTLE_SECONDS
+        and len(healthy) < voters
+    )
+    if is_voter_missed or silent:
         yield from (Prepare(host_id) for host_id in ready[:1])
 
 
-def list_voter_steps(own_id, voter_ids, ready, stores_by_id, voters):
+def find_lost(voter_ids, stores_by_id, silent, listening_seconds):
+    """Return the voters that count as lost.
+
+    A voter that was silent before the start of this leader is not waited for
+    anew.
+    """
+    absent = {h for h in voter_ids if not is_present(stores_by_id.get(h))}
+    if listening_seconds >= SETTLE_SECONDS:
+        return absent
+    if listening_seconds >= CONFIRM_SECONDS:
+        return absent & silent
+    return set()
+
+
+def list_voter_steps(own_id, voter_ids, lost, ready, stores_by_id, voters):
     """Yield the due changes of the voters, the most urgent one first."""
-    present = [h for h in voter_ids if is_present(stores_by_id.get(h))]
-    healthy = [h for h in present if is_healthy(stores_by_id[h])]
+    present = [h for h in voter_ids if h not in lost]
+    staying = [h for h in present if not is_retiring(stores_by_id.get(h))]
     if voters <= len(present) < len(voter_ids):
-        # An absent voter is removed first, as it cannot help to form a quorum
-        # if another voter is lost. A retiring one can.
-        yield from (Remove(h) for h in voter_ids if h not in present)
-    if len(healthy) < voters:
+        # A lost voter is removed first, as it cannot help to form a quorum if
+        # another voter is lost. A retiring one can.
+        yield from (Remove(h) for h in voter_ids if h in lost)
+    if len(staying) < voters:
         yield from (Promote(host_id) for host_id in ready)
         return
     for host_id in present:
-        if host_id in healthy:
+        if host_id in staying:
             continue
         if host_id == own_id:
-            yield from (HandOver(h) for h in healthy if h != own_id)
+            yield from (HandOver(h) for h in staying if h != own_id)
         else:
             yield Remove(host_id)
 
@@ -177,9 +205,14 @@
     return store is not None and store.is_present
 
 
+def is_retiring(store):
+    """Return whether a store is known to retire."""
+    return store is not None and store.is_retiring
+
+
 def is_healthy(store):
     """Return whether a store is present and not retiring."""
-    return is_present(store) and not store.is_retiring
+    return is_present(store) and not is_retiring(store)
 
 
 def sort_by_zone(candidates, voter_ids, stores_by_id):
--- a/rhubarbreach/fleet/tests/test_reconfiguration.py
+++ b/rhubarbreach/fleet/tests/test_reconfiguration.py
@@ -21,9 +21,9 @@
     return tuple(make_member(h) for h in 'abc')
 
 
-def plan(members, stores, listening_seconds=60.0):
+def plan(members, stores, listening_seconds=60.0, silent=frozenset()):
     return reconfiguration.plan_step(
-        'a', members, stores, 3, listening_seconds
+        'a', members, stores, 3, listening_seconds, silent=silent
     )
 
 
@@ -60,6 +60,34 @@
     assert plan(members, (*stores, make_store('c')), seconds) is None
 
 
+def test_voter_that_was_silent_before_a_restart_is_not_waited_for(
+    three_voters,
+):
+    """Guards against a wait that starts anew with each restart."""
+    members = (*three_voters, make_member('d', False))
+    stores = tuple(make_store(h) for h in 'ad')
+    silent = frozenset('c')
+    seconds = reconfiguration.CONFIRM_SECONDS
+    assert plan(members, stores, 0.0, silent) == reconfiguration.Prepare('d')
+    assert plan(members, stores, seconds, silent) == reconfiguration.Promote(
+        'd'
+    )
+    assert plan(members, stores, seconds) is None
+    # The other voter that is not heard yet may still be starting.
+    members = (*three_voters, make_member('d'))
+    assert plan(members, stores, seconds, silent) == reconfiguration.Remove(
+        'c'
+    )
+
+
+def test_voter_that_was_silent_before_a_restart_stays_once_heard(three_voters):
+    """Guards against the removal of a store that has started again."""
+    members = (*three_voters, make_member('d'))
+    stores = tuple(make_store(h) for h in 'abcd')
+    for seconds in (reconfiguration.CONFIRM_SECONDS, 60.0):
+        assert plan(members, stores, seconds, frozenset('c')) is None
+
+
 def test_new_leader_adds_a_new_store_at_once(three_voters):
     # After the loss of a leader, the replacement voted 0.4 s later.
     stores = tuple(make_store(h) for h in 'abd')
--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 
+from rhubarbreach.backlog import commands
 from rhubarbreach import clock
 from rhubarbreach import codes
 from rhubarbreach.consensus import model
@@ -46,7 +47,8 @@
     group : Group
         Replica of the group on this store.
     ledger : Ledger
-        Replicated state, which lists the stores to retire.
+        Replicated state, which lists the stores to retire and the voters that
+        are silent.
     """
 
     def __init__(self, settings, link, group, ledger):
@@ -57,7 +59,8 @@
         self.ledger = ledger
         self.presence = {}
         self.listening_since = clock.monotonic()
-        self.silent_voters = frozenset()
+        # Outcome of the last record of silent voters.
+        self.record_future = None
         self.next_presence = 0.0
         self.step = None
         self.step_future = None
@@ -136,31 +139,48 @@
         )
 
     def find_silent_voters(self, now):
-        """Return the host ids of the voters that are silent."""
+        """Return the host ids of the voters that are silent.
+
+        One that is recorded as silent remains so until it is heard, however
+        short this store has listened.
+        """
         return frozenset(
             member.host_id
             for member in model.get_voters(self.group.members)
-            if now - self.get_heard_at(member.host_id) > SILENT_SECONDS
+            if self.get_silence(member.host_id, now) > SILENT_SECONDS
         )
 
-    def get_heard_at(self, host_id):
-        """Return when a store was heard, or this one began to listen."""
-        last_contact, _ = self.presence.get(host_id, (0.0, None))
-        return max(last_contact, self.listening_since)
+    def get_silence(self, host_id, now):
+        """Return for how many seconds a store was not heard."""
+        heard_at, _ = self.presence.get(host_id, (float('-inf'), None))
+        if host_id in self.ledger.silent_stores:
+            return now - heard_at
+        return now - max(heard_at, self.listening_since)
 
-    def update_silent_voters(self, now):
-        """Log the voters that have fallen silent or are heard again."""
+    def record_silent_voters(self, now):
+        """Commit which voters are silent, so that a restart forgets none."""
         silent = self.find_silent_voters(now)
-        for host_id in sorted(silent - self.silent_voters):
+        recorded = self.ledger.silent_stores
+        is_pending = self.record_future is not None and (
+            not self.record_future.done()
+        )
+        if silent == recorded or is_pending:
+            return
+        for host_id in sorted(silent - recorded):
             LOG.warning(
                 'event=voter_silent store={} seconds={:.3f} listening={:.3f}',
                 host_id,
-                now - self.get_heard_at(host_id),
+                self.get_silence(host_id, now),
                 now - self.listening_since,
             )
-        for host_id in sorted(self.silent_voters - silent):
+        for host_id in sorted(recorded - silent):
             LOG.info('event=voter_heard store={}', host_id)
-        self.silent_voters = silent
+        self.record_future = self.group.propose(
+            commands.FAMILY.encode(
+                commands.RecordSilentStores(tuple(sorted(silent)))
+            ),
+            now + CHANGE_TIMEOUT_SECONDS,
+        )
 
     def advance_membership(self, now):
         """Start the next step of a membership change when it is due.
@@ -170,7 +190,7 @@
         now : float
             Monotonic time in seconds.
         """
-        self.update_silent_voters(now)
+        self.record_silent_voters(now)
         if self.step_future is not None:
             if not self.step_future.done():
                 return
@@ -190,6 +210,7 @@
             now - self.listening_since,
             self.group.state.disk_full,
             self.refused,
+            self.ledger.silent_stores,
         )
         if step is None:
             return
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -33,7 +33,7 @@
         settings,
         types.SimpleNamespace(register=lambda *_, **__: None),
         types.SimpleNamespace(members=(), failure=None),
-        types.SimpleNamespace(retiring=set()),
+        types.SimpleNamespace(retiring=set(), silent_stores=frozenset()),
     )
     for host_id in STORES:
         hear(fleet, host_id, 0.0)
@@ -79,6 +79,24 @@
     return fleet.group.promote.called
 
 
+def test_record_of_a_silent_voter_lasts_until_it_is_heard(fleet):
+    """Guards against a record that is lost with the leader that made it."""
+    start_leading(fleet)
+    assert not fleet.group.propose.called
+    fleet.listening_since -= members.SILENT_SECONDS
+    hear(fleet, 's2', members.SILENT_SECONDS + 0.1)
+    for is_restarted in (False, True):
+        if is_restarted:
+            del fleet.presence['s2']
+            fleet.listening_since = clock.monotonic()
+        assert fleet.find_silent_voters(clock.monotonic()) == {'s2'}
+        fleet.ledger.silent_stores = frozenset({'s2'})
+    hear(fleet, 's2', 0.0)
+    assert not fleet.find_silent_voters(clock.monotonic())
+    fleet.advance_membership(clock.monotonic())
+    assert fleet.group.propose.call_count == 1
+
+
 def test_store_whose_replica_failed_counts_as_lost(fleet):
     """Guards against a voter that cannot vote and is not replaced."""
     sent = []
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -15,7 +15,7 @@
 # Series in which the leader waited for a new store that it could not reach.
 UNREACHABLE_STORES = (1248,)
 # Series in which no leader lasted long enough to replace a lost voter.
-RESTARTED_STORES = (12, 69, 198, 225)
+RESTARTED_STORES = {'small': (12, 69, 198, 225), 'grown': (124, 162, 252)}
 # Time until the successor of a lost machine starts.
 SUCCESSOR_SECONDS = 1.0
 # Longest time for which a killed process is down.
@@ -42,10 +42,18 @@
         raise
 
 
-@pytest.mark.parametrize('seed', RESTARTED_STORES)
-def test_lost_voter_is_replaced_by_short_lived_leaders(seed):
+@pytest.mark.parametrize(
+    ('name', 'seed'),
+    [
+        (name, seed)
+        for name, seeds in RESTARTED_STORES.items()
+        for seed in seeds
+    ],
+)
+def test_lost_voter_is_replaced_by_short_lived_leaders(name, seed):
     """Guards against a wait that starts anew with each leader."""
-    series = lossseries.make_series(random.Random(seed), True)
+    deployment = virtualfleets.DEPLOYMENTS[name]
+    series = lossseries.make_series(random.Random(seed), True, deployment)
     with reporting(series):
         lossseries.play_series(series)
 
