Let additions of stores hold up no other step of the membership

Callers saw the same as with the fault before: no leader after the next lost disk.

Cause: a leader that adds a store asks it for its identity, and took no other step until the answer or for 1 s. A successor that has just started is heard before it is reached, so that the replacement of a lost voter waited for it. Class: one queue in which the first entry blocks urgent ones; the same was fixed for refused additions, not for those without an answer.

Change: additions run beside the other steps. A step that meets one is refused and repeated, as before.

--- a/rhubarbreach/hosts/members.py
+++ b/rhubarbreach/hosts/members.py
@@ -30,7 +30,6 @@
 RETRY_INTERVAL_SECONDS = 0.4
 CHANGE_TIMEOUT_SECONDS = 3.0
 # Timeout of the addition of a store, which may be heard but not be reached.
-# The other steps wait for it.
 ADDITION_TIMEOUT_SECONDS = 1.0
 READ_TIMEOUT_SECONDS = 0.9
 
@@ -64,6 +63,9 @@
         self.next_presence = 0.0
         self.step = None
         self.step_future = None
+        # Additions of stores that have not answered yet. No other step waits
+        # for them.
+        self.additions = {}
         # Times until which steps that were refused are not repeated.
         self.refused = {}
         link.register(
@@ -197,6 +199,7 @@
             if is_refused(self.step_future.result()):
                 self.refused[self.step] = now + RETRY_INTERVAL_SECONDS
             self.step_future = None
+        self.finish_additions(now)
         self.refused = {
             step: retry_at
             for step, retry_at in self.refused.items()
@@ -209,7 +212,7 @@
             self.required_voters,
             now - self.listening_since,
             self.group.state.disk_full,
-            self.refused,
+            self.refused.keys() | self.additions.keys(),
             self.ledger.silent_stores,
         )
         if step is None:
@@ -219,7 +222,7 @@
         deadline = now + CHANGE_TIMEOUT_SECONDS
         match step:
             case reconfiguration.AddLearner(host_id=host_id):
-                self.step_future = self.group.add_learner(
+                self.additions[step] = self.group.add_learner(
                     host_id, now + ADDITION_TIMEOUT_SECONDS
                 )
             case reconfiguration.Prepare(host_id=host_id):
@@ -232,6 +235,14 @@
             case reconfiguration.HandOver(host_id=host_id):
                 self.step_future = self.group.transfer(host_id)
 
+    def finish_additions(self, now):
+        """Forget the additions that have ended, and when to repeat them."""
+        for step, future in list(self.additions.items()):
+            if future.done():
+                del self.additions[step]
+                if is_refused(future.result()):
+                    self.refused[step] = now + RETRY_INTERVAL_SECONDS
+
     def find_store(self, name):
         """Return the host id of the store with a name, or a `Refusal`."""
         for host_id, (_, message) in list(self.presence.items()):
--- a/rhubarbreach/hosts/tests/test_members.py
+++ b/rhubarbreach/hosts/tests/test_members.py
@@ -147,6 +147,21 @@
         assert call.called
 
 
+def test_addition_without_an_answer_holds_up_no_step(fleet):
+    """Guards against a lost voter that stays while a store is added."""
+    hear(fleet, 's5', 0.0)
+    assert not start_leading(fleet)
+    assert fleet.group.add_learner.call_count == 1
+    addition = fleet.group.add_learner.return_value = model.make_future()
+    fleet.additions = dict.fromkeys(fleet.additions, addition)
+    fleet.listening_since -= reconfiguration.SETTLE_SECONDS
+    hear(fleet, 's2', members.ABSENT_SECONDS + 0.1)
+    now = clock.monotonic()
+    fleet.advance_membership(now)
+    assert fleet.group.promote.called
+    assert fleet.group.add_learner.call_count == 1
+
+
 def test_leader_replaces_a_voter_lost_before_its_election(fleet):
     """Guards against a wait that starts anew with each leader."""
     fleet.listening_since -= reconfiguration.SETTLE_SECONDS
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -60,7 +60,7 @@
 
 @pytest.mark.parametrize('restarted_after', [0.5, 1.5, 2.0, 2.8])
 @pytest.mark.parametrize('name', sorted(virtualfleets.DEPLOYMENTS))
-@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('seed', range(4))
 def test_restart_of_all_stores_delays_no_replacement(
     seed, name, restarted_after
 ):
