Replace a leader that handles messages late

Callers saw: while the store that leads runs seven times slower, entry hosts got no answer to their exchanges for 1 to 5 s each, again and again for 8 s. Meanwhile departures and configurations are not in force there, requests are refused for their rate (429) and then for the age of the configuration (503).

Cause: the leader's heartbeats go out in time, so that the others elect no leader, but the answers of the others and the calls of entry hosts wait at it for longer than their callers do. Only a stalled disk made a leader hand over. Class: one sign of life taken for all duties.

Change: a leader whose messages a majority answers only after 0.3 s in the mean hands over to the voter that answered last, at most once in 30 s, so that leadership does not move without an end when all stores are slow. leader_slow tells it.

--- a/rhubarbreach/bench/storelosses/virtualfleets.py
+++ b/rhubarbreach/bench/storelosses/virtualfleets.py
@@ -145,7 +145,7 @@
             return
         # A message that was sent after a sync leaves when that is done.
         delay = self.random.uniform(*self.deployment.delay_seconds)
-        delay += sender.machine.disk.busy_seconds
+        delay += sender.machine.disk.busy_seconds + receiver.backlog_seconds
         arrival = max(self.loop.now + delay, self.last_arrivals.get(pair, 0.0))
         self.last_arrivals[pair] = arrival
         self.loop.call_later(
--- a/rhubarbreach/bench/storelosses/virtualstores.py
+++ b/rhubarbreach/bench/storelosses/virtualstores.py
@@ -131,6 +131,8 @@
         self.replace_disk()
         self.process = None
         self.frozen_until = 0.0
+        # Time that messages wait at this machine until it handles them.
+        self.backlog_seconds = 0.0
         self.is_gone = False
         # When the process was or will be started.
         self.back_at = 0.0
--- a/rhubarbreach/consensus/group.py
+++ b/rhubarbreach/consensus/group.py
@@ -19,6 +19,7 @@
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import replicator
 from rhubarbreach.consensus import reporting
+from rhubarbreach.consensus import slowness
 from rhubarbreach.consensus import stalling
 from rhubarbreach.consensus import state as states
 from rhubarbreach.consensus import store as stores
@@ -522,6 +523,8 @@
             if now - contact > timeout:
                 LOG.warning('event=quorum_lost group={}', self.group_id)
                 states.become_follower(state, self.store.term, None, now)
+            else:
+                slowness.hand_over_if_slow(state, now)
         elif now >= state.election_deadline:
             voting.start_pre_vote(state, now)
 
--- a/rhubarbreach/consensus/state.py
+++ b/rhubarbreach/consensus/state.py
@@ -4,6 +4,7 @@
 import itertools
 
 from rhubarbreach import codes
+from rhubarbreach.consensus import delays
 from rhubarbreach.consensus import model
 from rhubarbreach.consensus import store as store_codec
 from rhubarbreach.protocol import logmessages
@@ -80,6 +81,10 @@
         self.transfer_id = None
         self.transfer_deadline = 0.0
         self.transfer_future = None
+        # How late a majority answers, and when leadership may be handed over
+        # for that.
+        self.quorum_delay = delays.QuorumDelay()
+        self.hand_over_due = now
         # Whether the leader sends no entries to this replica.
         self.is_standby = False
         self.contacts = settings.contacts
--- a/rhubarbreach/hosts/tests/test_store_losses.py
+++ b/rhubarbreach/hosts/tests/test_store_losses.py
@@ -113,3 +113,41 @@
         fleet.machines[victim].freeze(2.0)
         fleet.loop.run(fleet.loop.now + 6.0)
         assert model.get_voters(fleet.find_leader().group.members) == voters
+
+
+@pytest.mark.parametrize('name', sorted(virtualfleets.DEPLOYMENTS))
+@pytest.mark.parametrize('backlog_seconds', [0.35, 0.6])
+def test_leader_that_handles_messages_late_is_replaced(name, backlog_seconds):
+    """Guards against a slow leader that no exchange with entry hosts reaches.
+
+    Its heartbeats go out in time, so that the others elect no leader.
+    """
+    fleet = make_fleet(name)
+    with virtualfleets.replace_modules(fleet):
+        fleet.loop.run(12.0)
+        slow = fleet.find_leader()
+        slow.machine.backlog_seconds = backlog_seconds
+        fleet.loop.run(fleet.loop.now + 2.0)
+        leader = fleet.find_leader()
+        assert leader is not None
+        assert leader is not slow
+
+
+@pytest.mark.parametrize('name', sorted(virtualfleets.DEPLOYMENTS))
+def test_leadership_stays_while_all_stores_are_slow(name):
+    """Guards against leaders that change without an end under overload."""
+    fleet = make_fleet(name)
+    with virtualfleets.replace_modules(fleet):
+        fleet.loop.run(12.0)
+        for machine in fleet.list_machines():
+            machine.backlog_seconds = 0.35
+        fleet.loop.run(fleet.loop.now + 60.0)
+    assert len(fleet.leaders) <= 1 + len(fleet.list_machines())
+
+
+def make_fleet(name):
+    """Return a fleet with the numbers of a deployment."""
+    deployment = virtualfleets.DEPLOYMENTS[name]
+    return virtualfleets.Fleet(
+        random.Random(0), deployment.counts[0], deployment
+    )
