Fetch large configurations in parts, beside the exchange

Cause: the leader sent the whole document with the reply to an exchange, which has to arrive within 0.4 s. On a link of 15 Mbit/s a document of 0.75 MB takes that long. The host dropped the reply as late, asked again and got the document again, without an end. Departures of endpoints, loads, tokens and the validity of keys come with the same replies. Class: a periodic message with a part of unbounded size, which is sent anew from its beginning when it is late.

The configuration counts as confirmed only by replies that announce no later one, so that revoked keys count no longer than before; contact with the leader is told from that. Hosts of earlier versions get it with the reply.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -9,6 +9,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import announcements
+from rhubarbreach.fleet import catalog_fetch
 from rhubarbreach.fleet import evacuations
 from rhubarbreach.fleet import exchange_schedule
 from rhubarbreach.fleet import exchange_waits
@@ -53,9 +54,10 @@
     """Configuration, endpoints and rates last received from the leader.
 
     A thread exchanges messages with the leader until `close`. Only this thread
-    changes the attributes, except for `collect_queues` and the seeds of
-    `search`; other threads read each of them without a lock. `schedule` and
-    `waits` have locks of their own.
+    changes the attributes, except for `collect_queues`, the seeds of `search`
+    and the configuration, which `catalog_fetch` changes too; other threads
+    read each of them without a lock. `schedule` and `waits` have locks of
+    their own.
 
     Parameters
     ----------
@@ -92,7 +94,15 @@
         self.validity = validity
         self.index = None
         self.started_at = clock.monotonic()
-        self.confirmed_at = float('-inf')
+        # When the leader was in contact, and when it confirmed that the
+        # configuration here is the newest one.
+        self.contacted_at = self.confirmed_at = float('-inf')
+        # Newest configuration that was received, also if it was unreadable.
+        self.received_version = 0
+        self.catalog_lock = threading.Lock()
+        self.catalog_fetch = catalog_fetch.CatalogFetch(
+            link, lambda: self.leader_id, self.apply_catalog
+        )
         self.endpoints_stamp = ''
         self.endpoint_order = ()
         self.peers_revision = 0
@@ -142,6 +152,10 @@
         return self.confirmed_at + self.validity
 
     def is_fresh(self, now):
+        """Return whether the leader was in contact recently."""
+        return now - self.contacted_at <= FRESH_SECONDS
+
+    def is_catalog_current(self, now):
         """Return whether the leader confirmed the configuration recently."""
         return now - self.confirmed_at <= FRESH_SECONDS
 
@@ -239,7 +253,7 @@
         wanted_parts, used_trials = self.quarantine.make_trial_report()
         crashes, answered = self.quarantine.make_report(sent)
         message = fleetmessages.Exchange(
-            0 if self.index is None else self.index.version,
+            self.received_version,
             self.endpoints_stamp,
             running,
             wanted,
@@ -258,6 +272,7 @@
             *self.view.cold.make_report(sent),
             completed=self.quarantine.list_completed(sent),
             completions=self.quarantine.pop_completions(),
+            fetches_catalogs=True,
         )
         reply = self.search.call(message)
         if reply is None:
@@ -305,6 +320,8 @@
         """
         if reply.catalog is not None:
             self.apply_catalog(reply.catalog)
+        if reply.catalog_version > self.received_version:
+            self.catalog_fetch.request(reply.catalog_version)
         if reply.endpoints is not None:
             self.view.update_endpoints(
                 announcements.select_valid(reply.endpoints, time.time()),
@@ -347,7 +364,9 @@
         self.view.apply_cold(reply, order, sent, clock.monotonic())
         self.search.stores = reply.stores or self.search.stores
         if self.index is not None:
-            self.confirmed_at = max(self.confirmed_at, sent - reply.age)
+            self.contacted_at = max(self.contacted_at, sent - reply.age)
+            if reply.catalog_version <= self.received_version:
+                self.confirmed_at = max(self.confirmed_at, sent - reply.age)
         lost_seconds = LOST_LEADER_INTERVALS * self.schedule.interval
         self.tokens.apply_grants(
             reply.granted, reply.entries, clock.monotonic() + lost_seconds
@@ -379,17 +398,24 @@
 
         One that cannot be read leaves the previous one in force.
         """
-        if self.index is not None and copy.version <= self.index.version:
-            return
-        try:
-            catalog = self.decode_catalog(copy.document)
-        except exceptions.MessageError as error:
-            LOG.error(
-                'event=catalog_unreadable version={} reason={!r}',
-                copy.version,
-                str(error),
-            )
-            return
+        with self.catalog_lock:
+            if copy.version <= self.received_version:
+                return
+            try:
+                catalog = self.decode_catalog(copy.document)
+            except exceptions.MessageError as error:
+                LOG.error(
+                    'event=catalog_unreadable version={} reason={!r}',
+                    copy.version,
+                    str(error),
+                )
+                self.received_version = copy.version
+                return
+            self.use_catalog(catalog)
+            self.received_version = copy.version
+
+    def use_catalog(self, catalog):
+        """Put a configuration in force."""
         self.index = indexes.Index(catalog)
         self.view.performance.set_services(catalog.services)
         self.view.cold.limit_services(
@@ -403,5 +429,6 @@
         )
 
     def close(self):
-        """Stop the thread."""
+        """Stop the threads."""
+        self.catalog_fetch.close()
         self.schedule.close()
--- a/rhubarbreach/fleet/tests/test_leader_client.py
+++ b/rhubarbreach/fleet/tests/test_leader_client.py
@@ -149,10 +149,10 @@
     client.view.counts.update_peers(('h2',))
     client.view.report_peer('h2', {'e1': 1}, clock.monotonic())
     client.view.update_loads({'e1': 20}, {'e1': 3}, ('e2',))
-    client.confirmed_at = clock.monotonic()
+    client.contacted_at = clock.monotonic()
     client.exchange()
     assert client.view.counts.count_online('e1') == 21
-    client.confirmed_at -= leader_client.FRESH_SECONDS
+    client.contacted_at -= leader_client.FRESH_SECONDS
     client.exchange()
     assert client.view.counts.count_online('e1') == 1
     assert not client.view.counts.batch
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -322,7 +322,7 @@
 
         The refusal is permanent only if the configuration is up to date.
         """
-        if self.leader_client.is_fresh(clock.monotonic()):
+        if self.leader_client.is_catalog_current(clock.monotonic()):
             return codes.Refusal(code, reason)
         return codes.Refusal(
             codes.ResultCode.CONFIG_STALE,
--- a/rhubarbreach/hosts/exchanges.py
+++ b/rhubarbreach/hosts/exchanges.py
@@ -7,6 +7,10 @@
 
 __all__ = ['Exchanges']
 
+# Largest configuration that is sent with a reply. The host drops replies that
+# arrive late, and a link of 15 Mbit/s carries this in 35 ms.
+MAX_CATALOG_BYTES = 64 * 1024
+
 
 class Exchanges:
     """Answers to exchanges, and the tokens that are granted with them.
@@ -56,8 +60,12 @@
             )
         version, document = store.ledger.get_catalog()
         catalog = None
+        fetched_version = 0
         if version > message.catalog_version:
-            catalog = fleetmessages.CatalogCopy(version, document)
+            if message.fetches_catalogs and len(document) > MAX_CATALOG_BYTES:
+                fetched_version = version
+            else:
+                catalog = fleetmessages.CatalogCopy(version, document)
         for endpoint_id, born in message.departures.items():
             store.endpoints.record_departure(endpoint_id, born)
         has_grown, entries = usage.report(sender_id, message, now)
@@ -120,4 +128,5 @@
             if quarantined is None
             else tuple(sorted(store.ledger.get_late_parts())),
             departures=departures,
+            catalog_version=fetched_version,
         )
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -19,6 +19,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
 from rhubarbreach.fleet import quota
+from rhubarbreach.hosts import catalog_parts
 from rhubarbreach.hosts import cold_manager
 from rhubarbreach.hosts import current_index
 from rhubarbreach.hosts import endpoints
@@ -232,6 +233,10 @@
         self.link.register(
             fleetmessages.Exchange, self.exchanges.answer, inline=True
         )
+        self.link.register(
+            fleetmessages.CatalogPartCall,
+            catalog_parts.CatalogParts(self.ledger).answer,
+        )
         self.link.register(
             workmessages.WorkReport, self.answer_report, inline=True
         )
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     'CatalogCopy',
+    'CatalogPart',
+    'CatalogPartCall',
     'CrashNotice',
     'EndpointNews',
     'EndpointNotice',
@@ -81,6 +83,31 @@
     document: bytes
 
 
+@messages.frozen_message
+class CatalogPartCall:
+    """Call for a part of the packed configuration of a store.
+
+    `version` is the one that is wanted, and `offset` the number of bytes that
+    the caller has.
+    """
+
+    version: int
+    offset: int
+
+
+@messages.frozen_message
+class CatalogPart:
+    """Answer to `CatalogPartCall`.
+
+    `size` is the number of all bytes. If `version` is a later one than that of
+    the call, its first part is sent. Without data the store has none.
+    """
+
+    version: int
+    size: int
+    data: bytes
+
+
 @messages.frozen_message
 class CrashNotice:
     """Request that broke at an endpoint.
@@ -160,6 +187,8 @@
     seconds since the last whole response to each part that the leader suspects
     or has quarantined, and `completions` the number of whole responses of each
     service since the last message, while the leader suspects parts.
+    `fetches_catalogs` is whether the host fetches large configurations by
+    itself.
     """
 
     catalog_version: int
@@ -185,6 +214,7 @@
     cold_stamp: str = ''
     completed: dict[str, float] = dataclasses.field(default_factory=dict)
     completions: dict[str, int] = dataclasses.field(default_factory=dict)
+    fetches_catalogs: bool = False
 
 
 @messages.frozen_message
@@ -220,6 +250,8 @@
     request; an empty stamp means that the leader does not know them yet.
     `late_parts` are those of the parts in `quarantined` on which endpoints
     crash during their responses.
+    `catalog_version` is the version of a configuration that the host has to
+    fetch, 0 if there is none.
     """
 
     is_leader: bool
@@ -250,6 +282,7 @@
     cold_stamp: str = ''
     late_parts: tuple[str, ...] = ()
     departures: dict[str, int] = dataclasses.field(default_factory=dict)
+    catalog_version: int = 0
 
 
 @messages.frozen_message
