Look at the state of an endpoint again before sending to it

Cause: a choice is acted on without a look at what has been learned since.

Change: both look at the endpoint again. One that has left has not failed, and the request goes on elsewhere.

Failed before: test_request_is_withheld_if_its_endpoint_left_meanwhile.

--- a/rhubarbreach/backlog/execution.py
+++ b/rhubarbreach/backlog/execution.py
@@ -59,6 +59,9 @@
     start_before : float
         When the permit for a cold endpoint ends, in seconds of the monotonic
         clock.
+    has_left : callable, optional
+        Returns whether the endpoint with an id and a start of its process has
+        left, as far as this store knows.
     """
 
     def __init__(
@@ -67,8 +70,10 @@
         memory_pool,
         begin_until=float('inf'),
         start_before=float('inf'),
+        has_left=lambda endpoint_id, born: False,
     ):
         self.order = order
+        self.has_left = has_left
         self.begin_until = begin_until
         self.start_before = start_before
         self.holding = memory_pool.open(self.interrupt)
@@ -90,7 +95,9 @@
 
     def may_begin(self):
         """Return whether the item may still be sent; else cancel the run."""
-        if clock.monotonic() > self.begin_until:
+        if clock.monotonic() > self.begin_until or self.has_left(
+            self.order.endpoint_id, self.order.born
+        ):
             self.cancelled = True
         return not self.cancelled
 
--- a/rhubarbreach/backlog/tests/test_worker.py
+++ b/rhubarbreach/backlog/tests/test_worker.py
@@ -316,6 +316,18 @@
     assert not prompt.run.cancelled
 
 
+def test_order_for_an_endpoint_that_has_left_is_not_carried_out():
+    """Guards against items that a store sends after a departure."""
+    left = {}
+    run = worker.ActiveRun(
+        ORDER, memory.UNBOUNDED, has_left=lambda e, born: left.get(e) == born
+    ).run
+    left[ORDER.endpoint_id] = ORDER.born + 1
+    assert run.may_begin()
+    left[ORDER.endpoint_id] = ORDER.born
+    assert not run.may_begin()
+
+
 def test_order_has_to_begin_soon_after_its_report(worker_setup):
     """Guards against a run that begins long after the leader ordered it."""
     _, link, release = worker_setup
--- a/rhubarbreach/backlog/worker.py
+++ b/rhubarbreach/backlog/worker.py
@@ -60,8 +60,11 @@
         memory_pool,
         begin_until=float('inf'),
         start_before=float('inf'),
+        has_left=lambda endpoint_id, born: False,
     ):
-        self.run = execution.Run(order, memory_pool, begin_until, start_before)
+        self.run = execution.Run(
+            order, memory_pool, begin_until, start_before, has_left
+        )
         self.begun = order.last_id
         self.progress = execution.RunProgress(
             [], order.last_id, order.output_bytes
@@ -159,6 +162,8 @@
         the start of its process.
     output_memory : MemoryPool, optional
         Bounds the outputs of all runs.
+    has_left : callable, optional
+        See `execution.Run`.
     """
 
     def __init__(
@@ -170,8 +175,10 @@
         list_stores,
         record_departure,
         output_memory=memory.UNBOUNDED,
+        has_left=lambda endpoint_id, born: False,
     ):
         self.memory = output_memory
+        self.has_left = has_left
         self.link = link
         self.zone = zone
         self.dialect = dialect
@@ -323,7 +330,11 @@
                     if order.start_within is not None:
                         start_before = sent + order.start_within
                     active_run = ActiveRun(
-                        order, self.memory, sent + ORDER_SECONDS, start_before
+                        order,
+                        self.memory,
+                        sent + ORDER_SECONDS,
+                        start_before,
+                        self.has_left,
                     )
                     self.active[order.order_id] = active_run
                     started.append(active_run)
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -354,7 +354,7 @@
                 ),
                 send_deadline,
                 self.app.response_memory,
-                lambda: self.app.leader_client.may_send_to(attempt.endpoint),
+                lambda: self.may_send_to(attempt.endpoint),
             )
         except errors.WithheldError as error:
             return model.NotRun(str(error), endpoint_failed=False)
@@ -368,6 +368,15 @@
             return model.TimedOut()
         return None
 
+    def may_send_to(self, endpoint):
+        """Return whether a request may still be sent to a chosen endpoint.
+
+        It may have left while the connection was made.
+        """
+        return self.app.leader_client.may_send_to(
+            endpoint
+        ) and not self.app.view.directory.has_left(endpoint)
+
     def end_attempt(self, attempt, outcome):
         """Close an attempt, count its outcome and return it."""
         self.close_attempt(attempt)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -307,6 +307,31 @@
     assert loads.health.pop_outcomes() == {'e2': (0, 1)}
 
 
+def test_request_is_withheld_if_its_endpoint_left_meanwhile(forward_to):
+    """Guards against requests to an endpoint that left after its choice."""
+    views = []
+    asked = []
+
+    def leave_first(endpoint):
+        asked.append(endpoint.endpoint_id)
+        if endpoint.endpoint_id == 'e1':
+            views[0].directory.record_departure(endpoint)
+        return True
+
+    refusal, data, first, _ = forward_to(
+        [HEAD, make_event(1), END],
+        0.05,
+        timeout=5.0,
+        others=[[HEAD, make_event(1), END]],
+        may_send=leave_first,
+        on_view=views.append,
+    )
+    assert refusal is None
+    assert data.endswith(responses.LAST_CHUNK)
+    assert asked == ['e1', 'e2']
+    assert views[0].health.pop_outcomes() == {'e2': (0, 1)}
+
+
 def test_request_on_a_route_with_a_long_timeout_is_answered(forward_to):
     """Guards against a timeout that the system call for it cannot hold."""
     parts = [HEAD, make_event(1), END]
--- a/rhubarbreach/hosts/endpoints.py
+++ b/rhubarbreach/hosts/endpoints.py
@@ -315,6 +315,24 @@
         with self.lock:
             return self.registry.list_cold(cold_starts, now)
 
+    def has_left(self, endpoint_id, born):
+        """Return whether a process of an endpoint is known to leave.
+
+        Parameters
+        ----------
+        endpoint_id : str
+            Endpoint.
+        born : int
+            Start of its process, in Unix milliseconds.
+        """
+        with self.lock:
+            entry = self.registry.entries.get(endpoint_id)
+        return (
+            entry is not None
+            and entry.row.born == born
+            and entry.row.state != registries.EndpointState.READY
+        )
+
     def has_survived(self, endpoint_id, born, since):
         """Return whether a process of an endpoint lived on after a time.
 
--- a/rhubarbreach/hosts/store.py
+++ b/rhubarbreach/hosts/store.py
@@ -229,6 +229,7 @@
             self.members.list_others,
             self.endpoints.record_departure,
             self.message_memory,
+            self.endpoints.has_left,
         )
         self.link.register(
             fleetmessages.Exchange, self.exchanges.answer, inline=True
--- a/rhubarbreach/hosts/tests/test_endpoints.py
+++ b/rhubarbreach/hosts/tests/test_endpoints.py
@@ -110,3 +110,18 @@
     assert store.endpoints.has_survived('e', 1, now) is True
     store.endpoints.leave('e', 1)
     assert store.endpoints.has_survived('e', 1, now) is True
+
+
+@pytest.mark.parametrize('is_gone', [False, True])
+def test_only_the_process_that_leaves_is_avoided(store, is_gone):
+    """Guards against items at an endpoint that leaves, or none after it."""
+    assert not store.endpoints.has_left('e', 1)
+    store.endpoints.record_announcement(make_notice(1))
+    assert not store.endpoints.has_left('e', 1)
+    if is_gone:
+        store.endpoints.leave('e', 1)
+    else:
+        store.endpoints.record_departure('e', 1)
+    assert store.endpoints.has_left('e', 1)
+    store.endpoints.record_announcement(make_notice(2))
+    assert not store.endpoints.has_left('e', 2)
