Reach endpoints through other entry hosts when the own links are lost

Cause: a host knew endpoints by their announcements to the stores, and took a connection that it could not make for a fault of the endpoint. Class: a fault of the observer taken for one of the observed.

Change: a host that misses two endpoints in a row tries the next one through another entry host as well, and through others first once two were reached so; one connection a second is tried directly. The leader names the relays; hosts in doubt are none.

test_takeovers.py fails a connection at begin_connect now, as connections are no longer made by sockets.connect alone.

--- a/rhubarbreach/fleet/directory.py
+++ b/rhubarbreach/fleet/directory.py
@@ -131,6 +131,14 @@
         with self.lock:
             return self.departures.list_processes()
 
+    def find_in_service(self, endpoint_id):
+        """Return an endpoint that takes new requests, None if it does not."""
+        with self.lock:
+            endpoint = self.endpoints.get(endpoint_id)
+            if endpoint is not None and self.is_in_service(endpoint):
+                return endpoint
+        return None
+
     def is_endpoint_in_service(self, endpoint):
         """Return whether an endpoint is not leaving, restarted or not.
 
--- a/rhubarbreach/fleet/exchange_schedule.py
+++ b/rhubarbreach/fleet/exchange_schedule.py
@@ -69,6 +69,10 @@
             self.tokens_wanted = True
             self.changed.notify_all()
 
+    def request_relays(self):
+        """Start an exchange immediately, as a connection needs a relay."""
+        self.request_tokens()
+
     def wait(self, loads_at, latest):
         """Wait until an exchange is due.
 
--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -16,6 +16,7 @@
 from rhubarbreach.fleet import leader_search
 from rhubarbreach.fleet import loads
 from rhubarbreach.fleet import quarantine
+from rhubarbreach.fleet import relay_list
 from rhubarbreach.fleet import token_source
 from rhubarbreach.protocol import fleetmessages
 
@@ -117,6 +118,9 @@
             self.schedule.request_tokens,
             tolerance,
         )
+        self.relays = relay_list.RelayList(
+            self.schedule.request_relays, view.counts.list_peers
+        )
         self.quarantine = quarantine.Quarantine(self.schedule.request_loads)
         self.evacuations = evacuations.Evacuations()
         self.guard = evacuations.ContactGuard(self.started_at, evacuates_zones)
@@ -273,6 +277,8 @@
             completed=self.quarantine.list_completed(sent),
             completions=self.quarantine.pop_completions(),
             fetches_catalogs=True,
+            wants_relays=self.relays.is_wanted(sent),
+            is_doubtful=self.view.paths.is_doubtful,
         )
         reply = self.search.call(message)
         if reply is None:
@@ -344,6 +350,8 @@
                 p for p in reply.peers if p != self.link.host_id
             )
         now = clock.monotonic()
+        if reply.relays is not None:
+            self.relays.update(reply.relays, now)
         self.queues = reply.queues
         self.queues_until = now + QUEUES_SECONDS
         self.has_complete_loads = self.has_complete_loads or reply.complete
--- a/rhubarbreach/fleet/view.py
+++ b/rhubarbreach/fleet/view.py
@@ -17,6 +17,7 @@
 from rhubarbreach.fleet import directory as directories
 from rhubarbreach.fleet import endpoint_choice
 from rhubarbreach.fleet import health as healths
+from rhubarbreach.fleet import paths
 from rhubarbreach.fleet import performance as performances
 from rhubarbreach.fleet import request_counts
 
@@ -39,6 +40,8 @@
     - `directory`: endpoints by service, and which take new requests;
     - `counts`: requests on endpoints, by their sources;
     - `health`: endpoints that have failed;
+    - `paths`: endpoints that this host does not reach by itself, with a lock
+      of its own;
     - `cold`: cold endpoints and permits for them;
     - `performance`: run times, speeds and costs that the host has learned;
     - `choice`: the choice of an endpoint by all of these.
@@ -76,6 +79,7 @@
         self.directory = directories.Directory(self.lock, chooser)
         self.counts = request_counts.RequestCounts(self.lock)
         self.health = healths.EndpointHealth(self.lock)
+        self.paths = paths.Paths()
         self.cold = cold_access.ColdAccess(
             self.lock, zone, self.directory, self.counts, self.health
         )
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -8,6 +8,7 @@
 from rhubarbreach import codes
 from rhubarbreach import eventlog
 from rhubarbreach import exceptions
+from rhubarbreach.fleet import connector as connectors
 from rhubarbreach.fleet import request_parts
 from rhubarbreach.gateway import crash_checks
 from rhubarbreach.gateway import forward
@@ -16,6 +17,7 @@
 from rhubarbreach.gateway import waiting
 from rhubarbreach import serialization
 from rhubarbreach.web import memory
+from rhubarbreach.web import transport
 
 __all__ = ['App']
 
@@ -61,6 +63,8 @@
         Whether whole requests may be held back, as parts of their prompts.
     hedge_fraction : float
         Part of the requests that may be hedged, 0 for none.
+    relay_port : int
+        Port of the relays of all entry hosts, 0 if there are none.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         response_memory=memory.UNBOUNDED,
         judges_requests=True,
         hedge_fraction=0.0,
+        relay_port=0,
     ):
         self.judges_requests = judges_requests
         self.leader_client = leader_client
@@ -85,6 +90,12 @@
         self.response_memory = response_memory
         self.admission = waiting.AdmissionControl(view, leader_client, metrics)
         self.hedges = hedges.HedgeControl(view, metrics, hedge_fraction)
+        self.connector = connectors.Connector(
+            view.paths,
+            leader_client.relays,
+            relay_port,
+            lambda: leader_client.has_leader,
+        )
         self.crash_checks = crash_checks.CrashChecks(
             leader_client, view.directory
         )
@@ -131,6 +142,22 @@
             catalogs.DEFAULT_LIMITS if index is None else index.catalog.limits
         )
 
+    def connect_for_other(self, endpoint_id, deadline, buffer_size):
+        """Return a socket to an endpoint, for another entry host.
+
+        The parameters and errors are those of `connect` in `web.relay.Relay`.
+        """
+        endpoint = self.view.directory.find_in_service(endpoint_id)
+        if (
+            endpoint is None
+            or self.draining
+            or not self.leader_client.may_send_to(endpoint)
+        ):
+            raise transport.RelayUnavailableError('nothing is sent there')
+        return self.connector.connect_for_other(
+            endpoint, deadline, buffer_size
+        )
+
     def is_ready(self):
         """Return whether callers should be routed to this host."""
         now = clock.monotonic()
--- a/rhubarbreach/gateway/attempt.py
+++ b/rhubarbreach/gateway/attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a request: a call to an endpoint and its response."""
 
+import functools
+
 from rhubarbreach.balancing import progress
 from rhubarbreach import clock
 from rhubarbreach.web import answers
@@ -64,6 +66,7 @@
         send_deadline,
         response_memory,
         may_send=None,
+        connector=None,
     ):
         """Send the request.
 
@@ -77,6 +80,8 @@
             Bounds the responses that this host holds.
         may_send : callable, optional
             See `web.client.Call`.
+        connector : Connector, optional
+            Connects to the endpoint; directly if not given.
 
         Raises
         ------
@@ -85,6 +90,9 @@
         DeadlineError
             If only a part of the request was sent; it may have run.
         """
+        connect = None
+        if connector is not None:
+            connect = functools.partial(connector.connect, self.endpoint)
         try:
             self.call = client.Call(
                 self.endpoint.address,
@@ -93,6 +101,7 @@
                 send_deadline,
                 may_send,
                 response_memory.buffers,
+                connect,
             )
         except errors.DeadlineError:
             self.is_sent = True
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -355,6 +355,7 @@
                 send_deadline,
                 self.app.response_memory,
                 lambda: self.may_send_to(attempt.endpoint),
+                self.app.connector,
             )
         except errors.WithheldError as error:
             return model.NotRun(str(error), endpoint_failed=False)
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -11,6 +11,7 @@
 from rhubarbreach.catalog import model as catalogs
 from rhubarbreach import clock
 from rhubarbreach import codes
+from rhubarbreach.fleet import connector as connectors
 from rhubarbreach.fleet import quarantine
 from rhubarbreach.fleet import view
 from rhubarbreach.gateway import crash_checks
@@ -247,6 +248,7 @@
             loads, app.leader_client, app.metrics
         )
         app.hedges = hedges.HedgeControl(loads, app.metrics, hedge_fraction)
+        app.connector = connectors.Connector(loads.paths, None, 0, None)
         app.crash_checks = crash_checks.CrashChecks(
             app.leader_client, loads.directory
         )
--- a/rhubarbreach/gateway/tests/test_takeovers.py
+++ b/rhubarbreach/gateway/tests/test_takeovers.py
@@ -218,16 +218,16 @@
     take_over, monkeypatch
 ):
     """Guards against a stream cut for one connection that was not made."""
-    connect = sockets.connect
+    begin_connect = sockets.begin_connect
     addresses = []
 
-    def fail_once(address, *options):
+    def fail_once(connection, address):
         addresses.append(address)
         if len(addresses) == 2:
             raise errors.ConnectError('connect: error 111')
-        return connect(address, *options)
+        begin_connect(connection, address)
 
-    monkeypatch.setattr(sockets, 'connect', fail_once)
+    monkeypatch.setattr(sockets, 'begin_connect', fail_once)
     chosen, _, data, _ = take_over(
         [[HEAD, *make_events(1, 1), 0.05, RESET], respond(2)]
     )
--- a/rhubarbreach/hosts/entry.py
+++ b/rhubarbreach/hosts/entry.py
@@ -15,6 +15,7 @@
 from rhubarbreach.streams import recorder
 from rhubarbreach.web import bounds
 from rhubarbreach.web import memory
+from rhubarbreach.web import relay
 from rhubarbreach.web import server
 
 __all__ = ['EntryHost']
@@ -95,6 +96,7 @@
             message_memory,
             settings.judges_requests,
             settings.hedge_fraction,
+            settings.relay_port,
         )
         connection_bounds = bounds.make_bounds(settings)
         self.readiness = server.Server(
@@ -118,6 +120,22 @@
             connection_bounds,
         )
         self.message_memory = message_memory
+        self.relay = None
+        if settings.relay:
+            self.relay = server.Server(
+                settings.relay,
+                relay.Relay(
+                    self.app.connect_for_other,
+                    message_memory.buffers,
+                    metrics,
+                ).handle,
+                self.app.get_limits,
+                'relay',
+                message_memory,
+                settings.max_relayed,
+                metrics,
+                connection_bounds,
+            )
 
     def set_seeds(self, seeds):
         """Replace the stores that this host contacts first."""
@@ -138,6 +156,8 @@
             time.sleep(DRAIN_POLL_SECONDS)
         if not self.callers.drain(deadline):
             LOG.warning('event=drain_cut busy={}', self.callers.count_busy())
+        if self.relay is not None and not self.relay.drain(deadline):
+            LOG.warning('event=relays_cut busy={}', self.relay.count_busy())
 
     def close(self):
         """Stop all tasks."""
@@ -146,4 +166,6 @@
         self.origins.close()
         self.readiness.close()
         self.callers.close()
+        if self.relay is not None:
+            self.relay.close()
         self.link.close()
--- a/rhubarbreach/hosts/exchanges.py
+++ b/rhubarbreach/hosts/exchanges.py
@@ -129,4 +129,5 @@
             else tuple(sorted(store.ledger.get_late_parts())),
             departures=departures,
             catalog_version=fetched_version,
+            relays=usage.list_relays(sender_id, message, now),
         )
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -5,6 +5,7 @@
 from rhubarbreach import eventlog
 from rhubarbreach.fleet import fair_share
 from rhubarbreach.fleet import loads
+from rhubarbreach.fleet import relay_pool
 from rhubarbreach.fleet import suspicion
 
 __all__ = ['Usage']
@@ -30,6 +31,7 @@
         self.lock = threading.Lock()
         self.loads = loads.LoadsByZone()
         self.suspicion = suspicion.Suspicion()
+        self.relay_pool = relay_pool.RelayPool()
         self.queues = fair_share.FleetQueues()
         self.suspects = frozenset()
         self.next_update = 0.0
@@ -56,6 +58,7 @@
             has_grown = self.loads.report(
                 host_id, message.availability_zone, message.running, now
             )
+            self.relay_pool.report(host_id, message.is_doubtful, now)
             for endpoint_id, outcomes in message.outcomes.items():
                 self.suspicion.add(endpoint_id, host_id, *outcomes, now)
             self.queues.report(host_id, message.queues, now)
@@ -70,6 +73,15 @@
         with self.lock:
             return set(self.loads.zone_by_host.values())
 
+    def list_relays(self, host_id, message, now):
+        """Return relays for a reporting host, or None if it wants none."""
+        if not message.wants_relays:
+            return None
+        with self.lock:
+            return self.relay_pool.choose(
+                host_id, self.loads.zone_by_host, now
+            )
+
     def list_online(self, zone, endpoint_ids):
         """Return the online requests on endpoints, in the given order.
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -188,7 +188,8 @@
     or has quarantined, and `completions` the number of whole responses of each
     service since the last message, while the leader suspects parts.
     `fetches_catalogs` is whether the host fetches large configurations by
-    itself.
+    itself. `wants_relays` asks for hosts that connect to endpoints for this
+    one, and `is_doubtful` is whether it may have lost its links to endpoints.
     """
 
     catalog_version: int
@@ -215,6 +216,8 @@
     completed: dict[str, float] = dataclasses.field(default_factory=dict)
     completions: dict[str, int] = dataclasses.field(default_factory=dict)
     fetches_catalogs: bool = False
+    wants_relays: bool = False
+    is_doubtful: bool = False
 
 
 @messages.frozen_message
@@ -251,7 +254,8 @@
     `late_parts` are those of the parts in `quarantined` on which endpoints
     crash during their responses.
     `catalog_version` is the version of a configuration that the host has to
-    fetch, 0 if there is none.
+    fetch, 0 if there is none. `relays` are hosts that may connect to endpoints
+    for the receiver, those to try first at the front, if it wants any.
     """
 
     is_leader: bool
@@ -283,6 +287,7 @@
     late_parts: tuple[str, ...] = ()
     departures: dict[str, int] = dataclasses.field(default_factory=dict)
     catalog_version: int = 0
+    relays: tuple[str, ...] | None = None
 
 
 @messages.frozen_message
--- a/rhubarbreach/settings/role.py
+++ b/rhubarbreach/settings/role.py
@@ -67,6 +67,11 @@
         accepts at the same time.
     max_link_connections : int
         Connections that other hosts make to the link of the process.
+    relay : str
+        Address `IP:port` on which an entry host connects to endpoints for
+        others, empty if it does not. The port is the same on all hosts.
+    max_relayed : int
+        Connections that it makes for others at the same time.
     max_pipelined : int
         Requests of one connection that may wait for the one before them.
     max_framing_ratio : float
@@ -131,12 +136,19 @@
     max_framing_ratio: float = 16.0
     room_seconds: float = 1.0
     hedge_fraction: float = 0.1
+    relay: str = ''
+    max_relayed: int = 256
 
     @property
     def message_bytes(self):
         """Memory of the messages that the process holds together."""
         return self.memory_bytes * self.message_fraction
 
+    @property
+    def relay_port(self):
+        """Port of the relays of all entry hosts, 0 if there are none."""
+        return int(self.relay.rpartition(':')[2] or 0)
+
     @property
     def socket_bytes(self):
         """Memory of the buffers of all sockets of the process."""
@@ -291,6 +303,10 @@
         room_seconds=reader.read(
             'callers', 'room_ms', to_seconds, 'milliseconds', 1.0
         ),
+        relay=reader.read('listen', 'relay', to_address, 'IP:port', ''),
+        max_relayed=reader.read(
+            'host', 'max_relayed', to_positive_count, 'a number', 256
+        ),
         hedge_fraction=reader.read(
             'fleet', 'hedge_fraction', to_part, 'a part from 0 to 1', 0.1
         ),
--- a/rhubarbreach/web/client.py
+++ b/rhubarbreach/web/client.py
@@ -5,10 +5,13 @@
 anything is sent, so that the request has certainly not run.
 """
 
+import functools
+
 from rhubarbreach.web import buffers
 from rhubarbreach.web import errors
 from rhubarbreach.web import parse
 from rhubarbreach.web import sockets
+from rhubarbreach.web import transport
 
 __all__ = ['Call', 'encode_request']
 
@@ -51,6 +54,9 @@
         connection is made, as the process may have stood still meanwhile.
     socket_buffers : SocketBuffers, optional
         Bounds the bytes in the sockets of the process.
+    connect : callable, optional
+        Returns a `DirectTransport` or `RelayedTransport`, for a deadline and
+        the size of the buffers; by default a direct one to the address.
 
     Raises
     ------
@@ -68,6 +74,7 @@
         deadline,
         may_send=None,
         socket_buffers=buffers.UNLIMITED,
+        connect=None,
     ):
         self.parser = parse.ResponseParser()
         self.is_sent = False
@@ -76,9 +83,9 @@
         self.buffers = socket_buffers
         self.buffer_size = socket_buffers.take()
         try:
-            self.socket = sockets.connect(
-                address, connect_deadline, self.buffer_size
-            )
+            if connect is None:
+                connect = functools.partial(transport.connect, address)
+            self.transport = connect(connect_deadline, self.buffer_size)
         except errors.ConnectError:
             socket_buffers.release(self.buffer_size)
             raise
@@ -86,7 +93,7 @@
             self.close()
             raise errors.WithheldError('the request may no longer be sent')
         try:
-            sockets.send_all(self.socket, data, deadline)
+            self.transport.send_all(data, deadline)
             self.is_sent = True
         except errors.DeadlineError:
             self.close()
@@ -95,6 +102,11 @@
             # An endpoint may respond before it has read a long body.
             pass
 
+    @property
+    def socket(self):
+        """Socket on which the response arrives."""
+        return self.transport.socket
+
     @property
     def head(self):
         """Head of the response, None until it is received."""
@@ -117,7 +129,9 @@
         BadMessageError
             If the received bytes are not a valid response.
         """
-        data = sockets.receive(self.socket, deadline)
+        data = self.transport.receive(deadline)
+        if data is None:
+            return []
         if not data:
             # The error of a failed `send` is not reported again by `recv`, so
             # that this may be the end of a reset connection.
--- a/rhubarbreach/web/sockets.py
+++ b/rhubarbreach/web/sockets.py
@@ -11,9 +11,12 @@
 
 __all__ = [
     'RECEIVE_BYTES',
+    'begin_connect',
+    'check_port',
     'close_socket',
     'connect',
     'discard',
+    'finish_connect',
     'is_port_closed',
     'is_readable',
     'parse_address',
@@ -22,6 +25,7 @@
     'receive_now',
     'send_all',
     'shut_down',
+    'to_milliseconds',
     'wait',
     'wait_readable',
     'wait_until_readable',
@@ -122,15 +126,10 @@
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         prepare(connection)
-        if buffer_size is not None:
-            buffers.set_size(connection, buffer_size)
-        code = connection.connect_ex(host_and_port)
-        if code not in (0, errno.EINPROGRESS):
-            raise make_connect_error(code)
+        buffers.set_size(connection, buffer_size)
+        begin_connect(connection, host_and_port)
         events = wait(connection, select.POLLOUT, deadline)
-        code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise make_connect_error(code)
+        finish_connect(connection)
         if not events:
             raise errors.ConnectError(
                 'connect: no response before the deadline'
@@ -144,9 +143,46 @@
     return connection
 
 
+def begin_connect(connection, host_and_port):
+    """Begin to connect a non-blocking socket.
+
+    Raises
+    ------
+    ConnectRefusedError, ConnectError
+        See `connect`.
+    """
+    code = connection.connect_ex(host_and_port)
+    if code not in (0, errno.EINPROGRESS):
+        raise make_connect_error(code)
+
+
+def finish_connect(connection):
+    """Raise the error of a socket that could not be connected, if any.
+
+    Raises
+    ------
+    ConnectRefusedError, ConnectError
+        See `connect`.
+    """
+    code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise make_connect_error(code)
+
+
 def is_port_closed(address, deadline):
     """Return whether no process listens at the address of an endpoint.
 
+    Parameters
+    ----------
+    address, deadline
+        See `check_port`. Without a response nothing is known.
+    """
+    return check_port(address, deadline) is False
+
+
+def check_port(address, deadline):
+    """Return whether a process listens at the address of an endpoint.
+
     The port of a process that has just ended may be closed after its other
     connections, and resets those that it has accepted meanwhile.
 
@@ -155,18 +191,22 @@
     address : str
         `IP:port`.
     deadline : float
-        Seconds of `clock.monotonic`. Without a response until then, nothing is
-        known.
+        Seconds of `clock.monotonic`.
+
+    Returns
+    -------
+    bool or None
+        None if there was no response before the deadline.
     """
     try:
         if has_ended_early(address, deadline):
             # An endpoint that is full ends connections too.
             close_socket(connect(address, deadline))
     except errors.ConnectRefusedError:
-        return True
-    except errors.ConnectError:
         return False
-    return False
+    except errors.ConnectError:
+        return None
+    return True
 
 
 def has_ended_early(address, deadline):
