Take broken links of a host for no evidence against endpoints

Callers could see: sound prompt parts held back, and endpoints avoided by all hosts, while some hosts were cut off from all endpoints. Each of their failures went to the leader as one of the endpoint, and a response that broke off before its first event as a crash.

A connection that ends tells a host nothing of the endpoint unless another host does not reach it either.

Change: a host that is cut off says so in its exchange, and the leader forgets the failures that it has reported. Before a crash counts, the port is looked at through a relay as well; an endpoint that is open elsewhere has not crashed.

--- a/rhubarbreach/fleet/leader_client.py
+++ b/rhubarbreach/fleet/leader_client.py
@@ -279,6 +279,7 @@
             fetches_catalogs=True,
             wants_relays=self.relays.is_wanted(sent),
             is_doubtful=self.view.paths.is_doubtful,
+            is_cut_off=self.view.paths.is_cut_off,
         )
         reply = self.search.call(message)
         if reply is None:
--- a/rhubarbreach/fleet/suspicion.py
+++ b/rhubarbreach/fleet/suspicion.py
@@ -80,6 +80,11 @@
             previous = count.failures.get(host_id, 0.0)
             count.failures[host_id] = previous + failures
 
+    def forget_failures(self, host_id):
+        """Forget the failures that a host has reported."""
+        for count in self.counts.values():
+            count.failures.pop(host_id, None)
+
     def list_suspects(self, services, now):
         """Return the endpoints to avoid.
 
--- a/rhubarbreach/gateway/app.py
+++ b/rhubarbreach/gateway/app.py
@@ -97,7 +97,7 @@
             lambda: leader_client.has_leader,
         )
         self.crash_checks = crash_checks.CrashChecks(
-            leader_client, view.directory
+            self.connector, leader_client, view.directory
         )
         self.draining = False
         # Monotonic times during a planned stop: from the first on, requests
--- a/rhubarbreach/gateway/forward.py
+++ b/rhubarbreach/gateway/forward.py
@@ -746,7 +746,10 @@
         the request cannot be sent again after its last event.
         """
         return crash_checks.has_crashed(
-            self.app.leader_client, self.app.view.directory, attempt.endpoint
+            self.app.connector,
+            self.app.leader_client,
+            self.app.view.directory,
+            attempt.endpoint,
         )
 
     def break_off(self, attempt):
--- a/rhubarbreach/gateway/outcomes.py
+++ b/rhubarbreach/gateway/outcomes.py
@@ -180,21 +180,14 @@
         if run_started_at is None and self.was_answered and has_head:
             # An endpoint that went on with the stream crashed at once.
             run_started_at = attempt.sent_at
-        if run_started_at is not None:
+        if run_started_at is not None or not self.was_answered:
             self.app.crash_checks.add(
                 attempt.endpoint,
                 self.info.prompt,
                 now,
-                now - run_started_at,
-                attempt.is_resuming,
-            )
-        elif not self.was_answered:
-            self.app.leader_client.quarantine.record_crash(
-                attempt.endpoint.endpoint_id,
-                self.info.prompt,
+                None if run_started_at is None else now - run_started_at,
                 has_head,
-                now,
-                attempt.endpoint.service,
+                attempt.is_resuming,
             )
 
     def record_answer(self, attempt):
--- a/rhubarbreach/gateway/tests/test_forward.py
+++ b/rhubarbreach/gateway/tests/test_forward.py
@@ -250,7 +250,7 @@
         app.hedges = hedges.HedgeControl(loads, app.metrics, hedge_fraction)
         app.connector = connectors.Connector(loads.paths, None, 0, None)
         app.crash_checks = crash_checks.CrashChecks(
-            app.leader_client, loads.directory
+            app.connector, app.leader_client, loads.directory
         )
         on_quarantine(app.leader_client.quarantine)
         run.origins = []
--- a/rhubarbreach/hosts/tests/test_usage.py
+++ b/rhubarbreach/hosts/tests/test_usage.py
@@ -54,3 +54,33 @@
     message = fleetmessages.Exchange(0, '', {'e1': 20}, {})
     leader.report('h1', send(message), 0.0)
     assert leader.list_queues(0.1) == {}
+
+
+def test_failures_of_a_host_without_links_are_forgotten(leader):
+    """Guards against endpoints that all hosts avoid for the cut of some."""
+    failures = {'e1': (2, 0)}
+    for host_id in ('h1', 'h2'):
+        message = fleetmessages.Exchange(0, '', {}, {}, failures)
+        leader.report(host_id, send(message), 0.0)
+    counts = leader.suspicion.counts['e1']
+    assert set(counts.failures) == {'h1', 'h2'}
+    for host_id in ('h1', 'h2'):
+        message = fleetmessages.Exchange(
+            0, '', {}, {}, failures, is_cut_off=True
+        )
+        leader.report(host_id, send(message), 0.1)
+    assert not counts.failures
+
+
+def test_host_in_doubt_is_named_to_nobody(leader):
+    """Guards against relays that reach no endpoint."""
+    for host_id, is_doubtful in (('h1', True), ('h2', False), ('h3', True)):
+        message = fleetmessages.Exchange(
+            0, '', {}, {}, availability_zone='z', is_doubtful=is_doubtful
+        )
+        leader.report(host_id, send(message), 0.0)
+    wanting = fleetmessages.Exchange(
+        0, '', {}, {}, availability_zone='z', wants_relays=True
+    )
+    assert leader.list_relays('h1', send(wanting), 0.1) == ('h2',)
+    assert leader.list_relays('h1', send(message), 0.1) is None
--- a/rhubarbreach/hosts/usage.py
+++ b/rhubarbreach/hosts/usage.py
@@ -59,8 +59,12 @@
                 host_id, message.availability_zone, message.running, now
             )
             self.relay_pool.report(host_id, message.is_doubtful, now)
-            for endpoint_id, outcomes in message.outcomes.items():
-                self.suspicion.add(endpoint_id, host_id, *outcomes, now)
+            if message.is_cut_off:
+                # Its failures are those of its own links.
+                self.suspicion.forget_failures(host_id)
+            else:
+                for endpoint_id, outcomes in message.outcomes.items():
+                    self.suspicion.add(endpoint_id, host_id, *outcomes, now)
             self.queues.report(host_id, message.queues, now)
             return has_grown, self.count_hosts()
 
--- a/rhubarbreach/protocol/fleetmessages.py
+++ b/rhubarbreach/protocol/fleetmessages.py
@@ -189,7 +189,8 @@
     service since the last message, while the leader suspects parts.
     `fetches_catalogs` is whether the host fetches large configurations by
     itself. `wants_relays` asks for hosts that connect to endpoints for this
-    one, and `is_doubtful` is whether it may have lost its links to endpoints.
+    one, `is_doubtful` is whether it may have lost its links to endpoints, and
+    `is_cut_off` whether others reach those that it does not reach.
     """
 
     catalog_version: int
@@ -218,6 +219,7 @@
     fetches_catalogs: bool = False
     wants_relays: bool = False
     is_doubtful: bool = False
+    is_cut_off: bool = False
 
 
 @messages.frozen_message
