Take the word of a relay on a closed port at once

Cause: when a relay had found the port closed, the direct connection, which got no answer, was still awaited.

Change: a closed port is closed to every host, so that the connection fails with the answer of the relay.

Measured: test_port_that_a_relay_finds_closed_costs_no_wait took 0.151 s before and fails then; test_connector.py passes.

--- a/rhubarbreach/fleet/connector.py
+++ b/rhubarbreach/fleet/connector.py
@@ -235,7 +235,13 @@
             self.paths.record_missed(self.endpoint.endpoint_id)
 
     def collect(self, now):
-        """Return a transport if there is one, and handle failures."""
+        """Return a transport if there is one, and handle failures.
+
+        Raises
+        ------
+        ConnectRefusedError
+            If a relay found the port of the endpoint closed.
+        """
         if self.direct is not None and self.direct.has_ended:
             ended, self.direct = self.direct, None
             if ended.transport is not None:
@@ -253,6 +259,9 @@
                 ):
                     LOG.warning('event=links_lost relay={}', self.relay_id)
                 return ended.transport
+            if isinstance(ended.error, errors.ConnectRefusedError):
+                # The port is closed to every host.
+                raise ended.error
             if not isinstance(ended.error, transport.RelayUnavailableError):
                 # The relay has tried.
                 self.error = ended.error
--- a/rhubarbreach/fleet/tests/test_connector.py
+++ b/rhubarbreach/fleet/tests/test_connector.py
@@ -204,6 +204,16 @@
     assert not fleet.connector.paths.is_cut_off
 
 
+def test_port_that_a_relay_finds_closed_costs_no_wait(fleet):
+    """Guards against cut hosts that wait for endpoints that are down."""
+    test_cut_off_host_is_served_through_a_relay(fleet, 'silent')
+    fleet.endpoints[0].close()
+    started_at = time.monotonic()
+    with pytest.raises(errors.ConnectRefusedError):
+        call(fleet)
+    assert time.monotonic() - started_at < CONNECT_SECONDS
+
+
 def test_request_that_nobody_can_send_fails_at_once(fleet):
     """Guards against waits for relays that do not exist."""
     fleet.cut = 'refused'
