--- a/rhubarbreach/web/transport.py
+++ b/rhubarbreach/web/transport.py
@@ -24,6 +24,7 @@
     'RelayedOpening',
     'RelayedTransport',
     'connect',
+    'encode_call',
     'encode_chunk',
     'read_call',
 ]
