Use relays of other zones while there is no leader

Callers would see (read in the code, not played): when all entry hosts of a zone are cut off and the leader is lost, the hosts asked each other only, and refused.

Cause: without a leader the list of relays was that of the own zone, though the leader had named hosts of other zones within the last second.

Change: relays that were named within the last 10 s are asked first, then the hosts of the zone.

Measured: test_relays_of_other_zones_outlive_their_leader fails before (['peer'] in place of ['x', 'peer']) and passes now.

--- a/rhubarbreach/fleet/relay_list.py
+++ b/rhubarbreach/fleet/relay_list.py
@@ -9,6 +9,8 @@
 # those that a leader has named count.
 WANTED_SECONDS = 3.0
 KNOWN_SECONDS = 1.0
+# The same once there is no leader.
+REMEMBERED_SECONDS = 10.0
 # Time for which a relay that did not serve is tried last.
 AVOID_SECONDS = 1.0
 
@@ -21,7 +23,8 @@
     request_exchange : callable
         Starts an exchange with the leader.
     list_peers : callable
-        Returns the other hosts of the zone, which are used without a leader.
+        Returns the other hosts of the zone, which are used without a leader,
+        after the relays that it named last.
     shuffle : callable, optional
         Puts a list in random order.
     """
@@ -83,12 +86,26 @@
                 self.request_exchange()
             return None
         else:
-            hosts = self.list_peers()
-            self.shuffle(hosts)
+            hosts = self.list_remembered(now)
         return sorted(
             hosts, key=lambda host_id: now < self.avoided_until.get(host_id, 0)
         )
 
+    def list_remembered(self, now):
+        """Return relays while there is no leader.
+
+        All hosts of the own zone may be cut off, so that those that a leader
+        has named shortly before come first.
+        """
+        named = []
+        with self.lock:
+            if now < self.known_until + REMEMBERED_SECONDS:
+                named = list(self.hosts)
+        peers = [host for host in self.list_peers() if host not in named]
+        self.shuffle(named)
+        self.shuffle(peers)
+        return named + peers
+
     def avoid(self, host_id, now):
         """Try a relay last for some time, as it has not served."""
         with self.lock:
--- a/rhubarbreach/fleet/tests/test_relay_pool.py
+++ b/rhubarbreach/fleet/tests/test_relay_pool.py
@@ -66,6 +66,16 @@
     assert relays.find(0.0, False) == ['peer']
 
 
+def test_relays_of_other_zones_outlive_their_leader(relays):
+    """Guards against a zone that is cut off while the leader is lost."""
+    relays.find(0.0, True)
+    relays.update(('x', 'peer'), 0.0)
+    now = relay_list.KNOWN_SECONDS
+    assert relays.find(now, False) == ['x', 'peer']
+    now += relay_list.REMEMBERED_SECONDS
+    assert relays.find(now, False) == ['peer']
+
+
 def test_relay_that_did_not_serve_is_tried_last(relays):
     relays.find(0.0, True)
     relays.update(('x', 'y'), 0.0)
