Copy the list of files before the power of a test disk is lost

Cause: the stand-in for disks iterated over the files of all hosts while threads of the hosts that run on added theirs. Class: iteration over what other threads change. No fault of the product.

Change: it iterates over a copy. What the test checks is unchanged.

--- a/rhubarbreach/consensus/tests/disks.py
+++ b/rhubarbreach/consensus/tests/disks.py
@@ -79,7 +79,8 @@
 
     def lose_power(self, host, random):
         """Drop what is not synced on a host whose process has ended."""
-        for path, size in self.synced.items():
+        # The threads of other hosts add files meanwhile.
+        for path, size in list(self.synced.items()):
             if host in path.parts and path.exists():
                 end = random.randint(size, max(size, path.stat().st_size))
                 os.truncate(path, end)
