--- a/rhubarbreach/fleet/directory.py
+++ b/rhubarbreach/fleet/directory.py
@@ -13,9 +13,8 @@
 
     The lock of the view protects all attributes. `update`, `list_ready`,
     `group_by_service`, `is_leaving` and `is_in_service` have to be called with
-    it. All other
-    methods acquire it, except for `is_endpoint_in_service`, which only looks
-    up one endpoint.
+    it. All other methods acquire it, except for `is_endpoint_in_service`,
+    which only looks up one endpoint.
 
     Parameters
     ----------
